Thin whole path as separate processes

A caller asks an entry VM for addresses, sends plain HTTP there, the request is matched to a target, carried to a server and answered whole with id and verdict. Targets come from the store through apply; servers and entry VMs from the VM list. Stand-ins: Consul KV HTTP API and Prometheus HTTP SD list, servers, callers. Shown by test/path: three entry VMs, a lookup, a fee, a target change and a graceful stop through separate processes.

--- /dev/null
+++ b/cmd/carobward/main.go
@@ -0,0 +1,118 @@
+// Command carobward is the entry VM's process and the operators' client.
+package main
+
+import (
+	stderrors "errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+)
+
+// The exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitRefused = 3
+	exitUnknown = 4
+)
+
+// The kinds of failure that have an exit code of their own.
+const (
+	errRefused = errors.ConstError("refused: nothing was changed")
+	errUnknown = errors.ConstError("unknown: the change may have been accepted")
+)
+
+// version is set by the linker for a release.
+var version = ""
+
+// options are the flags of every subcommand.
+type options struct {
+	Version func() `long:"version" description:"Print the version and exit."`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	o := options{Version: func() {
+		fmt.Println("carobward", versionText())
+		os.Exit(exitOK)
+	}}
+
+	p := flags.NewNamedParser("carobward", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("General", "", &o); err != nil {
+		panic(err)
+	}
+
+	addCommands(p)
+
+	if _, err := p.ParseArgs(args); err != nil {
+		return report(err)
+	}
+
+	return exitOK
+}
+
+// command is one subcommand; its usage text stands at the head of its file.
+type command struct {
+	name, short, usage string
+	data               any
+}
+
+func addCommands(p *flags.Parser) {
+	for _, c := range []command{
+		{"serve", "Run this entry VM.", usageServe, &serveCommand{}},
+		{"check", "Check settings and targets offline.", usageCheck, &checkCommand{}},
+		{"get", "Print the targets in force.", usageGet, &getCommand{}},
+		{"diff", "Show what apply would change.", usageDiff, &diffCommand{}},
+		{"apply", "Make the targets in a file or folder the ones in force.", usageApply, &applyCommand{}},
+		{"status", "Show where which revision is in force.", usageStatus, &statusCommand{}},
+		{"demo", "Run the main job here, with stand-ins.", usageDemo, &demoCommand{}},
+	} {
+		if _, err := p.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func report(err error) int {
+	var f *flags.Error
+	if stderrors.As(err, &f) {
+		if f.Type == flags.ErrHelp {
+			fmt.Println(f.Message)
+
+			return exitOK
+		}
+
+		fmt.Fprintln(os.Stderr, f.Message)
+
+		return exitUsage
+	}
+
+	fmt.Fprintln(os.Stderr, "carobward:", err)
+
+	switch {
+	case errors.Is(err, errUnknown):
+		return exitUnknown
+	case errors.Is(err, errRefused):
+		return exitRefused
+	default:
+		return exitFailed
+	}
+}
+
+func versionText() string {
+	if version != "" {
+		return version
+	}
+
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+
+	return info.Main.Version
+}
--- /dev/null
+++ b/ids.go
@@ -0,0 +1,39 @@
+package carobward
+
+// VMID names an entry VM. It comes from the VM's settings and survives a
+// replacement on the same address; the incarnation tells the two apart.
+type VMID string
+
+// Incarnation tells one run of an entry VM from the next. It is the start
+// time in nanoseconds since the Unix epoch, so that a later run is higher.
+type Incarnation uint64
+
+// ServerID names a backend server: its address, since the VM list knows no
+// other name that holds while the server runs.
+type ServerID string
+
+// Service names a group of backend servers that do the same work.
+type Service string
+
+// Domain names a failure domain.
+type Domain string
+
+// Address is an IP number and a port, such as 127.0.0.1:8080.
+type Address string
+
+// TargetName names a target. Operators choose it.
+type TargetName string
+
+// ChangeID names one change of the configuration. The writer draws it at
+// random, so that it can find out later whether its change was accepted.
+type ChangeID string
+
+// RequestID names one request of a caller.
+type RequestID string
+
+// Revision numbers the accepted configurations, from 1 upwards.
+type Revision uint64
+
+// StoreIndex is the store's own counter of one key. Zero means that the key
+// does not exist.
+type StoreIndex uint64
--- /dev/null
+++ b/internal/cwlink/report.go
@@ -0,0 +1,58 @@
+package cwlink
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"carobward.example/carobward"
+)
+
+// The names in a report, see docs/server-protocol.md.
+const (
+	metricPrefix   = "named_metrics."
+	metricSlots    = "slots"
+	metricRunning  = "running"
+	metricQueued   = "queued"
+	metricDraining = "draining"
+	formatText     = "TEXT"
+)
+
+// ParseReport reads a load report in the text format of ORCA: "TEXT" and a
+// list of name=value. The zero Report means that there is none to read.
+func ParseReport(text string, at time.Time) carobward.Report {
+	list, ok := strings.CutPrefix(text, formatText)
+	if !ok {
+		return carobward.Report{}
+	}
+
+	r := carobward.Report{At: at}
+
+	for part := range strings.SplitSeq(list, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok {
+			continue
+		}
+
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || n < 0 || n > maxMetric {
+			continue
+		}
+
+		switch strings.TrimPrefix(name, metricPrefix) {
+		case metricSlots:
+			r.Slots = int(n)
+		case metricRunning:
+			r.Running = int(n)
+		case metricQueued:
+			r.Queued = int(n)
+		case metricDraining:
+			r.Draining = n > 0
+		}
+	}
+
+	return r
+}
+
+// maxMetric bounds what a server may claim.
+const maxMetric = 1 << 20
--- /dev/null
+++ b/internal/cwlookup/lookup.go
@@ -0,0 +1,97 @@
+// Package cwlookup answers callers that ask which entry VMs to use.
+package cwlookup
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	"carobward.example/carobward"
+)
+
+// Line is one address that a caller may use.
+type Line struct {
+	// Address takes the caller's requests.
+	Address carobward.Address `json:"address"`
+	// VM is the entry VM behind it.
+	VM carobward.VMID `json:"vm"`
+	// Domain is its failure domain.
+	Domain carobward.Domain `json:"domain"`
+}
+
+// Answer tells a caller which addresses to use, the best one first.
+type Answer struct {
+	// Use lists the addresses in the order to try them.
+	Use []Line `json:"use"`
+	// Keep is how long the answer may be kept, in seconds.
+	Keep int `json:"keep"`
+	// Ticket starts the tickets of requests that run at most once: the
+	// caller appends a dot and a number of its own.
+	Ticket string `json:"ticket,omitempty"`
+}
+
+// The make-up of an answer.
+const (
+	nearMost = 2
+	farMost  = 2
+)
+
+// Choose returns the addresses for a caller: its own failure domain first,
+// then one each of other failure domains, spread by rendezvous hashing.
+func Choose(peers []carobward.Peer, caller string, domain carobward.Domain) []Line {
+	ranked := rank(peers, caller)
+
+	var near, far []Line
+
+	seen := map[carobward.Domain]bool{domain: true}
+
+	for _, p := range ranked {
+		l := Line{Address: p.Callers, VM: p.ID, Domain: p.Domain}
+
+		switch {
+		case p.Domain == domain && len(near) < nearMost:
+			near = append(near, l)
+		case !seen[p.Domain] && len(far) < farMost:
+			seen[p.Domain] = true
+			far = append(far, l)
+		}
+	}
+
+	return append(near, far...)
+}
+
+// rank sorts the fit peers by their rendezvous weight for the caller.
+func rank(peers []carobward.Peer, caller string) []carobward.Peer {
+	var fit []carobward.Peer
+
+	for _, p := range peers {
+		if p.State == carobward.PeerLive || p.State == carobward.PeerSuspect {
+			fit = append(fit, p)
+		}
+	}
+
+	slices.SortStableFunc(fit, func(a, b carobward.Peer) int {
+		return cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(weight(b.ID, caller), weight(a.ID, caller)))
+	})
+
+	return fit
+}
+
+func weight(id carobward.VMID, caller string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(caller))
+
+	return float64(mix(h.Sum64())) / math.MaxUint64
+}
+
+// mix spreads the bits of an FNV sum, whose high bits differ little between
+// short texts (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/internal/cwnode/node.go
@@ -0,0 +1,226 @@
+// Package cwnode puts the parts of one entry VM together and runs them.
+package cwnode
+
+import (
+	"context"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gofiber/fiber/v2"
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwentry"
+	"carobward.example/carobward/internal/cwkv"
+	"carobward.example/carobward/internal/cwlink"
+	"carobward.example/carobward/internal/cwlookup"
+	"carobward.example/carobward/internal/cwoperator"
+	"carobward.example/carobward/internal/cwpeer"
+	"carobward.example/carobward/internal/cwserver"
+	"carobward.example/carobward/internal/cwsettings"
+	"carobward.example/carobward/internal/cwvm"
+)
+
+// The link's bounds a server. A server takes some 250 connections, which the
+// entry VMs share.
+const (
+	connsPerServer = 12
+	connKeep       = 30 * time.Second
+	replyHeader    = 16 * carobward.Kilobyte
+)
+
+// Node is one entry VM.
+type Node struct {
+	settings cwsettings.Settings
+	clock    carobward.Clock
+	log      logr.Logger
+
+	store   carobward.Store
+	list    carobward.VMList
+	servers *cwserver.Table
+	peers   *cwpeer.Table
+	clients *cwpeer.Clients
+	holder  *cwconfig.Holder
+	watcher *cwconfig.Watcher
+	link    *cwlink.Link
+	carrier *cwentry.Carrier
+
+	data      *fasthttp.Server
+	lookup    *fiber.App
+	operators *fiber.App
+	listeners listeners
+	done      chan struct{}
+}
+
+// listeners are the open sockets.
+type listeners struct {
+	callers, lookup, peers, operators net.Listener
+}
+
+// New opens the listeners and puts the parts together. Run starts them.
+func New(s cwsettings.Settings, clock carobward.Clock, log logr.Logger) (*Node, error) {
+	n := &Node{
+		settings: s,
+		clock:    clock,
+		log:      log.WithName("node"),
+		store:    cwkv.New(s.Store.URL, s.Store.Prefix, s.Store.Timeout.Std()),
+		list:     cwvm.New(s.List.URL),
+		servers:  cwserver.NewTable(),
+		clients:  cwpeer.NewClients(),
+		holder:   cwconfig.NewHolder(),
+		done:     make(chan struct{}),
+	}
+
+	key, err := readKey(s.Keys.Operators)
+	if err != nil {
+		return nil, err
+	}
+
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+
+	n.peers = cwpeer.NewTable(n.self())
+	n.watcher = cwconfig.NewWatcher(n.store, n.holder, log)
+	n.link = cwlink.New(cwlink.Options{Conns: connsPerServer, Keep: connKeep, Header: replyHeader}, clock)
+	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls}, n.holder, n.servers, n.link, clock, log)
+	n.data = dataServer(&s.Limits, n.carrier)
+	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std())
+	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers).Handler()
+
+	return n, nil
+}
+
+// Done is closed once Run has returned.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Self returns this entry VM with the addresses that it listens on.
+func (n *Node) Self() carobward.Peer { return n.peers.Self() }
+
+func (n *Node) self() carobward.Peer {
+	return carobward.Peer{
+		ID:          n.settings.VM,
+		Incarnation: carobward.Incarnation(n.clock.Now().UnixNano()),
+		Domain:      n.settings.Domain,
+		Callers:     address(n.listeners.callers),
+		Lookup:      address(n.listeners.lookup),
+		Peers:       address(n.listeners.peers),
+		Operators:   address(n.listeners.operators),
+	}
+}
+
+func address(l net.Listener) carobward.Address { return carobward.Address(l.Addr().String()) }
+
+func readKey(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.Annotate(err, "keys")
+	}
+
+	key := strings.TrimSpace(string(raw))
+	if key == "" {
+		return "", errors.Errorf("keys: %s is empty", path)
+	}
+
+	return key, nil
+}
+
+func (n *Node) listen() error {
+	l := &n.settings.Listen
+
+	for _, one := range []struct {
+		at   carobward.Address
+		into *net.Listener
+	}{
+		{l.Callers, &n.listeners.callers},
+		{l.Lookup, &n.listeners.lookup},
+		{l.Peers, &n.listeners.peers},
+		{l.Operators, &n.listeners.operators},
+	} {
+		opened, err := net.Listen("tcp", string(one.at))
+		if err != nil {
+			return errors.Annotate(err, "node")
+		}
+
+		*one.into = opened
+	}
+
+	return nil
+}
+
+func dataServer(l *cwsettings.Limits, c *cwentry.Carrier) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:            c.Handle,
+		Name:               "carobward",
+		Concurrency:        l.Conns,
+		ReadBufferSize:     int(l.Header),
+		MaxRequestBodySize: int(l.Body),
+		ReadTimeout:        l.Read.Std(),
+		IdleTimeout:        l.Idle.Std(),
+		CloseOnShutdown:    true,
+		NoDefaultDate:      true,
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.done)
+
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+
+	var group conc.WaitGroup
+
+	n.log.Info("Serving.", "vm", n.settings.VM, "callers", n.Self().Callers, "lookup", n.Self().Lookup,
+		"peers", n.Self().Peers, "operators", n.Self().Operators)
+	group.Go(func() { n.watcher.Run(work) })
+	group.Go(func() { n.tick(work) })
+	group.Go(func() { n.logEnd("callers", n.data.Serve(n.listeners.callers)) })
+	group.Go(func() { n.logEnd("lookup", n.lookup.Listener(n.listeners.lookup)) })
+	group.Go(func() { n.logEnd("peers", cwpeer.Serve(n.listeners.peers, n.peers, n.clock)) })
+	group.Go(func() { n.logEnd("operators", n.operators.Listener(n.listeners.operators)) })
+
+	<-ctx.Done()
+
+	err := n.leave()
+
+	stop()
+	_ = n.listeners.peers.Close()
+	_ = n.lookup.Shutdown()
+	_ = n.operators.Shutdown()
+	group.Wait()
+	n.log.Info("Stopped.")
+
+	return err
+}
+
+func (n *Node) logEnd(listener string, err error) {
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		n.log.Error(err, "A listener ended.", "listener", listener)
+	}
+}
+
+// leave tells the peers, serves for as long as callers keep old answers, and
+// then waits for the requests in flight.
+func (n *Node) leave() error {
+	n.log.Info("Leaving.", "keep", n.settings.Keep.Std().String())
+	n.peers.Leave()
+
+	end := n.clock.Now().Add(n.settings.Stop.Std())
+	n.hello(context.Background())
+	time.Sleep(n.settings.Keep.Std())
+
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+
+	return errors.Annotate(n.data.ShutdownWithContext(ctx), "node: requests were still in flight at the bound")
+}
--- /dev/null
+++ b/internal/cwwire/doc.go
@@ -0,0 +1,5 @@
+// Package cwwire has the messages that entry VMs exchange, generated from
+// wire.proto.
+package cwwire
+
+//go:generate protoc --proto_path=../.. --go_out=../.. --go_opt=paths=source_relative internal/cwwire/wire.proto
