--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -46,6 +46,7 @@
 	servers *cwserver.Table
 	peers   *cwpeer.Table
 	clients *cwpeer.Clients
+	server  *cwpeer.Server
 	holder  *cwconfig.Holder
 	watcher *cwconfig.Watcher
 	link    *cwlink.Link
@@ -87,6 +88,12 @@
 	}
 
 	n.peers = cwpeer.NewTable(n.self())
+
+	n.server, err = cwpeer.NewServer(n.peers, clock)
+	if err != nil {
+		return nil, err
+	}
+
 	n.watcher = cwconfig.NewWatcher(n.store, n.holder, log)
 	n.link = cwlink.New(cwlink.Options{Conns: connsPerServer, Keep: connKeep, Header: replyHeader}, clock)
 	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls}, n.holder, n.servers, n.link, clock, log)
@@ -186,7 +193,7 @@
 	group.Go(func() { n.tick(work) })
 	group.Go(func() { n.logEnd("callers", n.data.Serve(n.listeners.callers)) })
 	group.Go(func() { n.logEnd("lookup", n.lookup.Listener(n.listeners.lookup)) })
-	group.Go(func() { n.logEnd("peers", cwpeer.Serve(n.listeners.peers, n.peers, n.clock)) })
+	group.Go(func() { n.logEnd("peers", n.server.Serve(n.listeners.peers)) })
 	group.Go(func() { n.logEnd("operators", n.operators.Listener(n.listeners.operators)) })
 
 	<-ctx.Done()
--- a/internal/cwpeer/rpc.go
+++ b/internal/cwpeer/rpc.go
@@ -35,13 +35,26 @@
 	return nil
 }
 
-// Serve answers peers on the listener until it is closed.
-func Serve(ln net.Listener, table *Table, clock carobward.Clock) error {
-	s := rpc.NewServer()
-	if err := s.RegisterName("Peer", &Service{table: table, clock: clock}); err != nil {
-		return errors.Annotate(err, "peer")
-	}
+// Server answers peers.
+type Server struct {
+	rpc *rpc.Server
+}
 
+// NewServer returns a server whose peers are met in the table.
+func NewServer(table *Table, clock carobward.Clock) (*Server, error) {
+	s := &Server{rpc: rpc.NewServer()}
+
+	return s, s.Register("Peer", &Service{table: table, clock: clock})
+}
+
+// Register adds a service whose methods peers may call. Arguments and replies
+// are protocol buffers. It must be called before Serve.
+func (s *Server) Register(name string, service any) error {
+	return errors.Annotate(s.rpc.RegisterName(name, service), "peer")
+}
+
+// Serve answers peers on the listener until it is closed.
+func (s *Server) Serve(ln net.Listener) error {
 	var group conc.WaitGroup
 
 	for {
@@ -50,7 +63,7 @@
 			return errors.Annotate(err, "peer")
 		}
 
-		group.Go(func() { s.ServeCodec(&serverCodec{newStream(c)}) })
+		group.Go(func() { s.rpc.ServeCodec(&serverCodec{newStream(c)}) })
 	}
 }
 
@@ -68,12 +81,14 @@
 // Hello exchanges what we and the peer at an address say of ourselves.
 func (c *Clients) Hello(ctx context.Context, to carobward.Address, self carobward.Peer) (carobward.Peer, error) {
 	out := &cwwire.Peer{}
-	err := c.call(ctx, to, "Peer.Hello", toWire(self), out)
+	err := c.Call(ctx, to, "Peer.Hello", toWire(self), out)
 
 	return fromWire(out), err
 }
 
-func (c *Clients) call(ctx context.Context, to carobward.Address, method string, in, out any) error {
+// Call calls a method of the peer at an address, such as "Peer.Hello". The
+// error does not tell whether the method ran.
+func (c *Clients) Call(ctx context.Context, to carobward.Address, method string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 
--- a/internal/cwwire/doc.go
+++ b/internal/cwwire/doc.go
@@ -2,4 +2,4 @@
 // wire.proto.
 package cwwire
 
-//go:generate protoc --proto_path=../.. --go_out=../.. --go_opt=paths=source_relative internal/cwwire/wire.proto
+//go:generate sh -c "cd ../.. && protoc --go_out=. --go_opt=paths=source_relative internal/cwwire/*.proto"
