Store client: no hidden repeat, cancelled calls end, lost replies known as such

A lost reply of a write was wrapped with errors.Wrap of juju/errors, whose errors.Is does not see the new cause: the writer took it as a refusal and told the operator that nothing was changed.

Each call now has a connection of its own: no client library can send a PUT twice (counted by a server), a cancelled watch ends at once with its connection in place of a goroutine that waited for the timeout, and a failed dial is known as not sent. Reuse of connections was ruled out: a node makes less than one call a second.

The stand-in platform gets faults: outage, slow, reply lost after or before taking effect, older values coming back, lagging or failing list, and counts calls.

--- a/internal/cwkv/client.go
+++ b/internal/cwkv/client.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"expvar"
 	"fmt"
 	"net/url"
 	"strconv"
@@ -20,48 +21,53 @@
 )
 
 const (
-	// maxValue bounds a reply: a megabyte in base64 and its JSON frame.
-	maxValue = 2 << 20
-	// watchWait is how long a blocking query may wait.
-	watchWait = 50 * time.Second
+	// maxReply bounds a reply in bytes: a megabyte in base64 and its frame.
+	maxReply = 2 << 20
+	// watchWait is how long a blocking query may wait. The service sends the
+	// value again at its end, so a short wait costs bytes.
+	watchWait = 20 * time.Second
 	// watchSlack is what the service may add to that.
 	watchSlack  = 5 * time.Second
 	indexHeader = "X-Consul-Index"
 )
 
-// Client reaches the key-value service.
+// calls counts the calls of this process by kind, and those that failed.
+var calls = expvar.NewMap("store")
+
+// The kinds of calls as the metric names them.
+const (
+	callRead   = "reads"
+	callWatch  = "watches"
+	callWrite  = "writes"
+	callFailed = "failed"
+)
+
+// Client reaches the key-value service. Each call has a connection of its
+// own: calls are rare, the end of a context closes it at once, and nothing
+// sends a call twice.
 type Client struct {
-	base    string
+	dialer  dialer
 	prefix  string
 	timeout time.Duration
-	http    *fasthttp.Client
 }
 
 // New returns a client of the service at base, such as http://10.0.0.2:8500.
 // Every key starts with prefix. The timeout bounds each call but a watch.
 func New(base, prefix string, timeout time.Duration) *Client {
-	return &Client{
-		base:    base,
-		prefix:  prefix,
-		timeout: timeout,
-		http: &fasthttp.Client{
-			Name:                      "carobward",
-			MaxIdemponentCallAttempts: 1,
-			MaxResponseBodySize:       maxValue,
-			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-				return false, false
-			},
-		},
-	}
+	return &Client{dialer: newDialer(base), prefix: prefix, timeout: timeout}
 }
 
 // Get returns the entry of a key.
 func (c *Client) Get(ctx context.Context, key carobward.Key) (carobward.Entry, error) {
+	calls.Add(callRead, 1)
+
 	return c.read(ctx, key, "", c.timeout)
 }
 
 // Watch waits for a change of the key with a blocking query.
 func (c *Client) Watch(ctx context.Context, key carobward.Key, after carobward.StoreIndex) (carobward.Entry, error) {
+	calls.Add(callWatch, 1)
+
 	query := fmt.Sprintf("?index=%d&wait=%ds", after, int(watchWait.Seconds()))
 
 	return c.read(ctx, key, query, watchWait+watchSlack)
@@ -78,7 +84,7 @@
 
 	r, err := c.do(ctx, fasthttp.MethodGet, key, query, nil, timeout)
 	if err != nil {
-		return entry, errors.Wrap(err, carobward.ErrStoreDown)
+		return entry, errors.WithType(err, carobward.ErrStoreDown)
 	}
 
 	next, _ := strconv.ParseUint(r.index, 10, 64)
@@ -92,29 +98,40 @@
 		return entry, errors.Annotatef(carobward.ErrStoreDown, "store: status %d", r.status)
 	}
 
+	return entry, decode(r.body, &entry)
+}
+
+// decode reads the one pair of a reply.
+func decode(body []byte, entry *carobward.Entry) error {
 	var pairs []pair
-	if err := json.Unmarshal(r.body, &pairs); err != nil || len(pairs) != 1 {
-		return entry, errors.Annotate(carobward.ErrStoreDown, "store: malformed reply")
+	if err := json.Unmarshal(body, &pairs); err != nil || len(pairs) != 1 {
+		return errors.Annotate(carobward.ErrStoreDown, "store: malformed reply")
 	}
 
 	value, err := base64.StdEncoding.DecodeString(pairs[0].Value)
 	if err != nil {
-		return entry, errors.Annotate(carobward.ErrStoreDown, "store: malformed value")
+		return errors.Annotate(carobward.ErrStoreDown, "store: malformed value")
 	}
 
 	entry.Value = value
 	entry.Index = carobward.StoreIndex(pairs[0].ModifyIndex)
 
-	return entry, nil
+	return nil
 }
 
 // Swap writes a value by check-and-set.
 func (c *Client) Swap(ctx context.Context, key carobward.Key, value []byte, base carobward.StoreIndex) error {
+	calls.Add(callWrite, 1)
+
 	query := fmt.Sprintf("?cas=%d", base)
 
 	r, err := c.do(ctx, fasthttp.MethodPut, key, query, value, c.timeout)
+	if errors.Is(err, errNotSent) {
+		return errors.WithType(err, carobward.ErrStoreDown)
+	}
+
 	if err != nil {
-		return errors.Wrap(err, carobward.ErrStoreUnknown)
+		return errors.WithType(err, carobward.ErrStoreUnknown)
 	}
 
 	if r.status != fasthttp.StatusOK {
@@ -131,53 +148,24 @@
 	}
 }
 
-type result struct {
-	status int
-	index  string
-	body   []byte
-}
-
-type outcome struct {
-	result result
-	err    error
-}
-
-// do makes one call in its own goroutine, so that ctx can end the waiting.
-// The call itself ends at the timeout.
 func (c *Client) do(ctx context.Context, method string, key carobward.Key, query string, body []byte, timeout time.Duration) (result, error) {
-	done := make(chan outcome, 1)
-
-	go func() {
-		r, err := c.call(method, key, query, body, timeout)
-		done <- outcome{r, err}
-	}()
-
-	select {
-	case o := <-done:
-		return o.result, o.err
-	case <-ctx.Done():
-		return result{}, ctx.Err()
-	}
-}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 
-func (c *Client) call(method string, key carobward.Key, query string, body []byte, timeout time.Duration) (result, error) {
 	req := fasthttp.AcquireRequest()
-	resp := fasthttp.AcquireResponse()
-
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
+
+	path := (&url.URL{Path: c.prefix + string(key)}).EscapedPath()
 
 	req.Header.SetMethod(method)
-	req.SetRequestURI(c.base + "/v1/kv/" + (&url.URL{Path: c.prefix + string(key)}).EscapedPath() + query)
+	req.SetRequestURI(c.dialer.base + "/v1/kv/" + path + query)
 	req.SetBody(body)
+	req.SetConnectionClose()
 
-	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
-		return result{}, err
+	r, err := c.dialer.exchange(ctx, req)
+	if err != nil {
+		calls.Add(callFailed, 1)
 	}
 
-	return result{
-		status: resp.StatusCode(),
-		index:  string(resp.Header.Peek(indexHeader)),
-		body:   append([]byte(nil), resp.Body()...),
-	}, nil
+	return r, err
 }
--- /dev/null
+++ b/internal/cwkv/client_test.go
@@ -0,0 +1,147 @@
+package cwkv
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwtest"
+)
+
+// counter is a server that counts requests and open connections, and does
+// with each connection what serve says.
+type counter struct {
+	requests, open atomic.Int64
+	url            string
+}
+
+func newCounter(t *testing.T, serve func(net.Conn)) *counter {
+	t.Helper()
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { _ = ln.Close() })
+
+	c := &counter{url: "http://" + ln.Addr().String()}
+
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+
+			c.open.Add(1)
+
+			go func() {
+				defer c.open.Add(-1)
+				defer func() { _ = conn.Close() }()
+
+				var req fasthttp.Request
+				if req.Read(bufio.NewReader(conn)) == nil {
+					c.requests.Add(1)
+					serve(conn)
+				}
+			}()
+		}
+	}()
+
+	return c
+}
+
+// TestSwapOnce: no lost reply makes the client send a write again.
+func TestSwapOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		reply string
+		want  error
+	}{
+		"closed without a reply": {"", carobward.ErrStoreUnknown},
+		"cut within the header":  {"HTTP/1.1 200 OK\r\nContent-Le", carobward.ErrStoreUnknown},
+		"cut within the body":    {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntr", carobward.ErrStoreUnknown},
+		"an error of the server": {"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", carobward.ErrStoreUnknown},
+		"malformed":              {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nmaybe", carobward.ErrStoreUnknown},
+		"another was first":      {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfalse", carobward.ErrConflict},
+		"accepted":               {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntrue", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newCounter(t, func(c net.Conn) { _, _ = c.Write([]byte(test.reply)) })
+
+			err := New(s.url, "t/", time.Second).Swap(context.Background(), "head", []byte("x"), 1)
+			if !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+
+			cwtest.Wait(t, "the connection's end", func() bool { return s.open.Load() == 0 })
+
+			if n := s.requests.Load(); n != 1 {
+				t.Errorf("sent %d times", n)
+			}
+		})
+	}
+}
+
+// TestSwapNotSent: without a connection nothing was written.
+func TestSwapNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	_ = ln.Close()
+
+	err = New("http://"+ln.Addr().String(), "", time.Second).Swap(context.Background(), "head", nil, 0)
+	if !errors.Is(err, carobward.ErrStoreDown) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestWatchEnds: cancelled watches hold neither a connection nor a goroutine.
+func TestWatchEnds(t *testing.T) {
+	s := newCounter(t, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 1)) // Waits until the client closes.
+	})
+	client := New(s.url, "", time.Second)
+
+	for i := range int64(30) {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+
+		go func() {
+			_, err := client.Watch(ctx, "head", 1)
+			ended <- err
+		}()
+
+		cwtest.Wait(t, "a watch that waits", func() bool { return s.requests.Load() == i+1 })
+		cancel()
+
+		if err := <-ended; !errors.Is(err, carobward.ErrStoreDown) {
+			t.Errorf("got %v", err)
+		}
+	}
+
+	cwtest.Wait(t, "the end of all connections", func() bool { return s.open.Load() == 0 })
+}
+
+// FuzzDecode: no reply makes the client panic.
+// FuzzDecode: no reply makes the client panic.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`[{"Value":"eA==","ModifyIndex":7}]`))
+	f.Add([]byte(`[{"Value":"%"}]`))
+	f.Add([]byte(`{}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var e carobward.Entry
+		if err := decode(raw, &e); err != nil && !errors.Is(err, carobward.ErrStoreDown) {
+			t.Errorf("got %v", err)
+		}
+	})
+}
--- a/internal/cwstand/platform.go
+++ b/internal/cwstand/platform.go
@@ -4,13 +4,10 @@
 package cwstand
 
 import (
-	"encoding/base64"
 	"encoding/json"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -18,32 +15,48 @@
 	"carobward.example/carobward/internal/cwvm"
 )
 
-// ListPath is where the platform serves its VM list.
-const ListPath = "/vms"
-
-const kvPath = "/v1/kv/"
+// The paths of the platform beside the key-value service's.
+const (
+	// ListPath is where the platform serves its VM list.
+	ListPath = "/vms"
+	// FaultsPath takes Faults by PUT.
+	FaultsPath = "/faults"
+	// CountsPath answers GET with Counts.
+	CountsPath = "/counts"
+	// SavePath takes a POST that remembers all values.
+	SavePath = "/save"
+	// OlderPath takes a POST that brings the remembered values back.
+	OlderPath = "/older"
+)
 
 // Platform is a stand-in for the platform: the Consul KV HTTP API in part
-// (one key a read, check-and-set, blocking queries) and a VM list.
+// (one key a read, check-and-set, blocking queries) and a VM list, with
+// faults that can be switched on.
 type Platform struct {
 	mutex   sync.Mutex
 	index   uint64
 	values  map[string]value
+	saved   map[string]value
 	changed chan struct{}
 	vms     []carobward.VM
+	lagging []carobward.VM
+	faults  Faults
+	counts  Counts
 
 	server *fasthttp.Server
 	ln     net.Listener
-}
-
-type value struct {
-	bytes []byte
-	index uint64
+	done   chan struct{}
 }
 
 // NewPlatform returns a platform that serves on the listener.
 func NewPlatform(ln net.Listener) *Platform {
-	p := &Platform{index: 1, values: map[string]value{}, changed: make(chan struct{}), ln: ln}
+	p := &Platform{
+		index:   1,
+		values:  map[string]value{},
+		changed: make(chan struct{}),
+		ln:      ln,
+		done:    make(chan struct{}),
+	}
 	p.server = &fasthttp.Server{Handler: p.handle, MaxRequestBodySize: 2 << 20, CloseOnShutdown: true}
 
 	go func() { _ = p.server.Serve(ln) }()
@@ -54,8 +67,19 @@
 // URL is the base of the platform's services.
 func (p *Platform) URL() string { return "http://" + p.ln.Addr().String() }
 
-// Close stops serving.
-func (p *Platform) Close() { _ = p.ln.Close() }
+// Close stops serving and ends the calls that wait.
+func (p *Platform) Close() {
+	_ = p.ln.Close()
+
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	select {
+	case <-p.done:
+	default:
+		close(p.done)
+	}
+}
 
 // SetVMs replaces the VM list.
 func (p *Platform) SetVMs(vms []carobward.VM) {
@@ -69,14 +93,13 @@
 	path := string(ctx.Path())
 
 	switch {
+	case p.control(ctx, path):
 	case path == ListPath && ctx.IsPut():
 		p.setList(ctx)
 	case path == ListPath:
 		p.list(ctx)
-	case strings.HasPrefix(path, kvPath) && ctx.IsGet():
-		p.get(ctx, strings.TrimPrefix(path, kvPath))
-	case strings.HasPrefix(path, kvPath) && ctx.IsPut():
-		p.put(ctx, strings.TrimPrefix(path, kvPath))
+	case strings.HasPrefix(path, kvPath) && (ctx.IsGet() || ctx.IsPut()):
+		p.keyValue(ctx, strings.TrimPrefix(path, kvPath))
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -86,8 +109,19 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
+	if p.faults.ListDown {
+		cut(ctx)
+
+		return
+	}
+
+	vms := p.vms
+	if p.faults.ListLags {
+		vms = p.lagging
+	}
+
 	groups := []cwvm.Group{}
-	for _, v := range p.vms {
+	for _, v := range vms {
 		groups = append(groups, cwvm.Group{
 			Targets: []carobward.Address{v.Address},
 			Labels:  cwvm.Labels{Service: v.Service, Domain: v.Domain, VM: v.ID, State: v.State.String()},
@@ -119,77 +153,3 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(raw)
 }
-
-func (p *Platform) get(ctx *fasthttp.RequestCtx, key string) {
-	after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("index")), 10, 64)
-	wait, err := time.ParseDuration(string(ctx.QueryArgs().Peek("wait")))
-
-	if err == nil {
-		p.await(key, after, wait)
-	}
-
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-
-	v, ok := p.values[key]
-	ctx.Response.Header.Set("X-Consul-Index", strconv.FormatUint(max(v.index, 1), 10))
-
-	if !ok {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-
-		return
-	}
-
-	writeJSON(ctx, []map[string]any{{
-		"Key":         key,
-		"Value":       base64.StdEncoding.EncodeToString(v.bytes),
-		"ModifyIndex": v.index,
-	}})
-}
-
-// await blocks until the key's index passes after, for at most wait.
-func (p *Platform) await(key string, after uint64, wait time.Duration) {
-	end := time.After(wait)
-
-	for {
-		p.mutex.Lock()
-		passed, changed := p.values[key].index > after, p.changed
-		p.mutex.Unlock()
-
-		if passed {
-			return
-		}
-
-		select {
-		case <-changed:
-		case <-end:
-			return
-		}
-	}
-}
-
-func (p *Platform) put(ctx *fasthttp.RequestCtx, key string) {
-	base, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("cas")), 10, 64)
-	if err != nil {
-		ctx.Error("want cas", fasthttp.StatusBadRequest)
-
-		return
-	}
-
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-
-	if p.values[key].index != base {
-		ctx.SetBodyString("false")
-
-		return
-	}
-
-	p.index++
-	p.values[key] = value{bytes: append([]byte(nil), ctx.PostBody()...), index: p.index}
-
-	close(p.changed)
-	p.changed = make(chan struct{})
-
-	ctx.SetBodyString("true")
-}
--- /dev/null
+++ b/internal/cwtest/store.go
@@ -0,0 +1,135 @@
+package cwtest
+
+import (
+	"context"
+	"maps"
+	"sync"
+
+	"carobward.example/carobward"
+)
+
+// StoreFault is what happens to one call of a Store.
+type StoreFault uint8
+
+// The faults of a call.
+const (
+	// StoreWell: the call goes well.
+	StoreWell StoreFault = iota
+	// StoreDown: the call does not reach the store.
+	StoreDown
+	// StoreLost: a write takes effect, but its reply is lost.
+	StoreLost
+	// StoreDropped: a write is lost, and its writer can't tell.
+	StoreDropped
+)
+
+// Store is a carobward.Store in memory.
+type Store struct {
+	// Fault, if set, decides the fate of each call.
+	Fault func(write bool, key carobward.Key) StoreFault
+
+	mutex   sync.Mutex
+	index   carobward.StoreIndex
+	entries map[carobward.Key]carobward.Entry
+	changed chan struct{}
+}
+
+// NewStore returns an empty store without faults.
+func NewStore() *Store {
+	return &Store{entries: map[carobward.Key]carobward.Entry{}, changed: make(chan struct{})}
+}
+
+func (s *Store) fault(write bool, key carobward.Key) StoreFault {
+	if s.Fault == nil {
+		return StoreWell
+	}
+
+	return s.Fault(write, key)
+}
+
+// Get returns the entry of a key.
+func (s *Store) Get(_ context.Context, key carobward.Key) (carobward.Entry, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	if s.fault(false, key) != StoreWell {
+		return carobward.Entry{Key: key}, carobward.ErrStoreDown
+	}
+
+	e := s.entries[key]
+	e.Key = key
+	e.Next = max(e.Index, 1)
+
+	return e, nil
+}
+
+// Swap writes a value if the key's index is still base.
+func (s *Store) Swap(_ context.Context, key carobward.Key, value []byte, base carobward.StoreIndex) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	fault := s.fault(true, key)
+
+	switch fault {
+	case StoreDown:
+		return carobward.ErrStoreDown
+	case StoreDropped:
+		return carobward.ErrStoreUnknown
+	case StoreWell, StoreLost:
+	}
+
+	if s.entries[key].Index != base {
+		if fault == StoreLost {
+			return carobward.ErrStoreUnknown
+		}
+
+		return carobward.ErrConflict
+	}
+
+	s.index++
+	s.entries[key] = carobward.Entry{Value: append([]byte(nil), value...), Index: s.index}
+
+	close(s.changed)
+	s.changed = make(chan struct{})
+
+	if fault == StoreLost {
+		return carobward.ErrStoreUnknown
+	}
+
+	return nil
+}
+
+// Watch waits until the key's index passes after, or until ctx ends.
+func (s *Store) Watch(ctx context.Context, key carobward.Key, after carobward.StoreIndex) (carobward.Entry, error) {
+	for {
+		s.mutex.Lock()
+		passed, changed := s.entries[key].Index > after, s.changed
+		s.mutex.Unlock()
+
+		if passed {
+			return s.Get(ctx, key)
+		}
+
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return carobward.Entry{}, carobward.ErrStoreDown
+		}
+	}
+}
+
+// Save returns all values, for Restore.
+func (s *Store) Save() map[carobward.Key]carobward.Entry {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return maps.Clone(s.entries)
+}
+
+// Restore brings saved values back.
+func (s *Store) Restore(saved map[carobward.Key]carobward.Entry) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.entries = maps.Clone(saved)
+}
