--- a/cmd/carobward/apply.go
+++ b/cmd/carobward/apply.go
@@ -1,31 +1,67 @@
 package main
 
 import (
-	"crypto/rand"
 	"fmt"
+	"os"
+	"time"
 
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwconfig"
 	"carobward.example/carobward/internal/cwoperator"
 )
 
 const usageApply = `Make the targets in a file or folder the ones in force. Targets that the
 files do not have are left alone, unless --prune is given. The change is
-refused as a whole if another one has touched the same targets meanwhile.
+refused as a whole if another one has touched the same targets since the base,
+and the other one is named. Then it waits until the change is in force on each
+entry VM and names those where it is not yet.
 
-Exit codes: 0 accepted, 1 failed, 3 refused and nothing changed, 4 unknown:
-run the same command again, it changes nothing twice.`
+The same command may be run again at any time: it changes nothing twice, and
+it does not revert what another operator changed meanwhile unless --base says
+that the other change was seen.
+
+With --restore, the configuration in force on the fleet is put back into a
+store that was restored from an older copy.
+
+Exit codes: 0 accepted and in force everywhere, 1 failed and nothing changed,
+3 refused and nothing changed, 4 unknown: run the printed command, 5 accepted,
+but not yet in force on each entry VM.`
 
 type applyCommand struct {
 	changeFlags
 
-	Author string `long:"author" env:"USER" description:"Who makes the change, for others to read."`
+	Author  string        `long:"author" env:"USER" description:"Who makes the change, for others to read."`
+	Base    uint64        `long:"base" description:"Revision that the change was made upon; the one in force if not given."`
+	Wait    time.Duration `long:"wait" default:"30s" description:"How long to wait until it is in force everywhere; 0 for not at all."`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"How long to find out what became of a change whose reply was lost."`
+	Restore bool          `long:"restore" description:"Put the configuration in force back into a restored store."`
+
+	Args struct {
+		Targets string `positional-arg-name:"FILE-OR-FOLDER"`
+	} `positional-args:"yes"`
 }
 
-// Execute makes the change.
+// The pauses between two requests.
+const (
+	retryPause = 500 * time.Millisecond
+	waitPause  = 250 * time.Millisecond
+)
+
+// Execute makes the change and waits for it.
 func (c *applyCommand) Execute([]string) error {
-	change, err := c.change()
+	if c.Restore == (c.Args.Targets != "") {
+		return &flags.Error{Type: flags.ErrRequired, Message: "give either FILE-OR-FOLDER or --restore"}
+	}
+
+	if c.Restore {
+		return c.restore()
+	}
+
+	change, v, err := c.change(c.Args.Targets)
 	if err != nil {
 		return err
 	}
@@ -33,18 +69,133 @@
 	printChange(change)
 
 	if change.Empty() {
-		return nil
+		return c.wait(v.Revision)
 	}
 
-	change.ID = carobward.ChangeID(rand.Text())
+	if err := c.complete(change, v); err != nil {
+		return err
+	}
+
+	return c.send("/config", change)
+}
+
+// complete sets who makes the change and upon what.
+func (c *applyCommand) complete(change *cwconfig.Change, v *cwoperator.View) error {
 	change.Author = c.Author
 
-	var done cwoperator.Applied
-	if err := c.call(fasthttp.MethodPost, "/config", change, &done); err != nil {
+	if c.Base == 0 {
+		if err := cwconfig.Repeated(change, v.Recent); err != nil {
+			return errors.WithType(errors.Annotatef(err, `the same change was accepted before; to make it once more upon the other, add "--base %d"`, v.Revision), errRefused)
+		}
+	} else {
+		change.Base = carobward.Revision(c.Base)
+	}
+
+	id, err := digest(change.Source, change.Base, c.Author)
+	change.ID = id
+
+	return err
+}
+
+func (c *applyCommand) restore() error {
+	v, err := c.view(true)
+	if err != nil {
 		return err
 	}
 
+	id, err := digest("restore", v.Revision, v.Chain, c.Author)
+	if err != nil {
+		return err
+	}
+
+	return c.send("/restore", &cwconfig.Change{ID: id, Author: c.Author, Base: v.Revision})
+}
+
+// send makes the change, again and again until its outcome is known. The
+// change has an id, so that it takes effect once.
+func (c *applyCommand) send(path string, change *cwconfig.Change) error {
+	var done cwoperator.Applied
+
+	lost := false
+	end := time.Now().Add(c.Timeout)
+
+	for {
+		err := c.call(fasthttp.MethodPost, path, change, &done)
+		if err == nil {
+			break
+		}
+
+		lost = lost || errors.Is(err, errUnknown) || errors.Is(err, errNoAnswer)
+
+		switch {
+		case refusedFor(err, cwoperator.CodeNotReady, cwoperator.CodeBusy) && time.Now().Before(end):
+		case !lost || refusedFor(err, cwoperator.CodeConflict, cwoperator.CodeKey):
+			// After a lost reply, a conflict proves that the change was not
+			// accepted and never will be: the store has moved on without it.
+			return err
+		case time.Now().After(end):
+			c.hint(change)
+
+			return errors.WithType(err, errUnknown)
+		}
+
+		time.Sleep(retryPause)
+	}
+
 	fmt.Printf("Accepted as revision %d.\n", done.Revision)
 
-	return nil
+	if done.Newest > done.Revision {
+		fmt.Printf("Others came after it, the newest is revision %d.\n", done.Newest)
+	}
+
+	return c.wait(done.Revision)
+}
+
+// hint prints the command that finds out.
+func (c *applyCommand) hint(change *cwconfig.Change) {
+	what := "--restore"
+	if !c.Restore {
+		what = "--base " + text(change.Base) + " " + c.Args.Targets
+	}
+
+	if c.Prune {
+		what = "--prune " + what
+	}
+
+	fmt.Fprintf(os.Stderr, "To find out run: carobward apply --vm %s --author %q %s\n", c.VM, c.Author, what)
+}
+
+// wait waits until a revision is in force on each entry VM, and prints those
+// where it is not.
+func (c *applyCommand) wait(r carobward.Revision) error {
+	if c.Wait <= 0 || r == 0 {
+		return nil
+	}
+
+	var left []cwoperator.VMStatus
+
+	for end := time.Now().Add(c.Wait); ; time.Sleep(waitPause) {
+		var s cwoperator.Status
+
+		err := c.call(fasthttp.MethodGet, "/status", nil, &s)
+		if left = s.Without(r); err == nil && len(left) == 0 {
+			fmt.Printf("In force on %d entry VMs.\n", s.Reached(r))
+
+			return nil
+		}
+
+		if time.Now().After(end) {
+			printLeft(left)
+
+			return errors.Annotatef(errPending, "revision %d", r)
+		}
+	}
+}
+
+func printLeft(left []cwoperator.VMStatus) {
+	for i := range left {
+		v := &left[i]
+		fmt.Printf("not yet on %s in %s: %s, revision %d, ready %t, answered %t %s\n",
+			v.VM, v.Domain, v.State, v.Revision, v.Ready, v.Answered, v.Alarm)
+	}
 }
--- a/cmd/carobward/client.go
+++ b/cmd/carobward/client.go
@@ -2,14 +2,16 @@
 
 import (
 	"encoding/json"
+	"net"
 	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
-	"carobward.example/carobward/internal/cwconfig"
 	"carobward.example/carobward/internal/cwoperator"
 )
 
@@ -52,7 +54,7 @@
 	}
 
 	if err := fasthttp.DoTimeout(req, resp, clientTimeout); err != nil {
-		return errors.Annotatef(err, "entry VM %s", f.VM)
+		return noAnswer(errors.Annotatef(err, "entry VM %s", f.VM))
 	}
 
 	if resp.StatusCode() != fasthttp.StatusOK {
@@ -62,21 +64,66 @@
 	return json.Unmarshal(resp.Body(), out)
 }
 
-func refusal(resp *fasthttp.Response) error {
-	var r cwoperator.Refused
-	if err := json.Unmarshal(resp.Body(), &r); err != nil || r.Error == "" {
-		return errors.Errorf("status %d: %s", resp.StatusCode(), resp.Body())
+// noAnswer gives a request that may have run its kind. One that did not get a
+// connection has not.
+func noAnswer(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return err
 	}
 
+	return errors.WithType(err, errNoAnswer)
+}
+
+// refusalError is what an entry VM answered in place of a result.
+type refusalError struct {
+	cwoperator.Refused
+}
+
+// Error returns what the entry VM said.
+func (r *refusalError) Error() string { return r.Refused.Error }
+
+// Is makes the error one of the kinds that have an exit code.
+func (r *refusalError) Is(kind error) bool {
 	if r.Unknown {
-		return errors.Wrap(errors.New(r.Error), errUnknown)
+		return kind == errUnknown
+	}
+
+	return kind == errRefused
+}
+
+func refusal(resp *fasthttp.Response) error {
+	r := &refusalError{}
+	if err := json.Unmarshal(resp.Body(), &r.Refused); err != nil || r.Refused.Error == "" {
+		return errors.Errorf("status %d: %s", resp.StatusCode(), resp.Body())
 	}
 
-	return errors.Annotate(errRefused, r.Error)
+	return r
+}
+
+// The bounds of asking again an entry VM that does not know the configuration
+// yet.
+const (
+	readyMost  = 15 * time.Second
+	readyPause = 250 * time.Millisecond
+)
+
+// view returns the configuration in force on the entry VM, and the last
+// changes if asked for. An entry VM that has just started is waited for.
+func (f *clientFlags) view(recent bool) (*cwoperator.View, error) {
+	v := &cwoperator.View{}
+
+	for end := time.Now().Add(readyMost); ; time.Sleep(readyPause) {
+		err := f.call(fasthttp.MethodGet, "/config?recent="+strconv.FormatBool(recent), nil, v)
+		if !refusedFor(err, cwoperator.CodeNotReady) || time.Now().After(end) {
+			return v, err
+		}
+	}
 }
 
-func (f *clientFlags) config() (*cwconfig.Config, error) {
-	c := &cwconfig.Config{}
+// refusedFor tells whether an error is a refusal with one of the codes.
+func refusedFor(err error, codes ...cwoperator.Code) bool {
+	var r *refusalError
 
-	return c, f.call(fasthttp.MethodGet, "/config", nil, c)
+	return errors.As(err, &r) && slices.Contains(codes, r.Code)
 }
--- a/cmd/carobward/diff.go
+++ b/cmd/carobward/diff.go
@@ -1,9 +1,15 @@
 package main
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"fmt"
+	"strconv"
 
+	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwoperator"
 	"carobward.example/carobward/internal/cwtarget"
 )
 
@@ -15,35 +21,55 @@
 	clientFlags
 
 	Prune bool `long:"prune" description:"Also remove targets that the files do not have."`
-	Args  struct {
-		Targets string `positional-arg-name:"FILE-OR-FOLDER"`
-	} `positional-args:"yes" required:"yes"`
+}
+
+// wanted is the argument that names the targets.
+type wanted struct {
+	Targets string `positional-arg-name:"FILE-OR-FOLDER"`
 }
 
 // change returns the step from what is in force to the files.
-func (f *changeFlags) change() (*cwconfig.Change, error) {
-	want, err := cwtarget.Load(f.Args.Targets)
+func (f *changeFlags) change(path string) (*cwconfig.Change, *cwoperator.View, error) {
+	want, err := cwtarget.Load(path)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 
-	config, err := f.config()
+	v, err := f.view(true)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 
-	change := config.Diff(want, f.Prune)
+	change := v.Diff(want, f.Prune)
+	change.Source, err = digest(want, f.Prune)
 
-	return &change, nil
+	return &change, v, err
+}
+
+// idBytes is how much of a SHA-256 sum an id keeps.
+const idBytes = 10
+
+// digest names an intent: the same parts give the same id.
+func digest(parts ...any) (carobward.ChangeID, error) {
+	raw, err := json.Marshal(parts)
+	if err != nil {
+		return "", err
+	}
+
+	sum := sha256.Sum256(raw)
+
+	return carobward.ChangeID(hex.EncodeToString(sum[:idBytes])), nil
 }
 
 type diffCommand struct {
 	changeFlags
+
+	Args wanted `positional-args:"yes" required:"yes"`
 }
 
 // Execute prints the difference.
 func (c *diffCommand) Execute([]string) error {
-	change, err := c.change()
+	change, _, err := c.change(c.Args.Targets)
 	if err != nil {
 		return err
 	}
@@ -69,4 +95,11 @@
 	if c.Measure != nil {
 		fmt.Printf("measure: %d calls and %d bytes a second\n", c.Measure.Calls, c.Measure.Bytes)
 	}
+
+	if c.Whole != nil {
+		fmt.Printf("everything was put back: %d targets\n", len(c.Whole.Targets))
+	}
 }
+
+// text returns a revision in digits.
+func text(r carobward.Revision) string { return strconv.FormatUint(uint64(r), 10) }
--- a/cmd/carobward/get.go
+++ b/cmd/carobward/get.go
@@ -5,25 +5,56 @@
 	"fmt"
 )
 
-const usageGet = `Print the targets in force on one entry VM, in the format that apply takes.`
+const usageGet = `Print the targets in force on one entry VM, in the format that apply takes,
+or the last changes: who changed what in which revision.`
 
 type getCommand struct {
 	clientFlags
+
+	Recent bool `long:"recent" description:"Print the last changes instead, oldest first."`
 }
 
-// Execute prints the set.
+// Execute prints the set or the changes.
 func (c *getCommand) Execute([]string) error {
-	config, err := c.config()
+	if c.Recent {
+		return c.recent()
+	}
+
+	v, err := c.view(false)
 	if err != nil {
 		return err
 	}
 
-	raw, err := json.MarshalIndent(config.Set, "", "  ")
+	raw, err := json.MarshalIndent(v.Set, "", "  ")
 	if err != nil {
 		return err
 	}
 
-	fmt.Printf("// Revision %d.\n%s\n", config.Revision, raw)
+	fmt.Printf("// Revision %d.\n%s\n", v.Revision, raw)
 
 	return nil
 }
+
+func (c *getCommand) recent() error {
+	v, err := c.view(true)
+	if err != nil {
+		return err
+	}
+
+	for i := range v.Recent {
+		change := &v.Recent[i]
+
+		fmt.Printf("revision %d by %s, change %s\n", change.Revision, author(change.Author), change.ID)
+		printChange(change)
+	}
+
+	return nil
+}
+
+func author(name string) string {
+	if name == "" {
+		return "someone unnamed"
+	}
+
+	return name
+}
--- a/cmd/carobward/main.go
+++ b/cmd/carobward/main.go
@@ -18,12 +18,16 @@
 	exitUsage   = 2
 	exitRefused = 3
 	exitUnknown = 4
+	exitPending = 5
 )
 
 // The kinds of failure that have an exit code of their own.
 const (
 	errRefused = errors.ConstError("refused: nothing was changed")
 	errUnknown = errors.ConstError("unknown: the change may have been accepted")
+	errPending = errors.ConstError("not in force everywhere yet")
+	// errNoAnswer tells that a request got no answer and may have run.
+	errNoAnswer = errors.ConstError("no answer")
 )
 
 // version is set by the linker for a release.
@@ -97,6 +101,8 @@
 	switch {
 	case errors.Is(err, errUnknown):
 		return exitUnknown
+	case errors.Is(err, errPending):
+		return exitPending
 	case errors.Is(err, errRefused):
 		return exitRefused
 	default:
--- a/internal/cwconfig/config.go
+++ b/internal/cwconfig/config.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"sort"
 
 	"github.com/juju/errors"
@@ -14,167 +15,173 @@
 	"carobward.example/carobward/internal/cwtarget"
 )
 
-// Change is a step from one revision to the next.
-type Change struct {
-	// ID was drawn by the writer.
-	ID carobward.ChangeID `json:"id"`
-	// Author is who made the change, for people to read.
-	Author string `json:"author,omitempty"`
-	// Base is the revision that the writer saw.
-	Base carobward.Revision `json:"base"`
-	// Revision is the one that the change made; zero before it is accepted.
-	Revision carobward.Revision `json:"revision,omitempty"`
-	// Put holds targets that are new or replaced.
-	Put []carobward.Target `json:"put,omitempty"`
-	// Drop names targets that are removed.
-	Drop []carobward.TargetName `json:"drop,omitempty"`
-	// Measure replaces the measuring budget, if set.
-	Measure *cwtarget.Measure `json:"measure,omitempty"`
-}
-
-// Empty tells that the change changes nothing.
-func (c *Change) Empty() bool {
-	return len(c.Put) == 0 && len(c.Drop) == 0 && c.Measure == nil
-}
-
 // Config is one revision of the whole configuration.
 type Config struct {
 	// Revision numbers it; zero means that there is none yet.
 	Revision carobward.Revision `json:"revision"`
+	// Chain is the hash of the history that led to it.
+	Chain Chain `json:"chain"`
 	// Set holds the targets and the measuring budget.
 	Set cwtarget.Set `json:"set"`
-	// Recent holds the last changes, oldest first.
-	Recent []Change `json:"recent"`
 }
 
-// recentMost is how many changes a configuration remembers.
-const recentMost = 32
+// setMost bounds a configuration in bytes of JSON. The store takes values of
+// a megabyte; the rest is for the frame around it.
+const setMost = 900_000
+
+// The errors of a step from one configuration to another.
+const (
+	// ErrGap tells that changes are missing in between: a full copy is
+	// needed.
+	ErrGap = errors.ConstError("config: changes are missing in between")
+	// ErrSize tells that the configuration would not fit into the store.
+	ErrSize = errors.ConstError("config: too large for the store")
+)
 
-// Conflict says that a change touches what another one changed since its
-// base.
-type Conflict struct {
-	// Other is the change that came first.
-	Other Change
-	// Target is the target both touch; empty for the measuring budget.
-	Target carobward.TargetName
+// Diverged says that there are two histories with the same revision.
+type Diverged struct {
+	Revision carobward.Revision
+	Ours     Chain
+	Theirs   Chain
 }
 
-// Error names the other change.
-func (c *Conflict) Error() string {
-	what := "the measuring budget"
-	if c.Target != "" {
-		what = `target "` + string(c.Target) + `"`
-	}
-
-	by := ""
-	if c.Other.Author != "" {
-		by = " by " + c.Other.Author
-	}
-
-	return errors.Errorf("config: %s was changed in revision %d%s (change %s) after your base", what, c.Other.Revision, by, c.Other.ID).Error()
+// Error tells both chains.
+func (d *Diverged) Error() string {
+	return fmt.Sprintf("config: revision %d has another history (%s) than ours (%s)", d.Revision, d.Theirs, d.Ours)
 }
 
-// ErrBase tells that the change's base is too old to tell what came since.
-const ErrBase = errors.ConstError("config: the base is too old, read the configuration again")
+// With returns the configuration after a change, and the change with its
+// revision and chain.
+func (c *Config) With(change Change) (*Config, Change, error) {
+	change.Revision = c.Revision + 1
 
-// Find returns the recent change with an id.
-func (c *Config) Find(id carobward.ChangeID) (Change, bool) {
-	for _, r := range c.Recent {
-		if r.ID == id {
-			return r, true
-		}
+	chain, err := change.next(c.Chain)
+	if err != nil {
+		return nil, change, err
 	}
 
-	return Change{}, false
-}
+	change.Chain = chain
 
-// With returns the configuration after a change, or a Conflict.
-func (c *Config) With(change Change) (*Config, error) {
-	if err := c.check(&change); err != nil {
-		return nil, err
+	next := c.step(&change)
+	if err := next.Set.Validate(); err != nil {
+		return nil, change, err
 	}
 
-	change.Revision = c.Revision + 1
+	return next, change, next.fits()
+}
 
-	next := &Config{Revision: change.Revision, Set: cwtarget.Set{Measure: c.Set.Measure}}
-	if change.Measure != nil {
-		next.Set.Measure = change.Measure
+// fits checks that the configuration fits into the store.
+func (c *Config) fits() error {
+	raw, err := json.Marshal(&c.Set)
+	if err != nil {
+		return errors.Annotate(err, "config")
 	}
 
-	next.Set.Targets = merge(c.Set.Targets, &change)
-	if err := next.Set.Validate(); err != nil {
-		return nil, err
+	if len(raw) > setMost {
+		return errors.Annotatef(ErrSize, "config: %d bytes, %d are allowed", len(raw), setMost)
 	}
 
-	next.Recent = append(next.Recent, c.Recent...)
-	next.Recent = append(next.Recent, change)
+	return nil
+}
+
+// step applies a change that has its revision and chain.
+func (c *Config) step(change *Change) *Config {
+	next := &Config{Revision: change.Revision, Chain: change.Chain}
 
-	if extra := len(next.Recent) - recentMost; extra > 0 {
-		next.Recent = next.Recent[extra:]
+	if change.Whole != nil {
+		next.Set = *change.Whole
+	} else {
+		next.Set = merge(&c.Set, change)
 	}
 
-	return next, nil
+	return next
 }
 
-// check looks for a change since the base that touches the same.
-func (c *Config) check(change *Change) error {
-	if change.Base > c.Revision {
-		return errors.Errorf("config: base %d is not accepted yet, the last revision is %d", change.Base, c.Revision)
-	}
+// Replay applies the changes beyond c's revision. It returns c itself if
+// there are none, or ErrGap, a Diverged or ErrUnreadable.
+func (c *Config) Replay(changes []Change) (*Config, error) {
+	changes = changes[lastWhole(changes, c.Revision):]
+	now := c
 
-	if change.Base < c.Revision && (len(c.Recent) == 0 || c.Recent[0].Revision > change.Base+1) {
-		return ErrBase
-	}
+	for i := range changes {
+		change := &changes[i]
 
-	mine := touched(change)
+		switch {
+		case change.Revision < c.Revision:
+			continue
+		case change.Revision == c.Revision:
+			if change.Chain != c.Chain {
+				return nil, &Diverged{Revision: c.Revision, Ours: c.Chain, Theirs: change.Chain}
+			}
 
-	for _, r := range c.Recent {
-		if r.Revision <= change.Base {
 			continue
+		case change.Revision != now.Revision+1 && change.Whole == nil:
+			return nil, ErrGap
 		}
 
-		if r.Measure != nil && change.Measure != nil {
-			return &Conflict{Other: r}
+		next, err := now.follow(change)
+		if err != nil {
+			return nil, err
 		}
 
-		for name := range touched(&r) {
-			if mine[name] {
-				return &Conflict{Other: r, Target: name}
-			}
+		now = next
+	}
+
+	if now == c {
+		return c, nil
+	}
+
+	if err := now.Set.Validate(); err != nil {
+		return nil, errors.WithType(errors.Annotatef(err, "config: revision %d", now.Revision), ErrUnreadable)
+	}
+
+	return now, nil
+}
+
+// lastWhole returns where the last change beyond a revision that replaces
+// everything is, or zero.
+func lastWhole(changes []Change, beyond carobward.Revision) int {
+	for i := len(changes) - 1; i >= 0; i-- {
+		if changes[i].Whole != nil && changes[i].Revision > beyond {
+			return i
 		}
 	}
 
-	return nil
+	return 0
 }
 
-func touched(c *Change) map[carobward.TargetName]bool {
-	names := map[carobward.TargetName]bool{}
-	for i := range c.Put {
-		names[c.Put[i].Name] = true
+// follow checks that a change continues our history and applies it.
+func (c *Config) follow(change *Change) (*Config, error) {
+	chain, err := change.next(c.Chain)
+	if err != nil {
+		return nil, err
 	}
 
-	for _, n := range c.Drop {
-		names[n] = true
+	if chain != change.Chain {
+		return nil, &Diverged{Revision: change.Revision, Ours: chain, Theirs: change.Chain}
 	}
 
-	return names
+	return c.step(change), nil
 }
 
-func merge(targets []carobward.Target, change *Change) []carobward.Target {
-	gone := touched(change)
+func merge(set *cwtarget.Set, change *Change) cwtarget.Set {
+	gone := change.Touched()
+	next := cwtarget.Set{Measure: set.Measure}
 
-	var all []carobward.Target
+	if change.Measure != nil {
+		next.Measure = change.Measure
+	}
 
-	for i := range targets {
-		if !gone[targets[i].Name] {
-			all = append(all, targets[i])
+	for i := range set.Targets {
+		if !gone[set.Targets[i].Name] {
+			next.Targets = append(next.Targets, set.Targets[i])
 		}
 	}
 
-	all = append(all, change.Put...)
-	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	next.Targets = append(next.Targets, change.Put...)
+	sort.Slice(next.Targets, func(i, j int) bool { return next.Targets[i].Name < next.Targets[j].Name })
 
-	return all
+	return next
 }
 
 // Diff returns the change that leads from c to the wanted set. Targets that
@@ -217,24 +224,3 @@
 
 	return bytes.Equal(x, y)
 }
-
-// Encode writes the configuration as the store holds it.
-func (c *Config) Encode() ([]byte, error) { return json.Marshal(c) }
-
-// Decode reads what Encode wrote. No bytes are the empty configuration.
-func Decode(raw []byte) (*Config, error) {
-	c := &Config{}
-	if len(raw) == 0 {
-		return c, nil
-	}
-
-	if err := json.Unmarshal(raw, c); err != nil {
-		return nil, errors.Annotate(err, "config")
-	}
-
-	if err := c.Set.Validate(); err != nil {
-		return nil, errors.Annotate(err, "config")
-	}
-
-	return c, nil
-}
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -48,7 +48,7 @@
 	clients *cwpeer.Clients
 	server  *cwpeer.Server
 	holder  *cwconfig.Holder
-	watcher *cwconfig.Watcher
+	syncer  *cwconfig.Syncer
 	link    *cwlink.Link
 	carrier *cwentry.Carrier
 
@@ -94,12 +94,15 @@
 		return nil, err
 	}
 
-	n.watcher = cwconfig.NewWatcher(n.store, n.holder, log)
+	if err := n.configure(log); err != nil {
+		return nil, err
+	}
+
 	n.link = cwlink.New(cwlink.Options{Conns: connsPerServer, Keep: connKeep, Header: replyHeader}, clock)
 	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls}, n.holder, n.servers, n.link, clock, log)
 	n.data = dataServer(&s.Limits, n.carrier)
 	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std())
-	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers).Handler()
+	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers, n.syncer).Handler()
 
 	return n, nil
 }
@@ -189,7 +192,7 @@
 
 	n.log.Info("Serving.", "vm", n.settings.VM, "callers", n.Self().Callers, "lookup", n.Self().Lookup,
 		"peers", n.Self().Peers, "operators", n.Self().Operators)
-	group.Go(func() { n.watcher.Run(work) })
+	group.Go(func() { n.syncer.Run(work) })
 	group.Go(func() { n.tick(work) })
 	group.Go(func() { n.logEnd("callers", n.data.Serve(n.listeners.callers)) })
 	group.Go(func() { n.logEnd("lookup", n.lookup.Listener(n.listeners.lookup)) })
--- /dev/null
+++ b/internal/cwoperator/config.go
@@ -0,0 +1,188 @@
+package cwoperator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/juju/errors"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwconfig"
+)
+
+// View is the configuration in force on an entry VM.
+type View struct {
+	cwconfig.Config
+
+	// Recent holds the last changes, oldest first.
+	Recent []cwconfig.Change `json:"recent,omitempty"`
+}
+
+// Applied answers a change that was accepted.
+type Applied struct {
+	// Revision is the one that the change made.
+	Revision carobward.Revision `json:"revision"`
+	// Newest is the one in force on the entry VM; it is higher if the change
+	// was accepted earlier and others came after it.
+	Newest carobward.Revision `json:"newest"`
+}
+
+// Code tells programs why a request was refused.
+type Code string
+
+// The codes. Nothing was changed but for CodeUnknown.
+const (
+	CodeKey      Code = "key"
+	CodeRequest  Code = "request"
+	CodeInvalid  Code = "invalid"
+	CodeConflict Code = "conflict"
+	CodeBase     Code = "base"
+	CodeOlder    Code = "older-store"
+	CodeCurrent  Code = "nothing-to-restore"
+	CodeNotReady Code = "not-ready"
+	CodeDown     Code = "store-down"
+	CodeBusy     Code = "busy"
+	CodeUnknown  Code = "unknown"
+)
+
+// Refused answers a change that was not accepted, or may have been.
+type Refused struct {
+	// Code tells programs what happened, Error tells people.
+	Code  Code   `json:"code"`
+	Error string `json:"error"`
+	// Unknown tells that the change may have been accepted.
+	Unknown bool `json:"unknown"`
+	// Conflict names the change that was first, for CodeConflict.
+	Conflict *Conflict `json:"conflict,omitempty"`
+}
+
+// Conflict names the change that was first.
+type Conflict struct {
+	// Target is empty for the measuring budget.
+	Target   carobward.TargetName `json:"target,omitempty"`
+	Revision carobward.Revision   `json:"revision"`
+	Author   string               `json:"author,omitempty"`
+	Change   carobward.ChangeID   `json:"change"`
+}
+
+func (a *API) config(c *fiber.Ctx) error {
+	if !a.syncer.Condition().Ready {
+		return refuse(c, cwconfig.ErrNotReady)
+	}
+
+	v := View{Config: *a.holder.Config()}
+	if c.QueryBool("recent") {
+		v.Recent = a.holder.Recent()
+	}
+
+	return c.JSON(v)
+}
+
+func (a *API) apply(c *fiber.Ctx) error {
+	change, err := readChange(c.Body())
+	if err == nil && change.Empty() {
+		err = errors.New("the change changes nothing")
+	}
+
+	if err != nil {
+		return c.Status(fiber.StatusBadRequest).JSON(Refused{Code: CodeRequest, Error: err.Error()})
+	}
+
+	return a.change(c, func(ctx context.Context) (carobward.Revision, error) {
+		if err := a.syncer.CatchUp(ctx); err != nil {
+			return 0, err
+		}
+
+		return a.writer.Apply(ctx, *change)
+	})
+}
+
+func (a *API) restore(c *fiber.Ctx) error {
+	change, err := readChange(c.Body())
+	if err != nil {
+		return c.Status(fiber.StatusBadRequest).JSON(Refused{Code: CodeRequest, Error: err.Error()})
+	}
+
+	return a.change(c, func(ctx context.Context) (carobward.Revision, error) {
+		if err := a.syncer.CatchUp(ctx); err != nil {
+			return 0, err
+		}
+
+		return a.writer.Restore(ctx, *change, a.syncer.FleetRevision())
+	})
+}
+
+// readChange decodes a change. Unknown keys are refused: they may come from
+// a newer client that means more by them.
+func readChange(body []byte) (*cwconfig.Change, error) {
+	change := &cwconfig.Change{}
+
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+
+	if err := d.Decode(change); err != nil {
+		return nil, errors.Annotate(err, "malformed change")
+	}
+
+	if change.ID == "" {
+		return nil, errors.New("the change has no id")
+	}
+
+	return change, nil
+}
+
+// change makes a change within a bound and answers its outcome.
+func (a *API) change(c *fiber.Ctx, make func(context.Context) (carobward.Revision, error)) error {
+	ctx, cancel := context.WithTimeout(context.Background(), applyMost)
+	defer cancel()
+
+	revision, err := make(ctx)
+	if err != nil {
+		return refuse(c, err)
+	}
+
+	return c.JSON(Applied{Revision: revision, Newest: a.holder.Revision()})
+}
+
+// refusals gives each error its code and status, the first that fits.
+var refusals = []struct {
+	err    error
+	code   Code
+	status int
+}{
+	{carobward.ErrStoreUnknown, CodeUnknown, fiber.StatusServiceUnavailable},
+	{carobward.ErrStoreDown, CodeDown, fiber.StatusServiceUnavailable},
+	{carobward.ErrConflict, CodeBusy, fiber.StatusServiceUnavailable},
+	{cwconfig.ErrNotReady, CodeNotReady, fiber.StatusServiceUnavailable},
+	{cwconfig.ErrBehind, CodeNotReady, fiber.StatusServiceUnavailable},
+	{cwconfig.ErrBase, CodeBase, fiber.StatusConflict},
+	{cwconfig.ErrOlder, CodeOlder, fiber.StatusConflict},
+	{cwconfig.ErrParts, CodeOlder, fiber.StatusConflict},
+	{cwconfig.ErrCurrent, CodeCurrent, fiber.StatusConflict},
+}
+
+func refuse(c *fiber.Ctx, err error) error {
+	var conflict *cwconfig.Conflict
+	if errors.As(err, &conflict) {
+		return c.Status(fiber.StatusConflict).JSON(Refused{
+			Code:  CodeConflict,
+			Error: err.Error(),
+			Conflict: &Conflict{
+				Target:   conflict.Target,
+				Revision: conflict.Other.Revision,
+				Author:   conflict.Other.Author,
+				Change:   conflict.Other.ID,
+			},
+		})
+	}
+
+	for _, r := range refusals {
+		if errors.Is(err, r.err) {
+			return c.Status(r.status).JSON(Refused{Code: r.code, Error: err.Error(), Unknown: r.code == CodeUnknown})
+		}
+	}
+
+	return c.Status(fiber.StatusUnprocessableEntity).JSON(Refused{Code: CodeInvalid, Error: err.Error()})
+}
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -170,7 +170,7 @@
 		"match": [{"method": "POST", "path": "/charges"}]}]}`)
 
 	out, code = cwtest.Run(t, f.carobward, "apply", "--vm", f.nodes["vm-2"].operators, changed)
-	if diff := cmp.Diff("put  launch-fee\nAccepted as revision 2.\n", out); diff != "" || code != 0 {
+	if diff := cmp.Diff("put  launch-fee\nAccepted as revision 2.\nIn force on 3 entry VMs.\n", out); diff != "" || code != 0 {
 		t.Fatalf("second apply: exit code %d\n%s", code, diff)
 	}
 
