--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -13,6 +13,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 )
 
@@ -33,6 +34,8 @@
 	VM carobward.VMID
 	// Calls is the number of requests in flight at once.
 	Calls int
+	// Policy chooses servers.
+	Policy cwroute.Policy
 }
 
 // Carrier carries callers' requests.
--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 )
 
@@ -31,7 +30,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 
 	for range triesMost {
-		s := cwroute.Choose(c.servers.Of(target.Service), tried, rng)
+		s := c.options.Policy.Choose(c.clock.Now(), c.servers.Of(target.Service), tried, rng)
 		if s == nil {
 			break
 		}
--- a/internal/cwroute/choose.go
+++ b/internal/cwroute/choose.go
@@ -4,14 +4,18 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"time"
 
 	"carobward.example/carobward/internal/cwserver"
 )
 
-// Choose returns the server with fewer of our own calls among two drawn at
-// random, passing over those that leave and those in tried. It returns nil
-// if none is left.
-func Choose(servers []*cwserver.Server, tried []*cwserver.Server, rng *rand.Rand) *cwserver.Server {
+// Pair takes the server with fewer of our own calls among two drawn at
+// random.
+type Pair struct{}
+
+// Choose implements Policy.
+func (Pair) Choose(_ time.Time, servers, tried []*cwserver.Server, rng *rand.Rand) *cwserver.Server {
 	first := draw(servers, tried, rng)
 	second := draw(servers, tried, rng)
 
@@ -36,7 +40,7 @@
 	start := rng.IntN(n)
 	for i := range n {
 		s := servers[(start+i)%n]
-		if !s.Leaving.Load() && !contains(tried, s) {
+		if fit(s, tried) {
 			return s
 		}
 	}
@@ -44,12 +48,7 @@
 	return nil
 }
 
-func contains(list []*cwserver.Server, s *cwserver.Server) bool {
-	for _, t := range list {
-		if t == s {
-			return true
-		}
-	}
-
-	return false
+// fit tells whether a server may get this request at all.
+func fit(s *cwserver.Server, tried []*cwserver.Server) bool {
+	return !s.Leaving.Load() && !slices.Contains(tried, s)
 }
