Authenticate peers, and keep membership by suspicion

Cause: peers let everyone in, a call's error did not tell whether it may have arrived, and membership was all-to-all RPC with a fixed timeout, whose cost grows with the fleet and which a freeze or a one-way cut turns into false deaths.

A peers' connection starts with a mutual challenge (HMAC-SHA256 over fresh nonces of both sides), bounded in time, size and number; without a key only loopback is let in. Datagrams carry a tag. A call is NotRun if nothing of it was handed to a socket, otherwise Unknown; a slow call no longer costs the others their connection, and a late reply no longer writes into a message that the caller has taken back.

Membership is SWIM-like over UDP on the peers' port; the state machine is pure. Ruled out: a death told to others (one VM that hears nobody could then bury the fleet); each VM concludes it for itself.

--- /dev/null
+++ b/internal/cwmember/service.go
@@ -0,0 +1,327 @@
+package cwmember
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwpeer"
+	"carobward.example/carobward/internal/cwwire"
+)
+
+// The pace of the service.
+const (
+	tickEvery = 50 * time.Millisecond
+	// askMost is how many seeds a newcomer asks.
+	askMost = 3
+	// askTimeout bounds the asking.
+	askTimeout = time.Second
+	// datagramMost is more than any datagram has.
+	datagramMost = 4096
+)
+
+// metrics of all machines of this process, in bytes without the headers of
+// UDP and IP, and in events.
+var metrics = expvar.NewMap("member")
+
+// Service runs a Machine over a socket and keeps the table of peers.
+type Service struct {
+	key     cwpeer.Key
+	conn    net.PacketConn
+	table   *cwpeer.Table
+	clients *cwpeer.Clients
+	clock   carobward.Clock
+	log     logr.Logger
+
+	mutex    sync.Mutex
+	machine  *Machine
+	counts   Counts
+	pulling  bool
+	replaced chan struct{}
+	done     chan struct{}
+}
+
+// NewService returns a service for the VM that the table has as its own. The
+// socket is closed by who opened it.
+func NewService(key cwpeer.Key, conn net.PacketConn, table *cwpeer.Table, clients *cwpeer.Clients, clock carobward.Clock, log logr.Logger) *Service {
+	return &Service{
+		key: key, conn: conn, table: table, clients: clients, clock: clock, log: log.WithName("member"),
+		machine:  New(table.Self(), Defaults(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		replaced: make(chan struct{}),
+		done:     make(chan struct{}),
+	}
+}
+
+// Done is closed once Run has returned.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// Replaced is closed once a later run of this VM has been heard of.
+func (s *Service) Replaced() <-chan struct{} { return s.replaced }
+
+// Seeds takes the entry VMs of the VM list.
+func (s *Service) Seeds(list []carobward.VM) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.machine.SetSeeds(seeds(list, s.table.Self().ID))
+}
+
+func seeds(list []carobward.VM, but carobward.VMID) []Seed {
+	var all []Seed
+
+	for _, v := range list {
+		if v.Service == carobward.EntryService && v.ID != "" && v.ID != but {
+			all = append(all, Seed{ID: v.ID, Address: v.Address})
+		}
+	}
+
+	return all
+}
+
+// Join asks some entry VMs of the list for all members, before this one is
+// known to anyone. If they know a higher incarnation of this VM, it takes one
+// above.
+func (s *Service) Join(ctx context.Context, list []carobward.VM) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+
+	all := seeds(list, s.table.Self().ID)
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+
+	var group conc.WaitGroup
+
+	for _, d := range all[:min(len(all), askMost)] {
+		group.Go(func() { s.ask(ctx, d.Address) })
+	}
+
+	group.Wait()
+}
+
+// ask takes the members that a peer knows.
+func (s *Service) ask(ctx context.Context, to carobward.Address) {
+	out := &cwwire.Members{}
+	if err := s.clients.Call(ctx, to, "Member.Ask", &cwwire.Ask{Id: string(s.table.Self().ID)}, out); err != nil {
+		s.log.Info("A peer did not tell its members.", "peer", to, "cause", err.Error())
+
+		return
+	}
+
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.machine.Merge(s.clock.Now(), out)
+	s.publish()
+}
+
+// Asked is what peers may call.
+type Asked struct{ service *Service }
+
+// Asked returns the methods to register as "Member".
+func (s *Service) Asked() *Asked { return &Asked{s} }
+
+// Ask answers all members.
+func (a *Asked) Ask(in *cwwire.Ask, out *cwwire.Members) error {
+	a.service.mutex.Lock()
+	defer a.service.mutex.Unlock()
+
+	answer := a.service.machine.Answer(in)
+	out.Members, out.Incarnation = answer.GetMembers(), answer.GetIncarnation()
+
+	return nil
+}
+
+// Run takes part until ctx ends, and says at last that this VM has gone.
+func (s *Service) Run(ctx context.Context) {
+	defer close(s.done)
+
+	var group conc.WaitGroup
+
+	group.Go(s.receive)
+	s.tick(ctx, &group)
+
+	s.mutex.Lock()
+	last := s.machine.Gone()
+	s.mutex.Unlock()
+	s.send(last)
+
+	_ = s.conn.SetReadDeadline(time.Unix(1, 0)) // It ends receive.
+
+	group.Wait()
+}
+
+func (s *Service) tick(ctx context.Context, group *conc.WaitGroup) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+
+	for {
+		s.mutex.Lock()
+		s.machine.SetRevision(s.table.Self().Revision)
+		out := s.machine.Tick(s.clock.Now())
+		s.publish()
+		to, pull := s.machine.Pull()
+		pull = pull && !s.pulling
+		s.pulling = s.pulling || pull
+		s.mutex.Unlock()
+
+		s.send(out)
+
+		if pull {
+			group.Go(func() { s.pull(ctx, to) })
+		}
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (s *Service) pull(ctx context.Context, to carobward.Address) {
+	metrics.Add("pulls", 1)
+	s.ask(ctx, to)
+
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.pulling = false
+}
+
+func (s *Service) receive() {
+	buffer := make([]byte, datagramMost)
+
+	for {
+		n, from, err := s.conn.ReadFrom(buffer)
+		if err != nil {
+			var timeout net.Error
+			if errors.Is(err, net.ErrClosed) || (errors.As(err, &timeout) && timeout.Timeout()) {
+				return
+			}
+
+			s.log.Error(err, "A datagram could not be read.")
+			<-time.After(tickEvery)
+
+			continue
+		}
+
+		metrics.Add("bytes_in", int64(n))
+
+		raw, err := s.key.Open(buffer[:n], from)
+		if err != nil {
+			metrics.Add("refused", 1)
+
+			continue
+		}
+
+		d := &cwwire.Datagram{}
+		if err := proto.Unmarshal(raw, d); err != nil {
+			metrics.Add("refused", 1)
+
+			continue
+		}
+
+		s.mutex.Lock()
+		out := s.machine.Receive(s.clock.Now(), carobward.Address(from.String()), d)
+		// Others are told that we know only once our own answers show it.
+		s.publish()
+		s.mutex.Unlock()
+
+		s.send(out)
+	}
+}
+
+func (s *Service) send(all []Message) {
+	for _, m := range all {
+		raw, err := proto.Marshal(m.Datagram)
+		if err != nil {
+			s.log.Error(err, "A datagram could not be written.")
+
+			continue
+		}
+
+		to, err := netip.ParseAddrPort(string(m.To))
+		if err != nil {
+			continue
+		}
+
+		sealed := s.key.Seal(raw)
+		metrics.Add("bytes_out", int64(len(sealed)))
+
+		// A datagram that is lost here is like one that is lost on the way.
+		_, _ = s.conn.WriteTo(sealed, net.UDPAddrFromAddrPort(to))
+	}
+}
+
+// publish brings the table up to date and counts what has happened. The
+// mutex is held.
+func (s *Service) publish() {
+	if !s.machine.Dirty() {
+		return
+	}
+
+	s.table.SetSelf(s.machine.Self())
+	s.table.Replace(s.machine.Peers())
+
+	now, before := s.machine.Counts(), s.counts
+	s.counts = now
+
+	metrics.Add("suspicions", int64(now.Suspicions-before.Suspicions))
+	metrics.Add("deaths", int64(now.Deaths-before.Deaths))
+	metrics.Add("refutations", int64(now.Refutations-before.Refutations))
+	metrics.Add("pauses", int64(now.Pauses-before.Pauses))
+
+	if now.Deaths > before.Deaths {
+		s.log.Info("Entry VMs are taken for dead.", "count", now.Deaths-before.Deaths)
+	}
+
+	if s.machine.Replaced() {
+		s.replace()
+	}
+}
+
+func (s *Service) replace() {
+	select {
+	case <-s.replaced:
+	default:
+		s.log.Info("A later run of this VM has taken its place.")
+		close(s.replaced)
+	}
+}
+
+// Leave tells all members that this VM stops, and returns once each has
+// confirmed it or ctx has ended, with the number of those that have not.
+func (s *Service) Leave(ctx context.Context) int {
+	s.mutex.Lock()
+	s.machine.Leave()
+	s.publish()
+	s.mutex.Unlock()
+
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+
+	for {
+		s.mutex.Lock()
+		left := s.machine.Unaware()
+		s.mutex.Unlock()
+
+		if left == 0 {
+			return 0
+		}
+
+		select {
+		case <-ctx.Done():
+			return left
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/cwnode/member.go
@@ -0,0 +1,50 @@
+package cwnode
+
+import (
+	"context"
+
+	"github.com/go-logr/logr"
+
+	"carobward.example/carobward/internal/cwmember"
+	"carobward.example/carobward/internal/cwpeer"
+)
+
+// openPeers sets up what talks to the other entry VMs, and learns from some
+// of them who the members are. So the incarnation stands before anything is
+// named after it.
+func (n *Node) openPeers(log logr.Logger) error {
+	key, err := readKey(n.settings.Keys.Peers)
+	if err != nil {
+		return err
+	}
+
+	k := cwpeer.Key(key)
+
+	n.peers = cwpeer.NewTable(n.self())
+	n.server = cwpeer.NewServer(k, log)
+	n.clients = cwpeer.NewClients(k)
+	n.member = cwmember.NewService(k, n.listeners.datagrams, n.peers, n.clients, n.clock, log)
+
+	if err := n.server.Register("Member", n.member.Asked()); err != nil {
+		return err
+	}
+
+	list, err := n.list.List(context.Background())
+	if err != nil {
+		n.log.Info("The VM list did not answer.", "cause", err.Error())
+
+		return nil
+	}
+
+	n.member.Join(context.Background(), list)
+
+	return nil
+}
+
+// closePeers ends all connections with other entry VMs.
+func (n *Node) closePeers() {
+	_ = n.listeners.peers.Close()
+	_ = n.listeners.datagrams.Close()
+	n.server.Close()
+	n.clients.Close()
+}
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -20,6 +20,7 @@
 	"carobward.example/carobward/internal/cwkv"
 	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwlookup"
+	"carobward.example/carobward/internal/cwmember"
 	"carobward.example/carobward/internal/cwoperator"
 	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwserver"
@@ -47,6 +48,7 @@
 	peers   *cwpeer.Table
 	clients *cwpeer.Clients
 	server  *cwpeer.Server
+	member  *cwmember.Service
 	holder  *cwconfig.Holder
 	watcher *cwconfig.Watcher
 	link    *cwlink.Link
@@ -62,6 +64,7 @@
 // listeners are the open sockets.
 type listeners struct {
 	callers, lookup, peers, operators net.Listener
+	datagrams                         net.PacketConn
 }
 
 // New opens the listeners and puts the parts together. Run starts them.
@@ -73,7 +76,6 @@
 		store:    cwkv.New(s.Store.URL, s.Store.Prefix, s.Store.Timeout.Std()),
 		list:     cwvm.New(s.List.URL),
 		servers:  cwserver.NewTable(),
-		clients:  cwpeer.NewClients(),
 		holder:   cwconfig.NewHolder(),
 		done:     make(chan struct{}),
 	}
@@ -87,10 +89,7 @@
 		return nil, err
 	}
 
-	n.peers = cwpeer.NewTable(n.self())
-
-	n.server, err = cwpeer.NewServer(n.peers, clock)
-	if err != nil {
+	if err := n.openPeers(log); err != nil {
 		return nil, err
 	}
 
@@ -162,7 +161,11 @@
 		*one.into = opened
 	}
 
-	return nil
+	var err error
+
+	n.listeners.datagrams, err = net.ListenPacket("udp", string(address(n.listeners.peers)))
+
+	return errors.Annotate(err, "node")
 }
 
 func dataServer(l *cwsettings.Limits, c *cwentry.Carrier) *fasthttp.Server {
@@ -191,6 +194,7 @@
 		"peers", n.Self().Peers, "operators", n.Self().Operators)
 	group.Go(func() { n.watcher.Run(work) })
 	group.Go(func() { n.tick(work) })
+	group.Go(func() { n.member.Run(work) })
 	group.Go(func() { n.logEnd("callers", n.data.Serve(n.listeners.callers)) })
 	group.Go(func() { n.logEnd("lookup", n.lookup.Listener(n.listeners.lookup)) })
 	group.Go(func() { n.logEnd("peers", n.server.Serve(n.listeners.peers)) })
@@ -201,7 +205,8 @@
 	err := n.leave()
 
 	stop()
-	_ = n.listeners.peers.Close()
+	<-n.member.Done()
+	n.closePeers()
 	_ = n.lookup.Shutdown()
 	_ = n.operators.Shutdown()
 	group.Wait()
@@ -220,10 +225,9 @@
 // then waits for the requests in flight.
 func (n *Node) leave() error {
 	n.log.Info("Leaving.", "keep", n.settings.Keep.Std().String())
-	n.peers.Leave()
+	n.member.Leave(context.Background())
 
 	end := n.clock.Now().Add(n.settings.Stop.Std())
-	n.hello(context.Background())
 	time.Sleep(n.settings.Keep.Std())
 
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- /dev/null
+++ b/internal/cwpeer/greet_test.go
@@ -0,0 +1,239 @@
+package cwpeer_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwpeer"
+	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/internal/cwwire"
+)
+
+const errFull = errors.ConstError("the echo is full")
+
+// echo answers with the id that it was asked with.
+type echo struct{ held chan struct{} }
+
+func (e *echo) Ask(in *cwwire.Ask, out *cwwire.Members) error {
+	switch in.GetId() {
+	case "refuse":
+		return errFull
+	case "hold":
+		<-e.held
+	}
+
+	out.Members = []*cwwire.Member{{Id: in.GetId()}}
+
+	return nil
+}
+
+func serve(t *testing.T, key, address string) carobward.Address {
+	t.Helper()
+
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	e := &echo{held: make(chan struct{})}
+
+	s := cwpeer.NewServer(cwpeer.Key(key), logr.Discard())
+	if err := s.Register("Echo", e); err != nil {
+		t.Fatal(err)
+	}
+
+	var group conc.WaitGroup
+
+	group.Go(func() { _ = s.Serve(ln) })
+	t.Cleanup(func() {
+		close(e.held)
+		_ = ln.Close()
+		s.Close()
+		group.Wait()
+	})
+
+	return carobward.Address(ln.Addr().String())
+}
+
+func ask(ctx context.Context, c *cwpeer.Clients, to carobward.Address, id string) (string, error) {
+	out := &cwwire.Members{}
+	err := c.Call(ctx, to, "Echo.Ask", &cwwire.Ask{Id: id}, out)
+
+	if err != nil {
+		return "", err
+	}
+
+	return out.Members[0].Id, nil
+}
+
+func TestCall(t *testing.T) {
+	const local = "127.0.0.1:0"
+
+	for name, tt := range map[string]struct {
+		server, client, id string
+		want               string
+		verdict            carobward.Verdict
+		is                 error
+	}{
+		"same key":            {server: "k", client: "k", id: "a", want: "a"},
+		"no key, on loopback": {id: "a", want: "a"},
+		"another key":         {server: "k", client: "l", id: "a", verdict: carobward.NotRun, is: cwpeer.ErrKey},
+		"no key at the asker": {server: "k", id: "a", verdict: carobward.NotRun, is: cwpeer.ErrKey},
+		"no key at the asked": {client: "k", id: "a", verdict: carobward.NotRun, is: cwpeer.ErrKey},
+		"the method refuses":  {server: "k", client: "k", id: "refuse", verdict: carobward.Unknown, is: rpc.ServerError(errFull)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			to := serve(t, tt.server, local)
+
+			c := cwpeer.NewClients(cwpeer.Key(tt.client))
+			defer c.Close()
+
+			got, err := ask(context.Background(), c, to, tt.id)
+			if diff := cmp.Diff(tt.want, got); diff != "" || !errors.Is(err, tt.is) {
+				t.Errorf("answer %s, error %v, want %v", diff, err, tt.is)
+			}
+
+			if v := carobward.VerdictOf(err); err != nil && v != tt.verdict {
+				t.Errorf("verdict %v, want %v", v, tt.verdict)
+			}
+		})
+	}
+}
+
+// TestCallVerdict tells calls that were never sent from those that may have
+// arrived.
+func TestCallVerdict(t *testing.T) {
+	to := serve(t, "k", "127.0.0.1:0")
+	c := cwpeer.NewClients(cwpeer.Key("k"))
+
+	ctx, cancel := context.WithCancel(context.Background())
+
+	var group conc.WaitGroup
+
+	group.Go(func() {
+		if _, err := ask(ctx, c, to, "hold"); carobward.VerdictOf(err) != carobward.Unknown {
+			t.Errorf("a call that was held: %v", err)
+		}
+	})
+	cwtest.Wait(t, "an answer beside the held call", func() bool {
+		got, err := ask(context.Background(), c, to, "b")
+
+		return err == nil && got == "b"
+	})
+	cancel()
+	group.Wait()
+	c.Close()
+
+	if _, err := ask(context.Background(), c, to, "c"); carobward.VerdictOf(err) != carobward.NotRun {
+		t.Errorf("a call after the end: %v", err)
+	}
+}
+
+// TestCallRestarted asks a peer that was replaced on the same address since
+// the last call. A call that meets the end of the old connection may have
+// arrived; the next one is answered.
+func TestCallRestarted(t *testing.T) {
+	c := cwpeer.NewClients(cwpeer.Key("k"))
+	defer c.Close()
+
+	address := "127.0.0.1:0"
+
+	for range 3 {
+		t.Run("run", func(t *testing.T) {
+			to := serve(t, "k", address)
+			address = string(to)
+
+			cwtest.Wait(t, "an answer of the new run", func() bool {
+				got, err := ask(context.Background(), c, to, "a")
+
+				return err == nil && got == "a"
+			})
+		})
+	}
+}
+
+// TestStrangers says nothing, too much or a replayed proof, and must be
+// closed out in bounded time.
+func TestStrangers(t *testing.T) {
+	to := serve(t, "k", "127.0.0.1:0")
+
+	for name, said := range map[string][]byte{
+		"nothing":          nil,
+		"a huge message":   {0xff, 0xff, 0xff, 0x7f, 1, 2, 3},
+		"another protocol": []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"),
+		"a short nonce":    {3, 0x0a, 1, 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			n, err := net.Dial("tcp", string(to))
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			defer func() { _ = n.Close() }()
+
+			_, _ = n.Write(said)
+			_ = n.SetReadDeadline(time.Now().Add(cwtest.WaitMost))
+
+			got, err := io.ReadAll(n)
+			if len(got) > 0 || errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("the server said %q, %v", got, err)
+			}
+		})
+	}
+}
+
+func TestDatagram(t *testing.T) {
+	local := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 7}
+	far := &net.UDPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 7}
+	sealed := cwpeer.Key("k").Seal([]byte("news"))
+
+	changed := append([]byte(nil), sealed...)
+	changed[0] ^= 1
+
+	for name, tt := range map[string]struct {
+		key  string
+		raw  []byte
+		from net.Addr
+		is   error
+	}{
+		"same key":     {"k", sealed, far, nil},
+		"another key":  {"l", sealed, far, cwpeer.ErrDatagram},
+		"changed":      {"k", changed, far, cwpeer.ErrDatagram},
+		"cut":          {"k", sealed[:7], far, cwpeer.ErrDatagram},
+		"no key, far":  {"", cwpeer.Key("").Seal([]byte("news")), far, cwpeer.ErrLoopback},
+		"no key, near": {"", cwpeer.Key("").Seal([]byte("news")), local, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := cwpeer.Key(tt.key).Open(tt.raw, tt.from)
+			if !errors.Is(err, tt.is) || (err == nil && string(got) != "news") {
+				t.Errorf("got %q, %v", got, err)
+			}
+		})
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	k := cwpeer.Key("k")
+	from := &net.UDPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 7}
+
+	f.Add(k.Seal([]byte("news")))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		got, err := k.Open(raw, from)
+		if err == nil && cmp.Diff(raw, k.Seal(append([]byte(nil), got...))) != "" {
+			t.Error("opened what it would not have sealed")
+		}
+	})
+}
