--- a/internal/cwconfig/syncer.go
+++ b/internal/cwconfig/syncer.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
 
 	"carobward.example/carobward"
 )
@@ -22,7 +23,7 @@
 
 // Caller calls a method of a peer, see cwpeer.Clients.
 type Caller interface {
-	Call(ctx context.Context, to carobward.Address, method string, in, out any) error
+	Call(ctx context.Context, to carobward.Address, method string, in, out proto.Message) error
 }
 
 // metrics counts what the syncers of this process did.
