--- a/internal/cwconfig/exchange.go
+++ b/internal/cwconfig/exchange.go
@@ -15,6 +15,9 @@
 // ServiceName is the name that the Service is registered by.
 const ServiceName = "Config"
 
+// askMost bounds one exchange with a peer.
+const askMost = time.Second
+
 const exchangeMethod = ServiceName + ".Exchange"
 
 // Service answers peers that ask for the configuration.
@@ -180,6 +183,9 @@
 
 func (s *Syncer) call(ctx context.Context, to carobward.Address, want cwwire.ConfigWant) (*cwwire.ConfigReply, error) {
 	in, out := &cwwire.ConfigRequest{Digest: s.digest(), Want: want}, &cwwire.ConfigReply{}
+	ctx, cancel := context.WithTimeout(ctx, askMost)
+	defer cancel()
+
 	metrics.Add(metricSent, int64(proto.Size(in)))
 
 	err := s.caller.Call(ctx, to, exchangeMethod, in, out)
--- /dev/null
+++ b/internal/cwtest/fleet.go
@@ -0,0 +1,174 @@
+package cwtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Fleet is a set of separate processes: a platform, entry VMs and servers.
+type Fleet struct {
+	// Carobward and Stand are the built programs.
+	Carobward string
+	Stand     string
+	// Platform is the address of the platform.
+	Platform string
+	// VMs are the entry VMs by id.
+	VMs map[string]*EntryVM
+
+	servers map[string][]string
+}
+
+// EntryVM is one entry VM's process and its listeners.
+type EntryVM struct {
+	Process                           *Process
+	Domain                            string
+	Callers, Lookup, Peers, Operators string
+}
+
+// NewFleet builds the programs and starts a platform.
+func NewFleet(t testing.TB) *Fleet {
+	t.Helper()
+
+	f := &Fleet{
+		Carobward: Build(t, "cmd/carobward"),
+		Stand:     Build(t, "cmd/cwstand"),
+		VMs:       map[string]*EntryVM{},
+		servers:   map[string][]string{},
+	}
+	f.Platform = f.StartStand(t, "platform", "--listen", "127.0.0.1:0")
+
+	return f
+}
+
+var listening = regexp.MustCompile(`listening (\S+)`)
+
+// StartStand starts a stand-in and returns the address that it listens on.
+func (f *Fleet) StartStand(t testing.TB, args ...string) string {
+	t.Helper()
+
+	p := Start(t, f.Stand, args...)
+
+	var address string
+
+	Wait(t, "a stand-in that listens", func() bool {
+		if m := listening.FindStringSubmatch(p.Output()); m != nil {
+			address = m[1]
+		}
+
+		return address != ""
+	})
+
+	return address
+}
+
+// StartServer starts a server of a service and lists it.
+func (f *Fleet) StartServer(t testing.TB, service string) {
+	t.Helper()
+
+	f.servers[service] = append(f.servers[service], f.StartStand(t, "server"))
+	f.List(t)
+}
+
+var serving = regexp.MustCompile(`msg=Serving\..* callers=(\S+) lookup=(\S+) peers=(\S+) operators=(\S+)`)
+
+// StartVM starts an entry VM, without listing it.
+func (f *Fleet) StartVM(t testing.TB, vm, domain string) *EntryVM {
+	t.Helper()
+
+	settings := File(t, "settings.jsonc", fmt.Sprintf(`{
+		// One entry VM.
+		"vm": %q, "domain": %q,
+		"listen": {"callers": "127.0.0.1:0", "lookup": "127.0.0.1:0", "peers": "127.0.0.1:0", "operators": "127.0.0.1:0"},
+		"store": {"url": "http://%s"},
+		"list": {"url": "http://%s/vms", "every": "100ms"},
+		"keep": "1s",
+	}`, vm, domain, f.Platform, f.Platform))
+
+	v := &EntryVM{Process: Start(t, f.Carobward, "serve", "--settings", settings), Domain: domain}
+
+	Wait(t, "an entry VM that serves", func() bool {
+		m := serving.FindStringSubmatch(v.Process.Output())
+		if m != nil {
+			v.Callers, v.Lookup, v.Peers, v.Operators = m[1], m[2], m[3], m[4]
+		}
+
+		return m != nil
+	})
+
+	f.VMs[vm] = v
+
+	return v
+}
+
+// group is one part of the VM list.
+type group struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// List sets the platform's VM list to the servers and entry VMs.
+func (f *Fleet) List(t testing.TB) {
+	t.Helper()
+
+	var groups []group
+
+	for service, addresses := range f.servers {
+		groups = append(groups, group{addresses, map[string]string{"service": service, "domain": "Ifrane"}})
+	}
+
+	for vm, v := range f.VMs {
+		groups = append(groups, group{[]string{v.Peers}, map[string]string{"service": "carobward", "domain": v.Domain, "vm": vm}})
+	}
+
+	raw, err := json.Marshal(groups)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	f.Control(t, fasthttp.MethodPut, "/vms", string(raw))
+}
+
+// Control makes a request to the platform that sets a list or faults.
+func (f *Fleet) Control(t testing.TB, method, path, body string) {
+	t.Helper()
+
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + f.Platform + path)
+	req.SetBodyString(body)
+
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+
+	if err := fasthttp.Do(req, resp); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+		t.Fatalf("%s %s: %v, status %d", method, path, err, resp.StatusCode())
+	}
+}
+
+// InForce waits until each of the entry VMs, or each one if none is named,
+// shows in its own status that so many entry VMs have a revision.
+func (f *Fleet) InForce(t testing.TB, revision, count int, vms ...string) {
+	t.Helper()
+
+	if len(vms) == 0 {
+		for vm := range f.VMs {
+			vms = append(vms, vm)
+		}
+	}
+
+	line := regexp.MustCompile(fmt.Sprintf(`(?m)^\S+ .* live +%d$`, revision))
+
+	for _, vm := range vms {
+		Wait(t, fmt.Sprintf("revision %d on %d as %s sees it", revision, count, vm), func() bool {
+			out, _ := Run(t, f.Carobward, "status", "--vm", f.VMs[vm].Operators)
+
+			return len(line.FindAllString(out, -1)) == count
+		})
+	}
+}
