--- a/internal/cwconfig/writer.go
+++ b/internal/cwconfig/writer.go
@@ -92,7 +92,12 @@
 	return errors.Annotate(err, "config: other writers were faster")
 }
 
+// sleep waits and tells whether ctx goes on.
 func sleep(ctx context.Context, d time.Duration) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+
 	t := time.NewTimer(d)
 	defer t.Stop()
 
--- a/internal/cwconfig/writer_test.go
+++ b/internal/cwconfig/writer_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
@@ -12,31 +15,305 @@
 	"carobward.example/carobward/internal/cwtest"
 )
 
-// TestApplyStaysUnknown: a write whose reply was lost stays unknown while the
-// store does not tell what became of it.
-func TestApplyStaysUnknown(t *testing.T) {
+// script gives the calls of a kind these faults, and all later ones the last.
+func script(writes, reads string) func(bool, carobward.Key) cwtest.StoreFault {
+	kinds := map[byte]cwtest.StoreFault{'.': cwtest.StoreWell, 'd': cwtest.StoreDown, 'l': cwtest.StoreLost, 'x': cwtest.StoreDropped}
+	next := map[bool]string{true: writes, false: reads}
+
+	return func(write bool, _ carobward.Key) cwtest.StoreFault {
+		s := next[write]
+		if len(s) > 1 {
+			next[write] = s[1:]
+		}
+
+		return kinds[s[0]]
+	}
+}
+
+// TestApplyOutcome: what is answered is true, whatever reply was lost.
+func TestApplyOutcome(t *testing.T) {
+	for name, test := range map[string]struct {
+		writes, reads string
+		want          error
+		accepted      bool
+	}{
+		"all is well":                         {".", ".", nil, true},
+		"the reply is lost":                   {"l.", ".", nil, true},
+		"the write is lost":                   {"x.", ".", nil, true},
+		"lost twice, both ways":               {"xl.", ".", nil, true},
+		"the reply is lost, then an outage":   {"l", ".d", carobward.ErrStoreUnknown, true},
+		"the write is lost, then an outage":   {"x", ".d", carobward.ErrStoreUnknown, false},
+		"the reply is lost, a short outage":   {"l", ".ddd.", nil, true},
+		"an outage before the read":           {".", "d", carobward.ErrStoreDown, false},
+		"an outage between read and write":    {"d", ".", carobward.ErrStoreDown, false},
+		"the write is lost, then not reached": {"xd", ".", carobward.ErrStoreUnknown, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := cwtest.NewStore()
+			store.Fault = script(test.writes, test.reads)
+
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			defer cancel()
+
+			_, err := NewWriter(store, NewHolder()).Apply(ctx, put("a", "ana", 0, "fee"))
+			if (err == nil) != (test.want == nil) || (test.want != nil && !errors.Is(err, test.want)) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+
+			store.Fault = nil
+
+			found, err := NewReader(store).State(context.Background(), &Config{})
+			if err != nil || (found.Config.Revision == 1) != test.accepted {
+				t.Errorf("the store has revision %d, %v", found.Config.Revision, err)
+			}
+		})
+	}
+}
+
+// TestApplyAgain: the same change made again has the revision of the first.
+func TestApplyAgain(t *testing.T) {
+	store := cwtest.NewStore()
+	holder := NewHolder()
+
+	for i, want := range []carobward.Revision{1, 2, 1, 2} {
+		// Each time by another entry VM, but for the last.
+		if i < 3 {
+			holder = NewHolder()
+		}
+
+		id := fmt.Sprint("change-", i%2)
+
+		got, err := NewWriter(store, holder).Apply(context.Background(), put(id, "ana", i%2, fmt.Sprint("t", i%2)))
+		if err != nil || got != want {
+			t.Errorf("try %d: revision %d, %v", i, got, err)
+		}
+	}
+}
+
+// TestTwoOperators: one wins, the other learns by name what changed.
+func TestTwoOperators(t *testing.T) {
+	store := cwtest.NewStore()
+
+	if _, err := NewWriter(store, NewHolder()).Apply(context.Background(), put("a", "ana", 0, "fee")); err != nil {
+		t.Fatal(err)
+	}
+
+	_, err := NewWriter(store, NewHolder()).Apply(context.Background(), put("b", "bo", 0, "gate", "fee"))
+
+	want := `config: target "fee" was changed in revision 1 by ana (change a) after your base`
+	if err == nil || err.Error() != want {
+		t.Errorf("got %v, want %s", err, want)
+	}
+}
+
+// TestLostThenConflict: the loser of a race whose write was lost as well is
+// refused, not left unknown: the store has moved on without it.
+func TestLostThenConflict(t *testing.T) {
 	store := cwtest.NewStore()
-	written := false
+	first := true
 	store.Fault = func(write bool, _ carobward.Key) cwtest.StoreFault {
-		switch {
-		case write:
-			written = true
+		if write && first {
+			first = false
+
+			go func() { _, _ = NewWriter(store, NewHolder()).Apply(context.Background(), put("b", "bo", 0, "fee")) }()
+
+			return cwtest.StoreDropped
+		}
+
+		return cwtest.StoreWell
+	}
+
+	_, err := NewWriter(store, NewHolder()).Apply(context.Background(), put("a", "ana", 0, "fee"))
 
-			return cwtest.StoreLost
-		case written:
-			return cwtest.StoreDown
-		default:
-			return cwtest.StoreWell
+	var conflict *Conflict
+	if err != nil && !errors.As(err, &conflict) {
+		t.Errorf("got %v", err)
+	}
+
+	found, readErr := NewReader(store).State(context.Background(), &Config{})
+	if readErr != nil || (found.Head.Changes[0].ID == "a") != (err == nil) {
+		t.Errorf("answered %v, the store has %+v", err, found.Head.Changes)
+	}
+}
+
+// TestLongHistory: a newcomer and one that was away read the same as the
+// writers, however many changes came.
+func TestLongHistory(t *testing.T) {
+	store := cwtest.NewStore()
+	writers := []*Writer{NewWriter(store, NewHolder()), NewWriter(store, NewHolder())}
+	away := NewHolder()
+
+	for i := range 100 {
+		got, err := writers[i%2].Apply(context.Background(), put(fmt.Sprint("s", i), "ana", i, fmt.Sprint("t", i%7)))
+		if err != nil || int(got) != i+1 {
+			t.Fatalf("change %d: revision %d, %v", i, got, err)
+		}
+
+		if i == 60 {
+			away.Adopt(writers[0].holder.Config())
 		}
 	}
 
-	change := Change{ID: "one", Measure: &cwtarget.Measure{Calls: 1}}
+	want := writers[1].holder.Config()
 
-	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-	defer cancel()
+	for name, known := range map[string]*Config{"newcomer": {}, "away": away.Config(), "up to date": want} {
+		found, err := NewReader(store).State(context.Background(), known)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+
+		if diff := cmp.Diff(want, found.Config); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+
+	if n := len(writers[1].holder.Recent()); n > recentMost {
+		t.Errorf("%d changes are kept", n)
+	}
+}
+
+// TestSizeIsRefused: what would not fit into the store is refused by name,
+// and nothing changes.
+func TestSizeIsRefused(t *testing.T) {
+	store := cwtest.NewStore()
+	writer := NewWriter(store, NewHolder())
+	big := put("big", "ana", 0)
+
+	for i := range 2000 {
+		one := target(fmt.Sprintf("t%d", i), "s")
+		one.Match[0].Path = "/" + strings.Repeat("x", 600)
+		one.Match[0].Path += fmt.Sprint(i)
+		big.Put = append(big.Put, one)
+	}
+
+	if _, err := writer.Apply(context.Background(), big); !errors.Is(err, ErrSize) {
+		t.Errorf("got %v", err)
+	}
+
+	big.ID, big.Put = "half", big.Put[:1000]
+	if got, err := writer.Apply(context.Background(), big); err != nil || got != 1 {
+		t.Errorf("half of it: revision %d, %v", got, err)
+	}
+
+	// The large change makes room for the next one.
+	if got, err := writer.Apply(context.Background(), put("next", "ana", 1, "fee")); err != nil || got != 2 {
+		t.Errorf("the next one: revision %d, %v", got, err)
+	}
+
+	if got, _ := NewReader(store).Head(context.Background()); len(got.Head.Changes) != 1 {
+		t.Errorf("the head holds %d changes", len(got.Head.Changes))
+	}
+}
+
+// TestRestore: the fleet's configuration comes back as a higher revision than
+// all that the store and the fleet have seen.
+func TestRestore(t *testing.T) {
+	ctx := context.Background()
+
+	for name, others := range map[string]int{"an older copy": 0, "an empty one": -1, "one that went on": 9} {
+		t.Run(name, func(t *testing.T) {
+			store := cwtest.NewStore()
+			writer := NewWriter(store, NewHolder())
+			saved := store.Save()
+
+			for i := range 4 {
+				if others >= 0 && i == 2 {
+					saved = store.Save()
+				}
+
+				if _, err := writer.Apply(ctx, put(fmt.Sprint("a", i), "ana", i, fmt.Sprint("t", i))); err != nil {
+					t.Fatal(err)
+				}
+			}
+
+			before := writer.holder.Config()
+
+			if _, err := writer.Restore(ctx, Change{ID: "r0"}, 4); !errors.Is(err, ErrCurrent) {
+				t.Errorf("nothing to restore: got %v", err)
+			}
+
+			store.Restore(saved)
+
+			stray := NewWriter(store, NewHolder())
+			for i := range max(0, others) {
+				if _, err := stray.Apply(ctx, put(fmt.Sprint("b", i), "bo", 2+i, "t9")); err != nil {
+					t.Fatal(err)
+				}
+			}
+
+			if _, err := writer.Apply(ctx, put("c", "ana", 4, "t0")); !errors.Is(err, ErrOlder) {
+				t.Errorf("apply upon it: got %v", err)
+			}
+
+			store.Fault = script("l.", ".") // The first reply is lost.
+
+			got, err := writer.Restore(ctx, Change{ID: "r1", Author: "ana"}, 4)
+			if want := carobward.Revision(max(4, 2+others) + 1); err != nil || got != want {
+				t.Fatalf("restored as revision %d, %v, want %d", got, err, want)
+			}
+
+			found, err := NewReader(store).Head(ctx)
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			for who, holder := range map[string]*Holder{"writer": writer.holder, "stray": stray.holder, "newcomer": NewHolder()} {
+				if _, err := holder.Advance(found.Head.Changes); err != nil || holder.Revision() != got {
+					t.Errorf("%s: revision %d, %v", who, holder.Revision(), err)
+				}
+
+				if diff := cmp.Diff(before.Set, holder.Config().Set); diff != "" {
+					t.Errorf("%s: %s", who, diff)
+				}
+			}
+
+			if _, err := writer.Apply(ctx, put("d", "ana", int(got), "t0")); err != nil {
+				t.Errorf("the next change: %v", err)
+			}
+		})
+	}
+}
+
+// TestSnapshotOfAnotherTime: a head and a snapshot that do not fit together
+// are refused, not mixed.
+func TestSnapshotOfAnotherTime(t *testing.T) {
+	ctx := context.Background()
+	store := cwtest.NewStore()
+	writer := NewWriter(store, NewHolder())
+
+	for i := range 60 {
+		if _, err := writer.Apply(ctx, put(fmt.Sprint("a", i), "ana", i, "fee")); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	saved := store.Save()
+
+	for name, spoil := range map[string]func(map[carobward.Key]carobward.Entry){
+		"none": func(m map[carobward.Key]carobward.Entry) { delete(m, SnapshotKey) },
+		"of another history": func(m map[carobward.Key]carobward.Entry) {
+			found, _ := NewReader(store).Head(ctx)
+			other := Config{Revision: found.Head.Revision() - 1, Chain: "other", Set: cwtarget.Set{}}
+			raw, _ := encode(snapshot{Format: format, Config: other})
+			m[SnapshotKey] = carobward.Entry{Value: raw, Index: 1}
+		},
+	} {
+		spoilt := map[carobward.Key]carobward.Entry{}
+		for k, v := range saved {
+			spoilt[k] = v
+		}
+
+		spoil(spoilt)
+		store.Restore(spoilt)
+
+		if found, err := NewReader(store).State(ctx, &Config{}); !errors.Is(err, ErrParts) {
+			t.Errorf("%s: got %+v, %v", name, found.Config, err)
+		}
+
+		if found, err := NewReader(store).State(ctx, writer.holder.Config()); err != nil || found.Config.Revision != 60 {
+			t.Errorf("%s: who is up to date got %v", name, err)
+		}
 
-	_, err := NewWriter(store, NewHolder()).Apply(ctx, change)
-	if !errors.Is(err, carobward.ErrStoreUnknown) {
-		t.Errorf("got %v, want unknown, since the write took effect", err)
+		store.Restore(saved)
 	}
 }
