--- a/internal/cwconfig/exchange.go
+++ b/internal/cwconfig/exchange.go
@@ -40,7 +40,7 @@
 
 	if in.GetDigest().GetRevision() > out.GetDigest().GetRevision() {
 		select {
-		case r.news <- carobward.VMID(in.GetDigest().GetVm()):
+		case r.news <- news{carobward.VMID(in.GetDigest().GetVm()), carobward.Revision(in.GetDigest().GetRevision())}:
 		default:
 		}
 
@@ -131,10 +131,20 @@
 	return peers
 }
 
-// askPeer asks the peer with an id.
-func (s *Syncer) askPeer(ctx context.Context, id carobward.VMID) {
+// news is what a peer said that has a higher revision.
+type news struct {
+	from     carobward.VMID
+	revision carobward.Revision
+}
+
+// askFor asks the peer that has news, unless it is known by now.
+func (s *Syncer) askFor(ctx context.Context, n news) {
+	if n.revision <= s.holder.Revision() {
+		return
+	}
+
 	for _, p := range s.others() {
-		if p.ID == id {
+		if p.ID == n.from {
 			s.Ask(ctx, p.Peers)
 		}
 	}
--- a/internal/cwconfig/fake_test.go
+++ b/internal/cwconfig/fake_test.go
@@ -51,13 +51,13 @@
 
 // vm is one entry VM of a fleet. It is its own Peers and Caller.
 type vm struct {
-	fleet   *fleet
-	self    carobward.Peer
-	holder  *Holder
-	writer  *Writer
-	syncer  *Syncer
-	gone    bool
-	storeOf carobward.Store
+	fleet  *fleet
+	self   carobward.Peer
+	holder *Holder
+	writer *Writer
+	syncer *Syncer
+	// deaf is whether it lets those wait who call it.
+	deaf bool
 }
 
 func newFleet(n int) *fleet {
@@ -78,7 +78,7 @@
 	defer f.mutex.Unlock()
 
 	i := len(f.order)
-	v := &vm{fleet: f, storeOf: store, holder: NewHolder(), self: carobward.Peer{
+	v := &vm{fleet: f, holder: NewHolder(), self: carobward.Peer{
 		ID: carobward.VMID(fmt.Sprintf("vm-%d", i)), Domain: carobward.Domain(fmt.Sprint(i % 3)),
 		Peers: carobward.Address(fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)),
 	}}
@@ -110,7 +110,7 @@
 
 	for _, a := range f.order {
 		o := f.vms[a]
-		if o == v || !(o.gone || f.cut[[2]carobward.Address{v.self.Peers, a}]) {
+		if o == v || !f.cut[[2]carobward.Address{v.self.Peers, a}] {
 			p := o.self
 			p.Revision = o.holder.Revision()
 			all = append(all, p)
@@ -120,14 +120,21 @@
 	return all
 }
 
-func (v *vm) Call(_ context.Context, to carobward.Address, _ string, in, out proto.Message) error {
+func (v *vm) Call(ctx context.Context, to carobward.Address, _ string, in, out proto.Message) error {
 	f := v.fleet
 
 	f.mutex.Lock()
 	o := f.vms[to]
-	cut := o == nil || o.gone || f.cut[[2]carobward.Address{v.self.Peers, to}] || f.cut[[2]carobward.Address{to, v.self.Peers}]
+	cut := o == nil || f.cut[[2]carobward.Address{v.self.Peers, to}] || f.cut[[2]carobward.Address{to, v.self.Peers}]
+	deaf := o != nil && o.deaf
 	f.mutex.Unlock()
 
+	if deaf {
+		<-ctx.Done()
+
+		return ctx.Err()
+	}
+
 	if cut {
 		return errors.New("cut")
 	}
@@ -186,7 +193,7 @@
 func (f *fleet) gossip() {
 	for _, a := range f.order {
 		for _, b := range f.order {
-			if a != b && !f.vms[a].gone {
+			if a != b {
 				f.vms[a].syncer.Ask(context.Background(), b)
 			}
 		}
--- a/internal/cwconfig/head.go
+++ b/internal/cwconfig/head.go
@@ -26,7 +26,7 @@
 	// ringMost and ringBytes are how many changes a head holds at most; a
 	// larger change is held alone. Each watcher reads all that is held at
 	// each change.
-	ringMost  = 16
+	ringMost  = 24
 	ringBytes = 8_000
 	// ringKeep is how many changes stay when a head has grown too large, so
 	// that who has missed a few needs no full copy.
--- a/internal/cwconfig/schedule.go
+++ b/internal/cwconfig/schedule.go
@@ -15,7 +15,7 @@
 	// pollsPerSecond is how often the store's head is read by the whole
 	// fleet: each entry VM's share shrinks as the fleet grows. It finds a
 	// change that no watcher has told of.
-	pollsPerSecond = 2
+	pollsPerSecond = 4
 	// exchangeEvery is the time between two exchanges with a random peer.
 	exchangeEvery = time.Second
 	// offerRounds and offerPeers are how often and to how many peers a new
--- a/internal/cwconfig/syncer.go
+++ b/internal/cwconfig/syncer.go
@@ -42,6 +42,8 @@
 const (
 	// tickEvery is the pace at which the schedule is looked at.
 	tickEvery = 100 * time.Millisecond
+	// newsMost is how many peers with news may wait to be asked.
+	newsMost = 8
 	// watchGap is the least time between two watches, so that a burst of
 	// changes is read together.
 	watchGap = 100 * time.Millisecond
@@ -62,10 +64,10 @@
 	log    logr.Logger
 
 	vitals vitals
-	news   chan carobward.VMID
+	news   chan news
 	done   chan struct{}
 
-	polling, exchanging, offering atomic.Bool
+	polling, exchanging atomic.Bool
 }
 
 // NewSyncer returns a syncer of a holder. Register its Service with the peers'
@@ -78,7 +80,7 @@
 		caller: caller,
 		clock:  clock,
 		log:    log.WithName("config"),
-		news:   make(chan carobward.VMID, 1),
+		news:   make(chan news, newsMost),
 		done:   make(chan struct{}),
 	}
 }
@@ -102,11 +104,25 @@
 	var group conc.WaitGroup
 
 	group.Go(func() { s.watch(ctx) })
+	group.Go(func() { s.follow(ctx) })
 	group.Go(func() { s.tick(ctx, &group) })
 	group.Wait()
 }
 
-// tick does what the schedule says, each duty at most once at a time.
+// follow asks peers that have told of a higher revision.
+func (s *Syncer) follow(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-s.news:
+			s.askFor(ctx, n)
+		}
+	}
+}
+
+// tick does what the schedule says. A poll or an exchange is not begun while
+// the one before it still waits.
 func (s *Syncer) tick(ctx context.Context, group *conc.WaitGroup) {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
@@ -117,13 +133,14 @@
 		d := plan.due(s.clock.Now(), len(s.others())+1, s.holder.Revision())
 		run(group, d.poll, &s.polling, func() { s.Poll(ctx) })
 		run(group, d.exchange, &s.exchanging, func() { s.exchange(ctx) })
-		run(group, d.offer, &s.offering, func() { s.offer(ctx) })
+
+		if d.offer {
+			group.Go(func() { s.offer(ctx) })
+		}
 
 		select {
 		case <-ctx.Done():
 			return
-		case id := <-s.news:
-			run(group, true, &s.exchanging, func() { s.askPeer(ctx, id) })
 		case <-s.holder.raised:
 		case <-t.C:
 		}
--- a/internal/cwtest/store.go
+++ b/internal/cwtest/store.go
@@ -32,14 +32,18 @@
 	index   carobward.StoreIndex
 	entries map[carobward.Key]carobward.Entry
 	changed chan struct{}
+	written [][]byte
+	calls   int
 }
 
 // NewStore returns an empty store without faults.
 func NewStore() *Store {
-	return &Store{entries: map[carobward.Key]carobward.Entry{}, changed: make(chan struct{})}
+	return &Store{index: 1, entries: map[carobward.Key]carobward.Entry{}, changed: make(chan struct{})}
 }
 
 func (s *Store) fault(write bool, key carobward.Key) StoreFault {
+	s.calls++
+
 	if s.Fault == nil {
 		return StoreWell
 	}
@@ -86,11 +90,7 @@
 		return carobward.ErrConflict
 	}
 
-	s.index++
-	s.entries[key] = carobward.Entry{Value: append([]byte(nil), value...), Index: s.index}
-
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.put(key, value)
 
 	if fault == StoreLost {
 		return carobward.ErrStoreUnknown
@@ -99,6 +99,42 @@
 	return nil
 }
 
+// put writes a value. The caller holds the mutex.
+func (s *Store) put(key carobward.Key, value []byte) {
+	value = append([]byte(nil), value...)
+
+	s.index++
+	s.entries[key] = carobward.Entry{Value: value, Index: s.index}
+	s.written = append(s.written, value)
+
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Put writes a value whatever the index.
+func (s *Store) Put(key carobward.Key, value []byte) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.put(key, value)
+}
+
+// Calls counts the reads and writes, and the watches that have ended.
+func (s *Store) Calls() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return s.calls
+}
+
+// Written returns all values that were written, in order.
+func (s *Store) Written() [][]byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return append([][]byte(nil), s.written...)
+}
+
 // Watch waits until the key's index passes after, or until ctx ends.
 func (s *Store) Watch(ctx context.Context, key carobward.Key, after carobward.StoreIndex) (carobward.Entry, error) {
 	for {
