At most once: tickets, their owner, passing on and hand-over

Run-once work had no protection against a caller's own retry: a lost reply followed by a second request ran twice. A ticket now names the one run of an entry VM that may ever start the work; its table keeps started, ran, lost and closed, and another entry VM passes the request on over net/rpc.

Ruled out: a not-run that leaves the ticket open. A late copy of the request, held up at a paused entry VM, would run after the caller was told not-run, so not-run closes the ticket and the reply names a new one.

--- a/cmd/carobward/demo.go
+++ b/cmd/carobward/demo.go
@@ -176,7 +176,7 @@
 
 	fees := newTally("POST /fees")
 	for range c.Requests / 10 {
-		fees.one(client.Do(ctx, &cwcaller.Request{Method: "POST", URI: "/fees", Body: []byte("launch 17")}))
+		fees.one(client.Do(ctx, &cwcaller.Request{Method: "POST", URI: "/fees", Body: []byte("launch 17"), Once: true}))
 	}
 
 	return errors.Trace(firstError(lookups.print(), fees.print()))
--- a/cmd/cwstand/caller.go
+++ b/cmd/cwstand/caller.go
@@ -18,6 +18,7 @@
 	Method  string        `long:"method" default:"GET" description:"HTTP method."`
 	URI     string        `long:"uri" default:"/sheets/today" description:"Path and query."`
 	Body    string        `long:"body" description:"Request body."`
+	Once    bool          `long:"once" description:"The request must not repeat: send it with a ticket."`
 	Count   int           `short:"n" default:"1" description:"Number of requests."`
 	Timeout time.Duration `long:"timeout" default:"2s" description:"Time for one request."`
 }
@@ -32,7 +33,7 @@
 	client := cwcaller.New(o, carobward.SystemClock{})
 
 	for range c.Count {
-		r, err := client.Do(context.Background(), &cwcaller.Request{Method: c.Method, URI: c.URI, Body: []byte(c.Body)})
+		r, err := client.Do(context.Background(), &cwcaller.Request{Method: c.Method, URI: c.URI, Body: []byte(c.Body), Once: c.Once})
 		if err != nil {
 			return err
 		}
--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -41,6 +41,7 @@
 	holder  *cwconfig.Holder
 	servers *cwserver.Table
 	link    carobward.Servers
+	owner   Owner
 	clock   carobward.Clock
 	log     logr.Logger
 
@@ -49,8 +50,8 @@
 }
 
 // New returns a Carrier.
-func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, clock carobward.Clock, log logr.Logger) *Carrier {
-	return &Carrier{options: o, holder: holder, servers: servers, link: link, clock: clock, log: log.WithName("entry")}
+func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, owner Owner, clock carobward.Clock, log logr.Logger) *Carrier {
+	return &Carrier{options: o, holder: holder, servers: servers, link: link, owner: owner, clock: clock, log: log.WithName("entry")}
 }
 
 // Running returns the number of requests in flight.
@@ -71,27 +72,48 @@
 }
 
 func (c *Carrier) serve(ctx *fasthttp.RequestCtx, id carobward.RequestID) (*answer, error) {
-	if c.running.Add(1) > int64(c.options.Calls) {
-		c.running.Add(-1)
-
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrBusy)
-	}
-
 	defer c.running.Add(-1)
 
-	if c.holder.Revision() == 0 {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrNew)
+	if err := c.admit(); err != nil {
+		return nil, c.refuse(ctx, err)
 	}
 
-	target := c.holder.Targets().Find(string(ctx.Host()), string(ctx.Method()), string(ctx.Path()))
-	if target == nil {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusNotFound, 0, ErrTarget)
+	target, err := c.target(string(ctx.Host()), string(ctx.Method()), string(ctx.Path()))
+	if err != nil {
+		return nil, c.refuse(ctx, err)
 	}
 
 	call, err := c.call(ctx, target)
 	if err != nil {
-		return nil, err
+		return nil, c.refuse(ctx, err)
+	}
+
+	if target.Promise == carobward.Once {
+		return c.once(ctx, id, target, call)
 	}
 
 	return c.carry(context.Background(), id, target, call)
 }
+
+// admit counts a request in flight, whether it is admitted or not.
+func (c *Carrier) admit() error {
+	if c.running.Add(1) > int64(c.options.Calls) {
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrBusy)
+	}
+
+	return nil
+}
+
+// target returns the target that a request belongs to.
+func (c *Carrier) target(host, method, path string) (*carobward.Target, error) {
+	if c.holder.Revision() == 0 {
+		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrNew)
+	}
+
+	t := c.holder.Targets().Find(host, method, path)
+	if t == nil {
+		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusNotFound, 0, ErrTarget)
+	}
+
+	return t, nil
+}
--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -22,8 +22,7 @@
 // triesMost bounds the attempts at one request.
 const triesMost = 3
 
-// carry tries servers until one answers. Work that must not repeat is tried
-// again only if it has been proved not run.
+// carry tries servers until one answers.
 func (c *Carrier) carry(ctx context.Context, id carobward.RequestID, target *carobward.Target, call *carobward.Call) (*answer, error) {
 	var tried []*cwserver.Server
 
@@ -43,9 +42,7 @@
 			return &answer{reply, s.Address}, nil
 		}
 
-		if last = c.failure(err, last.Verdict); target.Promise == carobward.Once && last.Verdict != carobward.NotRun {
-			break
-		}
+		last = c.failure(err, last.Verdict)
 	}
 
 	return nil, last
--- a/internal/cwlookup/handler.go
+++ b/internal/cwlookup/handler.go
@@ -9,8 +9,14 @@
 	"carobward.example/carobward/internal/cwpeer"
 )
 
+// Tickets issues the prefixes of tickets.
+type Tickets interface {
+	// Prefix returns a new prefix.
+	Prefix() string
+}
+
 // Handler returns the HTTP side: GET /addresses?caller=ID&domain=NAME.
-func Handler(table *cwpeer.Table, keep time.Duration) *fiber.App {
+func Handler(table *cwpeer.Table, keep time.Duration, tickets Tickets) *fiber.App {
 	app := fiber.New(fiber.Config{DisableStartupMessage: true, Immutable: true})
 
 	app.Get("/addresses", func(c *fiber.Ctx) error {
@@ -23,7 +29,7 @@
 			return fiber.NewError(fiber.StatusServiceUnavailable, "no entry VM can take requests now")
 		}
 
-		return c.JSON(Answer{Use: use, Keep: max(1, int(keep.Seconds()))})
+		return c.JSON(Answer{Use: use, Keep: max(1, int(keep.Seconds())), Ticket: tickets.Prefix()})
 	})
 
 	return app
--- a/internal/cwlookup/lookup.go
+++ b/internal/cwlookup/lookup.go
@@ -14,6 +14,8 @@
 type Line struct {
 	// Address takes the caller's requests.
 	Address carobward.Address `json:"address"`
+	// Lookup answers address questions, with tickets of this entry VM.
+	Lookup carobward.Address `json:"lookup"`
 	// VM is the entry VM behind it.
 	VM carobward.VMID `json:"vm"`
 	// Domain is its failure domain.
@@ -27,7 +29,9 @@
 	// Keep is how long the answer may be kept, in seconds.
 	Keep int `json:"keep"`
 	// Ticket starts the tickets of requests that run at most once: the
-	// caller appends a dot and a number of its own.
+	// caller appends a dot and a number of its own. The entry VM that
+	// answered owns them, so the lookup of the address that is used gives
+	// the ones that need not be passed on.
 	Ticket string `json:"ticket,omitempty"`
 }
 
@@ -47,7 +51,7 @@
 	seen := map[carobward.Domain]bool{domain: true}
 
 	for _, p := range ranked {
-		l := Line{Address: p.Callers, VM: p.ID, Domain: p.Domain}
+		l := Line{Address: p.Callers, Lookup: p.Lookup, VM: p.ID, Domain: p.Domain}
 
 		switch {
 		case p.Domain == domain && len(near) < nearMost:
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -21,6 +21,7 @@
 	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwlookup"
 	"carobward.example/carobward/internal/cwoperator"
+	"carobward.example/carobward/internal/cwowner"
 	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwsettings"
@@ -50,6 +51,7 @@
 	holder  *cwconfig.Holder
 	watcher *cwconfig.Watcher
 	link    *cwlink.Link
+	owner   *cwowner.Owner
 	carrier *cwentry.Carrier
 
 	data      *fasthttp.Server
@@ -94,14 +96,18 @@
 		return nil, err
 	}
 
+	if err := n.newOwner(); err != nil {
+		return nil, err
+	}
+
 	n.watcher = cwconfig.NewWatcher(n.store, n.holder, log)
 	n.link = cwlink.New(cwlink.Options{Conns: connsPerServer, Keep: connKeep, Header: replyHeader}, clock)
-	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls}, n.holder, n.servers, n.link, clock, log)
+	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls}, n.holder, n.servers, n.link, n.owner, clock, log)
 	n.data = dataServer(&s.Limits, n.carrier)
-	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std())
+	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner)
 	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers).Handler()
 
-	return n, nil
+	return n, n.owner.Register(n.server, n.carrier)
 }
 
 // Done is closed once Run has returned.
@@ -201,6 +207,7 @@
 	err := n.leave()
 
 	stop()
+	n.owner.Stop()
 	_ = n.listeners.peers.Close()
 	_ = n.lookup.Shutdown()
 	_ = n.operators.Shutdown()
@@ -226,8 +233,11 @@
 	n.hello(context.Background())
 	time.Sleep(n.settings.Keep.Std())
 
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-n.handOverTime()))
 	defer cancel()
 
-	return errors.Annotate(n.data.ShutdownWithContext(ctx), "node: requests were still in flight at the bound")
+	err := n.data.ShutdownWithContext(ctx)
+	n.handOver(end)
+
+	return errors.Annotate(err, "node: requests were still in flight at the bound")
 }
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -39,6 +39,7 @@
 
 		n.peers.Tick(now.Add(-silentMost))
 		n.link.Tick(now)
+		n.owner.Tick(now)
 
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/cwowner/pass.go
@@ -0,0 +1,121 @@
+package cwowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwticket"
+	"carobward.example/carobward/internal/cwwire"
+)
+
+// The pace of passing on. An owner answers each call after hold at the
+// latest, if only to say that the work still runs, so one that has not
+// answered after hold and grace is silent, however long the work takes. It is
+// not asked again for the time quiet.
+const (
+	hold  = 150 * time.Millisecond
+	grace = 350 * time.Millisecond
+	quiet = time.Second
+)
+
+// unknown is the failure of a request that cannot be answered for here.
+func unknown(cause error) *carobward.Failure {
+	return carobward.NewFailure(carobward.Unknown, fasthttp.StatusServiceUnavailable, retryAfter, cause)
+}
+
+// pass passes a request to the owner of its ticket. Whatever goes wrong, the
+// verdict is unknown: if not this request, an earlier one may have run.
+func (o *Owner) pass(ctx context.Context, t cwticket.Ticket, id carobward.RequestID, c *carobward.Call) (*cwticket.Outcome, error) {
+	to, err := o.find(t.Owner)
+	if err != nil {
+		return nil, err
+	}
+
+	out := &cwwire.OnceAnswer{}
+	if err := o.ask(ctx, to, "Owner.Carry", callToWire(t, id, c, o.clock.Now()), out); err != nil {
+		return nil, err
+	}
+
+	for out.GetPending() {
+		if !o.clock.Now().Before(c.Deadline) {
+			return nil, carobward.NewFailure(carobward.Unknown, fasthttp.StatusGatewayTimeout, retryAfter, ErrTime)
+		}
+
+		out = &cwwire.OnceAnswer{}
+		if err := o.ask(ctx, to, "Owner.Result", &cwwire.OnceQuery{Ticket: t.String()}, out); err != nil {
+			return nil, err
+		}
+	}
+
+	return answerFromWire(out)
+}
+
+// ask calls an owner and notes when it is silent.
+func (o *Owner) ask(ctx context.Context, to carobward.Address, method string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, hold+grace)
+	defer cancel()
+
+	err := o.caller.Call(ctx, to, method, in, out)
+	if err == nil {
+		return nil
+	}
+
+	o.log.V(1).Info("An owner did not answer.", "peer", to, "cause", err.Error())
+
+	if ctx.Err() != nil {
+		o.mutex.Lock()
+		o.silent[to] = o.clock.Now()
+		o.mutex.Unlock()
+	}
+
+	return unknown(ErrSilent)
+}
+
+// find returns where the tickets of an owner are kept: at its successor, or
+// at the owner itself while that very run of it lives.
+func (o *Owner) find(of cwticket.Owner) (carobward.Address, error) {
+	to, err := o.address(of)
+	if err != nil {
+		return "", err
+	}
+
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+
+	if at, ok := o.silent[to]; ok {
+		if o.clock.Now().Sub(at) < quiet {
+			return "", unknown(ErrSilent)
+		}
+
+		delete(o.silent, to)
+	}
+
+	return to, nil
+}
+
+func (o *Owner) address(of cwticket.Owner) (carobward.Address, error) {
+	o.mutex.Lock()
+	h := o.moved[of]
+	o.mutex.Unlock()
+
+	if h != nil {
+		return h.peers, nil
+	}
+
+	for _, p := range o.peers.All() {
+		if p.ID != of.VM {
+			continue
+		}
+
+		if p.State == carobward.PeerDead || p.Incarnation > of.Incarnation || p.Peers == "" {
+			break
+		}
+
+		return p.Peers, nil
+	}
+
+	return "", unknown(ErrOwner)
+}
--- a/internal/cwsettings/settings.go
+++ b/internal/cwsettings/settings.go
@@ -34,6 +34,8 @@
 	Keep carobward.Duration `json:"keep"`
 	// Stop bounds a graceful stop, from its start to the exit.
 	Stop carobward.Duration `json:"stop"`
+	// Once bounds what is kept of work that runs at most once.
+	Once Once `json:"once"`
 	// Trace says where spans go.
 	Trace Trace `json:"trace"`
 	// Log is the lowest level that is logged: debug, info or error.
@@ -145,6 +147,7 @@
 		},
 		Keep:  carobward.Duration(defaultKeep),
 		Stop:  carobward.Duration(defaultStop),
+		Once:  defaultOnce(),
 		Trace: Trace{To: TraceOff, Share: defaultSampled},
 		Log:   defaultLog,
 	}
--- a/internal/cwsettings/validate.go
+++ b/internal/cwsettings/validate.go
@@ -31,6 +31,7 @@
 	validateURL("store.url", s.Store.URL, fail)
 	validateURL("list.url", s.List.URL, fail)
 	s.validateNumbers(fail)
+	s.Once.validate(s.Keep, fail)
 	s.Trace.validate(fail)
 
 	switch s.Log {
--- a/pkg/cwcaller/caller.go
+++ b/pkg/cwcaller/caller.go
@@ -1,12 +1,18 @@
 // Package cwcaller is the callers' library: it asks the entry VMs which
-// addresses to use, keeps the answer, and sends requests there.
+// addresses to use, keeps the answer, sends requests there and tries again
+// where that is safe.
+//
+// A request that must not repeat is sent with Once set. It gets a ticket, and
+// after a lost reply it is sent again with the same ticket, which starts
+// nothing anew: the entry VM that owns the ticket answers with the recorded
+// outcome. A new ticket is used only after a "not-run". Other requests are
+// sent again after a "not-run", and after an "unknown" if their method is
+// idempotent (RFC 9110, 9.2.2).
 package cwcaller
 
 import (
 	"context"
-	"encoding/json"
-	"net/url"
-	"sync"
+	"net"
 	"time"
 
 	"github.com/juju/errors"
@@ -23,16 +29,30 @@
 	Domain carobward.Domain
 	// Lookup lists addresses of entry VMs' lookup listeners.
 	Lookup []carobward.Address
-	// Timeout bounds a request whose context has no deadline.
+	// Timeout bounds a request whose context has no deadline; by default
+	// two seconds.
 	Timeout time.Duration
+	// Tries bounds how often one request is sent; by default eight times.
+	Tries int
+	// Body bounds a reply's body; by default a megabyte.
+	Body carobward.ByteCount
 }
 
+// The default values of Options.
+const (
+	defaultTimeout = 2 * time.Second
+	defaultTries   = 8
+	defaultBody    = carobward.Megabyte
+)
+
 // Request is one request.
 type Request struct {
 	Method string
 	URI    string
 	Header carobward.Header
 	Body   []byte
+	// Once says that the request must not repeat.
+	Once bool
 }
 
 // Reply is a whole reply.
@@ -42,120 +62,99 @@
 	Body   []byte
 }
 
-type answer struct {
-	Use []struct {
-		Address carobward.Address `json:"address"`
-	} `json:"use"`
-	Keep   int    `json:"keep"`
-	Ticket string `json:"ticket"`
-}
-
 // Client sends requests. It may be used by many goroutines.
 type Client struct {
 	options Options
 	clock   carobward.Clock
 	http    *fasthttp.Client
-
-	mutex sync.Mutex
-	kept  answer
-	until time.Time
+	book    *book
 }
 
-// ErrLookup tells that no entry VM answered which addresses to use.
-const ErrLookup = errors.ConstError("caller: no entry VM answered which addresses to use")
-
 // New returns a client.
 func New(o Options, clock carobward.Clock) *Client {
-	return &Client{options: o, clock: clock, http: &fasthttp.Client{
-		Name:                      "cwcaller",
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
-}
-
-// Do sends a request once. The error is a Failure whose verdict says whether
-// the request may have run.
-func (c *Client) Do(ctx context.Context, r *Request) (*Reply, error) {
-	use, err := c.addresses()
-	if err != nil {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, time.Second, err)
+	if o.Timeout <= 0 {
+		o.Timeout = defaultTimeout
 	}
 
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = c.clock.Now().Add(c.options.Timeout)
+	if o.Tries <= 0 {
+		o.Tries = defaultTries
 	}
 
-	return c.send(use[0], r, deadline)
-}
-
-func (c *Client) send(to carobward.Address, r *Request, deadline time.Time) (*Reply, error) {
-	req := fasthttp.AcquireRequest()
-	resp := fasthttp.AcquireResponse()
+	if o.Body <= 0 {
+		o.Body = defaultBody
+	}
 
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
+	h := &fasthttp.Client{
+		Name:                      "cwcaller",
+		Dial:                      dial,
+		MaxResponseBodySize:       int(o.Body),
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
 
-	req.Header.SetMethod(r.Method)
-	req.SetRequestURI("http://" + string(to) + r.URI)
-	req.SetBody(r.Body)
+	return &Client{options: o, clock: clock, http: h, book: newBook(&o, clock, h)}
+}
 
-	for _, f := range r.Header {
-		req.Header.Add(f.Name, f.Value)
-	}
+// dialMost bounds the opening of a connection.
+const dialMost = time.Second
 
-	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
-		return nil, carobward.NewFailure(carobward.Unknown, fasthttp.StatusBadGateway, time.Second, err)
-	}
+// dialError tells that no connection was opened, so that nothing was sent.
+type dialError struct{ error }
 
-	reply := &Reply{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
-	for k, v := range resp.Header.All() {
-		reply.Header = append(reply.Header, carobward.Field{Name: string(k), Value: string(v)})
-	}
+// Unwrap returns the cause.
+func (e dialError) Unwrap() error { return e.error }
 
-	if v := carobward.ParseVerdict(reply.Header.Get(carobward.HeaderVerdict)); v != carobward.Ran {
-		return reply, carobward.NewFailure(v, reply.Status, time.Second, errors.Errorf("caller: %s", reply.Body))
+func dial(address string) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", address, dialMost)
+	if err != nil {
+		return nil, dialError{err}
 	}
 
-	return reply, nil
+	return c, nil
 }
 
-// addresses returns the kept answer or asks for a new one.
-func (c *Client) addresses() ([]carobward.Address, error) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
+// Do sends a request and tries again where that is safe, until its deadline.
+// The error is a Failure whose verdict says whether the request may have run;
+// the reply that goes with it, if any, is the last one.
+func (c *Client) Do(ctx context.Context, r *Request) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
+
+	t := &try{client: c, request: r}
 
-	if now := c.clock.Now(); now.After(c.until) {
-		a, err := c.ask()
-		if err != nil {
-			return nil, err
+	for range c.options.Tries {
+		reply, err := t.next(ctx)
+		if err == nil {
+			return reply, nil
 		}
 
-		c.kept, c.until = a, now.Add(time.Duration(a.Keep)*time.Second)
-	}
+		if !t.again(err) || !wait(ctx, err) {
+			return reply, t.verdict(err)
+		}
 
-	var use []carobward.Address
-	for _, u := range c.kept.Use {
-		use = append(use, u.Address)
+		t.failed = err
 	}
 
-	return use, nil
+	return nil, t.verdict(t.failed)
 }
 
-func (c *Client) ask() (answer, error) {
-	query := url.Values{"caller": {c.options.Caller}, "domain": {string(c.options.Domain)}}.Encode()
+// wait waits until the caller should come back. It returns false if that is
+// after the request's deadline.
+func wait(ctx context.Context, f *carobward.Failure) bool {
+	if end, ok := ctx.Deadline(); ok && time.Until(end) <= f.RetryAfter {
+		return false
+	}
 
-	for _, l := range c.options.Lookup {
-		status, body, err := c.http.GetTimeout(nil, "http://"+string(l)+"/addresses?"+query, time.Second)
-		if err != nil || status != fasthttp.StatusOK {
-			continue
-		}
+	t := time.NewTimer(f.RetryAfter)
+	defer t.Stop()
 
-		var a answer
-		if err := json.Unmarshal(body, &a); err == nil && len(a.Use) > 0 {
-			return a, nil
-		}
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-
-	return answer{}, ErrLookup
 }
+
+// ErrLookup tells that no entry VM answered which addresses to use.
+const ErrLookup = errors.ConstError("caller: no entry VM answered which addresses to use")
