--- a/internal/cwentry/once.go
+++ b/internal/cwentry/once.go
@@ -8,7 +8,6 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwowner"
-	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwticket"
 )
@@ -104,7 +103,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 
 	for range triesMost {
-		s := cwroute.Choose(c.servers.Of(target.Service), tried, rng)
+		s := c.options.Policy.Choose(c.clock.Now(), c.servers.Of(target.Service), tried, rng)
 		if s == nil {
 			break
 		}
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -20,9 +20,11 @@
 	"carobward.example/carobward/internal/cwkv"
 	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwlookup"
+	"carobward.example/carobward/internal/cwmember"
 	"carobward.example/carobward/internal/cwoperator"
 	"carobward.example/carobward/internal/cwowner"
 	"carobward.example/carobward/internal/cwpeer"
+	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwsettings"
 	"carobward.example/carobward/internal/cwvm"
@@ -48,6 +50,7 @@
 	peers   *cwpeer.Table
 	clients *cwpeer.Clients
 	server  *cwpeer.Server
+	member  *cwmember.Service
 	holder  *cwconfig.Holder
 	watcher *cwconfig.Watcher
 	link    *cwlink.Link
@@ -64,6 +67,7 @@
 // listeners are the open sockets.
 type listeners struct {
 	callers, lookup, peers, operators net.Listener
+	datagrams                         net.PacketConn
 }
 
 // New opens the listeners and puts the parts together. Run starts them.
@@ -75,7 +79,6 @@
 		store:    cwkv.New(s.Store.URL, s.Store.Prefix, s.Store.Timeout.Std()),
 		list:     cwvm.New(s.List.URL),
 		servers:  cwserver.NewTable(),
-		clients:  cwpeer.NewClients(),
 		holder:   cwconfig.NewHolder(),
 		done:     make(chan struct{}),
 	}
@@ -89,10 +92,7 @@
 		return nil, err
 	}
 
-	n.peers = cwpeer.NewTable(n.self())
-
-	n.server, err = cwpeer.NewServer(n.peers, clock)
-	if err != nil {
+	if err := n.openPeers(log); err != nil {
 		return nil, err
 	}
 
@@ -102,7 +102,7 @@
 
 	n.watcher = cwconfig.NewWatcher(n.store, n.holder, log)
 	n.link = cwlink.New(cwlink.Options{Conns: connsPerServer, Keep: connKeep, Header: replyHeader}, clock)
-	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls}, n.holder, n.servers, n.link, n.owner, clock, log)
+	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Pair{}}, n.holder, n.servers, n.link, n.owner, clock, log)
 	n.data = dataServer(&s.Limits, n.carrier)
 	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner)
 	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers).Handler()
@@ -168,7 +168,11 @@
 		*one.into = opened
 	}
 
-	return nil
+	var err error
+
+	n.listeners.datagrams, err = net.ListenPacket("udp", string(address(n.listeners.peers)))
+
+	return errors.Annotate(err, "node")
 }
 
 func dataServer(l *cwsettings.Limits, c *cwentry.Carrier) *fasthttp.Server {
@@ -197,6 +201,7 @@
 		"peers", n.Self().Peers, "operators", n.Self().Operators)
 	group.Go(func() { n.watcher.Run(work) })
 	group.Go(func() { n.tick(work) })
+	group.Go(func() { n.member.Run(work) })
 	group.Go(func() { n.logEnd("callers", n.data.Serve(n.listeners.callers)) })
 	group.Go(func() { n.logEnd("lookup", n.lookup.Listener(n.listeners.lookup)) })
 	group.Go(func() { n.logEnd("peers", n.server.Serve(n.listeners.peers)) })
@@ -208,7 +213,8 @@
 
 	stop()
 	n.owner.Stop()
-	_ = n.listeners.peers.Close()
+	<-n.member.Done()
+	n.closePeers()
 	_ = n.lookup.Shutdown()
 	_ = n.operators.Shutdown()
 	group.Wait()
@@ -227,10 +233,9 @@
 // then waits for the requests in flight.
 func (n *Node) leave() error {
 	n.log.Info("Leaving.", "keep", n.settings.Keep.Std().String())
-	n.peers.Leave()
+	n.member.Leave(context.Background())
 
 	end := n.clock.Now().Add(n.settings.Stop.Std())
-	n.hello(context.Background())
 	time.Sleep(n.settings.Keep.Std())
 
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-n.handOverTime()))
--- a/internal/cwowner/owner.go
+++ b/internal/cwowner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwticket"
@@ -39,7 +40,7 @@
 
 // Caller calls peers. The error does not tell whether the method ran.
 type Caller interface {
-	Call(ctx context.Context, to carobward.Address, method string, in, out any) error
+	Call(ctx context.Context, to carobward.Address, method string, in, out proto.Message) error
 }
 
 // The reasons of a failure.
--- a/internal/cwowner/pass.go
+++ b/internal/cwowner/pass.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwticket"
@@ -54,7 +55,7 @@
 }
 
 // ask calls an owner and notes when it is silent.
-func (o *Owner) ask(ctx context.Context, to carobward.Address, method string, in, out any) error {
+func (o *Owner) ask(ctx context.Context, to carobward.Address, method string, in, out proto.Message) error {
 	ctx, cancel := context.WithTimeout(ctx, hold+grace)
 	defer cancel()
 
@@ -75,7 +76,7 @@
 }
 
 // find returns where the tickets of an owner are kept: at its successor, or
-// at the owner itself while that very run of it lives.
+// at the owner itself while it lives.
 func (o *Owner) find(of cwticket.Owner) (carobward.Address, error) {
 	to, err := o.address(of)
 	if err != nil {
@@ -110,10 +111,12 @@
 			continue
 		}
 
-		if p.State == carobward.PeerDead || p.Incarnation > of.Incarnation || p.Peers == "" {
+		if p.State == carobward.PeerDead || p.Peers == "" {
 			break
 		}
 
+		// It may be a replacement, which answers at once that it has not got
+		// the ticket.
 		return p.Peers, nil
 	}
 
