--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -52,7 +52,7 @@
 	server  *cwpeer.Server
 	member  *cwmember.Service
 	holder  *cwconfig.Holder
-	watcher *cwconfig.Watcher
+	syncer  *cwconfig.Syncer
 	link    *cwlink.Link
 	owner   *cwowner.Owner
 	carrier *cwentry.Carrier
@@ -100,12 +100,15 @@
 		return nil, err
 	}
 
-	n.watcher = cwconfig.NewWatcher(n.store, n.holder, log)
+	if err := n.configure(log); err != nil {
+		return nil, err
+	}
+
 	n.link = cwlink.New(cwlink.Options{Conns: connsPerServer, Keep: connKeep, Header: replyHeader}, clock)
 	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Pair{}}, n.holder, n.servers, n.link, n.owner, clock, log)
 	n.data = dataServer(&s.Limits, n.carrier)
 	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner)
-	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers).Handler()
+	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers, n.syncer).Handler()
 
 	return n, n.owner.Register(n.server, n.carrier)
 }
@@ -199,7 +202,7 @@
 
 	n.log.Info("Serving.", "vm", n.settings.VM, "callers", n.Self().Callers, "lookup", n.Self().Lookup,
 		"peers", n.Self().Peers, "operators", n.Self().Operators)
-	group.Go(func() { n.watcher.Run(work) })
+	group.Go(func() { n.syncer.Run(work) })
 	group.Go(func() { n.tick(work) })
 	group.Go(func() { n.member.Run(work) })
 	group.Go(func() { n.logEnd("callers", n.data.Serve(n.listeners.callers)) })
