--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -50,7 +51,11 @@
 
 // New returns a Carrier.
 func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, clock carobward.Clock, log logr.Logger) *Carrier {
-	return &Carrier{options: o, holder: holder, servers: servers, link: link, clock: clock, log: log.WithName("entry")}
+	c := &Carrier{options: o, holder: holder, servers: servers, link: link, clock: clock, log: log.WithName("entry")}
+	// Attempts of an earlier run have other ids.
+	c.serial.Store(uint64(rand.Uint32()) << 16)
+
+	return c
 }
 
 // Running returns the number of requests in flight.
@@ -58,7 +63,12 @@
 
 // Handle serves one request.
 func (c *Carrier) Handle(ctx *fasthttp.RequestCtx) {
-	id := requestID(ctx)
+	id, err := requestID(ctx)
+	if err != nil {
+		c.writeFailure(ctx, id, err)
+
+		return
+	}
 
 	reply, err := c.serve(ctx, id)
 	if err != nil {
@@ -83,6 +93,10 @@
 		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrNew)
 	}
 
+	if err := check(ctx); err != nil {
+		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err)
+	}
+
 	target := c.holder.Targets().Find(string(ctx.Host()), string(ctx.Method()), string(ctx.Path()))
 	if target == nil {
 		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusNotFound, 0, ErrTarget)
--- a/internal/cwentry/message.go
+++ b/internal/cwentry/message.go
@@ -1,16 +1,16 @@
 package cwentry
 
 import (
+	"bytes"
 	"encoding/json"
-	"math/rand/v2"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwframe"
 )
 
 // The errors of a request that is refused.
@@ -20,63 +20,49 @@
 )
 
 // hop lists the fields that concern one connection only, RFC 9110, 7.6.1,
-// and those that this package writes itself.
+// and those that this package writes itself, as the HTTP library spells them.
 var hop = map[string]bool{
-	"connection":          true,
-	"keep-alive":          true,
-	"proxy-connection":    true,
-	"proxy-authenticate":  true,
-	"proxy-authorization": true,
-	"te":                  true,
-	"trailer":             true,
-	"transfer-encoding":   true,
-	"upgrade":             true,
-	"content-length":      true,
-	"host":                true,
-	"expect":              true,
-	"x-request-id":        true,
-	"carobward-timeout":   true,
-	"carobward-ticket":    true,
-	"carobward-verdict":   true,
-	"carobward-vm":        true,
-	"carobward-server":    true,
-	"carobward-retry-ms":  true,
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Connection":    true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+	"Host":                true,
+	"Expect":              true,
+	"X-Request-Id":        true,
+	"Carobward-Timeout":   true,
+	"Carobward-Ticket":    true,
+	"Carobward-Verdict":   true,
+	"Carobward-Vm":        true,
+	"Carobward-Server":    true,
+	"Carobward-Retry-Ms":  true,
 	// The load is between the server and us.
-	"endpoint-load-metrics": true,
+	"Endpoint-Load-Metrics": true,
 }
 
-// idMost bounds a caller's request id in bytes.
-const idMost = 128
-
-// requestID returns the caller's request id, or a new one where it gave none
-// that is fit.
-func requestID(ctx *fasthttp.RequestCtx) carobward.RequestID {
-	id := string(ctx.Request.Header.Peek(carobward.HeaderID))
-	if id == "" || len(id) > idMost {
-		id = strconv.FormatUint(rand.Uint64(), 36)
-	}
-
-	return carobward.RequestID(id)
-}
-
-// call returns the request as it goes to a server.
+// call returns the request as it goes to a server. Nothing in it refers to
+// the library's buffers, so that it may outlive the handler.
 func (c *Carrier) call(ctx *fasthttp.RequestCtx, target *carobward.Target) (*carobward.Call, error) {
 	within, err := timeout(ctx, target)
 	if err != nil {
 		return nil, err
 	}
 
-	body := ctx.PostBody()
-	if int64(len(body)) > int64(target.Body) {
+	if int64(len(ctx.PostBody())) > int64(target.Body) {
 		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusRequestEntityTooLarge, 0, ErrBody)
 	}
 
 	return &carobward.Call{
 		Method:   string(ctx.Method()),
-		URI:      string(ctx.RequestURI()),
+		URI:      originForm(ctx),
 		Host:     string(ctx.Host()),
 		Header:   requestHeader(ctx),
-		Body:     body,
+		Body:     ctx.Request.SwapBody(nil),
 		Deadline: c.clock.Now().Add(within),
 		MaxReply: target.Body,
 		Fresh:    target.Promise == carobward.Once,
@@ -101,42 +87,41 @@
 }
 
 func requestHeader(ctx *fasthttp.RequestCtx) carobward.Header {
-	named := connectionNames(string(ctx.Request.Header.Peek(fasthttp.HeaderConnection)))
+	named := ctx.Request.Header.PeekAll(fasthttp.HeaderConnection)
 
-	var h carobward.Header
-
-	for k, v := range ctx.Request.Header.All() {
-		name := string(k)
-		if low := strings.ToLower(name); !hop[low] && !named[low] {
-			h = append(h, carobward.Field{Name: name, Value: string(v)})
-		}
-	}
-
-	return h
+	return cwframe.Copy(ctx.Request.Header.All(), func(name []byte) bool {
+		return !hop[string(name)] && !nominated(named, name)
+	})
 }
 
-// connectionNames returns the fields that a Connection field names.
-func connectionNames(value string) map[string]bool {
-	if value == "" {
-		return nil
-	}
-
-	names := map[string]bool{}
-	for n := range strings.SplitSeq(value, ",") {
-		names[strings.ToLower(strings.TrimSpace(n))] = true
+// nominated tells whether Connection fields name a field as theirs.
+func nominated(connection [][]byte, name []byte) bool {
+	for _, value := range connection {
+		for option := range bytes.SplitSeq(value, []byte(",")) {
+			if bytes.EqualFold(bytes.TrimSpace(option), name) {
+				return true
+			}
+		}
 	}
 
-	return names
+	return false
 }
 
 func (c *Carrier) writeReply(ctx *fasthttp.RequestCtx, id carobward.RequestID, a *answer) {
 	resp := &ctx.Response
 	resp.SetStatusCode(a.reply.Status)
 
-	named := connectionNames(a.reply.Header.Get(fasthttp.HeaderConnection))
+	var named [][]byte
 
-	for _, f := range a.reply.Header {
-		if low := strings.ToLower(f.Name); !hop[low] && !named[low] {
+	for i := range a.reply.Header {
+		if f := &a.reply.Header[i]; f.Name == fasthttp.HeaderConnection {
+			named = append(named, []byte(f.Value))
+		}
+	}
+
+	for i := range a.reply.Header {
+		f := &a.reply.Header[i]
+		if !hop[f.Name] && !nominated(named, []byte(f.Name)) {
 			resp.Header.Add(f.Name, f.Value)
 		}
 	}
@@ -144,6 +129,13 @@
 	c.writeCommon(resp, id, carobward.Ran)
 	resp.Header.Set(carobward.HeaderServer, string(a.server))
 	resp.SetBodyRaw(a.reply.Body)
+
+	// A reply to HEAD names the length that it leaves out.
+	if ctx.IsHead() {
+		if n, err := strconv.Atoi(a.reply.Header.Get(fasthttp.HeaderContentLength)); err == nil {
+			resp.Header.SetContentLength(n)
+		}
+	}
 }
 
 func (c *Carrier) writeCommon(resp *fasthttp.Response, id carobward.RequestID, v carobward.Verdict) {
--- /dev/null
+++ b/internal/cwentry/serve_test.go
@@ -0,0 +1,149 @@
+package cwentry
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwserver"
+	"carobward.example/carobward/internal/cwtarget"
+)
+
+// fake is a Servers that answers by a function and keeps the calls.
+type fake struct {
+	answer func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error)
+
+	mutex sync.Mutex
+	calls []carobward.Call
+}
+
+func (f *fake) Exchange(ctx context.Context, _ carobward.Address, c *carobward.Call) (*carobward.Reply, error) {
+	f.mutex.Lock()
+	f.calls = append(f.calls, *c)
+	f.mutex.Unlock()
+
+	return f.answer(ctx, c)
+}
+
+func (f *fake) seen() []carobward.Call {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	return append([]carobward.Call(nil), f.calls...)
+}
+
+// echo answers with method, URI and body.
+func echo(_ context.Context, c *carobward.Call) (*carobward.Reply, error) {
+	return &carobward.Reply{Status: 200, Body: []byte(c.Method + " " + c.URI + "\n" + string(c.Body))}, nil
+}
+
+var testTargets = []carobward.Target{
+	{
+		Name: "lookup", Service: "records", Promise: carobward.Quick, Match: []carobward.Match{{Path: "/sheets"}},
+		Within: carobward.Duration(time.Minute), Body: 64,
+	},
+	{
+		Name: "fee", Service: "records", Promise: carobward.Once, Match: []carobward.Match{{Path: "/fees"}},
+		Within: carobward.Duration(time.Minute), Body: 64,
+	},
+}
+
+func newCarrier(servers carobward.Servers, calls int) *Carrier {
+	holder := cwconfig.NewHolder()
+	holder.Adopt(&cwconfig.Config{Revision: 1, Set: cwtarget.Set{Targets: testTargets}})
+
+	table := cwserver.NewTable()
+	table.Update([]carobward.VM{{Address: "127.0.0.1:1", Service: "records"}})
+
+	return New(Options{VM: "vm-1", Calls: calls}, holder, table, servers, carobward.SystemClock{}, logr.Discard())
+}
+
+func options() ServerOptions {
+	return ServerOptions{
+		Header: 1024, Body: 1024, Conns: 16, ConnsPerIP: 16,
+		Read: time.Minute, Write: time.Minute, Idle: time.Minute,
+	}
+}
+
+// serve starts a server on loopback and returns its address.
+func serve(t testing.TB, o ServerOptions, servers carobward.Servers) string {
+	t.Helper()
+
+	const calls = 8
+
+	s := NewServer(o, newCarrier(servers, calls), logr.Discard())
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		_ = s.Serve(ln)
+	}()
+
+	t.Cleanup(func() {
+		_ = ln.Close()
+		<-done
+	})
+
+	return ln.Addr().String()
+}
+
+// client is a caller that writes bytes as they are.
+type client struct {
+	t      testing.TB
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t testing.TB, to string) *client {
+	t.Helper()
+
+	c, err := net.Dial("tcp", to)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { _ = c.Close() })
+
+	if err := c.SetReadDeadline(time.Now().Add(30 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+
+	return &client{t: t, conn: c, reader: bufio.NewReader(c)}
+}
+
+func (c *client) write(text string) *client {
+	c.t.Helper()
+
+	if _, err := c.conn.Write([]byte(text)); err != nil {
+		c.t.Fatal(err)
+	}
+
+	return c
+}
+
+// read returns the next reply.
+func (c *client) read(head bool) *fasthttp.Response {
+	c.t.Helper()
+
+	resp := &fasthttp.Response{SkipBody: head}
+	if err := resp.Read(c.reader); err != nil {
+		c.t.Fatalf("read a reply: %v", err)
+	}
+
+	return resp
+}
--- /dev/null
+++ b/internal/cwentry/server.go
@@ -0,0 +1,162 @@
+package cwentry
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwframe"
+)
+
+// The errors of a request that could not be read.
+const (
+	ErrRequest  = errors.ConstError("the request is malformed")
+	ErrHeader   = errors.ConstError("the request's header is too large")
+	ErrSlow     = errors.ConstError("the request did not arrive in time")
+	ErrPanicked = errors.ConstError("this entry VM failed while it handled the request")
+)
+
+// ServerOptions bound what callers can hold.
+type ServerOptions struct {
+	// Header and Body are the largest request header and body in bytes.
+	Header carobward.ByteCount
+	Body   carobward.ByteCount
+	// Conns is the number of open connections, ConnsPerIP of those from
+	// one IP number.
+	Conns      int
+	ConnsPerIP int
+	// Read bounds the time to read one whole request, Write the time to
+	// write one whole reply.
+	Read  time.Duration
+	Write time.Duration
+	// Idle bounds the time that a connection waits for its next request.
+	Idle time.Duration
+}
+
+// Server takes the callers' connections and hands their requests to a
+// Carrier.
+type Server struct {
+	*fasthttp.Server
+
+	options ServerOptions
+	carrier *Carrier
+	log     logr.Logger
+}
+
+// NewServer returns a server for a Carrier.
+func NewServer(o ServerOptions, c *Carrier, log logr.Logger) *Server {
+	s := &Server{options: o, carrier: c, log: log.WithName("callers")}
+	s.Server = &fasthttp.Server{
+		Handler:      s.handle,
+		ErrorHandler: s.refuse,
+		Name:         "carobward",
+		// The listener counts the connections, since it can say why it
+		// refuses one.
+		Concurrency:                  o.Conns + 1,
+		ReadBufferSize:               int(o.Header),
+		MaxRequestBodySize:           int(o.Body),
+		HeaderReceived:               s.limits,
+		ReadTimeout:                  o.Read,
+		IdleTimeout:                  o.Idle,
+		CloseOnShutdown:              true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		SecureErrorLogMessage:        true,
+		DisablePreParseMultipartForm: true,
+		Logger:                       serverLog{s.log},
+	}
+
+	return s
+}
+
+// Serve takes connections until the listener is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	return s.Server.Serve(newListener(ln, s.options, s.carrier.options.VM))
+}
+
+// limits bounds a request's body by its target, before it is read.
+func (s *Server) limits(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	var c fasthttp.RequestConfig
+
+	path, _, _ := bytes.Cut(h.RequestURI(), []byte("?"))
+	if t := s.carrier.holder.Targets().Find(string(h.Host()), string(h.Method()), string(path)); t != nil {
+		c.MaxRequestBodySize = int(min(t.Body, s.options.Body))
+	}
+
+	return c
+}
+
+// handle serves one request. A fault in it costs this request only.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.panicked(ctx, cause)
+		}
+
+		// With a deadline of its own each reply is sent at once, also when
+		// more requests wait on the connection.
+		_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
+	}()
+
+	s.carrier.Handle(ctx)
+}
+
+// panicked answers a request whose handling failed. It may have been sent.
+func (s *Server) panicked(ctx *fasthttp.RequestCtx, cause any) {
+	s.log.Error(errors.Errorf("%v", cause), "A request failed here.", "stack", string(debug.Stack()))
+
+	ctx.Response.Reset()
+
+	id, _ := requestID(ctx)
+	s.carrier.writeFailure(ctx, id,
+		carobward.NewFailure(carobward.Unknown, fasthttp.StatusInternalServerError, retryAfter, ErrPanicked))
+}
+
+// refuse answers a request that could not be read. None of it was sent on.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, err error) {
+	id, ierr := requestID(ctx)
+	if ierr != nil {
+		id = newID()
+	}
+
+	status, cause := refusal(err)
+	s.log.V(1).Info("A request could not be read.", "from", ctx.RemoteAddr().String(), "cause", err.Error())
+	s.carrier.writeFailure(ctx, id, carobward.NewFailure(carobward.NotRun, status, 0, cause))
+
+	_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
+
+	if c, ok := ctx.Conn().(*counted); ok {
+		c.refused.Store(true)
+	}
+}
+
+// refusal returns the status and the cause for an error of reading.
+func refusal(err error) (int, error) {
+	var small *fasthttp.ErrSmallBuffer
+
+	switch {
+	case errors.As(err, &small):
+		return fasthttp.StatusRequestHeaderFieldsTooLarge, ErrHeader
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return fasthttp.StatusRequestEntityTooLarge, ErrBody
+	case cwframe.IsTimeout(err):
+		return fasthttp.StatusRequestTimeout, ErrSlow
+	default:
+		return fasthttp.StatusBadRequest, ErrRequest
+	}
+}
+
+// serverLog takes the HTTP library's own messages.
+type serverLog struct{ log logr.Logger }
+
+// Printf logs a message.
+func (l serverLog) Printf(format string, args ...any) {
+	l.log.Info("The HTTP library reports.", "message", fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/internal/cwentry/server_test.go
@@ -0,0 +1,401 @@
+package cwentry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwtest"
+)
+
+// TestRefused sends requests that must not reach a server. Each gets a status
+// and a true verdict, and none was sent on.
+func TestRefused(t *testing.T) {
+	long := strings.Repeat("x", 2000)
+
+	for name, c := range map[string]struct {
+		request string
+		want    int
+	}{
+		"not HTTP":              {"hello\r\n\r\n", 400},
+		"no version":            {"GET /sheets\r\n\r\n", 400},
+		"bad version":           {"GET /sheets HTTP/9.9\r\nHost: h\r\n\r\n", 400},
+		"bad method":            {"G{T /sheets HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"no host":               {"GET /sheets HTTP/1.1\r\n\r\n", 400},
+		"two hosts":             {"GET /sheets HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400},
+		"bad host":              {"GET /sheets HTTP/1.1\r\nHost: a b\r\n\r\n", 400},
+		"folded header":         {"GET /sheets HTTP/1.1\r\nHost: h\r\nA: b\r\n c\r\n\r\n", 400},
+		"bare line ends":        {"GET /sheets HTTP/1.1\nHost: h\n\r\n\r\n", 400},
+		"space before colon":    {"GET /sheets HTTP/1.1\r\nHost : h\r\n\r\n", 400},
+		"space in a name":       {"GET /sheets HTTP/1.1\r\nHost: h\r\nA b: c\r\n\r\n", 400},
+		"bad name":              {"GET /sheets HTTP/1.1\r\nHost: h\r\nA\x00: c\r\n\r\n", 400},
+		"bad value":             {"GET /sheets HTTP/1.1\r\nHost: h\r\nA: b\x00c\r\n\r\n", 400},
+		"two lengths":           {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+		"negative length":       {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n", 400},
+		"signed length":         {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Length: +1\r\n\r\na", 400},
+		"length and encoding":   {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		"two encodings":         {"POST /fees HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n", 400},
+		"unknown encoding":      {"POST /fees HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 400},
+		"encoding in HTTP/1.0":  {"POST /fees HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		"bad chunk size":        {"POST /fees HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+		"bad chunk end":         {"POST /fees HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n0\r\n\r\n", 400},
+		"too large header":      {"GET /sheets HTTP/1.1\r\nHost: h\r\nA: " + long + "\r\n\r\n", 431},
+		"too large target":      {"GET /sheets/" + long + " HTTP/1.1\r\nHost: h\r\n\r\n", 431},
+		"too large body":        {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("x", 65), 413},
+		"too large, not sent":   {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n", 413},
+		"too large, chunked":    {"POST /fees HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("x", 65) + "\r\n0\r\n\r\n", 413},
+		"too large, expecting":  {"POST /fees HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2000\r\n\r\n", 413},
+		"id with a quote":       {"GET /sheets HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\"b\r\n\r\n", 400},
+		"id with a space":       {"GET /sheets HTTP/1.1\r\nHost: h\r\nX-Request-Id: a b\r\n\r\n", 400},
+		"id too long":           {"GET /sheets HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + long[:129] + "\r\n\r\n", 400},
+		"two ids":               {"GET /sheets HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nX-Request-Id: b\r\n\r\n", 400},
+		"bad timeout":           {"GET /sheets HTTP/1.1\r\nHost: h\r\nCarobward-Timeout: soon\r\n\r\n", 400},
+		"timeout zero":          {"GET /sheets HTTP/1.1\r\nHost: h\r\nCarobward-Timeout: 0\r\n\r\n", 400},
+		"CONNECT":               {"CONNECT h:443 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"whole server":          {"OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"dot segments":          {"GET /fees/../sheets HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"dot segment":           {"GET /sheets/. HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"empty segment":         {"GET //sheets HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"encoded slash":         {"GET /sheets%2Ffees HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"encoded dots":          {"GET /fees/%2e%2E/sheets HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"backslash":             {"GET /fees\\..\\sheets HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"fragment":              {"GET /sheets#/../fees HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"absolute, dot segment": {"GET http://h/fees/../sheets HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"no target":             {"GET /other HTTP/1.1\r\nHost: h\r\n\r\n", 404},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fake{answer: echo}
+			resp := dial(t, serve(t, options(), f)).write(c.request).read(false)
+
+			if resp.StatusCode() != c.want {
+				t.Errorf("status %d, want %d: %s", resp.StatusCode(), c.want, resp.Body())
+			}
+
+			checkProblem(t, resp, carobward.NotRun)
+
+			if calls := f.seen(); len(calls) != 0 {
+				t.Errorf("sent on: %v", calls)
+			}
+		})
+	}
+}
+
+// checkProblem checks what every failure carries.
+func checkProblem(t *testing.T, resp *fasthttp.Response, v carobward.Verdict) {
+	t.Helper()
+
+	var p problem
+	if err := json.Unmarshal(resp.Body(), &p); err != nil {
+		t.Errorf("body %q: %v", resp.Body(), err)
+	}
+
+	got := map[string]string{
+		"status":  string(resp.Header.ContentType()),
+		"verdict": string(resp.Header.Peek(carobward.HeaderVerdict)),
+		"vm":      string(resp.Header.Peek(carobward.HeaderVM)),
+		"body":    p.Verdict,
+	}
+	want := map[string]string{"status": "application/problem+json", "verdict": v.String(), "vm": "vm-1", "body": v.String()}
+
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+
+	if p.Status != resp.StatusCode() || p.Detail == "" {
+		t.Errorf("problem %+v", p)
+	}
+}
+
+// TestCarried sends requests in unusual but clear forms. The server gets them
+// as they are meant.
+func TestCarried(t *testing.T) {
+	const multipart = "--b\r\nContent-Disposition: form-data; name=\"a\"\r\n\r\n1\r\n--b--\r\nmore"
+
+	for name, c := range map[string]struct {
+		request string
+		want    string
+	}{
+		"plain":           {"GET /sheets HTTP/1.1\r\nHost: h\r\n\r\n", "GET /sheets\n"},
+		"HTTP/1.0":        {"GET /sheets HTTP/1.0\r\n\r\n", "GET /sheets\n"},
+		"query":           {"GET /sheets/a%20b?c=//d/../e%2f HTTP/1.1\r\nHost: h\r\n\r\n", "GET /sheets/a%20b?c=//d/../e%2f\n"},
+		"slash at end":    {"GET /sheets/ HTTP/1.1\r\nHost: h\r\n\r\n", "GET /sheets/\n"},
+		"absolute":        {"GET http://h/sheets?a=b HTTP/1.1\r\nHost: h\r\n\r\n", "GET /sheets?a=b\n"},
+		"body":            {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", "POST /fees\nbody"},
+		"chunked":         {"POST /fees HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n", "POST /fees\nbody"},
+		"body as large":   {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Length: 64\r\n\r\n" + strings.Repeat("x", 64), "POST /fees\n" + strings.Repeat("x", 64)},
+		"empty body":      {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", "POST /fees\n"},
+		"multipart":       {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Type: multipart/form-data; boundary=b\r\nContent-Length: 63\r\n\r\n" + multipart, "POST /fees\n" + multipart},
+		"unknown method":  {"BREW /sheets HTTP/1.1\r\nHost: h\r\n\r\n", "BREW /sheets\n"},
+		"encoded letters": {"GET /%73heets HTTP/1.1\r\nHost: h\r\n\r\n", "GET /%73heets\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			resp := dial(t, serve(t, options(), &fake{answer: echo})).write(c.request).read(false)
+
+			if diff := cmp.Diff(c.want, string(resp.Body())); diff != "" {
+				t.Error(diff)
+			}
+
+			if v := string(resp.Header.Peek(carobward.HeaderVerdict)); v != "ran" {
+				t.Errorf("verdict %q", v)
+			}
+		})
+	}
+}
+
+// TestExpect sends a body only after the interim reply.
+func TestExpect(t *testing.T) {
+	c := dial(t, serve(t, options(), &fake{answer: echo}))
+	c.write("POST /fees HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+
+	line, err := c.reader.ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, "HTTP/1.1 100 ") {
+		t.Fatalf("%q, %v", line, err)
+	}
+
+	_, _ = c.reader.ReadString('\n')
+
+	if diff := cmp.Diff("POST /fees\nbody", string(c.write("body").read(false).Body())); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestHeaders passes end-to-end fields both ways and no others.
+func TestHeaders(t *testing.T) {
+	f := &fake{answer: func(context.Context, *carobward.Call) (*carobward.Reply, error) {
+		return &carobward.Reply{Status: 200, Body: []byte("body"), Header: carobward.Header{
+			{Name: "Set-Cookie", Value: "a=1; Path=/b"},
+			{Name: "Set-Cookie", Value: "a=2; Path=/c"},
+			{Name: "Connection", Value: "keep-alive, X-Hop"},
+			{Name: "Connection", Value: "X-Other"},
+			{Name: "X-Hop", Value: "1"},
+			{Name: "X-Other", Value: "1"},
+			{Name: "X-Request-Id", Value: "its own"},
+			{Name: "Carobward-Verdict", Value: "not-run"},
+			{Name: "Endpoint-Load-Metrics", Value: "TEXT a=1"},
+			{Name: "Content-Length", Value: "4"},
+			{Name: "Etag", Value: "x"},
+			{Name: "Via", Value: "1"},
+			{Name: "Via", Value: "2"},
+		}}, nil
+	}}
+
+	resp := dial(t, serve(t, options(), f)).write("GET /sheets HTTP/1.1\r\nHost: h\r\nX-Request-Id: me\r\n" +
+		"Connection: X-Hop\r\nConnection: close, X-Other\r\nX-Hop: 1\r\nX-Other: 1\r\nTE: trailers\r\n" +
+		"Cookie: b=2; a=1\r\nAccept: a\r\nAccept: b\r\nCarobward-Vm: me\r\nKeep-Alive: 1\r\n\r\n").read(false)
+
+	got := ""
+	for k, v := range resp.Header.All() {
+		got += string(k) + ": " + string(v) + "\n"
+	}
+
+	want := "Content-Length: 4\nContent-Type: text/plain; charset=utf-8\nServer: carobward\nSet-Cookie: a=1; Path=/b\n" +
+		"Set-Cookie: a=2; Path=/c\nEtag: x\nVia: 1\nVia: 2\nX-Request-Id: me\nCarobward-Vm: vm-1\nCarobward-Verdict: ran\n" +
+		"Carobward-Server: 127.0.0.1:1\nConnection: close\n"
+	// The client's library adds the content type where there is none.
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+
+	sent := carobward.Header{{Name: "Cookie", Value: "b=2; a=1"}, {Name: "Accept", Value: "a"}, {Name: "Accept", Value: "b"}}
+	if diff := cmp.Diff(sent, f.seen()[0].Header); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestHead keeps the length that a reply without a body names.
+func TestHead(t *testing.T) {
+	f := &fake{answer: func(context.Context, *carobward.Call) (*carobward.Reply, error) {
+		return &carobward.Reply{Status: 200, Header: carobward.Header{{Name: "Content-Length", Value: "900"}}}, nil
+	}}
+
+	c := dial(t, serve(t, options(), f))
+	for range 2 {
+		if n := c.write("HEAD /sheets HTTP/1.1\r\nHost: h\r\n\r\n").read(true).Header.ContentLength(); n != 900 {
+			t.Errorf("length %d", n)
+		}
+	}
+}
+
+// TestPipelined answers each request in its order, and the first before the
+// second has its answer.
+func TestPipelined(t *testing.T) {
+	release := make(chan struct{})
+	f := &fake{answer: func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error) {
+		if c.URI == "/sheets/2" {
+			<-release
+		}
+
+		return echo(ctx, c)
+	}}
+
+	c := dial(t, serve(t, options(), f))
+	c.write("GET /sheets/1 HTTP/1.1\r\nHost: h\r\n\r\nGET /sheets/2 HTTP/1.1\r\nHost: h\r\n\r\n")
+
+	first := string(c.read(false).Body())
+
+	close(release)
+
+	if diff := cmp.Diff([]string{"GET /sheets/1\n", "GET /sheets/2\n"}, []string{first, string(c.read(false).Body())}); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestPanic turns a fault into a failure of this request only.
+func TestPanic(t *testing.T) {
+	f := &fake{answer: func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error) {
+		if c.URI == "/sheets/bad" {
+			panic("a fault")
+		}
+
+		return echo(ctx, c)
+	}}
+
+	c := dial(t, serve(t, options(), f))
+	resp := c.write("GET /sheets/bad HTTP/1.1\r\nHost: h\r\nX-Request-Id: me\r\n\r\n").read(false)
+
+	checkProblem(t, resp, carobward.Unknown)
+
+	if id := string(resp.Header.Peek(carobward.HeaderID)); resp.StatusCode() != 500 || id != "me" {
+		t.Errorf("status %d, id %q", resp.StatusCode(), id)
+	}
+
+	if got := c.write("GET /sheets HTTP/1.1\r\nHost: h\r\n\r\n").read(false); got.StatusCode() != 200 {
+		t.Errorf("status %d after the fault", got.StatusCode())
+	}
+}
+
+// TestFailures keeps a failure's verdict and says when to come back.
+func TestFailures(t *testing.T) {
+	f := &fake{answer: func(context.Context, *carobward.Call) (*carobward.Reply, error) {
+		return nil, carobward.NewFailure(carobward.Unknown, 504, 0, errors.New("silence"))
+	}}
+
+	resp := dial(t, serve(t, options(), f)).write("GET /fees HTTP/1.1\r\nHost: h\r\n\r\n").read(false)
+	checkProblem(t, resp, carobward.Unknown)
+
+	if resp.StatusCode() != 504 || len(resp.Header.Peek("Retry-After")) == 0 || len(f.seen()) != 1 {
+		t.Errorf("status %d, header %s, %d calls", resp.StatusCode(), resp.Header.String(), len(f.seen()))
+	}
+}
+
+// TestSlow gives up on clients that send too slowly, at every place of a
+// request.
+func TestSlow(t *testing.T) {
+	for name, request := range map[string]string{
+		"nothing":   "",
+		"line":      "GET /she",
+		"header":    "GET /sheets HTTP/1.1\r\nHost: h\r\nA: ",
+		"body":      "POST /fees HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo",
+		"chunk":     "POST /fees HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbo",
+		"last line": "POST /fees HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := options()
+			o.Read = 50 * time.Millisecond
+			f := &fake{answer: echo}
+			c := dial(t, serve(t, o, f)).write(request)
+			resp := c.read(false)
+
+			checkProblem(t, resp, carobward.NotRun)
+
+			if resp.StatusCode() != 408 || len(f.seen()) != 0 {
+				t.Errorf("status %d, %d calls", resp.StatusCode(), len(f.seen()))
+			}
+
+			if _, err := c.reader.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("the connection is open: %v", err)
+			}
+		})
+	}
+}
+
+// TestIdle closes a connection that waits for too long.
+func TestIdle(t *testing.T) {
+	o := options()
+	o.Idle = 50 * time.Millisecond
+	c := dial(t, serve(t, o, &fake{answer: echo})).write("GET /sheets HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.read(false)
+
+	if _, err := c.reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection is open: %v", err)
+	}
+}
+
+// TestConns refuses connections over the bounds with a reason and takes new
+// ones once others have gone.
+func TestConns(t *testing.T) {
+	for name, set := range map[string]func(*ServerOptions){
+		"in all": func(o *ServerOptions) { o.Conns = 2 },
+		"per IP": func(o *ServerOptions) { o.ConnsPerIP = 2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := options()
+			set(&o)
+
+			const get = "GET /sheets HTTP/1.1\r\nHost: h\r\n\r\n"
+
+			f := &fake{answer: echo}
+			to := serve(t, o, f)
+			first := dial(t, to).write(get)
+			first.read(false)
+			dial(t, to).write(get).read(false)
+
+			over := dial(t, to).write(get).read(false)
+			checkProblem(t, over, carobward.NotRun)
+
+			if over.StatusCode() != 503 || len(over.Header.Peek("Retry-After")) == 0 || len(f.seen()) != 2 {
+				t.Errorf("status %d, %d calls", over.StatusCode(), len(f.seen()))
+			}
+
+			_ = first.conn.Close()
+
+			cwtest.Wait(t, "room for a connection", func() bool {
+				return dial(t, to).write(get).read(false).StatusCode() == 200
+			})
+		})
+	}
+}
+
+// TestCalls refuses requests over the bound in flight.
+func TestCalls(t *testing.T) {
+	release := make(chan struct{})
+	f := &fake{answer: func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error) {
+		<-release
+
+		return echo(ctx, c)
+	}}
+
+	to := serve(t, options(), f)
+
+	const get = "GET /sheets HTTP/1.1\r\nHost: h\r\n\r\n"
+
+	var held []*client
+	for range 8 {
+		held = append(held, dial(t, to).write(get))
+	}
+
+	cwtest.Wait(t, "requests in flight", func() bool { return len(f.seen()) == len(held) })
+
+	over := dial(t, to).write(get).read(false)
+	checkProblem(t, over, carobward.NotRun)
+
+	if over.StatusCode() != 503 || len(over.Header.Peek("Retry-After")) == 0 {
+		t.Errorf("status %d", over.StatusCode())
+	}
+
+	close(release)
+
+	for _, c := range held {
+		if s := c.read(false).StatusCode(); s != 200 {
+			t.Errorf("status %d", s)
+		}
+	}
+}
--- /dev/null
+++ b/internal/cwframe/check.go
@@ -0,0 +1,94 @@
+// Package cwframe checks the header block of an HTTP/1.1 message more
+// strictly than the HTTP library does. Where two readers could disagree on
+// which bytes belong to a message, the message is refused.
+package cwframe
+
+import (
+	"bytes"
+
+	"github.com/juju/errors"
+)
+
+// The errors of a header block that two readers could understand differently.
+const (
+	ErrLine   = errors.ConstError("frame: a header line does not end in CRLF")
+	ErrFold   = errors.ConstError("frame: a header line is folded")
+	ErrName   = errors.ConstError("frame: a header name is not a token")
+	ErrLength = errors.ConstError("frame: the length of the body is given more than once")
+)
+
+var (
+	contentLength    = []byte("content-length")
+	transferEncoding = []byte("transfer-encoding")
+)
+
+// Check looks at the lines of a header block after its start line: each ends
+// in CRLF, none is folded, names are tokens, and the body's length is given
+// at most once. See RFC 9112, 5.1, 5.2 and 6.3.
+func Check(block []byte) error {
+	lengths := 0
+
+	for len(block) > 0 {
+		end := bytes.IndexByte(block, '\n')
+		if end < 1 || block[end-1] != '\r' {
+			return ErrLine
+		}
+
+		line := block[:end-1]
+		block = block[end+1:]
+
+		if len(line) == 0 {
+			break
+		}
+
+		name, err := fieldName(line)
+		if err != nil {
+			return err
+		}
+
+		if bytes.EqualFold(name, contentLength) || bytes.EqualFold(name, transferEncoding) {
+			lengths++
+		}
+	}
+
+	if lengths > 1 {
+		return ErrLength
+	}
+
+	return nil
+}
+
+func fieldName(line []byte) ([]byte, error) {
+	if line[0] == ' ' || line[0] == '\t' {
+		return nil, ErrFold
+	}
+
+	if bytes.IndexByte(line, '\r') >= 0 {
+		return nil, ErrLine
+	}
+
+	colon := bytes.IndexByte(line, ':')
+	if colon < 1 {
+		return nil, ErrName
+	}
+
+	for _, b := range line[:colon] {
+		if !token[b] {
+			return nil, ErrName
+		}
+	}
+
+	return line[:colon], nil
+}
+
+// token has the bytes of a token, RFC 9110, 5.6.2.
+var token = func() (t [256]bool) {
+	const marks = "!#$%&'*+-.^_`|~"
+
+	for b := range t {
+		c := byte(b)
+		t[b] = c >= '0' && c <= '9' || c|0x20 >= 'a' && c|0x20 <= 'z' || bytes.IndexByte([]byte(marks), c) >= 0
+	}
+
+	return t
+}()
--- a/internal/cwlink/link.go
+++ b/internal/cwlink/link.go
@@ -1,25 +1,33 @@
+// Package cwlink carries calls to backend servers over HTTP/1.1. It keeps a
+// pool of connections a server, sends each call at most once, and knows
+// whether a byte of it was ever taken by the kernel.
 package cwlink
 
 import (
 	"bufio"
 	"context"
 	"net"
-	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwframe"
 )
 
 // Options bound the connections.
 type Options struct {
-	// Conns is the most connections to one server.
+	// Conns is the number of connections that one server takes. All entry
+	// VMs share them.
 	Conns int
 	// Keep is how long a connection may be idle and still be used.
 	Keep time.Duration
+	// Dial bounds the time to open a connection, so that a server that
+	// does not answer leaves time for another one.
+	Dial time.Duration
 	// Header is the largest reply header in bytes.
 	Header carobward.ByteCount
 }
@@ -28,33 +36,48 @@
 type Link struct {
 	options Options
 	clock   carobward.Clock
+	share   atomic.Int64
 
-	mutex sync.RWMutex
-	pools map[carobward.Address]*pool
+	mutex  sync.RWMutex
+	pools  map[carobward.Address]*pool
+	fleet  fleet
+	closed bool
 }
 
-// New returns a Link without connections.
+// New returns a Link without connections, for a fleet of one entry VM.
 func New(o Options, clock carobward.Clock) *Link {
-	return &Link{options: o, clock: clock, pools: map[carobward.Address]*pool{}}
+	l := &Link{options: o, clock: clock, pools: map[carobward.Address]*pool{}}
+	l.share.Store(int64(o.Conns))
+
+	return l
 }
 
 // Exchange sends a call once and returns the whole reply, or a Failure. It
-// is NotRun only where no byte was handed to a socket.
+// is NotRun only where the kernel took no byte of the call.
 func (l *Link) Exchange(ctx context.Context, to carobward.Address, call *carobward.Call) (*carobward.Reply, error) {
-	p := l.pool(to)
+	p, err := l.pool(to)
+	if err != nil {
+		return nil, notRun(err)
+	}
 
 	c, err := l.conn(ctx, p, call)
 	if err != nil {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, 0, err)
+		return nil, notRun(err)
 	}
 
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	reply, again, err := l.roundTrip(c, call)
+	t := trip{conn: c, call: call, clock: l.clock}
+	reply, err := t.run()
 
-	if !stop() || err != nil || !again {
-		p.drop(c)
+	// A context that ended has closed the connection or is about to.
+	if stop() && err == nil && t.again {
+		p.put(c, l.clock.Now(), l.most())
 	} else {
-		p.put(c, l.clock.Now())
+		p.drop(c)
+	}
+
+	if err != nil && t.sent == 0 {
+		return nil, notRun(err)
 	}
 
 	if err != nil {
@@ -64,43 +87,83 @@
 	return reply, nil
 }
 
+func notRun(err error) error {
+	return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, 0, err)
+}
+
+func status(err error) int {
+	if cwframe.IsTimeout(err) {
+		return fasthttp.StatusGatewayTimeout
+	}
+
+	return fasthttp.StatusBadGateway
+}
+
 // Tick closes connections that have been idle for too long.
 func (l *Link) Tick(now time.Time) {
 	l.mutex.RLock()
 	defer l.mutex.RUnlock()
 
 	for _, p := range l.pools {
-		p.prune(now, l.options.Keep)
+		p.tick(now, l.options.Keep)
 	}
 }
 
-func status(err error) int {
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return fasthttp.StatusGatewayTimeout
+// Retain closes and forgets the connections to servers that are not on the
+// list. A call in flight goes on.
+func (l *Link) Retain(list []carobward.VM) {
+	keep := make(map[carobward.Address]bool, len(list))
+	for i := range list {
+		keep[list[i].Address] = true
 	}
 
-	return fasthttp.StatusBadGateway
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	for a, p := range l.pools {
+		if !keep[a] {
+			p.close()
+			delete(l.pools, a)
+		}
+	}
+}
+
+// Close closes all idle connections and refuses new calls. Calls in flight
+// go on, and their connections are closed after them.
+func (l *Link) Close() {
+	l.mutex.Lock()
+	l.closed = true
+	l.mutex.Unlock()
+
+	l.Retain(nil)
 }
 
-func (l *Link) pool(to carobward.Address) *pool {
+func (l *Link) pool(to carobward.Address) (*pool, error) {
 	l.mutex.RLock()
-	p := l.pools[to]
+	p, closed := l.pools[to], l.closed
 	l.mutex.RUnlock()
 
+	if closed {
+		return nil, ErrClosed
+	}
+
 	if p != nil {
-		return p
+		return p, nil
 	}
 
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 
+	if l.closed {
+		return nil, ErrClosed
+	}
+
 	if p = l.pools[to]; p == nil {
-		p = &pool{address: to, most: l.options.Conns}
+		p = &pool{address: to}
 		l.pools[to] = p
 	}
 
-	return p
+	return p, nil
 }
 
 func (l *Link) conn(ctx context.Context, p *pool, call *carobward.Call) (*conn, error) {
@@ -108,12 +171,19 @@
 		return nil, err
 	}
 
-	c, err := p.take(l.clock.Now(), l.options.Keep)
+	now := l.clock.Now()
+	keep := l.options.Keep
+
+	if call.Fresh {
+		keep = 0
+	}
+
+	c, err := p.take(now, keep, l.most())
 	if c != nil || err != nil {
 		return c, err
 	}
 
-	d := net.Dialer{Deadline: call.Deadline}
+	d := net.Dialer{Deadline: now.Add(min(l.options.Dial, call.Deadline.Sub(now)))}
 
 	n, err := d.DialContext(ctx, "tcp", string(p.address))
 	if err != nil {
@@ -122,86 +192,5 @@
 		return nil, errors.Annotate(err, "link")
 	}
 
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, int(l.options.Header)), writer: bufio.NewWriter(n)}, nil
-}
-
-// roundTrip writes the call and reads the reply. It also tells whether the
-// connection may be used again.
-func (l *Link) roundTrip(c *conn, call *carobward.Call) (*carobward.Reply, bool, error) {
-	if err := c.SetDeadline(call.Deadline); err != nil {
-		return nil, false, err
-	}
-
-	if err := l.write(c, call); err != nil {
-		return nil, false, errors.Annotate(err, "link: write")
-	}
-
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-
-	resp.SkipBody = call.Method == fasthttp.MethodHead
-
-	if err := resp.ReadLimitBody(c.reader, int(call.MaxReply)); err != nil {
-		return nil, false, errors.Annotate(err, "link: read")
-	}
-
-	reply, err := l.reply(resp, call)
-	again := err == nil && !resp.ConnectionClose() && c.reader.Buffered() == 0
-
-	return reply, again, err
-}
-
-func (l *Link) write(c *conn, call *carobward.Call) error {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-
-	req.Header.DisableNormalizing()
-	req.Header.SetNoDefaultContentType(true)
-	req.Header.SetMethod(call.Method)
-	req.SetRequestURI(call.URI)
-	req.Header.SetHost(call.Host)
-	req.UseHostHeader = true
-
-	for _, f := range call.Header {
-		req.Header.Add(f.Name, f.Value)
-	}
-
-	left := call.Deadline.Sub(l.clock.Now()).Milliseconds()
-	req.Header.Set(carobward.HeaderID, string(call.ID))
-	req.Header.Set(carobward.HeaderTimeout, strconv.FormatInt(max(left, 1), 10))
-	req.SetBodyRaw(call.Body)
-
-	if err := req.Write(c.writer); err != nil {
-		return err
-	}
-
-	return c.writer.Flush()
-}
-
-// The errors of a reply that is not whole or not ours.
-const (
-	ErrLength = errors.ConstError("link: the reply has no length")
-	ErrID     = errors.ConstError("link: the reply is to another request")
-)
-
-func (l *Link) reply(resp *fasthttp.Response, call *carobward.Call) (*carobward.Reply, error) {
-	const untilClose = -2
-	if resp.Header.ContentLength() == untilClose && !resp.SkipBody {
-		return nil, ErrLength
-	}
-
-	if string(resp.Header.Peek(carobward.HeaderID)) != string(call.ID) {
-		return nil, ErrID
-	}
-
-	r := &carobward.Reply{Status: resp.StatusCode()}
-	r.Body = append(r.Body, resp.Body()...)
-	r.Report = ParseReport(string(resp.Header.Peek(carobward.HeaderReport)), l.clock.Now())
-	r.Shed = string(resp.Header.Peek(carobward.HeaderVerdict)) == carobward.NotRun.String()
-
-	for k, v := range resp.Header.All() {
-		r.Header = append(r.Header, carobward.Field{Name: string(k), Value: string(v)})
-	}
-
-	return r, nil
+	return &conn{Conn: n, reader: bufio.NewReaderSize(n, int(l.options.Header))}, nil
 }
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -1,6 +1,3 @@
-// Package cwlink carries calls to backend servers over HTTP/1.1. It keeps a
-// pool of connections a server, sends each call at most once, and knows
-// whether a byte of it was ever handed to a socket.
 package cwlink
 
 import (
@@ -14,47 +11,63 @@
 	"carobward.example/carobward"
 )
 
-// ErrConns tells that all connections to the server are in use.
-const ErrConns = errors.ConstError("link: all connections to the server are in use")
+// The errors of a call for which there is no connection.
+const (
+	ErrConns  = errors.ConstError("link: all connections to the server are in use")
+	ErrClosed = errors.ConstError("link: stopped")
+)
 
 // conn is one connection to a server. It carries one call at a time.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	writer *bufio.Writer
-	used   time.Time
+	// head is the buffer that a call's header is written from.
+	head []byte
+	used time.Time
 }
 
 // pool holds the connections to one server.
 type pool struct {
 	address carobward.Address
-	most    int
 
-	mutex sync.Mutex
-	idle  []*conn
-	open  int
+	mutex  sync.Mutex
+	idle   []*conn
+	open   int
+	closed bool
 }
 
-// take returns an idle connection that is still whole, the one used last
-// first, or nil when a new one may be dialled.
-func (p *pool) take(now time.Time, keep time.Duration) (*conn, error) {
+// take returns the connection that was used last if it has been idle for
+// less than keep and is still whole. Without one it makes room for a new
+// connection within most and returns nil.
+func (p *pool) take(now time.Time, keep time.Duration, most int) (*conn, error) {
+	for {
+		c, err := p.pop(now, keep, most)
+		if c == nil || quiet(c.Conn) {
+			return c, err
+		}
+
+		p.drop(c)
+	}
+}
+
+func (p *pool) pop(now time.Time, keep time.Duration, most int) (*conn, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-
-		if now.Sub(c.used) < keep && quiet(c.Conn) {
-			return c, nil
-		}
+	last := len(p.idle) - 1
+	if last >= 0 && now.Sub(p.idle[last].used) < keep {
+		c := p.idle[last]
+		p.idle[last] = nil
+		p.idle = p.idle[:last]
 
-		p.open--
+		return c, nil
+	}
 
-		_ = c.Close()
+	if p.open >= most && len(p.idle) > 0 {
+		p.prune(1)
 	}
 
-	if p.open >= p.most {
+	if p.open >= most {
 		return nil, ErrConns
 	}
 
@@ -64,12 +77,20 @@
 }
 
 // put gives a connection back on which nothing is outstanding.
-func (p *pool) put(c *conn, now time.Time) {
+func (p *pool) put(c *conn, now time.Time, most int) {
 	c.used = now
 
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
+	if p.closed || p.open > most {
+		p.open--
+
+		_ = c.Close()
+
+		return
+	}
+
 	p.idle = append(p.idle, c)
 }
 
@@ -85,18 +106,38 @@
 	p.open--
 }
 
-// prune closes connections that have been idle for longer than keep, the
-// oldest first.
-func (p *pool) prune(now time.Time, keep time.Duration) {
+// tick closes connections that have been idle for longer than keep.
+func (p *pool) tick(now time.Time, keep time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
 	old := 0
 	for old < len(p.idle) && now.Sub(p.idle[old].used) >= keep {
-		_ = p.idle[old].Close()
 		old++
 	}
 
-	p.idle = append(p.idle[:0], p.idle[old:]...)
-	p.open -= old
+	p.prune(old)
+}
+
+// close closes the idle connections; those in use are closed when they are
+// given back.
+func (p *pool) close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	p.closed = true
+	p.prune(len(p.idle))
+}
+
+// prune closes the n connections that have been idle for the longest. The
+// mutex is held.
+func (p *pool) prune(n int) {
+	for _, c := range p.idle[:n] {
+		_ = c.Close()
+	}
+
+	left := copy(p.idle, p.idle[n:])
+	clear(p.idle[left:])
+	p.idle = p.idle[:left]
+	p.open -= n
 }
--- /dev/null
+++ b/internal/cwlink/trip.go
@@ -0,0 +1,106 @@
+package cwlink
+
+import (
+	"net"
+	"strconv"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+)
+
+// trip is one call on one connection.
+type trip struct {
+	conn  *conn
+	call  *carobward.Call
+	clock carobward.Clock
+	// sent is the number of bytes that the kernel took.
+	sent int64
+	// again tells that the connection may carry another call.
+	again bool
+}
+
+// run sends the call and reads the reply. A server may refuse a call before
+// it has read the whole; then writing fails, and a whole reply that already
+// waits is still taken.
+func (t *trip) run() (*carobward.Reply, error) {
+	if err := t.conn.SetDeadline(t.call.Deadline); err != nil {
+		return nil, errors.Annotate(err, "link")
+	}
+
+	werr := t.send()
+	if werr != nil && t.sent == 0 {
+		return nil, errors.Annotate(werr, "link: write")
+	}
+
+	reply, again, err := t.read()
+	if err != nil && werr != nil {
+		err = werr
+	}
+
+	t.again = again && werr == nil
+
+	return reply, errors.Annotate(err, "link")
+}
+
+// joinMost is the largest body in bytes that is copied behind the header, so
+// that both go out in one write.
+const joinMost = 16 << 10
+
+// send writes the call. The kernel takes bytes in their order, so where it
+// took none the server cannot have seen any.
+func (t *trip) send() error {
+	t.conn.head = t.appendHead(t.conn.head[:0])
+
+	if len(t.call.Body) <= joinMost {
+		t.conn.head = append(t.conn.head, t.call.Body...)
+		n, err := t.conn.Write(t.conn.head)
+		t.sent = int64(n)
+
+		return err
+	}
+
+	parts := net.Buffers{t.conn.head, t.call.Body}
+	n, err := parts.WriteTo(t.conn.Conn)
+	t.sent = n
+
+	return err
+}
+
+func (t *trip) appendHead(to []byte) []byte {
+	var h fasthttp.RequestHeader
+
+	// The caller's fields go on as they came.
+	h.DisableNormalizing()
+	h.DisableSpecialHeader()
+	h.SetNoDefaultContentType(true)
+	h.SetMethod(t.call.Method)
+	h.SetRequestURI(t.call.URI)
+	h.Add(fasthttp.HeaderHost, t.call.Host)
+
+	for i := range t.call.Header {
+		h.Add(t.call.Header[i].Name, t.call.Header[i].Value)
+	}
+
+	left := t.call.Deadline.Sub(t.clock.Now()).Milliseconds()
+	h.Add(carobward.HeaderID, string(t.call.ID))
+	h.Add(carobward.HeaderTimeout, strconv.FormatInt(max(left, 1), 10))
+
+	if len(t.call.Body) > 0 || bodyExpected(t.call.Method) {
+		h.Add(fasthttp.HeaderContentLength, strconv.Itoa(len(t.call.Body)))
+	}
+
+	return h.AppendBytes(to)
+}
+
+// bodyExpected tells whether a missing length would be surprising, RFC 9110,
+// 8.6.
+func bodyExpected(method string) bool {
+	switch method {
+	case fasthttp.MethodPost, fasthttp.MethodPut, fasthttp.MethodPatch:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/cwnode/link.go
@@ -0,0 +1,33 @@
+package cwnode
+
+import (
+	"time"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwentry"
+	"carobward.example/carobward/internal/cwlink"
+	"carobward.example/carobward/internal/cwsettings"
+)
+
+func newLink(s *cwsettings.Link, clock carobward.Clock) *cwlink.Link {
+	return cwlink.New(cwlink.Options{
+		Conns: s.Conns, Keep: s.Keep.Std(), Dial: s.Dial.Std(), Header: s.Header,
+	}, clock)
+}
+
+func (n *Node) dataServer() *cwentry.Server {
+	l := &n.settings.Limits
+
+	return cwentry.NewServer(cwentry.ServerOptions{
+		Header: l.Header, Body: l.Body,
+		Conns: l.Conns, ConnsPerIP: l.ConnsPerIP,
+		Read: l.Read.Std(), Write: l.Write.Std(), Idle: l.Idle.Std(),
+	}, n.carrier, n.log)
+}
+
+// tickLink tells the link how many entry VMs share the servers' connections
+// and closes idle ones.
+func (n *Node) tickLink(now time.Time) {
+	n.link.SetFleet(len(n.peers.All()), now)
+	n.link.Tick(now)
+}
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -12,7 +12,6 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
@@ -27,14 +26,6 @@
 	"carobward.example/carobward/internal/cwvm"
 )
 
-// The link's bounds a server. A server takes some 250 connections, which the
-// entry VMs share.
-const (
-	connsPerServer = 12
-	connKeep       = 30 * time.Second
-	replyHeader    = 16 * carobward.Kilobyte
-)
-
 // Node is one entry VM.
 type Node struct {
 	settings cwsettings.Settings
@@ -52,7 +43,7 @@
 	link    *cwlink.Link
 	carrier *cwentry.Carrier
 
-	data      *fasthttp.Server
+	data      *cwentry.Server
 	lookup    *fiber.App
 	operators *fiber.App
 	listeners listeners
@@ -95,9 +86,9 @@
 	}
 
 	n.watcher = cwconfig.NewWatcher(n.store, n.holder, log)
-	n.link = cwlink.New(cwlink.Options{Conns: connsPerServer, Keep: connKeep, Header: replyHeader}, clock)
+	n.link = newLink(&s.Link, clock)
 	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls}, n.holder, n.servers, n.link, clock, log)
-	n.data = dataServer(&s.Limits, n.carrier)
+	n.data = n.dataServer()
 	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std())
 	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers).Handler()
 
@@ -165,20 +156,6 @@
 	return nil
 }
 
-func dataServer(l *cwsettings.Limits, c *cwentry.Carrier) *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler:            c.Handle,
-		Name:               "carobward",
-		Concurrency:        l.Conns,
-		ReadBufferSize:     int(l.Header),
-		MaxRequestBodySize: int(l.Body),
-		ReadTimeout:        l.Read.Std(),
-		IdleTimeout:        l.Idle.Std(),
-		CloseOnShutdown:    true,
-		NoDefaultDate:      true,
-	}
-}
-
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
@@ -199,6 +176,7 @@
 	<-ctx.Done()
 
 	err := n.leave()
+	n.link.Close()
 
 	stop()
 	_ = n.listeners.peers.Close()
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -38,7 +38,7 @@
 		}
 
 		n.peers.Tick(now.Add(-silentMost))
-		n.link.Tick(now)
+		n.tickLink(now)
 
 		select {
 		case <-ctx.Done():
@@ -59,6 +59,7 @@
 	}
 
 	n.servers.Update(list)
+	n.link.Retain(list)
 
 	for _, v := range list {
 		if v.Service == carobward.EntryService && v.ID != n.settings.VM && v.State == carobward.Live {
--- a/internal/cwsettings/settings.go
+++ b/internal/cwsettings/settings.go
@@ -30,6 +30,8 @@
 	Keys Keys `json:"keys"`
 	// Limits bound what callers can hold.
 	Limits Limits `json:"limits"`
+	// Link bounds the connections to servers.
+	Link Link `json:"link"`
 	// Keep is how long a caller may keep an address answer.
 	Keep carobward.Duration `json:"keep"`
 	// Stop bounds a graceful stop, from its start to the exit.
@@ -89,8 +91,12 @@
 	Calls int `json:"calls"`
 	// Conns is the number of open connections of callers.
 	Conns int `json:"conns"`
+	// ConnsPerIP is the number of those from one IP number.
+	ConnsPerIP int `json:"connsPerIP"`
 	// Read bounds the time to read one whole request.
 	Read carobward.Duration `json:"read"`
+	// Write bounds the time to write one whole reply.
+	Write carobward.Duration `json:"write"`
 	// Idle bounds the time that a connection waits for its next request.
 	Idle carobward.Duration `json:"idle"`
 }
@@ -122,7 +128,9 @@
 	defaultBody    = carobward.Megabyte
 	defaultCalls   = 4096
 	defaultConns   = 8192
+	defaultPerIP   = defaultConns / 4
 	defaultRead    = 5 * time.Second
+	defaultWrite   = 5 * time.Second
 	defaultIdle    = time.Minute
 	defaultKeep    = 5 * time.Second
 	defaultStop    = 30 * time.Second
@@ -141,8 +149,12 @@
 			Calls:  defaultCalls,
 			Conns:  defaultConns,
 			Read:   carobward.Duration(defaultRead),
+			Write:  carobward.Duration(defaultWrite),
 			Idle:   carobward.Duration(defaultIdle),
+
+			ConnsPerIP: defaultPerIP,
 		},
+		Link:  defaultLink(),
 		Keep:  carobward.Duration(defaultKeep),
 		Stop:  carobward.Duration(defaultStop),
 		Trace: Trace{To: TraceOff, Share: defaultSampled},
--- a/internal/cwsettings/validate.go
+++ b/internal/cwsettings/validate.go
@@ -31,6 +31,7 @@
 	validateURL("store.url", s.Store.URL, fail)
 	validateURL("list.url", s.List.URL, fail)
 	s.validateNumbers(fail)
+	s.Link.validate(fail)
 	s.Trace.validate(fail)
 
 	switch s.Log {
@@ -92,7 +93,9 @@
 	positive("limits.body", s.Limits.Body > 0)
 	positive("limits.calls", s.Limits.Calls > 0)
 	positive("limits.conns", s.Limits.Conns > 0)
+	positive("limits.connsPerIP", s.Limits.ConnsPerIP > 0)
 	positive("limits.read", s.Limits.Read > 0)
+	positive("limits.write", s.Limits.Write > 0)
 	positive("limits.idle", s.Limits.Idle > 0)
 	positive("keep", s.Keep > 0)
 	positive("stop", s.Stop > 0)
