--- a/internal/cwentry/serve_test.go
+++ b/internal/cwentry/serve_test.go
@@ -13,6 +13,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwtarget"
 )
@@ -63,7 +64,7 @@
 	table := cwserver.NewTable()
 	table.Update([]carobward.VM{{Address: "127.0.0.1:1", Service: "records"}})
 
-	return New(Options{VM: "vm-1", Calls: calls}, holder, table, servers, carobward.SystemClock{}, logr.Discard())
+	return New(Options{VM: "vm-1", Calls: calls, Policy: cwroute.Pair{}}, holder, table, servers, carobward.SystemClock{}, logr.Discard())
 }
 
 func options() ServerOptions {
--- a/internal/cwnode/link.go
+++ b/internal/cwnode/link.go
@@ -28,6 +28,14 @@
 // tickLink tells the link how many entry VMs share the servers' connections
 // and closes idle ones.
 func (n *Node) tickLink(now time.Time) {
-	n.link.SetFleet(len(n.peers.All()), now)
+	size := 0
+
+	for _, p := range n.peers.All() {
+		if p.State != carobward.PeerDead {
+			size++
+		}
+	}
+
+	n.link.SetFleet(size, now)
 	n.link.Tick(now)
 }
