--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -54,7 +55,11 @@
 
 // New returns a Carrier.
 func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, owner Owner, clock carobward.Clock, log logr.Logger) *Carrier {
-	return &Carrier{options: o, holder: holder, servers: servers, link: link, owner: owner, clock: clock, log: log.WithName("entry")}
+	c := &Carrier{options: o, holder: holder, servers: servers, link: link, owner: owner, clock: clock, log: log.WithName("entry")}
+	// Attempts of an earlier run have other ids.
+	c.serial.Store(uint64(rand.Uint32()) << 16)
+
+	return c
 }
 
 // Running returns the number of requests in flight.
@@ -62,7 +67,12 @@
 
 // Handle serves one request.
 func (c *Carrier) Handle(ctx *fasthttp.RequestCtx) {
-	id := requestID(ctx)
+	id, err := requestID(ctx)
+	if err != nil {
+		c.writeFailure(ctx, id, err)
+
+		return
+	}
 
 	reply, err := c.serve(ctx, id)
 	if err != nil {
@@ -81,6 +91,10 @@
 		return nil, c.refuse(ctx, err)
 	}
 
+	if err := check(ctx); err != nil {
+		return nil, c.refuse(ctx, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err))
+	}
+
 	target, err := c.target(string(ctx.Host()), string(ctx.Method()), string(ctx.Path()))
 	if err != nil {
 		return nil, c.refuse(ctx, err)
