Choose the server with the least expected wait

Now: our own calls, the last report fading to the service's average, the age of the oldest call out, a memory of slow replies that doubles while they come.

Ruled out in trials: a peak-sensitive moving average of each server's latency in the cost. So a latency counts only above twice the usual one.

Ejection after three failures in a row, growing, never above 34 % of a service; the last resort ignores it. A server that fails or refuses fast counts as slow or full.

--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -74,10 +74,10 @@
 	one := *call
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
-	s.Running.Add(1)
-	defer s.Running.Add(-1)
-
+	out := s.Begin(c.clock.Now())
 	reply, err := c.link.Exchange(ctx, s.Address, &one)
+	out.End(c.clock.Now(), outcome(ctx, reply, err))
+
 	if err != nil {
 		return nil, err
 	}
@@ -90,3 +90,19 @@
 
 	return reply, nil
 }
+
+// outcome is what an attempt tells of its server.
+func outcome(ctx context.Context, reply *carobward.Reply, err error) cwserver.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return cwserver.Cancelled
+	case err != nil:
+		return cwserver.Failed
+	case reply.Shed:
+		return cwserver.Refused
+	case reply.Status >= fasthttp.StatusInternalServerError:
+		return cwserver.Failed
+	default:
+		return cwserver.Replied
+	}
+}
--- /dev/null
+++ b/internal/cwserver/call_test.go
@@ -0,0 +1,166 @@
+package cwserver_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwserver"
+)
+
+const usual = 10 * time.Millisecond
+
+var start = time.Date(2100, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// servers returns the lines of one service that has its usual latency.
+func servers(n int) []*cwserver.Server {
+	var list []carobward.VM
+	for i := range n {
+		list = append(list, carobward.VM{Address: carobward.Address(fmt.Sprintf("10.0.0.%d:80", i)), Service: "records"})
+	}
+
+	t := cwserver.NewTable()
+	t.Update(list)
+
+	all := t.Of("records")
+	for _, s := range all {
+		s.Begin(start).End(start.Add(usual), cwserver.Replied)
+	}
+
+	return all
+}
+
+func TestLatency(t *testing.T) {
+	ms := func(n int) time.Time { return start.Add(time.Second + time.Duration(n)*time.Millisecond) }
+
+	tests := map[string]struct {
+		calls func(s *cwserver.Server)
+		at    time.Time
+		want  time.Duration
+	}{
+		"usual replies":           {func(s *cwserver.Server) { s.Begin(ms(0)).End(ms(15), cwserver.Replied) }, ms(15), usual},
+		"a slow reply counts":     {func(s *cwserver.Server) { s.Begin(ms(0)).End(ms(90), cwserver.Replied) }, ms(90), 90 * time.Millisecond},
+		"and half of it later":    {func(s *cwserver.Server) { s.Begin(ms(0)).End(ms(90), cwserver.Replied) }, ms(180), 50 * time.Millisecond},
+		"a failure counts most":   {func(s *cwserver.Server) { s.Begin(ms(0)).End(ms(1), cwserver.Failed) }, ms(1), 160 * time.Millisecond},
+		"a call that is not late": {func(s *cwserver.Server) { s.Begin(ms(0)) }, ms(14), usual},
+		"a call that is overdue":  {func(s *cwserver.Server) { s.Begin(ms(0)) }, ms(40), 40 * time.Millisecond},
+		"a call that we gave up":  {func(s *cwserver.Server) { s.Begin(ms(0)).End(ms(90), cwserver.Cancelled) }, ms(90), usual},
+	}
+
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := servers(64)[0]
+			test.calls(s)
+
+			// The group's average moves a little with each reply.
+			got := s.Latency(test.at).Round(5 * time.Millisecond)
+			if diff := cmp.Diff(test.want.Round(5*time.Millisecond).String(), got.String()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestLoadFadesToTheAverage(t *testing.T) {
+	all := servers(2)
+	all[0].SetReport(carobward.Report{At: start, Slots: 4, Running: 6, Queued: 2})
+	all[0].Begin(start)
+
+	average := all[0].Load(start.Add(time.Hour)) - 1
+
+	got := map[string]bool{
+		"all at once":       all[0].Load(start) == 9,
+		"half after a fade": all[0].Load(start.Add(200*time.Millisecond)) < 6,
+		"average in the end": average > 0 && average < 0.2 &&
+			all[1].Load(start)-average < 0.01,
+	}
+	if diff := cmp.Diff(map[string]bool{"all at once": true, "half after a fade": true, "average in the end": true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestEjection(t *testing.T) {
+	tests := map[string]struct {
+		servers, failing, want int
+	}{
+		"one of thirty":              {30, 1, 1},
+		"a bounded share of many":    {30, 30, 10},
+		"none of one":                {1, 1, 0},
+		"none of two":                {2, 2, 0},
+		"one of three, not a second": {3, 2, 1},
+	}
+
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			all := servers(test.servers)
+			now := start.Add(time.Second)
+
+			for _, s := range all[:test.failing] {
+				for range 3 {
+					s.Begin(now).End(now, cwserver.Failed)
+				}
+			}
+
+			if got := ejected(all, now); got != test.want {
+				t.Errorf("%d are ejected, want %d", got, test.want)
+			}
+
+			if got := ejected(all, now.Add(time.Second)); got != 0 {
+				t.Errorf("%d are ejected a second later", got)
+			}
+		})
+	}
+}
+
+func ejected(all []*cwserver.Server, now time.Time) int {
+	count := 0
+
+	for _, s := range all {
+		if s.Ejected(now) {
+			count++
+		}
+	}
+
+	return count
+}
+
+func TestEjectionGrows(t *testing.T) {
+	s := servers(10)[0]
+	now := start.Add(time.Second)
+
+	var got []string
+
+	for range 4 {
+		for !s.Ejected(now) {
+			s.Begin(now).End(now, cwserver.Failed)
+		}
+
+		from := now
+		for s.Ejected(now) {
+			now = now.Add(100 * time.Millisecond)
+		}
+
+		got = append(got, now.Sub(from).String())
+	}
+
+	if diff := cmp.Diff([]string{"500ms", "1s", "2s", "4s"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestLimit(t *testing.T) {
+	s := servers(1)[0]
+	for range 100 {
+		s.Begin(start).End(start.Add(usual), cwserver.Replied)
+	}
+
+	grown := s.Limit()
+	s.Begin(start).End(start, cwserver.Refused)
+
+	if half := s.Limit(); grown < 10 || half != grown/2 {
+		t.Errorf("limit %d after replies, %d after a refusal", grown, half)
+	}
+}
--- /dev/null
+++ b/internal/cwserver/server.go
@@ -0,0 +1,97 @@
+package cwserver
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"carobward.example/carobward"
+)
+
+// epoch is the start of the times kept as numbers. Differences to it use the
+// monotonic clock.
+var epoch = time.Now()
+
+// instant is a time in nanoseconds since epoch, at least 1; zero means never.
+type instant int64
+
+func at(t time.Time) instant { return max(1, instant(t.Sub(epoch))) }
+
+// since returns the time passed, which is never negative.
+func (i instant) since(then instant) time.Duration { return max(0, time.Duration(i-then)) }
+
+// Server is one line of the table. Its counters may be read and written at
+// any time.
+type Server struct {
+	// Address, Service and Domain come from the VM list.
+	Address carobward.Address
+	Service carobward.Service
+	Domain  carobward.Domain
+	// Running counts our own calls in flight.
+	Running atomic.Int64
+	// Leaving tells that it gets no new work.
+	Leaving atomic.Bool
+
+	report atomic.Pointer[carobward.Report]
+	group  *Group
+
+	// What the choice reads, without a lock.
+	slots    atomic.Int64
+	others   atomic.Int64
+	reported atomic.Int64
+	latency  atomic.Int64
+	memory   atomic.Int64
+	measured atomic.Int64
+	oldest   atomic.Int64
+	ejected  atomic.Int64
+	limit    atomic.Int64
+
+	mutex sync.Mutex
+	// out has the start of each own call in flight, zero for a free place.
+	out []instant
+	// slow counts the slow replies in a row.
+	slow int
+	// failures counts those in a row, ejections those without a reply
+	// between them.
+	failures  int
+	ejections int
+	// grown counts replies since the limit last changed.
+	grown int64
+}
+
+// NewServer returns a server that belongs to no table, as tests need it.
+func NewServer(a carobward.Address, g *Group) *Server {
+	return &Server{Address: a, group: g}
+}
+
+// Report returns the last load report; At is zero if there was none.
+func (s *Server) Report() carobward.Report {
+	if r := s.report.Load(); r != nil {
+		return *r
+	}
+
+	return carobward.Report{}
+}
+
+// SetReport takes a load report that came with a reply to one of our calls,
+// or with a probe.
+func (s *Server) SetReport(r carobward.Report) {
+	if r.At.IsZero() {
+		return
+	}
+
+	s.report.Store(&r)
+
+	if r.Draining {
+		s.Leaving.Store(true)
+	}
+
+	others := max(0, int64(r.Running+r.Queued)-s.Running.Load())
+	s.slots.Store(int64(r.Slots))
+	s.others.Store(others)
+	s.reported.Store(int64(at(r.At)))
+
+	if s.group != nil {
+		s.group.addOthers(others)
+	}
+}
--- a/internal/cwserver/table.go
+++ b/internal/cwserver/table.go
@@ -9,53 +9,17 @@
 	"carobward.example/carobward"
 )
 
-// Server is one line of the table. Its counters may be read and written at
-// any time.
-type Server struct {
-	// Address, Service and Domain come from the VM list.
-	Address carobward.Address
-	Service carobward.Service
-	Domain  carobward.Domain
-	// Running counts our own calls in flight.
-	Running atomic.Int64
-	// Leaving tells that it gets no new work.
-	Leaving atomic.Bool
-
-	report atomic.Pointer[carobward.Report]
-}
-
-// Report returns the last load report; At is zero if there was none.
-func (s *Server) Report() carobward.Report {
-	if r := s.report.Load(); r != nil {
-		return *r
-	}
-
-	return carobward.Report{}
-}
-
-// SetReport takes a load report that came with a reply.
-func (s *Server) SetReport(r carobward.Report) {
-	if r.At.IsZero() {
-		return
-	}
-
-	s.report.Store(&r)
-
-	if r.Draining {
-		s.Leaving.Store(true)
-	}
-}
-
 // Table holds all servers by service.
 type Table struct {
 	mutex     sync.Mutex
 	byAddress map[carobward.Address]*Server
+	groups    map[carobward.Service]*Group
 	byService atomic.Pointer[map[carobward.Service][]*Server]
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{byAddress: map[carobward.Address]*Server{}}
+	t := &Table{byAddress: map[carobward.Address]*Server{}, groups: map[carobward.Service]*Group{}}
 	t.byService.Store(&map[carobward.Service][]*Server{})
 
 	return t
@@ -79,7 +43,7 @@
 
 		s := t.byAddress[v.Address]
 		if s == nil || s.Service != v.Service {
-			s = &Server{Address: v.Address, Service: v.Service, Domain: v.Domain}
+			s = &Server{Address: v.Address, Service: v.Service, Domain: v.Domain, group: t.group(v.Service)}
 		}
 
 		if v.State == carobward.Leaving {
@@ -90,6 +54,25 @@
 		byService[v.Service] = append(byService[v.Service], s)
 	}
 
+	for name, g := range t.groups {
+		if _, ok := byService[name]; !ok {
+			delete(t.groups, name)
+		}
+
+		g.setServers(byService[name])
+	}
+
 	t.byAddress = next
 	t.byService.Store(&byService)
 }
+
+// group returns the group of a service; the mutex is held.
+func (t *Table) group(s carobward.Service) *Group {
+	g := t.groups[s]
+	if g == nil {
+		g = &Group{}
+		t.groups[s] = g
+	}
+
+	return g
+}
