--- a/internal/cwentry/serve_test.go
+++ b/internal/cwentry/serve_test.go
@@ -13,9 +13,12 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwowner"
+	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwtarget"
+	"carobward.example/carobward/internal/cwticket"
 )
 
 // fake is a Servers that answers by a function and keeps the calls.
@@ -64,7 +67,15 @@
 	table := cwserver.NewTable()
 	table.Update([]carobward.VM{{Address: "127.0.0.1:1", Service: "records"}})
 
-	return New(Options{VM: "vm-1", Calls: calls, Policy: cwroute.Pair{}}, holder, table, servers, carobward.SystemClock{}, logr.Discard())
+	limits := cwticket.Options{Horizon: time.Minute, Records: 100, Bytes: carobward.Megabyte}
+	peers := cwpeer.NewTable(carobward.Peer{ID: "vm-1", Incarnation: 1})
+
+	owner, err := cwowner.New(limits, peers, cwpeer.NewClients(nil), carobward.SystemClock{}, logr.Discard())
+	if err != nil {
+		panic(err)
+	}
+
+	return New(Options{VM: "vm-1", Calls: calls, Policy: cwroute.Pair{}}, holder, table, servers, owner, carobward.SystemClock{}, logr.Discard())
 }
 
 func options() ServerOptions {
