--- a/internal/cwnode/member.go
+++ b/internal/cwnode/member.go
@@ -7,13 +7,14 @@
 
 	"carobward.example/carobward/internal/cwmember"
 	"carobward.example/carobward/internal/cwpeer"
+	"carobward.example/carobward/internal/cwsettings"
 )
 
 // openPeers sets up what talks to the other entry VMs, and learns from some
 // of them who the members are. So the incarnation stands before anything is
 // named after it.
 func (n *Node) openPeers(log logr.Logger) error {
-	key, err := readKey(n.settings.Keys.Peers)
+	key, err := cwsettings.ReadKey(n.settings.Keys.Peers)
 	if err != nil {
 		return err
 	}
