--- a/cmd/carobward/main.go
+++ b/cmd/carobward/main.go
@@ -43,6 +43,8 @@
 	}}
 
 	p := flags.NewNamedParser("carobward", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = usage
+
 	if _, err := p.AddGroup("General", "", &o); err != nil {
 		panic(err)
 	}
@@ -71,6 +73,7 @@
 		{"apply", "Make the targets in a file or folder the ones in force.", usageApply, &applyCommand{}},
 		{"status", "Show where which revision is in force.", usageStatus, &statusCommand{}},
 		{"demo", "Run the main job here, with stand-ins.", usageDemo, &demoCommand{}},
+		{"help", "Show what carobward does, or how one command is used.", usageHelp, &helpCommand{parser: p}},
 	} {
 		if _, err := p.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
 			panic(err)
@@ -114,5 +117,13 @@
 		return "unknown"
 	}
 
-	return info.Main.Version
+	text := info.Main.Version
+
+	for _, b := range info.Settings {
+		if b.Key == "vcs.revision" {
+			text += " " + b.Value
+		}
+	}
+
+	return text + " " + info.GoVersion
 }
--- a/cmd/carobward/serve.go
+++ b/cmd/carobward/serve.go
@@ -14,10 +14,15 @@
 
 const usageServe = `Run this entry VM until it gets SIGTERM or SIGINT, then stop gracefully:
 it leaves all address answers, serves for as long as callers keep old ones,
-finishes what is in flight and exits. A second signal ends it at once.`
+finishes what is in flight and exits. A second signal ends it at once.
+
+  carobward serve --settings /etc/carobward/settings.jsonc
+
+Exit codes: 0 stopped gracefully, 1 failed or requests were still in flight
+at the bound, 2 wrong usage.`
 
 type serveCommand struct {
-	Settings string `short:"s" long:"settings" required:"yes" description:"Settings file, JSON with comments."`
+	Settings string `short:"s" long:"settings" required:"yes" value-name:"FILE" description:"Settings file, JSON with comments."`
 }
 
 // Execute runs the entry VM.
@@ -27,7 +32,18 @@
 		return err
 	}
 
-	n, err := cwnode.New(s, carobward.SystemClock{}, cwlog.New(os.Stderr, s.Log))
+	log := cwlog.New(os.Stderr, s.Log)
+
+	warnings, err := s.CheckKeys()
+	if err != nil {
+		return err
+	}
+
+	for _, w := range warnings {
+		log.Info("Fit to serve, but look at this.", "warning", w)
+	}
+
+	n, err := cwnode.New(s, carobward.SystemClock{}, log)
 	if err != nil {
 		return err
 	}
