--- /dev/null
+++ b/cmd/carobward/main_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobward.example/carobward/internal/cwtest"
+)
+
+func TestExitCodes(t *testing.T) {
+	bad := cwtest.File(t, "bad.jsonc", `{"targts": []}`)
+
+	tests := map[string]struct {
+		args []string
+		want int
+	}{
+		"help":               {[]string{"help"}, exitOK},
+		"help of one":        {[]string{"help", "apply"}, exitOK},
+		"help of none":       {[]string{"help", "weigh"}, exitFailed},
+		"flag for help":      {[]string{"apply", "--help"}, exitOK},
+		"no command":         {nil, exitUsage},
+		"unknown command":    {[]string{"weigh"}, exitUsage},
+		"unknown flag":       {[]string{"check", "--weights"}, exitUsage},
+		"missing flag":       {[]string{"serve"}, exitUsage},
+		"settings as target": {[]string{"check", "-s", "../../examples/atlas/ifrane-1.jsonc", "-t", "../../examples/atlas"}, exitFailed},
+		"fit targets":        {[]string{"check", "-t", "../../examples/pase/targets.jsonc"}, exitOK},
+		"unfit targets":      {[]string{"check", "-t", bad}, exitFailed},
+		"unfit settings":     {[]string{"serve", "-s", bad}, exitFailed},
+		"nobody there":       {[]string{"status", "--vm", "127.0.0.1:1"}, exitFailed},
+		"nothing to look at": {[]string{"check"}, exitFailed},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(tt.want, run(tt.args)); diff != "" {
+				t.Errorf("exit code of %v (-want +got):\n%s", tt.args, diff)
+			}
+		})
+	}
+}
--- a/internal/cwtest/process.go
+++ b/internal/cwtest/process.go
@@ -159,12 +159,3 @@
 
 	return path
 }
-
-// Text returns an error's text, "" for none.
-func Text(err error) string {
-	if err == nil {
-		return ""
-	}
-
-	return err.Error()
-}
