--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -20,7 +20,6 @@
 
 // The errors of a request that is given up.
 const (
-	ErrTarget = errors.ConstError("no target matches this request")
 	ErrServer = errors.ConstError("no server can take this request now")
 	ErrBusy   = errors.ConstError("this entry VM has too many requests in flight")
 	ErrNew    = errors.ConstError("this entry VM has no configuration yet")
@@ -95,7 +94,7 @@
 		return nil, c.refuse(ctx, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err))
 	}
 
-	target, err := c.target(string(ctx.Host()), string(ctx.Method()), string(ctx.Path()))
+	target, err := c.target(string(ctx.Host()), string(ctx.Method()), originForm(ctx))
 	if err != nil {
 		return nil, c.refuse(ctx, err)
 	}
@@ -120,17 +119,3 @@
 
 	return nil
 }
-
-// target returns the target that a request belongs to.
-func (c *Carrier) target(host, method, path string) (*carobward.Target, error) {
-	if c.holder.Revision() == 0 {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrNew)
-	}
-
-	t := c.holder.Targets().Find(host, method, path)
-	if t == nil {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusNotFound, 0, ErrTarget)
-	}
-
-	return t, nil
-}
--- a/internal/cwentry/once.go
+++ b/internal/cwentry/once.go
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 
-	target, err := c.target(call.Host, call.Method, pathOf(call))
+	target, err := c.target(call.Host, call.Method, call.URI)
 	if err != nil {
 		return nil, err
 	}
@@ -82,18 +82,6 @@
 	return c.carryOnce(ctx, id, target, call)
 }
 
-// pathOf returns the path of a call as the HTTP library decodes it.
-func pathOf(call *carobward.Call) string {
-	u := fasthttp.AcquireURI()
-	defer fasthttp.ReleaseURI(u)
-
-	if err := u.Parse([]byte(call.Host), []byte(call.URI)); err != nil {
-		return ""
-	}
-
-	return string(u.Path())
-}
-
 // carryOnce sends the call to one server after the other, but to the next one
 // only while every attempt has been proved not run. It is never hedged.
 func (c *Carrier) carryOnce(ctx context.Context, id carobward.RequestID, target *carobward.Target, call *carobward.Call) (*cwticket.Outcome, error) {
--- a/internal/cwentry/server.go
+++ b/internal/cwentry/server.go
@@ -1,7 +1,6 @@
 package cwentry
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"runtime/debug"
@@ -85,8 +84,8 @@
 func (s *Server) limits(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	var c fasthttp.RequestConfig
 
-	path, _, _ := bytes.Cut(h.RequestURI(), []byte("?"))
-	if t := s.carrier.holder.Targets().Find(string(h.Host()), string(h.Method()), string(path)); t != nil {
+	t, err := s.carrier.holder.Targets().Find(string(h.Host()), string(h.Method()), string(h.RequestURI()))
+	if err == nil {
 		c.MaxRequestBodySize = int(min(t.Body, s.options.Body))
 	}
 
