--- a/internal/cwconfig/syncer_test.go
+++ b/internal/cwconfig/syncer_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
+	"time"
+
+	"github.com/juju/errors"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/internal/cwwire"
 )
 
 // start runs the syncers of a fleet until the test ends, and checks that each
@@ -172,11 +177,19 @@
 		t.Fatal(err)
 	}
 
+	next, change, err := v.holder.Config().With(put("b", "bo", 1, "fee"))
+	if err != nil || next.Revision != 2 {
+		t.Fatal(err)
+	}
+
+	newer, _ := encode(Head{Format: format, Changes: []Change{change}})
+
 	for name, raw := range map[string]string{
-		"a newer format":   `{"format":2,"changes":[]}`,
-		"an unknown key":   `{"format":1,"changes":[{"id":"b","revision":2,"chain":"x","color":"red"}]}`,
-		"no JSON":          `#`,
-		"an unlinked ring": `{"format":1,"changes":[{"id":"b","revision":2,"chain":"x","drop":["a"]},{"id":"c","revision":4,"chain":"y","drop":["a"]}]}`,
+		"an unknown key, well linked": strings.Replace(string(newer), `"author"`, `"color":"red","author"`, 1),
+		"a newer format":              `{"format":2,"changes":[]}`,
+		"an unknown key":              `{"format":1,"changes":[{"id":"b","revision":2,"chain":"x","color":"red"}]}`,
+		"no JSON":                     `#`,
+		"an unlinked ring":            `{"format":1,"changes":[{"id":"b","revision":2,"chain":"x","drop":["a"]},{"id":"c","revision":4,"chain":"y","drop":["a"]}]}`,
 	} {
 		f.store.Put(HeadKey, []byte(raw))
 		v.syncer.Poll(context.Background())
@@ -218,3 +231,85 @@
 		t.Errorf("got %+v", c)
 	}
 }
+
+// TestHolderOnlyRises: neither a full copy nor changes lower the revision.
+func TestHolderOnlyRises(t *testing.T) {
+	configs, changes := history(t, 4, "a")
+	h := NewHolder()
+
+	for _, step := range []struct{ take, want int }{{2, 2}, {1, 2}, {2, 2}, {3, 3}, {0, 3}} {
+		h.Adopt(configs[step.take])
+
+		if got := h.Revision(); got != carobward.Revision(step.want) {
+			t.Errorf("revision %d after a copy of %d, want %d", got, step.take, step.want)
+		}
+	}
+
+	if rose, err := h.Advance(changes[:2]); rose || err != nil || h.Revision() != 3 {
+		t.Errorf("older changes: %t, %v, revision %d", rose, err, h.Revision())
+	}
+}
+
+// TestFreshness: a peer's word counts from when it was asked, less its own
+// age, and only if it has nothing newer.
+func TestFreshness(t *testing.T) {
+	for name, test := range map[string]struct {
+		digest *cwwire.ConfigDigest
+		want   time.Duration
+	}{
+		"fresh peer":         {&cwwire.ConfigDigest{Revision: 0, Known: true}, 3 * time.Second},
+		"old news":           {&cwwire.ConfigDigest{Revision: 0, Known: true, AgeMillis: 5000}, 8 * time.Second},
+		"never knew":         {&cwwire.ConfigDigest{Revision: 0}, -1},
+		"has more, gives no": {&cwwire.ConfigDigest{Revision: 7, Known: true}, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1)
+			clock, _ := f.clock.(*manualClock)
+			sent := clock.Now()
+			clock.advance(3 * time.Second)
+
+			s := f.at(0).syncer
+			if err := s.hear(&cwwire.ConfigReply{Digest: test.digest}, sent); err != nil {
+				t.Fatal(err)
+			}
+
+			got := time.Duration(-1)
+			if c := s.Condition(); !c.Fresh.IsZero() {
+				got = clock.Now().Sub(c.Fresh)
+			}
+
+			if got != test.want {
+				t.Errorf("age %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// TestBehindPeers: no change is made by way of an entry VM that is known to
+// be behind and can't catch up, nor by a newcomer that is not ready.
+func TestBehindPeers(t *testing.T) {
+	f := newFleet(2)
+	v := f.at(1)
+
+	if _, err := v.apply(put("a", "ana", 0, "fee"), false); !errors.Is(err, ErrNotReady) {
+		t.Errorf("newcomer: got %v", err)
+	}
+
+	f.ready(t)
+
+	if _, err := f.at(0).apply(put("a", "ana", 0, "fee"), false); err != nil {
+		t.Fatal(err)
+	}
+
+	f.at(0).deaf = true
+
+	if _, err := v.apply(put("b", "bo", 0, "gate"), false); !errors.Is(err, ErrBehind) {
+		t.Errorf("behind: got %v", err)
+	}
+
+	f.at(0).deaf = false
+
+	if got, err := v.apply(put("b", "bo", 0, "gate"), false); err != nil || got != 2 {
+		t.Errorf("caught up: revision %d, %v", got, err)
+	}
+}
