--- a/cmd/carobward/apply.go
+++ b/cmd/carobward/apply.go
@@ -27,9 +27,9 @@
 With --restore, the configuration in force on the fleet is put back into a
 store that was restored from an older copy.
 
-Exit codes: 0 accepted and in force everywhere, 1 failed and nothing changed,
-3 refused and nothing changed, 4 unknown: run the printed command, 5 accepted,
-but not yet in force on each entry VM.`
+Exit codes: 0 accepted and in force everywhere, 1 failed and nothing was
+changed, 3 refused and nothing was changed, 4 unknown: run the printed command,
+5 accepted, but not yet in force on each entry VM.`
 
 type applyCommand struct {
 	changeFlags
--- a/internal/cwlookup/lookup.go
+++ b/internal/cwlookup/lookup.go
@@ -65,11 +65,19 @@
 	return append(near, far...)
 }
 
-// rank sorts the fit peers by their rendezvous weight for the caller.
+// rank sorts the fit peers by their rendezvous weight for the caller. One
+// without a configuration would refuse each request, so it is left out once
+// another one has any.
 func rank(peers []carobward.Peer, caller string) []carobward.Peer {
 	var fit []carobward.Peer
 
+	configured := slices.ContainsFunc(peers, func(p carobward.Peer) bool { return p.Revision > 0 })
+
 	for _, p := range peers {
+		if configured && p.Revision == 0 {
+			continue
+		}
+
 		if p.State == carobward.PeerLive || p.State == carobward.PeerSuspect {
 			fit = append(fit, p)
 		}
--- a/internal/cwoperator/config.go
+++ b/internal/cwoperator/config.go
@@ -146,21 +146,25 @@
 	return c.JSON(Applied{Revision: revision, Newest: a.holder.Revision()})
 }
 
-// refusals gives each error its code and status, the first that fits.
+const unchanged = "nothing was changed"
+
+// refusals gives each error its code, status and what it means for the
+// operator, the first that fits.
 var refusals = []struct {
 	err    error
 	code   Code
 	status int
+	means  string
 }{
-	{carobward.ErrStoreUnknown, CodeUnknown, fiber.StatusServiceUnavailable},
-	{carobward.ErrStoreDown, CodeDown, fiber.StatusServiceUnavailable},
-	{carobward.ErrConflict, CodeBusy, fiber.StatusServiceUnavailable},
-	{cwconfig.ErrNotReady, CodeNotReady, fiber.StatusServiceUnavailable},
-	{cwconfig.ErrBehind, CodeNotReady, fiber.StatusServiceUnavailable},
-	{cwconfig.ErrBase, CodeBase, fiber.StatusConflict},
-	{cwconfig.ErrOlder, CodeOlder, fiber.StatusConflict},
-	{cwconfig.ErrParts, CodeOlder, fiber.StatusConflict},
-	{cwconfig.ErrCurrent, CodeCurrent, fiber.StatusConflict},
+	{carobward.ErrStoreUnknown, CodeUnknown, fiber.StatusServiceUnavailable, "the change may have been accepted"},
+	{carobward.ErrStoreDown, CodeDown, fiber.StatusServiceUnavailable, "the platform's store does not answer, nothing was changed"},
+	{carobward.ErrConflict, CodeBusy, fiber.StatusServiceUnavailable, unchanged},
+	{cwconfig.ErrNotReady, CodeNotReady, fiber.StatusServiceUnavailable, unchanged},
+	{cwconfig.ErrBehind, CodeNotReady, fiber.StatusServiceUnavailable, unchanged},
+	{cwconfig.ErrBase, CodeBase, fiber.StatusConflict, unchanged},
+	{cwconfig.ErrOlder, CodeOlder, fiber.StatusConflict, unchanged},
+	{cwconfig.ErrParts, CodeOlder, fiber.StatusConflict, unchanged},
+	{cwconfig.ErrCurrent, CodeCurrent, fiber.StatusConflict, unchanged},
 }
 
 func refuse(c *fiber.Ctx, err error) error {
@@ -180,7 +184,7 @@
 
 	for _, r := range refusals {
 		if errors.Is(err, r.err) {
-			return c.Status(r.status).JSON(Refused{Code: r.code, Error: err.Error(), Unknown: r.code == CodeUnknown})
+			return c.Status(r.status).JSON(Refused{Code: r.code, Error: r.means + ": " + err.Error(), Unknown: r.code == CodeUnknown})
 		}
 	}
 
