Stand-in servers: behaviours that change in milliseconds

Speed schedules, stale and misleading reports, drains, failing fast, bounded queue and connections, cancellation, and counts of measuring and of work that began twice.

--- a/internal/cwstand/server.go
+++ b/internal/cwstand/server.go
@@ -1,9 +1,16 @@
 package cwstand
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,31 +19,74 @@
 	"carobward.example/carobward"
 )
 
-// ServerOptions describe a backend server.
+// The paths that are no work.
+const (
+	// HealthPath answers 200, or 503 while draining; it counts as measuring.
+	HealthPath = "/healthz"
+	// CountsPath answers with Counts as JSON.
+	CountsPath = "/stand/counts"
+)
+
+// ServerOptions describe a backend server. The zero value of each field but
+// Slots leaves its behaviour out.
 type ServerOptions struct {
 	// Slots is how many requests run at once; others wait.
 	Slots int
-	// Work is how long one request takes.
+	// Work is the mean time that one request takes.
 	Work time.Duration
+	// Spread is the sigma of the lognormal time; zero: all take the mean.
+	Spread float64
+	// Queue bounds the waiting requests; more are shed. Zero: no bound.
+	Queue int
+	// Open is what a new connection costs, Conns how many may be open.
+	Open  time.Duration
+	Conns int
+	// Speed slows the work down over time, counted from Epoch.
+	Speed *Speed
+	// Epoch is the start of the schedule; zero is the server's start.
+	Epoch time.Time
+	// ReportLag and ReportLie make the reports stale or misleading.
+	ReportLag time.Duration
+	ReportLie Lie
+	// HealthLag is how long the health endpoint hides a drain.
+	HealthLag time.Duration
+	// Ledger finds work that begins twice, on whichever server.
+	Ledger *Ledger
 }
 
 // Server is a stand-in for a backend server: it answers each request with
 // its method, path and body after the work, reports its load, and counts.
 type Server struct {
-	options ServerOptions
-	slots   chan struct{}
-	queued  atomic.Int64
-	ran     atomic.Int64
-	server  *fasthttp.Server
-	ln      net.Listener
+	options  ServerOptions
+	slots    chan struct{}
+	queued   atomic.Int64
+	counters counters
+	failing  atomic.Bool
+	drained  atomic.Int64
+
+	mutex    sync.Mutex
+	reporter Reporter
+
+	server *fasthttp.Server
+	ln     net.Listener
 }
 
 // NewServer returns a server that serves on the listener.
 func NewServer(ln net.Listener, o ServerOptions) *Server {
+	if o.Epoch.IsZero() {
+		o.Epoch = time.Now()
+	}
+
+	if o.Speed == nil {
+		o.Speed = NewSpeed(nil)
+	}
+
 	s := &Server{options: o, slots: make(chan struct{}, o.Slots), ln: ln}
+	s.reporter = Reporter{Lag: o.ReportLag, Lie: o.ReportLie}
 	s.server = &fasthttp.Server{Handler: s.handle, CloseOnShutdown: true}
+	counted := &listener{Listener: ln, open: o.Open, most: int64(o.Conns), counts: &s.counters}
 
-	go func() { _ = s.server.Serve(ln) }()
+	go func() { _ = s.server.Serve(counted) }()
 
 	return s
 }
@@ -45,26 +95,215 @@
 func (s *Server) Address() carobward.Address { return carobward.Address(s.ln.Addr().String()) }
 
 // Ran returns the number of requests that ran.
-func (s *Server) Ran() int64 { return s.ran.Load() }
+func (s *Server) Ran() int64 { return s.counters.ran.Load() }
+
+// Counts returns what the server has counted so far.
+func (s *Server) Counts() Counts { return s.counters.counts() }
+
+// Drain makes the server shed all new work and say so in its reports.
+func (s *Server) Drain() { s.drained.CompareAndSwap(0, time.Now().UnixNano()) }
+
+// SetFailing makes the server fail each request at once, or ends that.
+func (s *Server) SetFailing(on bool) { s.failing.Store(on) }
 
 // Close stops serving.
 func (s *Server) Close() { _ = s.ln.Close() }
 
+// Shutdown stops serving once the requests in flight have ended.
+func (s *Server) Shutdown(ctx context.Context) error { return s.server.ShutdownWithContext(ctx) }
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	s.queued.Add(1)
-	s.slots <- struct{}{}
-	s.queued.Add(-1)
+	ctx.Response.Header.SetBytesV(carobward.HeaderID, ctx.Request.Header.Peek(carobward.HeaderID))
+
+	switch string(ctx.Path()) {
+	case HealthPath:
+		s.health(ctx)
+	case CountsPath:
+		s.count(ctx)
+	default:
+		s.work(ctx)
+	}
+}
+
+func (s *Server) health(ctx *fasthttp.RequestCtx) {
+	if at := s.drained.Load(); at != 0 && time.Since(time.Unix(0, at)) >= s.options.HealthLag {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
 
-	time.Sleep(s.options.Work)
-	s.ran.Add(1)
+	s.report(ctx)
+	s.counters.probes.Add(1)
+	s.counters.probeBytes.Add(int64(len(ctx.Request.Header.Header()) + len(ctx.Response.Header.Header())))
+}
+
+func (s *Server) count(ctx *fasthttp.RequestCtx) {
+	raw, err := json.Marshal(s.Counts())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 
-	report := fmt.Sprintf("TEXT named_metrics.slots=%d, named_metrics.running=%d, named_metrics.queued=%d",
-		s.options.Slots, len(s.slots), s.queued.Load())
+		return
+	}
+
+	ctx.SetContentType("application/json")
+	ctx.SetBody(raw)
+}
 
-	<-s.slots
+func (s *Server) work(ctx *fasthttp.RequestCtx) {
+	defer s.reportOnReply(ctx)
 
-	id := strings.Clone(string(ctx.Request.Header.Peek(carobward.HeaderID)))
-	ctx.Response.Header.Set(carobward.HeaderID, id)
-	ctx.Response.Header.Set(carobward.HeaderReport, report)
+	if s.failing.Load() {
+		s.counters.failed.Add(1)
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+
+		return
+	}
+
+	if !s.enter(ctx) {
+		s.counters.shed.Add(1)
+		ctx.Response.Header.Set(carobward.HeaderVerdict, carobward.NotRun.String())
+		ctx.Response.Header.Set(carobward.HeaderRetryAfter, "1")
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+
+		return
+	}
+
+	defer func() { <-s.slots }()
+
+	if !s.run(ctx) {
+		s.counters.cancelled.Add(1)
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+
+		return
+	}
+
+	s.counters.ran.Add(1)
 	_, _ = fmt.Fprintf(ctx, "%s %s\n%s", ctx.Method(), ctx.RequestURI(), ctx.PostBody())
 }
+
+// enter waits for a slot. It returns false if the request is shed: while
+// draining, with a full queue, or when its time or its sender has gone.
+func (s *Server) enter(ctx *fasthttp.RequestCtx) bool {
+	if s.drained.Load() != 0 {
+		return false
+	}
+
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
+
+	waiting := s.queued.Add(1)
+	defer s.queued.Add(-1)
+
+	if most := int64(s.options.Queue); most > 0 && waiting > most {
+		return false
+	}
+
+	timeout := time.NewTimer(timeLeft(ctx))
+	defer timeout.Stop()
+
+	select {
+	case s.slots <- struct{}{}:
+	case <-timeout.C:
+		return false
+	}
+
+	if gone(ctx) {
+		<-s.slots
+
+		return false
+	}
+
+	return true
+}
+
+// cancelPoll is how often running work looks whether its sender is gone.
+const cancelPoll = 2 * time.Millisecond
+
+// run does the work in a slot. It returns false if it was cancelled.
+func (s *Server) run(ctx *fasthttp.RequestCtx) bool {
+	s.counters.began.Add(1)
+
+	id := string(ctx.Request.Header.Peek(carobward.HeaderID))
+	if l := s.options.Ledger; l != nil && l.Begin(id) > 1 {
+		s.counters.repeats.Add(1)
+	}
+
+	start := time.Since(s.options.Epoch)
+	end := s.options.Speed.Finish(start, s.options.workOf(id))
+
+	for {
+		left := end - time.Since(s.options.Epoch)
+		if left <= 0 {
+			return true
+		}
+
+		time.Sleep(min(left, cancelPoll))
+
+		if gone(ctx) {
+			return false
+		}
+	}
+}
+
+// workOf draws the time of a request from its id, so that it takes as long
+// on each server and in each run. Attempts differ from each other.
+func (o *ServerOptions) workOf(id string) time.Duration {
+	if o.Spread == 0 {
+		return o.Work
+	}
+
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+
+	return Lognormal(o.Work, o.Spread, rand.New(rand.NewPCG(h.Sum64(), 0)))
+}
+
+// Lognormal draws a time with the given mean and sigma.
+func Lognormal(mean time.Duration, sigma float64, rng *rand.Rand) time.Duration {
+	const half = 0.5
+
+	return time.Duration(float64(mean) * math.Exp(sigma*rng.NormFloat64()-half*sigma*sigma))
+}
+
+func (s *Server) report(ctx *fasthttp.RequestCtx) string {
+	l := Load{
+		Slots: s.options.Slots, Running: len(s.slots), Queued: int(s.queued.Load()),
+		Draining: s.drained.Load() != 0,
+	}
+
+	s.mutex.Lock()
+	l = s.reporter.Report(time.Since(s.options.Epoch), l)
+	s.mutex.Unlock()
+
+	text := l.String()
+	ctx.Response.Header.Set(carobward.HeaderReport, text)
+
+	return text
+}
+
+func (s *Server) reportOnReply(ctx *fasthttp.RequestCtx) {
+	const separators = len(": \r\n")
+
+	s.counters.reportBytes.Add(int64(len(carobward.HeaderReport) + len(s.report(ctx)) + separators))
+}
+
+// waitMost is how long a request without a timeout waits for a slot.
+const waitMost = time.Minute
+
+func timeLeft(ctx *fasthttp.RequestCtx) time.Duration {
+	text := strings.Clone(string(ctx.Request.Header.Peek(carobward.HeaderTimeout)))
+
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return waitMost
+	}
+
+	return time.Duration(n) * time.Millisecond
+}
+
+func gone(ctx *fasthttp.RequestCtx) bool {
+	c, ok := ctx.Conn().(*serverConn)
+
+	return ok && c.left()
+}
--- /dev/null
+++ b/internal/cwstand/server_speed.go
@@ -0,0 +1,119 @@
+package cwstand
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Span is a stretch of time in which a server runs slower. Times count from
+// the start of the server's schedule.
+type Span struct {
+	From, To time.Duration
+	// Factor is how many times slower it is. Infinity stops all work.
+	Factor float64
+}
+
+// Noise describes slow-downs by a noisy neighbour.
+type Noise struct {
+	// Every is the mean time from one slow-down to the next.
+	Every time.Duration
+	// For is how long one lasts.
+	For time.Duration
+	// Factor is how many times slower the server is meanwhile.
+	Factor float64
+}
+
+// Spans draws the slow-downs up to the horizon. The gaps vary evenly between
+// half of Every and one and a half of it.
+func (n Noise) Spans(seed uint64, horizon time.Duration) []Span {
+	if n.Every <= 0 || n.For <= 0 {
+		return nil
+	}
+
+	var spans []Span
+
+	rng := rand.New(rand.NewPCG(seed, 0))
+	at := time.Duration(rng.Float64() * float64(n.Every))
+
+	for at < horizon {
+		spans = append(spans, Span{From: at, To: at + n.For, Factor: n.Factor})
+		at += n.For + n.Every/2 + time.Duration(rng.Float64()*float64(n.Every))
+	}
+
+	return spans
+}
+
+// Speed is the speed of a server over time, as steps. It is fixed when it is
+// made, so that several runs see the same server.
+type Speed struct {
+	at   []time.Duration
+	rate []float64
+}
+
+// NewSpeed returns the speed that the spans leave; where they overlap, their
+// factors multiply.
+func NewSpeed(spans []Span) *Speed {
+	s := &Speed{at: []time.Duration{0}}
+	for _, p := range spans {
+		s.at = append(s.at, p.From, p.To)
+	}
+
+	slices.Sort(s.at)
+	s.at = slices.Compact(s.at)
+
+	for _, at := range s.at {
+		rate := 1.0
+
+		for _, p := range spans {
+			if p.From <= at && at < p.To {
+				rate /= p.Factor
+			}
+		}
+
+		s.rate = append(s.rate, rate)
+	}
+
+	return s
+}
+
+// step returns the index of the step that holds at a time.
+func (s *Speed) step(at time.Duration) int {
+	return max(sort.Search(len(s.at), func(i int) bool { return s.at[i] > at })-1, 0)
+}
+
+// Rate returns the speed at a time; 1 is full speed.
+func (s *Speed) Rate(at time.Duration) float64 { return s.rate[s.step(at)] }
+
+// Forever is the end of work that never ends.
+const Forever = time.Duration(math.MaxInt64)
+
+// Finish returns when work ends that starts at a time and takes as long as
+// work at full speed.
+func (s *Speed) Finish(start, work time.Duration) time.Duration {
+	left := float64(work)
+	now := start
+
+	for i := s.step(start); i < len(s.at); i++ {
+		if i+1 == len(s.at) {
+			break
+		}
+
+		done := float64(s.at[i+1]-now) * s.rate[i]
+		if done >= left {
+			return now + time.Duration(left/s.rate[i])
+		}
+
+		left -= done
+		now = s.at[i+1]
+	}
+
+	last := s.rate[len(s.rate)-1]
+	if last == 0 {
+		return Forever
+	}
+
+	return now + time.Duration(left/last)
+}
