Bench: a queueing model that pairs policies

Entry VMs, each with a table of its own, against modelled servers under a clock of its own: open-loop arrivals, latency from the intended start, the same arrivals and schedules for every variant of a run. Baselines: naive round robin, random, a pair by own in-flight, the true state. The mean wait is checked against Pollaczek-Khinchine and Erlang C with Lee-Longton.

--- a/cmd/carobward/main.go
+++ b/cmd/carobward/main.go
@@ -71,6 +71,7 @@
 		{"apply", "Make the targets in a file or folder the ones in force.", usageApply, &applyCommand{}},
 		{"status", "Show where which revision is in force.", usageStatus, &statusCommand{}},
 		{"demo", "Run the main job here, with stand-ins.", usageDemo, &demoCommand{}},
+		{"bench", "Compare ways to choose servers under load.", usageBench, &benchCommand{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
 			panic(err)
--- /dev/null
+++ b/internal/cwbench/entry.go
@@ -0,0 +1,272 @@
+package cwbench
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwroute"
+	"carobward.example/carobward/internal/cwserver"
+	"carobward.example/carobward/internal/cwstand"
+)
+
+// call is one request on its way.
+type call struct {
+	arrival *arrival
+	entry   *entry
+	tried   []*cwserver.Server
+	out     []*attempt
+	sent    int
+	began   int
+	done    bool
+}
+
+// attempt is one sending of a call to a server.
+type attempt struct {
+	call    *call
+	server  int
+	at      time.Duration
+	delay   time.Duration
+	settled bool
+
+	// The server's side of it.
+	running, replied, cancelled bool
+}
+
+// entry is a modelled entry VM: its own table, policy and connections.
+type entry struct {
+	run    *run
+	domain int
+	rows   []*cwserver.Server
+	index  map[*cwserver.Server]int
+	open   []int
+	policy cwroute.Policy
+	rng    *rand.Rand
+	hedge  *hedge
+}
+
+// epoch is when the model's time starts for policies. It lies ahead, since a
+// table knows no time before its process began.
+var epoch = time.Date(2100, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+func newEntry(r *run, number int) *entry {
+	e := &entry{
+		run:    r,
+		domain: number % r.scenario.Domains,
+		index:  map[*cwserver.Server]int{},
+		open:   make([]int, len(r.backends)),
+		rng:    random(r.scenario.Seed, streamChoices+uint64(number)<<8),
+		hedge:  newHedge(r.variant.Hedge, r.variant.HedgeAt),
+	}
+
+	table := cwserver.NewTable()
+	table.Update(vmList(r.scenario))
+	e.rows = table.Of(service)
+	e.policy = r.variant.Policy(&World{timeline: &r.timeline, backends: r.backends})
+
+	for i, s := range e.rows {
+		e.index[s] = i
+	}
+
+	return e
+}
+
+const service carobward.Service = "records"
+
+// vmList lists the modelled servers in their order.
+func vmList(s *Scenario) []carobward.VM {
+	var list []carobward.VM
+
+	for i := range s.Servers {
+		list = append(list, carobward.VM{
+			Address: carobward.Address("10.0.0." + strconv.Itoa(i) + ":80"),
+			Service: service,
+			Domain:  carobward.Domain(strconv.Itoa(i % s.Domains)),
+		})
+	}
+
+	return list
+}
+
+func (e *entry) now() time.Time { return epoch.Add(e.run.timeline.now) }
+
+// take carries a request that has reached the entry VM.
+func (e *entry) take(a *arrival) {
+	c := &call{arrival: a, entry: e}
+	e.hedge.calls++
+
+	e.run.timeline.add(a.at+e.run.scenario.Timeout-e.run.scenario.Client, func() { e.giveUp(c) })
+	e.dispatch(c)
+
+	if wait, ok := e.hedge.after(e.run.timeline.now); ok && !a.once && !c.done {
+		e.run.timeline.after(wait, func() { e.second(c) })
+	}
+}
+
+// dispatch sends a call to a server, or fails it if there is none.
+func (e *entry) dispatch(c *call) {
+	s := e.policy.Choose(e.now(), e.rows, c.tried, e.rng)
+	if s == nil {
+		if len(c.out) == 0 {
+			e.finish(c, shed)
+		}
+
+		return
+	}
+
+	a := &attempt{call: c, server: e.index[s], at: e.run.timeline.now}
+	a.delay = e.run.scenario.delay(e.domain, a.server)
+	c.tried = append(c.tried, s)
+	c.sent++
+	e.run.result.Attempts++
+
+	cost, ok := e.connect(a.server)
+	if !ok {
+		e.retry(c, refused)
+
+		return
+	}
+
+	c.out = append(c.out, a)
+	b := e.run.backends[a.server]
+	b.committed++
+	e.began(s)
+	e.run.timeline.after(cost+a.delay, func() { b.arrive(a) })
+
+	if wait := e.run.variant.Attempt; wait > 0 {
+		e.run.timeline.after(wait, func() { e.attemptTimeout(a) })
+	}
+}
+
+// delay is the one-way delay between an entry VM's domain and a server.
+func (s *Scenario) delay(domain, server int) time.Duration {
+	if server%s.Domains == domain {
+		return s.Within
+	}
+
+	return s.Between
+}
+
+// connect takes an idle connection or opens one, and returns what it costs.
+// The entry VMs that carry the target share the server's connections.
+func (e *entry) connect(server int) (time.Duration, bool) {
+	if e.open[server] > int(e.rows[server].Running.Load()) {
+		return 0, true
+	}
+
+	b := e.run.backends[server]
+	if e.open[server] >= max(1, b.scenario.Conns/len(e.run.entries)) {
+		return 0, false
+	}
+
+	e.open[server]++
+	b.counts.Opened++
+
+	return b.scenario.Open, true
+}
+
+// began and ended keep the table's line of a server.
+func (e *entry) began(s *cwserver.Server) { s.Running.Add(1) }
+
+func (e *entry) ended(a *attempt, _ outcome) { e.rows[a.server].Running.Add(-1) }
+
+// settle takes the end of an attempt with the report that came along.
+func (e *entry) settle(a *attempt, o outcome, l cwstand.Load) {
+	if a.settled {
+		return
+	}
+
+	e.close(a, o)
+	e.rows[a.server].SetReport(carobward.Report{
+		At: e.now(), Slots: l.Slots, Running: l.Running, Queued: l.Queued, Draining: l.Draining,
+	})
+
+	if o != answered {
+		e.retry(a.call, o)
+
+		return
+	}
+
+	e.hedge.record(e.run.timeline.now - a.at)
+
+	if !a.call.done {
+		e.finish(a.call, answered)
+	}
+}
+
+// close ends an attempt at the entry VM.
+func (e *entry) close(a *attempt, o outcome) {
+	a.settled = true
+	e.ended(a, o)
+
+	for i, other := range a.call.out {
+		if other == a {
+			a.call.out = append(a.call.out[:i], a.call.out[i+1:]...)
+
+			break
+		}
+	}
+}
+
+// drop gives an attempt up. Its connection is closed.
+func (e *entry) drop(a *attempt, o outcome) {
+	e.close(a, o)
+	e.open[a.server]--
+
+	if e.run.variant.Cancel {
+		e.run.timeline.after(a.delay, func() { e.run.backends[a.server].cancel(a) })
+	}
+}
+
+func (e *entry) attemptTimeout(a *attempt) {
+	if !a.settled {
+		e.drop(a, timedOut)
+		e.retry(a.call, timedOut)
+	}
+}
+
+// second sends the hedge of a call that is still out.
+func (e *entry) second(c *call) {
+	if !c.done && c.sent == 1 && e.hedge.take() {
+		e.run.result.Hedges++
+		e.dispatch(c)
+	}
+}
+
+// retry sends a call again if the variant allows it, and fails it if it is
+// nowhere else.
+func (e *entry) retry(c *call, o outcome) {
+	if c.done {
+		return
+	}
+
+	safe := o == shed || o == refused
+	if c.sent < e.run.variant.Tries && (safe || e.run.variant.RetryAny || !c.arrival.once) {
+		e.run.result.Retries++
+		e.dispatch(c)
+
+		return
+	}
+
+	if len(c.out) == 0 {
+		e.finish(c, o)
+	}
+}
+
+func (e *entry) giveUp(c *call) {
+	if !c.done {
+		e.finish(c, timedOut)
+	}
+}
+
+// finish answers the caller and gives up what is still out.
+func (e *entry) finish(c *call, o outcome) {
+	c.done = true
+
+	for len(c.out) > 0 {
+		e.drop(c.out[0], timedOut)
+	}
+
+	e.run.result.count(c.arrival, o, e.run.timeline.now+e.run.scenario.Client)
+}
--- /dev/null
+++ b/internal/cwbench/plot.go
@@ -0,0 +1,100 @@
+package cwbench
+
+import (
+	"image/color"
+	"math"
+
+	"github.com/juju/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 6 * vg.Inch
+)
+
+// Plot draws the tails of a scenario's results to a file: latency in
+// milliseconds over the share of requests that took longer. The ending of
+// the file's name says the format, such as .svg or .png.
+func Plot(file, scenario string, results []*Result) error {
+	p := plot.New()
+	p.Title.Text = scenario
+	p.X.Label.Text = "share of requests that took longer"
+	p.X.Scale, p.X.Tick.Marker = plot.InvertedScale{Normalizer: plot.LogScale{}}, plot.LogTicks{Prec: -1}
+	p.Y.Label.Text = "ms from the intended start"
+	p.Legend.Top, p.Legend.Left = true, true
+
+	return draw(p, file, scenario, results, tail)
+}
+
+// PlotSeries draws the answers a second over the time of the run.
+func PlotSeries(file, scenario string, results []*Result) error {
+	p := plot.New()
+	p.Title.Text = scenario
+	p.X.Label.Text = "s"
+	p.Y.Label.Text = "whole answers a second"
+	p.Legend.Top = true
+
+	return draw(p, file, scenario, results, goodput)
+}
+
+func draw(p *plot.Plot, file, scenario string, results []*Result, points func(*Result) plotter.XYs) error {
+	count := 0
+
+	for _, r := range results {
+		if r.Scenario != scenario {
+			continue
+		}
+
+		line, err := plotter.NewLine(points(r))
+		if err != nil {
+			return errors.Annotate(err, "bench: plot")
+		}
+
+		line.Color = colour(count)
+		line.Dashes = plotutil.Dashes(count)
+		count++
+
+		p.Add(line)
+		p.Legend.Add(r.Variant, line)
+	}
+
+	return errors.Annotate(p.Save(plotWidth, plotHeight, file), "bench: plot")
+}
+
+func colour(i int) color.Color { return plotutil.Color(i) }
+
+// tail goes from the fastest half to one request in ten thousand.
+func tail(r *Result) plotter.XYs {
+	const (
+		perDecade = 20
+		decades   = 4
+	)
+
+	var points plotter.XYs
+
+	for i := range perDecade*decades + 1 {
+		share := math.Pow(10, -float64(i)/perDecade)
+		at := r.Quick.histogram.ValueAtQuantile(100 * (1 - share))
+		points = append(points, plotter.XY{X: share, Y: millis(at)})
+	}
+
+	return points
+}
+
+func goodput(r *Result) plotter.XYs {
+	var points plotter.XYs
+
+	for i, s := range r.Series {
+		points = append(points, plotter.XY{
+			X: float64(i) * SeriesStep.Seconds(),
+			Y: float64(s.Answered) / SeriesStep.Seconds(),
+		})
+	}
+
+	return points
+}
--- /dev/null
+++ b/internal/cwbench/result.go
@@ -0,0 +1,169 @@
+package cwbench
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"carobward.example/carobward/internal/cwstand"
+)
+
+// Result is what became of one variant. Only arrivals after the warm-up
+// count, but for the servers' own counts and the series.
+type Result struct {
+	// Scenario and Variant name the run.
+	Scenario, Variant string
+	// Calls counts the requests; each ends as Answered, Shed, Failed or
+	// TimedOut.
+	Calls, Answered, Shed, Failed, TimedOut int
+	// Quick and Once hold latencies from the intended start in microseconds.
+	// A request that was not answered counts as the timeout.
+	Quick, Once Latency
+	// Attempts, Retries and Hedges count sendings over the whole run.
+	Attempts, Retries, Hedges int
+	// Total counts the requests of the whole run.
+	Total int
+	// Servers is what the servers counted over the whole run.
+	Servers cwstand.Counts
+	// Trouble tells how the scenario's stretch of trouble went, if it has one.
+	Trouble *Trouble
+	// Series holds the whole run in steps of SeriesStep.
+	Series []Step
+
+	scenario *Scenario
+}
+
+// Latency is a distribution of latencies in microseconds.
+type Latency struct {
+	P50, P90, P99, P999, Max int64
+
+	histogram *hdrhistogram.Histogram
+}
+
+// SeriesStep is the length of one step of a series.
+const SeriesStep = 100 * time.Millisecond
+
+// Step is what happened in one step of a run.
+type Step struct {
+	// Arrived counts requests by their intended start, Answered whole
+	// answers by when they reached the caller, and Lost the rest.
+	Arrived, Answered, Lost int
+	// Worst is the largest latency of an answer, in microseconds.
+	Worst int64
+}
+
+// The range of latencies in microseconds.
+const (
+	latencyMost   = 600_000_000
+	latencyDigits = 3
+)
+
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, latencyMost, latencyDigits) }
+
+func newResult(s *Scenario, v *Variant) *Result {
+	r := &Result{Scenario: s.Name, Variant: v.Name, scenario: s}
+	r.Quick.histogram = histogram()
+	r.Once.histogram = histogram()
+	r.Series = make([]Step, (s.end()+s.Timeout)/SeriesStep+1)
+
+	return r
+}
+
+// count takes the end of a request as its caller saw it.
+func (r *Result) count(a *arrival, o outcome, at time.Duration) {
+	took := at - a.at
+	r.Total++
+	r.series(a, o, at)
+
+	if a.at < r.scenario.Warm {
+		return
+	}
+
+	r.Calls++
+
+	switch o {
+	case answered:
+		r.Answered++
+	case shed, refused:
+		r.Shed++
+	case failed:
+		r.Failed++
+	case timedOut:
+		r.TimedOut++
+	}
+
+	if o != answered {
+		took = max(took, r.scenario.Timeout)
+	}
+
+	l := &r.Quick
+	if a.once {
+		l = &r.Once
+	}
+
+	l.record(took)
+}
+
+func (r *Result) series(a *arrival, o outcome, at time.Duration) {
+	last := len(r.Series) - 1
+	r.Series[min(int(a.at/SeriesStep), last)].Arrived++
+
+	step := &r.Series[min(int(at/SeriesStep), last)]
+	if o != answered {
+		step.Lost++
+
+		return
+	}
+
+	step.Answered++
+	step.Worst = max(step.Worst, (at - a.at).Microseconds())
+}
+
+func (l *Latency) record(took time.Duration) {
+	_ = l.histogram.RecordValue(min(took.Microseconds(), latencyMost))
+}
+
+// Quantiles fills in the figures from the histogram.
+func (l *Latency) quantiles() {
+	l.P50 = l.histogram.ValueAtQuantile(50)
+	l.P90 = l.histogram.ValueAtQuantile(90)
+	l.P99 = l.histogram.ValueAtQuantile(99)
+	l.P999 = l.histogram.ValueAtQuantile(99.9)
+	l.Max = l.histogram.Max()
+}
+
+// add takes another run of the same scenario and variant.
+func (r *Result) add(o *Result) {
+	r.Calls += o.Calls
+	r.Answered += o.Answered
+	r.Shed += o.Shed
+	r.Failed += o.Failed
+	r.TimedOut += o.TimedOut
+	r.Attempts += o.Attempts
+	r.Retries += o.Retries
+	r.Hedges += o.Hedges
+	r.Total += o.Total
+	r.Servers = r.Servers.Add(o.Servers)
+	r.Quick.add(&o.Quick)
+	r.Once.add(&o.Once)
+
+	for i := range r.Series {
+		r.Series[i].add(&o.Series[i])
+	}
+
+	if r.Trouble != nil {
+		r.Trouble.add(o.Trouble)
+	}
+}
+
+func (l *Latency) add(o *Latency) {
+	l.histogram.Merge(o.histogram)
+	l.quantiles()
+}
+
+func (s *Step) add(o *Step) {
+	s.Arrived += o.Arrived
+	s.Answered += o.Answered
+	s.Lost += o.Lost
+	s.Worst = max(s.Worst, o.Worst)
+}
--- /dev/null
+++ b/internal/cwbench/run.go
@@ -0,0 +1,110 @@
+package cwbench
+
+import (
+	"github.com/sourcegraph/conc/iter"
+)
+
+// run is one variant on its way through a scenario.
+type run struct {
+	scenario *Scenario
+	variant  *Variant
+	timeline timeline
+	backends []*backend
+	entries  []*entry
+	result   *Result
+}
+
+// Run takes all variants through the scenario, each with the same arrivals
+// and the same servers. At most as many run at once as parallel says; the
+// results do not depend on it.
+func Run(s Scenario, variants []Variant, parallel int) ([]*Result, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+
+	arrivals := s.arrivals()
+	m := iter.Mapper[Variant, *Result]{MaxGoroutines: parallel}
+
+	return m.Map(variants, func(v *Variant) *Result { return runOne(&s, v, arrivals) }), nil
+}
+
+// RunSuite runs all scenarios of a suite with as many seeds, counted up from
+// the scenarios' own, and adds up the results of each pair of scenario and
+// variant.
+func RunSuite(s Suite, seeds, parallel int) ([]*Result, error) {
+	var all []*Result
+
+	for _, sc := range s.Scenarios {
+		var sums []*Result
+
+		for range max(seeds, 1) {
+			list, err := Run(sc, s.Variants, parallel)
+			if err != nil {
+				return nil, err
+			}
+
+			sums = addResults(sums, list)
+			sc.Seed++
+		}
+
+		all = append(all, sums...)
+	}
+
+	return all, nil
+}
+
+func addResults(sums, list []*Result) []*Result {
+	if sums == nil {
+		return list
+	}
+
+	for i := range sums {
+		sums[i].add(list[i])
+	}
+
+	return sums
+}
+
+func runOne(s *Scenario, v *Variant, arrivals []arrival) *Result {
+	r := &run{scenario: s, variant: v, result: newResult(s, v)}
+	r.backends = newBackends(s, &r.timeline)
+
+	carriers := s.VMs
+	if v.Carriers > 0 {
+		carriers = min(v.Carriers, s.VMs)
+	}
+
+	r.entries = make([]*entry, carriers)
+	for i := range r.entries {
+		r.entries[i] = newEntry(r, i)
+	}
+
+	r.arrive(arrivals)
+
+	for r.timeline.next() {
+	}
+
+	for _, b := range r.backends {
+		r.result.Servers = r.result.Servers.Add(b.counts)
+	}
+
+	r.result.trouble(r.backends)
+	r.result.Quick.quantiles()
+	r.result.Once.quantiles()
+
+	return r.result
+}
+
+// arrive adds the first arrival, which adds the next one when it comes, so
+// that the heap stays small.
+func (r *run) arrive(list []arrival) {
+	if len(list) == 0 {
+		return
+	}
+
+	a := &list[0]
+	r.timeline.add(a.at+r.scenario.Client, func() {
+		r.arrive(list[1:])
+		r.entries[int(a.spot*float64(len(r.entries)))].take(a)
+	})
+}
--- /dev/null
+++ b/internal/cwbench/run_test.go
@@ -0,0 +1,241 @@
+package cwbench
+
+import (
+	"bytes"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobward.example/carobward/internal/cwstand"
+)
+
+func results(t *testing.T, s Scenario, list []Variant, parallel int) []*Result {
+	t.Helper()
+
+	got, err := Run(s, list, parallel)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return got
+}
+
+// short is a scenario that takes little time.
+func short() Scenario {
+	s := Atlas()
+	s.VMs, s.Servers = 6, 9
+	s.Warm, s.Length = 200*time.Millisecond, time.Second
+
+	return s
+}
+
+func TestSameSeedSameResults(t *testing.T) {
+	written := func(seed uint64, parallel int) string {
+		s := short().stragglers()
+		s.Seed = seed
+		s.Once = onceShare
+
+		var b bytes.Buffer
+		if err := WriteJSON(&b, results(t, s, append(Baselines(), Products()...), parallel)); err != nil {
+			t.Fatal(err)
+		}
+
+		return b.String()
+	}
+
+	if d := cmp.Diff(written(3, 1), written(3, 8)); d != "" {
+		t.Error(d)
+	}
+
+	if written(3, 1) == written(4, 1) {
+		t.Error("another seed gave the same results")
+	}
+}
+
+// All variants must face the same requests and the same servers.
+func TestVariantsArePaired(t *testing.T) {
+	list := results(t, short(), Baselines(), 2)
+	for _, r := range list[1:] {
+		for i := range r.Series {
+			if d := cmp.Diff(list[0].Series[i].Arrived, r.Series[i].Arrived); d != "" {
+				t.Fatalf("%s, step %d: %s", r.Variant, i, d)
+			}
+		}
+	}
+}
+
+// quiet is one entry VM at no distance from servers that never slow down.
+func quiet(servers, slots int, load float64) Scenario {
+	s := Atlas().at(load)
+	s.VMs, s.Domains, s.Servers, s.Slots = 1, 1, servers, slots
+	s.Between, s.Within, s.Client, s.Open = 0, 0, 0, 0
+	s.Noise = cwstand.Noise{}
+	s.Queue, s.Conns, s.Timeout = 1<<20, 1<<20, time.Hour
+	s.Length = time.Minute
+
+	return s
+}
+
+// The mean wait is known: Pollaczek and Khinchine for one slot, the formula
+// of Lee and Longton on top of Erlang C for several, which is an estimate.
+func TestModelMatchesQueueingTheory(t *testing.T) {
+	tests := map[string]struct {
+		slots     int
+		spread    float64
+		load      float64
+		tolerance float64
+	}{
+		"one slot, constant work":   {1, 0, 0.7, 0.05},
+		"one slot, lognormal work":  {1, 0.5, 0.7, 0.05},
+		"one slot, wide lognormal":  {1, 1, 0.5, 0.1},
+		"four slots, constant work": {4, 0, 0.7, 0.1},
+		"four slots, lognormal":     {4, 0.5, 0.8, 0.1},
+	}
+
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := quiet(1, tc.slots, tc.load)
+			s.Spread = tc.spread
+			r := results(t, s, Baselines()[:1], 1)[0]
+
+			squared := math.Exp(tc.spread*tc.spread) - 1
+			wait := erlangC(tc.slots, tc.load) / (float64(tc.slots) * (1 - tc.load)) * (1 + squared) / 2
+			want := (1 + wait) * float64(s.Work.Microseconds())
+
+			if got := r.Quick.histogram.Mean(); math.Abs(got-want) > tc.tolerance*want {
+				t.Errorf("mean: got %.0f µs, want %.0f µs", got, want)
+			}
+		})
+	}
+}
+
+// erlangC is the share of calls that wait.
+func erlangC(slots int, load float64) float64 {
+	offered := float64(slots) * load
+	term, sum := 1.0, 1.0
+
+	for i := 1; i < slots; i++ {
+		term *= offered / float64(i)
+		sum += term
+	}
+
+	last := term * offered / float64(slots) / (1 - load)
+
+	return last / (sum + last)
+}
+
+// A stall must show in the latency of every request that was meant to start
+// in it, not only in those that a waiting caller had sent.
+func TestArrivalsAreOpenLoop(t *testing.T) {
+	s := quiet(4, 4, 0.3)
+	s.Length = 5 * time.Second
+	s = s.fault(Fault{Kind: FaultStall, Servers: 4, From: 3 * time.Second, To: 4 * time.Second, Factor: math.Inf(1)})
+	r := results(t, s, Baselines()[3:], 1)[0]
+
+	slow := 0
+	for _, b := range r.Quick.histogram.Distribution() {
+		if b.From >= 500_000 {
+			slow += int(b.Count)
+		}
+	}
+
+	// What came in the first x seconds of the stall waits for 1-x seconds and
+	// then for as long as those before it take.
+	want := 0.5 / (1 - s.Load) * s.Load * s.capacity()
+	if math.Abs(float64(slow)-want) > 0.1*want {
+		t.Errorf("requests that waited for half a second or more: got %d, want %.0f", slow, want)
+	}
+}
+
+func TestNaiveStaysDownAfterStall(t *testing.T) {
+	s := stall()
+	s.VMs, s.Servers = 6, 9
+	s.Length = 8 * time.Second
+	s.Faults[0].Servers = s.Servers
+	list := results(t, s, Storms(), 2)
+
+	if list[0].Trouble.Recovered {
+		t.Errorf("unlimited retries recovered after %s", list[0].Trouble.Recovery)
+	}
+
+	if !list[1].Trouble.Recovered {
+		t.Error("without retries of timeouts it did not recover")
+	}
+}
+
+func TestFaults(t *testing.T) {
+	pair := Baselines()[2:3]
+
+	tests := map[string]struct {
+		change func(s Scenario) Scenario
+		ok     func(r *Result) bool
+	}{
+		"draining servers shed": {
+			func(s Scenario) Scenario { return s.fault(Fault{Kind: FaultDrain, Servers: 1, To: s.end()}) },
+			func(r *Result) bool { return r.Servers.Shed > 0 && r.Answered == r.Calls },
+		},
+		"failing servers fail": {
+			func(s Scenario) Scenario { return s.fault(Fault{Kind: FaultFail, Servers: 9, To: cwstand.Forever}) },
+			func(r *Result) bool { return r.Servers.Began == 0 && r.Failed == r.Calls && r.Attempts == 3*r.Total },
+		},
+		"run-once work is not repeated": {
+			func(s Scenario) Scenario {
+				s.Once = 1
+
+				return s.fault(Fault{Kind: FaultFail, Servers: 9, To: cwstand.Forever})
+			},
+			func(r *Result) bool { return r.Attempts == r.Total && r.Failed == r.Calls },
+		},
+		"full servers shed": {
+			func(s Scenario) Scenario {
+				s.Load, s.Queue = 2, 1
+
+				return s
+			},
+			func(r *Result) bool { return r.Shed > 0 && r.Answered+r.Shed == r.Calls },
+		},
+		"connections are bounded": {
+			func(s Scenario) Scenario {
+				s.Load, s.Queue, s.Conns = 2, 1<<20, 12
+
+				return s
+			},
+			func(r *Result) bool { return r.Servers.Opened == 9*12 && r.Shed > 0 },
+		},
+	}
+
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := results(t, tc.change(short()), pair, 1)[0]
+			if !tc.ok(r) {
+				t.Errorf("calls %d, answered %d, shed %d, failed %d, attempts %d of %d, servers %+v",
+					r.Calls, r.Answered, r.Shed, r.Failed, r.Attempts, r.Total, r.Servers)
+			}
+		})
+	}
+}
+
+func TestHedgesStayInBudget(t *testing.T) {
+	s := short().stragglers()
+	s.Length = 3 * time.Second
+	r := results(t, s, Products()[:1], 1)[0]
+
+	if share := float64(r.Hedges) / float64(r.Total); share > hedgeShare || share == 0 {
+		t.Errorf("hedges: got %.3f of the calls, want up to %.3f", share, hedgeShare)
+	}
+
+	if r.Servers.Cancelled == 0 {
+		t.Error("no loser was cancelled")
+	}
+}
+
+func TestValidateNamesTheField(t *testing.T) {
+	s := Atlas()
+	s.Slots = 0
+
+	if _, err := Run(s, nil, 1); err == nil || err.Error() != "bench: slots: want at least 1" {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/cwstand/server.go
+++ b/internal/cwstand/server.go
@@ -100,6 +100,9 @@
 // Counts returns what the server has counted so far.
 func (s *Server) Counts() Counts { return s.counters.counts() }
 
+// Waiting returns the number of requests that wait for a slot.
+func (s *Server) Waiting() int64 { return s.queued.Load() }
+
 // Drain makes the server shed all new work and say so in its reports.
 func (s *Server) Drain() { s.drained.CompareAndSwap(0, time.Now().UnixNano()) }
 
@@ -247,14 +250,15 @@
 }
 
 // workOf draws the time of a request from its id, so that it takes as long
-// on each server and in each run. Attempts differ from each other.
+// on each server, in each attempt and in each run.
 func (o *ServerOptions) workOf(id string) time.Duration {
 	if o.Spread == 0 {
 		return o.Work
 	}
 
+	work, _, _ := strings.Cut(id, attemptMark)
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
+	_, _ = h.Write([]byte(work))
 
 	return Lognormal(o.Work, o.Spread, rand.New(rand.NewPCG(h.Sum64(), 0)))
 }
--- a/internal/cwstand/server_speed.go
+++ b/internal/cwstand/server_speed.go
@@ -87,6 +87,22 @@
 // Rate returns the speed at a time; 1 is full speed.
 func (s *Speed) Rate(at time.Duration) float64 { return s.rate[s.step(at)] }
 
+// Work returns how much work at full speed fits between two times.
+func (s *Speed) Work(from, to time.Duration) time.Duration {
+	done := 0.0
+
+	for i := s.step(from); i < len(s.at) && s.at[i] < to; i++ {
+		end := to
+		if i+1 < len(s.at) {
+			end = min(end, s.at[i+1])
+		}
+
+		done += float64(end-max(from, s.at[i])) * s.rate[i]
+	}
+
+	return time.Duration(done)
+}
+
 // Forever is the end of work that never ends.
 const Forever = time.Duration(math.MaxInt64)
 
@@ -110,10 +126,10 @@
 		now = s.at[i+1]
 	}
 
-	last := s.rate[len(s.rate)-1]
-	if last == 0 {
+	left /= s.rate[len(s.rate)-1]
+	if left >= float64(Forever-now) {
 		return Forever
 	}
 
-	return now + time.Duration(left/last)
+	return now + time.Duration(left)
 }
