--- a/internal/cwbench/backend.go
+++ b/internal/cwbench/backend.go
@@ -22,6 +22,8 @@
 	timedOut
 	// refused: there was no connection to be had, nothing was sent.
 	refused
+	// cancelled: the entry VM gave it up for another.
+	cancelled
 )
 
 // quickly is what a server takes to refuse or fail a call.
--- a/internal/cwbench/result.go
+++ b/internal/cwbench/result.go
@@ -19,8 +19,9 @@
 	// Quick and Once hold latencies from the intended start in microseconds.
 	// A request that was not answered counts as the timeout.
 	Quick, Once Latency
-	// Attempts, Retries and Hedges count sendings over the whole run.
-	Attempts, Retries, Hedges int
+	// Attempts counts sendings over the whole run, Extra those after the
+	// first one of a request, Hedges those for a request that was still out.
+	Attempts, Extra, Hedges int
 	// Total counts the requests of the whole run.
 	Total int
 	// Servers is what the servers counted over the whole run.
@@ -88,7 +89,7 @@
 		r.Shed++
 	case failed:
 		r.Failed++
-	case timedOut:
+	case timedOut, cancelled:
 		r.TimedOut++
 	}
 
@@ -140,7 +141,7 @@
 	r.Failed += o.Failed
 	r.TimedOut += o.TimedOut
 	r.Attempts += o.Attempts
-	r.Retries += o.Retries
+	r.Extra += o.Extra
 	r.Hedges += o.Hedges
 	r.Total += o.Total
 	r.Servers = r.Servers.Add(o.Servers)
--- a/internal/cwbench/table.go
+++ b/internal/cwbench/table.go
@@ -19,7 +19,7 @@
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%d\t%.2f\t%.2f\t%.2f\t\n",
 			r.Scenario, r.Variant, r.Calls, percent(r.Answered, r.Calls),
 			millis(r.Quick.P50), millis(r.Quick.P90), millis(r.Quick.P99), millis(r.Quick.P999),
-			millis(r.Once.P99), percent(r.Attempts-r.Total, r.Total), r.Servers.Repeats,
+			millis(r.Once.P99), percent(r.Extra, r.Total), r.Servers.Repeats,
 			ratio(r.Quick.P99, truth.Quick.P99), ratio(naive.Quick.P99, r.Quick.P99), ratio(naive.Quick.P999, r.Quick.P999))
 	}
 
--- a/internal/cwbench/variant.go
+++ b/internal/cwbench/variant.go
@@ -67,14 +67,26 @@
 
 // Products returns the variants that the product may use.
 func Products() []Variant {
-	return []Variant{
-		{
-			Name: "pair-hedge", Policy: func(*World) cwroute.Policy { return cwroute.Pair{} },
-			Tries: naiveTries, Cancel: true, Hedge: hedgeShare, HedgeAt: hedgeAt,
-		},
+	wait := Variant{
+		Name: "wait", Policy: func(*World) cwroute.Policy { return cwroute.Wait{} },
+		Tries: naiveTries, Cancel: true,
 	}
+
+	hedged := wait
+	hedged.Name = "wait-hedge"
+	hedged.Hedge, hedged.HedgeAt = hedgeShare, hedgeAt
+
+	limited := hedged
+	limited.Name = "wait-hedge-limit"
+	limited.Policy = func(*World) cwroute.Policy { return cwroute.Wait{Queue: queueRounds} }
+
+	return []Variant{wait, hedged, limited}
 }
 
+// queueRounds is how many calls a slot a limited variant expects a server to
+// hold.
+const queueRounds = 3
+
 // The hedging of the product's variants.
 const (
 	hedgeShare = 0.05
