--- a/internal/cwtarget/file.go
+++ b/internal/cwtarget/file.go
@@ -120,8 +120,8 @@
 		s.Targets = append(s.Targets, f.set.Targets...)
 	}
 
-	c.count(len(s.Targets))
 	s.sort()
+	c.whole(&s)
 
 	return s, c.problems.Err()
 }
--- a/internal/cwtarget/file_test.go
+++ b/internal/cwtarget/file_test.go
@@ -116,6 +116,20 @@
 	}
 }
 
+// TestTooMuchForTheStore checks that what apply would refuse for its size is
+// found before.
+func TestTooMuchForTheStore(t *testing.T) {
+	s := cwtarget.Set{Targets: fleet(1800)}
+	if got := cwtest.Text(s.Validate()); !strings.Contains(got, "want at most 4096 targets, got 5400") || !strings.Contains(got, "want at most 900000 bytes") {
+		t.Errorf("got %q, want both bounds named", got)
+	}
+
+	s.Targets = fleet(220)
+	if err := s.Validate(); err != nil {
+		t.Errorf("the fleet of the long run is refused: %v", err)
+	}
+}
+
 // FuzzParse wants that what is accepted is valid, also as the store hands it
 // back, and that each target can be found by each of its own paths.
 func FuzzParse(f *testing.F) {
--- a/internal/cwtarget/validate.go
+++ b/internal/cwtarget/validate.go
@@ -1,6 +1,7 @@
 package cwtarget
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"regexp"
@@ -12,8 +13,11 @@
 	"carobward.example/carobward/internal/cwjson"
 )
 
-// The bounds of a target's values. All targets together stay well below the
-// megabyte that the platform's store holds.
+// SizeMost bounds all targets together, in bytes of JSON. The platform's store
+// holds values of a megabyte; the rest is for the frame around it.
+const SizeMost = 900_000
+
+// The bounds of a target's values.
 const (
 	minWithin   = time.Millisecond
 	maxWithin   = 5 * time.Minute
@@ -43,7 +47,7 @@
 		c.measure(s.Measure, nowhere, false)
 	}
 
-	c.count(len(s.Targets))
+	c.whole(s)
 
 	return c.problems.Err()
 }
@@ -71,9 +75,23 @@
 	}
 }
 
-func (c *checker) count(targets int) {
-	if targets > maxTargets {
-		c.problems = append(c.problems, cwjson.Problem{Place: "targets", Text: fmt.Sprintf("want at most %d targets, got %d", maxTargets, targets)})
+// whole checks what only all targets together show.
+func (c *checker) whole(s *Set) {
+	fail := func(format string, args ...any) {
+		c.problems = append(c.problems, cwjson.Problem{Place: "targets", Text: fmt.Sprintf(format, args...)})
+	}
+
+	if len(s.Targets) > maxTargets {
+		fail("want at most %d targets, got %d", maxTargets, len(s.Targets))
+	}
+
+	raw, err := json.Marshal(s)
+	if err != nil {
+		fail("can't be written as JSON: %s", err)
+	}
+
+	if len(raw) > SizeMost {
+		fail("want at most %d bytes of JSON for all together, got %d", SizeMost, len(raw))
 	}
 }
 
