--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -81,11 +81,9 @@
 
 	defer c.running.Add(-1)
 
-	if c.holder.Revision() == 0 {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrNew)
-	}
+	h := &ctx.Request.Header
 
-	target, err := c.target(ctx)
+	target, err := c.target(string(h.Host()), string(h.Method()), string(h.RequestURI()))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cwentry/target.go
+++ b/internal/cwentry/target.go
@@ -8,13 +8,15 @@
 	"carobward.example/carobward/internal/cwtarget"
 )
 
-// target returns the target that a request belongs to. It reads the request
-// line as the caller sent it, since that is what goes to the server; the
-// library's own cleaned path may belong to another target.
-func (c *Carrier) target(ctx *fasthttp.RequestCtx) (*carobward.Target, error) {
-	h := &ctx.Request.Header
+// target returns the target that a request belongs to. The uri is the request
+// target as the caller sent it, since that is what goes to the server; the
+// HTTP library's cleaned path may belong to another target.
+func (c *Carrier) target(host, method, uri string) (*carobward.Target, error) {
+	if c.holder.Revision() == 0 {
+		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrNew)
+	}
 
-	target, err := c.holder.Targets().Find(string(h.Host()), string(h.Method()), string(h.RequestURI()))
+	target, err := c.holder.Targets().Find(host, method, uri)
 	if err == nil {
 		return target, nil
 	}
--- a/internal/cwentry/target_test.go
+++ b/internal/cwentry/target_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"errors"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -45,18 +45,28 @@
 				t.Fatal(err)
 			}
 
-			found, err := (&Carrier{holder: holder}).target(&ctx)
-			if err == nil {
-				if diff := cmp.Diff(tt.want, found.Name); diff != "" {
-					t.Errorf("target (-want +got):\n%s", diff)
+			carrier := &Carrier{holder: holder, options: Options{Calls: 1}}
+
+			if tt.status != 0 {
+				carrier.Handle(&ctx)
+
+				got := [2]string{strconv.Itoa(ctx.Response.StatusCode()), string(ctx.Response.Header.Peek(carobward.HeaderVerdict))}
+				if diff := cmp.Diff([2]string{strconv.Itoa(tt.status), "not-run"}, got); diff != "" {
+					t.Errorf("status and verdict (-want +got):\n%s", diff)
 				}
 
 				return
 			}
 
-			var f *carobward.Failure
-			if !errors.As(err, &f) || f.Status != tt.status || f.Verdict != carobward.NotRun {
-				t.Errorf("got %v, want status %d, not run", err, tt.status)
+			h := &ctx.Request.Header
+
+			found, err := carrier.target(string(h.Host()), string(h.Method()), string(h.RequestURI()))
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			if diff := cmp.Diff(tt.want, found.Name); diff != "" {
+				t.Errorf("target (-want +got):\n%s", diff)
 			}
 		})
 	}
