--- a/internal/cwmetric/metric_test.go
+++ b/internal/cwmetric/metric_test.go
@@ -10,6 +10,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwmetric"
+	"carobward.example/carobward/internal/cwtest"
 )
 
 // read returns the set as the operators' listener shows it, without the
@@ -119,3 +120,32 @@
 		}
 	})
 }
+
+// TestPageHasEachMetric wants the table on the operators' page.
+func TestPageHasEachMetric(t *testing.T) {
+	var paths []string
+	for _, m := range cwmetric.Table {
+		paths = append(paths, m.Path)
+	}
+
+	cwtest.WantKeys(t, "../../docs/operators.md", paths)
+}
+
+func TestFind(t *testing.T) {
+	tests := map[string]bool{
+		"requests/fee/ran/2xx":             true,
+		"requests/-/latency/below/500µs":   true,
+		"requests/fee/latency":             false,
+		"requests/fee/latency/below/1ms/x": false,
+		"request/fee/ran/2xx":              false,
+		"memstats":                         true,
+		"":                                 false,
+	}
+	for path, want := range tests {
+		t.Run(path, func(t *testing.T) {
+			if _, got := cwmetric.Find(path); got != want {
+				t.Errorf("got %v, want %v", got, want)
+			}
+		})
+	}
+}
