--- a/internal/cwstand/platformfault.go
+++ b/internal/cwstand/platformfault.go
@@ -29,8 +29,8 @@
 	ListDown bool `json:"list_down"`
 }
 
-// Counts are the calls of the key-value service so far.
-type Counts struct {
+// StoreCounts are the calls of the key-value service so far.
+type StoreCounts struct {
 	Reads   uint64 `json:"reads"`
 	Writes  uint64 `json:"writes"`
 	Watches uint64 `json:"watches"`
@@ -54,7 +54,7 @@
 }
 
 // Counts returns the calls so far.
-func (p *Platform) Counts() Counts {
+func (p *Platform) Counts() StoreCounts {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
@@ -95,7 +95,7 @@
 		}
 
 		p.SetFaults(f)
-	case path == CountsPath && ctx.IsGet():
+	case path == StoreCountsPath && ctx.IsGet():
 		writeJSON(ctx, p.Counts())
 	case path == SavePath && ctx.IsPost():
 		p.Save()
