The first poll may come at once

BenchmarkSpread with frozen watchers showed 12.1 s to the last of 100 entry VMs: all had started together and none polled in the first half of its interval.

--- a/internal/cwconfig/bench_test.go
+++ b/internal/cwconfig/bench_test.go
@@ -103,7 +103,11 @@
 	}
 }
 
-func spreadOver(b *testing.B, n int, quiet, stuck bool) {
+// running starts a fleet over the machine's clock and returns those of its
+// entry VMs that are well.
+func running(b *testing.B, n int, stuck bool) (*fleet, []*vm) {
+	b.Helper()
+
 	f := newFleet(0)
 	f.clock = carobward.SystemClock{}
 
@@ -122,45 +126,45 @@
 		}
 	}
 
-	ctx, stop := context.WithCancel(context.Background())
+	f.start(b)
 
-	for i := range n {
-		go f.at(i).syncer.Run(ctx)
+	for _, v := range well {
+		cwtest.Wait(b, "ready", func() bool { return v.syncer.Condition().Ready })
 	}
 
-	defer func() {
-		stop()
+	return f, well
+}
 
-		for i := range n {
-			<-f.at(i).syncer.Done()
-		}
-	}()
+func (f *fleet) sent() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 
-	for _, v := range well {
-		cwtest.Wait(b, "ready", func() bool { return v.syncer.Condition().Ready })
-	}
+	return f.bytes
+}
+
+func spreadOver(b *testing.B, n int, quiet, stuck bool) {
+	f, well := running(b, n, stuck)
 
 	writer := NewWriter(f.store, NewHolder())
 	if !quiet {
 		writer = well[0].writer
 	}
 
-	began, bytesBefore := time.Now(), f.bytes
-	calls := f.store.Calls()
+	before := f.sent()
 
 	var took []float64
 
 	for i := 0; b.Loop(); i++ {
 		at := time.Now()
 
-		got, err := writer.Apply(ctx, put(fmt.Sprint("c", i), "ana", i, "fee"))
+		got, err := writer.Apply(context.Background(), put(fmt.Sprint("c", i), "ana", i, "fee"))
 		if err != nil {
 			b.Fatal(err)
 		}
 
 		for _, v := range well {
 			for v.holder.Revision() < got {
-				time.Sleep(time.Millisecond)
+				<-time.After(time.Millisecond)
 			}
 		}
 
@@ -168,14 +172,27 @@
 	}
 
 	slices.Sort(took)
+	b.ReportMetric(took[len(took)/2], "s-p50")
+	b.ReportMetric(took[len(took)*9/10], "s-p90")
+	b.ReportMetric(took[len(took)-1], "s-max")
+	b.ReportMetric(float64(f.sent()-before)/float64(len(took)*n), "B/change/vm")
+}
 
-	span := time.Since(began).Seconds()
+// BenchmarkIdle is what the exchanges and the store's calls cost without any
+// change.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{3, 19, 50, 100, 200} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			f, _ := running(b, n, false)
+			began, bytes, calls := time.Now(), f.sent(), f.store.Calls()
 
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
+			for b.Loop() {
+				<-time.After(time.Second)
+			}
 
-	b.ReportMetric(took[len(took)/2], "s-p50")
-	b.ReportMetric(took[len(took)-1], "s-max")
-	b.ReportMetric(float64(f.bytes-bytesBefore)/span/float64(n), "B/s/vm")
-	b.ReportMetric(float64(f.store.Calls()-calls)/span, "storecalls/s")
+			span := time.Since(began).Seconds()
+			b.ReportMetric(float64(f.sent()-bytes)/span/float64(n), "B/s/vm")
+			b.ReportMetric(float64(f.store.Calls()-calls)/span, "storecalls/s")
+		})
+	}
 }
--- a/internal/cwconfig/schedule.go
+++ b/internal/cwconfig/schedule.go
@@ -45,7 +45,9 @@
 	var d duties
 
 	if s.poll.IsZero() {
-		s.poll = now.Add(spread(pollEvery(fleet)))
+		// The first one may come at once: the whole fleet may have started
+		// together.
+		s.poll = now.Add(rand.N(pollEvery(fleet)))
 	}
 
 	if d.poll = !now.Before(s.poll); d.poll {
--- a/internal/cwconfig/schedule_test.go
+++ b/internal/cwconfig/schedule_test.go
@@ -73,6 +73,27 @@
 	}
 }
 
+// TestPollsBegin: a fleet that was started at once polls from the beginning,
+// not only after a share of the interval.
+func TestPollsBegin(t *testing.T) {
+	const fleet = 200
+
+	polls := 0
+
+	for range fleet {
+		plan := &schedule{}
+		for at := time.Duration(0); at < pollEvery(fleet)/5; at += tickEvery {
+			if plan.due(time.Unix(0, int64(at)), fleet, 0).poll {
+				polls++
+			}
+		}
+	}
+
+	if polls == 0 {
+		t.Error("nobody polled in the first fifth")
+	}
+}
+
 func TestOffers(t *testing.T) {
 	plan := &schedule{}
 	now := time.Unix(1000, 0)
--- a/internal/cwconfig/syncer_test.go
+++ b/internal/cwconfig/syncer_test.go
@@ -15,7 +15,7 @@
 
 // start runs the syncers of a fleet until the test ends, and checks that each
 // of them ends then.
-func (f *fleet) start(t *testing.T) {
+func (f *fleet) start(t testing.TB) {
 	t.Helper()
 
 	ctx, stop := context.WithCancel(context.Background())
