--- a/internal/cwowner/estate.go
+++ b/internal/cwowner/estate.go
@@ -31,9 +31,6 @@
 // many it knows who does.
 const estatesMost = 4096
 
-// tellEvery is the pause between two rounds of telling peers.
-const tellEvery = 500 * time.Millisecond
-
 // Take takes one part of what a leaving owner hands over.
 func (s *Service) Take(in *cwwire.Estate, out *cwwire.Taken) error {
 	o := s.owner
@@ -143,7 +140,7 @@
 	}
 
 	for to, at := range o.silent {
-		if now.Sub(at) >= quiet {
+		if now.Sub(at) >= o.pace.quiet {
 			delete(o.silent, to)
 		}
 	}
@@ -162,7 +159,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 
-	if o.telling || o.work.Err() != nil || now.Sub(o.told) < tellEvery || len(o.estates) == 0 {
+	if o.telling || o.work.Err() != nil || now.Sub(o.told) < o.pace.tell || len(o.estates) == 0 {
 		return
 	}
 
@@ -226,7 +223,7 @@
 }
 
 func (o *Owner) send(to carobward.Address, in *cwwire.Moved) error {
-	ctx, cancel := context.WithTimeout(o.work, hold+grace)
+	ctx, cancel := context.WithTimeout(o.work, o.pace.hold+o.pace.grace)
 	defer cancel()
 
 	return o.caller.Call(ctx, to, "Owner.Moved", in, &cwwire.Noted{})
--- a/internal/cwowner/handover.go
+++ b/internal/cwowner/handover.go
@@ -15,10 +15,9 @@
 // ErrHeir tells that no other entry VM took what became of the tickets.
 const ErrHeir = errors.ConstError("owner: no entry VM took the outcomes")
 
-// The bounds of handing over: the size of a part in bytes, the largest answer
-// that goes along, and the number of entry VMs that are asked.
+// The bounds of handing over: the largest answer that goes along, in bytes,
+// and the number of entry VMs that are asked.
 const (
-	partMost   = 512 << 10
 	answerMost = 3 << 20
 	heirsMost  = 3
 )
@@ -92,7 +91,7 @@
 
 // bequeath hands one estate to the first entry VM that takes it.
 func (o *Owner) bequeath(ctx context.Context, of cwticket.Owner, e *estate) error {
-	parts := split(e.table.Export())
+	parts := split(e.table.Export(), o.pace.part)
 
 	for _, p := range o.heirs(of) {
 		if err := o.give(ctx, p.Peers, of, e, parts); err != nil {
@@ -137,7 +136,7 @@
 
 // split cuts the tickets into parts that fit into a message. An answer that
 // does not is left out. There is one part at least.
-func split(all []cwticket.Entry) [][]cwticket.Entry {
+func split(all []cwticket.Entry, most int) [][]cwticket.Entry {
 	parts := [][]cwticket.Entry{nil}
 	size := 0
 
@@ -146,7 +145,7 @@
 			e.Outcome = nil
 		}
 
-		if size > 0 && size+e.Size() > partMost {
+		if size > 0 && size+e.Size() > most {
 			parts = append(parts, nil)
 			size = 0
 		}
--- a/internal/cwowner/owner.go
+++ b/internal/cwowner/owner.go
@@ -61,6 +61,7 @@
 	caller Caller
 	clock  carobward.Clock
 	log    logr.Logger
+	pace   pace
 
 	self   cwticket.Owner
 	secret cwticket.Secret
@@ -90,6 +91,7 @@
 		caller:  caller,
 		clock:   clock,
 		log:     log.WithName("owner"),
+		pace:    usual,
 		self:    cwticket.Owner{VM: self.ID, Incarnation: self.Incarnation},
 		budget:  cwticket.NewBudget(limits),
 		limits:  limits,
@@ -265,6 +267,24 @@
 	defer close(o.done)
 
 	o.Close()
+
+	o.mutex.Lock()
 	o.stop()
+	o.mutex.Unlock()
+
 	o.group.Wait()
 }
+
+// background runs something that Stop waits for, but no more after Stop.
+func (o *Owner) background(f func()) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+
+	if o.work.Err() != nil {
+		return false
+	}
+
+	o.group.Go(f)
+
+	return true
+}
--- /dev/null
+++ b/internal/cwowner/owner_test.go
@@ -0,0 +1,319 @@
+package cwowner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/internal/cwticket"
+)
+
+const patience = cwtest.WaitMost
+
+// said is what a caller is told, as a test compares it.
+type said struct {
+	Verdict carobward.Verdict
+	Status  int
+	Retry   bool
+	Same    bool
+}
+
+func (f *fleet) ask(i int, body, ticket string) (said, string) {
+	o, next, err := f.send(i, body, ticket, patience)
+	if err == nil {
+		return said{Verdict: carobward.Ran, Status: o.Reply.Status, Same: next == ticket}, next
+	}
+
+	x := failureOf(err)
+
+	return said{Verdict: x.Verdict, Status: x.Status, Retry: x.RetryAfter > 0, Same: next == ticket}, next
+}
+
+// TestRetryElsewhere charges a fee at its owner, the first entry VM, lets
+// something happen, and asks the second one.
+func TestRetryElsewhere(t *testing.T) {
+	ran := said{Verdict: carobward.Ran, Status: 1, Same: true}
+	gone := said{Verdict: carobward.Unknown, Status: 503, Retry: true, Same: true}
+
+	leave := func(f *fleet, i int) {
+		if err := f.at(i).owner.HandOver(context.Background()); err != nil {
+			f.t.Fatal(err)
+		}
+
+		f.replace(i)
+
+		for j := range f.vms {
+			f.at(j).owner.Tick(time.Now())
+		}
+	}
+	known := func(t *testing.T, f *fleet, i int, of carobward.VMID) {
+		cwtest.Wait(t, "an entry VM that knows who stands in", func() bool {
+			o := f.at(i).owner
+			f.at((i + 1) % len(f.vms)).owner.Tick(time.Now())
+			o.mutex.Lock()
+			defer o.mutex.Unlock()
+
+			for e := range o.estates {
+				if e.VM == of {
+					return true
+				}
+			}
+
+			for e := range o.moved {
+				if e.VM == of {
+					return true
+				}
+			}
+
+			return false
+		})
+	}
+
+	for name, test := range map[string]struct {
+		then   func(t *testing.T, f *fleet)
+		body   string
+		unused bool
+		want   said
+	}{
+		"nothing":       {want: ran},
+		"other content": {body: "another fee", want: said{Status: 422, Same: true}},
+		"owner killed and replaced": {
+			then: func(_ *testing.T, f *fleet) { f.replace(0) }, want: gone,
+		},
+		"owner frozen": {
+			then: func(t *testing.T, f *fleet) { t.Cleanup(f.at(0).freeze()) }, want: gone,
+		},
+		"owner frozen and resumed": {
+			then: func(_ *testing.T, f *fleet) { f.at(0).freeze()() }, want: ran,
+		},
+		"message lost": {
+			then: func(_ *testing.T, f *fleet) { f.message = func() fault { return lostCall } }, want: gone,
+		},
+		"owner left": {
+			then: func(t *testing.T, f *fleet) { leave(f, 0); known(t, f, 1, "vm-0") }, want: ran,
+		},
+		"owner left, ticket not used": {
+			then:   func(t *testing.T, f *fleet) { leave(f, 0); known(t, f, 1, "vm-0") },
+			unused: true, want: said{Verdict: carobward.NotRun, Status: 503, Retry: true},
+		},
+		"owner closed, ticket not used": {
+			then:   func(_ *testing.T, f *fleet) { f.at(0).owner.Close() },
+			unused: true, want: said{Verdict: carobward.NotRun, Status: 503, Retry: true},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			defer f.stop()
+
+			ticket := f.at(0).owner.Prefix() + ".1"
+
+			if !test.unused {
+				if diff := cmp.Diff(ran, first(f.ask(0, "fee", ticket))); diff != "" {
+					t.Fatal(diff)
+				}
+			}
+
+			if test.then != nil {
+				test.then(t, f)
+			}
+
+			body := "fee"
+			if test.body != "" {
+				body = test.body
+			}
+
+			got, next := f.ask(1, body, ticket)
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+
+			if got.Verdict != carobward.NotRun {
+				return
+			}
+
+			if got, _ := f.ask(1, body, next); got.Verdict != carobward.Ran {
+				t.Errorf("the new ticket: %+v", got)
+			}
+		})
+	}
+}
+
+func first(s said, _ string) said { return s }
+
+// TestRunningWork asks again while the work runs: the answer comes at once
+// and says when to come back, and then the outcome is there, though the
+// caller who started it has left.
+func TestRunningWork(t *testing.T) {
+	for name, at := range map[string]int{"at the owner": 0, "elsewhere": 1} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			defer f.stop()
+
+			started, release := make(chan struct{}), make(chan struct{})
+			f.ran = func(string, string, int) { close(started); <-release }
+
+			ticket := f.at(0).owner.Prefix() + ".1"
+			left := make(chan said)
+
+			go func() {
+				_, _, err := f.send(at, "fee", ticket, time.Millisecond)
+				left <- said{Verdict: carobward.VerdictOf(err)}
+			}()
+
+			<-started
+			<-left
+
+			want := said{Verdict: carobward.Unknown, Status: 409, Retry: true, Same: true}
+			for i := range 2 {
+				if diff := cmp.Diff(want, first(f.ask(i, "fee", ticket))); diff != "" {
+					t.Errorf("asked at %d: %s", i, diff)
+				}
+			}
+
+			close(release)
+			cwtest.Wait(t, "the outcome", func() bool { return first(f.ask(1, "fee", ticket)).Verdict == carobward.Ran })
+
+			if diff := cmp.Diff(map[string]int{"fee": 1}, f.runs); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestPanicLeavesUnknown: the work panics between its start and the record of
+// its outcome.
+func TestPanicLeavesUnknown(t *testing.T) {
+	f := newFleet(t, 1)
+	defer f.stop()
+
+	o := f.at(0).owner
+	ticket := o.Prefix() + ".1"
+	c := &carobward.Call{Method: "POST", Deadline: time.Now().Add(time.Hour)}
+
+	func() {
+		defer func() { _ = recover() }()
+
+		_, _, _ = o.Do(context.Background(), ticket, "", c, func(context.Context) (*cwticket.Outcome, error) { panic("test") })
+	}()
+
+	_, _, err := o.Do(context.Background(), ticket, "", c, func(context.Context) (*cwticket.Outcome, error) {
+		t.Error("the work runs again")
+
+		return nil, errFault
+	})
+	if f := failureOf(err); f.Verdict != carobward.Unknown || f.Status != 410 {
+		t.Errorf("got %v, status %d", f, f.Status)
+	}
+}
+
+// TestNoTicket: a request without one gets one with every reply, with which
+// it may be sent again.
+func TestNoTicket(t *testing.T) {
+	for name, test := range map[string]struct {
+		fault fault
+		want  carobward.Verdict
+		again carobward.Verdict
+	}{
+		"ran":     {fine, carobward.Ran, carobward.Ran},
+		"not run": {shed, carobward.NotRun, carobward.Ran},
+		"unknown": {lostReply, carobward.Unknown, carobward.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			defer f.stop()
+
+			f.request = func(string, int) fault { return test.fault }
+
+			got, next := f.ask(0, "fee", "")
+			if got.Verdict != test.want || next == "" {
+				t.Errorf("got %+v, ticket %q", got, next)
+			}
+
+			f.request = func(string, int) fault { return fine }
+
+			if got, _ := f.ask(1, "fee", next); got.Verdict != test.again {
+				t.Errorf("again: %+v", got)
+			}
+
+			if f.runs["fee"] != 1 {
+				t.Errorf("%d runs", f.runs["fee"])
+			}
+		})
+	}
+}
+
+// TestRefuse: an entry VM that is too busy may say not-run of a ticket only if
+// it owns it and nothing was started.
+func TestRefuse(t *testing.T) {
+	f := newFleet(t, 2)
+	defer f.stop()
+
+	used, unused := f.at(0).owner.Prefix()+".1", f.at(0).owner.Prefix()+".1"
+	f.ask(0, "fee", used)
+
+	for name, test := range map[string]struct {
+		at     int
+		ticket string
+		want   carobward.Verdict
+	}{
+		"no ticket":          {1, "", carobward.NotRun},
+		"another's ticket":   {1, unused, carobward.Unknown},
+		"a malformed ticket": {1, "x", carobward.Unknown},
+		"its own, ran":       {0, used, carobward.Unknown},
+		"its own, unused":    {0, unused, carobward.NotRun},
+	} {
+		busy := carobward.NewFailure(carobward.NotRun, 503, time.Second, errFault)
+		if _, err := f.at(test.at).owner.Refuse(test.ticket, busy); carobward.VerdictOf(err) != test.want {
+			t.Errorf("%s: got %v, want %s", name, err, test.want)
+		}
+	}
+
+	if got, _ := f.ask(0, "other", unused); got.Verdict != carobward.NotRun {
+		t.Errorf("a ticket that was refused as not-run: %+v", got)
+	}
+}
+
+// TestOutcomesOutliveManyLeaves passes outcomes from one leaving entry VM to
+// the next, and to newcomers that have heard nothing.
+func TestOutcomesOutliveManyLeaves(t *testing.T) {
+	f := newFleet(t, 3)
+	defer f.stop()
+
+	var tickets []string
+
+	for n := range 40 {
+		ticket := f.at(0).owner.Prefix() + ".1"
+		if got, _ := f.ask(0, fmt.Sprint(n), ticket); got.Verdict != carobward.Ran {
+			t.Fatalf("%+v", got)
+		}
+
+		tickets = append(tickets, ticket)
+	}
+
+	for i := range 6 {
+		if err := f.at(i % 3).owner.HandOver(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+
+		f.replace(i % 3)
+	}
+
+	for n, ticket := range tickets {
+		for i := range 3 {
+			cwtest.Wait(t, "the outcome", func() bool {
+				for j := range 3 {
+					f.at(j).owner.Tick(time.Now())
+				}
+
+				got, _ := f.ask(i, fmt.Sprint(n), ticket)
+
+				return got.Verdict == carobward.Ran && got.Status == n+1
+			})
+		}
+	}
+}
--- a/internal/cwowner/pass.go
+++ b/internal/cwowner/pass.go
@@ -12,15 +12,30 @@
 	"carobward.example/carobward/internal/cwwire"
 )
 
-// The pace of passing on. An owner answers each call after hold at the
-// latest, if only to say that the work still runs, so one that has not
-// answered after hold and grace is silent, however long the work takes. It is
-// not asked again for the time quiet.
-const (
-	hold  = 150 * time.Millisecond
-	grace = 350 * time.Millisecond
-	quiet = time.Second
-)
+// pace is how fast entry VMs talk about tickets.
+type pace struct {
+	// hold is how long an owner keeps a call waiting while the work runs,
+	// before it says so.
+	hold time.Duration
+	// grace is how much longer an answer may take. So an owner that has not
+	// answered after hold and grace is silent, however long the work takes.
+	grace time.Duration
+	// quiet is how long a silent owner is not asked again.
+	quiet time.Duration
+	// tell is the pause between two rounds of telling peers for whom this
+	// entry VM stands in.
+	tell time.Duration
+	// part is the size of a part of what is handed over, in bytes.
+	part int
+}
+
+var usual = pace{
+	hold:  150 * time.Millisecond,
+	grace: 350 * time.Millisecond,
+	quiet: time.Second,
+	tell:  500 * time.Millisecond,
+	part:  512 << 10,
+}
 
 // unknown is the failure of a request that cannot be answered for here.
 func unknown(cause error) *carobward.Failure {
@@ -56,7 +71,7 @@
 
 // ask calls an owner and notes when it is silent.
 func (o *Owner) ask(ctx context.Context, to carobward.Address, method string, in, out proto.Message) error {
-	ctx, cancel := context.WithTimeout(ctx, hold+grace)
+	ctx, cancel := context.WithTimeout(ctx, o.pace.hold+o.pace.grace)
 	defer cancel()
 
 	err := o.caller.Call(ctx, to, method, in, out)
@@ -87,7 +102,7 @@
 	defer o.mutex.Unlock()
 
 	if at, ok := o.silent[to]; ok {
-		if o.clock.Now().Sub(at) < quiet {
+		if o.clock.Now().Sub(at) < o.pace.quiet {
 			return "", unknown(ErrSilent)
 		}
 
--- a/internal/cwowner/service.go
+++ b/internal/cwowner/service.go
@@ -45,11 +45,11 @@
 		return nil
 	}
 
-	o.group.Go(func() {
-		_, _ = o.run(context.Background(), claim, false, func(ctx context.Context) (*cwticket.Outcome, error) {
-			return s.runner.RunOnce(ctx, id, c)
-		})
-	})
+	work := func(ctx context.Context) (*cwticket.Outcome, error) { return s.runner.RunOnce(ctx, id, c) }
+
+	if !o.background(func() { _, _ = o.run(context.Background(), claim, false, work) }) {
+		claim.NotRun(now, false)
+	}
 
 	s.await(claim.Done())
 	s.result(table, t, out)
@@ -80,7 +80,7 @@
 func (s *Service) await(done <-chan struct{}) {
 	select {
 	case <-done:
-	case <-time.After(hold):
+	case <-time.After(s.owner.pace.hold):
 	}
 }
 
