--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,6 @@
 
 // The errors of a request that is given up.
 const (
-	ErrTarget = errors.ConstError("no target matches this request")
 	ErrServer = errors.ConstError("no server can take this request now")
 	ErrBusy   = errors.ConstError("this entry VM has too many requests in flight")
 	ErrNew    = errors.ConstError("this entry VM has no configuration yet")
@@ -54,7 +54,11 @@
 
 // New returns a Carrier.
 func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, owner Owner, clock carobward.Clock, log logr.Logger) *Carrier {
-	return &Carrier{options: o, holder: holder, servers: servers, link: link, owner: owner, clock: clock, log: log.WithName("entry")}
+	c := &Carrier{options: o, holder: holder, servers: servers, link: link, owner: owner, clock: clock, log: log.WithName("entry")}
+	// Attempts of an earlier run have other ids.
+	c.serial.Store(uint64(rand.Uint32()) << 16)
+
+	return c
 }
 
 // Running returns the number of requests in flight.
@@ -62,7 +66,12 @@
 
 // Handle serves one request.
 func (c *Carrier) Handle(ctx *fasthttp.RequestCtx) {
-	id := requestID(ctx)
+	id, err := requestID(ctx)
+	if err != nil {
+		c.writeFailure(ctx, id, err)
+
+		return
+	}
 
 	reply, err := c.serve(ctx, id)
 	if err != nil {
@@ -81,7 +90,11 @@
 		return nil, c.refuse(ctx, err)
 	}
 
-	target, err := c.target(string(ctx.Host()), string(ctx.Method()), string(ctx.Path()))
+	if err := check(ctx); err != nil {
+		return nil, c.refuse(ctx, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err))
+	}
+
+	target, err := c.target(string(ctx.Host()), string(ctx.Method()), originForm(ctx))
 	if err != nil {
 		return nil, c.refuse(ctx, err)
 	}
@@ -106,17 +119,3 @@
 
 	return nil
 }
-
-// target returns the target that a request belongs to.
-func (c *Carrier) target(host, method, path string) (*carobward.Target, error) {
-	if c.holder.Revision() == 0 {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrNew)
-	}
-
-	t := c.holder.Targets().Find(host, method, path)
-	if t == nil {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusNotFound, 0, ErrTarget)
-	}
-
-	return t, nil
-}
