A not-run speaks for a ticket only where the ticket is closed

A request refused before its work (timeout header, body, request id, no target, unreadable) was answered not-run though an earlier one with the same ticket may have run; a caller that then took a new ticket was charged twice. Such a refusal now closes the ticket at its owner, or is unknown. The callers' library retries under the same ticket until a reply closes it.

--- a/internal/cwentry/once.go
+++ b/internal/cwentry/once.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
@@ -48,7 +49,10 @@
 		return err
 	}
 
-	next, err := c.owner.Refuse(ticket, c.failure(err, carobward.NotRun))
+	f := carobward.NewFailure(carobward.Unknown, fasthttp.StatusInternalServerError, retryAfter, err)
+	_ = errors.As(err, &f)
+
+	next, err := c.owner.Refuse(ticket, f)
 	ctx.Response.Header.Set(carobward.HeaderTicket, next)
 
 	return err
--- a/internal/cwentry/server.go
+++ b/internal/cwentry/server.go
@@ -127,7 +127,9 @@
 
 	status, cause := refusal(err)
 	s.log.V(1).Info("A request could not be read.", "from", ctx.RemoteAddr().String(), "cause", err.Error())
-	s.carrier.writeFailure(ctx, id, carobward.NewFailure(carobward.NotRun, status, 0, cause))
+
+	failure := carobward.NewFailure(carobward.NotRun, status, 0, cause)
+	s.carrier.writeFailure(ctx, id, s.carrier.refuse(ctx, failure))
 
 	_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
 
--- a/pkg/cwcaller/try.go
+++ b/pkg/cwcaller/try.go
@@ -82,17 +82,22 @@
 }
 
 // answered takes the ticket that a reply names, and notes what a failure
-// means for it.
+// means for it. A not-run that names a new ticket closes the old one, so that
+// earlier attempts under it have not run either. Without one it speaks for
+// this attempt only.
 func (t *try) answered(v carobward.Verdict, reply *Reply) {
-	if next := reply.Header.Get(carobward.HeaderTicket); next != "" && t.request.Once {
-		t.ticket = next
-	} else if v == carobward.NotRun {
-		t.ticket = ""
+	next := reply.Header.Get(carobward.HeaderTicket)
+
+	switch {
+	case v != carobward.NotRun:
+		t.doubt = true
+	case next != "" && next != t.ticket:
+		t.doubt = false
 	}
 
-	// A not-run closes the ticket, so that earlier attempts under it have not
-	// run either.
-	t.doubt = v != carobward.NotRun
+	if t.request.Once && next != "" {
+		t.ticket = next
+	}
 
 	if reply.Status == fasthttp.StatusServiceUnavailable {
 		t.place++
