--- a/cmd/carobward/main.go
+++ b/cmd/carobward/main.go
@@ -78,6 +78,7 @@
 		{"status", "Show where which revision is in force.", usageStatus, &statusCommand{}},
 		{"demo", "Run the main job here, with stand-ins.", usageDemo, &demoCommand{}},
 		{"help", "Show what carobward does, or how one command is used.", usageHelp, &helpCommand{parser: p}},
+		{"bench", "Compare ways to choose servers under load.", usageBench, &benchCommand{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
 			panic(err)
