--- a/internal/cwlink/report.go
+++ b/internal/cwlink/report.go
@@ -15,6 +15,7 @@
 	metricRunning  = "running"
 	metricQueued   = "queued"
 	metricDraining = "draining"
+	metricRun      = "run"
 	formatText     = "TEXT"
 )
 
@@ -48,11 +49,13 @@
 			r.Queued = int(n)
 		case metricDraining:
 			r.Draining = n > 0
+		case metricRun:
+			r.Run = uint64(n)
 		}
 	}
 
 	return r
 }
 
-// maxMetric bounds what a server may claim.
-const maxMetric = 1 << 20
+// maxMetric bounds what a server may claim. A run may be a time in seconds.
+const maxMetric = 1 << 40
--- a/internal/cwserver/table.go
+++ b/internal/cwserver/table.go
@@ -22,6 +22,7 @@
 	Leaving atomic.Bool
 
 	report atomic.Pointer[carobward.Report]
+	leave  *leave
 }
 
 // Report returns the last load report; At is zero if there was none.
@@ -40,10 +41,7 @@
 	}
 
 	s.report.Store(&r)
-
-	if r.Draining {
-		s.Leaving.Store(true)
-	}
+	s.say(r)
 }
 
 // Table holds all servers by service.
@@ -51,11 +49,12 @@
 	mutex     sync.Mutex
 	byAddress map[carobward.Address]*Server
 	byService atomic.Pointer[map[carobward.Service][]*Server]
+	leave     *leave
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{byAddress: map[carobward.Address]*Server{}}
+	t := &Table{byAddress: map[carobward.Address]*Server{}, leave: newLeave()}
 	t.byService.Store(&map[carobward.Service][]*Server{})
 
 	return t
@@ -79,11 +78,7 @@
 
 		s := t.byAddress[v.Address]
 		if s == nil || s.Service != v.Service {
-			s = &Server{Address: v.Address, Service: v.Service, Domain: v.Domain}
-		}
-
-		if v.State == carobward.Leaving {
-			s.Leaving.Store(true)
+			s = &Server{Address: v.Address, Service: v.Service, Domain: v.Domain, leave: t.leave}
 		}
 
 		next[v.Address] = s
@@ -92,4 +87,5 @@
 
 	t.byAddress = next
 	t.byService.Store(&byService)
+	t.listed(list, next)
 }
--- a/server.go
+++ b/server.go
@@ -17,6 +17,9 @@
 	Queued int
 	// Draining tells that the server takes no new work.
 	Draining bool
+	// Run numbers the server's runs, rising with each start; 0 where it gives
+	// no number.
+	Run uint64
 }
 
 // Call is one request as it goes to a server.
