Tell all entry VMs of a leaving server within three seconds

Cause: each entry VM learned by itself, at worst from the VM list, which lags; a paused one gave out work by what it knew before. Marks a server and kind of sign now spread by push and by comparison, and are asked right before each dispatch; after a pause no work goes out until a fresh peer has answered. Ruled out: clearing by a report without drain, which may be from before it; clearing by a fine health answer, which may lie; time alone, but where the list shows the server as live for five minutes to all.

--- /dev/null
+++ b/cmd/carobward/drain.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwoperator"
+)
+
+const usageDrain = `Have a server get no new work, on all entry VMs within three seconds. What it
+runs is finished. Then print which servers leave and by what sign: the
+operators' word, the server's own, its health endpoint or the VM list. Without
+an address, print only.
+
+A drain lasts until --undo, or until the server has been off the VM list for
+five minutes. The entry VM that was told may be replaced meanwhile. --undo ends
+the other signs as well; one that is seen after it counts again.`
+
+type drainCommand struct {
+	clientFlags
+
+	Undo bool `long:"undo" description:"Have the server get work again."`
+	Args struct {
+		Address carobward.Address `positional-arg-name:"ADDRESS" description:"The server, as the VM list has it, such as 10.0.0.9:8080."`
+	} `positional-args:"yes"`
+}
+
+// Execute drains or undoes, and prints who leaves.
+func (c *drainCommand) Execute([]string) error {
+	var all []cwoperator.Leaving
+
+	err := c.ask(&all)
+	if err != nil {
+		return err
+	}
+
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "SERVER\tLEAVES BY")
+
+	for _, l := range all {
+		_, _ = fmt.Fprintf(w, "%s\t%s\n", l.Address, l.Source)
+	}
+
+	return w.Flush()
+}
+
+func (c *drainCommand) ask(out *[]cwoperator.Leaving) error {
+	if c.Args.Address == "" {
+		return c.call(fasthttp.MethodGet, cwoperator.DrainPath, nil, out)
+	}
+
+	return c.call(fasthttp.MethodPost, cwoperator.DrainPath, cwoperator.Drain{Address: c.Args.Address, Undo: c.Undo}, out)
+}
--- a/cmd/carobward/main.go
+++ b/cmd/carobward/main.go
@@ -70,6 +70,7 @@
 		{"diff", "Show what apply would change.", usageDiff, &diffCommand{}},
 		{"apply", "Make the targets in a file or folder the ones in force.", usageApply, &applyCommand{}},
 		{"status", "Show where which revision is in force.", usageStatus, &statusCommand{}},
+		{"drain", "Have a server get no new work.", usageDrain, &drainCommand{}},
 		{"demo", "Run the main job here, with stand-ins.", usageDemo, &demoCommand{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
--- a/internal/cwbudget/budget_test.go
+++ b/internal/cwbudget/budget_test.go
@@ -61,6 +61,8 @@
 	step    = 100 * time.Millisecond
 	lagMost = 3 * time.Second
 	run     = 45 * time.Second
+	// eager bounds what a VM asks for at one step.
+	eager = 1000
 )
 
 // out is a measurement on its way.
@@ -131,6 +133,10 @@
 		seen = max(1, (seen*v.share+4)/5)
 		at := start.Add(now)
 
+		if m.rng.IntN(4) == 0 {
+			seen = max(1, seen/2) // A source flaps.
+		}
+
 		v.Tick(at, View{Budget: m.budget, Size: seen, Rank: m.rank(v, now-v.lag), At: at})
 		m.finish(v, now)
 		m.spend(v, now)
@@ -141,11 +147,11 @@
 	at := start.Add(now)
 	probe, report := Cost{1, Unit}, Cost{0, 160}
 
-	for v.Reserve(at, probe) {
+	for n := 0; n < eager && v.Reserve(at, probe); n++ {
 		m.begin(v, now, probe, 500*time.Millisecond)
 	}
 
-	for v.ReserveReport(at, report.Bytes) {
+	for n := 0; n < eager && v.ReserveReport(at, report.Bytes); n++ {
 		m.begin(v, now, report, 2*time.Second)
 	}
 }
--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -71,6 +71,10 @@
 
 // attempt sends the call to one server.
 func (c *Carrier) attempt(ctx context.Context, id carobward.RequestID, s *cwserver.Server, call *carobward.Call) (*carobward.Reply, error) {
+	if !c.servers.MayDispatch(s, c.clock.Now()) {
+		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, 0, ErrServer)
+	}
+
 	one := *call
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
--- a/internal/cwnews/spread.go
+++ b/internal/cwnews/spread.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/bits"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -22,7 +21,7 @@
 	// more each time the fleet doubles.
 	spreadLeast = 4
 	// pullEvery is the time between two comparisons with a peer.
-	pullEvery = time.Second
+	pullEvery = 500 * time.Millisecond
 	// marksSent bounds the marks of one message.
 	marksSent = 1 << 10
 	// callMost bounds one call to a peer.
@@ -36,7 +35,7 @@
 
 // Caller calls a method of a peer.
 type Caller interface {
-	Call(ctx context.Context, to carobward.Address, method string, in, out any) error
+	Call(ctx context.Context, to carobward.Address, method string, in, out proto.Message) error
 }
 
 // Send is one message to a peer.
@@ -52,7 +51,8 @@
 
 	ticked time.Time
 	pulled time.Time
-	heard  time.Time
+	// answered is the tick of the last comparison that a peer answered.
+	answered time.Time
 	// missed is when the last pause ended; zero when its news were heard.
 	missed time.Time
 
@@ -73,18 +73,24 @@
 	peers = s.draw(peers)
 	sends := s.push(peers)
 
+	if now.Sub(s.pulled) < pullEvery && s.missed.IsZero() {
+		return sends
+	}
+
 	switch {
 	case len(peers) == 0:
-	case !s.missed.IsZero():
-		// All of the few drawn, since any may have been paused too.
+	case !s.missed.IsZero() || s.pulled.IsZero():
+		// After a pause or a failure from all of the few drawn, since any may
+		// not answer, or have been paused too.
 		for _, p := range peers {
 			sends = append(sends, Send{p, s.table.compare()})
 		}
-	case now.Sub(s.pulled) >= pullEvery:
-		s.pulled = now
+	default:
 		sends = append(sends, Send{peers[0], s.table.compare()})
 	}
 
+	s.pulled = now
+
 	return sends
 }
 
@@ -121,7 +127,10 @@
 	s.table.take(now, answer.GetMarks())
 
 	if len(sent.GetDigests()) > 0 {
-		s.heard = now
+		s.answered, s.pulled = s.ticked, s.ticked
+	}
+
+	if len(sent.GetDigests()) > 0 && answer.GetFresh() {
 		s.missed = time.Time{}
 	}
 }
@@ -130,7 +139,7 @@
 func (s *Spread) Failed(sent *cwwire.News) {
 	s.table.again(sent.GetMarks())
 
-	if len(sent.GetDigests()) > 0 {
+	if len(sent.GetDigests()) > 0 && !s.answered.Equal(s.ticked) {
 		s.pulled = time.Time{}
 	}
 }
@@ -176,119 +185,3 @@
 // Spent returns the calls made and the bytes of their messages since the
 // start.
 func (s *Spread) Spent() (calls, bytes int64) { return s.calls.Load(), s.bytes.Load() }
-
-// Service is what peers may call.
-type Service struct {
-	table *Table
-	clock carobward.Clock
-}
-
-// NewService returns the service of a table.
-func NewService(table *Table, clock carobward.Clock) *Service {
-	return &Service{table: table, clock: clock}
-}
-
-// Exchange takes a peer's marks and answers with ours where its digests
-// differ.
-func (s *Service) Exchange(in *cwwire.News, out *cwwire.News) error {
-	now := s.clock.Now()
-
-	s.table.take(now, in.GetMarks())
-	out.Marks = s.table.differing(in.GetDigests())
-
-	return nil
-}
-
-// size sets how many peers a mark is told to by the size of the fleet.
-func (t *Table) size(peers int) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-
-	t.spread = spreadLeast + 2*bits.Len(uint(peers))
-}
-
-// hot returns the marks that are to be told, or nil.
-func (t *Table) hot() *cwwire.News {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-
-	var news *cwwire.News
-
-	for _, k := range t.sorted() {
-		l := t.lines[k]
-		if l.left == 0 {
-			continue
-		}
-
-		l.left--
-
-		if news == nil {
-			news = &cwwire.News{}
-		}
-
-		if news.Marks = append(news.Marks, l.wire()); len(news.Marks) == marksSent {
-			break
-		}
-	}
-
-	return news
-}
-
-// again has marks told once more that did not get through.
-func (t *Table) again(marks []*cwwire.Mark) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-
-	for _, w := range marks {
-		m := fromWire(w)
-		if l := t.lines[key{m.Address, m.Source}]; l != nil && l.Mark == m {
-			l.left++
-		}
-	}
-}
-
-// compare returns our digests.
-func (t *Table) compare() *cwwire.News {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-
-	return &cwwire.News{Digests: t.digests()}
-}
-
-// differing returns the marks of the parts whose digests differ from ours.
-func (t *Table) differing(digests []uint32) []*cwwire.Mark {
-	if len(digests) != parts {
-		return nil
-	}
-
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-
-	var marks []*cwwire.Mark
-
-	own := t.digests()
-	for _, k := range t.sorted() {
-		if part := k.hash() % parts; own[part] != digests[part] {
-			marks = append(marks, t.lines[k].wire())
-		}
-	}
-
-	return marks
-}
-
-// take takes the marks of a peer that override ours.
-func (t *Table) take(now time.Time, marks []*cwwire.Mark) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-
-	for _, w := range marks {
-		m := fromWire(w)
-		if !m.valid(now) {
-			continue
-		}
-
-		if l := t.lines[key{m.Address, m.Source}]; l == nil || m.later(l.Mark) {
-			t.put(m)
-		}
-	}
-}
--- a/internal/cwnews/table.go
+++ b/internal/cwnews/table.go
@@ -2,10 +2,7 @@
 
 import (
 	"cmp"
-	"hash/fnv"
-	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -116,22 +113,32 @@
 	defer t.mutex.Unlock()
 
 	for _, w := range words {
-		k := key{w.Address, Word}
-		l := t.lines[k]
-		known := l != nil && w.Run < l.Run
+		t.word(now, w)
+	}
+}
 
-		switch {
-		case known:
-			// A late word of an earlier run.
-		case w.Draining && (l == nil || !l.On):
+func (t *Table) word(now time.Time, w cwserver.Word) {
+	k := key{w.Address, Word}
+	l := t.lines[k]
+
+	if l == nil {
+		if w.Draining {
 			t.set(now, k, true, w.Run)
-		case !w.Draining && l != nil && l.On && l.Run > 0 && w.Run > l.Run:
-			t.set(now, k, false, w.Run)
 		}
+
+		return
+	}
+
+	if w.Run > 0 && w.Run < l.Run {
+		return // A late word of an earlier run.
 	}
 
-	// The words are off the server table by now, so it needs the levels.
-	t.changed = t.changed || len(words) > 0
+	begins := w.Draining && (!l.On || w.Run > l.Run)
+	ends := !w.Draining && l.On && l.Run > 0 && w.Run > l.Run
+
+	if begins || ends {
+		t.set(now, k, w.Draining, w.Run)
+	}
 }
 
 // Operator takes an operator's word. Undoing ends the marks of each source; a
@@ -244,62 +251,29 @@
 	return all
 }
 
-// Levels returns what the marks come to for each server, and whether that has
-// changed since it was last asked.
-func (t *Table) Levels() (map[carobward.Address]cwserver.Level, bool) {
+// Changed tells whether a mark has changed since it was last asked.
+func (t *Table) Changed() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 
-	levels := map[carobward.Address]cwserver.Level{}
 	changed := t.changed
 	t.changed = false
 
-	for _, l := range t.lines {
-		if level := l.level(); level > levels[l.Address] {
-			levels[l.Address] = level
-		}
-	}
-
-	return levels, changed
-}
-
-// parts is the number of parts that the table is compared by.
-const parts = 16
-
-func (k key) hash() uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(k.address))
-
-	return h.Sum32()
+	return changed
 }
 
-// digests returns a digest of each part; the mutex is held.
-func (t *Table) digests() []uint32 {
-	all := make([]uint32, parts)
-
-	for k, l := range t.lines {
-		h := fnv.New32a()
-		_, _ = h.Write([]byte(k.address))
-		_, _ = h.Write(strconv.AppendUint([]byte{byte(k.source), bit(l.On)}, l.Time, 16))
-		_, _ = h.Write(strconv.AppendUint([]byte{'-'}, l.Run, 16))
-		all[k.hash()%parts] ^= h.Sum32()
-	}
+// Levels returns what the marks come to for each server.
+func (t *Table) Levels() map[carobward.Address]cwserver.Level {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
 
-	return all
-}
+	levels := map[carobward.Address]cwserver.Level{}
 
-func bit(on bool) byte {
-	if on {
-		return 1
+	for _, l := range t.lines {
+		if level := l.level(); level > levels[l.Address] {
+			levels[l.Address] = level
+		}
 	}
 
-	return 0
-}
-
-// sorted returns the keys in order, so that the same table tells the same; the
-// mutex is held.
-func (t *Table) sorted() []key {
-	return slices.SortedFunc(maps.Keys(t.lines), func(a, b key) int {
-		return cmp.Or(cmp.Compare(a.address, b.address), cmp.Compare(a.source, b.source))
-	})
+	return levels
 }
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -21,6 +21,7 @@
 	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwlookup"
 	"carobward.example/carobward/internal/cwmember"
+	"carobward.example/carobward/internal/cwnews"
 	"carobward.example/carobward/internal/cwoperator"
 	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwroute"
@@ -50,6 +51,7 @@
 	clients *cwpeer.Clients
 	server  *cwpeer.Server
 	member  *cwmember.Service
+	news    *cwnews.System
 	holder  *cwconfig.Holder
 	watcher *cwconfig.Watcher
 	link    *cwlink.Link
@@ -94,12 +96,16 @@
 		return nil, err
 	}
 
+	if err := n.openNews(log); err != nil {
+		return nil, err
+	}
+
 	n.watcher = cwconfig.NewWatcher(n.store, n.holder, log)
 	n.link = cwlink.New(cwlink.Options{Conns: connsPerServer, Keep: connKeep, Header: replyHeader}, clock)
 	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Pair{}}, n.holder, n.servers, n.link, clock, log)
 	n.data = dataServer(&s.Limits, n.carrier)
 	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std())
-	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers).Handler()
+	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers).WithDrains(n.news, n.servers).Handler()
 
 	return n, nil
 }
@@ -196,6 +202,7 @@
 	group.Go(func() { n.watcher.Run(work) })
 	group.Go(func() { n.tick(work) })
 	group.Go(func() { n.member.Run(work) })
+	group.Go(func() { n.news.Run(work) })
 	group.Go(func() { n.logEnd("callers", n.data.Serve(n.listeners.callers)) })
 	group.Go(func() { n.logEnd("lookup", n.lookup.Listener(n.listeners.lookup)) })
 	group.Go(func() { n.logEnd("peers", n.server.Serve(n.listeners.peers)) })
@@ -207,6 +214,7 @@
 
 	stop()
 	<-n.member.Done()
+	<-n.news.Done()
 	n.closePeers()
 	_ = n.lookup.Shutdown()
 	_ = n.operators.Shutdown()
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -44,6 +44,7 @@
 		return
 	}
 
+	n.news.Listed(list)
 	n.servers.Update(list)
 	n.member.Seeds(list)
 }
--- a/internal/cwoperator/api.go
+++ b/internal/cwoperator/api.go
@@ -54,6 +54,7 @@
 	holder *cwconfig.Holder
 	writer *cwconfig.Writer
 	peers  *cwpeer.Table
+	drains drains
 }
 
 // New returns the API. An empty key lets everyone in.
@@ -68,6 +69,7 @@
 	app.Get("/config", a.config)
 	app.Post("/config", a.apply)
 	app.Get("/status", a.status)
+	a.drains.handle(app)
 	app.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
 
 	return app
--- a/internal/cwserver/leave.go
+++ b/internal/cwserver/leave.go
@@ -1,6 +1,8 @@
 package cwserver
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -8,6 +10,10 @@
 	"carobward.example/carobward"
 )
 
+// started is the base of times kept as numbers, so that they go by the
+// monotonic clock.
+var started = time.Now()
+
 // Level tells how surely a server leaves.
 type Level uint8
 
@@ -40,8 +46,8 @@
 	words  map[carobward.Address]Word
 	// owners has the server that the VM list shows at an address.
 	owners map[carobward.Address]*Server
-	// fresh is the time in Unix nanoseconds until which the levels may be
-	// relied on; 0 means for ever.
+	// fresh is the time after started, in nanoseconds, until which the levels
+	// may be relied on; 0 means for ever.
 	fresh atomic.Int64
 }
 
@@ -49,12 +55,19 @@
 	return &leave{levels: map[carobward.Address]Level{}, words: map[carobward.Address]Word{}}
 }
 
-// SetLevels replaces what is known of leaving servers.
-func (t *Table) SetLevels(levels map[carobward.Address]Level) {
+// SetLevels replaces what is known of leaving servers, in which the given
+// words are taken into account.
+func (t *Table) SetLevels(levels map[carobward.Address]Level, taken []Word) {
 	t.leave.mutex.Lock()
 	defer t.leave.mutex.Unlock()
 
-	t.leave.levels = levels
+	for _, w := range taken {
+		if t.leave.words[w.Address] == w {
+			delete(t.leave.words, w.Address)
+		}
+	}
+
+	t.leave.levels = maps.Clone(levels)
 	t.refresh()
 }
 
@@ -102,21 +115,20 @@
 	return l.levels[a]
 }
 
-// TakeWords returns the words that servers said since the last time. SetLevels
-// must follow with what becomes of them.
-func (t *Table) TakeWords() []Word {
+// Words returns what servers said since it was last taken into account.
+func (t *Table) Words() []Word {
 	t.leave.mutex.Lock()
 	defer t.leave.mutex.Unlock()
 
-	var words []Word
-
-	for _, w := range t.leave.words {
-		words = append(words, w)
-	}
+	return slices.Collect(maps.Values(t.leave.words))
+}
 
-	clear(t.leave.words)
+// Has tells whether the VM list shows a server at an address.
+func (t *Table) Has(a carobward.Address) bool {
+	t.leave.mutex.Lock()
+	defer t.leave.mutex.Unlock()
 
-	return words
+	return t.leave.owners[a] != nil
 }
 
 // say takes a server's word. It is called for each report and so returns fast
@@ -135,6 +147,11 @@
 		return
 	}
 
+	// A reply from before the drain may come after one that told of it.
+	if old, ok := s.leave.words[s.Address]; ok && old.Draining && !r.Draining && r.Run <= old.Run {
+		return
+	}
+
 	s.leave.words[s.Address] = Word{Address: s.Address, Run: r.Run, Draining: r.Draining}
 
 	if r.Draining {
@@ -143,17 +160,18 @@
 }
 
 // SetFresh tells until when the levels may be relied on.
-func (t *Table) SetFresh(until time.Time) { t.leave.fresh.Store(until.UnixNano()) }
+func (t *Table) SetFresh(until time.Time) { t.leave.fresh.Store(int64(until.Sub(started))) }
 
 // MayDispatch tells whether new work may go to a server now. It must be asked
 // right before each dispatch, be it the first, queued, retried or hedged. An
 // entry VM that was paused gives out no work until it has heard the news.
 func (t *Table) MayDispatch(s *Server, now time.Time) bool {
-	if s.Leaving.Load() {
-		return false
-	}
+	return !s.Leaving.Load() && t.Fresh(now)
+}
 
+// Fresh tells whether the levels may be relied on.
+func (t *Table) Fresh(now time.Time) bool {
 	fresh := t.leave.fresh.Load()
 
-	return fresh == 0 || now.UnixNano() <= fresh
+	return fresh == 0 || int64(now.Sub(started)) <= fresh
 }
