--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,6 @@
 
 // The errors of a request that is given up.
 const (
-	ErrTarget = errors.ConstError("no target matches this request")
 	ErrServer = errors.ConstError("no server can take this request now")
 	ErrBusy   = errors.ConstError("this entry VM has too many requests in flight")
 	ErrNew    = errors.ConstError("this entry VM has no configuration yet")
@@ -44,6 +44,7 @@
 	holder  *cwconfig.Holder
 	servers *cwserver.Table
 	link    carobward.Servers
+	owner   Owner
 	clock   carobward.Clock
 	log     logr.Logger
 
@@ -52,8 +53,12 @@
 }
 
 // New returns a Carrier.
-func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, clock carobward.Clock, log logr.Logger) *Carrier {
-	return &Carrier{options: o, holder: holder, servers: servers, link: link, clock: clock, log: log.WithName("entry")}
+func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, owner Owner, clock carobward.Clock, log logr.Logger) *Carrier {
+	c := &Carrier{options: o, holder: holder, servers: servers, link: link, owner: owner, clock: clock, log: log.WithName("entry")}
+	// Attempts of an earlier run have other ids.
+	c.serial.Store(uint64(rand.Uint32()) << 16)
+
+	return c
 }
 
 // Running returns the number of requests in flight.
@@ -61,7 +66,12 @@
 
 // Handle serves one request.
 func (c *Carrier) Handle(ctx *fasthttp.RequestCtx) {
-	id := requestID(ctx)
+	id, err := requestID(ctx)
+	if err != nil {
+		c.writeFailure(ctx, id, err)
+
+		return
+	}
 
 	reply, err := c.serve(ctx, id)
 	if err != nil {
@@ -74,27 +84,38 @@
 }
 
 func (c *Carrier) serve(ctx *fasthttp.RequestCtx, id carobward.RequestID) (*answer, error) {
-	if c.running.Add(1) > int64(c.options.Calls) {
-		c.running.Add(-1)
+	defer c.running.Add(-1)
 
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrBusy)
+	if err := c.admit(); err != nil {
+		return nil, c.refuse(ctx, err)
 	}
 
-	defer c.running.Add(-1)
-
-	if c.holder.Revision() == 0 {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrNew)
+	if err := check(ctx); err != nil {
+		return nil, c.refuse(ctx, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err))
 	}
 
-	target := c.holder.Targets().Find(string(ctx.Host()), string(ctx.Method()), string(ctx.Path()))
-	if target == nil {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusNotFound, 0, ErrTarget)
+	target, err := c.target(string(ctx.Host()), string(ctx.Method()), originForm(ctx))
+	if err != nil {
+		return nil, c.refuse(ctx, err)
 	}
 
 	call, err := c.call(ctx, target)
 	if err != nil {
-		return nil, err
+		return nil, c.refuse(ctx, err)
+	}
+
+	if target.Promise == carobward.Once {
+		return c.once(ctx, id, target, call)
 	}
 
 	return c.carry(context.Background(), id, target, call)
 }
+
+// admit counts a request in flight, whether it is admitted or not.
+func (c *Carrier) admit() error {
+	if c.running.Add(1) > int64(c.options.Calls) {
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrBusy)
+	}
+
+	return nil
+}
--- a/internal/cwnews/fleet_test.go
+++ b/internal/cwnews/fleet_test.go
@@ -71,7 +71,7 @@
 // ways between VMs are cut.
 func newFleet(seed uint64, vms int, faults bool) *fleet {
 	f := &fleet{
-		clock:   &clock{time.Unix(1_700_000_000, 0)},
+		clock:   &clock{time.Unix(4_000_000_000, 0)},
 		rng:     rand.New(rand.NewPCG(seed, 2)),
 		address: map[carobward.Address]*vm{},
 		cut:     map[[2]carobward.Address]bool{},
--- a/internal/cwserver/leave.go
+++ b/internal/cwserver/leave.go
@@ -10,10 +10,6 @@
 	"carobward.example/carobward"
 )
 
-// started is the base of times kept as numbers, so that they go by the
-// monotonic clock.
-var started = time.Now()
-
 // Level tells how surely a server leaves.
 type Level uint8
 
@@ -46,8 +42,8 @@
 	words  map[carobward.Address]Word
 	// owners has the server that the VM list shows at an address.
 	owners map[carobward.Address]*Server
-	// fresh is the time after started, in nanoseconds, until which the levels
-	// may be relied on; 0 means for ever.
+	// fresh is the instant until which the levels may be relied on; 0 means
+	// for ever.
 	fresh atomic.Int64
 }
 
@@ -134,7 +130,13 @@
 // say takes a server's word. It is called for each report and so returns fast
 // where there is no news.
 func (s *Server) say(r carobward.Report) {
-	if s.leave == nil || !r.Draining && (r.Run == 0 || !s.Leaving.Load()) {
+	if !r.Draining && (r.Run == 0 || !s.Leaving.Load()) {
+		return
+	}
+
+	if s.leave == nil { // It belongs to no table.
+		s.Leaving.Store(r.Draining)
+
 		return
 	}
 
@@ -160,7 +162,7 @@
 }
 
 // SetFresh tells until when the levels may be relied on.
-func (t *Table) SetFresh(until time.Time) { t.leave.fresh.Store(int64(until.Sub(started))) }
+func (t *Table) SetFresh(until time.Time) { t.leave.fresh.Store(int64(at(until))) }
 
 // MayDispatch tells whether new work may go to a server now. It must be asked
 // right before each dispatch, be it the first, queued, retried or hedged. An
@@ -173,5 +175,5 @@
 func (t *Table) Fresh(now time.Time) bool {
 	fresh := t.leave.fresh.Load()
 
-	return fresh == 0 || int64(now.Sub(started)) <= fresh
+	return fresh == 0 || int64(at(now)) <= fresh
 }
