Link: tests of every not-run, of cancel races and of the pool; trim at a smaller share

A fresh connection found no room when the share had shrunk below the idle ones: only one was closed. Seen failing in TestPool, now trimmed.

--- a/internal/cwlink/link.go
+++ b/internal/cwlink/link.go
@@ -105,7 +105,7 @@
 	defer l.mutex.RUnlock()
 
 	for _, p := range l.pools {
-		p.tick(now, l.options.Keep)
+		p.tick(now, l.options.Keep, l.most())
 	}
 }
 
--- /dev/null
+++ b/internal/cwlink/link_test.go
@@ -0,0 +1,469 @@
+package cwlink
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwtest"
+)
+
+// TestSent checks the bytes that a server gets.
+func TestSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		call carobward.Call
+		want string
+	}{
+		"GET": {
+			carobward.Call{Method: "GET", URI: "//a/../b?c", Host: "h", Header: carobward.Header{{Name: "x-a", Value: "1"}, {Name: "x-a", Value: "2"}}},
+			"GET //a/../b?c HTTP/1.1\r\nHost: h\r\nx-a: 1\r\nx-a: 2\r\nX-Request-Id: one\r\nCarobward-Timeout: N\r\n\r\n",
+		},
+		"empty POST": {
+			carobward.Call{Method: "POST", URI: "/", Host: "h"},
+			"POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: one\r\nCarobward-Timeout: N\r\nContent-Length: 0\r\n\r\n",
+		},
+		"body": {
+			carobward.Call{Method: "POST", URI: "/", Host: "h", Body: []byte("a\r\nb")},
+			"POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: one\r\nCarobward-Timeout: N\r\nContent-Length: 4\r\n\r\na\r\nb",
+		},
+		"special fields": {
+			carobward.Call{Method: "GET", URI: "/", Host: "h", Header: carobward.Header{
+				{Name: "Cookie", Value: "b=2; a=1"}, {Name: "User-Agent", Value: "u"}, {Name: "Content-Type", Value: "x/y"},
+			}},
+			"GET / HTTP/1.1\r\nHost: h\r\nCookie: b=2; a=1\r\nUser-Agent: u\r\nContent-Type: x/y\r\n" +
+				"X-Request-Id: one\r\nCarobward-Timeout: N\r\n\r\n",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.call.ID = "one"
+			c.call.Deadline = time.Now().Add(time.Minute)
+			trip := trip{call: &c.call, clock: carobward.SystemClock{}}
+			head, _, _ := bytes.Cut(trip.appendHead(nil), []byte("\r\n\r\n"))
+
+			var lines []string
+
+			for l := range strings.SplitSeq(string(head), "\r\n") {
+				if strings.HasPrefix(l, carobward.HeaderTimeout) {
+					l = carobward.HeaderTimeout + ": N"
+				}
+
+				lines = append(lines, l)
+			}
+
+			got := strings.Join(lines, "\r\n") + "\r\n\r\n" + string(c.call.Body)
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestLargeBody sends and gets bodies beyond what goes out in one write.
+func TestLargeBody(t *testing.T) {
+	s := newStub(t, func(c net.Conn, req *fasthttp.Request, _ int) bool {
+		resp := fasthttp.Response{}
+		resp.Header.Set(carobward.HeaderID, id(req))
+		resp.SetBody(req.Body())
+		_, _ = resp.WriteTo(c)
+
+		return true
+	})
+
+	one := call("one")
+	one.Method = "POST"
+	one.Body = bytes.Repeat([]byte("0123456789abcdef"), 1<<14)
+	one.MaxReply = carobward.Megabyte
+
+	reply, err := exchange(newLink(t), s, one)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if !bytes.Equal(one.Body, reply.Body) {
+		t.Errorf("%d bytes came back", len(reply.Body))
+	}
+}
+
+// refusing returns an address where nothing listens.
+func refusing(t *testing.T) carobward.Address {
+	t.Helper()
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	_ = ln.Close()
+
+	return carobward.Address(ln.Addr().String())
+}
+
+// TestNotRun goes through each way in which a call is not-run. The server
+// never sees a byte of it.
+func TestNotRun(t *testing.T) {
+	ended, end := context.WithCancel(context.Background())
+	end()
+
+	for name, c := range map[string]struct {
+		context context.Context
+		prepare func(t *testing.T, l *Link, s *stub, one *carobward.Call)
+	}{
+		"refused": {prepare: func(t *testing.T, _ *Link, s *stub, _ *carobward.Call) { s.address = refusing(t) }},
+		"no time left": {prepare: func(_ *testing.T, _ *Link, _ *stub, one *carobward.Call) {
+			one.Deadline = time.Now().Add(-time.Second)
+		}},
+		"no time left, warm": {prepare: func(t *testing.T, l *Link, s *stub, one *carobward.Call) {
+			warm(t, l, s)
+
+			one.Deadline = time.Now().Add(-time.Second)
+		}},
+		"cancelled": {context: ended, prepare: func(*testing.T, *Link, *stub, *carobward.Call) {}},
+		"cancelled, warm": {context: ended, prepare: func(t *testing.T, l *Link, s *stub, _ *carobward.Call) {
+			warm(t, l, s)
+		}},
+		"stopped": {prepare: func(_ *testing.T, l *Link, _ *stub, _ *carobward.Call) { l.Close() }},
+		"all in use": {prepare: func(_ *testing.T, l *Link, s *stub, _ *carobward.Call) {
+			p, _ := l.pool(s.address)
+			p.open = l.most()
+		}},
+		"reset before the write": {prepare: func(t *testing.T, l *Link, s *stub, _ *carobward.Call) {
+			warm(t, l, s)
+			// A write on our half that was shut takes no byte, as one after
+			// the server's reset.
+			p, _ := l.pool(s.address)
+			_ = p.idle[0].Conn.(*net.TCPConn).CloseWrite()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStub(t, text(whole, true))
+			l := newLink(t)
+			one := call("one")
+			c.prepare(t, l, s, one)
+
+			before := s.requests.Load()
+
+			ctx := c.context
+			if ctx == nil {
+				ctx = context.Background()
+			}
+
+			_, err := l.Exchange(ctx, s.address, one)
+			if diff := cmp.Diff("not-run", verdict(err)); diff != "" {
+				t.Error(diff, err)
+			}
+
+			if n := s.requests.Load(); n != before {
+				t.Errorf("the server saw %d requests after %d", n, before)
+			}
+		})
+	}
+}
+
+// warm leaves an idle connection.
+func warm(t *testing.T, l *Link, s *stub) {
+	t.Helper()
+
+	if _, err := exchange(l, s, call("warm")); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestPartWritten makes a call unknown as soon as one byte was taken, though
+// the server never got the whole.
+func TestPartWritten(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer func() { _ = ln.Close() }()
+
+	// The server accepts and reads nothing, so that a large body stops in
+	// the kernel's buffers.
+	one := soon(call("one"))
+	one.Method, one.Body = "POST", make([]byte, 64<<20)
+
+	_, err = newLink(t).Exchange(context.Background(), carobward.Address(ln.Addr().String()), one)
+	if diff := cmp.Diff("unknown", verdict(err)); diff != "" {
+		t.Error(diff, err)
+	}
+}
+
+// TestEarlyReply takes a refusal that came before the whole call was sent.
+func TestEarlyReply(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	const reply = "HTTP/1.1 503 Busy\r\nX-Request-Id: one\r\nCarobward-Verdict: not-run\r\nContent-Length: 0\r\n\r\n"
+
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+
+		one := make([]byte, 1)
+		_, _ = c.Read(one)
+		_, _ = c.Write([]byte(reply))
+		// It takes the rest, as a server should.
+		_, _ = bytes.NewBuffer(nil).ReadFrom(c)
+		_ = c.Close()
+	}()
+
+	l := newLink(t)
+	one := call("one")
+	one.Method, one.Body = "POST", make([]byte, 8<<20)
+
+	got, err := l.Exchange(context.Background(), carobward.Address(ln.Addr().String()), one)
+	if err != nil || !got.Shed {
+		t.Errorf("%+v, %v", got, err)
+	}
+
+	l.Close()
+
+	_ = ln.Close()
+	<-done
+}
+
+// TestSentOnce counts at the server while it closes connections at every
+// point: no call is ever sent a second time.
+func TestSentOnce(t *testing.T) {
+	for name, c := range map[string]script{
+		"closes before it answers": func(net.Conn, *fasthttp.Request, int) bool { return false },
+		"resets": func(c net.Conn, _ *fasthttp.Request, _ int) bool {
+			_ = c.(*net.TCPConn).SetLinger(0)
+
+			return false
+		},
+		"closes the second time": func(c net.Conn, req *fasthttp.Request, n int) bool {
+			if n == 0 {
+				say(c, req, whole)
+			}
+
+			return n == 0
+		},
+		"closes while idle": text(whole, false),
+		"answers half": func(c net.Conn, req *fasthttp.Request, _ int) bool {
+			say(c, req, whole[:40])
+
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStub(t, c)
+			l := newLink(t)
+
+			const calls = 50
+
+			for range calls {
+				if _, err := exchange(l, s, call("one")); verdict(err) == "not-run" {
+					t.Error(err)
+				}
+			}
+
+			if n := s.requests.Load(); n > calls {
+				t.Errorf("%d requests for %d calls", n, calls)
+			}
+		})
+	}
+}
+
+// TestCancel closes the connection of a cancelled call and never uses it
+// again.
+func TestCancel(t *testing.T) {
+	s := newStub(t, func(c net.Conn, req *fasthttp.Request, _ int) bool {
+		if id(req) != "slow" {
+			say(c, req, whole)
+		}
+
+		return true
+	})
+	l := newLink(t)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+
+	go func() {
+		_, err := l.Exchange(ctx, s.address, call("slow"))
+		done <- err
+	}()
+
+	cwtest.Wait(t, "the call at the server", func() bool { return s.requests.Load() == 1 })
+	cancel()
+
+	if err := <-done; verdict(err) != "unknown" {
+		t.Error(err)
+	}
+
+	if n, open := idle(l, s.address); n != 0 || open != 0 {
+		t.Errorf("%d idle, %d open", n, open)
+	}
+}
+
+// TestCancelRace cancels calls just when their reply comes. A connection is
+// either kept whole or dropped, and the counts stay right.
+func TestCancelRace(t *testing.T) {
+	s := newStub(t, text(whole, true))
+	l := newLink(t)
+
+	var group sync.WaitGroup
+
+	for range 8 {
+		group.Go(func() {
+			for range 200 {
+				ctx, cancel := context.WithCancel(context.Background())
+				go cancel()
+
+				reply, err := l.Exchange(ctx, s.address, call("one"))
+				if err == nil && string(reply.Body) != "body" {
+					t.Errorf("body %q", reply.Body)
+				}
+
+				cancel()
+			}
+		})
+	}
+
+	group.Wait()
+
+	if n, open := idle(l, s.address); n != open || open > 8 {
+		t.Errorf("%d idle, %d open", n, open)
+	}
+
+	for range 16 {
+		if _, err := exchange(l, s, call("after")); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestPool keeps, prunes, bounds and forgets connections.
+func TestPool(t *testing.T) {
+	s := newStub(t, text(whole, true))
+	l := newLink(t)
+
+	warm(t, l, s)
+	warm(t, l, s)
+
+	if n := s.conns.Load(); n != 1 {
+		t.Errorf("%d connections for two calls", n)
+	}
+
+	fresh := call("fresh")
+	fresh.Fresh = true
+
+	if _, err := exchange(l, s, fresh); err != nil || s.conns.Load() != 2 {
+		t.Errorf("%d connections, %v", s.conns.Load(), err)
+	}
+
+	now := time.Now()
+	l.SetFleet(8, now)
+	l.SetFleet(2, now.Add(fleetHold/2))
+
+	if l.most() != 1 {
+		t.Errorf("a share of %d while the larger fleet still counts", l.most())
+	}
+
+	// A fresh connection takes the place of an idle one.
+	if _, err := exchange(l, s, fresh); err != nil {
+		t.Error(err)
+	}
+
+	if n, open := idle(l, s.address); n > 1 || open > 1 {
+		t.Errorf("%d idle, %d open for a share of 1", n, open)
+	}
+
+	l.SetFleet(2, now.Add(2*fleetHold))
+
+	if l.most() != 4 {
+		t.Errorf("a share of %d", l.most())
+	}
+
+	warm(t, l, s)
+	l.Tick(time.Now().Add(2 * time.Minute))
+
+	if n, open := idle(l, s.address); n != 0 || open != 0 {
+		t.Errorf("%d idle, %d open after a long time", n, open)
+	}
+
+	warm(t, l, s)
+	l.Retain([]carobward.VM{{Address: s.address}})
+
+	if n, _ := idle(l, s.address); n != 1 {
+		t.Errorf("%d idle of a server that is listed", n)
+	}
+
+	l.Retain(nil)
+
+	if len(l.pools) != 0 {
+		t.Errorf("%d pools of no server", len(l.pools))
+	}
+}
+
+// TestRetainInFlight lets a call go on whose server left the list, and keeps
+// nothing of its connection.
+func TestRetainInFlight(t *testing.T) {
+	release := make(chan struct{})
+	s := newStub(t, func(c net.Conn, req *fasthttp.Request, _ int) bool {
+		<-release
+		say(c, req, whole)
+
+		return true
+	})
+	l := newLink(t)
+	p, _ := l.pool(s.address)
+	done := make(chan error, 1)
+
+	go func() {
+		_, err := exchange(l, s, call("one"))
+		done <- err
+	}()
+
+	cwtest.Wait(t, "the call at the server", func() bool { return s.requests.Load() == 1 })
+	l.Retain(nil)
+	close(release)
+
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+
+	if p.open != 0 || len(p.idle) != 0 || len(l.pools) != 0 {
+		t.Errorf("%d open, %d idle, %d pools", p.open, len(p.idle), len(l.pools))
+	}
+}
+
+// TestDial gives up on a server that does not answer while there is time for
+// another one.
+func TestDial(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer func() { _ = ln.Close() }()
+
+	l := New(Options{Conns: 1, Keep: time.Minute, Dial: time.Nanosecond, Header: carobward.Kilobyte}, carobward.SystemClock{})
+
+	one := call("one")
+	_, err = l.Exchange(context.Background(), carobward.Address(ln.Addr().String()), one)
+
+	var timeout net.Error
+	if !errors.As(err, &timeout) || !timeout.Timeout() || verdict(err) != "not-run" {
+		t.Error(err)
+	}
+}
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -63,9 +63,7 @@
 		return c, nil
 	}
 
-	if p.open >= most && len(p.idle) > 0 {
-		p.prune(1)
-	}
+	p.trim(most - 1)
 
 	if p.open >= most {
 		return nil, ErrConns
@@ -106,8 +104,9 @@
 	p.open--
 }
 
-// tick closes connections that have been idle for longer than keep.
-func (p *pool) tick(now time.Time, keep time.Duration) {
+// tick closes connections that have been idle for longer than keep or are
+// more than most.
+func (p *pool) tick(now time.Time, keep time.Duration, most int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
@@ -117,6 +116,13 @@
 	}
 
 	p.prune(old)
+	p.trim(most)
+}
+
+// trim closes idle connections until there are most, or none is idle. The
+// mutex is held.
+func (p *pool) trim(most int) {
+	p.prune(min(max(0, p.open-most), len(p.idle)))
 }
 
 // close closes the idle connections; those in use are closed when they are
