--- /dev/null
+++ b/internal/cwentry/fuzz_test.go
@@ -0,0 +1,70 @@
+package cwentry
+
+import (
+	"bufio"
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+)
+
+// FuzzRequest reads any bytes as a request. What is accepted has one path
+// for us and for the server, a safe id, and no field of the connection.
+func FuzzRequest(f *testing.F) {
+	for _, text := range []string{
+		"GET /sheets?a=b HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n\r\n",
+		"POST http://h/fees HTTP/1.1\r\nHost: h\r\nConnection: A\r\nA: b\r\nContent-Length: 1\r\n\r\nx",
+		"POST /fees/%2e%2e/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nB: c\r\n\r\n",
+		"GET /a/../b#c HTTP/1.0\r\nA: b\r\n c\r\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+
+	c := newCarrier(&fake{answer: echo}, 1)
+
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var ctx fasthttp.RequestCtx
+
+		if err := ctx.Request.ReadLimitBody(bufio.NewReader(bytes.NewReader(raw)), 1024); err != nil {
+			return
+		}
+
+		id, err := requestID(&ctx)
+		if strings.ContainsAny(string(id), " \r\n\t\"") || len(id) > idMost {
+			t.Errorf("%q: id %q", raw, id)
+		}
+
+		if err != nil || check(&ctx) != nil {
+			return
+		}
+
+		call, err := c.call(&ctx, &testTargets[0])
+		if err != nil {
+			return
+		}
+
+		path, _, _ := strings.Cut(call.URI, "?")
+		if !strings.Contains(path, "%") && path != string(ctx.Path()) {
+			t.Errorf("%q: our path %q, the server's %q", raw, ctx.Path(), path)
+		}
+
+		checkFields(t, raw, call)
+	})
+}
+
+func checkFields(t *testing.T, raw []byte, call *carobward.Call) {
+	t.Helper()
+
+	if strings.ContainsAny(call.URI+call.Host+call.Method, " \r\n") {
+		t.Errorf("%q: %q %q %q", raw, call.Method, call.URI, call.Host)
+	}
+
+	for _, f := range call.Header {
+		if hop[f.Name] || strings.ContainsAny(f.Name, " \r\n:") || strings.ContainsAny(f.Value, "\r\n") {
+			t.Errorf("%q: field %q: %q", raw, f.Name, f.Value)
+		}
+	}
+}
--- a/internal/cwentry/server_test.go
+++ b/internal/cwentry/server_test.go
@@ -248,6 +248,26 @@
 	}
 }
 
+// TestOutlives keeps a call whole when the next request is read into the
+// same buffers.
+func TestOutlives(t *testing.T) {
+	f := &fake{answer: echo}
+	c := dial(t, serve(t, options(), f))
+
+	for _, body := range []string{"first", "other"} {
+		c.write("POST /fees/" + body + " HTTP/1.1\r\nHost: " + body + "\r\nA: " + body + "\r\nContent-Length: 5\r\n\r\n" + body).read(false)
+	}
+
+	for i, want := range []string{"first", "other"} {
+		call := f.seen()[i]
+		got := []string{call.URI, call.Host, call.Header.Get("A"), string(call.Body)}
+
+		if diff := cmp.Diff([]string{"/fees/" + want, want, want, want}, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
+
 // TestPanic turns a fault into a failure of this request only.
 func TestPanic(t *testing.T) {
 	f := &fake{answer: func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error) {
--- a/internal/cwlink/reply.go
+++ b/internal/cwlink/reply.go
@@ -149,10 +149,6 @@
 		return ErrLength
 	}
 
-	if length > most {
-		return ErrLarge
-	}
-
 	// The library takes a limit of zero for none.
 	if err := resp.ReadBody(t.conn.reader, max(1, most)); err != nil {
 		return err
--- a/internal/cwlink/report.go
+++ b/internal/cwlink/report.go
@@ -35,7 +35,8 @@
 		}
 
 		n, err := strconv.ParseFloat(value, 64)
-		if err != nil || n < 0 || n > maxMetric {
+		// NaN is in no range.
+		if err != nil || !(n >= 0 && n <= maxMetric) {
 			continue
 		}
 
