--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -4,8 +4,6 @@
 import (
 	"context"
 	"net"
-	"os"
-	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -21,6 +19,7 @@
 	"carobward.example/carobward/internal/cwlookup"
 	"carobward.example/carobward/internal/cwmember"
 	"carobward.example/carobward/internal/cwoperator"
+	"carobward.example/carobward/internal/cwowner"
 	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
@@ -42,8 +41,9 @@
 	server  *cwpeer.Server
 	member  *cwmember.Service
 	holder  *cwconfig.Holder
-	watcher *cwconfig.Watcher
+	syncer  *cwconfig.Syncer
 	link    *cwlink.Link
+	owner   *cwowner.Owner
 	carrier *cwentry.Carrier
 
 	data      *cwentry.Server
@@ -72,7 +72,7 @@
 		done:     make(chan struct{}),
 	}
 
-	key, err := readKey(s.Keys.Operators)
+	key, err := cwsettings.ReadKey(s.Keys.Operators)
 	if err != nil {
 		return nil, err
 	}
@@ -85,14 +85,21 @@
 		return nil, err
 	}
 
-	n.watcher = cwconfig.NewWatcher(n.store, n.holder, log)
+	if err := n.newOwner(); err != nil {
+		return nil, err
+	}
+
+	if err := n.configure(log); err != nil {
+		return nil, err
+	}
+
 	n.link = newLink(&s.Link, clock)
-	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Pair{}}, n.holder, n.servers, n.link, clock, log)
+	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Wait{}}, n.holder, n.servers, n.link, n.owner, clock, log)
 	n.data = n.dataServer()
-	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std())
-	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers).Handler()
+	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner)
+	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers, n.syncer).Handler()
 
-	return n, nil
+	return n, n.owner.Register(n.server, n.carrier)
 }
 
 // Done is closed once Run has returned.
@@ -115,24 +122,6 @@
 
 func address(l net.Listener) carobward.Address { return carobward.Address(l.Addr().String()) }
 
-func readKey(path string) (string, error) {
-	if path == "" {
-		return "", nil
-	}
-
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return "", errors.Annotate(err, "keys")
-	}
-
-	key := strings.TrimSpace(string(raw))
-	if key == "" {
-		return "", errors.Errorf("keys: %s is empty", path)
-	}
-
-	return key, nil
-}
-
 func (n *Node) listen() error {
 	l := &n.settings.Listen
 
@@ -170,7 +159,7 @@
 
 	n.log.Info("Serving.", "vm", n.settings.VM, "callers", n.Self().Callers, "lookup", n.Self().Lookup,
 		"peers", n.Self().Peers, "operators", n.Self().Operators)
-	group.Go(func() { n.watcher.Run(work) })
+	group.Go(func() { n.syncer.Run(work) })
 	group.Go(func() { n.tick(work) })
 	group.Go(func() { n.member.Run(work) })
 	group.Go(func() { n.logEnd("callers", n.data.Serve(n.listeners.callers)) })
@@ -184,6 +173,7 @@
 	n.link.Close()
 
 	stop()
+	n.owner.Stop()
 	<-n.member.Done()
 	n.closePeers()
 	_ = n.lookup.Shutdown()
@@ -209,8 +199,11 @@
 	end := n.clock.Now().Add(n.settings.Stop.Std())
 	time.Sleep(n.settings.Keep.Std())
 
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-n.handOverTime()))
 	defer cancel()
 
-	return errors.Annotate(n.data.ShutdownWithContext(ctx), "node: requests were still in flight at the bound")
+	err := n.data.ShutdownWithContext(ctx)
+	n.handOver(end)
+
+	return errors.Annotate(err, "node: requests were still in flight at the bound")
 }
