A refused retry under a ticket is not called not-run

A retry whose body came too slowly or was too large got not-run from the listener, though an earlier try under the same ticket may have run. The library drops the header when reading a body fails, so it is remembered that there was a ticket.

--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -68,7 +68,7 @@
 func (c *Carrier) Handle(ctx *fasthttp.RequestCtx) {
 	id, err := requestID(ctx)
 	if err != nil {
-		c.writeFailure(ctx, id, err)
+		c.writeFailure(ctx, id, c.refuse(ctx, err))
 
 		return
 	}
--- a/internal/cwentry/server.go
+++ b/internal/cwentry/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -47,6 +48,10 @@
 	options ServerOptions
 	carrier *Carrier
 	log     logr.Logger
+	// retries has the headers of requests under a ticket whose body is
+	// being read, since the library drops the header when that fails. One
+	// left by a connection that ended costs a later refusal its not-run.
+	retries sync.Map
 }
 
 // NewServer returns a server for a Carrier.
@@ -84,6 +89,10 @@
 func (s *Server) limits(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	var c fasthttp.RequestConfig
 
+	if len(h.Peek(carobward.HeaderTicket)) > 0 {
+		s.retries.Store(h, nil)
+	}
+
 	t, err := s.carrier.holder.Targets().Find(string(h.Host()), string(h.Method()), string(h.RequestURI()))
 	if err == nil {
 		c.MaxRequestBodySize = int(min(t.Body, s.options.Body))
@@ -104,6 +113,10 @@
 		_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
 	}()
 
+	if len(ctx.Request.Header.Peek(carobward.HeaderTicket)) > 0 {
+		s.retries.Delete(&ctx.Request.Header)
+	}
+
 	s.carrier.Handle(ctx)
 }
 
@@ -127,7 +140,14 @@
 
 	status, cause := refusal(err)
 	s.log.V(1).Info("A request could not be read.", "from", ctx.RemoteAddr().String(), "cause", err.Error())
-	s.carrier.writeFailure(ctx, id, carobward.NewFailure(carobward.NotRun, status, 0, cause))
+
+	f := carobward.NewFailure(carobward.NotRun, status, 0, cause)
+	if _, retry := s.retries.LoadAndDelete(&ctx.Request.Header); retry {
+		// An earlier try may have run, and its ticket is lost.
+		f.Verdict, f.RetryAfter = carobward.Unknown, retryAfter
+	}
+
+	s.carrier.writeFailure(ctx, id, f)
 
 	_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
 
--- a/internal/cwentry/server_test.go
+++ b/internal/cwentry/server_test.go
@@ -337,6 +337,38 @@
 	}
 }
 
+// TestRefusedRetry does not call a retry not-run that is refused before its
+// ticket's owner was asked, since an earlier try may have run.
+func TestRefusedRetry(t *testing.T) {
+	const ticket = "Host: h\r\nCarobward-Ticket: another's\r\n"
+
+	for name, request := range map[string]string{
+		"id":           "POST /fees HTTP/1.1\r\n" + ticket + "X-Request-Id: a b\r\nContent-Length: 0\r\n\r\n",
+		"slow body":    "POST /fees HTTP/1.1\r\n" + ticket + "Content-Length: 4\r\n\r\nbo",
+		"large body":   "POST /fees HTTP/1.1\r\n" + ticket + "Content-Length: 65\r\n\r\n",
+		"large chunk":  "POST /fees HTTP/1.1\r\n" + ticket + "Transfer-Encoding: chunked\r\n\r\n99\r\n",
+		"bad chunk":    "POST /fees HTTP/1.1\r\n" + ticket + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"slow chunk":   "POST /fees HTTP/1.1\r\n" + ticket + "Transfer-Encoding: chunked\r\n\r\n4\r\nbo",
+		"path":         "POST /fees/../fees HTTP/1.1\r\n" + ticket + "Content-Length: 0\r\n\r\n",
+		"timeout":      "POST /fees HTTP/1.1\r\n" + ticket + "Carobward-Timeout: x\r\nContent-Length: 0\r\n\r\n",
+		"slow trailer": "POST /fees HTTP/1.1\r\n" + ticket + "Transfer-Encoding: chunked\r\n\r\n0\r\nA",
+		"slow, expect": "POST /fees HTTP/1.1\r\n" + ticket + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbo",
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := options()
+			o.Read = 50 * time.Millisecond
+			f := &fake{answer: echo}
+			resp := dial(t, serve(t, o, f)).write(request).read(false)
+
+			checkProblem(t, resp, carobward.Unknown)
+
+			if n := len(f.seen()); n != 0 {
+				t.Errorf("%d calls", n)
+			}
+		})
+	}
+}
+
 // TestIdle closes a connection that waits for too long.
 func TestIdle(t *testing.T) {
 	o := options()
--- a/internal/cwlink/fuzz_test.go
+++ b/internal/cwlink/fuzz_test.go
@@ -86,4 +86,3 @@
 		}
 	})
 }
-
