Cancel idempotent work whose caller has gone

fasthttp does not tell of it: the work went on to its deadline and held a server's slot. Weighed: reading ahead on the connection (would take a pipelined request's bytes), a goroutine a call, a look each tick. The look is a peek for calls older than a tick only, so short work costs a map entry. A half-closed connection counts as gone, as in other servers. Run-once work goes on, so that a retry finds its outcome.

--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -3,7 +3,6 @@
 package cwentry
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -50,11 +49,13 @@
 
 	running atomic.Int64
 	serial  atomic.Uint64
+	waiting waiting
 }
 
 // New returns a Carrier.
 func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, owner Owner, clock carobward.Clock, log logr.Logger) *Carrier {
 	c := &Carrier{options: o, holder: holder, servers: servers, link: link, owner: owner, clock: clock, log: log.WithName("entry")}
+	c.waiting.callers = map[*caller]struct{}{}
 	// Attempts of an earlier run have other ids.
 	c.serial.Store(uint64(rand.Uint32()) << 16)
 
@@ -108,7 +109,10 @@
 		return c.once(ctx, id, target, call)
 	}
 
-	return c.carry(context.Background(), id, target, call)
+	work, done := c.waiting.wait(ctx)
+	defer done()
+
+	return c.carry(work, id, target, call)
 }
 
 // admit counts a request in flight, whether it is admitted or not.
--- a/internal/cwentry/serve_test.go
+++ b/internal/cwentry/serve_test.go
@@ -91,7 +91,13 @@
 
 	const calls = 8
 
-	s := NewServer(o, newCarrier(servers, calls), logr.Discard())
+	return serveCarrier(t, o, newCarrier(servers, calls))
+}
+
+func serveCarrier(t testing.TB, o ServerOptions, c *Carrier) string {
+	t.Helper()
+
+	s := NewServer(o, c, logr.Discard())
 
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/cwentry/server_test.go
+++ b/internal/cwentry/server_test.go
@@ -268,6 +268,52 @@
 	}
 }
 
+// TestGone cancels idempotent work whose caller has gone, and lets work that
+// must not repeat go on.
+func TestGone(t *testing.T) {
+	release, cancelled, ran := make(chan struct{}), make(chan string, 2), make(chan string, 2)
+	f := &fake{answer: func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error) {
+		select {
+		case <-ctx.Done():
+			cancelled <- c.URI
+		case <-release:
+			ran <- c.URI
+		}
+
+		return echo(ctx, c)
+	}}
+
+	carrier := newCarrier(f, 8)
+	to := serveCarrier(t, options(), carrier)
+
+	const end = " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+
+	stays := dial(t, to).write("GET /sheets/stays" + end)
+	once := dial(t, to).write("POST /fees/goes" + end)
+	quick := dial(t, to).write("GET /sheets/goes" + end)
+
+	cwtest.Wait(t, "three calls", func() bool { return len(f.seen()) == 3 })
+
+	_, _ = once.conn.Close(), quick.conn.Close()
+
+	cwtest.Wait(t, "a cancelled call", func() bool {
+		carrier.Tick()
+
+		return len(cancelled) == 1
+	})
+	close(release)
+
+	if status := stays.read(false).StatusCode(); status != 200 {
+		t.Errorf("status %d for the caller that stays", status)
+	}
+
+	cwtest.Wait(t, "the other calls", func() bool { return len(ran) == 2 })
+
+	if got := <-cancelled; got != "/sheets/goes" {
+		t.Errorf("%s was cancelled", got)
+	}
+}
+
 // TestPanic turns a fault into a failure of this request only.
 func TestPanic(t *testing.T) {
 	f := &fake{answer: func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error) {
--- a/internal/cwlink/link_test.go
+++ b/internal/cwlink/link_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwsocket"
 	"carobward.example/carobward/internal/cwtest"
 )
 
@@ -392,7 +393,7 @@
 			close(more)
 
 			p, _ := l.pool(s.address)
-			cwtest.Wait(t, "news on the connection", func() bool { return !quiet(p.idle[0].Conn) })
+			cwtest.Wait(t, "news on the connection", func() bool { return cwsocket.Peek(p.idle[0].Conn) != cwsocket.Quiet })
 
 			if _, err := exchange(l, s, call("next")); err != nil || s.conns.Load() != 2 {
 				t.Errorf("%v, %d connections", err, s.conns.Load())
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwsocket"
 )
 
 // The errors of a call for which there is no connection.
@@ -42,7 +43,7 @@
 func (p *pool) take(now time.Time, keep time.Duration, most int) (*conn, error) {
 	for {
 		c, err := p.pop(now, keep, most)
-		if c == nil || quiet(c.Conn) {
+		if c == nil || cwsocket.Peek(c.Conn) == cwsocket.Quiet {
 			return c, err
 		}
 
--- a/internal/cwnode/link.go
+++ b/internal/cwnode/link.go
@@ -26,7 +26,7 @@
 }
 
 // tickLink tells the link how many entry VMs share the servers' connections
-// and closes idle ones.
+// and closes idle ones, and cancels work whose caller has gone.
 func (n *Node) tickLink(now time.Time) {
 	size := 0
 
@@ -38,4 +38,5 @@
 
 	n.link.SetFleet(size, now)
 	n.link.Tick(now)
+	n.carrier.Tick()
 }
--- /dev/null
+++ b/internal/cwsocket/peek_test.go
@@ -0,0 +1,74 @@
+package cwsocket
+
+import (
+	"net"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobward.example/carobward/internal/cwtest"
+)
+
+func TestPeek(t *testing.T) {
+	for name, c := range map[string]struct {
+		other func(*net.TCPConn) error
+		want  State
+	}{
+		"nothing": {func(*net.TCPConn) error { return nil }, Quiet},
+		"bytes": {func(c *net.TCPConn) error {
+			_, err := c.Write([]byte("a"))
+
+			return err
+		}, Bytes},
+		"closed":      {(*net.TCPConn).Close, Closed},
+		"half closed": {(*net.TCPConn).CloseWrite, Closed},
+		"reset": {func(c *net.TCPConn) error {
+			if err := c.SetLinger(0); err != nil {
+				return err
+			}
+
+			return c.Close()
+		}, Closed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ours, theirs := pair(t)
+			if err := c.other(theirs); err != nil {
+				t.Fatal(err)
+			}
+
+			cwtest.Wait(t, "the state", func() bool { return Peek(ours) == c.want })
+
+			_ = ours.Close()
+
+			if diff := cmp.Diff(Closed, Peek(ours)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// pair returns both ends of a connection.
+func pair(t *testing.T) (net.Conn, *net.TCPConn) {
+	t.Helper()
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer func() { _ = ln.Close() }()
+
+	theirs, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	ours, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { _, _ = ours.Close(), theirs.Close() })
+
+	return ours, theirs.(*net.TCPConn)
+}
