--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -95,12 +95,14 @@
 		return nil, c.refuse(ctx, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err))
 	}
 
-	target, err := c.target(string(ctx.Host()), string(ctx.Method()), originForm(ctx))
+	uri := originForm(ctx)
+
+	target, err := c.target(string(ctx.Host()), string(ctx.Method()), uri)
 	if err != nil {
 		return nil, c.refuse(ctx, err)
 	}
 
-	call, err := c.call(ctx, target)
+	call, err := c.call(ctx, target, uri)
 	if err != nil {
 		return nil, c.refuse(ctx, err)
 	}
--- a/internal/cwentry/fuzz_test.go
+++ b/internal/cwentry/fuzz_test.go
@@ -41,7 +41,7 @@
 			return
 		}
 
-		call, err := c.call(&ctx, &testTargets[0])
+		call, err := c.call(&ctx, &testTargets[0], originForm(&ctx))
 		if err != nil {
 			return
 		}
--- a/internal/cwentry/message.go
+++ b/internal/cwentry/message.go
@@ -45,9 +45,10 @@
 	"Endpoint-Load-Metrics": true,
 }
 
-// call returns the request as it goes to a server. Nothing in it refers to
+// call returns the request as it goes to a server, under its path and query.
+// Nothing in it refers to
 // the library's buffers, so that it may outlive the handler.
-func (c *Carrier) call(ctx *fasthttp.RequestCtx, target *carobward.Target) (*carobward.Call, error) {
+func (c *Carrier) call(ctx *fasthttp.RequestCtx, target *carobward.Target, uri string) (*carobward.Call, error) {
 	within, err := timeout(ctx, target)
 	if err != nil {
 		return nil, err
@@ -59,7 +60,7 @@
 
 	return &carobward.Call{
 		Method:   string(ctx.Method()),
-		URI:      originForm(ctx),
+		URI:      uri,
 		Host:     string(ctx.Host()),
 		Header:   requestHeader(ctx),
 		Body:     ctx.Request.SwapBody(nil),
--- a/internal/cwentry/serve_test.go
+++ b/internal/cwentry/serve_test.go
@@ -21,6 +21,9 @@
 	"carobward.example/carobward/internal/cwticket"
 )
 
+// keptMost bounds the calls that a fake keeps.
+const keptMost = 100
+
 // fake is a Servers that answers by a function and keeps the calls.
 type fake struct {
 	answer func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error)
@@ -31,7 +34,7 @@
 
 func (f *fake) Exchange(ctx context.Context, _ carobward.Address, c *carobward.Call) (*carobward.Reply, error) {
 	f.mutex.Lock()
-	f.calls = append(f.calls, *c)
+	f.calls = append(f.calls[:min(len(f.calls), keptMost)], *c)
 	f.mutex.Unlock()
 
 	return f.answer(ctx, c)
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwsocket"
@@ -22,8 +23,9 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// head is the buffer that a call's header is written from.
-	head []byte
+	// header and head are the buffers that a call's header is made in.
+	header fasthttp.RequestHeader
+	head   []byte
 	used time.Time
 }
 
--- a/internal/cwlink/stub_test.go
+++ b/internal/cwlink/stub_test.go
@@ -69,8 +69,9 @@
 
 	r := bufio.NewReader(c)
 
+	var req fasthttp.Request
+
 	for n := 0; ; n++ {
-		var req fasthttp.Request
 		if err := req.Read(r); err != nil {
 			return
 		}
--- a/internal/cwlink/trip.go
+++ b/internal/cwlink/trip.go
@@ -69,7 +69,8 @@
 }
 
 func (t *trip) appendHead(to []byte) []byte {
-	var h fasthttp.RequestHeader
+	h := &t.conn.header
+	h.Reset()
 
 	// The caller's fields go on as they came.
 	h.DisableNormalizing()
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -28,7 +28,7 @@
 
 var listening = regexp.MustCompile(`listening (\S+)`)
 
-func (f *fleet) stand(t *testing.T, args ...string) string {
+func (f *fleet) stand(t testing.TB, args ...string) string {
 	t.Helper()
 
 	p := cwtest.Start(t, f.cwstand, args...)
@@ -48,7 +48,7 @@
 
 var serving = regexp.MustCompile(`msg=Serving\..* callers=(\S+) lookup=(\S+) peers=(\S+) operators=(\S+)`)
 
-func (f *fleet) serve(t *testing.T, vm, domain string) {
+func (f *fleet) serve(t testing.TB, vm, domain string) {
 	t.Helper()
 
 	settings := cwtest.File(t, "settings.jsonc", fmt.Sprintf(`{
@@ -74,7 +74,7 @@
 	f.nodes[vm] = n
 }
 
-func (f *fleet) list(t *testing.T, servers map[string][]string) {
+func (f *fleet) list(t testing.TB, servers map[string][]string) {
 	t.Helper()
 
 	var groups []string
@@ -105,7 +105,7 @@
 }
 
 // inForce waits until status shows a revision on all entry VMs.
-func (f *fleet) inForce(t *testing.T, revision int) {
+func (f *fleet) inForce(t testing.TB, revision int) {
 	t.Helper()
 
 	line := regexp.MustCompile(fmt.Sprintf(`(?m)^vm-\d+ .* live +%d$`, revision))
