--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -26,7 +26,7 @@
 	// header and head are the buffers that a call's header is made in.
 	header fasthttp.RequestHeader
 	head   []byte
-	used time.Time
+	used   time.Time
 }
 
 // pool holds the connections to one server.
