--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwsocket"
 )
 
 // The errors of a call for which there is no connection.
@@ -21,9 +23,10 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// head is the buffer that a call's header is written from.
-	head []byte
-	used time.Time
+	// header and head are the buffers that a call's header is made in.
+	header fasthttp.RequestHeader
+	head   []byte
+	used   time.Time
 }
 
 // pool holds the connections to one server.
@@ -42,7 +45,7 @@
 func (p *pool) take(now time.Time, keep time.Duration, most int) (*conn, error) {
 	for {
 		c, err := p.pop(now, keep, most)
-		if c == nil || quiet(c.Conn) {
+		if c == nil || cwsocket.Peek(c.Conn) == cwsocket.Quiet {
 			return c, err
 		}
 
@@ -63,9 +66,7 @@
 		return c, nil
 	}
 
-	if p.open >= most && len(p.idle) > 0 {
-		p.prune(1)
-	}
+	p.trim(most - 1)
 
 	if p.open >= most {
 		return nil, ErrConns
@@ -106,8 +107,9 @@
 	p.open--
 }
 
-// tick closes connections that have been idle for longer than keep.
-func (p *pool) tick(now time.Time, keep time.Duration) {
+// tick closes connections that have been idle for longer than keep or are
+// more than most.
+func (p *pool) tick(now time.Time, keep time.Duration, most int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
@@ -117,6 +119,13 @@
 	}
 
 	p.prune(old)
+	p.trim(most)
+}
+
+// trim closes idle connections until there are most, or none is idle. The
+// mutex is held.
+func (p *pool) trim(most int) {
+	p.prune(min(max(0, p.open-most), len(p.idle)))
 }
 
 // close closes the idle connections; those in use are closed when they are
--- a/internal/cwtest/fleet.go
+++ b/internal/cwtest/fleet.go
@@ -65,12 +65,15 @@
 	return address
 }
 
-// StartServer starts a server of a service and lists it.
-func (f *Fleet) StartServer(t testing.TB, service string) {
+// StartServer starts a server of a service, lists it and returns its address.
+func (f *Fleet) StartServer(t testing.TB, service string, args ...string) string {
 	t.Helper()
 
-	f.servers[service] = append(f.servers[service], f.StartStand(t, "server"))
+	address := f.StartStand(t, append([]string{"server"}, args...)...)
+	f.servers[service] = append(f.servers[service], address)
 	f.List(t)
+
+	return address
 }
 
 var serving = regexp.MustCompile(`msg=Serving\..* callers=(\S+) lookup=(\S+) peers=(\S+) operators=(\S+)`)
