Queue, shed, retry and hedge within budgets

Cause: a request went to a server however full it was, was tried three times whatever happened, and was never hedged; one flooded target could take all requests in flight; Retry-After was a constant.

Now: servers expected to hold two calls a slot, or with our own adaptive limit in flight, get no more; requests wait in a short queue a service, fair between targets and by deadline within one; what can't be met is refused at once, with the expected time until it could be. Retries and hedges share a budget of 5 % of a target's requests. A hedge is due after the 97th percentile, or earlier if two of our calls on that server are overdue.

--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -13,6 +13,8 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwlimit"
+	"carobward.example/carobward/internal/cwretry"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 )
@@ -28,6 +30,10 @@
 // retryAfter is when a caller should come back if nothing better is known.
 const retryAfter = 500 * time.Millisecond
 
+// waitingShare is the part of the requests in flight that may wait for the
+// servers of one service.
+const waitingShare = 4
+
 // Options are the settings of a Carrier.
 type Options struct {
 	// VM is the id of this entry VM.
@@ -47,13 +53,27 @@
 	clock   carobward.Clock
 	log     logr.Logger
 
+	shares  *cwlimit.Shares
+	gates   *cwlimit.Gates
+	records *cwretry.Table
+
 	running atomic.Int64
 	serial  atomic.Uint64
 }
 
 // New returns a Carrier.
 func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, clock carobward.Clock, log logr.Logger) *Carrier {
-	return &Carrier{options: o, holder: holder, servers: servers, link: link, clock: clock, log: log.WithName("entry")}
+	return &Carrier{
+		options: o,
+		holder:  holder,
+		servers: servers,
+		link:    link,
+		clock:   clock,
+		log:     log.WithName("entry"),
+		shares:  cwlimit.NewShares(o.Calls),
+		gates:   cwlimit.NewGates(max(1, o.Calls/waitingShare), clock),
+		records: cwretry.NewTable(),
+	}
 }
 
 // Running returns the number of requests in flight.
@@ -96,5 +116,9 @@
 		return nil, err
 	}
 
+	if target.Promise == carobward.Once {
+		return c.single(context.Background(), id, target, call)
+	}
+
 	return c.carry(context.Background(), id, target, call)
 }
--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwretry"
 	"carobward.example/carobward/internal/cwserver"
 )
 
@@ -21,36 +23,178 @@
 // triesMost bounds the attempts at one request.
 const triesMost = 3
 
-// carry tries servers until one answers. Work that must not repeat is tried
-// again only if it has been proved not run.
+// race is one request that may be repeated, with its attempts.
+type race struct {
+	*visit
+	id     carobward.RequestID
+	call   *carobward.Call
+	record *cwretry.Record
+
+	began    time.Time
+	sent     int
+	out      int
+	replies  chan result
+	fallback *answer
+	last     *carobward.Failure
+}
+
+// result is the end of one attempt.
+type result struct {
+	reply  *carobward.Reply
+	err    error
+	server *cwserver.Server
+}
+
+// carry sends a request that may be repeated: to a second server if the first
+// one is slow, and again if it fails, both within the target's budget. The
+// first good reply wins and the other attempts are cancelled.
 func (c *Carrier) carry(ctx context.Context, id carobward.RequestID, target *carobward.Target, call *carobward.Call) (*answer, error) {
-	var tried []*cwserver.Server
+	v, err := c.enter(target, call)
+	if err != nil {
+		return nil, err
+	}
 
-	last := carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrServer)
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	defer v.leave()
 
-	for range triesMost {
-		s := c.options.Policy.Choose(c.clock.Now(), c.servers.Of(target.Service), tried, rng)
-		if s == nil {
-			break
-		}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 
-		tried = append(tried, s)
+	// An attempt that lost may still be writing when the caller's buffer is
+	// used again.
+	own := *call
+	own.Body = slices.Clone(call.Body)
 
-		reply, err := c.attempt(ctx, id, s, call)
-		if err == nil {
-			return &answer{reply, s.Address}, nil
-		}
+	r := &race{
+		visit:   v,
+		id:      id,
+		call:    &own,
+		record:  c.records.Of(target.Name),
+		began:   c.clock.Now(),
+		replies: make(chan result, triesMost),
+	}
+	r.record.Budget.Earn()
+	r.send(ctx)
+
+	return r.wait(ctx)
+}
 
-		if last = c.failure(err, last.Verdict); target.Promise == carobward.Once && last.Verdict != carobward.NotRun {
-			break
+// send starts an attempt at the server that the visit holds.
+func (r *race) send(ctx context.Context) {
+	s, out := r.server, r.noted
+	r.sent++
+	r.out++
+
+	go func() {
+		reply, err := r.carrier.attempt(ctx, r.id, s, out, r.call)
+		r.replies <- result{reply, err, s}
+	}()
+}
+
+// wait returns the first good reply, or the last failure.
+func (r *race) wait(ctx context.Context) (*answer, error) {
+	_, first := r.record.Due(r.began, 0, r.server)
+
+	timer := time.NewTimer(first)
+	defer timer.Stop()
+
+	if first == 0 {
+		timer.Stop()
+	}
+
+	for r.out > 0 {
+		select {
+		case one := <-r.replies:
+			if a := r.take(ctx, one); a != nil {
+				return a, nil
+			}
+		case <-timer.C:
+			if next := r.hedge(ctx); next > 0 {
+				timer.Reset(next)
+			}
 		}
 	}
 
-	return nil, last
+	if r.fallback != nil {
+		return r.fallback, nil
+	}
+
+	return nil, r.last
 }
 
-// failure fills in when to come back. A request that may have run in an
+// take returns the answer if the reply is a good one, and else tries again.
+func (r *race) take(ctx context.Context, one result) *answer {
+	r.out--
+
+	if one.err == nil && !blames(one.reply) {
+		r.record.Latency.Add(r.carrier.clock.Now().Sub(r.began))
+
+		return &answer{one.reply, one.server.Address}
+	}
+
+	if one.err == nil {
+		r.fallback = &answer{one.reply, one.server.Address}
+	} else {
+		r.last = r.carrier.failure(one.err, r.verdict())
+		r.last.RetryAfter = r.carrier.recovery(r.target)
+	}
+
+	if r.out == 0 && r.sent < triesMost && r.again() {
+		metrics.Add("retries", 1)
+		r.send(ctx)
+	}
+
+	return nil
+}
+
+// verdict is that of the failures so far.
+func (r *race) verdict() carobward.Verdict {
+	if r.last == nil {
+		return carobward.NotRun
+	}
+
+	return r.last.Verdict
+}
+
+// hedge sends the call to a second server if that is due, and returns after
+// what time to look again.
+func (r *race) hedge(ctx context.Context) time.Duration {
+	now := r.carrier.clock.Now()
+	age := now.Sub(r.began)
+
+	due, next := r.record.Due(now, age, r.server)
+	if !due {
+		return next - age
+	}
+
+	if r.sent == 1 && r.again() {
+		metrics.Add("hedges", 1)
+		r.send(ctx)
+	}
+
+	return 0
+}
+
+// again takes another server for one more attempt, if one has room and the
+// budget allows it.
+func (r *race) again() bool {
+	if r.call.Deadline.Sub(r.carrier.clock.Now()) <= r.server.Usual() {
+		return false
+	}
+
+	if !r.next() {
+		return false
+	}
+
+	if !r.record.Budget.Take() {
+		r.noted.End(r.carrier.clock.Now(), cwserver.Cancelled)
+
+		return false
+	}
+
+	return true
+}
+
+// failure gives an error its verdict. A request that may have run in an
 // earlier attempt stays Unknown.
 func (c *Carrier) failure(err error, before carobward.Verdict) *carobward.Failure {
 	f := &carobward.Failure{}
@@ -69,14 +213,13 @@
 	return f
 }
 
-// attempt sends the call to one server.
-func (c *Carrier) attempt(ctx context.Context, id carobward.RequestID, s *cwserver.Server, call *carobward.Call) (*carobward.Reply, error) {
+// attempt sends the call to one server, where it has been noted already.
+func (c *Carrier) attempt(ctx context.Context, id carobward.RequestID, s *cwserver.Server, noted cwserver.Call, call *carobward.Call) (*carobward.Reply, error) {
 	one := *call
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
-	out := s.Begin(c.clock.Now())
 	reply, err := c.link.Exchange(ctx, s.Address, &one)
-	out.End(c.clock.Now(), outcome(ctx, reply, err))
+	noted.End(c.clock.Now(), outcome(ctx, reply, err))
 
 	if err != nil {
 		return nil, err
@@ -100,9 +243,14 @@
 		return cwserver.Failed
 	case reply.Shed:
 		return cwserver.Refused
-	case reply.Status >= fasthttp.StatusInternalServerError:
+	case blames(reply):
 		return cwserver.Failed
 	default:
 		return cwserver.Replied
 	}
 }
+
+// blames tells whether a reply speaks against its server.
+func blames(r *carobward.Reply) bool {
+	return r.Status >= fasthttp.StatusInternalServerError && r.Status != fasthttp.StatusNotImplemented
+}
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -35,6 +35,8 @@
 	connsPerServer = 12
 	connKeep       = 30 * time.Second
 	replyHeader    = 16 * carobward.Kilobyte
+	// queuePerSlot is how many calls a server may hold for each of its slots.
+	queuePerSlot = 2
 )
 
 // Node is one entry VM.
@@ -96,7 +98,7 @@
 
 	n.watcher = cwconfig.NewWatcher(n.store, n.holder, log)
 	n.link = cwlink.New(cwlink.Options{Conns: connsPerServer, Keep: connKeep, Header: replyHeader}, clock)
-	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Wait{}}, n.holder, n.servers, n.link, clock, log)
+	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Wait{Queue: queuePerSlot}}, n.holder, n.servers, n.link, clock, log)
 	n.data = dataServer(&s.Limits, n.carrier)
 	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std())
 	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers).Handler()
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -25,6 +25,7 @@
 		}
 
 		n.link.Tick(now)
+		n.carrier.Tick()
 
 		select {
 		case <-ctx.Done():
--- a/internal/cwserver/call.go
+++ b/internal/cwserver/call.go
@@ -36,10 +36,10 @@
 	// ejectShare is the largest share of a service that may be ejected.
 	ejectShare = 0.34
 	// limitFirst, limitLeast and limitMost bound our own calls in flight on
-	// one server.
+	// one server. The most are our part of a server's 250 connections.
 	limitFirst = 2
 	limitLeast = 1
-	limitMost  = 64
+	limitMost  = 12
 )
 
 // Call is one of our calls in flight. Its zero value is of no use.
--- a/internal/cwserver/view.go
+++ b/internal/cwserver/view.go
@@ -65,6 +65,11 @@
 // Ejected tells whether the server has been taken out of the choice.
 func (s *Server) Ejected(m *Moment) bool { return instant(s.ejected.Load()) > m.at }
 
+// EjectedFor returns for how long the server stays out of the choice.
+func (s *Server) EjectedFor(m *Moment) time.Duration {
+	return instant(s.ejected.Load()).since(m.at)
+}
+
 // Limit returns the most of our own calls that the server should hold.
 func (s *Server) Limit() int64 {
 	if l := s.limit.Load(); l != 0 {
