--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -14,6 +14,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
 	"carobward.example/carobward/internal/cwlimit"
+	"carobward.example/carobward/internal/cwmap"
 	"carobward.example/carobward/internal/cwretry"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
@@ -54,8 +55,8 @@
 	log     logr.Logger
 
 	shares  *cwlimit.Shares
-	gates   *cwlimit.Gates
-	records *cwretry.Table
+	gates   *cwmap.Map[carobward.Service, *cwlimit.Gate]
+	records *cwmap.Map[carobward.TargetName, *cwretry.Record]
 
 	running atomic.Int64
 	serial  atomic.Uint64
@@ -63,6 +64,8 @@
 
 // New returns a Carrier.
 func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, clock carobward.Clock, log logr.Logger) *Carrier {
+	gate := func() *cwlimit.Gate { return cwlimit.NewGate(max(1, o.Calls/waitingShare), clock) }
+
 	return &Carrier{
 		options: o,
 		holder:  holder,
@@ -71,8 +74,8 @@
 		clock:   clock,
 		log:     log.WithName("entry"),
 		shares:  cwlimit.NewShares(o.Calls),
-		gates:   cwlimit.NewGates(max(1, o.Calls/waitingShare), clock),
-		records: cwretry.NewTable(),
+		gates:   cwmap.New[carobward.Service](gate),
+		records: cwmap.New[carobward.TargetName](cwretry.NewRecord),
 	}
 }
 
--- a/internal/cwentry/visit.go
+++ b/internal/cwentry/visit.go
@@ -10,6 +10,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwlimit"
+	"carobward.example/carobward/internal/cwretry"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 )
@@ -129,9 +130,10 @@
 	return after + time.Duration(rand.Int64N(int64(after)/2+1))
 }
 
-// Tick drops what is kept for targets that are gone and for idle services.
+// Tick drops what is kept for targets that are gone and for idle services. A
+// request that holds a dropped gate may still enter it.
 func (c *Carrier) Tick() {
 	targets := c.holder.Targets()
-	c.records.Keep(func(name carobward.TargetName) bool { return targets.ByName(name) != nil })
-	c.gates.Tick()
+	c.records.Keep(func(name carobward.TargetName, _ *cwretry.Record) bool { return targets.ByName(name) != nil })
+	c.gates.Keep(func(_ carobward.Service, g *cwlimit.Gate) bool { return !g.Idle() })
 }
--- a/internal/cwlimit/gate.go
+++ b/internal/cwlimit/gate.go
@@ -123,8 +123,8 @@
 	g.admit(now)
 }
 
-// idle tells whether nothing waits or runs.
-func (g *Gate) idle() bool {
+// Idle tells whether nothing waits or runs.
+func (g *Gate) Idle() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 
--- /dev/null
+++ b/internal/cwmap/map_test.go
@@ -0,0 +1,34 @@
+package cwmap_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sourcegraph/conc"
+
+	"carobward.example/carobward/internal/cwmap"
+)
+
+func TestMap(t *testing.T) {
+	made := 0
+	m := cwmap.New[string](func() int {
+		made++
+
+		return made
+	})
+
+	var group conc.WaitGroup
+	for range 50 {
+		group.Go(func() { m.Of("a") })
+	}
+
+	group.Wait()
+
+	got := []int{m.Of("a"), m.Of("b"), m.Of("a")}
+	m.Keep(func(k string, _ int) bool { return k == "b" })
+
+	got = append(got, m.Of("a"), m.Of("b"))
+	if diff := cmp.Diff([]int{1, 2, 1, 3, 2}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/cwretry/record.go
+++ b/internal/cwretry/record.go
@@ -1,10 +1,8 @@
 package cwretry
 
 import (
-	"sync"
 	"time"
 
-	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwserver"
 )
 
@@ -67,47 +65,3 @@
 
 	return false, min(last, age+max(leastWait, time.Duration(lookFactor*usual)))
 }
-
-// Table holds the records of all targets.
-type Table struct {
-	mutex   sync.RWMutex
-	records map[carobward.TargetName]*Record
-}
-
-// NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{records: map[carobward.TargetName]*Record{}}
-}
-
-// Of returns the record of a target.
-func (t *Table) Of(name carobward.TargetName) *Record {
-	t.mutex.RLock()
-	r := t.records[name]
-	t.mutex.RUnlock()
-
-	if r != nil {
-		return r
-	}
-
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-
-	if r = t.records[name]; r == nil {
-		r = NewRecord()
-		t.records[name] = r
-	}
-
-	return r
-}
-
-// Keep drops the records of targets that keep refuses.
-func (t *Table) Keep(keep func(carobward.TargetName) bool) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-
-	for name := range t.records {
-		if !keep(name) {
-			delete(t.records, name)
-		}
-	}
-}
--- a/internal/cwretry/retry_test.go
+++ b/internal/cwretry/retry_test.go
@@ -108,13 +108,3 @@
 		})
 	}
 }
-
-func TestTableKeeps(t *testing.T) {
-	table := cwretry.NewTable()
-	a, b := table.Of("a"), table.Of("b")
-	table.Keep(func(n carobward.TargetName) bool { return n == "a" })
-
-	if table.Of("a") != a || table.Of("b") == b {
-		t.Error("the record of a target that is gone was kept, or another was dropped")
-	}
-}
