--- a/cmd/carobward/main.go
+++ b/cmd/carobward/main.go
@@ -18,12 +18,16 @@
 	exitUsage   = 2
 	exitRefused = 3
 	exitUnknown = 4
+	exitPending = 5
 )
 
 // The kinds of failure that have an exit code of their own.
 const (
 	errRefused = errors.ConstError("refused: nothing was changed")
 	errUnknown = errors.ConstError("unknown: the change may have been accepted")
+	errPending = errors.ConstError("not in force everywhere yet")
+	// errNoAnswer tells that a request got no answer and may have run.
+	errNoAnswer = errors.ConstError("no answer")
 )
 
 // version is set by the linker for a release.
@@ -43,6 +47,8 @@
 	}}
 
 	p := flags.NewNamedParser("carobward", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = usage
+
 	if _, err := p.AddGroup("General", "", &o); err != nil {
 		panic(err)
 	}
@@ -71,6 +77,7 @@
 		{"apply", "Make the targets in a file or folder the ones in force.", usageApply, &applyCommand{}},
 		{"status", "Show where which revision is in force.", usageStatus, &statusCommand{}},
 		{"demo", "Run the main job here, with stand-ins.", usageDemo, &demoCommand{}},
+		{"help", "Show what carobward does, or how one command is used.", usageHelp, &helpCommand{parser: p}},
 	} {
 		if _, err := p.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
 			panic(err)
@@ -97,6 +104,8 @@
 	switch {
 	case errors.Is(err, errUnknown):
 		return exitUnknown
+	case errors.Is(err, errPending):
+		return exitPending
 	case errors.Is(err, errRefused):
 		return exitRefused
 	default:
@@ -114,5 +123,13 @@
 		return "unknown"
 	}
 
-	return info.Main.Version
+	text := info.Main.Version
+
+	for _, b := range info.Settings {
+		if b.Key == "vcs.revision" {
+			text += " " + b.Value
+		}
+	}
+
+	return text + " " + info.GoVersion
 }
--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"expvar"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -22,7 +24,6 @@
 
 // The errors of a request that is given up.
 const (
-	ErrTarget = errors.ConstError("no target matches this request")
 	ErrServer = errors.ConstError("no server can take this request now")
 	ErrBusy   = errors.ConstError("this entry VM has too many requests in flight")
 	ErrNew    = errors.ConstError("this entry VM has no configuration yet")
@@ -43,6 +44,8 @@
 	Calls int
 	// Policy chooses servers.
 	Policy cwroute.Policy
+	// Metrics counts hedges, retries and sheds; nil makes a map of its own.
+	Metrics *expvar.Map
 }
 
 // Carrier carries callers' requests.
@@ -51,11 +54,13 @@
 	holder  *cwconfig.Holder
 	servers *cwserver.Table
 	link    carobward.Servers
+	owner   Owner
 	clock   carobward.Clock
 	log     logr.Logger
 
 	shares  *cwlimit.Shares
 	gates   *cwmap.Map[carobward.Service, *cwlimit.Gate]
+	metrics *expvar.Map
 	records *cwmap.Map[carobward.TargetName, *cwretry.Record]
 
 	running atomic.Int64
@@ -63,20 +68,31 @@
 }
 
 // New returns a Carrier.
-func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, clock carobward.Clock, log logr.Logger) *Carrier {
+func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, owner Owner, clock carobward.Clock, log logr.Logger) *Carrier {
 	gate := func() *cwlimit.Gate { return cwlimit.NewGate(max(1, o.Calls/waitingShare), clock) }
 
-	return &Carrier{
+	c := &Carrier{
 		options: o,
 		holder:  holder,
 		servers: servers,
 		link:    link,
+		owner:   owner,
 		clock:   clock,
 		log:     log.WithName("entry"),
 		shares:  cwlimit.NewShares(o.Calls),
 		gates:   cwmap.New[carobward.Service](gate),
+		metrics: o.Metrics,
 		records: cwmap.New[carobward.TargetName](cwretry.NewRecord),
 	}
+
+	if c.metrics == nil {
+		c.metrics = new(expvar.Map).Init()
+	}
+
+	// Attempts of an earlier run have other ids.
+	c.serial.Store(uint64(rand.Uint32()) << 16)
+
+	return c
 }
 
 // Running returns the number of requests in flight.
@@ -84,7 +100,12 @@
 
 // Handle serves one request.
 func (c *Carrier) Handle(ctx *fasthttp.RequestCtx) {
-	id := requestID(ctx)
+	id, err := requestID(ctx)
+	if err != nil {
+		c.writeFailure(ctx, id, err)
+
+		return
+	}
 
 	reply, err := c.serve(ctx, id)
 	if err != nil {
@@ -97,31 +118,38 @@
 }
 
 func (c *Carrier) serve(ctx *fasthttp.RequestCtx, id carobward.RequestID) (*answer, error) {
-	if c.running.Add(1) > int64(c.options.Calls) {
-		c.running.Add(-1)
+	defer c.running.Add(-1)
 
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrBusy)
+	if err := c.admit(); err != nil {
+		return nil, c.refuse(ctx, err)
 	}
 
-	defer c.running.Add(-1)
-
-	if c.holder.Revision() == 0 {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrNew)
+	if err := check(ctx); err != nil {
+		return nil, c.refuse(ctx, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err))
 	}
 
-	target := c.holder.Targets().Find(string(ctx.Host()), string(ctx.Method()), string(ctx.Path()))
-	if target == nil {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusNotFound, 0, ErrTarget)
+	target, err := c.target(string(ctx.Host()), string(ctx.Method()), originForm(ctx))
+	if err != nil {
+		return nil, c.refuse(ctx, err)
 	}
 
 	call, err := c.call(ctx, target)
 	if err != nil {
-		return nil, err
+		return nil, c.refuse(ctx, err)
 	}
 
 	if target.Promise == carobward.Once {
-		return c.single(context.Background(), id, target, call)
+		return c.once(ctx, id, target, call)
 	}
 
 	return c.carry(context.Background(), id, target, call)
 }
+
+// admit counts a request in flight, whether it is admitted or not.
+func (c *Carrier) admit() error {
+	if c.running.Add(1) > int64(c.options.Calls) {
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrBusy)
+	}
+
+	return nil
+}
--- a/internal/cwsettings/settings.go
+++ b/internal/cwsettings/settings.go
@@ -3,15 +3,13 @@
 package cwsettings
 
 import (
-	"bytes"
-	"encoding/json"
 	"os"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/tailscale/hujson"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwjson"
 )
 
 // Settings are all settings of one entry VM.
@@ -30,10 +28,14 @@
 	Keys Keys `json:"keys"`
 	// Limits bound what callers can hold.
 	Limits Limits `json:"limits"`
+	// Link bounds the connections to servers.
+	Link Link `json:"link"`
 	// Keep is how long a caller may keep an address answer.
 	Keep carobward.Duration `json:"keep"`
 	// Stop bounds a graceful stop, from its start to the exit.
 	Stop carobward.Duration `json:"stop"`
+	// Once bounds what is kept of work that runs at most once.
+	Once Once `json:"once"`
 	// Trace says where spans go.
 	Trace Trace `json:"trace"`
 	// Log is the lowest level that is logged: debug, info or error.
@@ -89,8 +91,12 @@
 	Calls int `json:"calls"`
 	// Conns is the number of open connections of callers.
 	Conns int `json:"conns"`
+	// ConnsPerIP is the number of those from one IP number.
+	ConnsPerIP int `json:"connsPerIP"`
 	// Read bounds the time to read one whole request.
 	Read carobward.Duration `json:"read"`
+	// Write bounds the time to write one whole reply.
+	Write carobward.Duration `json:"write"`
 	// Idle bounds the time that a connection waits for its next request.
 	Idle carobward.Duration `json:"idle"`
 }
@@ -122,7 +128,9 @@
 	defaultBody    = carobward.Megabyte
 	defaultCalls   = 4096
 	defaultConns   = 8192
+	defaultPerIP   = defaultConns / 4
 	defaultRead    = 5 * time.Second
+	defaultWrite   = 5 * time.Second
 	defaultIdle    = time.Minute
 	defaultKeep    = 5 * time.Second
 	defaultStop    = 30 * time.Second
@@ -141,33 +149,32 @@
 			Calls:  defaultCalls,
 			Conns:  defaultConns,
 			Read:   carobward.Duration(defaultRead),
+			Write:  carobward.Duration(defaultWrite),
 			Idle:   carobward.Duration(defaultIdle),
+
+			ConnsPerIP: defaultPerIP,
 		},
+		Link:  defaultLink(),
 		Keep:  carobward.Duration(defaultKeep),
 		Stop:  carobward.Duration(defaultStop),
+		Once:  defaultOnce(),
 		Trace: Trace{To: TraceOff, Share: defaultSampled},
 		Log:   defaultLog,
 	}
 }
 
 // Parse reads settings from JSON with comments over the defaults and
-// validates them.
-func Parse(raw []byte) (Settings, error) {
+// validates them. The name is that of the file. The error names every
+// problem that was found, with its place.
+func Parse(name string, raw []byte) (Settings, error) {
 	s := Defaults()
 
-	plain, err := hujson.Standardize(raw)
-	if err != nil {
-		return s, errors.Annotate(err, "settings")
-	}
-
-	d := json.NewDecoder(bytes.NewReader(plain))
-	d.DisallowUnknownFields()
-
-	if err := d.Decode(&s); err != nil {
-		return s, errors.Annotate(err, "settings")
+	places, err := cwjson.Decode(name, raw, &s)
+	if err != nil && !places.Has("") {
+		return s, err
 	}
 
-	return s, s.Validate()
+	return s, cwjson.And(err, place(s.Validate(), places))
 }
 
 // Load reads, defaults and validates a settings file.
@@ -177,7 +184,5 @@
 		return Settings{}, errors.Annotate(err, "settings")
 	}
 
-	s, err := Parse(raw)
-
-	return s, errors.Annotate(err, path)
+	return Parse(path, raw)
 }
