--- a/internal/cwentry/gone.go
+++ b/internal/cwentry/gone.go
@@ -67,7 +67,3 @@
 		c.seen = true
 	}
 }
-
-// Tick cancels idempotent work whose caller has gone. Work that must not
-// repeat goes on, so that its outcome is known to a retry.
-func (c *Carrier) Tick() { c.waiting.tick() }
