--- a/internal/cwlink/report.go
+++ b/internal/cwlink/report.go
@@ -35,13 +35,15 @@
 			continue
 		}
 
+		name = strings.TrimPrefix(name, metricPrefix)
+
 		n, err := strconv.ParseFloat(value, 64)
 		// NaN is in no range.
-		if err != nil || !(n >= 0 && n <= maxMetric) {
+		if err != nil || !(n >= 0 && n <= most(name)) {
 			continue
 		}
 
-		switch strings.TrimPrefix(name, metricPrefix) {
+		switch name {
 		case metricSlots:
 			r.Slots = int(n)
 		case metricRunning:
@@ -58,5 +60,16 @@
 	return r
 }
 
-// maxMetric bounds what a server may claim. A run may be a time in seconds.
-const maxMetric = 1 << 40
+// What a server may claim is bounded. A run may be a time in seconds.
+const (
+	maxCount = 1 << 20
+	maxRun   = 1 << 40
+)
+
+func most(name string) float64 {
+	if name == metricRun {
+		return maxRun
+	}
+
+	return maxCount
+}
