--- a/internal/cwlink/fuzz_test.go
+++ b/internal/cwlink/fuzz_test.go
@@ -47,7 +47,7 @@
 	f.Fuzz(func(t *testing.T, text string) {
 		r := ParseReport(text, time.Unix(1, 0))
 		for _, n := range []int{r.Slots, r.Running, r.Queued} {
-			if n < 0 || n > maxMetric {
+			if n < 0 || n > maxCount {
 				t.Errorf("%q: %+v", text, r)
 			}
 		}
