--- a/internal/cwentry/request.go
+++ b/internal/cwentry/request.go
@@ -61,8 +61,8 @@
 	return carobward.RequestID(strconv.FormatUint(rand.Uint64(), base))
 }
 
-// check refuses a request that a server could understand as another one than
-// we do.
+// check refuses a request whose bounds or form a server could understand in
+// another way than we do. Its path is looked at by package cwtarget.
 func check(ctx *fasthttp.RequestCtx) error {
 	h := &ctx.Request.Header
 	if err := cwframe.Check(h.RawHeaders()); err != nil {
@@ -82,55 +82,7 @@
 		return ErrForm
 	}
 
-	return checkPath(uri, ctx.URI().PathOriginal())
-}
-
-// checkPath refuses a path that normalization would change: our target would
-// be that of the normal path, and the server might serve the other.
-func checkPath(uri, path []byte) error {
-	if bytes.IndexByte(uri, '#') >= 0 || len(path) == 0 || path[0] != '/' {
-		return ErrPath
-	}
-
-	if bytes.IndexByte(path, '\\') >= 0 || encodedMark(path) {
-		return ErrPath
-	}
-
-	for rest := path[1:]; ; {
-		segment, tail, more := bytes.Cut(rest, []byte("/"))
-
-		// Only the last segment may be empty.
-		if (len(segment) == 0 && more) || string(segment) == "." || string(segment) == ".." {
-			return ErrPath
-		}
-
-		if !more {
-			return nil
-		}
-
-		rest = tail
-	}
-}
-
-// encodedMark tells whether a path has an encoded slash, dot, backslash or
-// zero byte.
-func encodedMark(path []byte) bool {
-	for {
-		i := bytes.IndexByte(path, '%')
-		if i < 0 {
-			return false
-		}
-
-		path = path[i+1:]
-		if len(path) < 2 {
-			return true
-		}
-
-		switch string(bytes.ToLower(path[:2])) {
-		case "2f", "2e", "5c", "00":
-			return true
-		}
-	}
+	return nil
 }
 
 // originForm returns the path and query of a request, without the address
