Idle connections hold no buffers

Each connection kept a reader of the largest reply header (16 KB). Buffers now belong to a call.

TestLateRun shows why a timeout is never not-run: the server reads the call after it was given up.

--- a/internal/cwlink/fuzz_test.go
+++ b/internal/cwlink/fuzz_test.go
@@ -70,7 +70,8 @@
 			one.Method = "HEAD"
 		}
 
-		trip := trip{conn: &conn{reader: bufio.NewReaderSize(bytes.NewReader(raw), most)}, call: one, clock: carobward.SystemClock{}}
+		b := &buffers{reader: bufio.NewReaderSize(bytes.NewReader(raw), most)}
+		trip := trip{buffers: b, call: one, clock: carobward.SystemClock{}}
 
 		reply, _, err := trip.read()
 		if err != nil {
--- a/internal/cwlink/link.go
+++ b/internal/cwlink/link.go
@@ -4,7 +4,6 @@
 package cwlink
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -37,6 +36,7 @@
 	options Options
 	clock   carobward.Clock
 	share   atomic.Int64
+	buffers sync.Pool
 
 	mutex  sync.RWMutex
 	pools  map[carobward.Address]*pool
@@ -66,9 +66,11 @@
 	}
 
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	t := trip{conn: c, call: call, clock: l.clock}
+	t := l.trip(c.Conn, call)
 	reply, err := t.run()
 
+	l.end(&t)
+
 	// A context that ended has closed the connection or is about to.
 	if stop() && err == nil && t.again {
 		p.put(c, l.clock.Now(), l.most())
@@ -192,5 +194,5 @@
 		return nil, errors.Annotate(err, "link")
 	}
 
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, int(l.options.Header))}, nil
+	return &conn{Conn: n}, nil
 }
--- a/internal/cwlink/link_bench_test.go
+++ b/internal/cwlink/link_bench_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net"
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -36,3 +39,56 @@
 		}
 	}
 }
+
+// BenchmarkIdleConns gives the heap that idle connections take, for the page
+// on capacity.
+func BenchmarkIdleConns(b *testing.B) {
+	for _, n := range []int{100, 1000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			// The other ends wait to be accepted, and take no heap.
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+
+			defer func() { _ = ln.Close() }()
+
+			l := newLink(b)
+			l.share.Store(int64(n))
+
+			p, err := l.pool(carobward.Address(ln.Addr().String()))
+			if err != nil {
+				b.Fatal(err)
+			}
+
+			fresh := call("fresh")
+			before := heap()
+
+			for range n {
+				c, err := l.conn(context.Background(), p, fresh)
+				if err != nil {
+					b.Fatal(err)
+				}
+
+				defer p.put(c, time.Now(), n)
+			}
+
+			size := heap() - before
+
+			for b.Loop() {
+				l.Tick(time.Now())
+			}
+
+			b.ReportMetric(float64(size)/float64(n), "B/conn")
+		})
+	}
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+
+	return m.HeapAlloc
+}
--- a/internal/cwlink/link_test.go
+++ b/internal/cwlink/link_test.go
@@ -1,6 +1,7 @@
 package cwlink
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"net"
@@ -47,7 +48,7 @@
 		t.Run(name, func(t *testing.T) {
 			c.call.ID = "one"
 			c.call.Deadline = time.Now().Add(time.Minute)
-			trip := trip{conn: &conn{}, call: &c.call, clock: carobward.SystemClock{}}
+			trip := trip{buffers: &buffers{}, call: &c.call, clock: carobward.SystemClock{}}
 			head, _, _ := bytes.Cut(trip.appendHead(nil), []byte("\r\n\r\n"))
 
 			var lines []string
@@ -209,6 +210,34 @@
 	}
 }
 
+// TestLateRun shows why a timeout is unknown: the server reads and runs the
+// call long after it was given up.
+func TestLateRun(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer func() { _ = ln.Close() }()
+
+	_, err = newLink(t).Exchange(context.Background(), carobward.Address(ln.Addr().String()), soon(call("one")))
+	if diff := cmp.Diff("unknown", verdict(err)); diff != "" {
+		t.Error(diff, err)
+	}
+
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer func() { _ = c.Close() }()
+
+	var req fasthttp.Request
+	if err := req.Read(bufio.NewReader(c)); err != nil || id(&req) != "one" {
+		t.Errorf("the late server got %q, %v", id(&req), err)
+	}
+}
+
 // TestEarlyReply takes a refusal that came before the whole call was sent.
 func TestEarlyReply(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -1,13 +1,11 @@
 package cwlink
 
 import (
-	"bufio"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwsocket"
@@ -19,14 +17,11 @@
 	ErrClosed = errors.ConstError("link: stopped")
 )
 
-// conn is one connection to a server. It carries one call at a time.
+// conn is one connection to a server. It carries one call at a time, and
+// holds no buffers while it is idle.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	// header and head are the buffers that a call's header is made in.
-	header fasthttp.RequestHeader
-	head   []byte
-	used   time.Time
+	used time.Time
 }
 
 // pool holds the connections to one server.
--- a/internal/cwlink/reply.go
+++ b/internal/cwlink/reply.go
@@ -39,7 +39,7 @@
 
 	resp.Header.SetNoDefaultContentType(true)
 
-	if err := readFinal(t.conn.reader, &resp.Header); err != nil {
+	if err := readFinal(t.reader, &resp.Header); err != nil {
 		return nil, false, err
 	}
 
@@ -58,7 +58,7 @@
 		reply.Body = resp.SwapBody(nil)
 	}
 
-	again := !resp.ConnectionClose() && t.conn.reader.Buffered() == 0
+	again := !resp.ConnectionClose() && t.reader.Buffered() == 0
 
 	return reply, again, nil
 }
@@ -150,7 +150,7 @@
 	}
 
 	// The library takes a limit of zero for none.
-	if err := resp.ReadBody(t.conn.reader, max(1, most)); err != nil {
+	if err := resp.ReadBody(t.reader, max(1, most)); err != nil {
 		return err
 	}
 
@@ -159,7 +159,7 @@
 	}
 
 	if length == lengthChunked {
-		return resp.Header.ReadTrailer(t.conn.reader)
+		return resp.Header.ReadTrailer(t.reader)
 	}
 
 	return nil
--- a/internal/cwlink/trip.go
+++ b/internal/cwlink/trip.go
@@ -1,6 +1,7 @@
 package cwlink
 
 import (
+	"bufio"
 	"net"
 	"strconv"
 
@@ -10,9 +11,18 @@
 	"carobward.example/carobward"
 )
 
+// buffers are what one call reads and writes by.
+type buffers struct {
+	reader *bufio.Reader
+	header fasthttp.RequestHeader
+	head   []byte
+}
+
 // trip is one call on one connection.
 type trip struct {
-	conn  *conn
+	*buffers
+
+	conn  net.Conn
 	call  *carobward.Call
 	clock carobward.Clock
 	// sent is the number of bytes that the kernel took.
@@ -21,6 +31,24 @@
 	again bool
 }
 
+// trip returns a trip on a connection. It must be ended.
+func (l *Link) trip(c net.Conn, call *carobward.Call) trip {
+	b, ok := l.buffers.Get().(*buffers)
+	if !ok {
+		b = &buffers{reader: bufio.NewReaderSize(nil, int(l.options.Header))}
+	}
+
+	b.reader.Reset(c)
+
+	return trip{buffers: b, conn: c, call: call, clock: l.clock}
+}
+
+// end gives the buffers of a trip back.
+func (l *Link) end(t *trip) {
+	t.reader.Reset(nil)
+	l.buffers.Put(t.buffers)
+}
+
 // run sends the call and reads the reply. A server may refuse a call before
 // it has read the whole; then writing fails, and a whole reply that already
 // waits is still taken.
@@ -51,25 +79,25 @@
 // send writes the call. The kernel takes bytes in their order, so where it
 // took none the server cannot have seen any.
 func (t *trip) send() error {
-	t.conn.head = t.appendHead(t.conn.head[:0])
+	t.head = t.appendHead(t.head[:0])
 
 	if len(t.call.Body) <= joinMost {
-		t.conn.head = append(t.conn.head, t.call.Body...)
-		n, err := t.conn.Write(t.conn.head)
+		t.head = append(t.head, t.call.Body...)
+		n, err := t.conn.Write(t.head)
 		t.sent = int64(n)
 
 		return err
 	}
 
-	parts := net.Buffers{t.conn.head, t.call.Body}
-	n, err := parts.WriteTo(t.conn.Conn)
+	parts := net.Buffers{t.head, t.call.Body}
+	n, err := parts.WriteTo(t.conn)
 	t.sent = n
 
 	return err
 }
 
 func (t *trip) appendHead(to []byte) []byte {
-	h := &t.conn.header
+	h := &t.header
 	h.Reset()
 
 	// The caller's fields go on as they came.
