--- a/internal/cwmember/machine.go
+++ b/internal/cwmember/machine.go
@@ -43,7 +43,7 @@
 		Spread:    200 * time.Millisecond,
 		Relays:    3,
 		Fanout:    3,
-		Suspicion: 4,
+		Suspicion: 6,
 		Retry:     2 * time.Second,
 		Settle:    10 * time.Second,
 		Forget:    time.Hour,
@@ -231,6 +231,7 @@
 		m.spread = now
 		m.bury(now)
 		out = append(out, m.farewells()...)
+		out = append(out, m.confirm()...)
 		out = append(out, m.spreadNews()...)
 	}
 
@@ -247,8 +248,22 @@
 
 	m.counts.Pauses++
 	m.probe = nil
+	m.hear(now)
+}
+
+// hear notes that somebody was heard. After a silence of all, in which no
+// refutation could have reached us, suspicions stand for longer.
+func (m *Machine) hear(now time.Time) {
+	// In a sound network the answer to our own ping comes each period.
+	const periods = 3
+
+	gap := now.Sub(m.heard)
 	m.heard = now
 
+	if gap < periods*m.options.Period {
+		return
+	}
+
 	for _, e := range m.members {
 		if !e.suspected.IsZero() {
 			e.suspected = e.suspected.Add(gap)
--- a/internal/cwmember/probe.go
+++ b/internal/cwmember/probe.go
@@ -136,6 +136,24 @@
 	}
 }
 
+// confirm pings one of the suspected members, whoever suspected it, so that a
+// lost refutation does not cost a live one its membership.
+func (m *Machine) confirm() []Message {
+	var some []*member
+
+	for _, id := range m.ring {
+		if e := m.members[id]; e != nil && !e.dead && e.suspect {
+			some = append(some, e)
+		}
+	}
+
+	if len(some) == 0 {
+		return nil
+	}
+
+	return []Message{m.ping(some[m.rng.IntN(len(some))], m.rng.Uint64())}
+}
+
 // retry pings one VM that is no member, so that a healed cut is noticed on
 // both sides.
 func (m *Machine) retry(now time.Time) []Message {
