--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 )
 
@@ -22,8 +21,7 @@
 // triesMost bounds the attempts at one request.
 const triesMost = 3
 
-// carry tries servers until one answers. Work that must not repeat is tried
-// again only if it has been proved not run.
+// carry tries servers until one answers.
 func (c *Carrier) carry(ctx context.Context, id carobward.RequestID, target *carobward.Target, call *carobward.Call) (*answer, error) {
 	var tried []*cwserver.Server
 
@@ -31,7 +29,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 
 	for range triesMost {
-		s := cwroute.Choose(c.servers.Of(target.Service), tried, rng)
+		s := c.options.Policy.Choose(c.clock.Now(), c.servers.Of(target.Service), tried, rng)
 		if s == nil {
 			break
 		}
@@ -43,9 +41,7 @@
 			return &answer{reply, s.Address}, nil
 		}
 
-		if last = c.failure(err, last.Verdict); target.Promise == carobward.Once && last.Verdict != carobward.NotRun {
-			break
-		}
+		last = c.failure(err, last.Verdict)
 	}
 
 	return nil, last
@@ -75,10 +71,10 @@
 	one := *call
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
-	s.Running.Add(1)
-	defer s.Running.Add(-1)
-
+	out := s.Begin(c.clock.Now())
 	reply, err := c.link.Exchange(ctx, s.Address, &one)
+	out.End(c.clock.Now(), outcome(ctx, reply, err))
+
 	if err != nil {
 		return nil, err
 	}
@@ -91,3 +87,19 @@
 
 	return reply, nil
 }
+
+// outcome is what an attempt tells of its server.
+func outcome(ctx context.Context, reply *carobward.Reply, err error) cwserver.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return cwserver.Cancelled
+	case err != nil:
+		return cwserver.Failed
+	case reply.Shed:
+		return cwserver.Refused
+	case reply.Status >= fasthttp.StatusInternalServerError:
+		return cwserver.Failed
+	default:
+		return cwserver.Replied
+	}
+}
