Graceful stop: announced, out of all answers, and bounded

Cause: the stop told nobody for sure, closed idle connections while callers still held old answers, and left requests without an answer at the bound.

A suspected VM comes last in address answers, also within its own failure domain.

--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -50,6 +50,10 @@
 
 	running atomic.Int64
 	serial  atomic.Uint64
+
+	// bound ends when a stop may wait no longer for requests in flight.
+	bound context.Context //nolint:containedctx // It outlives any request.
+	abort context.CancelFunc
 }
 
 // New returns a Carrier.
@@ -57,6 +61,7 @@
 	c := &Carrier{options: o, holder: holder, servers: servers, link: link, owner: owner, clock: clock, log: log.WithName("entry")}
 	// Attempts of an earlier run have other ids.
 	c.serial.Store(uint64(rand.Uint32()) << 16)
+	c.bound, c.abort = context.WithCancel(context.Background())
 
 	return c
 }
@@ -64,6 +69,21 @@
 // Running returns the number of requests in flight.
 func (c *Carrier) Running() int64 { return c.running.Load() }
 
+// Abort gives up all requests in flight. What has been sent to a server is
+// answered with Unknown.
+func (c *Carrier) Abort() { c.abort() }
+
+// abortable returns a context that also ends at Abort.
+func (c *Carrier) abortable(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(c.bound, cancel)
+
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // Handle serves one request.
 func (c *Carrier) Handle(ctx *fasthttp.RequestCtx) {
 	id, err := requestID(ctx)
@@ -108,7 +128,7 @@
 		return c.once(ctx, id, target, call)
 	}
 
-	return c.carry(context.Background(), id, target, call)
+	return c.carry(c.bound, id, target, call)
 }
 
 // admit counts a request in flight, whether it is admitted or not.
--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -72,6 +72,9 @@
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
 	out := s.Begin(c.clock.Now())
+	ctx, cancel := c.abortable(ctx)
+	defer cancel()
+
 	reply, err := c.link.Exchange(ctx, s.Address, &one)
 	out.End(c.clock.Now(), outcome(ctx, reply, err))
 
--- a/internal/cwentry/once.go
+++ b/internal/cwentry/once.go
@@ -25,7 +25,7 @@
 // a new one. The reply carries the ticket for the next try.
 func (c *Carrier) once(ctx *fasthttp.RequestCtx, id carobward.RequestID, target *carobward.Target, call *carobward.Call) (*answer, error) {
 	work := func(ctx context.Context) (*cwticket.Outcome, error) { return c.carryOnce(ctx, id, target, call) }
-	outcome, next, err := c.owner.Do(context.Background(), ticketOf(ctx), id, call, work)
+	outcome, next, err := c.owner.Do(c.bound, ticketOf(ctx), id, call, work)
 
 	ctx.Response.Header.Set(carobward.HeaderTicket, next)
 
--- a/internal/cwentry/server.go
+++ b/internal/cwentry/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -47,6 +48,7 @@
 	options ServerOptions
 	carrier *Carrier
 	log     logr.Logger
+	parting atomic.Bool
 }
 
 // NewServer returns a server for a Carrier.
@@ -75,6 +77,10 @@
 	return s
 }
 
+// Part makes each reply from now on the last one of its connection, so that
+// a caller that goes on opens a new one instead of meeting a close.
+func (s *Server) Part() { s.parting.Store(true) }
+
 // Serve takes connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error {
 	return s.Server.Serve(newListener(ln, s.options, s.carrier.options.VM))
@@ -99,6 +105,10 @@
 			s.panicked(ctx, cause)
 		}
 
+		if s.parting.Load() {
+			ctx.SetConnectionClose()
+		}
+
 		// With a deadline of its own each reply is sent at once, also when
 		// more requests wait on the connection.
 		_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
--- a/internal/cwlookup/handler.go
+++ b/internal/cwlookup/handler.go
@@ -15,11 +15,20 @@
 	Prefix() string
 }
 
+// Kept returns how long callers keep an answer, which they are told in whole
+// seconds.
+func Kept(keep time.Duration) time.Duration { return max(time.Second, keep.Truncate(time.Second)) }
+
 // Handler returns the HTTP side: GET /addresses?caller=ID&domain=NAME.
 func Handler(table *cwpeer.Table, keep time.Duration, tickets Tickets) *fiber.App {
 	app := fiber.New(fiber.Config{DisableStartupMessage: true, Immutable: true})
 
 	app.Get("/addresses", func(c *fiber.Ctx) error {
+		if table.Self().State == carobward.PeerLeaving {
+			// The caller asks others next time.
+			c.Context().SetConnectionClose()
+		}
+
 		domain := carobward.Domain(c.Query("domain"))
 		use := Choose(table.All(), c.Query("caller", c.IP()), domain)
 
@@ -29,7 +38,7 @@
 			return fiber.NewError(fiber.StatusServiceUnavailable, "no entry VM can take requests now")
 		}
 
-		return c.JSON(Answer{Use: use, Keep: max(1, int(keep.Seconds())), Ticket: tickets.Prefix()})
+		return c.JSON(Answer{Use: use, Keep: int(Kept(keep).Seconds()), Ticket: tickets.Prefix()})
 	})
 
 	return app
--- a/internal/cwlookup/lookup.go
+++ b/internal/cwlookup/lookup.go
@@ -42,27 +42,35 @@
 )
 
 // Choose returns the addresses for a caller: its own failure domain first,
-// then one each of other failure domains, spread by rendezvous hashing.
+// then one each of other failure domains, spread by rendezvous hashing. One
+// that is suspected comes after all that are not; one that leaves or is dead
+// is left out.
 func Choose(peers []carobward.Peer, caller string, domain carobward.Domain) []Line {
 	ranked := rank(peers, caller)
 
-	var near, far []Line
+	var near, far []carobward.Peer
 
 	seen := map[carobward.Domain]bool{domain: true}
 
 	for _, p := range ranked {
-		l := Line{Address: p.Callers, Lookup: p.Lookup, VM: p.ID, Domain: p.Domain}
-
 		switch {
 		case p.Domain == domain && len(near) < nearMost:
-			near = append(near, l)
+			near = append(near, p)
 		case !seen[p.Domain] && len(far) < farMost:
 			seen[p.Domain] = true
-			far = append(far, l)
+			far = append(far, p)
 		}
 	}
 
-	return append(near, far...)
+	chosen := append(near, far...)
+	slices.SortStableFunc(chosen, func(a, b carobward.Peer) int { return cmp.Compare(a.State, b.State) })
+
+	var use []Line
+	for _, p := range chosen {
+		use = append(use, Line{Address: p.Callers, Lookup: p.Lookup, VM: p.ID, Domain: p.Domain})
+	}
+
+	return use
 }
 
 // rank sorts the fit peers by their rendezvous weight for the caller.
--- a/internal/cwmember/schedule_test.go
+++ b/internal/cwmember/schedule_test.go
@@ -80,7 +80,7 @@
 // TestSchedules drives fleets through generated faults and checks what must
 // always hold, and that a calm network mends everything.
 func TestSchedules(t *testing.T) {
-	const size, settle, calm = 6, 10 * time.Second, 40*time.Second
+	const size, settle, calm = 6, 10 * time.Second, 40 * time.Second
 
 	rapid.Check(t, func(r *rapid.T) {
 		n := newNetwork(size, rapid.Uint64().Draw(r, "seed"), machine)
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/gofiber/fiber/v2"
@@ -167,17 +166,15 @@
 	group.Go(func() { n.logEnd("peers", n.server.Serve(n.listeners.peers)) })
 	group.Go(func() { n.logEnd("operators", n.operators.Listener(n.listeners.operators)) })
 
-	<-ctx.Done()
-
-	err := n.leave()
+	err := n.leave(n.awaitStop(ctx))
 	n.link.Close()
 
 	stop()
 	n.owner.Stop()
 	<-n.member.Done()
 	n.closePeers()
-	_ = n.lookup.Shutdown()
-	_ = n.operators.Shutdown()
+	_ = n.lookup.ShutdownWithTimeout(closeMost)
+	_ = n.operators.ShutdownWithTimeout(closeMost)
 	group.Wait()
 	n.log.Info("Stopped.")
 
@@ -189,21 +186,3 @@
 		n.log.Error(err, "A listener ended.", "listener", listener)
 	}
 }
-
-// leave tells the peers, serves for as long as callers keep old answers, and
-// then waits for the requests in flight.
-func (n *Node) leave() error {
-	n.log.Info("Leaving.", "keep", n.settings.Keep.Std().String())
-	n.member.Leave(context.Background())
-
-	end := n.clock.Now().Add(n.settings.Stop.Std())
-	time.Sleep(n.settings.Keep.Std())
-
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-n.handOverTime()))
-	defer cancel()
-
-	err := n.data.ShutdownWithContext(ctx)
-	n.handOver(end)
-
-	return errors.Annotate(err, "node: requests were still in flight at the bound")
-}
--- a/internal/cwsettings/settings_test.go
+++ b/internal/cwsettings/settings_test.go
@@ -37,7 +37,7 @@
 		"too small headers": {text: with(`"limits": {}`, `"limits": {"header": 10}`), err: `s:5:23: "limits.header": want from 1024 to 1048576, got 10`},
 		"too few conns":     {text: with(`"limits": {}`, `"limits": {"conns": 9}`), err: `s:5:22: "limits.conns": want at least "limits.calls" (4096), since each request in flight holds a connection, got 9`},
 		"a minus":           {text: with(`"limits": {}`, `"keep": "-5s"`), err: `s:5:10: "keep": want a time from 1s to 1h0m0s, got -5s`},
-		"stop before keep":  {text: with(`"limits": {}`, `"stop": "2s"`), err: `s:5:10: "stop": want more than "keep" (5s), since callers use old answers for that long, got 2s`},
+		"stop before keep":  {text: with(`"limits": {}`, `"stop": "2s"`), err: `s:5:10: "stop": want at least 2s more than "keep" (5s), since callers use old answers for that long, got 2s`},
 		"share above one":   {text: with(`"trace": {}`, `"trace": {"share": 1.01}`), err: `s:5:35: "trace.share": want a number from 0 to 1, got 1.01`},
 		"http without url":  {text: with(`"trace": {}`, `"trace": {"to": "http"}`), err: `s:5:25: "trace.url": want an address such as "http://10.0.0.2:8500", got ""`},
 		"url without http":  {text: with(`"trace": {}`, `"trace": {"url": "http://127.0.0.1:1"}`), err: `s:5:33: "trace.url": want it left out unless "trace.to" is http, got "http://127.0.0.1:1"`},
--- a/internal/cwsettings/validate.go
+++ b/internal/cwsettings/validate.go
@@ -175,6 +175,10 @@
 	}
 }
 
+// stopMore is what a graceful stop needs besides the time that callers keep
+// old answers.
+const stopMore = 2 * time.Second
+
 func (s *Settings) validateTimes(fail failer) {
 	within := func(key string, v carobward.Duration, low time.Duration) {
 		if v.Std() < low || v.Std() > timeHigh {
@@ -190,8 +194,9 @@
 	within("keep", s.Keep, keepLow)
 	within("stop", s.Stop, timeLow)
 
-	if s.Stop <= s.Keep {
-		fail(`settings: "stop": want more than "keep" (%s), since callers use old answers for that long, got %s`, s.Keep.Std(), s.Stop.Std())
+	if s.Stop.Std() < s.Keep.Std()+stopMore {
+		fail(`settings: "stop": want at least %s more than "keep" (%s), since callers use old answers for that long, got %s`,
+			stopMore, s.Keep.Std(), s.Stop.Std())
 	}
 }
 
