--- a/internal/cwlookup/lookup.go
+++ b/internal/cwlookup/lookup.go
@@ -62,7 +62,7 @@
 		}
 	}
 
-	chosen := append(near, far...)
+	chosen := slices.Concat(near, far)
 	slices.SortStableFunc(chosen, func(a, b carobward.Peer) int { return cmp.Compare(a.State, b.State) })
 
 	var use []Line
