Stop: callers' idle connections end on their side

Now every reply from the announcement on is the last one of its connection, and idle connections stay open until the caller closes them, for 11 s at most and within the bound.

Ruled out: closing idle connections while answers are held (races with a request on its way); last replies only after the keep time (connections that fall idle before never get one).

--- a/cmd/carobward/demo.go
+++ b/cmd/carobward/demo.go
@@ -34,6 +34,7 @@
 	demoServers = 3
 	demoSlots   = 4
 	demoWork    = 2 * time.Millisecond
+	demoStop    = 3 * time.Second
 	demoWait    = 10 * time.Second
 	demoPoll    = 20 * time.Millisecond
 )
@@ -110,6 +111,7 @@
 		s.Store.URL = platform
 		s.List.URL = platform + cwstand.ListPath
 		s.Keep = carobward.Duration(time.Second)
+		s.Stop = carobward.Duration(demoStop)
 		s.Log = "error"
 
 		if err := s.Validate(); err != nil {
--- a/internal/cwnode/stop.go
+++ b/internal/cwnode/stop.go
@@ -17,9 +17,10 @@
 	announceMost = 2 * time.Second
 	// keepMargin is the time that an address answer may be on its way.
 	keepMargin = 500 * time.Millisecond
-	// partMost bounds the wait for callers that go on in spite of it to get
-	// their last reply on each connection.
-	partMost = time.Second
+	// partMost bounds the wait for callers to close their idle connections.
+	// Some HTTP clients keep one for 10 s and do not notice that we closed
+	// it: their next request, to our successor, would be lost.
+	partMost = 11 * time.Second
 	// abortMost is what is kept of the bound to answer requests that are
 	// given up.
 	abortMost = 500 * time.Millisecond
@@ -55,8 +56,8 @@
 	defer cancel()
 
 	n.announce(serve)
-	pause(serve, cwlookup.Kept(n.settings.Keep.Std())+keepMargin)
 	n.data.Part()
+	pause(serve, cwlookup.Kept(n.settings.Keep.Std())+keepMargin)
 	n.await(serve, partMost, func() bool { return n.data.GetOpenConnectionsCount() == 0 })
 	n.log.Info("No new connections are taken.", "running", n.carrier.Running())
 
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -51,14 +51,23 @@
 func (f *fleet) serve(t *testing.T, vm, domain string) {
 	t.Helper()
 
+	const open = "127.0.0.1:0"
+
+	f.serveAt(t, vm, domain, &node{callers: open, lookup: open, peers: open, operators: open}, "")
+}
+
+// serveAt starts an entry VM on the addresses of a node, with more settings.
+func (f *fleet) serveAt(t *testing.T, vm, domain string, at *node, more string) {
+	t.Helper()
+
 	settings := cwtest.File(t, "settings.jsonc", fmt.Sprintf(`{
 		// One entry VM.
 		"vm": %q, "domain": %q,
-		"listen": {"callers": "127.0.0.1:0", "lookup": "127.0.0.1:0", "peers": "127.0.0.1:0", "operators": "127.0.0.1:0"},
+		"listen": {"callers": %q, "lookup": %q, "peers": %q, "operators": %q},
 		"store": {"url": "http://%s"},
 		"list": {"url": "http://%s/vms", "every": "100ms"},
-		"keep": "1s",
-	}`, vm, domain, f.platform, f.platform))
+		"keep": "1s", %s
+	}`, vm, domain, at.callers, at.lookup, at.peers, at.operators, f.platform, f.platform, more))
 
 	n := &node{process: cwtest.Start(t, f.carobward, "serve", "--settings", settings)}
 
--- /dev/null
+++ b/test/path/stop_test.go
@@ -0,0 +1,169 @@
+package path
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwstand"
+	"carobward.example/carobward/internal/cwtest"
+)
+
+// peersKey names a key file that the entry VMs share.
+func peersKey(t *testing.T) string {
+	t.Helper()
+
+	return fmt.Sprintf(`"keys": {"peers": %q},`, cwtest.File(t, "peers.key", strings.Repeat("5a", 16)))
+}
+
+// newStopFleet returns three entry VMs of one failure domain with a key, and
+// the server that charges.
+func newStopFleet(t *testing.T, more, billing string) *fleet {
+	t.Helper()
+
+	f := &fleet{
+		carobward: cwtest.Build(t, "cmd/carobward"), cwstand: cwtest.Build(t, "cmd/cwstand"), nodes: map[string]*node{},
+	}
+	f.platform = f.stand(t, "platform", "--listen", "127.0.0.1:0")
+
+	const open = "127.0.0.1:0"
+	for i := range 3 {
+		f.serveAt(t, fmt.Sprintf("vm-%d", i+1), "Ifrane", &node{callers: open, lookup: open, peers: open, operators: open}, more)
+	}
+
+	f.list(t, map[string][]string{
+		"records": {f.stand(t, "server", "--slots", "30"), f.stand(t, "server", "--slots", "30")},
+		"billing": {billing},
+	})
+
+	targets := cwtest.File(t, "targets.jsonc", `{"targets": [
+		{"name": "sheet-lookup", "service": "records", "promise": "quick", "match": [{"method": "GET", "path": "/sheets/"}], "within": "5s"},
+		{"name": "launch-fee", "service": "billing", "promise": "once", "match": [{"method": "POST", "path": "/fees"}], "within": "1m"}]}`)
+	if out, code := cwtest.Run(t, f.carobward, "apply", "--vm", f.nodes["vm-1"].operators, targets); code != 0 {
+		t.Fatalf("apply: exit code %d\n%s", code, out)
+	}
+
+	f.inForce(t, 1)
+
+	return f
+}
+
+// TestStop stops an entry VM under constant load and replaces it on the same
+// address, twice in a row. The naive version, which a second signal is, ends
+// at once.
+func TestStop(t *testing.T) {
+	for name, tt := range map[string]struct {
+		naive bool
+	}{
+		"graceful":            {},
+		"naive, ends at once": {naive: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			billing := cwstand.NewServer(ln, cwstand.ServerOptions{Slots: 30, Work: 5 * time.Millisecond})
+			defer billing.Close()
+
+			more := peersKey(t)
+			f := newStopFleet(t, more, ln.Addr().String())
+			l := startLoad(t, f)
+
+			for range 2 {
+				f.replace(t, l, more, tt.naive)
+			}
+
+			l.end()
+
+			cut := l.cuts()
+			t.Logf("%d requests by vm-1, %d by the others, %d cut", l.served("vm-1"), l.served("vm-2")+l.served("vm-3"), len(cut))
+
+			if tt.naive != (len(cut) > 0) {
+				t.Errorf("%d requests were cut: %v", len(cut), cut[:min(3, len(cut))])
+			}
+
+			if ran, want := billing.Ran(), l.charged.Load(); !tt.naive && ran != want {
+				t.Errorf("%d fees ran, %d were confirmed", ran, want)
+			}
+		})
+	}
+}
+
+// replace stops vm-1 while it is in use and starts its successor.
+func (f *fleet) replace(t *testing.T, l *load, more string, naive bool) {
+	t.Helper()
+
+	const enough = 50
+
+	old := f.nodes["vm-1"]
+	before := l.served("vm-1")
+	cwtest.Wait(t, "vm-1 is in use", func() bool { return l.served("vm-1") > before+enough })
+
+	old.process.Signal(t, syscall.SIGTERM)
+
+	if naive {
+		cwtest.Wait(t, "vm-1 leaves", func() bool { return strings.Contains(old.process.Output(), "Leaving.") })
+		old.process.Signal(t, syscall.SIGTERM)
+	}
+
+	if err := old.process.Wait(t); (err != nil) != naive {
+		t.Errorf("exit: %v", err)
+	}
+
+	f.serveAt(t, "vm-1", "Ifrane", old, more)
+}
+
+// TestStopBound stops an entry VM whose request is stuck at a server.
+func TestStopBound(t *testing.T) {
+	stuck, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer func() { _ = stuck.Close() }()
+
+	f := newStopFleet(t, `"stop": "4s",`, stuck.Addr().String())
+	n := f.nodes["vm-1"]
+
+	type result struct {
+		verdict string
+		err     error
+	}
+
+	answered := make(chan result, 1)
+
+	go func() {
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.SetRequestURI("http://" + n.callers + "/fees")
+
+		err := fasthttp.DoTimeout(req, resp, cwtest.WaitMost)
+		answered <- result{string(resp.Header.Peek(carobward.HeaderVerdict)), err}
+	}()
+
+	if _, err := stuck.Accept(); err != nil {
+		t.Fatal(err)
+	}
+
+	n.process.Signal(t, syscall.SIGTERM)
+
+	if got := <-answered; got.err != nil || got.verdict != carobward.Unknown.String() {
+		t.Errorf("the stuck request got %+v", got)
+	}
+
+	if err := n.process.Wait(t); err == nil || err.Error() != "exit status 1" {
+		t.Errorf("exit: %v", err)
+	}
+
+	if !strings.Contains(n.process.Output(), "Requests in flight are given up at the bound.") {
+		t.Error("the bound is not logged")
+	}
+}
