--- a/internal/cwentry/server.go
+++ b/internal/cwentry/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -52,6 +53,7 @@
 	// header's place, since the library drops the header when that fails. One
 	// left by a connection that ended may cost a later refusal its not-run.
 	tickets sync.Map
+	parting atomic.Bool
 }
 
 // NewServer returns a server for a Carrier.
@@ -80,6 +82,10 @@
 	return s
 }
 
+// Part makes each reply from now on the last one of its connection, so that
+// a caller that goes on opens a new one instead of meeting a close.
+func (s *Server) Part() { s.parting.Store(true) }
+
 // Serve takes connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error {
 	return s.Server.Serve(newListener(ln, s.options, s.carrier.options.VM))
@@ -108,6 +114,10 @@
 			s.panicked(ctx, cause)
 		}
 
+		if s.parting.Load() {
+			ctx.SetConnectionClose()
+		}
+
 		// With a deadline of its own each reply is sent at once, also when
 		// more requests wait on the connection.
 		_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
