--- a/internal/cwbench/backend.go
+++ b/internal/cwbench/backend.go
@@ -129,7 +129,7 @@
 	b.counts.Began++
 	a.running = true
 
-	if a.call.began++; a.call.began > 1 {
+	if a.call.starts++; a.call.starts > 1 {
 		b.counts.Repeats++
 	}
 
