--- a/internal/cwbench/variant.go
+++ b/internal/cwbench/variant.go
@@ -25,10 +25,13 @@
 	Attempt time.Duration
 	// Cancel closes the connection of a call that nobody waits for.
 	Cancel bool
-	// Hedge is the share of calls that may be sent to a second server once
-	// they have been out for longer than HedgeAt of all; zero: none.
-	Hedge   float64
-	HedgeAt float64
+	// Hedge sends a call that is out for long to a second server.
+	Hedge bool
+	// Budget bounds retries and hedges to a share of all calls.
+	Budget bool
+	// Queue lets calls wait at the entry VM, and sheds those that would wait
+	// for too long.
+	Queue bool
 }
 
 // World is what a policy may see that a real entry VM could not.
@@ -74,25 +77,16 @@
 
 	hedged := wait
 	hedged.Name = "wait-hedge"
-	hedged.Hedge, hedged.HedgeAt = hedgeShare, hedgeAt
+	hedged.Hedge, hedged.Budget = true, true
 
-	limited := hedged
-	limited.Name = "wait-hedge-limit"
-	limited.Policy = func(*World) cwroute.Policy { return cwroute.Wait{Queue: queueRounds} }
+	queued := hedged
+	queued.Name = "product"
+	queued.Policy = func(*World) cwroute.Policy { return cwroute.Wait{Queue: productQueue} }
+	queued.Queue = true
 
-	return []Variant{wait, hedged, limited}
+	return []Variant{wait, hedged, queued}
 }
 
-// queueRounds is how many calls a slot a limited variant expects a server to
-// hold.
-const queueRounds = 3
-
-// The hedging of the product's variants.
-const (
-	hedgeShare = 0.05
-	hedgeAt    = 95
-)
-
 // naiveTimeout is a naive variant's timeout of one attempt.
 const naiveTimeout = 150 * time.Millisecond
 
@@ -171,3 +165,7 @@
 
 	return false
 }
+
+// productQueue is how many calls a slot the product expects a server to hold
+// at most, as internal/cwnode sets it.
+const productQueue = 2
