--- a/internal/cwbench/entry.go
+++ b/internal/cwbench/entry.go
@@ -85,7 +85,7 @@
 	table := cwserver.NewTable()
 	table.Update(vmList(r.scenario))
 	e.rows = table.Of(service)
-	e.policy = r.variant.Policy(&World{timeline: &r.timeline, backends: r.backends})
+	e.policy = r.variant.Policy(&World{Domain: carobward.Domain(strconv.Itoa(e.domain)), timeline: &r.timeline, backends: r.backends})
 
 	for i, s := range e.rows {
 		e.index[s] = i
--- a/internal/cwbench/suite.go
+++ b/internal/cwbench/suite.go
@@ -41,6 +41,12 @@
 			},
 			Variants: slices.Concat(Baselines(), Products(), few(Products())),
 		},
+		{
+			Name:      "ablation",
+			Usage:     "The choice of server without one part at a time, at 70 % with stragglers.",
+			Scenarios: []Scenario{Atlas().at(lowLoad).stragglers(), Pase().at(lowLoad).stragglers()},
+			Variants:  slices.Concat(Baselines(), Ablations(), few(Ablations())),
+		},
 		{
 			Name:      "faults",
 			Usage:     "One fault a scenario at 70 % of slots: drains, cold starts, failing fast, bad reports.",
--- a/internal/cwbench/variant.go
+++ b/internal/cwbench/variant.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 )
@@ -36,6 +37,9 @@
 
 // World is what a policy may see that a real entry VM could not.
 type World struct {
+	// Domain is the entry VM's failure domain.
+	Domain carobward.Domain
+
 	timeline *timeline
 	backends []*backend
 }
@@ -68,25 +72,58 @@
 	return []Variant{v, Baselines()[0]}
 }
 
-// Products returns the variants that the product may use.
+// Products returns the variants that the product may use, each with one part
+// more than the one before it.
 func Products() []Variant {
-	wait := Variant{
-		Name: "wait", Policy: func(*World) cwroute.Policy { return cwroute.Wait{} },
-		Tries: naiveTries, Cancel: true,
-	}
+	wait := waits("wait", cwroute.Wait{Far: productFar})
 
 	hedged := wait
 	hedged.Name = "wait-hedge"
 	hedged.Hedge, hedged.Budget = true, true
 
-	queued := hedged
-	queued.Name = "product"
-	queued.Policy = func(*World) cwroute.Policy { return cwroute.Wait{Queue: productQueue} }
-	queued.Queue = true
+	queued := waits("product", cwroute.Wait{Far: productFar, Queue: productQueue})
+	queued.Hedge, queued.Budget, queued.Queue = true, true, true
 
 	return []Variant{wait, hedged, queued}
 }
 
+// Ablations returns the product's hedged choice with one part less or another
+// one in each.
+func Ablations() []Variant {
+	list := []Variant{
+		waits("all-parts", cwroute.Wait{Far: productFar}),
+		waits("no-reports", cwroute.Wait{Far: productFar, Ignore: cwroute.Reports}),
+		waits("no-latencies", cwroute.Wait{Far: productFar, Ignore: cwroute.Latencies}),
+		waits("own-calls-only", cwroute.Wait{Far: productFar, Ignore: cwroute.Reports | cwroute.Latencies}),
+		waits("no-domains", cwroute.Wait{}),
+		waits("sample-2", cwroute.Wait{Far: productFar, Sample: 2}),
+		waits("sample-5", cwroute.Wait{Far: productFar, Sample: 5}),
+	}
+	for i := range list {
+		list[i].Hedge, list[i].Budget = true, true
+	}
+
+	unhedged := waits("no-hedges", cwroute.Wait{Far: productFar})
+
+	return append(list, unhedged)
+}
+
+// waits returns a variant of the wait policy in the entry VM's domain.
+func waits(name string, w cwroute.Wait) Variant {
+	policy := func(world *World) cwroute.Policy {
+		one := w
+		one.Domain = world.Domain
+
+		return one
+	}
+
+	return Variant{Name: name, Policy: policy, Tries: naiveTries, Cancel: true}
+}
+
+// productFar is what the product expects a call to another failure domain to
+// take longer.
+const productFar = 1500 * time.Microsecond
+
 // naiveTimeout is a naive variant's timeout of one attempt.
 const naiveTimeout = 150 * time.Millisecond
 
--- a/internal/cwroute/wait.go
+++ b/internal/cwroute/wait.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwserver"
 )
 
@@ -16,6 +17,35 @@
 	// Queue is how many calls a server may be expected to hold for each of its
 	// slots; more are not sent. Zero means no limit.
 	Queue float64
+	// Domain is our own failure domain, and Far is what a call to another one
+	// takes longer, there and back. So near servers go first until they are
+	// that much busier.
+	Domain carobward.Domain
+	Far    time.Duration
+	// Ignore leaves knowledge out, to measure what it is worth.
+	Ignore Knowledge
+}
+
+// Knowledge is a set of what is known of servers.
+type Knowledge uint8
+
+// The kinds of knowledge.
+const (
+	// Reports are the load reports, so what others send.
+	Reports Knowledge = 1 << iota
+	// Latencies are slow replies and calls out for long.
+	Latencies
+)
+
+// blind forgets what is to be ignored.
+func (w Wait) blind(m *cwserver.Moment, v *cwserver.View) {
+	if w.Ignore&Reports != 0 {
+		v.Load = float64(v.Running)
+	}
+
+	if w.Ignore&Latencies != 0 {
+		v.Latency = m.Usual()
+	}
 }
 
 // tie is the share by which two expected times may differ and still be a tie.
@@ -73,11 +103,15 @@
 		}
 
 		v := s.View(&m)
+		if w.Ignore != 0 {
+			w.blind(&m, &v)
+		}
+
 		if w.full(&v) {
 			continue
 		}
 
-		p.add(s, cost(&v))
+		p.add(s, cost(&v)+w.distance(s))
 
 		if count--; count == 0 {
 			break
@@ -131,6 +165,15 @@
 	return v.Slots > 0 && v.Load+1 > v.Slots*w.Queue
 }
 
+// distance is what a call takes longer because of where the server is.
+func (w Wait) distance(s *cwserver.Server) float64 {
+	if s.Domain == w.Domain {
+		return 0
+	}
+
+	return float64(w.Far)
+}
+
 // spread is how much a server whose slots are just full costs over an idle
 // one.
 const spread = 0.5
--- a/internal/cwserver/view.go
+++ b/internal/cwserver/view.go
@@ -5,10 +5,10 @@
 // The fading of old knowledge.
 const (
 	// reportFade is the age at which a report counts half.
-	reportFade = 200 * time.Millisecond
+	reportFade = 500 * time.Millisecond
 	// ageFactor is how many usual latencies a call must be out before its age
 	// counts.
-	ageFactor = 1.5
+	ageFactor = 2
 )
 
 // fade returns the weight of knowledge by its age, from 1 to 0.
@@ -34,6 +34,9 @@
 	return m
 }
 
+// Usual returns the average latency of the service, or zero.
+func (m *Moment) Usual() time.Duration { return m.usual }
+
 // View is what is expected of a server at a moment.
 type View struct {
 	// Running counts our own calls, and Limit is the most it should hold.
@@ -111,7 +114,7 @@
 		return 0
 	}
 
-	if age := m.at.since(oldest); age > time.Duration(ageFactor*float64(m.usual)) {
+	if age := m.at.since(oldest); age > ageFactor*m.usual {
 		return age
 	}
 
