A few entry VMs carry each target, more where it is hot

Cause: with all 19 entry VMs carrying a target each one sees a nineteenth of what the servers hold.

The address answer takes target=NAME and names the first by rendezvous hash of each domain. A hot target gets more: callers renew their answers at the VMs that carry it, which know their own rate. One that carries it only because it is hot learns the width from what callers were told; without that each settled on another width (TestWidthsSettle was seen failing so).

--- a/internal/cwentry/visit.go
+++ b/internal/cwentry/visit.go
@@ -126,6 +126,9 @@
 	return after + time.Duration(rand.Int64N(int64(after)/2+1))
 }
 
+// Counts returns the requests of each target since it was last called.
+func (c *Carrier) Counts() map[carobward.TargetName]int { return c.shares.Counts() }
+
 // Tick drops what is kept for targets that are gone and for idle services. A
 // request that holds a dropped gate may still enter it.
 func (c *Carrier) Tick() {
--- a/internal/cwlimit/shares.go
+++ b/internal/cwlimit/shares.go
@@ -13,13 +13,14 @@
 
 	mutex   sync.Mutex
 	running map[carobward.TargetName]int
+	counts  map[carobward.TargetName]int
 }
 
 // NewShares returns shares of calls requests in flight.
 func NewShares(calls int) *Shares {
 	most := max(1, int(classShare*float64(calls)))
 
-	return &Shares{most: most, running: map[carobward.TargetName]int{}}
+	return &Shares{most: most, running: map[carobward.TargetName]int{}, counts: map[carobward.TargetName]int{}}
 }
 
 // Enter counts a request of a target, or returns false if it has its share.
@@ -27,6 +28,8 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
+	s.counts[t]++
+
 	if s.running[t] >= s.most {
 		return false
 	}
@@ -45,3 +48,15 @@
 		delete(s.running, t)
 	}
 }
+
+// Counts returns the requests of each target since it was last called, those
+// refused among them.
+func (s *Shares) Counts() map[carobward.TargetName]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	counts := s.counts
+	s.counts = map[carobward.TargetName]int{}
+
+	return counts
+}
--- a/internal/cwlookup/handler.go
+++ b/internal/cwlookup/handler.go
@@ -15,13 +15,24 @@
 	Prefix() string
 }
 
-// Handler returns the HTTP side: GET /addresses?caller=ID&domain=NAME.
-func Handler(table *cwpeer.Table, keep time.Duration, tickets Tickets) *fiber.App {
+// Handler returns the HTTP side:
+// GET /addresses?caller=ID&domain=NAME&target=NAME&width=N. Without a target
+// all entry VMs come into question. The width is that of the last answer.
+func Handler(table *cwpeer.Table, keep time.Duration, tickets Tickets, widths *Widths) *fiber.App {
 	app := fiber.New(fiber.Config{DisableStartupMessage: true, Immutable: true})
 
 	app.Get("/addresses", func(c *fiber.Ctx) error {
 		domain := carobward.Domain(c.Query("domain"))
-		use := Choose(table.All(), c.Query("caller", c.IP()), domain)
+		peers := table.All()
+
+		width := 0
+
+		if target := carobward.TargetName(c.Query("target")); target != "" {
+			width = widths.Of(target, c.QueryInt("width"))
+			peers = Carriers(peers, target, width)
+		}
+
+		use := Choose(peers, c.Query("caller", c.IP()), domain)
 
 		if len(use) == 0 {
 			c.Set(carobward.HeaderRetryAfter, "1")
@@ -29,7 +40,7 @@
 			return fiber.NewError(fiber.StatusServiceUnavailable, "no entry VM can take requests now")
 		}
 
-		return c.JSON(Answer{Use: use, Keep: max(1, int(keep.Seconds())), Ticket: tickets.Prefix()})
+		return c.JSON(Answer{Use: use, Keep: max(1, int(keep.Seconds())), Width: width, Ticket: tickets.Prefix()})
 	})
 
 	return app
--- a/internal/cwlookup/lookup.go
+++ b/internal/cwlookup/lookup.go
@@ -28,6 +28,9 @@
 	Use []Line `json:"use"`
 	// Keep is how long the answer may be kept, in seconds.
 	Keep int `json:"keep"`
+	// Width is how many entry VMs of each failure domain carry the target
+	// that was asked for. A caller says it with its next question.
+	Width int `json:"width,omitempty"`
 	// Ticket starts the tickets of requests that run at most once: the
 	// caller appends a dot and a number of its own. The entry VM that
 	// answered owns them, so the lookup of the address that is used gives
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -21,7 +21,6 @@
 	"carobward.example/carobward/internal/cwoperator"
 	"carobward.example/carobward/internal/cwowner"
 	"carobward.example/carobward/internal/cwpeer"
-	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwsettings"
 	"carobward.example/carobward/internal/cwvm"
@@ -46,6 +45,8 @@
 	owner   *cwowner.Owner
 	carrier *cwentry.Carrier
 
+	widths *cwlookup.Widths
+
 	data      *cwentry.Server
 	lookup    *fiber.App
 	operators *fiber.App
@@ -94,9 +95,10 @@
 	}
 
 	n.link = newLink(&s.Link, clock)
-	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Wait{Queue: queuePerSlot}}, n.holder, n.servers, n.link, n.owner, clock, log)
+	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: newPolicy(&s)}, n.holder, n.servers, n.link, n.owner, clock, log)
 	n.data = n.dataServer()
-	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner)
+	n.widths = cwlookup.NewWidths(n.peers, s.Route.Rate, s.Keep.Std())
+	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner, n.widths)
 	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers, n.syncer).Handler()
 
 	return n, n.owner.Register(n.server, n.carrier)
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -27,6 +27,7 @@
 		n.tickLink(now)
 		n.owner.Tick(now)
 		n.carrier.Tick()
+		n.widths.Tick(now, n.carrier.Counts)
 
 		select {
 		case <-ctx.Done():
--- a/pkg/cwcaller/book.go
+++ b/pkg/cwcaller/book.go
@@ -23,6 +23,7 @@
 type answer struct {
 	Use    []line `json:"use"`
 	Keep   int    `json:"keep"`
+	Width  int    `json:"width"`
 	Ticket string `json:"ticket"`
 }
 
@@ -159,7 +160,16 @@
 }
 
 func (b *book) askOne(ctx context.Context, at carobward.Address) (answer, bool) {
-	query := url.Values{"caller": {b.options.Caller}, "domain": {string(b.options.Domain)}}.Encode()
+	b.mutex.Lock()
+	width := b.kept.Width
+	b.mutex.Unlock()
+
+	query := url.Values{
+		"caller": {b.options.Caller},
+		"domain": {string(b.options.Domain)},
+		"target": {string(b.options.Target)},
+		"width":  {strconv.Itoa(width)},
+	}.Encode()
 
 	end := b.clock.Now().Add(askMost)
 	if d, ok := ctx.Deadline(); ok && d.Before(end) {
--- a/pkg/cwcaller/caller.go
+++ b/pkg/cwcaller/caller.go
@@ -27,6 +27,9 @@
 	Caller string
 	// Domain is the caller's failure domain, if it has one.
 	Domain carobward.Domain
+	// Target is the target of the requests, if they all have the same: then
+	// the answer names the entry VMs that carry it. Without it any do.
+	Target carobward.TargetName
 	// Lookup lists addresses of entry VMs' lookup listeners.
 	Lookup []carobward.Address
 	// Timeout bounds a request whose context has no deadline; by default
