Old news of full servers fades, so that they are tried again

Cause: an entry VM that held all servers for full sent nothing, so that it got no report and kept the average load of the overload for ever.

TestOldNewsOfFullServersFades was seen failing.

--- a/internal/cwroute/wait_test.go
+++ b/internal/cwroute/wait_test.go
@@ -182,3 +182,27 @@
 		}
 	}
 }
+
+// TestOldNewsOfFullServersFades tells that all servers are full, once and for
+// a while. An entry VM that therefore sends nothing hears nothing new, so it
+// must come to try again by itself.
+func TestOldNewsOfFullServersFades(t *testing.T) {
+	all := table(1, 5).Of(service(0))
+
+	for i := range 1000 {
+		for _, s := range all {
+			s.SetReport(carobward.Report{At: now.Add(time.Duration(i) * time.Millisecond), Slots: 4, Running: 4, Queued: 30})
+		}
+	}
+
+	end := now.Add(time.Second)
+	p := cwroute.Wait{Queue: 2}
+
+	if p.Choose(end, all, nil, source()) != nil {
+		t.Error("a full server was chosen")
+	}
+
+	if p.Choose(end.Add(5*time.Second), all, nil, source()) == nil {
+		t.Error("no server is tried five seconds after the last news")
+	}
+}
--- a/internal/cwserver/group.go
+++ b/internal/cwserver/group.go
@@ -14,6 +14,8 @@
 	// others is the moving average of the calls that are not ours, a server,
 	// as the bits of a float64.
 	others atomic.Uint64
+	// reported is when the last report came.
+	reported atomic.Int64
 }
 
 // groupShare is the weight of one sample in the group's averages.
@@ -37,13 +39,21 @@
 	g.usual.Store(old + int64(float64(int64(d)-old)*groupShare))
 }
 
-func (g *Group) addOthers(n int64) {
+func (g *Group) addOthers(now instant, n int64) {
+	g.reported.Store(int64(now))
+
 	old := math.Float64frombits(g.others.Load())
 	g.others.Store(math.Float64bits(old + (float64(n)-old)*groupShare))
 }
 
-// Others returns the average number of calls a server that are not ours.
-func (g *Group) Others() float64 { return math.Float64frombits(g.others.Load()) }
+// expectOthers returns the average number of calls a server that are not
+// ours. It fades, too: who holds all servers for full sends nothing and hears
+// nothing new, and would never try again.
+func (g *Group) expectOthers(now instant) float64 {
+	average := math.Float64frombits(g.others.Load())
+
+	return average * fade(now.since(instant(g.reported.Load())), reportFade)
+}
 
 // mayEject tells whether one more server may be ejected.
 func (g *Group) mayEject(now instant) bool {
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -92,6 +92,6 @@
 	s.reported.Store(int64(at(r.At)))
 
 	if s.group != nil {
-		s.group.addOthers(others)
+		s.group.addOthers(at(r.At), others)
 	}
 }
--- a/internal/cwserver/view.go
+++ b/internal/cwserver/view.go
@@ -28,7 +28,7 @@
 
 	if s.group != nil {
 		m.usual = s.group.Usual()
-		m.others = s.group.Others()
+		m.others = s.group.expectOthers(m.at)
 	}
 
 	return m
