--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -220,6 +220,12 @@
 
 // attempt sends the call to one server, where it has been noted already.
 func (c *Carrier) attempt(ctx context.Context, id carobward.RequestID, s *cwserver.Server, noted cwserver.Call, call *carobward.Call) (*carobward.Reply, error) {
+	if now := c.clock.Now(); !c.servers.MayDispatch(s, now) {
+		noted.End(now, cwserver.Cancelled)
+
+		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, 0, ErrServer)
+	}
+
 	one := *call
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
--- a/internal/cwentry/once.go
+++ b/internal/cwentry/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
@@ -41,12 +42,19 @@
 // refuse gives a request up before its work. With a ticket it may be the
 // retry of one that has run, so that not-run is for the ticket's owner to say.
 func (c *Carrier) refuse(ctx *fasthttp.RequestCtx, err error) error {
-	ticket := ticketOf(ctx)
+	return c.refuseUnder(ctx, ticketOf(ctx), err)
+}
+
+// refuseUnder is refuse for a request whose ticket is known already.
+func (c *Carrier) refuseUnder(ctx *fasthttp.RequestCtx, ticket string, err error) error {
 	if ticket == "" {
 		return err
 	}
 
-	next, err := c.owner.Refuse(ticket, c.failure(err, carobward.NotRun))
+	f := carobward.NewFailure(carobward.Unknown, fasthttp.StatusInternalServerError, retryAfter, err)
+	_ = errors.As(err, &f)
+
+	next, err := c.owner.Refuse(ticket, f)
 	ctx.Response.Header.Set(carobward.HeaderTicket, next)
 
 	return err
--- a/internal/cwentry/visit.go
+++ b/internal/cwentry/visit.go
@@ -129,9 +129,13 @@
 // Counts returns the requests of each target since it was last called.
 func (c *Carrier) Counts() map[carobward.TargetName]int { return c.shares.Counts() }
 
-// Tick drops what is kept for targets that are gone and for idle services. A
-// request that holds a dropped gate may still enter it.
+// Tick cancels idempotent work whose caller has gone; work that must not
+// repeat goes on, so that its outcome is known to a retry. It also drops what
+// is kept for targets that are gone and for idle services. A request that
+// holds a dropped gate may still enter it.
 func (c *Carrier) Tick() {
+	c.waiting.tick()
+
 	targets := c.holder.Targets()
 	c.records.Keep(func(name carobward.TargetName, _ *cwretry.Record) bool { return targets.ByName(name) != nil })
 	c.gates.Keep(func(_ carobward.Service, g *cwlimit.Gate) bool { return !g.Idle() })
