--- a/internal/cwbench/result.go
+++ b/internal/cwbench/result.go
@@ -37,6 +37,9 @@
 // Latency is a distribution of latencies in microseconds.
 type Latency struct {
 	P50, P90, P99, P999, Max int64
+	// Calls counts the requests of the class, Answered those that got a whole
+	// answer.
+	Calls, Answered int
 
 	histogram *hdrhistogram.Histogram
 }
@@ -102,7 +105,7 @@
 		l = &r.Once
 	}
 
-	l.record(took)
+	l.record(took, o)
 }
 
 func (r *Result) series(a *arrival, o outcome, at time.Duration) {
@@ -120,7 +123,13 @@
 	step.Worst = max(step.Worst, (at - a.at).Microseconds())
 }
 
-func (l *Latency) record(took time.Duration) {
+func (l *Latency) record(took time.Duration, o outcome) {
+	l.Calls++
+
+	if o == answered {
+		l.Answered++
+	}
+
 	_ = l.histogram.RecordValue(min(took.Microseconds(), latencyMost))
 }
 
@@ -158,6 +167,8 @@
 }
 
 func (l *Latency) add(o *Latency) {
+	l.Calls += o.Calls
+	l.Answered += o.Answered
 	l.histogram.Merge(o.histogram)
 	l.quantiles()
 }
