Bench over sockets; the fleet of the demo in a package of its own

The variants use one fleet of stand-in servers in turn, a slice of time each, and the servers' schedules start again with each slice, so that all meet the same arrivals and slow-downs. The baselines send straight to the servers.

--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -26,12 +27,17 @@
 
 type benchCommand struct {
 	Suite    string        `long:"suite" description:"The suite to run."`
+	Scenario []string      `long:"scenario" description:"Run only scenarios whose name starts so; may be given again."`
 	Variants []string      `long:"variant" description:"Run only variants whose name starts so; may be given again."`
 	Seed     uint64        `long:"seed" default:"1" description:"The first seed."`
 	Seeds    int           `long:"seeds" default:"1" description:"How many seeds, counted up; their results are added up."`
 	Length   time.Duration `long:"length" default:"20s" description:"Length of each run after the warm-up, in the model's time."`
 	Parallel int           `long:"parallel" default:"4" description:"Variants that run at once."`
 	JSON     string        `long:"json" description:"Write all results to this file."`
+	Live     bool          `long:"live" description:"Drive embedded entry VMs and stand-in servers over sockets."`
+	Rounds   int           `long:"rounds" default:"3" description:"Live: rounds of one slice of --length a variant."`
+	VMs      int           `long:"vms" default:"6" description:"Live: entry VMs."`
+	Work     time.Duration `long:"work" default:"25ms" description:"Live: mean time of a request in a slot; sets the rate."`
 	Plot     string        `long:"plot" description:"Draw a plot of each scenario's tails and goodput into this folder."`
 }
 
@@ -50,20 +56,13 @@
 		return err
 	}
 
-	for i := range s.Scenarios {
-		s.Scenarios[i].Seed = c.Seed
-		s.Scenarios[i].Length = c.Length
-	}
+	c.adjust(&s)
 
-	s.Variants = slices.DeleteFunc(s.Variants, c.leftOut)
-
-	results, err := cwbench.RunSuite(s, c.Seeds, c.Parallel)
+	results, err := c.run(&s)
 	if err != nil {
 		return err
 	}
 
-	fmt.Printf("suite %s, seeds %d to %d, %s a run\n", s.Name, c.Seed, c.Seed+uint64(max(c.Seeds, 1))-1, c.Length)
-
 	if err := cwbench.WriteTable(os.Stdout, results); err != nil {
 		return err
 	}
@@ -75,10 +74,59 @@
 	return c.files(s, results)
 }
 
-func (c *benchCommand) leftOut(v cwbench.Variant) bool {
-	return len(c.Variants) > 0 && !slices.ContainsFunc(c.Variants, func(n string) bool { return strings.HasPrefix(v.Name, n) })
+// adjust applies the flags to the suite.
+func (c *benchCommand) adjust(s *cwbench.Suite) {
+	s.Scenarios = slices.DeleteFunc(s.Scenarios, func(s cwbench.Scenario) bool { return leftOut(c.Scenario, s.Name) })
+
+	if c.Live {
+		s.Variants = cwbench.LiveVariants()
+	}
+
+	s.Variants = slices.DeleteFunc(s.Variants, func(v cwbench.Variant) bool { return leftOut(c.Variants, v.Name) })
+
+	for i := range s.Scenarios {
+		one := &s.Scenarios[i]
+		one.Seed, one.Length = c.Seed, c.Length
+
+		if c.Live {
+			one.VMs, one.Work, one.Warm = c.VMs, c.Work, liveWarm
+		}
+	}
+}
+
+// leftOut tells whether a name is not among the chosen ones.
+func leftOut(chosen []string, name string) bool {
+	return len(chosen) > 0 && !slices.ContainsFunc(chosen, func(c string) bool { return strings.HasPrefix(name, c) })
 }
 
+// run runs the suite in the model or over sockets.
+func (c *benchCommand) run(s *cwbench.Suite) ([]*cwbench.Result, error) {
+	if !c.Live {
+		fmt.Printf("suite %s, seeds %d to %d, %s a run\n", s.Name, c.Seed, c.Seed+uint64(max(c.Seeds, 1))-1, c.Length)
+
+		return cwbench.RunSuite(*s, c.Seeds, c.Parallel)
+	}
+
+	fmt.Printf("suite %s over sockets, seeds %d to %d, %d rounds of %s a variant, work %s, %d entry VMs\n",
+		s.Name, c.Seed, c.Seed+uint64(c.Rounds)-1, c.Rounds, c.Length, c.Work, c.VMs)
+
+	var all []*cwbench.Result
+
+	for _, sc := range s.Scenarios {
+		results, err := cwbench.Live(context.Background(), sc, s.Variants, c.Rounds)
+		if err != nil {
+			return nil, err
+		}
+
+		all = append(all, results...)
+	}
+
+	return all, cwbench.WriteMeasuring(os.Stdout, all)
+}
+
+// liveWarm is the start of each slice that is left out of the figures.
+const liveWarm = 500 * time.Millisecond
+
 // files writes the files that were asked for.
 func (c *benchCommand) files(s cwbench.Suite, results []*cwbench.Result) error {
 	if c.JSON != "" {
--- a/cmd/carobward/demo.go
+++ b/cmd/carobward/demo.go
@@ -3,18 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"os"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/sourcegraph/conc"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
-	"carobward.example/carobward/internal/cwlog"
-	"carobward.example/carobward/internal/cwnode"
-	"carobward.example/carobward/internal/cwsettings"
+	"carobward.example/carobward/internal/cwfleet"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtarget"
 	"carobward.example/carobward/pkg/cwcaller"
@@ -35,96 +30,41 @@
 	demoSlots   = 4
 	demoWork    = 2 * time.Millisecond
 	demoWait    = 10 * time.Second
-	demoPoll    = 20 * time.Millisecond
 )
 
 var demoDomains = []carobward.Domain{"Ifrane", "Ouarzazate", "Azilal"}
 
 // Execute runs the demo.
 func (c *demoCommand) Execute([]string) error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return errors.Annotate(err, "demo")
-	}
-
-	platform := cwstand.NewPlatform(ln)
-	defer platform.Close()
-
-	vms, err := demoBackends()
-	if err != nil {
-		return err
-	}
-
-	nodes, err := demoNodes(platform.URL())
+	f, err := cwfleet.New(cwfleet.Options{
+		Name: "demo", Domains: demoDomains, VMs: len(demoDomains), Keep: time.Second,
+		Services: []cwfleet.Service{
+			{Name: "records", Count: demoServers, Options: demoServer},
+			{Name: "billing", Count: demoServers, Options: demoServer},
+		},
+	})
 	if err != nil {
 		return err
 	}
 
-	ctx, stop := context.WithCancel(context.Background())
+	defer f.Close()
 
-	var group conc.WaitGroup
-
-	for _, n := range nodes {
-		self := n.Self()
-		vms = append(vms, carobward.VM{Address: self.Peers, ID: self.ID, Service: carobward.EntryService, Domain: self.Domain})
+	ctx, cancel := context.WithTimeout(context.Background(), demoWait)
+	defer cancel()
 
-		group.Go(func() { _ = n.Run(ctx) })
+	if err := f.Apply(ctx, demoTargets()); err != nil {
+		return err
 	}
 
-	platform.SetVMs(vms)
-
-	err = c.work(ctx, nodes)
-
-	stop()
-	group.Wait()
-
-	return err
-}
-
-func demoBackends() ([]carobward.VM, error) {
-	var vms []carobward.VM
-
-	for _, service := range []carobward.Service{"records", "billing"} {
-		for i := range demoServers {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				return nil, errors.Annotate(err, "demo")
-			}
+	fmt.Println("Three entry VMs serve, revision 1 is in force on each.")
 
-			s := cwstand.NewServer(ln, cwstand.ServerOptions{Slots: demoSlots, Work: demoWork})
-			vms = append(vms, carobward.VM{Address: s.Address(), Service: service, Domain: demoDomains[i%len(demoDomains)]})
-		}
-	}
+	client := cwcaller.New(cwcaller.Options{Caller: "demo", Domain: demoDomains[0], Lookup: f.Lookup(), Timeout: time.Second}, carobward.SystemClock{})
 
-	return vms, nil
+	return c.requests(ctx, client)
 }
 
-func demoNodes(platform string) ([]*cwnode.Node, error) {
-	var nodes []*cwnode.Node
-
-	for i, d := range demoDomains {
-		s := cwsettings.Defaults()
-		s.VM = carobward.VMID(fmt.Sprintf("demo-%d", i+1))
-		s.Domain = d
-		s.Listen = cwsettings.Listen{Callers: "127.0.0.1:0", Lookup: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"}
-		s.Store.URL = platform
-		s.List.URL = platform + cwstand.ListPath
-		s.Keep = carobward.Duration(time.Second)
-		s.Log = "error"
-
-		if err := s.Validate(); err != nil {
-			return nil, err
-		}
-
-		n, err := cwnode.New(s, carobward.SystemClock{}, cwlog.New(os.Stderr, s.Log))
-		if err != nil {
-			return nil, err
-		}
-
-		nodes = append(nodes, n)
-	}
-
-	return nodes, nil
+func demoServer(int) cwstand.ServerOptions {
+	return cwstand.ServerOptions{Slots: demoSlots, Work: demoWork}
 }
 
 func demoTargets() cwconfig.Change {
@@ -142,32 +82,6 @@
 	}, Measure: &cwtarget.Measure{Calls: 10, Bytes: carobward.Kilobyte}}
 }
 
-func (c *demoCommand) work(ctx context.Context, nodes []*cwnode.Node) error {
-	if _, err := nodes[0].Apply(ctx, demoTargets()); err != nil {
-		return err
-	}
-
-	ctx, cancel := context.WithTimeout(ctx, demoWait)
-	defer cancel()
-
-	for _, n := range nodes {
-		if err := n.Await(ctx, 1, demoServers); err != nil {
-			return err
-		}
-	}
-
-	fmt.Println("Three entry VMs serve, revision 1 is in force on each.")
-
-	var lookup []carobward.Address
-	for _, n := range nodes {
-		lookup = append(lookup, n.Self().Lookup)
-	}
-
-	client := cwcaller.New(cwcaller.Options{Caller: "demo", Domain: demoDomains[0], Lookup: lookup, Timeout: time.Second}, carobward.SystemClock{})
-
-	return c.requests(ctx, client)
-}
-
 func (c *demoCommand) requests(ctx context.Context, client *cwcaller.Client) error {
 	lookups := newTally("GET /sheets/today")
 	for range c.Requests {
--- a/internal/cwbench/backend.go
+++ b/internal/cwbench/backend.go
@@ -47,34 +47,43 @@
 // newBackends makes the servers. Their schedules depend on the seed alone.
 func newBackends(s *Scenario, t *timeline) []*backend {
 	list := make([]*backend, s.Servers)
-	order := random(s.Seed, streamFaults).Perm(s.Servers)
-	horizon := s.end() + s.Timeout
+	order := s.order()
 
 	for i := range list {
-		b := &backend{scenario: s, timeline: t}
-		spans := s.Noise.Spans(s.Seed*uint64(s.Servers)+uint64(i), horizon)
+		b := &backend{scenario: s, timeline: t, speed: s.speed(i, order)}
 
 		for j := range s.Faults {
-			f := &s.Faults[j]
-			if !f.hits(order[i]) {
-				continue
+			if f := &s.Faults[j]; f.hits(order[i]) {
+				b.faults = append(b.faults, f)
 			}
-
-			b.faults = append(b.faults, f)
-			spans = append(spans, f.spans()...)
 		}
 
 		if order[i] < s.Misleading {
 			b.reporter = cwstand.Reporter{Lag: s.ReportLag, Lie: s.ReportLie}
 		}
 
-		b.speed = cwstand.NewSpeed(spans)
 		list[i] = b
 	}
 
 	return list
 }
 
+// order draws the places of the servers in the order in which faults hit.
+func (s *Scenario) order() []int { return random(s.Seed, streamFaults).Perm(s.Servers) }
+
+// speed draws the speed of a server.
+func (s *Scenario) speed(server int, order []int) *cwstand.Speed {
+	spans := s.Noise.Spans(s.Seed*uint64(s.Servers)+uint64(server), s.end()+s.Timeout)
+
+	for j := range s.Faults {
+		if f := &s.Faults[j]; f.hits(order[server]) {
+			spans = append(spans, f.spans()...)
+		}
+	}
+
+	return cwstand.NewSpeed(spans)
+}
+
 func (f *Fault) spans() []cwstand.Span {
 	switch f.Kind {
 	case FaultStall:
--- a/internal/cwbench/entry.go
+++ b/internal/cwbench/entry.go
@@ -85,7 +85,7 @@
 	table := cwserver.NewTable()
 	table.Update(vmList(r.scenario))
 	e.rows = table.Of(service)
-	e.policy = r.variant.Policy(&World{timeline: &r.timeline, backends: r.backends})
+	e.policy = r.variant.Policy(&World{expect: func(i int) float64 { return r.backends[i].expect(r.timeline.now) }})
 
 	for i, s := range e.rows {
 		e.index[s] = i
--- /dev/null
+++ b/internal/cwbench/live.go
@@ -0,0 +1,226 @@
+package cwbench
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwfleet"
+	"carobward.example/carobward/internal/cwstand"
+	"carobward.example/carobward/internal/cwtarget"
+)
+
+// sender sends one request and waits for its end.
+type sender func(ctx context.Context, a *arrival, id string) outcome
+
+// live is a run over sockets: one fleet of stand-in servers and entry VMs,
+// which the variants use in turn, a slice of time each, so that noise of the
+// machine hits all alike. The servers' schedules start again with each slice.
+type live struct {
+	scenario Scenario
+	fleet    *cwfleet.Fleet
+	servers  []*cwstand.Server
+	epoch    time.Time
+	slice    time.Duration
+}
+
+// nameProduct is the variant of the product's own entry VMs.
+const nameProduct = "product"
+
+// liveStart bounds the time until the fleet is ready.
+const liveStart = 30 * time.Second
+
+// Live takes the baselines and the product through the scenario over
+// sockets, as many rounds as told, each with another seed. The baselines send
+// straight to the servers, without the hop over an entry VM.
+func Live(ctx context.Context, s Scenario, variants []Variant, rounds int) ([]*Result, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+
+	l := &live{scenario: s, slice: s.end() + s.Timeout}
+	if err := l.start(ctx); err != nil {
+		return nil, err
+	}
+
+	defer l.fleet.Close()
+
+	var results []*Result
+
+	var senders []sender
+
+	for i := range variants {
+		results = append(results, newResult(&l.scenario, &variants[i]))
+		senders = append(senders, l.sender(&variants[i]))
+	}
+
+	for range rounds {
+		arrivals := l.scenario.arrivals()
+
+		for i := range variants {
+			if err := l.drive(ctx, senders[i], arrivals, results[i]); err != nil {
+				return nil, err
+			}
+		}
+
+		l.scenario.Seed++
+	}
+
+	for _, r := range results {
+		r.Quick.quantiles()
+		r.Once.quantiles()
+	}
+
+	return results, nil
+}
+
+func (l *live) start(ctx context.Context) error {
+	s := &l.scenario
+	l.epoch = time.Now()
+	order := s.order()
+
+	fleet, err := cwfleet.New(cwfleet.Options{
+		Name: s.Name, Domains: domains(s.Domains), VMs: s.VMs, Keep: time.Second,
+		Services: []cwfleet.Service{{Name: service, Count: s.Servers, Options: func(i int) cwstand.ServerOptions {
+			o := cwstand.ServerOptions{
+				Slots: s.Slots, Work: s.Work, Spread: s.Spread, Queue: s.Queue, Open: s.Open, Conns: s.Conns,
+				Speed: s.speed(i, order), Epoch: l.epoch, Repeat: l.slice, Delay: s.Between,
+			}
+
+			if order[i] < s.Misleading {
+				o.ReportLag, o.ReportLie = s.ReportLag, s.ReportLie
+			}
+
+			return o
+		}}},
+	})
+	if err != nil {
+		return err
+	}
+
+	l.fleet = fleet
+	l.servers = fleet.Servers[service]
+
+	ctx, cancel := context.WithTimeout(ctx, liveStart)
+	defer cancel()
+
+	if err := fleet.Apply(ctx, targets(s)); err != nil {
+		fleet.Close()
+
+		return err
+	}
+
+	return nil
+}
+
+func domains(count int) []carobward.Domain {
+	var list []carobward.Domain
+	for i := range count {
+		list = append(list, carobward.Domain(strconv.Itoa(i)))
+	}
+
+	return list
+}
+
+// The requests of a live run.
+const (
+	pathQuick = "/sheets/"
+	pathOnce  = "/fees/"
+)
+
+// targets declares the two classes of a scenario.
+func targets(s *Scenario) cwconfig.Change {
+	const body = 64 * carobward.Kilobyte
+
+	within := carobward.Duration(s.Timeout - 2*s.Client)
+
+	return cwconfig.Change{ID: "bench", Put: []carobward.Target{
+		{
+			Name: "quick", Service: service, Promise: carobward.Quick, Within: within, Body: body,
+			Match: []carobward.Match{{Path: pathQuick}},
+		},
+		{
+			Name: "once", Service: service, Promise: carobward.Once, Within: within, Body: body,
+			Match: []carobward.Match{{Path: pathOnce}},
+		},
+	}, Measure: &cwtarget.Measure{Calls: 100, Bytes: 64 * carobward.Kilobyte}}
+}
+
+func uri(a *arrival, id string) string {
+	if a.once {
+		return pathOnce + id
+	}
+
+	return pathQuick + id
+}
+
+// drive sends the arrivals of one slice, which starts with the servers'
+// schedules, and waits until all have ended.
+func (l *live) drive(ctx context.Context, send sender, arrivals []arrival, r *Result) error {
+	var (
+		group conc.WaitGroup
+		mutex sync.Mutex
+	)
+
+	before := l.counts()
+	start := l.epoch.Add((time.Since(l.epoch)/l.slice + 1) * l.slice)
+
+	for i := range arrivals {
+		a := &arrivals[i]
+		if err := sleepUntil(ctx, start.Add(a.at)); err != nil {
+			break
+		}
+
+		group.Go(func() {
+			time.Sleep(l.scenario.Client)
+
+			end, cancel := context.WithDeadline(ctx, start.Add(a.at+l.scenario.Timeout-l.scenario.Client))
+			defer cancel()
+
+			o := send(end, a, strconv.Itoa(i))
+			at := time.Since(start) + l.scenario.Client
+
+			mutex.Lock()
+			defer mutex.Unlock()
+
+			r.count(a, o, at)
+		})
+	}
+
+	group.Wait()
+
+	r.Servers = r.Servers.Add(l.counts().Sub(before))
+
+	return errors.Trace(ctx.Err())
+}
+
+// sleepUntil returns at a time, or at once if it has passed: a late start
+// counts from when it was meant.
+func sleepUntil(ctx context.Context, at time.Time) error {
+	if left := time.Until(at); left > 0 {
+		t := time.NewTimer(left)
+		defer t.Stop()
+
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+	}
+
+	return ctx.Err()
+}
+
+func (l *live) counts() cwstand.Counts {
+	var sum cwstand.Counts
+	for _, s := range l.servers {
+		sum = sum.Add(s.Counts())
+	}
+
+	return sum
+}
--- a/internal/cwbench/table.go
+++ b/internal/cwbench/table.go
@@ -26,6 +26,21 @@
 	return errors.Annotate(w.Flush(), "bench")
 }
 
+// WriteMeasuring prints what the servers counted of measuring and of
+// connections.
+func WriteMeasuring(to io.Writer, results []*Result) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "scenario\tvariant\trequests\tran\tprobes\tprobes/100\tprobe bytes\treport bytes/call\tconnections\t")
+
+	for _, r := range results {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%.3f\t%d\t%.0f\t%d\t\n",
+			r.Scenario, r.Variant, r.Total, r.Servers.Ran, r.Servers.Probes, percent(int(r.Servers.Probes), r.Total),
+			r.Servers.ProbeBytes, ratio(r.Servers.ReportBytes, r.Servers.Ran), r.Servers.Opened)
+	}
+
+	return errors.Annotate(w.Flush(), "bench")
+}
+
 // WriteTrouble prints how the stretches of trouble went, if there were any.
 func WriteTrouble(to io.Writer, results []*Result) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
--- a/internal/cwbench/variant.go
+++ b/internal/cwbench/variant.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"carobward.example/carobward/internal/cwroute"
@@ -36,8 +37,9 @@
 
 // World is what a policy may see that a real entry VM could not.
 type World struct {
-	timeline *timeline
-	backends []*backend
+	// expect is the time that one more call would take on a server now, in
+	// any unit.
+	expect func(server int) float64
 }
 
 // The variants that others are compared with.
@@ -94,7 +96,7 @@
 const naiveTries = 3
 
 // roundRobin takes the servers in turn, whatever is known of them.
-type roundRobin struct{ next int }
+type roundRobin struct{ next atomic.Uint64 }
 
 // Choose implements cwroute.Policy.
 func (r *roundRobin) Choose(_ time.Time, servers, _ []*cwserver.Server, rng *rand.Rand) *cwserver.Server {
@@ -102,13 +104,10 @@
 		return nil
 	}
 
-	if r.next == 0 {
-		r.next = 1 + rng.IntN(len(servers))
-	}
-
-	r.next++
+	// Each entry VM starts somewhere else.
+	r.next.CompareAndSwap(0, 1+rng.Uint64N(uint64(len(servers))))
 
-	return servers[r.next%len(servers)]
+	return servers[r.next.Add(1)%uint64(len(servers))]
 }
 
 // randomPolicy takes any server.
@@ -140,7 +139,7 @@
 			continue
 		}
 
-		wait := t.world.backends[i].expect(t.world.timeline.now)
+		wait := t.world.expect(i)
 
 		switch {
 		case wait < least:
--- a/internal/cwstand/server.go
+++ b/internal/cwstand/server.go
@@ -45,6 +45,10 @@
 	Speed *Speed
 	// Epoch is the start of the schedule; zero is the server's start.
 	Epoch time.Time
+	// Repeat starts the schedule again after that time; zero: never.
+	Repeat time.Duration
+	// Delay is a one-way delay between the server and its callers.
+	Delay time.Duration
 	// ReportLag and ReportLie make the reports stale or misleading.
 	ReportLag time.Duration
 	ReportLie Lie
@@ -103,6 +107,12 @@
 // Waiting returns the number of requests that wait for a slot.
 func (s *Server) Waiting() int64 { return s.queued.Load() }
 
+// Running returns the number of requests that hold a slot.
+func (s *Server) Running() int64 { return int64(len(s.slots)) }
+
+// Rate is the server's speed now; 1 is full speed.
+func (s *Server) Rate() float64 { return s.options.Speed.Rate(s.at(time.Now())) }
+
 // Drain makes the server shed all new work and say so in its reports.
 func (s *Server) Drain() { s.drained.CompareAndSwap(0, time.Now().UnixNano()) }
 
@@ -124,7 +134,9 @@
 	case CountsPath:
 		s.count(ctx)
 	default:
+		time.Sleep(s.options.Delay)
 		s.work(ctx)
+		time.Sleep(s.options.Delay)
 	}
 }
 
@@ -221,7 +233,7 @@
 }
 
 // cancelPoll is how often running work looks whether its sender is gone.
-const cancelPoll = 2 * time.Millisecond
+const cancelPoll = 5 * time.Millisecond
 
 // run does the work in a slot. It returns false if it was cancelled.
 func (s *Server) run(ctx *fasthttp.RequestCtx) bool {
@@ -232,11 +244,11 @@
 		s.counters.repeats.Add(1)
 	}
 
-	start := time.Since(s.options.Epoch)
-	end := s.options.Speed.Finish(start, s.options.workOf(id))
+	start := time.Now()
+	takes := s.takes(start, id)
 
 	for {
-		left := end - time.Since(s.options.Epoch)
+		left := takes - time.Since(start)
 		if left <= 0 {
 			return true
 		}
@@ -249,6 +261,27 @@
 	}
 }
 
+// at is the place of a time in the schedule.
+func (s *Server) at(now time.Time) time.Duration {
+	at := now.Sub(s.options.Epoch)
+	if s.options.Repeat > 0 {
+		at %= s.options.Repeat
+	}
+
+	return at
+}
+
+// takes is how long the work of a request takes that starts now.
+func (s *Server) takes(now time.Time, id string) time.Duration {
+	at := s.at(now)
+	end := s.options.Speed.Finish(at, s.options.workOf(id))
+	if end == Forever {
+		return Forever
+	}
+
+	return end - at
+}
+
 // workOf draws the time of a request from its id, so that it takes as long
 // on each server, in each attempt and in each run.
 func (o *ServerOptions) workOf(id string) time.Duration {
--- a/internal/cwstand/server_count.go
+++ b/internal/cwstand/server_count.go
@@ -31,13 +31,18 @@
 }
 
 // Add returns the sums of two counts.
-func (c Counts) Add(d Counts) Counts {
+func (c Counts) Add(d Counts) Counts { return c.plus(d, 1) }
+
+// Sub returns what was counted since an earlier time.
+func (c Counts) Sub(earlier Counts) Counts { return c.plus(earlier, -1) }
+
+func (c Counts) plus(d Counts, sign int64) Counts {
 	return Counts{
-		Began: c.Began + d.Began, Ran: c.Ran + d.Ran, Repeats: c.Repeats + d.Repeats,
-		Shed: c.Shed + d.Shed, Failed: c.Failed + d.Failed, Cancelled: c.Cancelled + d.Cancelled,
-		Opened: c.Opened + d.Opened, Refused: c.Refused + d.Refused,
-		Probes: c.Probes + d.Probes, ProbeBytes: c.ProbeBytes + d.ProbeBytes,
-		ReportBytes: c.ReportBytes + d.ReportBytes,
+		Began: c.Began + sign*d.Began, Ran: c.Ran + sign*d.Ran, Repeats: c.Repeats + sign*d.Repeats,
+		Shed: c.Shed + sign*d.Shed, Failed: c.Failed + sign*d.Failed, Cancelled: c.Cancelled + sign*d.Cancelled,
+		Opened: c.Opened + sign*d.Opened, Refused: c.Refused + sign*d.Refused,
+		Probes: c.Probes + sign*d.Probes, ProbeBytes: c.ProbeBytes + sign*d.ProbeBytes,
+		ReportBytes: c.ReportBytes + sign*d.ReportBytes,
 	}
 }
 
