--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sourcegraph/conc/panics"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwretry"
 	"carobward.example/carobward/internal/cwserver"
 )
@@ -43,6 +44,8 @@
 	reply  *carobward.Reply
 	err    error
 	server *cwserver.Server
+	// panicked is set if the attempt did not end.
+	panicked *panics.Recovered
 }
 
 // carry sends a request that may be repeated: to a second server if the first
@@ -59,15 +62,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	// An attempt that lost may still be writing when the caller's buffer is
-	// used again.
-	own := *call
-	own.Body = slices.Clone(call.Body)
-
 	r := &race{
 		visit:   v,
 		id:      id,
-		call:    &own,
+		call:    call,
 		record:  c.records.Of(target.Name),
 		began:   c.clock.Now(),
 		replies: make(chan result, triesMost),
@@ -85,8 +83,11 @@
 	r.out++
 
 	go func() {
-		reply, err := r.carrier.attempt(ctx, r.id, s, out, r.call)
-		r.replies <- result{reply, err, s}
+		one := result{server: s}
+		one.panicked = panics.Try(func() {
+			one.reply, one.err = r.carrier.attempt(ctx, r.id, s, out, r.call)
+		})
+		r.replies <- one
 	}()
 }
 
@@ -125,6 +126,10 @@
 func (r *race) take(ctx context.Context, one result) *answer {
 	r.out--
 
+	if one.panicked != nil {
+		panic(one.panicked.Value)
+	}
+
 	if one.err == nil && !blames(one.reply) {
 		r.record.Latency.Add(r.carrier.clock.Now().Sub(r.began))
 
@@ -139,7 +144,7 @@
 	}
 
 	if r.out == 0 && r.sent < triesMost && r.again() {
-		metrics.Add("retries", 1)
+		r.carrier.metrics.Add("retries", 1)
 		r.send(ctx)
 	}
 
@@ -167,7 +172,7 @@
 	}
 
 	if r.sent == 1 && r.again() {
-		metrics.Add("hedges", 1)
+		r.carrier.metrics.Add("hedges", 1)
 		r.send(ctx)
 	}
 
@@ -218,9 +223,7 @@
 	one := *call
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
-	reply, err := c.link.Exchange(ctx, s.Address, &one)
-	noted.End(c.clock.Now(), outcome(ctx, reply, err))
-
+	reply, err := c.exchange(ctx, s, noted, &one)
 	if err != nil {
 		return nil, err
 	}
@@ -234,11 +237,25 @@
 	return reply, nil
 }
 
+// exchange sends the call and notes its end, also if that panics.
+func (c *Carrier) exchange(ctx context.Context, s *cwserver.Server, noted cwserver.Call, one *carobward.Call) (*carobward.Reply, error) {
+	o := cwserver.Failed
+
+	defer func() { noted.End(c.clock.Now(), o) }()
+
+	reply, err := c.link.Exchange(ctx, s.Address, one)
+	o = outcome(ctx, reply, err)
+
+	return reply, err
+}
+
 // outcome is what an attempt tells of its server.
 func outcome(ctx context.Context, reply *carobward.Reply, err error) cwserver.Outcome {
 	switch {
 	case ctx.Err() != nil:
 		return cwserver.Cancelled
+	case errors.Is(err, cwlink.ErrConns):
+		return cwserver.Crowded
 	case err != nil:
 		return cwserver.Failed
 	case reply.Shed:
--- a/internal/cwentry/carry_test.go
+++ b/internal/cwentry/carry_test.go
@@ -17,10 +17,12 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
 	"carobward.example/carobward/internal/cwentry"
+	"carobward.example/carobward/internal/cwowner"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwtarget"
 	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/internal/cwticket"
 )
 
 // link is a fake of the servers: each call is answered by do, which gets the
@@ -41,6 +43,17 @@
 	return l.do(ctx, l.calls.Add(1), c)
 }
 
+// owner is a fake that does all work and records nothing.
+type owner struct{}
+
+func (owner) Do(ctx context.Context, _ string, _ carobward.RequestID, _ *carobward.Call, work cwowner.Work) (*cwticket.Outcome, string, error) {
+	o, err := work(ctx)
+
+	return o, "", err
+}
+
+func (owner) Refuse(_ string, f *carobward.Failure) (string, error) { return "", f }
+
 func good() (*carobward.Reply, error) {
 	return &carobward.Reply{Status: fasthttp.StatusOK, Body: []byte("whole")}, nil
 }
@@ -74,7 +87,7 @@
 
 	o := cwentry.Options{VM: "vm-1", Calls: calls, Policy: cwroute.Wait{Queue: 2}}
 
-	return cwentry.New(o, holder, table, l, carobward.SystemClock{}, logr.Discard())
+	return cwentry.New(o, holder, table, l, owner{}, carobward.SystemClock{}, logr.Discard())
 }
 
 // outcome is what a caller sees.
--- a/internal/cwentry/single.go
+++ b/internal/cwentry/single.go
@@ -40,6 +40,6 @@
 			return nil, last
 		}
 
-		metrics.Add("retries", 1)
+		c.metrics.Add("retries", 1)
 	}
 }
--- a/internal/cwentry/visit.go
+++ b/internal/cwentry/visit.go
@@ -1,7 +1,6 @@
 package cwentry
 
 import (
-	"expvar"
 	"math/rand/v2"
 	"time"
 
@@ -15,9 +14,6 @@
 	"carobward.example/carobward/internal/cwserver"
 )
 
-// metrics counts what became of requests.
-var metrics = expvar.NewMap("carobward.entry")
-
 // The times to come back where nothing better is known.
 const (
 	// retryList is for a service without servers: the next look at the list.
@@ -45,7 +41,7 @@
 // Each request that entered must leave, and each call noted must be ended.
 func (c *Carrier) enter(target *carobward.Target, call *carobward.Call) (*visit, error) {
 	if !c.shares.Enter(target.Name) {
-		metrics.Add("shed", 1)
+		c.metrics.Add("shed", 1)
 
 		return nil, c.shed(ErrBusy, retryShare)
 	}
@@ -79,7 +75,7 @@
 
 	var full *cwlimit.Shed
 	if errors.As(err, &full) {
-		metrics.Add("shed", 1)
+		v.carrier.metrics.Add("shed", 1)
 
 		return v.carrier.shed(err, full.After)
 	}
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -4,15 +4,12 @@
 import (
 	"context"
 	"net"
-	"os"
-	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/gofiber/fiber/v2"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
@@ -22,6 +19,7 @@
 	"carobward.example/carobward/internal/cwlookup"
 	"carobward.example/carobward/internal/cwmember"
 	"carobward.example/carobward/internal/cwoperator"
+	"carobward.example/carobward/internal/cwowner"
 	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
@@ -29,16 +27,6 @@
 	"carobward.example/carobward/internal/cwvm"
 )
 
-// The link's bounds a server. A server takes some 250 connections, which the
-// entry VMs share.
-const (
-	connsPerServer = 12
-	connKeep       = 30 * time.Second
-	replyHeader    = 16 * carobward.Kilobyte
-	// queuePerSlot is how many calls a server may hold for each of its slots.
-	queuePerSlot = 2
-)
-
 // Node is one entry VM.
 type Node struct {
 	settings cwsettings.Settings
@@ -53,11 +41,12 @@
 	server  *cwpeer.Server
 	member  *cwmember.Service
 	holder  *cwconfig.Holder
-	watcher *cwconfig.Watcher
+	syncer  *cwconfig.Syncer
 	link    *cwlink.Link
+	owner   *cwowner.Owner
 	carrier *cwentry.Carrier
 
-	data      *fasthttp.Server
+	data      *cwentry.Server
 	lookup    *fiber.App
 	operators *fiber.App
 	listeners listeners
@@ -83,7 +72,7 @@
 		done:     make(chan struct{}),
 	}
 
-	key, err := readKey(s.Keys.Operators)
+	key, err := cwsettings.ReadKey(s.Keys.Operators)
 	if err != nil {
 		return nil, err
 	}
@@ -96,14 +85,21 @@
 		return nil, err
 	}
 
-	n.watcher = cwconfig.NewWatcher(n.store, n.holder, log)
-	n.link = cwlink.New(cwlink.Options{Conns: connsPerServer, Keep: connKeep, Header: replyHeader}, clock)
-	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Wait{Queue: queuePerSlot}}, n.holder, n.servers, n.link, clock, log)
-	n.data = dataServer(&s.Limits, n.carrier)
-	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std())
-	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers).Handler()
+	if err := n.newOwner(); err != nil {
+		return nil, err
+	}
 
-	return n, nil
+	if err := n.configure(log); err != nil {
+		return nil, err
+	}
+
+	n.link = newLink(&s.Link, clock)
+	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Wait{Queue: queuePerSlot}}, n.holder, n.servers, n.link, n.owner, clock, log)
+	n.data = n.dataServer()
+	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner)
+	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers, n.syncer).Handler()
+
+	return n, n.owner.Register(n.server, n.carrier)
 }
 
 // Done is closed once Run has returned.
@@ -126,24 +122,6 @@
 
 func address(l net.Listener) carobward.Address { return carobward.Address(l.Addr().String()) }
 
-func readKey(path string) (string, error) {
-	if path == "" {
-		return "", nil
-	}
-
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return "", errors.Annotate(err, "keys")
-	}
-
-	key := strings.TrimSpace(string(raw))
-	if key == "" {
-		return "", errors.Errorf("keys: %s is empty", path)
-	}
-
-	return key, nil
-}
-
 func (n *Node) listen() error {
 	l := &n.settings.Listen
 
@@ -171,20 +149,6 @@
 	return errors.Annotate(err, "node")
 }
 
-func dataServer(l *cwsettings.Limits, c *cwentry.Carrier) *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler:            c.Handle,
-		Name:               "carobward",
-		Concurrency:        l.Conns,
-		ReadBufferSize:     int(l.Header),
-		MaxRequestBodySize: int(l.Body),
-		ReadTimeout:        l.Read.Std(),
-		IdleTimeout:        l.Idle.Std(),
-		CloseOnShutdown:    true,
-		NoDefaultDate:      true,
-	}
-}
-
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
@@ -195,7 +159,7 @@
 
 	n.log.Info("Serving.", "vm", n.settings.VM, "callers", n.Self().Callers, "lookup", n.Self().Lookup,
 		"peers", n.Self().Peers, "operators", n.Self().Operators)
-	group.Go(func() { n.watcher.Run(work) })
+	group.Go(func() { n.syncer.Run(work) })
 	group.Go(func() { n.tick(work) })
 	group.Go(func() { n.member.Run(work) })
 	group.Go(func() { n.logEnd("callers", n.data.Serve(n.listeners.callers)) })
@@ -206,8 +170,10 @@
 	<-ctx.Done()
 
 	err := n.leave()
+	n.link.Close()
 
 	stop()
+	n.owner.Stop()
 	<-n.member.Done()
 	n.closePeers()
 	_ = n.lookup.Shutdown()
@@ -233,8 +199,11 @@
 	end := n.clock.Now().Add(n.settings.Stop.Std())
 	time.Sleep(n.settings.Keep.Std())
 
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-n.handOverTime()))
 	defer cancel()
 
-	return errors.Annotate(n.data.ShutdownWithContext(ctx), "node: requests were still in flight at the bound")
+	err := n.data.ShutdownWithContext(ctx)
+	n.handOver(end)
+
+	return errors.Annotate(err, "node: requests were still in flight at the bound")
 }
--- a/internal/cwserver/call.go
+++ b/internal/cwserver/call.go
@@ -13,6 +13,8 @@
 	Failed
 	// Refused: the server shed the call before it began.
 	Refused
+	// Crowded: all our connections to the server were in use.
+	Crowded
 	// Cancelled: we gave the call up ourselves.
 	Cancelled
 )
@@ -104,6 +106,8 @@
 		s.failed(t)
 	case Refused:
 		s.refused(t)
+	case Crowded:
+		s.limit.Store(max(limitLeast, s.Running.Load()))
 	case Cancelled:
 	}
 }
