--- a/cmd/cwstand/server.go
+++ b/cmd/cwstand/server.go
@@ -1,20 +1,50 @@
 package main
 
 import (
+	"context"
+	"math"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"carobward.example/carobward/internal/cwstand"
 )
 
 const usageServer = `Answer each request with its method, path and body after some work, with a
-load report.`
+load report. GET /stand/counts returns what the server has counted, GET
+/healthz its health. SIGUSR1 makes it drain; SIGTERM ends it once the requests
+in flight have ended.`
 
 type serverCommand struct {
-	Listen string        `long:"listen" default:"127.0.0.1:0" description:"Address to listen on."`
-	Slots  int           `long:"slots" default:"4" description:"Requests that run at once."`
-	Work   time.Duration `long:"work" default:"5ms" description:"Time that one request takes."`
+	Listen     string        `long:"listen" default:"127.0.0.1:0" description:"Address to listen on."`
+	Slots      int           `long:"slots" default:"4" description:"Requests that run at once."`
+	Work       time.Duration `long:"work" default:"5ms" description:"Mean time that one request takes."`
+	Spread     float64       `long:"spread" description:"Sigma of its lognormal distribution; 0: constant."`
+	Queue      int           `long:"queue" description:"Requests that wait; more are shed. 0: no bound."`
+	Conns      int           `long:"conns" default:"250" description:"Connections that may be open."`
+	Open       time.Duration `long:"open" description:"What a new connection costs."`
+	Seed       uint64        `long:"seed" default:"1" description:"Seed of the slow-downs."`
+	NoisyEvery time.Duration `long:"noisy-every" description:"Mean time between slow-downs; 0: none."`
+	NoisyFor   time.Duration `long:"noisy-for" default:"60ms" description:"How long a slow-down lasts."`
+	Factor     float64       `long:"noisy-factor" default:"5" description:"How many times slower the server is meanwhile."`
+	Slow       float64       `long:"slow" default:"1" description:"How many times slower a straggler is, all the time."`
+	Cold       time.Duration `long:"cold" description:"How long the server is slow after its start, by --noisy-factor."`
+	StallAt    time.Duration `long:"stall-at" description:"When it stands still, after its start."`
+	StallFor   time.Duration `long:"stall-for" description:"How long it stands still; 0: never."`
+	ReportLag  time.Duration `long:"report-lag" description:"How old the reported load is."`
+	ReportLie  string        `long:"report-lie" choice:"" choice:"idle" choice:"full" description:"What reports say whatever is true."`
+	HealthLag  time.Duration `long:"health-lag" description:"How long the health endpoint hides a drain."`
+	Failing    bool          `long:"failing" description:"Fail each request at once."`
 }
 
+// The bounds of the command.
+const (
+	// noisyHorizon is how far slow-downs are drawn; then they start again.
+	noisyHorizon = 10 * time.Minute
+	stopMost     = 30 * time.Second
+)
+
 // Execute serves until a signal.
 func (c *serverCommand) Execute([]string) error {
 	ln, err := listen(c.Listen)
@@ -22,10 +52,46 @@
 		return err
 	}
 
-	s := cwstand.NewServer(ln, cwstand.ServerOptions{Slots: c.Slots, Work: c.Work})
-	defer s.Close()
+	s := cwstand.NewServer(ln, cwstand.ServerOptions{
+		Slots: c.Slots, Work: c.Work, Spread: c.Spread, Queue: c.Queue, Conns: c.Conns, Open: c.Open,
+		Speed: cwstand.NewSpeed(c.spans()), Repeat: noisyHorizon,
+		ReportLag: c.ReportLag, ReportLie: cwstand.Lie(c.ReportLie), HealthLag: c.HealthLag,
+	})
+	s.SetFailing(c.Failing)
+
+	drain := make(chan os.Signal, 1)
+	signal.Notify(drain, syscall.SIGUSR1)
+
+	go func() {
+		for range drain {
+			s.Drain()
+		}
+	}()
 
 	wait()
 
-	return nil
+	ctx, cancel := context.WithTimeout(context.Background(), stopMost)
+	defer cancel()
+
+	return s.Shutdown(ctx)
+}
+
+// spans are the stretches in which the server is slower.
+func (c *serverCommand) spans() []cwstand.Span {
+	noise := cwstand.Noise{Every: c.NoisyEvery, For: c.NoisyFor, Factor: c.Factor}
+	spans := noise.Spans(c.Seed, noisyHorizon)
+
+	if c.Slow > 1 {
+		spans = append(spans, cwstand.Span{To: cwstand.Forever, Factor: c.Slow})
+	}
+
+	if c.Cold > 0 {
+		spans = append(spans, cwstand.Span{To: c.Cold, Factor: c.Factor})
+	}
+
+	if c.StallFor > 0 {
+		spans = append(spans, cwstand.Span{From: c.StallAt, To: c.StallAt + c.StallFor, Factor: math.Inf(1)})
+	}
+
+	return spans
 }
--- /dev/null
+++ b/internal/cwbench/live_test.go
@@ -0,0 +1,33 @@
+package cwbench
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+func TestLiveRunsEachVariantOverSockets(t *testing.T) {
+	s := Atlas().at(0.2)
+	s.VMs, s.Servers, s.Work = 2, 3, 20*time.Millisecond
+	s.Warm, s.Length, s.Timeout = 100*time.Millisecond, 300*time.Millisecond, 5*time.Second
+	s.Once = 0.5
+
+	list, err := Live(context.Background(), s, LiveVariants(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	for _, r := range list {
+		if r.Total < 20 || r.Answered != r.Calls {
+			t.Errorf("%s: %d of %d answered, %d in all", r.Variant, r.Answered, r.Calls, r.Total)
+		}
+
+		if got := r.Servers.Ran; got < int64(r.Total) {
+			t.Errorf("%s: the servers ran %d of %d", r.Variant, got, r.Total)
+		}
+
+		if r.Servers.ReportBytes == 0 {
+			t.Errorf("%s: no report was counted", r.Variant)
+		}
+	}
+}
