--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -3,7 +3,6 @@
 package cwentry
 
 import (
-	"context"
 	"expvar"
 	"math/rand/v2"
 	"sync/atomic"
@@ -65,6 +64,7 @@
 
 	running atomic.Int64
 	serial  atomic.Uint64
+	waiting waiting
 }
 
 // New returns a Carrier.
@@ -84,6 +84,7 @@
 		metrics: o.Metrics,
 		records: cwmap.New[carobward.TargetName](cwretry.NewRecord),
 	}
+	c.waiting.callers = map[*caller]struct{}{}
 
 	if c.metrics == nil {
 		c.metrics = new(expvar.Map).Init()
@@ -102,7 +103,7 @@
 func (c *Carrier) Handle(ctx *fasthttp.RequestCtx) {
 	id, err := requestID(ctx)
 	if err != nil {
-		c.writeFailure(ctx, id, err)
+		c.writeFailure(ctx, id, c.refuse(ctx, err))
 
 		return
 	}
@@ -128,12 +129,14 @@
 		return nil, c.refuse(ctx, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err))
 	}
 
-	target, err := c.target(string(ctx.Host()), string(ctx.Method()), originForm(ctx))
+	uri := originForm(ctx)
+
+	target, err := c.target(string(ctx.Host()), string(ctx.Method()), uri)
 	if err != nil {
 		return nil, c.refuse(ctx, err)
 	}
 
-	call, err := c.call(ctx, target)
+	call, err := c.call(ctx, target, uri)
 	if err != nil {
 		return nil, c.refuse(ctx, err)
 	}
@@ -142,7 +145,10 @@
 		return c.once(ctx, id, target, call)
 	}
 
-	return c.carry(context.Background(), id, target, call)
+	work, done := c.waiting.wait(ctx)
+	defer done()
+
+	return c.carry(work, id, target, call)
 }
 
 // admit counts a request in flight, whether it is admitted or not.
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -26,7 +26,6 @@
 
 		n.tickLink(now)
 		n.owner.Tick(now)
-		n.carrier.Tick()
 
 		select {
 		case <-ctx.Done():
@@ -46,6 +45,7 @@
 		return
 	}
 
+	n.news.Listed(list)
 	n.servers.Update(list)
 	n.link.Retain(list)
 	n.member.Seeds(list)
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -34,6 +34,7 @@
 
 	report atomic.Pointer[carobward.Report]
 	group  *Group
+	leave  *leave
 
 	// What the choice reads, without a lock.
 	slots    atomic.Int64
@@ -81,10 +82,7 @@
 	}
 
 	s.report.Store(&r)
-
-	if r.Draining {
-		s.Leaving.Store(true)
-	}
+	s.say(r)
 
 	others := max(0, int64(r.Running+r.Queued)-s.Running.Load())
 	s.slots.Store(int64(r.Slots))
