--- a/internal/cwfleet/fleet.go
+++ b/internal/cwfleet/fleet.go
@@ -26,14 +26,14 @@
 	Name carobward.Service
 	// Count is the number of servers.
 	Count int
-	// stopMost bounds a graceful stop beyond the keep time. The whole fleet stops
-// at once, so that there is nobody to hand over to.
-const stopMost = 2 * time.Second
-
-// Options returns those of one server.
+	// Options returns those of one server.
 	Options func(number int) cwstand.ServerOptions
 }
 
+// stopMost bounds a graceful stop beyond the keep time. The whole fleet stops
+// at once, so that there is nobody to hand over to.
+const stopMost = 2 * time.Second
+
 // Options describe a fleet.
 type Options struct {
 	// Name starts the names of the entry VMs.
