--- a/internal/cwlink/report.go
+++ b/internal/cwlink/report.go
@@ -15,6 +15,7 @@
 	metricRunning  = "running"
 	metricQueued   = "queued"
 	metricDraining = "draining"
+	metricRun      = "run"
 	formatText     = "TEXT"
 )
 
@@ -34,12 +35,15 @@
 			continue
 		}
 
+		name = strings.TrimPrefix(name, metricPrefix)
+
 		n, err := strconv.ParseFloat(value, 64)
-		if err != nil || n < 0 || n > maxMetric {
+		// NaN is in no range.
+		if err != nil || !(n >= 0 && n <= most(name)) {
 			continue
 		}
 
-		switch strings.TrimPrefix(name, metricPrefix) {
+		switch name {
 		case metricSlots:
 			r.Slots = int(n)
 		case metricRunning:
@@ -48,11 +52,24 @@
 			r.Queued = int(n)
 		case metricDraining:
 			r.Draining = n > 0
+		case metricRun:
+			r.Run = uint64(n)
 		}
 	}
 
 	return r
 }
 
-// maxMetric bounds what a server may claim.
-const maxMetric = 1 << 20
+// What a server may claim is bounded. A run may be a time in seconds.
+const (
+	maxCount = 1 << 20
+	maxRun   = 1 << 40
+)
+
+func most(name string) float64 {
+	if name == metricRun {
+		return maxRun
+	}
+
+	return maxCount
+}
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -26,6 +26,7 @@
 
 		n.tickLink(now)
 		n.owner.Tick(now)
+		n.widths.Tick(now, n.carrier.Counts)
 
 		select {
 		case <-ctx.Done():
@@ -45,6 +46,7 @@
 		return
 	}
 
+	n.news.Listed(list)
 	n.servers.Update(list)
 	n.link.Retain(list)
 	n.member.Seeds(list)
--- a/internal/cwserver/call.go
+++ b/internal/cwserver/call.go
@@ -13,6 +13,8 @@
 	Failed
 	// Refused: the server shed the call before it began.
 	Refused
+	// Crowded: all our connections to the server were in use.
+	Crowded
 	// Cancelled: we gave the call up ourselves.
 	Cancelled
 )
@@ -36,10 +38,10 @@
 	// ejectShare is the largest share of a service that may be ejected.
 	ejectShare = 0.34
 	// limitFirst, limitLeast and limitMost bound our own calls in flight on
-	// one server.
+	// one server. The most are our part of a server's 250 connections.
 	limitFirst = 2
 	limitLeast = 1
-	limitMost  = 64
+	limitMost  = 12
 )
 
 // Call is one of our calls in flight. Its zero value is of no use.
@@ -104,6 +106,8 @@
 		s.failed(t)
 	case Refused:
 		s.refused(t)
+	case Crowded:
+		s.limit.Store(max(limitLeast, s.Running.Load()))
 	case Cancelled:
 	}
 }
--- a/internal/cwserver/table.go
+++ b/internal/cwserver/table.go
@@ -15,11 +15,16 @@
 	byAddress map[carobward.Address]*Server
 	groups    map[carobward.Service]*Group
 	byService atomic.Pointer[map[carobward.Service][]*Server]
+	leave     *leave
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{byAddress: map[carobward.Address]*Server{}, groups: map[carobward.Service]*Group{}}
+	t := &Table{
+		byAddress: map[carobward.Address]*Server{},
+		groups:    map[carobward.Service]*Group{},
+		leave:     newLeave(),
+	}
 	t.byService.Store(&map[carobward.Service][]*Server{})
 
 	return t
@@ -43,11 +48,7 @@
 
 		s := t.byAddress[v.Address]
 		if s == nil || s.Service != v.Service {
-			s = &Server{Address: v.Address, Service: v.Service, Domain: v.Domain, group: t.group(v.Service)}
-		}
-
-		if v.State == carobward.Leaving {
-			s.Leaving.Store(true)
+			s = &Server{Address: v.Address, Service: v.Service, Domain: v.Domain, group: t.group(v.Service), leave: t.leave}
 		}
 
 		next[v.Address] = s
@@ -64,6 +65,7 @@
 
 	t.byAddress = next
 	t.byService.Store(&byService)
+	t.listed(list, next)
 }
 
 // group returns the group of a service; the mutex is held.
--- a/internal/cwtest/fleet.go
+++ b/internal/cwtest/fleet.go
@@ -65,11 +65,21 @@
 	return address
 }
 
-// StartServer starts a server of a service and lists it.
-func (f *Fleet) StartServer(t testing.TB, service string) {
+// StartServer starts a server of a service, lists it and returns its address.
+func (f *Fleet) StartServer(t testing.TB, service string, args ...string) string {
 	t.Helper()
 
-	f.servers[service] = append(f.servers[service], f.StartStand(t, "server"))
+	address := f.StartStand(t, append([]string{"server"}, args...)...)
+	f.AddServer(t, service, address)
+
+	return address
+}
+
+// AddServer lists a server that the test itself serves.
+func (f *Fleet) AddServer(t testing.TB, service, address string) {
+	t.Helper()
+
+	f.servers[service] = append(f.servers[service], address)
 	f.List(t)
 }
 
@@ -79,16 +89,26 @@
 func (f *Fleet) StartVM(t testing.TB, vm, domain string) *EntryVM {
 	t.Helper()
 
+	const open = "127.0.0.1:0"
+
+	return f.StartVMAt(t, vm, EntryVM{Domain: domain, Callers: open, Lookup: open, Peers: open, Operators: open}, "")
+}
+
+// StartVMAt starts an entry VM on the addresses of another one, with more
+// settings, each with a comma behind it.
+func (f *Fleet) StartVMAt(t testing.TB, vm string, at EntryVM, more string) *EntryVM {
+	t.Helper()
+
 	settings := File(t, "settings.jsonc", fmt.Sprintf(`{
 		// One entry VM.
 		"vm": %q, "domain": %q,
-		"listen": {"callers": "127.0.0.1:0", "lookup": "127.0.0.1:0", "peers": "127.0.0.1:0", "operators": "127.0.0.1:0"},
+		"listen": {"callers": %q, "lookup": %q, "peers": %q, "operators": %q},
 		"store": {"url": "http://%s"},
 		"list": {"url": "http://%s/vms", "every": "100ms"},
-		"keep": "1s",
-	}`, vm, domain, f.Platform, f.Platform))
+		"keep": "1s", %s
+	}`, vm, at.Domain, at.Callers, at.Lookup, at.Peers, at.Operators, f.Platform, f.Platform, more))
 
-	v := &EntryVM{Process: Start(t, f.Carobward, "serve", "--settings", settings), Domain: domain}
+	v := &EntryVM{Process: Start(t, f.Carobward, "serve", "--settings", settings), Domain: at.Domain}
 
 	Wait(t, "an entry VM that serves", func() bool {
 		m := serving.FindStringSubmatch(v.Process.Output())
