The content of a ticket's request does not include its Host

Callers connect by IP number, so a retry at another entry VM has another Host and was refused as other content (422) while the outcome was known. Found by TestOwnerFrozen and TestOwnerLeaves, which were seen failing, with separate processes that are killed, frozen, replaced and stopped; the fakes had sent none. Now method, URI and body count.

--- a/internal/cwticket/ticket.go
+++ b/internal/cwticket/ticket.go
@@ -123,11 +123,12 @@
 // Digest tells the content of one call from another's.
 type Digest [16]byte
 
-// DigestOf returns the digest of a call's method, host, URI and body.
+// DigestOf returns the digest of a call's method, URI and body. The Host is
+// left out: callers connect by IP number, so a retry elsewhere has another.
 func DigestOf(c *carobward.Call) Digest {
 	h := sha256.New()
 
-	for _, part := range []string{c.Method, c.Host, c.URI} {
+	for _, part := range []string{c.Method, c.URI} {
 		var size [numberSize]byte
 
 		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
