--- a/pkg/cwcaller/book.go
+++ b/pkg/cwcaller/book.go
@@ -36,7 +36,9 @@
 	kept   answer
 	asked  time.Time
 	asking bool
-	number uint64
+	// prefixes has the ticket prefixes of the entry VMs, by their lookup.
+	prefixes map[carobward.Address]string
+	number   uint64
 }
 
 func newBook(o *Options, clock carobward.Clock, h *fasthttp.Client) *book {
@@ -52,8 +54,8 @@
 	renewOf    = 4
 )
 
-// addresses returns the addresses to use. An old answer is better than none.
-func (b *book) addresses(ctx context.Context) ([]carobward.Address, error) {
+// lines returns the addresses to use. An old answer is better than none.
+func (b *book) lines(ctx context.Context) ([]line, error) {
 	b.mutex.Lock()
 	first := len(b.kept.Use) == 0
 	renew := !b.asking && b.due()
@@ -72,12 +74,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 
-	var use []carobward.Address
-	for _, u := range b.kept.Use {
-		use = append(use, u.Address)
-	}
-
-	return use, nil
+	return b.kept.Use, nil
 }
 
 // due tells whether it is time for a new answer.
@@ -103,23 +100,35 @@
 		return err
 	}
 
-	b.kept, b.asked, b.number = a, b.clock.Now(), 0
+	b.kept, b.asked = a, b.clock.Now()
+	b.prefixes = map[carobward.Address]string{}
 
 	return nil
 }
 
-// ticket returns a new ticket, or "" where the answer came without.
-func (b *book) ticket() string {
+// ticket returns a new ticket of the entry VM that will be used, so that the
+// request need not be passed on. It is empty where that VM gives none.
+func (b *book) ticket(ctx context.Context, of line) string {
 	b.mutex.Lock()
-	defer b.mutex.Unlock()
+	prefix := b.prefixes[of.Lookup]
+	b.number++
+	number := b.number
+	b.mutex.Unlock()
 
-	if b.kept.Ticket == "" {
+	if prefix == "" {
+		a, _ := b.askOne(ctx, of.Lookup)
+		prefix = a.Ticket
+	}
+
+	if prefix == "" {
 		return ""
 	}
 
-	b.number++
+	b.mutex.Lock()
+	b.prefixes[of.Lookup] = prefix
+	b.mutex.Unlock()
 
-	return b.kept.Ticket + "." + strconv.FormatUint(b.number, 10)
+	return prefix + "." + strconv.FormatUint(number, 10)
 }
 
 // ask asks the entry VMs that were in the last answer, then the ones of the
@@ -132,32 +141,14 @@
 	}
 
 	for _, l := range append(from, b.options.Lookup...) {
-		a, ok := b.askOne(ctx, l)
-		if !ok || len(a.Use) == 0 {
-			continue
+		if a, ok := b.askOne(ctx, l); ok && len(a.Use) > 0 {
+			return a, nil
 		}
-
-		return b.own(ctx, l, a), nil
 	}
 
 	return answer{}, ErrLookup
 }
 
-// own replaces the ticket by one of the entry VM that will be used first, so
-// that the requests with it need not be passed on.
-func (b *book) own(ctx context.Context, asked carobward.Address, a answer) answer {
-	first := a.Use[0].Lookup
-	if first == asked || first == "" {
-		return a
-	}
-
-	if other, ok := b.askOne(ctx, first); ok && other.Ticket != "" {
-		a.Ticket = other.Ticket
-	}
-
-	return a
-}
-
 func (b *book) askOne(ctx context.Context, at carobward.Address) (answer, bool) {
 	query := url.Values{"caller": {b.options.Caller}, "domain": {string(b.options.Domain)}}.Encode()
 
--- a/pkg/cwcaller/caller.go
+++ b/pkg/cwcaller/caller.go
@@ -67,7 +67,10 @@
 	options Options
 	clock   carobward.Clock
 	http    *fasthttp.Client
-	book    *book
+	// fresh carries Once requests, each on a connection of its own: on a kept
+	// one, which its entry VM may have closed, a failure would be unknown.
+	fresh *fasthttp.Client
+	book  *book
 }
 
 // New returns a client.
@@ -84,15 +87,20 @@
 		o.Body = defaultBody
 	}
 
-	h := &fasthttp.Client{
+	h := newHTTP(&o)
+
+	return &Client{options: o, clock: clock, http: h, fresh: newHTTP(&o), book: newBook(&o, clock, h)}
+}
+
+// newHTTP returns an HTTP client that sends each request once.
+func newHTTP(o *Options) *fasthttp.Client {
+	return &fasthttp.Client{
 		Name:                      "cwcaller",
 		Dial:                      dial,
 		MaxResponseBodySize:       int(o.Body),
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
-
-	return &Client{options: o, clock: clock, http: h, book: newBook(&o, clock, h)}
 }
 
 // dialMost bounds the opening of a connection.
--- a/pkg/cwcaller/caller_test.go
+++ b/pkg/cwcaller/caller_test.go
@@ -29,7 +29,6 @@
 	mutex   sync.Mutex
 	steps   []step
 	tickets []string
-	asked   int
 	down    bool
 	lookup  answer
 }
@@ -39,8 +38,6 @@
 	defer e.mutex.Unlock()
 
 	if string(ctx.Path()) == "/addresses" {
-		e.asked++
-
 		if e.down {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 
@@ -159,6 +156,9 @@
 				t.Errorf("got %s, want %s", got, test.want)
 			}
 
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+
 			if diff := cmp.Diff(test.tickets, e.tickets); diff != "" {
 				t.Error(diff)
 			}
@@ -166,6 +166,26 @@
 	}
 }
 
+// TestTicketOfTheVMThatIsUsed: nothing was sent to an entry VM that is gone,
+// so that the next one is asked for a ticket of its own.
+func TestTicketOfTheVMThatIsUsed(t *testing.T) {
+	first, second := &entry{}, &entry{lookup: answer{Ticket: "second"}}
+	at, gone := first.listen(t), closedAddress(t)
+	first.lookup = answer{Use: []line{{gone, at}, {second.listen(t), second.listen(t)}}, Keep: 60, Ticket: "first"}
+
+	c := New(Options{Lookup: []carobward.Address{at}, Timeout: time.Minute}, carobward.SystemClock{})
+	if _, err := c.Do(context.Background(), &Request{Method: "POST", URI: "/fees", Once: true}); err != nil {
+		t.Fatal(err)
+	}
+
+	second.mutex.Lock()
+	defer second.mutex.Unlock()
+
+	if diff := cmp.Diff([]string{"second.2"}, second.tickets); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestAddresses: an address that is gone is passed over, an old answer is
 // used on while no entry VM gives a new one, and without any nothing is sent.
 func TestAddresses(t *testing.T) {
--- a/pkg/cwcaller/try.go
+++ b/pkg/cwcaller/try.go
@@ -34,18 +34,19 @@
 
 // next makes one attempt.
 func (t *try) next(ctx context.Context) (*Reply, *carobward.Failure) {
-	use, err := t.client.book.addresses(ctx)
+	use, err := t.client.book.lines(ctx)
 	if err != nil {
 		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, pauseDefault, err)
 	}
 
+	t.places = len(use)
+	to := use[t.place%len(use)]
+
 	if t.request.Once && t.ticket == "" {
-		t.ticket = t.client.book.ticket()
+		t.ticket = t.client.book.ticket(ctx, to)
 	}
 
-	t.places = len(use)
-
-	reply, err := t.client.send(ctx, use[t.place%len(use)], t, len(use) > 1)
+	reply, err := t.client.send(ctx, to.Address, t, len(use) > 1)
 	if err != nil {
 		return nil, t.lost(err)
 	}
@@ -73,6 +74,8 @@
 
 	var d dialError
 	if errors.As(err, &d) {
+		t.renew()
+
 		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, after, err)
 	}
 
@@ -97,6 +100,8 @@
 
 	if t.request.Once && next != "" {
 		t.ticket = next
+	} else {
+		t.renew()
 	}
 
 	if reply.Status == fasthttp.StatusServiceUnavailable {
@@ -104,6 +109,14 @@
 	}
 }
 
+// renew lets the next attempt take a ticket of the entry VM that it goes to,
+// if none under this one can have run: its owner may be gone.
+func (t *try) renew() {
+	if !t.doubt {
+		t.ticket = ""
+	}
+}
+
 // again tells whether the request may be sent again after a failure.
 func (t *try) again(f *carobward.Failure) bool {
 	if f.Verdict == carobward.Ran || final[f.Status] {
@@ -187,7 +200,13 @@
 	fill(req, to, t)
 	req.Header.Set(carobward.HeaderTimeout, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 
-	if err := c.http.DoDeadline(req, resp, now.Add(left)); err != nil {
+	h := c.http
+	if t.request.Once {
+		h = c.fresh
+		req.SetConnectionClose()
+	}
+
+	if err := h.DoDeadline(req, resp, now.Add(left)); err != nil {
 		return nil, err
 	}
 
