Say of a request that did not run that it did not, though its ticket may have

After a kill an entry VM that cannot find a ticket's owner had to say unknown, although the one request with that ticket had gone nowhere; and a caller kept its old answer for seconds. Carobward-Attempt: not-run now says it of this one request, and the callers' library, which knows whether there were others, takes a new ticket.

The histories found on the way that a replacement's word on a request that was already taken by the earlier run was believed; now only an answer to the first call speaks for the request. TestOwnerReplacedInMidWork has been seen failing.

--- a/header.go
+++ b/header.go
@@ -31,6 +31,9 @@
 	HeaderTimeout = "Carobward-Timeout"
 	// HeaderVerdict carries a Verdict.
 	HeaderVerdict = "Carobward-Verdict"
+	// HeaderAttempt is not-run on a reply whose verdict is unknown only for
+	// the sake of earlier requests with the same ticket.
+	HeaderAttempt = "Carobward-Attempt"
 	// HeaderRetryMillis says in milliseconds what Retry-After rounds up.
 	HeaderRetryMillis = "Carobward-Retry-Ms"
 	// HeaderVM names the entry VM that answered.
--- a/internal/cwentry/message.go
+++ b/internal/cwentry/message.go
@@ -38,6 +38,7 @@
 	"Carobward-Timeout":   true,
 	"Carobward-Ticket":    true,
 	"Carobward-Verdict":   true,
+	"Carobward-Attempt":   true,
 	"Carobward-Vm":        true,
 	"Carobward-Server":    true,
 	"Carobward-Retry-Ms":  true,
@@ -164,6 +165,10 @@
 	c.writeCommon(resp, id, f.Verdict)
 	writeRetry(resp, f.RetryAfter)
 
+	if f.Verdict == carobward.Unknown && f.Attempt == carobward.NotRun {
+		resp.Header.Set(carobward.HeaderAttempt, f.Attempt.String())
+	}
+
 	body, merr := json.Marshal(problem{
 		Title:   fasthttp.StatusMessage(f.Status),
 		Status:  f.Status,
--- a/internal/cwowner/fleet_test.go
+++ b/internal/cwowner/fleet_test.go
@@ -85,6 +85,8 @@
 	// a server, from its body and the number of its attempts so far.
 	message func() fault
 	request func(body string, attempt int) fault
+	// work draws how long a run takes.
+	work func() time.Duration
 	// ran is told of each run.
 	ran      func(body, ticket string, serial int)
 	attempts map[string]int
@@ -99,6 +101,7 @@
 		message: func() fault { return fine },
 		request: func(string, int) fault { return fine },
 		ran:     func(string, string, int) {},
+		work:    func() time.Duration { return 0 },
 	}
 	for i := range f.vms {
 		f.replace(i)
@@ -282,6 +285,10 @@
 
 	f.ran(body, c.Header.Get(carobward.HeaderTicket), serial)
 
+	if pause := f.work(); pause > 0 {
+		<-time.After(pause)
+	}
+
 	if kind == lostReply || kind == lateCall || v.pass() != nil {
 		return nil, unknown
 	}
--- a/internal/cwowner/history_test.go
+++ b/internal/cwowner/history_test.go
@@ -97,15 +97,22 @@
 	})
 }
 
-// client charges fees one after the other. It goes to another entry VM with
-// the same ticket after an unknown, and now and then sends two at once.
+// client charges fees one after the other. After an unknown it goes to another
+// entry VM with the same ticket, unless the only request with it is known not
+// to have run; now and then it sends two at once.
 func client(f *fleet, h *history, id, fees int, rng *rand.Rand) {
 	for n := range fees {
 		body := fmt.Sprintf("fee %d-%d", id, n)
-		ticket := f.at(rng.IntN(len(f.vms))).owner.Prefix() + fmt.Sprintf(".%d", n)
+		ticket, doubt := "", false
 
 		for range tries {
+			if ticket == "" {
+				ticket = f.at(rng.IntN(len(f.vms))).owner.Prefix() + fmt.Sprintf(".%d", n)
+			}
+
 			if rng.IntN(4) == 0 {
+				doubt = true
+
 				f.late.Add(1)
 
 				go func(to int, ticket string) {
@@ -115,28 +122,39 @@
 				}(rng.IntN(len(f.vms)), ticket)
 			}
 
-			next, v := request(f, h, id, rng.IntN(len(f.vms)), body, ticket)
-			if v == carobward.Ran {
-				break
+			next, verdict, attempt := request(f, h, id, rng.IntN(len(f.vms)), body, ticket)
+
+			switch {
+			case verdict == carobward.Ran:
+			case verdict == carobward.NotRun:
+				ticket, doubt = next, false
+			case attempt == carobward.NotRun && !doubt:
+				ticket = ""
+			default:
+				doubt = true
 			}
 
-			ticket = next
+			if verdict == carobward.Ran {
+				break
+			}
 		}
 	}
 }
 
-func request(f *fleet, h *history, id, to int, body, ticket string) (string, carobward.Verdict) {
+func request(f *fleet, h *history, id, to int, body, ticket string) (next string, verdict, attempt carobward.Verdict) {
 	from := time.Now()
 	o, next, err := f.send(to, body, ticket, 20*time.Millisecond)
 
 	out := told{verdict: carobward.VerdictOf(err)}
 	if err == nil {
 		out = told{verdict: carobward.Ran, serial: o.Reply.Status}
+	} else {
+		attempt = failureOf(err).Attempt
 	}
 
 	h.add(id, event{work: body, ticket: ticket}, from, out)
 
-	return next, out.verdict
+	return next, out.verdict, attempt
 }
 
 // trouble makes one thing happen to a VM.
@@ -210,6 +228,12 @@
 	}
 	f.message = draw
 	f.request = func(string, int) fault { return draw() }
+	f.work = func() time.Duration {
+		mutex.Lock()
+		defer mutex.Unlock()
+
+		return time.Duration(max(0, rng.IntN(10)-4)) * time.Millisecond
+	}
 	f.ran = func(body, ticket string, serial int) {
 		h.add(-1, event{work: body, ticket: ticket, run: true}, time.Now(), told{serial: serial})
 	}
--- a/internal/cwowner/owner.go
+++ b/internal/cwowner/owner.go
@@ -149,7 +149,10 @@
 
 // malformed is unknown: the caller may have had the ticket whole before.
 func malformed(err error) error {
-	return carobward.NewFailure(carobward.Unknown, fasthttp.StatusBadRequest, 0, err)
+	f := carobward.NewFailure(carobward.Unknown, fasthttp.StatusBadRequest, 0, err)
+	f.Attempt = carobward.NotRun
+
+	return f
 }
 
 // next returns the ticket for the next try: the same one, or after a not-run
@@ -172,6 +175,7 @@
 	}
 
 	unknown := carobward.NewFailure(carobward.Unknown, f.Status, f.RetryAfter, errors.Annotate(f.Cause, ErrEarly.Error()))
+	unknown.Attempt = carobward.NotRun
 
 	t, err := cwticket.Parse(text)
 	if err != nil {
@@ -232,7 +236,7 @@
 
 	switch f.Verdict {
 	case carobward.NotRun:
-		f.Verdict = claim.NotRun(now, only)
+		f.Verdict, f.Attempt = claim.NotRun(now, only), carobward.NotRun
 	case carobward.Ran:
 		claim.Ran(now, nil)
 	default:
--- a/internal/cwowner/owner_test.go
+++ b/internal/cwowner/owner_test.go
@@ -317,3 +317,30 @@
 		}
 	}
 }
+
+// TestOwnerReplacedInMidWork: the replacement knows nothing of a request that
+// was passed to the earlier run, and must not speak for it.
+func TestOwnerReplacedInMidWork(t *testing.T) {
+	f := newFleet(t, 2)
+	defer f.stop()
+
+	started, release := make(chan struct{}), make(chan struct{})
+	f.ran = func(string, string, int) { close(started); <-release }
+
+	ticket := f.at(0).owner.Prefix() + ".1"
+	failed := make(chan error, 1)
+
+	go func() {
+		_, _, err := f.send(1, "fee", ticket, patience)
+		failed <- err
+	}()
+
+	<-started
+	f.replace(0)
+
+	if got := failureOf(<-failed); got.Verdict != carobward.Unknown || got.Attempt != carobward.Unknown {
+		t.Errorf("got %s, this request %s", got.Verdict, got.Attempt)
+	}
+
+	close(release)
+}
--- a/internal/cwowner/pass.go
+++ b/internal/cwowner/pass.go
@@ -37,9 +37,13 @@
 	part:  512 << 10,
 }
 
-// unknown is the failure of a request that cannot be answered for here.
-func unknown(cause error) *carobward.Failure {
-	return carobward.NewFailure(carobward.Unknown, fasthttp.StatusServiceUnavailable, retryAfter, cause)
+// unknown is the failure of a request that cannot be answered for here, with
+// the verdict on this one request.
+func unknown(cause error, attempt carobward.Verdict) *carobward.Failure {
+	f := carobward.NewFailure(carobward.Unknown, fasthttp.StatusServiceUnavailable, retryAfter, cause)
+	f.Attempt = attempt
+
+	return f
 }
 
 // pass passes a request to the owner of its ticket. Whatever goes wrong, the
@@ -51,7 +55,7 @@
 	}
 
 	out := &cwwire.OnceAnswer{}
-	if err := o.ask(ctx, to, "Owner.Carry", callToWire(t, id, c, o.clock.Now()), out); err != nil {
+	if err := o.ask(ctx, to, "Owner.Carry", callToWire(t, id, c, o.clock.Now()), out, true); err != nil {
 		return nil, err
 	}
 
@@ -61,16 +65,23 @@
 		}
 
 		out = &cwwire.OnceAnswer{}
-		if err := o.ask(ctx, to, "Owner.Result", &cwwire.OnceQuery{Ticket: t.String()}, out); err != nil {
+		if err := o.ask(ctx, to, "Owner.Result", &cwwire.OnceQuery{Ticket: t.String()}, out, false); err != nil {
 			return nil, err
 		}
+
+		// The request has been taken, whatever a replacement of its owner
+		// says of it.
+		if out.Failure != nil {
+			out.Failure.Attempt = ""
+		}
 	}
 
 	return answerFromWire(out)
 }
 
-// ask calls an owner and notes when it is silent.
-func (o *Owner) ask(ctx context.Context, to carobward.Address, method string, in, out proto.Message) error {
+// ask calls an owner and notes when it is silent. The first call for a request
+// is the one that may start its work.
+func (o *Owner) ask(ctx context.Context, to carobward.Address, method string, in, out proto.Message, first bool) error {
 	ctx, cancel := context.WithTimeout(ctx, o.pace.hold+o.pace.grace)
 	defer cancel()
 
@@ -87,7 +98,12 @@
 		o.mutex.Unlock()
 	}
 
-	return unknown(ErrSilent)
+	attempt := carobward.Unknown
+	if first {
+		attempt = carobward.VerdictOf(err)
+	}
+
+	return unknown(ErrSilent, attempt)
 }
 
 // find returns where the tickets of an owner are kept: at its successor, or
@@ -103,7 +119,7 @@
 
 	if at, ok := o.silent[to]; ok {
 		if o.clock.Now().Sub(at) < o.pace.quiet {
-			return "", unknown(ErrSilent)
+			return "", unknown(ErrSilent, carobward.NotRun)
 		}
 
 		delete(o.silent, to)
@@ -135,5 +151,5 @@
 		return p.Peers, nil
 	}
 
-	return "", unknown(ErrOwner)
+	return "", unknown(ErrOwner, carobward.NotRun)
 }
--- a/internal/cwowner/service.go
+++ b/internal/cwowner/service.go
@@ -94,6 +94,11 @@
 	}
 
 	answerToWire(out, answer, err)
+
+	// The request has been taken: only the ticket's verdict speaks for it.
+	if out.Failure != nil {
+		out.Failure.Attempt = ""
+	}
 }
 
 // kept returns the table that a passed ticket belongs to. A replacement of
@@ -106,7 +111,7 @@
 
 	table := o.table(t.Owner)
 	if table == nil {
-		return t, nil, unknown(ErrOwner)
+		return t, nil, unknown(ErrOwner, carobward.NotRun)
 	}
 
 	return t, table, nil
--- a/internal/cwowner/wire.go
+++ b/internal/cwowner/wire.go
@@ -70,6 +70,7 @@
 		Status:  int32(f.Status),
 		Retry:   int64(f.RetryAfter),
 		Cause:   f.Cause.Error(),
+		Attempt: f.Attempt.String(),
 	}
 }
 
@@ -80,12 +81,14 @@
 
 	f := w.GetFailure()
 	if f == nil {
-		return nil, unknown(ErrSilent)
+		return nil, unknown(ErrSilent, carobward.Unknown)
 	}
 
 	v := carobward.ParseVerdict(f.GetVerdict())
+	x := carobward.NewFailure(v, int(f.GetStatus()), time.Duration(f.GetRetry()), errors.New(f.GetCause()))
+	x.Attempt = carobward.ParseVerdict(f.GetAttempt())
 
-	return nil, carobward.NewFailure(v, int(f.GetStatus()), time.Duration(f.GetRetry()), errors.New(f.GetCause()))
+	return nil, x
 }
 
 func callToWire(t cwticket.Ticket, id carobward.RequestID, c *carobward.Call, now time.Time) *cwwire.OnceCall {
--- a/internal/cwticket/table.go
+++ b/internal/cwticket/table.go
@@ -167,7 +167,7 @@
 	defer t.mutex.Unlock()
 
 	if t.find(k.Key) != nil || t.phase == partial {
-		return failure(carobward.Unknown, f.Status, f.RetryAfter, f.Cause)
+		return notStarted(f.Status, f.RetryAfter, f.Cause)
 	}
 
 	if _, err, ok := t.known(now, k.Key, Digest{}); ok {
@@ -207,9 +207,9 @@
 
 	switch {
 	case errors.Is(err, ErrExpired):
-		return failure(carobward.Unknown, fasthttp.StatusGone, 0, err)
+		return notStarted(fasthttp.StatusGone, 0, err)
 	case err != nil:
-		return failure(carobward.Unknown, fasthttp.StatusBadRequest, 0, err)
+		return notStarted(fasthttp.StatusBadRequest, 0, err)
 	default:
 		return nil
 	}
@@ -244,7 +244,7 @@
 		// Nobody but this owner could have started it, and it never will.
 		return nil, failure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrClosed), true
 	case partial:
-		return nil, failure(carobward.Unknown, fasthttp.StatusServiceUnavailable, retryAfter, ErrPartial), true
+		return nil, notStarted(fasthttp.StatusServiceUnavailable, retryAfter, ErrPartial), true
 	default:
 		return nil, nil, false
 	}
@@ -271,7 +271,7 @@
 // the ticket can be closed: a late copy of the request must not run either.
 func (t *Table) refuse(k Key, status int, retry time.Duration, cause error) error {
 	if !t.shut(k) {
-		return failure(carobward.Unknown, status, retry, cause)
+		return notStarted(status, retry, cause)
 	}
 
 	return failure(carobward.NotRun, status, retry, cause)
@@ -291,3 +291,12 @@
 func failure(v carobward.Verdict, status int, retry time.Duration, cause error) *carobward.Failure {
 	return carobward.NewFailure(v, status, retry, cause)
 }
+
+// notStarted is the failure of a request that did not run, while earlier ones
+// with its ticket may have.
+func notStarted(status int, retry time.Duration, cause error) *carobward.Failure {
+	f := failure(carobward.Unknown, status, retry, cause)
+	f.Attempt = carobward.NotRun
+
+	return f
+}
--- a/pkg/cwcaller/book.go
+++ b/pkg/cwcaller/book.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -131,6 +132,18 @@
 	return prefix + "." + strconv.FormatUint(number, 10)
 }
 
+// forget drops the prefix of a ticket that its entry VM did not take.
+func (b *book) forget(ticket string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	for l, prefix := range b.prefixes {
+		if strings.HasPrefix(ticket, prefix+".") {
+			delete(b.prefixes, l)
+		}
+	}
+}
+
 // ask asks the entry VMs that were in the last answer, then the ones of the
 // options.
 func (b *book) ask(ctx context.Context, old []line) (answer, error) {
--- a/pkg/cwcaller/caller_test.go
+++ b/pkg/cwcaller/caller_test.go
@@ -21,6 +21,8 @@
 	ticket  string
 	// cut closes the connection without a reply.
 	cut bool
+	// attempt is set where this one request has not run.
+	attempt bool
 }
 
 // entry is an entry VM that answers by a list of steps and keeps the tickets
@@ -67,6 +69,10 @@
 	ctx.Response.Header.Set(carobward.HeaderVerdict, s.verdict)
 	ctx.Response.Header.Set(carobward.HeaderRetryMillis, "1")
 
+	if s.attempt {
+		ctx.Response.Header.Set(carobward.HeaderAttempt, "not-run")
+	}
+
 	if s.ticket != "" {
 		ctx.Response.Header.Set(carobward.HeaderTicket, s.ticket)
 	}
@@ -128,17 +134,20 @@
 	}{
 		"once":                           {once, nil, carobward.Ran, []string{"p.1"}},
 		"once, reply lost":               {once, []step{cut}, carobward.Ran, []string{"p.1", "p.1"}},
-		"once, not run":                  {once, []step{{503, "not-run", "q.0", false}}, carobward.Ran, []string{"p.1", "q.0"}},
-		"once, still running":            {once, []step{cut, {409, "unknown", "p.1", false}}, carobward.Ran, []string{"p.1", "p.1", "p.1"}},
-		"once, lost for good":            {once, []step{cut, {410, "unknown", "p.1", false}}, carobward.Unknown, []string{"p.1", "p.1"}},
-		"once, not-run of a try only":    {once, []step{cut, {404, "not-run", "", false}}, carobward.Unknown, []string{"p.1", "p.1"}},
-		"once, busy before the ticket":   {once, []step{cut, {503, "not-run", "", false}}, carobward.Ran, []string{"p.1", "p.1", "p.1"}},
-		"once, not-run closes the first": {once, []step{cut, {404, "not-run", "q.0", false}}, carobward.NotRun, []string{"p.1", "p.1"}},
+		"once, not run":                  {once, []step{{status: 503, verdict: "not-run", ticket: "q.0"}}, carobward.Ran, []string{"p.1", "q.0"}},
+		"once, still running":            {once, []step{cut, {status: 409, verdict: "unknown", ticket: "p.1"}}, carobward.Ran, []string{"p.1", "p.1", "p.1"}},
+		"once, lost for good":            {once, []step{cut, {status: 410, verdict: "unknown", ticket: "p.1"}}, carobward.Unknown, []string{"p.1", "p.1"}},
+		"once, not-run of a try only":    {once, []step{cut, {status: 404, verdict: "not-run", ticket: ""}}, carobward.Unknown, []string{"p.1", "p.1"}},
+		"once, busy before the ticket":   {once, []step{cut, {status: 503, verdict: "not-run", ticket: ""}}, carobward.Ran, []string{"p.1", "p.1", "p.1"}},
+		"once, not-run closes the first": {once, []step{cut, {status: 404, verdict: "not-run", ticket: "q.0"}}, carobward.NotRun, []string{"p.1", "p.1"}},
 		"once, always lost":              {once, []step{cut, cut, cut}, carobward.Unknown, []string{"p.1", "p.1", "p.1"}},
+		"once, owner gone, first try":    {once, []step{{status: 503, verdict: "unknown", ticket: "p.1", attempt: true}}, carobward.Ran, []string{"p.1", "p.2"}},
+		"once, owner gone, second try":   {once, []step{cut, {status: 410, verdict: "unknown", ticket: "p.1", attempt: true}}, carobward.Unknown, []string{"p.1", "p.1"}},
+		"once, ticket too old":           {once, []step{{status: 410, verdict: "unknown", ticket: "p.1", attempt: true}}, carobward.Ran, []string{"p.1", "p.2"}},
 		"post, reply lost":               {post, []step{cut}, carobward.Unknown, []string{""}},
-		"post, not run":                  {post, []step{{503, "not-run", "", false}}, carobward.Ran, []string{"", ""}},
+		"post, not run":                  {post, []step{{status: 503, verdict: "not-run", ticket: ""}}, carobward.Ran, []string{"", ""}},
 		"get, reply lost":                {get, []step{cut}, carobward.Ran, []string{"", ""}},
-		"get, wrong":                     {get, []step{{404, "not-run", "", false}}, carobward.NotRun, []string{""}},
+		"get, wrong":                     {get, []step{{status: 404, verdict: "not-run", ticket: ""}}, carobward.NotRun, []string{""}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := &entry{steps: test.steps}
--- a/pkg/cwcaller/try.go
+++ b/pkg/cwcaller/try.go
@@ -19,6 +19,9 @@
 	ticket string
 	// doubt is set once an attempt under the ticket may have run.
 	doubt bool
+	// anew is set where no attempt under the ticket can have run, so that the
+	// next one takes another ticket.
+	anew bool
 	// place counts the addresses that failed, of as many as there are.
 	place  int
 	places int
@@ -46,6 +49,8 @@
 		t.ticket = t.client.book.ticket(ctx, to)
 	}
 
+	t.anew = false
+
 	reply, err := t.client.send(ctx, to.Address, t, len(use) > 1)
 	if err != nil {
 		return nil, t.lost(err)
@@ -87,20 +92,24 @@
 // answered takes the ticket that a reply names, and notes what a failure
 // means for it. A not-run that names a new ticket closes the old one, so that
 // earlier attempts under it have not run either. Without one it speaks for
-// this attempt only.
+// this attempt only, as does the attempt's own verdict.
 func (t *try) answered(v carobward.Verdict, reply *Reply) {
 	next := reply.Header.Get(carobward.HeaderTicket)
+	attempt := carobward.ParseVerdict(reply.Header.Get(carobward.HeaderAttempt))
+	closes := v == carobward.NotRun && next != "" && next != t.ticket
 
 	switch {
-	case v != carobward.NotRun:
-		t.doubt = true
-	case next != "" && next != t.ticket:
+	case closes:
 		t.doubt = false
+	case v != carobward.NotRun && attempt != carobward.NotRun:
+		t.doubt = true
 	}
 
 	if t.request.Once && next != "" {
 		t.ticket = next
-	} else {
+	}
+
+	if !closes {
 		t.renew()
 	}
 
@@ -112,14 +121,15 @@
 // renew lets the next attempt take a ticket of the entry VM that it goes to,
 // if none under this one can have run: its owner may be gone.
 func (t *try) renew() {
-	if !t.doubt {
-		t.ticket = ""
+	if t.request.Once && !t.doubt {
+		t.client.book.forget(t.ticket)
+		t.ticket, t.anew = "", true
 	}
 }
 
 // again tells whether the request may be sent again after a failure.
 func (t *try) again(f *carobward.Failure) bool {
-	if f.Verdict == carobward.Ran || final[f.Status] {
+	if f.Verdict == carobward.Ran || (final[f.Status] && (!t.anew || f.Status != fasthttp.StatusGone)) {
 		return false
 	}
 
@@ -153,8 +163,11 @@
 
 // verdict makes the last failure speak for all attempts.
 func (t *try) verdict(f *carobward.Failure) *carobward.Failure {
-	if t.doubt && f.Verdict == carobward.NotRun {
+	switch {
+	case t.doubt && f.Verdict == carobward.NotRun:
 		f.Verdict = carobward.Unknown
+	case t.anew && f.Verdict == carobward.Unknown:
+		f.Verdict = carobward.NotRun
 	}
 
 	return f
--- a/verdict.go
+++ b/verdict.go
@@ -53,6 +53,9 @@
 	RetryAfter time.Duration
 	// Cause says what happened.
 	Cause error
+	// Attempt is NotRun where this one request did not run and never will,
+	// though Verdict is Unknown since earlier ones with its ticket may have.
+	Attempt Verdict
 }
 
 // NewFailure returns a failure with the given verdict, HTTP status and cause.
