--- a/internal/cwentry/target.go
+++ b/internal/cwentry/target.go
@@ -8,9 +8,9 @@
 	"carobward.example/carobward/internal/cwtarget"
 )
 
-// target returns the target that a request belongs to. The uri is the request
-// target as the caller sent it, since that is what goes to the server; the
-// HTTP library's cleaned path may belong to another target.
+// target returns the target that a request belongs to. It takes the request
+// line as the caller sent it, since that is what goes to the server; the
+// library's own cleaned path may belong to another target.
 func (c *Carrier) target(host, method, uri string) (*carobward.Target, error) {
 	if c.holder.Revision() == 0 {
 		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, retryAfter, ErrNew)
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -24,7 +24,8 @@
 			n.readList(ctx)
 		}
 
-		n.link.Tick(now)
+		n.tickLink(now)
+		n.owner.Tick(now)
 
 		select {
 		case <-ctx.Done():
@@ -45,5 +46,6 @@
 	}
 
 	n.servers.Update(list)
+	n.link.Retain(list)
 	n.member.Seeds(list)
 }
--- a/internal/cwsettings/validate.go
+++ b/internal/cwsettings/validate.go
@@ -55,6 +55,8 @@
 	s.Listen.validate(&s.Keys, fail)
 	s.Store.validate(fail)
 	validateURL("list.url", s.List.URL, fail)
+	s.Once.validate(s.Keep, fail)
+	s.Link.validate(fail)
 	s.Limits.validate(fail)
 	s.validateTimes(fail)
 	s.Trace.validate(fail)
@@ -166,6 +168,7 @@
 	within("limits.body", int64(l.Body), 1, int64(bodyHigh))
 	within("limits.calls", int64(l.Calls), 1, callsHigh)
 	within("limits.conns", int64(l.Conns), 1, callsHigh)
+	within("limits.connsPerIP", int64(l.ConnsPerIP), 1, callsHigh)
 
 	if l.Conns < l.Calls {
 		fail(`settings: "limits.conns": want at least "limits.calls" (%d), since each request in flight holds a connection, got %d`, l.Calls, l.Conns)
@@ -182,6 +185,7 @@
 	within("store.timeout", s.Store.Timeout, timeLow)
 	within("list.every", s.List.Every, timeLow)
 	within("limits.read", s.Limits.Read, timeLow)
+	within("limits.write", s.Limits.Write, timeLow)
 	within("limits.idle", s.Limits.Idle, timeLow)
 	within("keep", s.Keep, keepLow)
 	within("stop", s.Stop, timeLow)
