Traces and metrics of each request, wired in

A span for the handling, for each attempt, and for passing to a peer; the trace travels in the header, so no message changed. Metrics of the requests are one set an entry VM, with the state of the node and of the tickets; what other parts publish for the process is shown beside them.

The metric of the tickets was keyed by the VM in the process's registry, and the count of live entry VMs stood twice.

--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -3,7 +3,6 @@
 package cwentry
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -14,8 +13,10 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwmetric"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
+	"carobward.example/carobward/internal/cwtrace"
 )
 
 // The errors of a request that is given up.
@@ -36,6 +37,10 @@
 	Calls int
 	// Policy chooses servers.
 	Policy cwroute.Policy
+	// Tracer makes the requests' spans; nil is off.
+	Tracer *cwtrace.Tracer
+	// Metrics counts the requests; nil counts nothing.
+	Metrics *cwmetric.Set
 }
 
 // Carrier carries callers' requests.
@@ -73,17 +78,19 @@
 		return
 	}
 
-	reply, err := c.serve(ctx, id)
+	o := c.observe(ctx, id)
+
+	reply, err := c.serve(ctx, id, o)
 	if err != nil {
 		c.writeFailure(ctx, id, err)
-
-		return
+	} else {
+		c.writeReply(ctx, id, reply)
 	}
 
-	c.writeReply(ctx, id, reply)
+	c.observed(ctx, o, err)
 }
 
-func (c *Carrier) serve(ctx *fasthttp.RequestCtx, id carobward.RequestID) (*answer, error) {
+func (c *Carrier) serve(ctx *fasthttp.RequestCtx, id carobward.RequestID, o *observation) (*answer, error) {
 	defer c.running.Add(-1)
 
 	if err := c.admit(); err != nil {
@@ -99,16 +106,18 @@
 		return nil, c.refuse(ctx, err)
 	}
 
+	o.belongs(target)
+
 	call, err := c.call(ctx, target)
 	if err != nil {
 		return nil, c.refuse(ctx, err)
 	}
 
 	if target.Promise == carobward.Once {
-		return c.once(ctx, id, target, call)
+		return c.once(o.ctx, ctx, id, target, call)
 	}
 
-	return c.carry(context.Background(), id, target, call)
+	return c.carry(o.ctx, id, target, call)
 }
 
 // admit counts a request in flight, whether it is admitted or not.
--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -66,13 +66,26 @@
 	return f
 }
 
+func statusOf(r *carobward.Reply) int {
+	if r == nil {
+		return 0
+	}
+
+	return r.Status
+}
+
 // attempt sends the call to one server.
 func (c *Carrier) attempt(ctx context.Context, id carobward.RequestID, s *cwserver.Server, call *carobward.Call) (*carobward.Reply, error) {
 	one := *call
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
 	out := s.Begin(c.clock.Now())
+	ctx, span := c.options.Tracer.Attempt(ctx, s.Address)
+	one.Header = span.Header(call.Header)
+
 	reply, err := c.link.Exchange(ctx, s.Address, &one)
+	span.End(statusOf(reply), err)
+
 	out.End(c.clock.Now(), outcome(ctx, reply, err))
 
 	if err != nil {
--- a/internal/cwentry/once.go
+++ b/internal/cwentry/once.go
@@ -23,11 +23,11 @@
 
 // once carries work that must not repeat, under the ticket that came along or
 // a new one. The reply carries the ticket for the next try.
-func (c *Carrier) once(ctx *fasthttp.RequestCtx, id carobward.RequestID, target *carobward.Target, call *carobward.Call) (*answer, error) {
+func (c *Carrier) once(ctx context.Context, r *fasthttp.RequestCtx, id carobward.RequestID, target *carobward.Target, call *carobward.Call) (*answer, error) {
 	work := func(ctx context.Context) (*cwticket.Outcome, error) { return c.carryOnce(ctx, id, target, call) }
-	outcome, next, err := c.owner.Do(context.Background(), ticketOf(ctx), id, call, work)
+	outcome, next, err := c.owner.Do(ctx, ticketOf(r), id, call, work)
 
-	ctx.Response.Header.Set(carobward.HeaderTicket, next)
+	r.Response.Header.Set(carobward.HeaderTicket, next)
 
 	if err != nil {
 		return nil, err
@@ -57,6 +57,9 @@
 // RunOnce carries work that another entry VM passed on, under a ticket that
 // is claimed here.
 func (c *Carrier) RunOnce(ctx context.Context, id carobward.RequestID, call *carobward.Call) (*cwticket.Outcome, error) {
+	ctx, span := c.passed(ctx, id, call)
+	defer span.End(0, nil)
+
 	defer c.running.Add(-1)
 
 	if err := c.admit(); err != nil {
--- a/internal/cwmetric/request.go
+++ b/internal/cwmetric/request.go
@@ -40,6 +40,10 @@
 // Target returns the counts of a target; it makes them if need be. The name
 // must be one of the configuration or NoTarget.
 func (r *Requests) Target(name carobward.TargetName) *Target {
+	if r == nil {
+		return nil
+	}
+
 	r.mutex.RLock()
 	t := r.byTarget[name]
 	r.mutex.RUnlock()
@@ -75,6 +79,10 @@
 // Done counts one request that was answered with a verdict and an HTTP
 // status after some time.
 func (t *Target) Done(v carobward.Verdict, status int, took time.Duration) {
+	if t == nil {
+		return
+	}
+
 	class := status / classStep
 	if class < 0 || class >= classes {
 		class = 0
--- a/internal/cwmetric/set.go
+++ b/internal/cwmetric/set.go
@@ -10,7 +10,8 @@
 	"sync"
 )
 
-// Set has all metrics of one entry VM, in one map a part.
+// Set has all metrics of one entry VM, in one map a part. What parts publish
+// in expvar's own registry is shown beside them; it counts for the process.
 type Set struct {
 	mutex    sync.Mutex
 	root     expvar.Map
@@ -20,27 +21,24 @@
 // The names of the parts.
 const (
 	PartRequests = "requests"
-	// processVars are expvar's own, of the whole process.
-	partMemory  = "memstats"
-	partCommand = "cmdline"
 )
 
-// New returns a set with the metrics of the requests and the process.
+// New returns a set with the metrics of the requests.
 func New() *Set {
 	s := &Set{requests: newRequests()}
 	s.root.Set(PartRequests, s.requests)
 
-	for _, name := range []string{partMemory, partCommand} {
-		if v := expvar.Get(name); v != nil {
-			s.root.Set(name, v)
-		}
-	}
-
 	return s
 }
 
-// Requests counts the callers' requests.
-func (s *Set) Requests() *Requests { return s.requests }
+// Requests counts the callers' requests. A nil set counts nothing.
+func (s *Set) Requests() *Requests {
+	if s == nil {
+		return nil
+	}
+
+	return s.requests
+}
 
 // Part returns the map of a part by its name; it makes one if need be.
 func (s *Set) Part(name string) *expvar.Map {
@@ -64,7 +62,15 @@
 }
 
 // String returns all metrics as JSON.
-func (s *Set) String() string { return s.root.String() }
+func (s *Set) String() string {
+	var all expvar.Map
+
+	take := func(v expvar.KeyValue) { all.Set(v.Key, v.Value) }
+	expvar.Do(take)
+	s.root.Do(take)
+
+	return all.String()
+}
 
 // ServeHTTP writes all metrics as JSON, as expvar's own handler does.
 func (s *Set) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
--- a/internal/cwnode/await.go
+++ b/internal/cwnode/await.go
@@ -21,25 +21,13 @@
 // Await waits until a revision is in force here and as many entry VMs are
 // live, this one among them.
 func (n *Node) Await(ctx context.Context, r carobward.Revision, vms int) error {
-	for n.holder.Revision() < r || n.live() < vms {
+	for n.holder.Revision() < r || n.count(carobward.PeerLive) < int64(vms) {
 		select {
 		case <-ctx.Done():
-			return errors.Annotatef(ctx.Err(), "node: revision %d, %d live entry VMs", n.holder.Revision(), n.live())
+			return errors.Annotatef(ctx.Err(), "node: revision %d, %d live entry VMs", n.holder.Revision(), n.count(carobward.PeerLive))
 		case <-time.After(awaitPoll):
 		}
 	}
 
 	return nil
 }
-
-func (n *Node) live() int {
-	count := 0
-
-	for _, p := range n.peers.All() {
-		if p.State == carobward.PeerLive {
-			count++
-		}
-	}
-
-	return count
-}
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -18,12 +19,13 @@
 	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwlookup"
 	"carobward.example/carobward/internal/cwmember"
+	"carobward.example/carobward/internal/cwmetric"
 	"carobward.example/carobward/internal/cwoperator"
 	"carobward.example/carobward/internal/cwowner"
 	"carobward.example/carobward/internal/cwpeer"
-	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwsettings"
+	"carobward.example/carobward/internal/cwtrace"
 	"carobward.example/carobward/internal/cwvm"
 )
 
@@ -45,6 +47,10 @@
 	link    *cwlink.Link
 	owner   *cwowner.Owner
 	carrier *cwentry.Carrier
+	metrics *cwmetric.Set
+	tracer  *cwtrace.Tracer
+	// metricsKept is when the counts were last compared with the targets.
+	metricsKept time.Time
 
 	data      *cwentry.Server
 	lookup    *fiber.App
@@ -69,6 +75,7 @@
 		list:     cwvm.New(s.List.URL),
 		servers:  cwserver.NewTable(),
 		holder:   cwconfig.NewHolder(),
+		metrics:  cwmetric.New(),
 		done:     make(chan struct{}),
 	}
 
@@ -81,6 +88,11 @@
 		return nil, err
 	}
 
+	n.tracer, err = cwtrace.New(s.Trace, s.VM, s.Domain, os.Stdout, log)
+	if err != nil {
+		return nil, err
+	}
+
 	if err := n.openPeers(log); err != nil {
 		return nil, err
 	}
@@ -94,10 +106,11 @@
 	}
 
 	n.link = newLink(&s.Link, clock)
-	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Wait{}}, n.holder, n.servers, n.link, n.owner, clock, log)
+	n.carrier = cwentry.New(n.carrierOptions(), n.holder, n.servers, n.link, n.owner, clock, log)
+	n.publish()
 	n.data = n.dataServer()
 	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner)
-	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers, n.syncer).Handler()
+	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers, n.syncer, n.metrics).Handler()
 
 	return n, n.owner.Register(n.server, n.carrier)
 }
@@ -179,6 +192,7 @@
 	_ = n.lookup.Shutdown()
 	_ = n.operators.Shutdown()
 	group.Wait()
+	n.closeTracer()
 	n.log.Info("Stopped.")
 
 	return err
--- a/internal/cwnode/owner.go
+++ b/internal/cwnode/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,7 +17,7 @@
 
 	var err error
 
-	n.owner, err = cwowner.New(limits, n.peers, n.clients, n.clock, n.log)
+	n.owner, err = cwowner.New(limits, n.peers, n.ownerCalls(), n.clock, n.log)
 	if err != nil {
 		return errors.Annotate(err, "node")
 	}
@@ -28,26 +27,14 @@
 	return nil
 }
 
-// ticketUse is what the tickets hold of their room, as a metric.
-type ticketUse struct {
-	// Records is the number of outcomes, Closed that of tickets that were
-	// closed without having run.
-	Records int `json:"records"`
-	Closed  int `json:"closed"`
-	// Bytes is the memory of the outcomes.
-	Bytes int64 `json:"bytes"`
-}
-
-// tickets has the use of each entry VM in this process, by its id.
-var tickets = expvar.NewMap("tickets")
-
-// publishTickets shows what the tickets hold among the metrics.
+// publishTickets shows what the tickets hold of their room: outcomes, tickets
+// that were closed without having run, and the bytes of the outcomes.
 func (n *Node) publishTickets() {
-	tickets.Set(string(n.settings.VM), expvar.Func(func() any {
-		records, closed, bytes := n.owner.Used()
+	const part = "tickets"
 
-		return ticketUse{Records: records, Closed: closed, Bytes: int64(bytes)}
-	}))
+	n.metrics.Gauge(part, "records", func() int64 { records, _, _ := n.owner.Used(); return int64(records) })
+	n.metrics.Gauge(part, "closed", func() int64 { _, closed, _ := n.owner.Used(); return int64(closed) })
+	n.metrics.Gauge(part, "bytes", func() int64 { _, _, bytes := n.owner.Used(); return int64(bytes) })
 }
 
 // handOverShare of the time after the callers' answers have run out is kept
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -25,6 +25,7 @@
 		}
 
 		n.tickLink(now)
+		n.tickMetrics(now)
 		n.owner.Tick(now)
 
 		select {
--- a/internal/cwoperator/api.go
+++ b/internal/cwoperator/api.go
@@ -5,7 +5,7 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
-	"expvar"
+	"net/http"
 	"strings"
 	"time"
 
@@ -40,11 +40,12 @@
 	writer *cwconfig.Writer
 	peers  *cwpeer.Table
 	syncer *cwconfig.Syncer
+	vars   http.Handler
 }
 
-// New returns the API. An empty key lets everyone in.
-func New(key string, holder *cwconfig.Holder, writer *cwconfig.Writer, peers *cwpeer.Table, syncer *cwconfig.Syncer) *API {
-	return &API{key: key, holder: holder, writer: writer, peers: peers, syncer: syncer}
+// New returns the API. An empty key lets everyone in. vars shows the metrics.
+func New(key string, holder *cwconfig.Holder, writer *cwconfig.Writer, peers *cwpeer.Table, syncer *cwconfig.Syncer, vars http.Handler) *API {
+	return &API{key: key, holder: holder, writer: writer, peers: peers, syncer: syncer, vars: vars}
 }
 
 // Handler returns the HTTP side.
@@ -64,7 +65,7 @@
 	app.Post("/config", a.apply)
 	app.Post("/restore", a.restore)
 	app.Get("/status", a.status)
-	app.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
+	app.Get("/debug/vars", adaptor.HTTPHandler(a.vars))
 
 	return app
 }
--- a/internal/cwowner/wire.go
+++ b/internal/cwowner/wire.go
@@ -10,7 +10,8 @@
 	"carobward.example/carobward/internal/cwwire"
 )
 
-func fieldsToWire(h carobward.Header) []*cwwire.Field {
+// FieldsToWire returns header fields as they go over the wire.
+func FieldsToWire(h carobward.Header) []*cwwire.Field {
 	all := make([]*cwwire.Field, 0, len(h))
 	for _, f := range h {
 		all = append(all, &cwwire.Field{Name: f.Name, Value: f.Value})
@@ -19,7 +20,8 @@
 	return all
 }
 
-func fieldsFromWire(w []*cwwire.Field) carobward.Header {
+// FieldsFromWire returns header fields that came over the wire.
+func FieldsFromWire(w []*cwwire.Field) carobward.Header {
 	h := make(carobward.Header, 0, len(w))
 	for _, f := range w {
 		h = append(h, carobward.Field{Name: f.GetName(), Value: f.GetValue()})
@@ -35,7 +37,7 @@
 
 	return &cwwire.Outcome{
 		Status: int32(o.Reply.Status),
-		Header: fieldsToWire(o.Reply.Header),
+		Header: FieldsToWire(o.Reply.Header),
 		Body:   o.Reply.Body,
 		Server: string(o.Server),
 	}
@@ -49,7 +51,7 @@
 	return &cwticket.Outcome{
 		Reply: &carobward.Reply{
 			Status: int(w.GetStatus()),
-			Header: fieldsFromWire(w.GetHeader()),
+			Header: FieldsFromWire(w.GetHeader()),
 			Body:   w.GetBody(),
 		},
 		Server: carobward.Address(w.GetServer()),
@@ -95,7 +97,7 @@
 		Method: c.Method,
 		Uri:    c.URI,
 		Host:   c.Host,
-		Header: fieldsToWire(c.Header),
+		Header: FieldsToWire(c.Header),
 		Body:   c.Body,
 		Left:   int64(c.Deadline.Sub(now)),
 	}
@@ -106,7 +108,7 @@
 		Method:   w.GetMethod(),
 		URI:      w.GetUri(),
 		Host:     w.GetHost(),
-		Header:   fieldsFromWire(w.GetHeader()),
+		Header:   FieldsFromWire(w.GetHeader()),
 		Body:     w.GetBody(),
 		Deadline: now.Add(time.Duration(w.GetLeft())),
 		Fresh:    true,
--- a/internal/cwtrace/span.go
+++ b/internal/cwtrace/span.go
@@ -23,7 +23,6 @@
 	keyTarget  = attribute.Key("carobward.target")
 	keyID      = attribute.Key("carobward.request")
 	keyServer  = attribute.Key("server.address")
-	keyPeer    = attribute.Key("carobward.peer")
 	keyVerdict = attribute.Key("carobward.verdict")
 	keyStatus  = attribute.Key("http.response.status_code")
 )
@@ -95,8 +94,8 @@
 }
 
 // Pass starts the span of passing a request to a peer.
-func (t *Tracer) Pass(ctx context.Context, peer carobward.VMID) (context.Context, Span) {
-	return t.client(ctx, "pass", keyPeer, string(peer))
+func (t *Tracer) Pass(ctx context.Context, peer carobward.Address) (context.Context, Span) {
+	return t.client(ctx, "pass", keyServer, string(peer))
 }
 
 func (t *Tracer) client(ctx context.Context, name string, key attribute.Key, value string) (context.Context, Span) {
