--- a/internal/cwmetric/table.go
+++ b/internal/cwmetric/table.go
@@ -11,6 +11,12 @@
 	Doc  string
 }
 
+// The units that come often.
+const (
+	unitVMs   = "entry VMs"
+	unitBytes = "bytes"
+)
+
 // Table has every metric of an entry VM. docs/operators.md has the same.
 var Table = []Metric{
 	{"requests/TARGET/VERDICT/CLASS", "requests", "Answers to callers by target (- where none matched), by verdict and by class of the HTTP status."},
@@ -19,31 +25,31 @@
 	{"requests/TARGET/latency/below/END", "requests", "Those that took at most END and more than half of it."},
 	{"node/flight", "requests", "Callers' requests in flight now."},
 	{"node/revision", "", "The revision in force here now."},
-	{"node/live", "entry VMs", "Those that answer, this one among them, now."},
-	{"node/suspect", "entry VMs", "Those that have missed heartbeats, now."},
-	{"node/leaving", "entry VMs", "Those that said that they stop, now."},
-	{"node/dead", "entry VMs", "Those taken for dead, now."},
+	{"node/live", unitVMs, "Those that answer, this one among them, now."},
+	{"node/suspect", unitVMs, "Those that have missed heartbeats, now."},
+	{"node/leaving", unitVMs, "Those that said that they stop, now."},
+	{"node/dead", unitVMs, "Those taken for dead, now."},
 	{"config/adopted", "revisions", "Revisions that came into force here."},
 	{"config/full_copies", "copies", "Whole configurations taken, in place of changes."},
 	{"config/alarms", "alarms", "Times that the store or a peer offered a configuration that was refused: an older one, or another history. Look at once."},
 	{"config/exchanges_failed", "exchanges", "Questions to peers about the newest revision that got no answer."},
-	{"config/exchange_bytes_sent", "bytes", "Bytes of those questions."},
-	{"config/exchange_bytes_received", "bytes", "Bytes of the answers."},
+	{"config/exchange_bytes_sent", unitBytes, "Bytes of those questions."},
+	{"config/exchange_bytes_received", unitBytes, "Bytes of the answers."},
 	{"store/reads", "calls", "Reads of the store."},
 	{"store/watches", "calls", "Watches of the store; a waiting one counts as one call."},
 	{"store/writes", "calls", "Writes to the store."},
 	{"store/failed", "calls", "Calls of the store that failed."},
 	{"member/pulls", "exchanges", "Whole lists of members taken from a peer."},
-	{"member/bytes_in", "bytes", "Bytes of heartbeats that came."},
-	{"member/bytes_out", "bytes", "Bytes of heartbeats that were sent."},
+	{"member/bytes_in", unitBytes, "Bytes of heartbeats that came."},
+	{"member/bytes_out", unitBytes, "Bytes of heartbeats that were sent."},
 	{"member/refused", "datagrams", "Heartbeats without the right key, or malformed. More than a few: somebody has another key."},
-	{"member/suspicions", "entry VMs", "Times that an entry VM became suspect."},
-	{"member/deaths", "entry VMs", "Times that an entry VM was taken for dead."},
+	{"member/suspicions", unitVMs, "Times that an entry VM became suspect."},
+	{"member/deaths", unitVMs, "Times that an entry VM was taken for dead."},
 	{"member/refutations", "times", "Times that this VM had to say that it lives."},
 	{"member/pauses", "times", "Times that this VM found that it had stood still."},
 	{"tickets/records", "outcomes", "Outcomes of run-once work that are kept now; the bound is once.records."},
 	{"tickets/closed", "tickets", "Tickets closed without having run that are kept now."},
-	{"tickets/bytes", "bytes", "Memory of the outcomes now; the bound is once.bytes."},
+	{"tickets/bytes", unitBytes, "Memory of the outcomes now; the bound is once.bytes."},
 	{"memstats", "", "Go's own figures of memory, runtime.MemStats."},
 	{"cmdline", "", "The command line of the process."},
 }
