--- a/internal/cwstand/platform.go
+++ b/internal/cwstand/platform.go
@@ -21,8 +21,8 @@
 	ListPath = "/vms"
 	// FaultsPath takes Faults by PUT.
 	FaultsPath = "/faults"
-	// CountsPath answers GET with Counts.
-	CountsPath = "/counts"
+	// StoreCountsPath answers GET with StoreCounts.
+	StoreCountsPath = "/counts"
 	// SavePath takes a POST that remembers all values.
 	SavePath = "/save"
 	// OlderPath takes a POST that brings the remembered values back.
@@ -41,7 +41,7 @@
 	vms     []carobward.VM
 	lagging []carobward.VM
 	faults  Faults
-	counts  Counts
+	counts  StoreCounts
 
 	server *fasthttp.Server
 	ln     net.Listener
