--- a/internal/cwsettings/link.go
+++ b/internal/cwsettings/link.go
@@ -37,23 +37,9 @@
 	}
 }
 
-// linkHeaderLeast is the smallest reply header in bytes that is of use.
-const linkHeaderLeast = carobward.Kilobyte
-
 func (l *Link) validate(fail failer) {
-	if l.Conns < 1 {
-		fail(`settings: "link.conns": want the number of connections that one server takes, such as 250, got %d`, l.Conns)
-	}
-
-	if l.Keep <= 0 {
-		fail(`settings: "link.keep": want more than zero, such as "30s"`)
-	}
-
-	if l.Dial <= 0 {
-		fail(`settings: "link.dial": want more than zero, such as "250ms"`)
-	}
-
-	if l.Header < linkHeaderLeast {
-		fail(`settings: "link.header": want at least 1024 bytes, got %d`, l.Header)
-	}
+	fail.unless("link.conns", int64(l.Conns), 1, callsHigh)
+	fail.unless("link.header", int64(l.Header), int64(headerLow), int64(headerHigh))
+	fail.unlessTime("link.keep", l.Keep, timeLow)
+	fail.unlessTime("link.dial", l.Dial, timeLow)
 }
--- a/internal/cwsettings/once.go
+++ b/internal/cwsettings/once.go
@@ -29,21 +29,22 @@
 // nothing.
 const horizonLeast = time.Second
 
+// The most that may be kept.
+const (
+	onceRecordsMost = 1 << 24
+	onceBytesMost   = 1 << 14 * carobward.Megabyte
+)
+
 func defaultOnce() Once {
 	return Once{Horizon: carobward.Duration(defaultHorizon), Records: defaultRecords, Bytes: defaultOutcome}
 }
 
 func (o *Once) validate(keep carobward.Duration, fail failer) {
 	if o.Horizon.Std() < horizonLeast || o.Horizon <= keep {
-		fail(`settings: "once.horizon": want at least %s and more than "keep", since callers use a ticket for that long, got %s`,
+		fail("once.horizon", `want at least %s and more than "keep", since callers use a ticket for that long, got %s`,
 			horizonLeast, o.Horizon.Std())
 	}
 
-	if o.Records <= 0 {
-		fail(`settings: "once.records": want more than zero`)
-	}
-
-	if o.Bytes < carobward.Megabyte {
-		fail(`settings: "once.bytes": want at least "1MB"`)
-	}
+	fail.unless("once.records", int64(o.Records), 1, onceRecordsMost)
+	fail.unless("once.bytes", int64(o.Bytes), int64(carobward.Megabyte), int64(onceBytesMost))
 }
--- a/internal/cwsettings/settings_test.go
+++ b/internal/cwsettings/settings_test.go
@@ -42,6 +42,8 @@
 		"http without url":  {text: with(`"trace": {}`, `"trace": {"to": "http"}`), err: `s:5:25: "trace.url": want an address such as "http://10.0.0.2:8500", got ""`},
 		"url without http":  {text: with(`"trace": {}`, `"trace": {"url": "http://127.0.0.1:1"}`), err: `s:5:33: "trace.url": want it left out unless "trace.to" is http, got "http://127.0.0.1:1"`},
 		"an unknown level":  {text: with(`"trace": {}`, `"log": "loud"`), err: `s:5:23: "log": want debug, info or error, got "loud"`},
+		"no connections":    {text: with(`"limits": {}`, `"link": {"conns": 0}`), err: `s:5:20: "link.conns": want from 1 to 1048576, got 0`},
+		"a short horizon":   {text: with(`"limits": {}`, `"once": {"horizon": "5s"}`), err: `s:5:22: "once.horizon": want at least 1s and more than "keep", since callers use a ticket for that long, got 5s`},
 		"two at once": {
 			text: with(`"trace": {}`, `"log": "", "keep": "0s"`),
 			err: `s:5:35: "keep": want a time from 1s to 1h0m0s, got 0s` + "\n" +
--- a/internal/cwsettings/validate.go
+++ b/internal/cwsettings/validate.go
@@ -32,24 +32,24 @@
 
 var vmForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
 
-// failer takes one problem. The format starts with `settings: "KEY": `.
-type failer func(format string, args ...any)
+// failer takes one problem of a key: what would be right and what is there.
+type failer func(key, format string, args ...any)
 
 // Validate checks the settings as a whole. The error names every key that is
 // wrong, its value and what would be right.
 func (s *Settings) Validate() error {
 	var all cwjson.Problems
 
-	fail := func(format string, args ...any) {
-		all = append(all, problem(fmt.Sprintf(format, args...)))
-	}
+	fail := failer(func(key, format string, args ...any) {
+		all = append(all, cwjson.Problem{Place: "settings", Key: key, Text: fmt.Sprintf(format, args...)})
+	})
 
 	if !vmForm.MatchString(string(s.VM)) {
-		fail(`settings: "vm": want the id of this entry VM, small letters, digits, dashes and dots, such as "ifrane-1", got %q`, s.VM)
+		fail("vm", `want the id of this entry VM, small letters, digits, dashes and dots, such as "ifrane-1", got %q`, s.VM)
 	}
 
 	if !printable(string(s.Domain), domainMost) {
-		fail(`settings: "domain": want the failure domain, such as "Ifrane", at most %d characters, got %q`, domainMost, s.Domain)
+		fail("domain", `want the failure domain, such as "Ifrane", at most %d characters, got %q`, domainMost, s.Domain)
 	}
 
 	s.Listen.validate(&s.Keys, fail)
@@ -64,22 +64,12 @@
 	switch s.Log {
 	case "debug", "info", "error":
 	default:
-		fail(`settings: "log": want debug, info or error, got %q`, s.Log)
+		fail("log", `want debug, info or error, got %q`, s.Log)
 	}
 
 	return all.Err()
 }
 
-// problem splits a text into the key and the rest.
-func problem(text string) cwjson.Problem {
-	key, rest, ok := strings.Cut(strings.TrimPrefix(text, `settings: "`), `": `)
-	if !ok {
-		return cwjson.Problem{Place: "settings", Text: text}
-	}
-
-	return cwjson.Problem{Place: "settings", Key: key, Text: rest}
-}
-
 // place tells where in the file each problem is.
 func place(err error, places *cwjson.Places) error {
 	var all cwjson.Problems
@@ -108,37 +98,37 @@
 	check := func(key string, a carobward.Address, keyed bool) {
 		ap, err := netip.ParseAddrPort(string(a))
 		if err != nil {
-			fail(`settings: "listen.%s": want an IP number and a port such as "10.0.0.5:7001", got %q`, key, a)
+			fail(key, `want an IP number and a port such as "10.0.0.5:7001", got %q`, a)
 
 			return
 		}
 
 		if other, ok := seen[a]; ok && ap.Port() != 0 {
-			fail(`settings: "listen.%s": want an address of its own, got %q, which is "listen.%s" already`, key, a, other)
+			fail(key, `want an address of its own, got %q, which is %q already`, a, other)
 		}
 
 		seen[a] = key
 
 		if ap.Addr().IsUnspecified() || ap.Addr().IsMulticast() {
-			fail(`settings: "listen.%s": want the address that others use for this VM, got %q`, key, a)
+			fail(key, `want the address that others use for this VM, got %q`, a)
 		}
 
 		if !keyed && !ap.Addr().IsLoopback() {
-			fail(`settings: "listen.%s": want a loopback address or a key file in "keys.%s", got %q and none`, key, key, a)
+			fail(key, `want a loopback address or a key file in "keys.%s", got %q and none`, strings.TrimPrefix(key, "listen."), a)
 		}
 	}
 
-	check("callers", l.Callers, true)
-	check("lookup", l.Lookup, true)
-	check("peers", l.Peers, k.Peers != "")
-	check("operators", l.Operators, k.Operators != "")
+	check("listen.callers", l.Callers, true)
+	check("listen.lookup", l.Lookup, true)
+	check("listen.peers", l.Peers, k.Peers != "")
+	check("listen.operators", l.Operators, k.Operators != "")
 }
 
 func (s *Store) validate(fail failer) {
 	validateURL("store.url", s.URL, fail)
 
 	if !printable(s.Prefix, prefixMost) || strings.HasPrefix(s.Prefix, "/") || strings.ContainsAny(s.Prefix, "?#%\\ ") {
-		fail(`settings: "store.prefix": want the start of each key, such as "carobward/atlas/", at most %d characters, got %q`, prefixMost, s.Prefix)
+		fail("store.prefix", `want the start of each key, such as "carobward/atlas/", at most %d characters, got %q`, prefixMost, s.Prefix)
 	}
 }
 
@@ -147,51 +137,53 @@
 func validateURL(key, text string, fail failer) {
 	u, err := url.Parse(text)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.User != nil || u.RawQuery != "" || u.Fragment != "" {
-		fail(`settings: %q: want an address such as "http://10.0.0.2:8500", got %q`, key, text)
+		fail(key, `want an address such as "http://10.0.0.2:8500", got %q`, text)
 
 		return
 	}
 
 	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
-		fail(`settings: %q: want an IP number as the host, such as "http://10.0.0.2:8500", got %q`, key, text)
+		fail(key, `want an IP number as the host, such as "http://10.0.0.2:8500", got %q`, text)
 	}
 }
 
 func (l *Limits) validate(fail failer) {
-	within := func(key string, v, low, high int64) {
-		if v < low || v > high {
-			fail("settings: %q: want from %d to %d, got %d", key, low, high, v)
-		}
-	}
-
-	within("limits.header", int64(l.Header), int64(headerLow), int64(headerHigh))
-	within("limits.body", int64(l.Body), 1, int64(bodyHigh))
-	within("limits.calls", int64(l.Calls), 1, callsHigh)
-	within("limits.conns", int64(l.Conns), 1, callsHigh)
-	within("limits.connsPerIP", int64(l.ConnsPerIP), 1, callsHigh)
+	fail.unless("limits.header", int64(l.Header), int64(headerLow), int64(headerHigh))
+	fail.unless("limits.body", int64(l.Body), 1, int64(bodyHigh))
+	fail.unless("limits.calls", int64(l.Calls), 1, callsHigh)
+	fail.unless("limits.conns", int64(l.Conns), 1, callsHigh)
+	fail.unless("limits.connsPerIP", int64(l.ConnsPerIP), 1, callsHigh)
+	fail.unlessTime("limits.read", l.Read, timeLow)
+	fail.unlessTime("limits.write", l.Write, timeLow)
+	fail.unlessTime("limits.idle", l.Idle, timeLow)
 
 	if l.Conns < l.Calls {
-		fail(`settings: "limits.conns": want at least "limits.calls" (%d), since each request in flight holds a connection, got %d`, l.Calls, l.Conns)
+		fail("limits.conns", `want at least "limits.calls" (%d), since each request in flight holds a connection, got %d`, l.Calls, l.Conns)
 	}
 }
 
-func (s *Settings) validateTimes(fail failer) {
-	within := func(key string, v carobward.Duration, low time.Duration) {
-		if v.Std() < low || v.Std() > timeHigh {
-			fail("settings: %q: want a time from %s to %s, got %s", key, low, timeHigh, v.Std())
-		}
+// unless takes a problem unless a value is from low to high.
+func (f failer) unless(key string, v, low, high int64) {
+	if v < low || v > high {
+		f(key, "want from %d to %d, got %d", low, high, v)
 	}
+}
 
-	within("store.timeout", s.Store.Timeout, timeLow)
-	within("list.every", s.List.Every, timeLow)
-	within("limits.read", s.Limits.Read, timeLow)
-	within("limits.write", s.Limits.Write, timeLow)
-	within("limits.idle", s.Limits.Idle, timeLow)
-	within("keep", s.Keep, keepLow)
-	within("stop", s.Stop, timeLow)
+// unlessTime takes a problem unless a time is from low to an hour.
+func (f failer) unlessTime(key string, v carobward.Duration, low time.Duration) {
+	if v.Std() < low || v.Std() > timeHigh {
+		f(key, "want a time from %s to %s, got %s", low, timeHigh, v.Std())
+	}
+}
+
+func (s *Settings) validateTimes(fail failer) {
+	fail.unlessTime("store.timeout", s.Store.Timeout, timeLow)
+	fail.unlessTime("list.every", s.List.Every, timeLow)
+	fail.unlessTime("keep", s.Keep, keepLow)
+	fail.unlessTime("stop", s.Stop, timeLow)
 
 	if s.Stop <= s.Keep {
-		fail(`settings: "stop": want more than "keep" (%s), since callers use old answers for that long, got %s`, s.Keep.Std(), s.Stop.Std())
+		fail("stop", `want more than "keep" (%s), since callers use old answers for that long, got %s`, s.Keep.Std(), s.Stop.Std())
 	}
 }
 
@@ -201,14 +193,14 @@
 	case TraceHTTP:
 		validateURL("trace.url", t.URL, fail)
 	default:
-		fail(`settings: "trace.to": want off, stdout or http, got %q`, t.To)
+		fail("trace.to", `want off, stdout or http, got %q`, t.To)
 	}
 
 	if t.To != TraceHTTP && t.URL != "" {
-		fail(`settings: "trace.url": want it left out unless "trace.to" is http, got %q`, t.URL)
+		fail("trace.url", `want it left out unless "trace.to" is http, got %q`, t.URL)
 	}
 
 	if !(t.Share >= 0 && t.Share <= 1) || math.IsNaN(t.Share) {
-		fail(`settings: "trace.share": want a number from 0 to 1, got %v`, t.Share)
+		fail("trace.share", `want a number from 0 to 1, got %v`, t.Share)
 	}
 }
