--- a/internal/cwoperator/api.go
+++ b/internal/cwoperator/api.go
@@ -65,6 +65,7 @@
 	app.Post("/config", a.apply)
 	app.Post("/restore", a.restore)
 	app.Get("/status", a.status)
+	app.Get("/ready", a.ready)
 	app.Get("/debug/vars", adaptor.HTTPHandler(a.vars))
 
 	return app
