Metrics of one entry VM apart from those of another, all in one table

Cause: configuration, store and membership counted in expvar's registry, which is one a process, so that entry VMs which share one could not be told apart. They now get their map handed in.

--- a/internal/cwconfig/exchange.go
+++ b/internal/cwconfig/exchange.go
@@ -175,7 +175,7 @@
 	case alarming(err):
 		s.alarm(fromPeer, errors.Annotatef(err, "peer %s", to))
 	default:
-		metrics.Add(metricFailed, 1)
+		s.metrics.Add(metricFailed, 1)
 		s.log.V(1).Info("A peer did not answer.", "peer", to, "cause", err.Error())
 	}
 }
@@ -196,10 +196,10 @@
 	ctx, cancel := context.WithTimeout(ctx, askMost)
 	defer cancel()
 
-	metrics.Add(metricSent, int64(proto.Size(in)))
+	s.metrics.Add(metricSent, int64(proto.Size(in)))
 
 	err := s.caller.Call(ctx, to, exchangeMethod, in, out)
-	metrics.Add(metricReceived, int64(proto.Size(out)))
+	s.metrics.Add(metricReceived, int64(proto.Size(out)))
 
 	return out, err
 }
@@ -235,7 +235,7 @@
 			return err
 		}
 
-		metrics.Add(metricFull, 1)
+		s.metrics.Add(metricFull, 1)
 
 		rose = s.holder.Adopt(config)
 	case len(reply.GetChanges()) > 0:
--- a/internal/cwconfig/fake_test.go
+++ b/internal/cwconfig/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"sync"
 	"testing"
@@ -83,7 +84,7 @@
 		Peers: carobward.Address(fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)),
 	}}
 	v.writer = NewWriter(store, v.holder)
-	v.syncer = NewSyncer(store, v.holder, v, v, f.clock, logr.Discard())
+	v.syncer = NewSyncer(store, v.holder, v, v, &expvar.Map{}, f.clock, logr.Discard())
 	f.vms[v.self.Peers] = v
 	f.order = append(f.order, v.self.Peers)
 
--- a/internal/cwconfig/syncer.go
+++ b/internal/cwconfig/syncer.go
@@ -26,9 +26,6 @@
 	Call(ctx context.Context, to carobward.Address, method string, in, out proto.Message) error
 }
 
-// metrics counts what the syncers of this process did.
-var metrics = expvar.NewMap("config")
-
 // The metrics by name.
 const (
 	metricAdopted  = "adopted"
@@ -62,6 +59,8 @@
 	caller Caller
 	clock  carobward.Clock
 	log    logr.Logger
+	// metrics counts what the syncer did.
+	metrics *expvar.Map
 
 	vitals vitals
 	news   chan news
@@ -71,8 +70,8 @@
 }
 
 // NewSyncer returns a syncer of a holder. Register its Service with the peers'
-// server before Run.
-func NewSyncer(store carobward.Store, holder *Holder, peers Peers, caller Caller, clock carobward.Clock, log logr.Logger) *Syncer {
+// server before Run. It counts what it does in metrics.
+func NewSyncer(store carobward.Store, holder *Holder, peers Peers, caller Caller, metrics *expvar.Map, clock carobward.Clock, log logr.Logger) *Syncer {
 	return &Syncer{
 		reader: NewReader(store),
 		holder: holder,
@@ -80,8 +79,11 @@
 		caller: caller,
 		clock:  clock,
 		log:    log.WithName("config"),
-		news:   make(chan news, newsMost),
-		done:   make(chan struct{}),
+
+		metrics: metrics,
+
+		news: make(chan news, newsMost),
+		done: make(chan struct{}),
 	}
 }
 
@@ -250,7 +252,7 @@
 		var config *Config
 
 		if config, err = s.reader.Complete(ctx, &found.Head, s.holder.Config()); err == nil {
-			metrics.Add(metricFull, 1)
+			s.metrics.Add(metricFull, 1)
 
 			rose = s.holder.adoptWith(config, found.Head.Changes)
 		}
@@ -264,7 +266,7 @@
 }
 
 func (s *Syncer) adopted(from string) {
-	metrics.Add(metricAdopted, 1)
+	s.metrics.Add(metricAdopted, 1)
 	s.log.Info("New configuration in force.", "revision", s.holder.Revision(), "from", from)
 }
 
@@ -273,7 +275,7 @@
 		return
 	}
 
-	metrics.Add(metricAlarms, 1)
+	s.metrics.Add(metricAlarms, 1)
 	s.log.Error(err, "Alarm: the configuration in force is kept.", "revision", s.holder.Revision())
 }
 
--- a/internal/cwkv/client.go
+++ b/internal/cwkv/client.go
@@ -31,9 +31,6 @@
 	indexHeader = "X-Consul-Index"
 )
 
-// calls counts the calls of this process by kind, and those that failed.
-var calls = expvar.NewMap("store")
-
 // The kinds of calls as the metric names them.
 const (
 	callRead   = "reads"
@@ -49,24 +46,27 @@
 	dialer  dialer
 	prefix  string
 	timeout time.Duration
+	// calls counts the calls by kind, and those that failed.
+	calls *expvar.Map
 }
 
 // New returns a client of the service at base, such as http://10.0.0.2:8500.
 // Every key starts with prefix. The timeout bounds each call but a watch.
-func New(base, prefix string, timeout time.Duration) *Client {
-	return &Client{dialer: newDialer(base), prefix: prefix, timeout: timeout}
+// Calls are counted in calls.
+func New(base, prefix string, timeout time.Duration, calls *expvar.Map) *Client {
+	return &Client{dialer: newDialer(base), prefix: prefix, timeout: timeout, calls: calls}
 }
 
 // Get returns the entry of a key.
 func (c *Client) Get(ctx context.Context, key carobward.Key) (carobward.Entry, error) {
-	calls.Add(callRead, 1)
+	c.calls.Add(callRead, 1)
 
 	return c.read(ctx, key, "", c.timeout)
 }
 
 // Watch waits for a change of the key with a blocking query.
 func (c *Client) Watch(ctx context.Context, key carobward.Key, after carobward.StoreIndex) (carobward.Entry, error) {
-	calls.Add(callWatch, 1)
+	c.calls.Add(callWatch, 1)
 
 	query := fmt.Sprintf("?index=%d&wait=%ds", after, int(watchWait.Seconds()))
 
@@ -121,7 +121,7 @@
 
 // Swap writes a value by check-and-set.
 func (c *Client) Swap(ctx context.Context, key carobward.Key, value []byte, base carobward.StoreIndex) error {
-	calls.Add(callWrite, 1)
+	c.calls.Add(callWrite, 1)
 
 	query := fmt.Sprintf("?cas=%d", base)
 
@@ -164,7 +164,7 @@
 
 	r, err := c.dialer.exchange(ctx, req)
 	if err != nil {
-		calls.Add(callFailed, 1)
+		c.calls.Add(callFailed, 1)
 	}
 
 	return r, err
--- a/internal/cwkv/client_test.go
+++ b/internal/cwkv/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"expvar"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -76,7 +77,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newCounter(t, func(c net.Conn) { _, _ = c.Write([]byte(test.reply)) })
 
-			err := New(s.url, "t/", time.Second).Swap(context.Background(), "head", []byte("x"), 1)
+			err := New(s.url, "t/", time.Second, &expvar.Map{}).Swap(context.Background(), "head", []byte("x"), 1)
 			if !errors.Is(err, test.want) {
 				t.Errorf("got %v, want %v", err, test.want)
 			}
@@ -99,7 +100,7 @@
 
 	_ = ln.Close()
 
-	err = New("http://"+ln.Addr().String(), "", time.Second).Swap(context.Background(), "head", nil, 0)
+	err = New("http://"+ln.Addr().String(), "", time.Second, &expvar.Map{}).Swap(context.Background(), "head", nil, 0)
 	if !errors.Is(err, carobward.ErrStoreDown) {
 		t.Errorf("got %v", err)
 	}
@@ -110,7 +111,7 @@
 	s := newCounter(t, func(c net.Conn) {
 		_, _ = c.Read(make([]byte, 1)) // Waits until the client closes.
 	})
-	client := New(s.url, "", time.Second)
+	client := New(s.url, "", time.Second, &expvar.Map{})
 
 	for i := range int64(30) {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/cwmember/service.go
+++ b/internal/cwmember/service.go
@@ -30,10 +30,6 @@
 	datagramMost = 4096
 )
 
-// metrics of all machines of this process, in bytes without the headers of
-// UDP and IP, and in events.
-var metrics = expvar.NewMap("member")
-
 // Service runs a Machine over a socket and keeps the table of peers.
 type Service struct {
 	key     cwpeer.Key
@@ -43,6 +39,9 @@
 	clock   carobward.Clock
 	log     logr.Logger
 
+	// metrics counts, in bytes without the headers of UDP and IP.
+	metrics *expvar.Map
+
 	mutex    sync.Mutex
 	machine  *Machine
 	counts   Counts
@@ -53,9 +52,9 @@
 
 // NewService returns a service for the VM that the table has as its own. The
 // socket is closed by who opened it.
-func NewService(key cwpeer.Key, conn net.PacketConn, table *cwpeer.Table, clients *cwpeer.Clients, clock carobward.Clock, log logr.Logger) *Service {
+func NewService(key cwpeer.Key, conn net.PacketConn, table *cwpeer.Table, clients *cwpeer.Clients, metrics *expvar.Map, clock carobward.Clock, log logr.Logger) *Service {
 	return &Service{
-		key: key, conn: conn, table: table, clients: clients, clock: clock, log: log.WithName("member"),
+		key: key, conn: conn, table: table, clients: clients, metrics: metrics, clock: clock, log: log.WithName("member"),
 		machine:  New(table.Self(), Defaults(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		replaced: make(chan struct{}),
 		done:     make(chan struct{}),
@@ -188,7 +187,7 @@
 }
 
 func (s *Service) pull(ctx context.Context, to carobward.Address) {
-	metrics.Add("pulls", 1)
+	s.metrics.Add("pulls", 1)
 	s.ask(ctx, to)
 
 	s.mutex.Lock()
@@ -214,18 +213,18 @@
 			continue
 		}
 
-		metrics.Add("bytes_in", int64(n))
+		s.metrics.Add("bytes_in", int64(n))
 
 		raw, err := s.key.Open(buffer[:n], from)
 		if err != nil {
-			metrics.Add("refused", 1)
+			s.metrics.Add("refused", 1)
 
 			continue
 		}
 
 		d := &cwwire.Datagram{}
 		if err := proto.Unmarshal(raw, d); err != nil {
-			metrics.Add("refused", 1)
+			s.metrics.Add("refused", 1)
 
 			continue
 		}
@@ -255,7 +254,7 @@
 		}
 
 		sealed := s.key.Seal(raw)
-		metrics.Add("bytes_out", int64(len(sealed)))
+		s.metrics.Add("bytes_out", int64(len(sealed)))
 
 		// A datagram that is lost here is like one that is lost on the way.
 		_, _ = s.conn.WriteTo(sealed, net.UDPAddrFromAddrPort(to))
@@ -275,10 +274,10 @@
 	now, before := s.machine.Counts(), s.counts
 	s.counts = now
 
-	metrics.Add("suspicions", int64(now.Suspicions-before.Suspicions))
-	metrics.Add("deaths", int64(now.Deaths-before.Deaths))
-	metrics.Add("refutations", int64(now.Refutations-before.Refutations))
-	metrics.Add("pauses", int64(now.Pauses-before.Pauses))
+	s.metrics.Add("suspicions", int64(now.Suspicions-before.Suspicions))
+	s.metrics.Add("deaths", int64(now.Deaths-before.Deaths))
+	s.metrics.Add("refutations", int64(now.Refutations-before.Refutations))
+	s.metrics.Add("pauses", int64(now.Pauses-before.Pauses))
 
 	if now.Deaths > before.Deaths {
 		s.log.Info("Entry VMs are taken for dead.", "count", now.Deaths-before.Deaths)
--- a/internal/cwmetric/set.go
+++ b/internal/cwmetric/set.go
@@ -10,8 +10,8 @@
 	"sync"
 )
 
-// Set has all metrics of one entry VM, in one map a part. What parts publish
-// in expvar's own registry is shown beside them; it counts for the process.
+// Set has all metrics of one entry VM, in one map a part. expvar's own, which
+// are of the process, are shown beside them.
 type Set struct {
 	mutex    sync.Mutex
 	root     expvar.Map
--- a/internal/cwmetric/table.go
+++ b/internal/cwmetric/table.go
@@ -13,22 +13,26 @@
 
 // The units that come often.
 const (
-	unitVMs   = "entry VMs"
-	unitBytes = "bytes"
+	unitRequests = "requests"
+	unitVMs      = "entry VMs"
+	unitBytes    = "bytes"
 )
 
 // Table has every metric of an entry VM. docs/operators.md has the same.
 var Table = []Metric{
-	{"requests/TARGET/VERDICT/CLASS", "requests", "Answers to callers by target (- where none matched), by verdict and by class of the HTTP status."},
-	{"requests/TARGET/latency/count", "requests", "Answers whose time was taken, from the whole request to the whole answer."},
+	{"requests/TARGET/VERDICT/CLASS", unitRequests, "Answers to callers by target (- where none matched), by verdict and by class of the HTTP status."},
+	{"requests/TARGET/latency/count", unitRequests, "Answers whose time was taken, from the whole request to the whole answer."},
 	{"requests/TARGET/latency/sum", "milliseconds", "The sum of those times."},
-	{"requests/TARGET/latency/below/END", "requests", "Those that took at most END and more than half of it."},
-	{"node/flight", "requests", "Callers' requests in flight now."},
+	{"requests/TARGET/latency/below/END", unitRequests, "Those that took at most END and more than half of it."},
+	{"node/flight", unitRequests, "Callers' requests in flight now."},
 	{"node/revision", "", "The revision in force here now."},
 	{"node/live", unitVMs, "Those that answer, this one among them, now."},
 	{"node/suspect", unitVMs, "Those that have missed heartbeats, now."},
 	{"node/leaving", unitVMs, "Those that said that they stop, now."},
 	{"node/dead", unitVMs, "Those taken for dead, now."},
+	{"entry/hedges", "attempts", "Second attempts at a slow request, within the target's budget."},
+	{"entry/retries", "attempts", "Attempts after a failed one, within the target's budget."},
+	{"entry/shed", unitRequests, "Requests refused since no server had room in time."},
 	{"config/adopted", "revisions", "Revisions that came into force here."},
 	{"config/full_copies", "copies", "Whole configurations taken, in place of changes."},
 	{"config/alarms", "alarms", "Times that the store or a peer offered a configuration that was refused: an older one, or another history. Look at once."},
--- a/internal/cwnode/config.go
+++ b/internal/cwnode/config.go
@@ -8,7 +8,7 @@
 
 // configure makes the part that keeps the configuration up to date.
 func (n *Node) configure(log logr.Logger) error {
-	n.syncer = cwconfig.NewSyncer(n.store, n.holder, n.peers, n.clients, n.clock, log)
+	n.syncer = cwconfig.NewSyncer(n.store, n.holder, n.peers, n.clients, n.metrics.Part("config"), n.clock, log)
 
 	return n.server.Register(cwconfig.ServiceName, n.syncer.Service())
 }
--- a/internal/cwnode/member.go
+++ b/internal/cwnode/member.go
@@ -24,7 +24,7 @@
 	n.peers = cwpeer.NewTable(n.self())
 	n.server = cwpeer.NewServer(k, log)
 	n.clients = cwpeer.NewClients(k)
-	n.member = cwmember.NewService(k, n.listeners.datagrams, n.peers, n.clients, n.clock, log)
+	n.member = cwmember.NewService(k, n.listeners.datagrams, n.peers, n.clients, n.metrics.Part("member"), n.clock, log)
 
 	if err := n.server.Register("Member", n.member.Asked()); err != nil {
 		return err
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -73,7 +73,6 @@
 		settings: s,
 		clock:    clock,
 		log:      log.WithName("node"),
-		store:    cwkv.New(s.Store.URL, s.Store.Prefix, s.Store.Timeout.Std()),
 		list:     cwvm.New(s.List.URL),
 		servers:  cwserver.NewTable(),
 		holder:   cwconfig.NewHolder(),
@@ -81,6 +80,8 @@
 		done:     make(chan struct{}),
 	}
 
+	n.store = cwkv.New(s.Store.URL, s.Store.Prefix, s.Store.Timeout.Std(), n.metrics.Part("store"))
+
 	key, err := cwsettings.ReadKey(s.Keys.Operators)
 	if err != nil {
 		return nil, err
--- a/internal/cwtest/fleet.go
+++ b/internal/cwtest/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -78,8 +79,9 @@
 
 var serving = regexp.MustCompile(`msg=Serving\..* callers=(\S+) lookup=(\S+) peers=(\S+) operators=(\S+)`)
 
-// StartVM starts an entry VM, without listing it.
-func (f *Fleet) StartVM(t testing.TB, vm, domain string) *EntryVM {
+// StartVM starts an entry VM, without listing it. More settings, such as
+// `"log": "debug"`, replace the defaults.
+func (f *Fleet) StartVM(t testing.TB, vm, domain string, more ...string) *EntryVM {
 	t.Helper()
 
 	settings := File(t, "settings.jsonc", fmt.Sprintf(`{
@@ -89,7 +91,8 @@
 		"store": {"url": "http://%s"},
 		"list": {"url": "http://%s/vms", "every": "100ms"},
 		"keep": "1s",
-	}`, vm, domain, f.Platform, f.Platform))
+		%s
+	}`, vm, domain, f.Platform, f.Platform, strings.Join(more, ",\n")))
 
 	v := &EntryVM{Process: Start(t, f.Carobward, "serve", "--settings", settings), Domain: domain}
 
