--- a/internal/cwentry/request.go
+++ b/internal/cwentry/request.go
@@ -18,7 +18,6 @@
 	ErrVersion = errors.ConstError("the protocol is neither HTTP/1.1 nor HTTP/1.0")
 	ErrHost    = errors.ConstError("the request has no Host")
 	ErrForm    = errors.ConstError("the request target is neither a path nor a whole address")
-	ErrPath    = errors.ConstError("the path has empty or dot segments, a fragment, a backslash, or an encoded slash, dot or backslash")
 )
 
 // idMost bounds a caller's request id in bytes.
--- a/internal/cwsettings/route.go
+++ b/internal/cwsettings/route.go
@@ -28,10 +28,10 @@
 
 func (r *Route) validate(fail failer) {
 	if r.Far < 0 {
-		fail(`settings: "route.far": want at least zero, such as "1500us"`)
+		fail("route.far", `want at least zero, such as "1500us"`)
 	}
 
 	if !(r.Rate >= 1) {
-		fail(`settings: "route.rate": want the requests a second of one target, at least 1, got %v`, r.Rate)
+		fail("route.rate", `want the requests a second of one target, at least 1, got %v`, r.Rate)
 	}
 }
