--- a/header.go
+++ b/header.go
@@ -42,6 +42,12 @@
 	// HeaderReport carries a server's load in the ORCA text format, see
 	// https://github.com/cncf/xds/blob/main/xds/data/orca/v3/orca_load_report.proto
 	HeaderReport = "Endpoint-Load-Metrics"
+	// HeaderAsk asks a server for a report with its reply; its value is
+	// AskReport.
+	HeaderAsk = "Carobward-Report"
 	// HeaderRetryAfter carries seconds, RFC 9110, 10.2.3.
 	HeaderRetryAfter = "Retry-After"
 )
+
+// AskReport is the value of HeaderAsk.
+const AskReport = "1"
--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -36,8 +36,25 @@
 	Calls int
 	// Policy chooses servers.
 	Policy cwroute.Policy
+	// Reports decides which calls ask for a report; nil: none does.
+	Reports Reports
 }
 
+// Reports decides which calls ask the server for a report with the reply.
+type Reports interface {
+	// Ask tells whether the next call to a server is to ask. If so, Took must
+	// be called.
+	Ask(s *cwserver.Server) bool
+	// Took counts the reply to a call; nil is one that was given up.
+	Took(asked bool, reply *carobward.Reply)
+}
+
+// noReports asks for none.
+type noReports struct{}
+
+func (noReports) Ask(*cwserver.Server) bool   { return false }
+func (noReports) Took(bool, *carobward.Reply) {}
+
 // Carrier carries callers' requests.
 type Carrier struct {
 	options Options
@@ -54,6 +71,10 @@
 
 // New returns a Carrier.
 func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, owner Owner, clock carobward.Clock, log logr.Logger) *Carrier {
+	if o.Reports == nil {
+		o.Reports = noReports{}
+	}
+
 	c := &Carrier{options: o, holder: holder, servers: servers, link: link, owner: owner, clock: clock, log: log.WithName("entry")}
 	// Attempts of an earlier run have other ids.
 	c.serial.Store(uint64(rand.Uint32()) << 16)
--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -75,9 +75,12 @@
 	one := *call
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
+	one.Ask = c.options.Reports.Ask(s)
+
 	out := s.Begin(c.clock.Now())
 	reply, err := c.link.Exchange(ctx, s.Address, &one)
 	out.End(c.clock.Now(), outcome(ctx, reply, err))
+	c.options.Reports.Took(one.Ask, reply)
 
 	if err != nil {
 		return nil, err
--- a/internal/cwentry/message.go
+++ b/internal/cwentry/message.go
@@ -41,6 +41,7 @@
 	"Carobward-Vm":        true,
 	"Carobward-Server":    true,
 	"Carobward-Retry-Ms":  true,
+	"Carobward-Report":    true,
 	// The load is between the server and us.
 	"Endpoint-Load-Metrics": true,
 }
--- a/internal/cwlink/trip.go
+++ b/internal/cwlink/trip.go
@@ -87,6 +87,10 @@
 	h.Add(carobward.HeaderID, string(t.call.ID))
 	h.Add(carobward.HeaderTimeout, strconv.FormatInt(max(left, 1), 10))
 
+	if t.call.Ask {
+		h.Add(carobward.HeaderAsk, carobward.AskReport)
+	}
+
 	if len(t.call.Body) > 0 || bodyExpected(t.call.Method) {
 		h.Add(fasthttp.HeaderContentLength, strconv.Itoa(len(t.call.Body)))
 	}
--- a/internal/cwnews/health.go
+++ b/internal/cwnews/health.go
@@ -21,6 +21,17 @@
 	Silent
 )
 
+var checkNames = [...]string{Fine: "fine", Draining: "draining", Refused: "refused", Silent: "silent"}
+
+// String returns the outcome's name.
+func (c Check) String() string {
+	if int(c) < len(checkNames) {
+		return checkNames[c]
+	}
+
+	return "unknown"
+}
+
 // fineLeast is how many healthy answers in a row end a health mark, and, once
 // the address was seen refusing, the mark of the server's word: the one that
 // listens there now is another run.
--- a/internal/cwnews/system.go
+++ b/internal/cwnews/system.go
@@ -102,6 +102,12 @@
 	s.Apply()
 }
 
+// Checked takes the outcome of a health check that was sent at some time.
+func (s *System) Checked(sent time.Time, a carobward.Address, c Check) {
+	s.options.Table.Checked(sent, s.options.Clock.Now(), a, c)
+	s.Apply()
+}
+
 // Listed takes a VM list that was read whole, before the server table does.
 func (s *System) Listed(list []carobward.VM) { s.options.Table.Listed(s.options.Clock.Now(), list) }
 
--- /dev/null
+++ b/internal/cwnode/measure.go
@@ -0,0 +1,150 @@
+package cwnode
+
+import (
+	"context"
+	"expvar"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwbudget"
+	"carobward.example/carobward/internal/cwprobe"
+)
+
+// measure is what this entry VM measures with, and what it knows of the fleet
+// for its share of the budget.
+type measure struct {
+	account *cwbudget.Account
+	reports *cwbudget.Reports
+	prober  *cwprobe.Prober
+	// listed is what the VM list showed last.
+	listed atomic.Pointer[listedVMs]
+}
+
+type listedVMs struct {
+	ids []carobward.VMID
+	at  time.Time
+}
+
+// measuring has what each entry VM in this process has spent on measuring and
+// on news, by its id.
+var measuring = expvar.NewMap("measuring")
+
+// spent is what one entry VM has spent since its start, as a metric.
+type spent struct {
+	// Calls and Bytes count against the operators' budget.
+	Calls int64 `json:"calls"`
+	Bytes int64 `json:"bytes"`
+	// Unasked counts the bytes of reports that servers sent unasked.
+	Unasked int64 `json:"unasked_bytes"`
+	// NewsCalls and NewsBytes are those of the news of leaving servers.
+	NewsCalls int64 `json:"news_calls"`
+	NewsBytes int64 `json:"news_bytes"`
+}
+
+func (n *Node) openMeasure(log logr.Logger) {
+	p := &n.settings.Probe
+	m := &n.measure
+
+	m.account = cwbudget.New()
+	m.reports = cwbudget.NewReports(m.account, n.clock)
+	m.listed.Store(&listedVMs{})
+	m.prober = cwprobe.New(cwprobe.Options{
+		Self:    n.settings.VM,
+		VMs:     n.knownVMs,
+		Servers: n.servers,
+		News:    n.news,
+		Account: m.account,
+		Path:    p.Path,
+		Fresh:   p.Fresh.Std(),
+		Timeout: p.Timeout.Std(),
+		Clock:   n.clock,
+		Log:     log,
+	})
+
+	measuring.Set(string(n.settings.VM), expvar.Func(func() any {
+		total := m.account.Total()
+		calls, bytes := n.news.Spent()
+
+		return spent{total.Calls, total.Bytes, m.reports.Unasked(), calls, bytes}
+	}))
+}
+
+// listVMs takes the entry VMs of a VM list.
+func (m *measure) listVMs(now time.Time, list []carobward.VM) {
+	l := &listedVMs{at: now}
+
+	for _, v := range list {
+		if v.Service == carobward.EntryService {
+			l.ids = append(l.ids, v.ID)
+		}
+	}
+
+	m.listed.Store(l)
+}
+
+// knownVMs returns the ids of all entry VMs that any source shows, sorted.
+func (n *Node) knownVMs() []carobward.VMID {
+	ids := append([]carobward.VMID{n.settings.VM}, n.measure.listed.Load().ids...)
+
+	for _, p := range n.peers.All() {
+		if p.State != carobward.PeerDead {
+			ids = append(ids, p.ID)
+		}
+	}
+
+	slices.Sort(ids)
+
+	return slices.Compact(ids)
+}
+
+// tickMeasure tells the account what is known of the fleet until ctx ends. It
+// waits for nothing else, since after a pause nothing may be spent.
+func (n *Node) tickMeasure(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+
+	for ctx.Err() == nil {
+		n.viewFleet(n.clock.Now())
+
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+}
+
+func (n *Node) viewFleet(now time.Time) {
+	m := &n.measure
+	ids := n.knownVMs()
+	rank, _ := slices.BinarySearch(ids, n.settings.VM)
+
+	m.account.Tick(now, cwbudget.View{Budget: n.budget(), Size: len(ids), Rank: rank, At: n.lastSeen()})
+	m.reports.Tick(now, len(n.servers.All()))
+}
+
+// lastSeen returns when the VM list or a peer was last heard.
+func (n *Node) lastSeen() time.Time {
+	last := n.measure.listed.Load().at
+
+	for _, p := range n.peers.All() {
+		if p.ID != n.settings.VM && p.Heard.After(last) {
+			last = p.Heard
+		}
+	}
+
+	return last
+}
+
+// budget returns what the operators allow all entry VMs together.
+func (n *Node) budget() cwbudget.Cost {
+	set := n.holder.Config().Set.Measure
+	if set == nil {
+		return cwbudget.DefaultBudget()
+	}
+
+	return cwbudget.Cost{Calls: int64(set.Calls), Bytes: int64(set.Bytes)}
+}
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -42,6 +42,7 @@
 	server  *cwpeer.Server
 	member  *cwmember.Service
 	news    *cwnews.System
+	measure measure
 	holder  *cwconfig.Holder
 	syncer  *cwconfig.Syncer
 	link    *cwlink.Link
@@ -91,6 +92,8 @@
 		return nil, err
 	}
 
+	n.openMeasure(log)
+
 	if err := n.newOwner(); err != nil {
 		return nil, err
 	}
@@ -100,7 +103,7 @@
 	}
 
 	n.link = newLink(&s.Link, clock)
-	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Wait{}}, n.holder, n.servers, n.link, n.owner, clock, log)
+	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Wait{}, Reports: n.measure.reports}, n.holder, n.servers, n.link, n.owner, clock, log)
 	n.data = n.dataServer()
 	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner)
 	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers, n.syncer).WithDrains(n.news, n.servers).Handler()
@@ -169,6 +172,8 @@
 	group.Go(func() { n.tick(work) })
 	group.Go(func() { n.member.Run(work) })
 	group.Go(func() { n.news.Run(work) })
+	group.Go(func() { n.measure.prober.Run(work) })
+	group.Go(func() { n.tickMeasure(work) })
 	group.Go(func() { n.logEnd("callers", n.data.Serve(n.listeners.callers)) })
 	group.Go(func() { n.logEnd("lookup", n.lookup.Listener(n.listeners.lookup)) })
 	group.Go(func() { n.logEnd("peers", n.server.Serve(n.listeners.peers)) })
@@ -183,6 +188,7 @@
 	n.owner.Stop()
 	<-n.member.Done()
 	<-n.news.Done()
+	<-n.measure.prober.Done()
 	n.closePeers()
 	_ = n.lookup.Shutdown()
 	_ = n.operators.Shutdown()
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -46,6 +46,7 @@
 	}
 
 	n.news.Listed(list)
+	n.measure.listVMs(n.clock.Now(), list)
 	n.servers.Update(list)
 	n.link.Retain(list)
 	n.member.Seeds(list)
--- a/internal/cwserver/leave.go
+++ b/internal/cwserver/leave.go
@@ -119,6 +119,14 @@
 	return slices.Collect(maps.Values(t.leave.words))
 }
 
+// All returns the servers of all services.
+func (t *Table) All() []*Server {
+	t.leave.mutex.Lock()
+	defer t.leave.mutex.Unlock()
+
+	return slices.Collect(maps.Values(t.leave.owners))
+}
+
 // Has tells whether the VM list shows a server at an address.
 func (t *Table) Has(a carobward.Address) bool {
 	t.leave.mutex.Lock()
--- a/internal/cwsettings/settings.go
+++ b/internal/cwsettings/settings.go
@@ -30,6 +30,8 @@
 	Limits Limits `json:"limits"`
 	// Link bounds the connections to servers.
 	Link Link `json:"link"`
+	// Probe says how servers without fresh traffic are probed.
+	Probe Probe `json:"probe"`
 	// Keep is how long a caller may keep an address answer.
 	Keep carobward.Duration `json:"keep"`
 	// Stop bounds a graceful stop, from its start to the exit.
@@ -155,6 +157,7 @@
 			ConnsPerIP: defaultPerIP,
 		},
 		Link:  defaultLink(),
+		Probe: defaultProbe(),
 		Keep:  carobward.Duration(defaultKeep),
 		Stop:  carobward.Duration(defaultStop),
 		Once:  defaultOnce(),
--- a/internal/cwsettings/validate.go
+++ b/internal/cwsettings/validate.go
@@ -57,6 +57,7 @@
 	validateURL("list.url", s.List.URL, fail)
 	s.Once.validate(s.Keep, fail)
 	s.Link.validate(fail)
+	s.Probe.validate(fail)
 	s.Limits.validate(fail)
 	s.validateTimes(fail)
 	s.Trace.validate(fail)
--- a/internal/cwstand/server.go
+++ b/internal/cwstand/server.go
@@ -48,6 +48,11 @@
 	// ReportLag and ReportLie make the reports stale or misleading.
 	ReportLag time.Duration
 	ReportLie Lie
+	// Asked has reports go only with replies to requests that ask for one, and
+	// with all while draining.
+	Asked bool
+	// Run numbers the server's runs in its reports; 0 leaves it out.
+	Run uint64
 	// HealthLag is how long the health endpoint hides a drain.
 	HealthLag time.Duration
 	// Ledger finds work that begins twice, on whichever server.
@@ -273,7 +278,7 @@
 func (s *Server) report(ctx *fasthttp.RequestCtx) string {
 	l := Load{
 		Slots: s.options.Slots, Running: len(s.slots), Queued: int(s.queued.Load()),
-		Draining: s.drained.Load() != 0,
+		Draining: s.drained.Load() != 0, Run: s.options.Run,
 	}
 
 	s.mutex.Lock()
@@ -289,7 +294,17 @@
 func (s *Server) reportOnReply(ctx *fasthttp.RequestCtx) {
 	const separators = len(": \r\n")
 
-	s.counters.reportBytes.Add(int64(len(carobward.HeaderReport) + len(s.report(ctx)) + separators))
+	asked := ctx.Request.Header.Peek(carobward.HeaderAsk)
+	if s.options.Asked && len(asked) == 0 && s.drained.Load() == 0 {
+		return
+	}
+
+	bytes := len(carobward.HeaderReport) + len(s.report(ctx)) + separators
+	if len(asked) > 0 {
+		bytes += len(carobward.HeaderAsk) + len(asked) + separators
+	}
+
+	s.counters.reportBytes.Add(int64(bytes))
 }
 
 // waitMost is how long a request without a timeout waits for a slot.
--- a/internal/cwstand/server_report.go
+++ b/internal/cwstand/server_report.go
@@ -9,6 +9,8 @@
 type Load struct {
 	Slots, Running, Queued int
 	Draining               bool
+	// Run numbers the server's runs, rising; 0 leaves it out.
+	Run uint64
 }
 
 // String returns the report in the text format of ORCA.
@@ -19,6 +21,10 @@
 		text += ", named_metrics.draining=1"
 	}
 
+	if l.Run > 0 {
+		text += fmt.Sprintf(", named_metrics.run=%d", l.Run)
+	}
+
 	return text
 }
 
--- a/server.go
+++ b/server.go
@@ -41,6 +41,8 @@
 	// Fresh asks for a connection that no reply has been read from, where a
 	// failed write on a reused one would make the verdict Unknown.
 	Fresh bool
+	// Ask asks the server for a load report with the reply.
+	Ask bool
 }
 
 // Reply is a server's whole reply.
