--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -229,10 +229,14 @@
 	one := *call
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
+	one.Ask = c.options.Reports.Ask(s)
+
 	ctx, cancel := c.abortable(ctx)
 	defer cancel()
 
 	reply, err := c.exchange(ctx, s, noted, &one)
+	c.options.Reports.Took(one.Ask, reply)
+
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -44,6 +44,7 @@
 	server  *cwpeer.Server
 	member  *cwmember.Service
 	news    *cwnews.System
+	measure measure
 	holder  *cwconfig.Holder
 	syncer  *cwconfig.Syncer
 	link    *cwlink.Link
@@ -106,6 +107,8 @@
 		return nil, err
 	}
 
+	n.openMeasure(log)
+
 	if err := n.newOwner(); err != nil {
 		return nil, err
 	}
@@ -186,6 +189,8 @@
 	group.Go(func() { n.tick(work) })
 	group.Go(func() { n.member.Run(work) })
 	group.Go(func() { n.news.Run(work) })
+	group.Go(func() { n.measure.prober.Run(work) })
+	group.Go(func() { n.tickMeasure(work) })
 	group.Go(func() { n.logEnd("callers", n.data.Serve(n.listeners.callers)) })
 	group.Go(func() { n.logEnd("lookup", n.lookup.Listener(n.listeners.lookup)) })
 	group.Go(func() { n.logEnd("peers", n.server.Serve(n.listeners.peers)) })
@@ -198,6 +203,7 @@
 	n.owner.Stop()
 	<-n.member.Done()
 	<-n.news.Done()
+	<-n.measure.prober.Done()
 	n.closePeers()
 	_ = n.lookup.ShutdownWithTimeout(closeMost)
 	_ = n.operators.ShutdownWithTimeout(closeMost)
--- a/internal/cwsettings/validate.go
+++ b/internal/cwsettings/validate.go
@@ -58,6 +58,7 @@
 	s.Once.validate(s.Keep, fail)
 	s.Link.validate(fail)
 	s.Route.validate(fail)
+	s.Probe.validate(fail)
 	s.Limits.validate(fail)
 	s.validateTimes(fail)
 	s.Trace.validate(fail)
