--- a/internal/cwentry/request.go
+++ b/internal/cwentry/request.go
@@ -17,6 +17,7 @@
 	ErrID      = errors.ConstError("the request id is given twice, longer than 128 bytes, or has bytes other than A-Z a-z 0-9 . _ ~ : + / = @ -")
 	ErrVersion = errors.ConstError("the protocol is neither HTTP/1.1 nor HTTP/1.0")
 	ErrHost    = errors.ConstError("the request has no Host")
+	ErrTrailer = errors.ConstError("the trailer has a field that belongs into the header")
 	ErrForm    = errors.ConstError("the request target is neither a path nor a whole address")
 	ErrPath    = errors.ConstError("the path has empty or dot segments, a fragment, a backslash, or an encoded slash, dot or backslash")
 )
@@ -77,6 +78,13 @@
 		return ErrHost
 	}
 
+	// The library looks for a field in the trailer, too.
+	for name := range h.Trailers() {
+		if hop[string(name)] {
+			return ErrTrailer
+		}
+	}
+
 	uri := h.RequestURI()
 	if h.IsConnect() || (len(uri) > 0 && uri[0] != '/' && !bytes.Contains(uri, []byte("://"))) {
 		return ErrForm
--- a/internal/cwentry/server_test.go
+++ b/internal/cwentry/server_test.go
@@ -59,6 +59,8 @@
 		"two ids":               {"GET /sheets HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nX-Request-Id: b\r\n\r\n", 400},
 		"bad timeout":           {"GET /sheets HTTP/1.1\r\nHost: h\r\nCarobward-Timeout: soon\r\n\r\n", 400},
 		"timeout zero":          {"GET /sheets HTTP/1.1\r\nHost: h\r\nCarobward-Timeout: 0\r\n\r\n", 400},
+		"id in the trailer":     {"POST /fees HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Request-Id: a\r\n\r\n", 400},
+		"timeout in trailer":    {"POST /fees HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nCarobward-Timeout: 1\r\n\r\n", 400},
 		"CONNECT":               {"CONNECT h:443 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
 		"whole server":          {"OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", 400},
 		"dot segments":          {"GET /fees/../sheets HTTP/1.1\r\nHost: h\r\n\r\n", 400},
@@ -133,6 +135,7 @@
 		"body as large":   {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Length: 64\r\n\r\n" + strings.Repeat("x", 64), "POST /fees\n" + strings.Repeat("x", 64)},
 		"empty body":      {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", "POST /fees\n"},
 		"multipart":       {"POST /fees HTTP/1.1\r\nHost: h\r\nContent-Type: multipart/form-data; boundary=b\r\nContent-Length: 63\r\n\r\n" + multipart, "POST /fees\n" + multipart},
+		"trailer":         {"POST /fees HTTP/1.1\r\nHost: h\r\nTrailer: A\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: 1\r\n\r\n", "POST /fees\n"},
 		"unknown method":  {"BREW /sheets HTTP/1.1\r\nHost: h\r\n\r\n", "BREW /sheets\n"},
 		"encoded letters": {"GET /%73heets HTTP/1.1\r\nHost: h\r\n\r\n", "GET /%73heets\n"},
 	} {
