--- a/internal/cwentry/request.go
+++ b/internal/cwentry/request.go
@@ -19,7 +19,6 @@
 	ErrHost    = errors.ConstError("the request has no Host")
 	ErrTrailer = errors.ConstError("the trailer has a field that belongs into the header")
 	ErrForm    = errors.ConstError("the request target is neither a path nor a whole address")
-	ErrPath    = errors.ConstError("the path has empty or dot segments, a fragment, a backslash, or an encoded slash, dot or backslash")
 )
 
 // idMost bounds a caller's request id in bytes.
--- a/test/path/hop_test.go
+++ b/test/path/hop_test.go
@@ -1,6 +1,7 @@
 package path
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,12 +14,8 @@
 	"carobward.example/carobward/internal/cwtest"
 )
 
-// The hop's load: one direct call and one by way of the entry VM each pace,
-// open-loop, so that a slow call holds up none after it.
-const (
-	hopPace = 2 * time.Millisecond
-	hopMost = int64(10 * time.Second)
-)
+// hopMost bounds the times that are recorded.
+const hopMost = int64(10 * time.Second)
 
 // hopClient makes calls to one address and records how long they take.
 type hopClient struct {
@@ -99,16 +96,32 @@
 
 	f.inForce(b, 1)
 
-	direct, entry := newHopClient(server), newHopClient(f.nodes["vm-1"].callers)
+	for _, rate := range []int{500, 2000} {
+		b.Run(strconv.Itoa(rate), func(b *testing.B) {
+			hop(b, rate, server, f.nodes["vm-1"])
+		})
+	}
+}
+
+// hop makes as many direct calls and calls by way of the entry VM a second,
+// open-loop, so that a slow call holds up none after it.
+func hop(b *testing.B, rate int, server string, entryVM *node) {
+	b.Helper()
+
+	direct, entry := newHopClient(server), newHopClient(entryVM.callers)
 	warmUp(b, direct, entry)
 
+	idle := idleShare(b, entryVM.process)
+	pace := time.Second / time.Duration(rate) / 2
+
 	var group sync.WaitGroup
 
+	used := entryVM.process.Processor(b)
 	due := time.Now()
 
 	for b.Loop() {
 		for _, c := range []*hopClient{direct, entry} {
-			due = due.Add(hopPace / 2)
+			due = due.Add(pace)
 			<-time.After(time.Until(due))
 
 			at := due
@@ -118,6 +131,12 @@
 
 	group.Wait()
 
+	used = entryVM.process.Processor(b) - used
+	used -= time.Duration(idle * float64(b.Elapsed()))
+
+	b.ReportMetric(float64(used.Microseconds())/float64(b.N), "processor-µs/call")
+	b.ReportMetric(percent*idle, "idle-%")
+
 	d50, d99 := direct.report(b, "direct")
 	e50, e99 := entry.report(b, "entry")
 
@@ -125,6 +144,21 @@
 	b.ReportMetric(e99-d99, "added-p99-µs")
 }
 
+const percent = 100
+
+// idleShare returns the share of a core that a process takes without calls.
+func idleShare(b *testing.B, p *cwtest.Process) float64 {
+	b.Helper()
+
+	const look = 2 * time.Second
+
+	before := p.Processor(b)
+
+	<-time.After(look)
+
+	return float64(p.Processor(b)-before) / float64(look)
+}
+
 // warmUp opens connections and forgets the times.
 func warmUp(b *testing.B, clients ...*hopClient) {
 	b.Helper()
