--- a/internal/cwentry/server.go
+++ b/internal/cwentry/server.go
@@ -48,10 +48,10 @@
 	options ServerOptions
 	carrier *Carrier
 	log     logr.Logger
-	// retries has the headers of requests under a ticket whose body is
-	// being read, since the library drops the header when that fails. One
-	// left by a connection that ended costs a later refusal its not-run.
-	retries sync.Map
+	// tickets has the tickets of requests whose body is being read, by the
+	// header's place, since the library drops the header when that fails. One
+	// left by a connection that ended may cost a later refusal its not-run.
+	tickets sync.Map
 }
 
 // NewServer returns a server for a Carrier.
@@ -89,8 +89,8 @@
 func (s *Server) limits(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	var c fasthttp.RequestConfig
 
-	if len(h.Peek(carobward.HeaderTicket)) > 0 {
-		s.retries.Store(h, nil)
+	if ticket := string(h.Peek(carobward.HeaderTicket)); ticket != "" {
+		s.tickets.Store(h, ticket)
 	}
 
 	t, err := s.carrier.holder.Targets().Find(string(h.Host()), string(h.Method()), string(h.RequestURI()))
@@ -114,12 +114,22 @@
 	}()
 
 	if len(ctx.Request.Header.Peek(carobward.HeaderTicket)) > 0 {
-		s.retries.Delete(&ctx.Request.Header)
+		s.tickets.Delete(&ctx.Request.Header)
 	}
 
 	s.carrier.Handle(ctx)
 }
 
+// ticketOf returns the ticket of a request, also of one that was not read
+// whole.
+func (s *Server) ticketOf(ctx *fasthttp.RequestCtx) string {
+	if kept, ok := s.tickets.LoadAndDelete(&ctx.Request.Header); ok {
+		return kept.(string)
+	}
+
+	return ticketOf(ctx)
+}
+
 // panicked answers a request whose handling failed. It may have been sent.
 func (s *Server) panicked(ctx *fasthttp.RequestCtx, cause any) {
 	s.log.Error(errors.Errorf("%v", cause), "A request failed here.", "stack", string(debug.Stack()))
@@ -142,12 +152,7 @@
 	s.log.V(1).Info("A request could not be read.", "from", ctx.RemoteAddr().String(), "cause", err.Error())
 
 	f := carobward.NewFailure(carobward.NotRun, status, 0, cause)
-	if _, retry := s.retries.LoadAndDelete(&ctx.Request.Header); retry {
-		// An earlier try may have run, and its ticket is lost.
-		f.Verdict, f.RetryAfter = carobward.Unknown, retryAfter
-	}
-
-	s.carrier.writeFailure(ctx, id, f)
+	s.carrier.writeFailure(ctx, id, s.carrier.refuseUnder(ctx, s.ticketOf(ctx), f))
 
 	_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
 
--- a/internal/cwentry/server_test.go
+++ b/internal/cwentry/server_test.go
@@ -465,7 +465,8 @@
 	}
 }
 
-// TestCalls refuses requests over the bound in flight.
+// TestCalls refuses requests over the bound in flight, and those of one
+// target over its half of it.
 func TestCalls(t *testing.T) {
 	release := make(chan struct{})
 	f := &fake{answer: func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error) {
@@ -476,20 +477,27 @@
 
 	to := serve(t, options(), f)
 
-	const get = "GET /sheets HTTP/1.1\r\nHost: h\r\n\r\n"
-
 	var held []*client
-	for range 8 {
-		held = append(held, dial(t, to).write(get))
-	}
 
-	cwtest.Wait(t, "requests in flight", func() bool { return len(f.seen()) == len(held) })
+	for _, path := range []string{"/sheets", "/fees"} {
+		get := "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"
+
+		for range 4 {
+			held = append(held, dial(t, to).write(get))
+		}
+
+		cwtest.Wait(t, "requests in flight", func() bool { return len(f.seen()) == len(held) })
+
+		over := dial(t, to).write(get).read(false)
+		checkProblem(t, over, carobward.NotRun)
 
-	over := dial(t, to).write(get).read(false)
-	checkProblem(t, over, carobward.NotRun)
+		if over.StatusCode() != 503 || len(over.Header.Peek("Retry-After")) == 0 {
+			t.Errorf("%s: status %d", path, over.StatusCode())
+		}
 
-	if over.StatusCode() != 503 || len(over.Header.Peek("Retry-After")) == 0 {
-		t.Errorf("status %d", over.StatusCode())
+		if len(f.seen()) != len(held) {
+			t.Errorf("%s: a request over the bound was sent", path)
+		}
 	}
 
 	close(release)
--- a/test/path/hop_test.go
+++ b/test/path/hop_test.go
@@ -77,46 +77,39 @@
 // BenchmarkHop compares direct calls with calls by way of one entry VM, all
 // separate processes, in pairs of one run. Run it with -benchtime 5000x.
 func BenchmarkHop(b *testing.B) {
-	f := &fleet{
-		carobward: cwtest.Build(b, "cmd/carobward"),
-		cwstand:   cwtest.Build(b, "cmd/cwstand"),
-		nodes:     map[string]*node{},
-	}
-	f.platform = f.stand(b, "platform", "--listen", "127.0.0.1:0")
-	f.serve(b, "vm-1", "Ifrane")
-
-	server := f.stand(b, "server", "--work", "1ms", "--slots", "64")
-	f.list(b, map[string][]string{"records": {server}})
+	f := cwtest.NewFleet(b)
+	vm := f.StartVM(b, "vm-1", "Ifrane")
+	server := f.StartServer(b, "records", "--work", "1ms", "--slots", "64")
 
-	out, code := cwtest.Run(b, f.carobward, "apply", "--vm", f.nodes["vm-1"].operators, cwtest.File(b, "targets.jsonc",
+	out, code := cwtest.Run(b, f.Carobward, "apply", "--vm", vm.Operators, cwtest.File(b, "targets.jsonc",
 		`{"targets": [{"name": "lookup", "service": "records", "promise": "quick", "match": [{"path": "/sheets"}]}]}`))
 	if code != 0 {
 		b.Fatal(out)
 	}
 
-	f.inForce(b, 1)
+	f.InForce(b, 1, 1)
 
 	for _, rate := range []int{500, 2000} {
 		b.Run(strconv.Itoa(rate), func(b *testing.B) {
-			hop(b, rate, server, f.nodes["vm-1"])
+			hop(b, rate, server, vm)
 		})
 	}
 }
 
 // hop makes as many direct calls and calls by way of the entry VM a second,
 // open-loop, so that a slow call holds up none after it.
-func hop(b *testing.B, rate int, server string, entryVM *node) {
+func hop(b *testing.B, rate int, server string, entryVM *cwtest.EntryVM) {
 	b.Helper()
 
-	direct, entry := newHopClient(server), newHopClient(entryVM.callers)
+	direct, entry := newHopClient(server), newHopClient(entryVM.Callers)
 	warmUp(b, direct, entry)
 
-	idle := idleShare(b, entryVM.process)
+	idle := idleShare(b, entryVM.Process)
 	pace := time.Second / time.Duration(rate) / 2
 
 	var group sync.WaitGroup
 
-	used := entryVM.process.Processor(b)
+	used := entryVM.Process.Processor(b)
 	due := time.Now()
 
 	for b.Loop() {
@@ -131,7 +124,7 @@
 
 	group.Wait()
 
-	used = entryVM.process.Processor(b) - used
+	used = entryVM.Process.Processor(b) - used
 	used -= time.Duration(idle * float64(b.Elapsed()))
 
 	b.ReportMetric(float64(used.Microseconds())/float64(b.N), "processor-µs/call")
