--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbench"
 )
 
@@ -23,7 +24,13 @@
 intended start of a request; one that was not answered counts as its timeout.
 
   carobward bench --suite carriers
-  carobward bench --suite goals --seeds 3 --json goals.json --plot plots/`
+  carobward bench --suite goals --seeds 3 --json goals.json --plot plots/
+
+With --live the same is done over sockets, on a fleet embedded here or, with
+--lookup and --server, on processes that run apart. The variants take turns,
+slice by slice. The baselines then send straight to the servers.
+
+  carobward bench --suite goals --scenario atlas-70 --live`
 
 type benchCommand struct {
 	Suite    string        `long:"suite" description:"The suite to run."`
@@ -38,6 +45,8 @@
 	Rounds   int           `long:"rounds" default:"3" description:"Live: rounds of one slice of --length a variant."`
 	VMs      int           `long:"vms" default:"6" description:"Live: entry VMs."`
 	Work     time.Duration `long:"work" default:"25ms" description:"Live: mean time of a request in a slot; sets the rate."`
+	Lookup   []string      `long:"lookup" description:"Live: lookup address of an entry VM that runs apart; again for each."`
+	Server   []string      `long:"server" description:"Live: address of a stand-in server that runs apart; again for each."`
 	Plot     string        `long:"plot" description:"Draw a plot of each scenario's tails and goodput into this folder."`
 }
 
@@ -78,7 +87,10 @@
 func (c *benchCommand) adjust(s *cwbench.Suite) {
 	s.Scenarios = slices.DeleteFunc(s.Scenarios, func(s cwbench.Scenario) bool { return leftOut(c.Scenario, s.Name) })
 
-	if c.Live {
+	switch {
+	case c.Live && len(c.Lookup) > 0:
+		s.Variants = cwbench.AttachedVariants()
+	case c.Live:
 		s.Variants = cwbench.LiveVariants()
 	}
 
@@ -113,7 +125,7 @@
 	var all []*cwbench.Result
 
 	for _, sc := range s.Scenarios {
-		results, err := cwbench.Live(context.Background(), sc, s.Variants, c.Rounds)
+		results, err := c.live(sc, s.Variants)
 		if err != nil {
 			return nil, err
 		}
@@ -124,6 +136,26 @@
 	return all, cwbench.WriteMeasuring(os.Stdout, all)
 }
 
+// live runs one scenario on an embedded fleet or on processes apart.
+func (c *benchCommand) live(s cwbench.Scenario, variants []cwbench.Variant) ([]*cwbench.Result, error) {
+	if len(c.Lookup) == 0 {
+		return cwbench.Live(context.Background(), s, variants, c.Rounds)
+	}
+
+	p := cwbench.Processes{Lookup: addresses(c.Lookup), Servers: addresses(c.Server)}
+
+	return cwbench.Attached(context.Background(), s, p, variants, c.Rounds)
+}
+
+func addresses(list []string) []carobward.Address {
+	made := make([]carobward.Address, len(list))
+	for i, a := range list {
+		made[i] = carobward.Address(a)
+	}
+
+	return made
+}
+
 // liveWarm is the start of each slice that is left out of the figures.
 const liveWarm = 500 * time.Millisecond
 
--- a/internal/cwbench/live.go
+++ b/internal/cwbench/live.go
@@ -24,10 +24,14 @@
 // machine hits all alike. The servers' schedules start again with each slice.
 type live struct {
 	scenario Scenario
-	fleet    *cwfleet.Fleet
-	servers  []*cwstand.Server
-	epoch    time.Time
-	slice    time.Duration
+	// fleet runs in this process; it is nil where processes run apart.
+	fleet   *cwfleet.Fleet
+	stands  []*cwstand.Server
+	servers []carobward.Address
+	lookup  []carobward.Address
+
+	epoch time.Time
+	slice time.Duration
 	// variants that keep connections of their own.
 	variants int
 }
@@ -41,6 +45,33 @@
 // liveStart bounds the time until the fleet is ready.
 const liveStart = 30 * time.Second
 
+// Processes are entry VMs and stand-in servers that run apart.
+type Processes struct {
+	// Lookup are the entry VMs' lookup addresses.
+	Lookup []carobward.Address
+	// Servers are the addresses of the stand-in servers.
+	Servers []carobward.Address
+}
+
+// Attached takes variants through the scenario on processes that run apart.
+// The servers behave as they were told at their start; only their number,
+// slots and work of the scenario count, for the rate. The entry VMs must have
+// targets for /sheets/ and /fees/.
+func Attached(ctx context.Context, s Scenario, p Processes, variants []Variant, rounds int) ([]*Result, error) {
+	if len(p.Lookup) == 0 || len(p.Servers) == 0 {
+		return nil, errors.New("bench: want addresses of entry VMs and of servers")
+	}
+
+	s.Servers, s.VMs = len(p.Servers), len(p.Lookup)
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+
+	l := &live{scenario: s, servers: p.Servers, lookup: p.Lookup, slice: s.end() + slicePause, epoch: time.Now()}
+
+	return l.rounds(ctx, variants, rounds)
+}
+
 // Live takes the baselines and the product through the scenario over
 // sockets, as many rounds as told, each with another seed. The baselines send
 // straight to the servers, without the hop over an entry VM.
@@ -56,6 +87,10 @@
 
 	defer l.fleet.Close()
 
+	return l.rounds(ctx, variants, rounds)
+}
+
+func (l *live) rounds(ctx context.Context, variants []Variant, rounds int) ([]*Result, error) {
 	var results []*Result
 
 	var senders []sender
@@ -110,7 +145,12 @@
 	}
 
 	l.fleet = fleet
-	l.servers = fleet.Servers[service]
+	l.lookup = fleet.Lookup()
+	l.stands = fleet.Servers[service]
+
+	for _, one := range l.stands {
+		l.servers = append(l.servers, one.Address())
+	}
 
 	ctx, cancel := context.WithTimeout(ctx, liveStart)
 	defer cancel()
@@ -173,7 +213,11 @@
 		mutex sync.Mutex
 	)
 
-	before := l.counts()
+	before, err := l.counts()
+	if err != nil {
+		return err
+	}
+
 	start := l.epoch.Add(time.Since(l.epoch).Truncate(l.slice) + l.slice)
 
 	for i := range arrivals {
@@ -200,7 +244,12 @@
 
 	group.Wait()
 
-	r.Servers = r.Servers.Add(l.counts().Sub(before))
+	after, err := l.counts()
+	if err != nil {
+		return err
+	}
+
+	r.Servers = r.Servers.Add(after.Sub(before))
 
 	return errors.Trace(ctx.Err())
 }
@@ -221,11 +270,17 @@
 	return ctx.Err()
 }
 
-func (l *live) counts() cwstand.Counts {
+func (l *live) counts() (cwstand.Counts, error) {
 	var sum cwstand.Counts
-	for _, s := range l.servers {
-		sum = sum.Add(s.Counts())
+
+	for _, a := range l.servers {
+		c, err := cwstand.ReadCounts(a)
+		if err != nil {
+			return sum, err
+		}
+
+		sum = sum.Add(c)
 	}
 
-	return sum
+	return sum, nil
 }
--- a/internal/cwbench/live_send.go
+++ b/internal/cwbench/live_send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,10 +20,15 @@
 // LiveVariants returns the baselines and the product, for a live run.
 func LiveVariants() []Variant { return append(Baselines(), Variant{Name: nameProduct}) }
 
+// AttachedVariants returns those that need not see into the servers.
+func AttachedVariants() []Variant {
+	return slices.DeleteFunc(LiveVariants(), func(v Variant) bool { return v.Name == nameTruth })
+}
+
 // sender returns how a variant sends requests.
 func (l *live) sender(v *Variant) sender {
 	if v.Policy == nil {
-		return productSender(l.scenario.Seed, l.fleet.Lookup())
+		return productSender(l.scenario.Seed, l.lookup)
 	}
 
 	stacks := make([]*stack, l.scenario.VMs)
@@ -98,8 +104,8 @@
 
 func (l *live) stack(v *Variant) *stack {
 	var list []carobward.VM
-	for _, s := range l.servers {
-		list = append(list, carobward.VM{Address: s.Address(), Service: service})
+	for _, a := range l.servers {
+		list = append(list, carobward.VM{Address: a, Service: service})
 	}
 
 	table := cwserver.NewTable()
@@ -120,7 +126,7 @@
 
 // expect is the time that one more call would take on a server now.
 func (l *live) expect(server int) float64 {
-	s := l.servers[server]
+	s := l.stands[server]
 	held := float64(s.Running() + s.Waiting())
 	turns := max(1, (held+1)/float64(l.scenario.Slots))
 
--- a/internal/cwbench/live_test.go
+++ b/internal/cwbench/live_test.go
@@ -12,22 +12,46 @@
 	s.Warm, s.Length, s.Timeout = 100*time.Millisecond, 300*time.Millisecond, 5*time.Second
 	s.Once = 0.5
 
-	list, err := Live(context.Background(), s, LiveVariants(), 1)
-	if err != nil {
-		t.Fatal(err)
+	tests := map[string]func(ctx context.Context) ([]*Result, error){
+		"embedded": func(ctx context.Context) ([]*Result, error) { return Live(ctx, s, LiveVariants(), 1) },
+		"apart": func(ctx context.Context) ([]*Result, error) {
+			l := &live{scenario: s, slice: time.Second, variants: 5}
+			if err := l.start(ctx); err != nil {
+				return nil, err
+			}
+
+			defer l.fleet.Close()
+
+			return Attached(ctx, s, Processes{Lookup: l.lookup, Servers: l.servers}, AttachedVariants(), 1)
+		},
 	}
 
-	for _, r := range list {
-		if r.Total < 20 || r.Answered != r.Calls {
-			t.Errorf("%s: %d of %d answered, %d in all", r.Variant, r.Answered, r.Calls, r.Total)
-		}
+	for name, run := range tests {
+		t.Run(name, func(t *testing.T) {
+			list, err := run(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			for _, r := range list {
+				if r.Total < 20 || r.Answered != r.Calls {
+					t.Errorf("%s: %d of %d answered, %d in all", r.Variant, r.Answered, r.Calls, r.Total)
+				}
 
-		if got := r.Servers.Ran; got < int64(r.Total) {
-			t.Errorf("%s: the servers ran %d of %d", r.Variant, got, r.Total)
-		}
+				if got := r.Servers.Ran; got < int64(r.Total) {
+					t.Errorf("%s: the servers ran %d of %d", r.Variant, got, r.Total)
+				}
+
+				if r.Servers.ReportBytes == 0 {
+					t.Errorf("%s: no report was counted", r.Variant)
+				}
+			}
+		})
+	}
+}
 
-		if r.Servers.ReportBytes == 0 {
-			t.Errorf("%s: no report was counted", r.Variant)
-		}
+func TestAttachedWantsAddresses(t *testing.T) {
+	if _, err := Attached(context.Background(), Atlas(), Processes{}, nil, 1); err == nil {
+		t.Error("no error without addresses")
 	}
 }
--- a/internal/cwstand/server_count.go
+++ b/internal/cwstand/server_count.go
@@ -1,12 +1,18 @@
 package cwstand
 
 import (
+	"encoding/json"
 	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
 )
 
 // Counts is what a stand-in server counted. Measuring is counted here and
@@ -46,6 +52,25 @@
 	}
 }
 
+// countsWait bounds the reading of counts.
+const countsWait = 5 * time.Second
+
+// ReadCounts asks a stand-in server that runs in another process.
+func ReadCounts(at carobward.Address) (Counts, error) {
+	var c Counts
+
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+string(at)+CountsPath, countsWait)
+	if err == nil && status != fasthttp.StatusOK {
+		err = errors.Errorf("status %d", status)
+	}
+
+	if err == nil {
+		err = json.Unmarshal(body, &c)
+	}
+
+	return c, errors.Annotatef(err, "stand: counts of %s", at)
+}
+
 // counters are Counts that are still counted.
 type counters struct {
 	began, ran, repeats, shed, failed, cancelled atomic.Int64
