--- a/internal/cwfleet/fleet.go
+++ b/internal/cwfleet/fleet.go
@@ -30,6 +30,10 @@
 	Options func(number int) cwstand.ServerOptions
 }
 
+// stopMost bounds a graceful stop beyond the keep time. The whole fleet stops
+// at once, so that there is nobody to hand over to.
+const stopMost = 2 * time.Second
+
 // Options describe a fleet.
 type Options struct {
 	// Name starts the names of the entry VMs.
@@ -132,6 +136,7 @@
 	s.Store.URL = f.Platform.URL()
 	s.List.URL = f.Platform.URL() + cwstand.ListPath
 	s.Keep = carobward.Duration(o.Keep)
+	s.Stop = carobward.Duration(o.Keep + stopMost)
 	s.Log = "error"
 
 	if err := s.Validate(); err != nil {
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -26,6 +26,7 @@
 
 		n.tickLink(now)
 		n.owner.Tick(now)
+		n.widths.Tick(now, n.carrier.Counts)
 
 		select {
 		case <-ctx.Done():
