--- a/internal/cwbench/entry.go
+++ b/internal/cwbench/entry.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwlimit"
+	"carobward.example/carobward/internal/cwretry"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwstand"
@@ -17,16 +19,28 @@
 	entry   *entry
 	tried   []*cwserver.Server
 	out     []*attempt
-	sent    int
-	began   int
+	record  *cwretry.Record
+	began   time.Duration
+	starts  int
 	done    bool
+	// waiter is its place in the gate's queue, inside tells that it is past.
+	waiter *cwlimit.Waiter
+	inside bool
+}
+
+// target names the class of the call.
+func (c *call) target() carobward.TargetName {
+	if c.arrival.once {
+		return "once"
+	}
+
+	return "quick"
 }
 
 // attempt is one sending of a call to a server.
 type attempt struct {
 	call    *call
 	server  int
-	at      time.Duration
 	delay   time.Duration
 	settled bool
 	row     cwserver.Call
@@ -44,7 +58,9 @@
 	open   []int
 	policy cwroute.Policy
 	rng    *rand.Rand
-	hedge  *hedge
+	quick  *cwretry.Record
+	once   *cwretry.Record
+	gate   *gate
 }
 
 // epoch is when the model's time starts for policies. It lies ahead, since a
@@ -58,13 +74,21 @@
 		index:  map[*cwserver.Server]int{},
 		open:   make([]int, len(r.backends)),
 		rng:    random(r.scenario.Seed, streamChoices+uint64(number)<<8),
-		hedge:  newHedge(r.variant.Hedge, r.variant.HedgeAt),
+		quick:  cwretry.NewRecord(),
+		once:   cwretry.NewRecord(),
+	}
+
+	if r.variant.Queue {
+		e.gate = newGate(e)
 	}
 
 	table := cwserver.NewTable()
 	table.Update(vmList(r.scenario))
 	e.rows = table.Of(service)
-	e.policy = r.variant.Policy(&World{timeline: &r.timeline, backends: r.backends})
+	e.policy = r.variant.Policy(&World{
+		Domain: carobward.Domain(strconv.Itoa(e.domain)),
+		expect: func(i int) float64 { return r.backends[i].expect(r.timeline.now) },
+	})
 
 	for i, s := range e.rows {
 		e.index[s] = i
@@ -94,35 +118,49 @@
 
 // take carries a request that has reached the entry VM.
 func (e *entry) take(a *arrival) {
-	c := &call{arrival: a, entry: e}
-	e.hedge.calls++
+	c := &call{arrival: a, entry: e, record: e.quick}
+	if a.once {
+		c.record = e.once
+	}
 
+	c.record.Budget.Earn()
 	e.run.timeline.add(a.at+e.run.scenario.Timeout-e.run.scenario.Client, func() { e.giveUp(c) })
-	e.dispatch(c)
 
-	if wait, ok := e.hedge.after(e.run.timeline.now); ok && !a.once && !c.done {
-		e.run.timeline.after(wait, func() { e.second(c) })
+	if e.gate != nil {
+		e.gate.enter(c)
+
+		return
+	}
+
+	if s := e.choose(c); s != nil {
+		e.begin(c, s)
+	} else {
+		e.finish(c, shed)
 	}
 }
 
-// dispatch sends a call to a server, or fails it if there is none.
-func (e *entry) dispatch(c *call) {
-	s := e.policy.Choose(e.now(), e.rows, c.tried, e.rng)
-	if s == nil {
-		if len(c.out) == 0 {
-			e.finish(c, shed)
-		}
+func (e *entry) choose(c *call) *cwserver.Server {
+	return e.policy.Choose(e.now(), e.rows, c.tried, e.rng)
+}
 
-		return
+// begin makes the first attempt.
+func (e *entry) begin(c *call, s *cwserver.Server) {
+	c.began = e.run.timeline.now
+	e.send(c, s)
+
+	if e.run.variant.Hedge && !c.arrival.once && !c.done {
+		e.look(c)
 	}
+}
 
-	a := &attempt{call: c, server: e.index[s], at: e.run.timeline.now}
+// send makes an attempt.
+func (e *entry) send(c *call, s *cwserver.Server) {
+	a := &attempt{call: c, server: e.index[s]}
 	a.delay = e.run.scenario.delay(e.domain, a.server)
 	c.tried = append(c.tried, s)
-	c.sent++
 	e.run.result.Attempts++
 
-	if c.sent > 1 {
+	if len(c.tried) > 1 {
 		e.run.result.Extra++
 	}
 
@@ -194,7 +232,7 @@
 		return
 	}
 
-	e.hedge.record(e.run.timeline.now - a.at)
+	a.call.record.Latency.Add(e.run.timeline.now - a.call.began)
 
 	if !a.call.done {
 		e.finish(a.call, answered)
@@ -232,32 +270,49 @@
 	}
 }
 
-// second sends the hedge of a call that is still out.
-func (e *entry) second(c *call) {
-	if !c.done && c.sent == 1 && e.hedge.take() {
-		before := c.sent
-		e.dispatch(c)
-		e.run.result.Hedges += c.sent - before
+// look hedges a call once that is due, and else looks again later.
+func (e *entry) look(c *call) {
+	if c.done || len(c.tried) != 1 {
+		return
+	}
+
+	age := e.run.timeline.now - c.began
+	due, next := c.record.Due(e.now(), age, c.tried[0])
+
+	switch {
+	case !due && next > age:
+		e.run.timeline.after(next-age, func() { e.look(c) })
+	case due && e.again(c):
+		e.run.result.Hedges++
 	}
 }
 
+// again makes one more attempt, if a server has room and the budget, where
+// the variant has one, allows it.
+func (e *entry) again(c *call) bool {
+	s := e.choose(c)
+	if s == nil || e.run.variant.Budget && !c.record.Budget.Take() {
+		return false
+	}
+
+	e.send(c, s)
+
+	return true
+}
+
 // retry sends a call again if the variant allows it, and fails it if it is
 // nowhere else.
 func (e *entry) retry(c *call, o outcome) {
-	if c.done {
+	if c.done || len(c.out) > 0 {
 		return
 	}
 
-	safe := o == shed || o == refused
-	if c.sent < e.run.variant.Tries && (safe || e.run.variant.RetryAny || !c.arrival.once) {
-		e.dispatch(c)
-
+	safe := o == shed || o == refused || e.run.variant.RetryAny || !c.arrival.once
+	if safe && len(c.tried) < e.run.variant.Tries && e.again(c) {
 		return
 	}
 
-	if len(c.out) == 0 {
-		e.finish(c, o)
-	}
+	e.finish(c, o)
 }
 
 func (e *entry) giveUp(c *call) {
@@ -268,6 +323,10 @@
 
 // finish answers the caller and gives up what is still out.
 func (e *entry) finish(c *call, o outcome) {
+	if c.done {
+		return
+	}
+
 	c.done = true
 
 	reason := cancelled
@@ -280,4 +339,8 @@
 	}
 
 	e.run.result.count(c.arrival, o, e.run.timeline.now+e.run.scenario.Client)
+
+	if e.gate != nil {
+		e.gate.leave(c)
+	}
 }
--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -229,6 +229,9 @@
 	one := *call
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
+	ctx, cancel := c.abortable(ctx)
+	defer cancel()
+
 	reply, err := c.exchange(ctx, s, noted, &one)
 	if err != nil {
 		return nil, err
--- a/internal/cwentry/observe.go
+++ b/internal/cwentry/observe.go
@@ -23,7 +23,7 @@
 
 // observe starts the span and the clock of a request.
 func (c *Carrier) observe(ctx *fasthttp.RequestCtx, id carobward.RequestID) *observation {
-	o := &observation{ctx: context.Background(), began: c.clock.Now(), target: cwmetric.NoTarget}
+	o := &observation{ctx: c.bound, began: c.clock.Now(), target: cwmetric.NoTarget}
 
 	if c.options.Tracer != nil {
 		h := &ctx.Request.Header
--- a/internal/cwnode/observe.go
+++ b/internal/cwnode/observe.go
@@ -9,7 +9,6 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwentry"
 	"carobward.example/carobward/internal/cwowner"
-	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwtrace"
 	"carobward.example/carobward/internal/cwwire"
 )
@@ -23,7 +22,7 @@
 
 func (n *Node) carrierOptions() cwentry.Options {
 	return cwentry.Options{
-		VM: n.settings.VM, Calls: n.settings.Limits.Calls, Policy: cwroute.Wait{Queue: queuePerSlot},
+		VM: n.settings.VM, Calls: n.settings.Limits.Calls, Policy: newPolicy(&n.settings),
 		Tracer: n.tracer, Metrics: n.metrics.Part("entry"), Requests: n.metrics.Requests(),
 	}
 }
--- a/internal/cwsettings/validate.go
+++ b/internal/cwsettings/validate.go
@@ -57,6 +57,7 @@
 	validateURL("list.url", s.List.URL, fail)
 	s.Once.validate(s.Keep, fail)
 	s.Link.validate(fail)
+	s.Route.validate(fail)
 	s.Limits.validate(fail)
 	s.validateTimes(fail)
 	s.Trace.validate(fail)
@@ -176,14 +177,19 @@
 	}
 }
 
+// stopMore is what a graceful stop needs besides the time that callers keep
+// old answers.
+const stopMore = 2 * time.Second
+
 func (s *Settings) validateTimes(fail failer) {
 	fail.unlessTime("store.timeout", s.Store.Timeout, timeLow)
 	fail.unlessTime("list.every", s.List.Every, timeLow)
 	fail.unlessTime("keep", s.Keep, keepLow)
 	fail.unlessTime("stop", s.Stop, timeLow)
 
-	if s.Stop <= s.Keep {
-		fail("stop", `want more than "keep" (%s), since callers use old answers for that long, got %s`, s.Keep.Std(), s.Stop.Std())
+	if s.Stop.Std() < s.Keep.Std()+stopMore {
+		fail("stop", `want at least %s more than "keep" (%s), since callers use old answers for that long, got %s`,
+			stopMore, s.Keep.Std(), s.Stop.Std())
 	}
 }
 
