Lookup: callers can't make it remember names without end

A caller may ask for any target with any width, and each name was kept for two keep times. TestWidthsBounded was seen failing with 16,453 names kept.

--- a/internal/cwlookup/widths.go
+++ b/internal/cwlookup/widths.go
@@ -31,6 +31,10 @@
 // answer.
 const paceKeeps = 2
 
+// heardMost bounds the targets whose width is learned from callers, who may ask
+// for any name.
+const heardMost = 4096
+
 // NewWidths returns widths for a rate in requests a second, and for callers
 // that keep answers for a time.
 func NewWidths(table *cwpeer.Table, most float64, keep time.Duration) *Widths {
@@ -59,6 +63,10 @@
 		return own
 	}
 
+	if _, known := w.heard[target]; !known && len(w.heard) >= heardMost {
+		return own
+	}
+
 	w.heard[target] = max(told, w.heard[target])
 
 	return told
