--- a/internal/cwmetric/table.go
+++ b/internal/cwmetric/table.go
@@ -16,6 +16,7 @@
 	unitRequests = "requests"
 	unitVMs      = "entry VMs"
 	unitBytes    = "bytes"
+	unitCalls    = "calls"
 )
 
 // Table has every metric of an entry VM. docs/operators.md has the same.
@@ -39,10 +40,10 @@
 	{"config/exchanges_failed", "exchanges", "Questions to peers about the newest revision that got no answer."},
 	{"config/exchange_bytes_sent", unitBytes, "Bytes of those questions."},
 	{"config/exchange_bytes_received", unitBytes, "Bytes of the answers."},
-	{"store/reads", "calls", "Reads of the store."},
-	{"store/watches", "calls", "Watches of the store; a waiting one counts as one call."},
-	{"store/writes", "calls", "Writes to the store."},
-	{"store/failed", "calls", "Calls of the store that failed."},
+	{"store/reads", unitCalls, "Reads of the store."},
+	{"store/watches", unitCalls, "Watches of the store; a waiting one counts as one call."},
+	{"store/writes", unitCalls, "Writes to the store."},
+	{"store/failed", unitCalls, "Calls of the store that failed."},
 	{"member/pulls", "exchanges", "Whole lists of members taken from a peer."},
 	{"member/bytes_in", unitBytes, "Bytes of heartbeats that came."},
 	{"member/bytes_out", unitBytes, "Bytes of heartbeats that were sent."},
@@ -54,6 +55,11 @@
 	{"tickets/records", "outcomes", "Outcomes of run-once work that are kept now; the bound is once.records."},
 	{"tickets/closed", "tickets", "Tickets closed without having run that are kept now."},
 	{"tickets/bytes", unitBytes, "Memory of the outcomes now; the bound is once.bytes."},
+	{"measuring/calls", unitCalls, "Measuring operations of this VM so far; they count against the operators' budget."},
+	{"measuring/bytes", unitBytes, "Bytes of them."},
+	{"measuring/unasked", unitBytes, "Bytes of reports that servers sent unasked."},
+	{"measuring/newscalls", unitCalls, "Exchanges of news of leaving servers."},
+	{"measuring/newsbytes", unitBytes, "Bytes of them."},
 	{"memstats", "", "Go's own figures of memory, runtime.MemStats."},
 	{"cmdline", "", "The command line of the process."},
 }
--- a/internal/cwsettings/route.go
+++ b/internal/cwsettings/route.go
@@ -22,16 +22,19 @@
 	defaultRouteRate = 3000
 )
 
+// routeRateMost is more than one entry VM can carry.
+const routeRateMost = 1_000_000
+
 func defaultRoute() Route {
 	return Route{Far: carobward.Duration(defaultRouteFar), Rate: defaultRouteRate}
 }
 
 func (r *Route) validate(fail failer) {
-	if r.Far < 0 {
-		fail("route.far", `want at least zero, such as "1500us"`)
+	if r.Far < 0 || r.Far.Std() > timeHigh {
+		fail("route.far", `want a time from 0s to %s, such as "1500us", got %s`, timeHigh, r.Far.Std())
 	}
 
-	if !(r.Rate >= 1) {
-		fail("route.rate", `want the requests a second of one target, at least 1, got %v`, r.Rate)
+	if !(r.Rate >= 1 && r.Rate <= routeRateMost) {
+		fail("route.rate", `want the requests a second of one target, from 1 to %d, got %v`, routeRateMost, r.Rate)
 	}
 }
--- a/test/path/observe_test.go
+++ b/test/path/observe_test.go
@@ -89,8 +89,8 @@
 // VM, through separate processes, and reads the metrics and the spans.
 func TestObserve(t *testing.T) {
 	f := cwtest.NewFleet(t)
-	one := f.StartVM(t, "vm-1", "Ifrane", `"trace": {"to": "stdout", "share": 0}`)
-	two := f.StartVM(t, "vm-2", "Azilal", `"trace": {"to": "stdout", "share": 0}`)
+	one := f.StartVM(t, "vm-1", "Ifrane", `"trace": {"to": "stdout", "share": 0},`)
+	two := f.StartVM(t, "vm-2", "Azilal", `"trace": {"to": "stdout", "share": 0},`)
 
 	f.StartServer(t, "records")
 	f.StartServer(t, "billing")
