--- a/internal/cwtarget/table.go
+++ b/internal/cwtarget/table.go
@@ -114,6 +114,8 @@
 		return nil, ErrHost
 	case !strings.HasPrefix(path, "/"):
 		return nil, ErrForm
+	case strings.IndexByte(uri, '#') >= 0:
+		return nil, ErrByte
 	}
 
 	own, shared := t.byHost[hostOf(host)], t.byHost[""]
--- a/internal/cwtest/fleet.go
+++ b/internal/cwtest/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -85,18 +86,18 @@
 
 var serving = regexp.MustCompile(`msg=Serving\..* callers=(\S+) lookup=(\S+) peers=(\S+) operators=(\S+)`)
 
-// StartVM starts an entry VM, without listing it.
-func (f *Fleet) StartVM(t testing.TB, vm, domain string) *EntryVM {
+// StartVM starts an entry VM, without listing it. More settings, such as
+// `"log": "debug"`, replace the defaults.
+func (f *Fleet) StartVM(t testing.TB, vm, domain string, more ...string) *EntryVM {
 	t.Helper()
 
 	const open = "127.0.0.1:0"
 
-	return f.StartVMAt(t, vm, EntryVM{Domain: domain, Callers: open, Lookup: open, Peers: open, Operators: open}, "")
+	return f.StartVMAt(t, vm, EntryVM{Domain: domain, Callers: open, Lookup: open, Peers: open, Operators: open}, more...)
 }
 
-// StartVMAt starts an entry VM on the addresses of another one, with more
-// settings, each with a comma behind it.
-func (f *Fleet) StartVMAt(t testing.TB, vm string, at EntryVM, more string) *EntryVM {
+// StartVMAt is StartVM on the addresses of another entry VM.
+func (f *Fleet) StartVMAt(t testing.TB, vm string, at EntryVM, more ...string) *EntryVM {
 	t.Helper()
 
 	settings := File(t, "settings.jsonc", fmt.Sprintf(`{
@@ -105,8 +106,9 @@
 		"listen": {"callers": %q, "lookup": %q, "peers": %q, "operators": %q},
 		"store": {"url": "http://%s"},
 		"list": {"url": "http://%s/vms", "every": "100ms"},
-		"keep": "1s", %s
-	}`, vm, at.Domain, at.Callers, at.Lookup, at.Peers, at.Operators, f.Platform, f.Platform, more))
+		"keep": "1s",
+		%s
+	}`, vm, at.Domain, at.Callers, at.Lookup, at.Peers, at.Operators, f.Platform, f.Platform, strings.Join(more, ",\n")))
 
 	v := &EntryVM{Process: Start(t, f.Carobward, "serve", "--settings", settings), Domain: at.Domain}
 
--- a/pkg/cwcaller/try.go
+++ b/pkg/cwcaller/try.go
@@ -19,6 +19,9 @@
 	ticket string
 	// doubt is set once an attempt under the ticket may have run.
 	doubt bool
+	// anew is set where no attempt under the ticket can have run, so that the
+	// next one takes another ticket.
+	anew bool
 	// place counts the addresses that failed, of as many as there are.
 	place  int
 	places int
@@ -34,18 +37,21 @@
 
 // next makes one attempt.
 func (t *try) next(ctx context.Context) (*Reply, *carobward.Failure) {
-	use, err := t.client.book.addresses(ctx)
+	use, err := t.client.book.lines(ctx)
 	if err != nil {
 		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, pauseDefault, err)
 	}
 
+	t.places = len(use)
+	to := use[t.place%len(use)]
+
 	if t.request.Once && t.ticket == "" {
-		t.ticket = t.client.book.ticket()
+		t.ticket = t.client.book.ticket(ctx, to)
 	}
 
-	t.places = len(use)
+	t.anew = false
 
-	reply, err := t.client.send(ctx, use[t.place%len(use)], t, len(use) > 1)
+	reply, err := t.client.send(ctx, to.Address, t, len(use) > 1)
 	if err != nil {
 		return nil, t.lost(err)
 	}
@@ -73,6 +79,8 @@
 
 	var d dialError
 	if errors.As(err, &d) {
+		t.renew()
+
 		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, after, err)
 	}
 
@@ -84,29 +92,44 @@
 // answered takes the ticket that a reply names, and notes what a failure
 // means for it. A not-run that names a new ticket closes the old one, so that
 // earlier attempts under it have not run either. Without one it speaks for
-// this attempt only.
+// this attempt only, as does the attempt's own verdict.
 func (t *try) answered(v carobward.Verdict, reply *Reply) {
 	next := reply.Header.Get(carobward.HeaderTicket)
+	attempt := carobward.ParseVerdict(reply.Header.Get(carobward.HeaderAttempt))
+	closes := v == carobward.NotRun && next != "" && next != t.ticket
 
 	switch {
-	case v != carobward.NotRun:
-		t.doubt = true
-	case next != "" && next != t.ticket:
+	case closes:
 		t.doubt = false
+	case v != carobward.NotRun && attempt != carobward.NotRun:
+		t.doubt = true
 	}
 
 	if t.request.Once && next != "" {
 		t.ticket = next
 	}
 
+	if !closes {
+		t.renew()
+	}
+
 	if reply.Status == fasthttp.StatusServiceUnavailable {
 		t.place++
 	}
 }
 
+// renew lets the next attempt take a ticket of the entry VM that it goes to,
+// if none under this one can have run: its owner may be gone.
+func (t *try) renew() {
+	if t.request.Once && !t.doubt {
+		t.client.book.forget(t.ticket)
+		t.ticket, t.anew = "", true
+	}
+}
+
 // again tells whether the request may be sent again after a failure.
 func (t *try) again(f *carobward.Failure) bool {
-	if f.Verdict == carobward.Ran || final[f.Status] {
+	if f.Verdict == carobward.Ran || (final[f.Status] && (!t.anew || f.Status != fasthttp.StatusGone)) {
 		return false
 	}
 
@@ -140,8 +163,11 @@
 
 // verdict makes the last failure speak for all attempts.
 func (t *try) verdict(f *carobward.Failure) *carobward.Failure {
-	if t.doubt && f.Verdict == carobward.NotRun {
+	switch {
+	case t.doubt && f.Verdict == carobward.NotRun:
 		f.Verdict = carobward.Unknown
+	case t.anew && f.Verdict == carobward.Unknown:
+		f.Verdict = carobward.NotRun
 	}
 
 	return f
@@ -187,7 +213,13 @@
 	fill(req, to, t)
 	req.Header.Set(carobward.HeaderTimeout, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 
-	if err := c.http.DoDeadline(req, resp, now.Add(left)); err != nil {
+	h := c.http
+	if t.request.Once {
+		h = c.fresh
+		req.SetConnectionClose()
+	}
+
+	if err := h.DoDeadline(req, resp, now.Add(left)); err != nil {
 		return nil, err
 	}
 
