--- /dev/null
+++ b/internal/cwmember/service_test.go
@@ -0,0 +1,154 @@
+package cwmember_test
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmember"
+	"carobward.example/carobward/internal/cwpeer"
+	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/internal/cwwire"
+)
+
+// place is a service with its sockets.
+type place struct {
+	service *cwmember.Service
+	table   *cwpeer.Table
+	conn    net.PacketConn
+	stop    func()
+}
+
+const placeKey = testKey("a key of the test")
+
+type testKey string
+
+func open(t *testing.T, id carobward.VMID, key testKey, list []carobward.VM) *place {
+	t.Helper()
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	conn, err := net.ListenPacket("udp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	at := carobward.Address(ln.Addr().String())
+	clock := carobward.SystemClock{}
+	p := &place{conn: conn, table: cwpeer.NewTable(carobward.Peer{
+		ID: id, Incarnation: carobward.Incarnation(clock.Now().UnixNano()),
+		Callers: at, Lookup: at, Peers: at, Operators: at,
+	})}
+
+	clients, server := cwpeer.NewClients(cwpeer.Key(key)), cwpeer.NewServer(cwpeer.Key(key), logr.Discard())
+	p.service = cwmember.NewService(cwpeer.Key(key), conn, p.table, clients, clock, logr.Discard())
+
+	if err := server.Register("Member", p.service.Asked()); err != nil {
+		t.Fatal(err)
+	}
+
+	p.service.Join(context.Background(), list)
+	p.service.Seeds(list)
+
+	var group conc.WaitGroup
+
+	ctx, cancel := context.WithCancel(context.Background())
+
+	group.Go(func() { _ = server.Serve(ln) })
+	group.Go(func() { p.service.Run(ctx) })
+
+	p.stop = func() {
+		cancel()
+		<-p.service.Done()
+
+		_ = ln.Close()
+		_ = conn.Close()
+
+		server.Close()
+		clients.Close()
+		group.Wait()
+	}
+	t.Cleanup(p.stop)
+
+	return p
+}
+
+func (p *place) vm() carobward.VM {
+	s := p.table.Self()
+
+	return carobward.VM{ID: s.ID, Address: s.Peers, Service: carobward.EntryService}
+}
+
+// states returns how the others are seen.
+func (p *place) states() map[carobward.VMID]string {
+	all := map[carobward.VMID]string{}
+
+	for _, o := range p.table.All() {
+		if o.ID != p.table.Self().ID {
+			all[o.ID] = o.State.String()
+		}
+	}
+
+	return all
+}
+
+// TestService has services meet over sockets, leave and go, while a stranger
+// without the key sends what would bury one.
+func TestService(t *testing.T) {
+	a := open(t, "a", placeKey, nil)
+	b := open(t, "b", placeKey, []carobward.VM{a.vm()})
+	c := open(t, "c", placeKey, []carobward.VM{a.vm()})
+	stranger := open(t, "d", "another key", []carobward.VM{a.vm()})
+
+	for _, p := range []*place{a, b, c} {
+		cwtest.Wait(t, "three have met", func() bool { return len(p.states()) == 2 })
+	}
+
+	forge(t, a, b, "another key")
+	forge(t, a, b, "")
+
+	if left := b.service.Leave(context.Background()); left != 0 {
+		t.Fatalf("%d have not confirmed", left)
+	}
+
+	// The tables show it as soon as all have confirmed.
+	want := map[carobward.VMID]string{"b": "leaving", "c": "live"}
+	if diff := cmp.Diff(want, a.states()); diff != "" {
+		t.Error(diff)
+	}
+
+	b.stop()
+	cwtest.Wait(t, "all know that it has gone", func() bool {
+		return a.states()["b"] == "dead" && c.states()["b"] == "dead"
+	})
+
+	if got := stranger.states(); len(got) > 0 {
+		t.Errorf("the stranger knows %v", got)
+	}
+}
+
+// forge sends a word that a VM has gone, under another key.
+func forge(t *testing.T, to, about *place, key testKey) {
+	t.Helper()
+
+	self := about.table.Self()
+	word := &cwwire.Member{Id: string(self.ID), Incarnation: uint64(self.Incarnation), Rank: 2}
+
+	raw, err := proto.Marshal(&cwwire.Datagram{From: word, News: []*cwwire.Member{word}})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if _, err := about.conn.WriteTo(cwpeer.Key(key).Seal(raw), to.conn.LocalAddr()); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/test/path/stop_test.go
+++ b/test/path/stop_test.go
@@ -65,6 +65,8 @@
 		"naive, ends at once": {naive: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
@@ -123,6 +125,8 @@
 
 // TestStopBound stops an entry VM whose request is stuck at a server.
 func TestStopBound(t *testing.T) {
+	t.Parallel()
+
 	stuck, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
