Membership: each test seen failing on broken code

Twenty-one changes that break the code, one at a time, on a scratch copy. Five survived at first: the stretching of suspicions after a silence, which is of no use since suspects are asked directly (removed); a stale answer that passes for a confirmation; a caller that ignores the server's proof and calls with a wrong one; a greeting without a time limit, whose test looked for the wrong error; a VM that hears nobody and tells its suspicions. Each has a test now that fails on the broken code.

--- a/internal/cwmember/machine.go
+++ b/internal/cwmember/machine.go
@@ -248,22 +248,8 @@
 
 	m.counts.Pauses++
 	m.probe = nil
-	m.hear(now)
-}
-
-// hear notes that somebody was heard. After a silence of all, in which no
-// refutation could have reached us, suspicions stand for longer.
-func (m *Machine) hear(now time.Time) {
-	// In a sound network the answer to our own ping comes each period.
-	const periods = 3
-
-	gap := now.Sub(m.heard)
 	m.heard = now
 
-	if gap < periods*m.options.Period {
-		return
-	}
-
 	for _, e := range m.members {
 		if !e.suspected.IsZero() {
 			e.suspected = e.suspected.Add(gap)
--- a/internal/cwmember/machine_test.go
+++ b/internal/cwmember/machine_test.go
@@ -99,11 +99,12 @@
 
 			return falseDeaths(n, 20*time.Second)
 		},
-		"one VM hears nobody for 10 s": func(n *network) int {
+		"loss of 30 %, and one VM hears nobody for 14 s": func(n *network) int {
 			// It is rightly taken for dead, since it answers nobody; but it
 			// must not bury the others.
+			n.loss = 0.3
 			n.cut = func(_, to int) bool { return to == 5 }
-			count := falseDeaths(n, 10*time.Second, 5)
+			count := falseDeaths(n, 14*time.Second, 5)
 			n.cut = func(int, int) bool { return false }
 
 			return count + falseDeaths(n, 20*time.Second, 5)
@@ -154,6 +155,64 @@
 	until(t, n, 30*time.Second, "it is a member again", n.whole)
 }
 
+// TestDeafAccusesNobody has one VM hear nobody: the others must not come to
+// suspect each other by its word.
+func TestDeafAccusesNobody(t *testing.T) {
+	n := settled(t, 19, 1)
+	n.cut = func(_, to int) bool { return to == 5 }
+
+	n.run(10*time.Second, func() {
+		for i := range n.vms {
+			for _, p := range n.vms[i].actor.Peers() {
+				if i != 5 && p.ID != id(5) && p.State != carobward.PeerLive {
+					t.Fatalf("vm %d sees %s as %v", i, p.ID, p.State)
+				}
+			}
+		}
+	})
+}
+
+// TestRelays has others ping where two cannot reach each other, so that
+// nobody is suspected at all.
+func TestRelays(t *testing.T) {
+	n := settled(t, 19, 1)
+	before := n.suspicions()
+
+	n.cut = func(from, to int) bool { return from == 1 && to == 2 }
+	n.run(time.Minute, nil)
+
+	if got := n.suspicions() - before; got > 0 {
+		t.Errorf("%d suspicions", got)
+	}
+}
+
+// TestStaleAnswer answers a ping that was sent before the leaving began: the
+// answer does not confirm that it is known.
+func TestStaleAnswer(t *testing.T) {
+	n := settled(t, 2, 1)
+	m, other := n.vms[0].actor.(*cwmember.Machine), n.vms[1].actor.(*cwmember.Machine)
+
+	var stale []cwmember.Message
+
+	for len(stale) == 0 {
+		n.now = n.now.Add(step)
+
+		for _, ping := range m.Tick(n.now) {
+			stale = append(stale, other.Receive(n.now, "10.0.0.1:7003", ping.Datagram)...)
+		}
+	}
+
+	m.Leave()
+
+	for _, a := range stale {
+		m.Receive(n.now, "10.1.0.2:7003", a.Datagram)
+	}
+
+	if m.Unaware() != 1 {
+		t.Errorf("%d are unaware, want 1", m.Unaware())
+	}
+}
+
 // TestCrash has every VM learn of a crash, and of the return on the same
 // address.
 func TestCrash(t *testing.T) {
--- a/internal/cwmember/network_test.go
+++ b/internal/cwmember/network_test.go
@@ -196,6 +196,16 @@
 	return carobward.Peer{}, false
 }
 
+// suspicions counts those that were raised by anyone.
+func (n *network) suspicions() int {
+	count := 0
+	for _, v := range n.vms {
+		count += v.actor.(*cwmember.Machine).Counts().Suspicions
+	}
+
+	return count
+}
+
 // whole tells whether all VMs that run see each other live and none else.
 func (n *network) whole() bool {
 	for i, v := range n.vms {
--- a/internal/cwmember/receive.go
+++ b/internal/cwmember/receive.go
@@ -23,7 +23,7 @@
 		return nil
 	}
 
-	m.hear(now)
+	m.heard = now
 	m.apply(now, sender)
 
 	for _, w := range d.GetNews() {
--- a/internal/cwpeer/greet_test.go
+++ b/internal/cwpeer/greet_test.go
@@ -1,10 +1,13 @@
 package cwpeer_test
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/rpc"
+	"os"
 	"testing"
 	"time"
 
@@ -12,6 +15,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwpeer"
@@ -187,13 +192,51 @@
 			_ = n.SetReadDeadline(time.Now().Add(cwtest.WaitMost))
 
 			got, err := io.ReadAll(n)
-			if len(got) > 0 || errors.Is(err, context.DeadlineExceeded) {
+			if len(got) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
 				t.Errorf("the server said %q, %v", got, err)
 			}
 		})
 	}
 }
 
+// TestIntruder greets well but proves nothing, then calls all the same.
+func TestIntruder(t *testing.T) {
+	to := serve(t, "k", "127.0.0.1:0")
+
+	n, err := net.Dial("tcp", string(to))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer func() { _ = n.Close() }()
+
+	_ = n.SetDeadline(time.Now().Add(cwtest.WaitMost))
+	in := bufio.NewReader(n)
+	nonce := bytes.Repeat([]byte{7}, 32)
+
+	send := func(m proto.Message) {
+		if _, err := protodelim.MarshalTo(n, m); err != nil {
+			t.Log(err) // The server may have closed already.
+		}
+	}
+
+	send(&cwwire.Challenge{Nonce: nonce})
+
+	challenge := &cwwire.Challenge{}
+	if err := protodelim.UnmarshalFrom(in, challenge); err != nil {
+		t.Fatal(err)
+	}
+
+	// Its own proof, sent back, is none.
+	send(&cwwire.Challenge{Proof: challenge.GetProof()})
+	send(&cwwire.Head{Method: "Echo.Ask", Seq: 1})
+	send(&cwwire.Ask{Id: "a"})
+
+	if got, err := io.ReadAll(in); len(got) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the server said %q, %v", got, err)
+	}
+}
+
 func TestDatagram(t *testing.T) {
 	local := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 7}
 	far := &net.UDPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 7}
