--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,9 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwlimit"
+	"carobward.example/carobward/internal/cwmap"
+	"carobward.example/carobward/internal/cwretry"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 )
@@ -28,6 +32,10 @@
 // retryAfter is when a caller should come back if nothing better is known.
 const retryAfter = 500 * time.Millisecond
 
+// waitingShare is the part of the requests in flight that may wait for the
+// servers of one service.
+const waitingShare = 4
+
 // Options are the settings of a Carrier.
 type Options struct {
 	// VM is the id of this entry VM.
@@ -36,6 +44,8 @@
 	Calls int
 	// Policy chooses servers.
 	Policy cwroute.Policy
+	// Metrics counts hedges, retries and sheds; nil makes a map of its own.
+	Metrics *expvar.Map
 }
 
 // Carrier carries callers' requests.
@@ -48,8 +58,14 @@
 	clock   carobward.Clock
 	log     logr.Logger
 
+	shares  *cwlimit.Shares
+	gates   *cwmap.Map[carobward.Service, *cwlimit.Gate]
+	metrics *expvar.Map
+	records *cwmap.Map[carobward.TargetName, *cwretry.Record]
+
 	running atomic.Int64
 	serial  atomic.Uint64
+	waiting waiting
 
 	// bound ends when a stop may wait no longer for requests in flight.
 	bound context.Context //nolint:containedctx // It outlives any request.
@@ -58,7 +74,27 @@
 
 // New returns a Carrier.
 func New(o Options, holder *cwconfig.Holder, servers *cwserver.Table, link carobward.Servers, owner Owner, clock carobward.Clock, log logr.Logger) *Carrier {
-	c := &Carrier{options: o, holder: holder, servers: servers, link: link, owner: owner, clock: clock, log: log.WithName("entry")}
+	gate := func() *cwlimit.Gate { return cwlimit.NewGate(max(1, o.Calls/waitingShare), clock) }
+
+	c := &Carrier{
+		options: o,
+		holder:  holder,
+		servers: servers,
+		link:    link,
+		owner:   owner,
+		clock:   clock,
+		log:     log.WithName("entry"),
+		shares:  cwlimit.NewShares(o.Calls),
+		gates:   cwmap.New[carobward.Service](gate),
+		metrics: o.Metrics,
+		records: cwmap.New[carobward.TargetName](cwretry.NewRecord),
+	}
+	c.waiting.callers = map[*caller]struct{}{}
+
+	if c.metrics == nil {
+		c.metrics = new(expvar.Map).Init()
+	}
+
 	// Attempts of an earlier run have other ids.
 	c.serial.Store(uint64(rand.Uint32()) << 16)
 	c.bound, c.abort = context.WithCancel(context.Background())
@@ -88,7 +124,7 @@
 func (c *Carrier) Handle(ctx *fasthttp.RequestCtx) {
 	id, err := requestID(ctx)
 	if err != nil {
-		c.writeFailure(ctx, id, err)
+		c.writeFailure(ctx, id, c.refuse(ctx, err))
 
 		return
 	}
@@ -114,12 +150,14 @@
 		return nil, c.refuse(ctx, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err))
 	}
 
-	target, err := c.target(string(ctx.Host()), string(ctx.Method()), originForm(ctx))
+	uri := originForm(ctx)
+
+	target, err := c.target(string(ctx.Host()), string(ctx.Method()), uri)
 	if err != nil {
 		return nil, c.refuse(ctx, err)
 	}
 
-	call, err := c.call(ctx, target)
+	call, err := c.call(ctx, target, uri)
 	if err != nil {
 		return nil, c.refuse(ctx, err)
 	}
@@ -128,7 +166,10 @@
 		return c.once(ctx, id, target, call)
 	}
 
-	return c.carry(c.bound, id, target, call)
+	work, done := c.waiting.wait(ctx)
+	defer done()
+
+	return c.carry(work, id, target, call)
 }
 
 // admit counts a request in flight, whether it is admitted or not.
--- a/internal/cwentry/server.go
+++ b/internal/cwentry/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,10 @@
 	options ServerOptions
 	carrier *Carrier
 	log     logr.Logger
+	// tickets has the tickets of requests whose body is being read, by the
+	// header's place, since the library drops the header when that fails. One
+	// left by a connection that ended may cost a later refusal its not-run.
+	tickets sync.Map
 	parting atomic.Bool
 }
 
@@ -90,6 +95,10 @@
 func (s *Server) limits(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	var c fasthttp.RequestConfig
 
+	if ticket := string(h.Peek(carobward.HeaderTicket)); ticket != "" {
+		s.tickets.Store(h, ticket)
+	}
+
 	t, err := s.carrier.holder.Targets().Find(string(h.Host()), string(h.Method()), string(h.RequestURI()))
 	if err == nil {
 		c.MaxRequestBodySize = int(min(t.Body, s.options.Body))
@@ -114,9 +123,23 @@
 		_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
 	}()
 
+	if len(ctx.Request.Header.Peek(carobward.HeaderTicket)) > 0 {
+		s.tickets.Delete(&ctx.Request.Header)
+	}
+
 	s.carrier.Handle(ctx)
 }
 
+// ticketOf returns the ticket of a request, also of one that was not read
+// whole.
+func (s *Server) ticketOf(ctx *fasthttp.RequestCtx) string {
+	if kept, ok := s.tickets.LoadAndDelete(&ctx.Request.Header); ok {
+		return kept.(string)
+	}
+
+	return ticketOf(ctx)
+}
+
 // panicked answers a request whose handling failed. It may have been sent.
 func (s *Server) panicked(ctx *fasthttp.RequestCtx, cause any) {
 	s.log.Error(errors.Errorf("%v", cause), "A request failed here.", "stack", string(debug.Stack()))
@@ -137,7 +160,9 @@
 
 	status, cause := refusal(err)
 	s.log.V(1).Info("A request could not be read.", "from", ctx.RemoteAddr().String(), "cause", err.Error())
-	s.carrier.writeFailure(ctx, id, carobward.NewFailure(carobward.NotRun, status, 0, cause))
+
+	f := carobward.NewFailure(carobward.NotRun, status, 0, cause)
+	s.carrier.writeFailure(ctx, id, s.carrier.refuseUnder(ctx, s.ticketOf(ctx), f))
 
 	_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
 
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -1,7 +1,6 @@
 package cwlink
 
 import (
-	"bufio"
 	"net"
 	"sync"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwsocket"
 )
 
 // The errors of a call for which there is no connection.
@@ -17,12 +17,10 @@
 	ErrClosed = errors.ConstError("link: stopped")
 )
 
-// conn is one connection to a server. It carries one call at a time.
+// conn is one connection to a server. It carries one call at a time, and
+// holds no buffers while it is idle.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	// head is the buffer that a call's header is written from.
-	head []byte
 	used time.Time
 }
 
@@ -42,7 +40,7 @@
 func (p *pool) take(now time.Time, keep time.Duration, most int) (*conn, error) {
 	for {
 		c, err := p.pop(now, keep, most)
-		if c == nil || quiet(c.Conn) {
+		if c == nil || cwsocket.Peek(c.Conn) == cwsocket.Quiet {
 			return c, err
 		}
 
@@ -63,9 +61,7 @@
 		return c, nil
 	}
 
-	if p.open >= most && len(p.idle) > 0 {
-		p.prune(1)
-	}
+	p.trim(most - 1)
 
 	if p.open >= most {
 		return nil, ErrConns
@@ -106,8 +102,9 @@
 	p.open--
 }
 
-// tick closes connections that have been idle for longer than keep.
-func (p *pool) tick(now time.Time, keep time.Duration) {
+// tick closes connections that have been idle for longer than keep or are
+// more than most.
+func (p *pool) tick(now time.Time, keep time.Duration, most int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
@@ -117,6 +114,13 @@
 	}
 
 	p.prune(old)
+	p.trim(most)
+}
+
+// trim closes idle connections until there are most, or none is idle. The
+// mutex is held.
+func (p *pool) trim(most int) {
+	p.prune(min(max(0, p.open-most), len(p.idle)))
 }
 
 // close closes the idle connections; those in use are closed when they are
--- a/internal/cwlookup/lookup.go
+++ b/internal/cwlookup/lookup.go
@@ -28,6 +28,9 @@
 	Use []Line `json:"use"`
 	// Keep is how long the answer may be kept, in seconds.
 	Keep int `json:"keep"`
+	// Width is how many entry VMs of each failure domain carry the target
+	// that was asked for. A caller says it with its next question.
+	Width int `json:"width,omitempty"`
 	// Ticket starts the tickets of requests that run at most once: the
 	// caller appends a dot and a number of its own. The entry VM that
 	// answered owns them, so the lookup of the address that is used gives
@@ -73,11 +76,19 @@
 	return use
 }
 
-// rank sorts the fit peers by their rendezvous weight for the caller.
+// rank sorts the fit peers by their rendezvous weight for the caller. One
+// without a configuration would refuse each request, so it is left out once
+// another one has any.
 func rank(peers []carobward.Peer, caller string) []carobward.Peer {
 	var fit []carobward.Peer
 
+	configured := slices.ContainsFunc(peers, func(p carobward.Peer) bool { return p.Revision > 0 })
+
 	for _, p := range peers {
+		if configured && p.Revision == 0 {
+			continue
+		}
+
 		if p.State == carobward.PeerLive || p.State == carobward.PeerSuspect {
 			fit = append(fit, p)
 		}
--- a/internal/cwserver/view.go
+++ b/internal/cwserver/view.go
@@ -5,10 +5,10 @@
 // The fading of old knowledge.
 const (
 	// reportFade is the age at which a report counts half.
-	reportFade = 200 * time.Millisecond
+	reportFade = 500 * time.Millisecond
 	// ageFactor is how many usual latencies a call must be out before its age
 	// counts.
-	ageFactor = 1.5
+	ageFactor = 2
 )
 
 // fade returns the weight of knowledge by its age, from 1 to 0.
@@ -28,12 +28,15 @@
 
 	if s.group != nil {
 		m.usual = s.group.Usual()
-		m.others = s.group.Others()
+		m.others = s.group.expectOthers(m.at)
 	}
 
 	return m
 }
 
+// Usual returns the average latency of the service, or zero.
+func (m *Moment) Usual() time.Duration { return m.usual }
+
 // View is what is expected of a server at a moment.
 type View struct {
 	// Running counts our own calls, and Limit is the most it should hold.
@@ -65,6 +68,11 @@
 // Ejected tells whether the server has been taken out of the choice.
 func (s *Server) Ejected(m *Moment) bool { return instant(s.ejected.Load()) > m.at }
 
+// EjectedFor returns for how long the server stays out of the choice.
+func (s *Server) EjectedFor(m *Moment) time.Duration {
+	return instant(s.ejected.Load()).since(m.at)
+}
+
 // Limit returns the most of our own calls that the server should hold.
 func (s *Server) Limit() int64 {
 	if l := s.limit.Load(); l != 0 {
@@ -106,7 +114,7 @@
 		return 0
 	}
 
-	if age := m.at.since(oldest); age > time.Duration(ageFactor*float64(m.usual)) {
+	if age := m.at.since(oldest); age > ageFactor*m.usual {
 		return age
 	}
 
--- a/test/path/load_test.go
+++ b/test/path/load_test.go
@@ -14,6 +14,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwlookup"
+	"carobward.example/carobward/internal/cwtest"
 )
 
 // load is constant work of several callers that hold address answers for as
@@ -39,12 +40,12 @@
 	loadIdle = 2 * time.Second
 )
 
-func startLoad(t *testing.T, f *fleet) *load {
+func startLoad(t *testing.T, f *cwtest.Fleet) *load {
 	t.Helper()
 
 	l := &load{stop: make(chan struct{}), by: map[string]int{}}
-	for _, n := range f.nodes {
-		l.lookup = append(l.lookup, n.lookup)
+	for _, n := range f.VMs {
+		l.lookup = append(l.lookup, n.Lookup)
 	}
 
 	for i := range loadCallers {
--- a/test/path/stop_test.go
+++ b/test/path/stop_test.go
@@ -24,32 +24,29 @@
 
 // newStopFleet returns three entry VMs of one failure domain with a key, and
 // the server that charges.
-func newStopFleet(t *testing.T, more, billing string) *fleet {
+func newStopFleet(t *testing.T, more, billing string) *cwtest.Fleet {
 	t.Helper()
 
-	f := &fleet{
-		carobward: cwtest.Build(t, "cmd/carobward"), cwstand: cwtest.Build(t, "cmd/cwstand"), nodes: map[string]*node{},
-	}
-	f.platform = f.stand(t, "platform", "--listen", "127.0.0.1:0")
+	f := cwtest.NewFleet(t)
 
 	const open = "127.0.0.1:0"
 	for i := range 3 {
-		f.serveAt(t, fmt.Sprintf("vm-%d", i+1), "Ifrane", &node{callers: open, lookup: open, peers: open, operators: open}, more)
+		at := cwtest.EntryVM{Domain: "Ifrane", Callers: open, Lookup: open, Peers: open, Operators: open}
+		f.StartVMAt(t, fmt.Sprintf("vm-%d", i+1), at, more)
 	}
 
-	f.list(t, map[string][]string{
-		"records": {f.stand(t, "server", "--slots", "30"), f.stand(t, "server", "--slots", "30")},
-		"billing": {billing},
-	})
+	f.StartServer(t, "records", "--slots", "30")
+	f.StartServer(t, "records", "--slots", "30")
+	f.AddServer(t, "billing", billing)
 
 	targets := cwtest.File(t, "targets.jsonc", `{"targets": [
 		{"name": "sheet-lookup", "service": "records", "promise": "quick", "match": [{"method": "GET", "path": "/sheets/"}], "within": "5s"},
 		{"name": "launch-fee", "service": "billing", "promise": "once", "match": [{"method": "POST", "path": "/fees"}], "within": "1m"}]}`)
-	if out, code := cwtest.Run(t, f.carobward, "apply", "--vm", f.nodes["vm-1"].operators, targets); code != 0 {
+	if out, code := cwtest.Run(t, f.Carobward, "apply", "--vm", f.VMs["vm-1"].Operators, targets); code != 0 {
 		t.Fatalf("apply: exit code %d\n%s", code, out)
 	}
 
-	f.inForce(t, 1)
+	f.InForce(t, 1, 3)
 
 	return f
 }
@@ -80,7 +77,7 @@
 			l := startLoad(t, f)
 
 			for range 2 {
-				f.replace(t, l, more, tt.naive)
+				replace(t, f, l, more, tt.naive)
 			}
 
 			l.end()
@@ -100,27 +97,27 @@
 }
 
 // replace stops vm-1 while it is in use and starts its successor.
-func (f *fleet) replace(t *testing.T, l *load, more string, naive bool) {
+func replace(t *testing.T, f *cwtest.Fleet, l *load, more string, naive bool) {
 	t.Helper()
 
 	const enough = 50
 
-	old := f.nodes["vm-1"]
+	old := f.VMs["vm-1"]
 	before := l.served("vm-1")
 	cwtest.Wait(t, "vm-1 is in use", func() bool { return l.served("vm-1") > before+enough })
 
-	old.process.Signal(t, syscall.SIGTERM)
+	old.Process.Signal(t, syscall.SIGTERM)
 
 	if naive {
-		cwtest.Wait(t, "vm-1 leaves", func() bool { return strings.Contains(old.process.Output(), "Leaving.") })
-		old.process.Signal(t, syscall.SIGTERM)
+		cwtest.Wait(t, "vm-1 leaves", func() bool { return strings.Contains(old.Process.Output(), "Leaving.") })
+		old.Process.Signal(t, syscall.SIGTERM)
 	}
 
-	if err := old.process.Wait(t); (err != nil) != naive {
+	if err := old.Process.Wait(t); (err != nil) != naive {
 		t.Errorf("exit: %v", err)
 	}
 
-	f.serveAt(t, "vm-1", "Ifrane", old, more)
+	f.StartVMAt(t, "vm-1", *old, more)
 }
 
 // TestStopBound stops an entry VM whose request is stuck at a server.
@@ -135,7 +132,7 @@
 	defer func() { _ = stuck.Close() }()
 
 	f := newStopFleet(t, `"stop": "4s",`, stuck.Addr().String())
-	n := f.nodes["vm-1"]
+	n := f.VMs["vm-1"]
 
 	type result struct {
 		verdict string
@@ -147,7 +144,7 @@
 	go func() {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		req.Header.SetMethod(fasthttp.MethodPost)
-		req.SetRequestURI("http://" + n.callers + "/fees")
+		req.SetRequestURI("http://" + n.Callers + "/fees")
 
 		err := fasthttp.DoTimeout(req, resp, cwtest.WaitMost)
 		answered <- result{string(resp.Header.Peek(carobward.HeaderVerdict)), err}
@@ -157,17 +154,17 @@
 		t.Fatal(err)
 	}
 
-	n.process.Signal(t, syscall.SIGTERM)
+	n.Process.Signal(t, syscall.SIGTERM)
 
 	if got := <-answered; got.err != nil || got.verdict != carobward.Unknown.String() {
 		t.Errorf("the stuck request got %+v", got)
 	}
 
-	if err := n.process.Wait(t); err == nil || err.Error() != "exit status 1" {
+	if err := n.Process.Wait(t); err == nil || err.Error() != "exit status 1" {
 		t.Errorf("exit: %v", err)
 	}
 
-	if !strings.Contains(n.process.Output(), "Requests in flight are given up at the bound.") {
+	if !strings.Contains(n.Process.Output(), "Requests in flight are given up at the bound.") {
 		t.Error("the bound is not logged")
 	}
 }
