Tests: the stuck request of the stop at its bound is a POST

Failure met: the test took a health check's connection for the request's and dropped it, so that it was closed and the request was answered early.

--- a/test/path/member_test.go
+++ b/test/path/member_test.go
@@ -11,14 +11,14 @@
 )
 
 // sees waits until each of some entry VMs sees a VM in a state.
-func (f *fleet) sees(t *testing.T, by []string, vm, state string) {
+func sees(t *testing.T, f *cwtest.Fleet, by []string, vm, state string) {
 	t.Helper()
 
 	line := regexp.MustCompile(fmt.Sprintf(`(?m)^%s .* %s +\d+$`, vm, state))
 
 	for _, b := range by {
 		cwtest.Wait(t, fmt.Sprintf("%s sees %s as %s", b, vm, state), func() bool {
-			out, _ := cwtest.Run(t, f.carobward, "status", "--vm", f.nodes[b].operators)
+			out, _ := cwtest.Run(t, f.Carobward, "status", "--vm", f.VMs[b].Operators)
 
 			return line.MatchString(out)
 		})
@@ -34,31 +34,31 @@
 	more := peersKey(t)
 	f := newStopFleet(t, more, "127.0.0.1:9")
 	others := []string{"vm-1", "vm-2"}
-	last := f.nodes["vm-3"]
+	last := f.VMs["vm-3"]
 
-	last.process.Signal(t, syscall.SIGSTOP)
-	f.sees(t, others, "vm-3", "dead")
-	last.process.Signal(t, syscall.SIGCONT)
-	f.sees(t, others, "vm-3", "live")
-	f.sees(t, []string{"vm-3"}, "vm-1", "live")
+	last.Process.Signal(t, syscall.SIGSTOP)
+	sees(t, f, others, "vm-3", "dead")
+	last.Process.Signal(t, syscall.SIGCONT)
+	sees(t, f, others, "vm-3", "live")
+	sees(t, f, []string{"vm-3"}, "vm-1", "live")
 
-	last.process.Signal(t, syscall.SIGKILL)
-	f.sees(t, others, "vm-3", "(suspect|dead)")
-	f.serveAt(t, "vm-3", "Ifrane", last, more)
-	f.sees(t, []string{"vm-1", "vm-2"}, "vm-3", "live")
+	last.Process.Signal(t, syscall.SIGKILL)
+	sees(t, f, others, "vm-3", "(suspect|dead)")
+	f.StartVMAt(t, "vm-3", *last, more)
+	sees(t, f, []string{"vm-1", "vm-2"}, "vm-3", "live")
 
 	const open = "127.0.0.1:0"
 
 	stranger := fmt.Sprintf(`"keys": {"peers": %q},`, cwtest.File(t, "other.key", strings.Repeat("a5", 16)))
-	f.serveAt(t, "vm-4", "Ifrane", &node{callers: open, lookup: open, peers: open, operators: open}, stranger)
-	f.list(t, nil)
+	f.StartVMAt(t, "vm-4", cwtest.EntryVM{Domain: "Ifrane", Callers: open, Lookup: open, Peers: open, Operators: open}, stranger)
+	f.List(t)
 	cwtest.Wait(t, "the stranger was refused", func() bool {
-		return strings.Contains(f.nodes["vm-1"].process.Output()+f.nodes["vm-2"].process.Output()+
-			f.nodes["vm-3"].process.Output(), "A connection was refused.")
+		return strings.Contains(f.VMs["vm-1"].Process.Output()+f.VMs["vm-2"].Process.Output()+
+			f.VMs["vm-3"].Process.Output(), "A connection was refused.")
 	})
 
-	for vm, n := range f.nodes {
-		out, _ := cwtest.Run(t, f.carobward, "status", "--vm", n.operators)
+	for vm, n := range f.VMs {
+		out, _ := cwtest.Run(t, f.Carobward, "status", "--vm", n.Operators)
 		if known := strings.Contains(out, "vm-4 "); known != (vm == "vm-4") {
 			t.Errorf("%s sees:\n%s", vm, out)
 		}
--- a/test/path/stop_test.go
+++ b/test/path/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"syscall"
@@ -120,6 +121,26 @@
 	f.StartVMAt(t, "vm-1", *old, more)
 }
 
+// acceptPost returns the first connection on which a POST arrives; others,
+// such as those of health checks, are closed.
+func acceptPost(t *testing.T, ln net.Listener) net.Conn {
+	t.Helper()
+
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		begin := make([]byte, len(fasthttp.MethodPost))
+		if _, err := io.ReadFull(c, begin); err == nil && string(begin) == fasthttp.MethodPost {
+			return c
+		}
+
+		_ = c.Close()
+	}
+}
+
 // TestStopBound stops an entry VM whose request is stuck at a server.
 func TestStopBound(t *testing.T) {
 	t.Parallel()
@@ -150,9 +171,8 @@
 		answered <- result{string(resp.Header.Peek(carobward.HeaderVerdict)), err}
 	}()
 
-	if _, err := stuck.Accept(); err != nil {
-		t.Fatal(err)
-	}
+	conn := acceptPost(t, stuck)
+	defer func() { _ = conn.Close() }()
 
 	n.Process.Signal(t, syscall.SIGTERM)
 
