Doubt reports that lack calls which we have there

Cause: reports that lag by 200 ms made all entry VMs turn to the servers that had been idle then.

A server can't hold fewer calls than we have there. A report that says so (two may be on the way) costs nine tenths of the trust in that server's next reports; each one that may be true gives 1/1024 of the doubt back.

--- a/internal/cwroute/wait_test.go
+++ b/internal/cwroute/wait_test.go
@@ -110,6 +110,12 @@
 				s.Leaving.Store(true)
 			}
 		}, nil, [5]bool{true, false, false, false, false}},
+		"an ejected one gets nothing, though all others are slow": {func(all []*cwserver.Server) {
+			fail(all[0], 3)
+			for _, s := range all[1:] {
+				s.Begin(now.Add(-time.Minute))
+			}
+		}, nil, [5]bool{false, true, true, true, true}},
 		"full ones get nothing": {func(all []*cwserver.Server) {
 			for i := range 4 {
 				all[i].SetReport(carobward.Report{At: now, Slots: 4, Running: 4, Queued: 9})
@@ -147,14 +153,58 @@
 // TestWaitSpreads shows that servers which look alike share the calls, so
 // that many entry VMs don't all turn to one.
 func TestWaitSpreads(t *testing.T) {
+	const busy = 15
+
 	all := table(1, 30).Of(service(0))
+	for _, s := range all[:busy] {
+		for range 4 {
+			s.Begin(now)
+		}
+	}
+
 	for i, n := range chosen(cwroute.Wait{Queue: 2}, all, nil) {
-		if n < 10 || n > 70 {
+		if i < busy && n > 0 || i >= busy && (n < 35 || n > 110) {
 			t.Errorf("server %d was chosen %d times in 1000", i, n)
 		}
 	}
 }
 
+// TestWaitPrefersItsDomain shows that near servers get the calls until they
+// are busier than the way is long.
+func TestWaitPrefersItsDomain(t *testing.T) {
+	tests := map[string]struct {
+		calls int
+		far   time.Duration
+		near  bool
+	}{
+		"idle":                   {0, usual / 5, true},
+		"one call, a longer way": {1, usual / 2, true},
+		"all slots taken":        {4, usual / 5, false},
+	}
+
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			all := table(1, 6).Of(service(0))
+			for i, s := range all {
+				s.Domain = [...]carobward.Domain{"near", "far"}[i%2]
+				for range test.calls * (1 - i%2) {
+					s.Begin(now)
+				}
+			}
+
+			near := 0
+
+			for i, n := range chosen(cwroute.Wait{Queue: 2, Domain: "near", Far: test.far}, all, nil) {
+				near += n * (1 - i%2)
+			}
+
+			if want := map[bool]int{true: 1000}[test.near]; near != want {
+				t.Errorf("%d calls stayed near, want %d", near, want)
+			}
+		})
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for name, p := range map[string]cwroute.Policy{
 		"scan": cwroute.Wait{Queue: 2}, "sample-2": cwroute.Wait{Queue: 2, Sample: 2},
--- a/internal/cwserver/call_test.go
+++ b/internal/cwserver/call_test.go
@@ -53,9 +53,17 @@
 		at    time.Time
 		want  time.Duration
 	}{
-		"usual replies":           {func(s *cwserver.Server) { s.Begin(ms(0)).End(ms(15), cwserver.Replied) }, ms(15), usual},
-		"a slow reply counts":     {func(s *cwserver.Server) { s.Begin(ms(0)).End(ms(90), cwserver.Replied) }, ms(90), 90 * time.Millisecond},
-		"and half of it later":    {func(s *cwserver.Server) { s.Begin(ms(0)).End(ms(90), cwserver.Replied) }, ms(180), 50 * time.Millisecond},
+		"usual replies":        {func(s *cwserver.Server) { s.Begin(ms(0)).End(ms(15), cwserver.Replied) }, ms(15), usual},
+		"a slow reply counts":  {func(s *cwserver.Server) { s.Begin(ms(0)).End(ms(90), cwserver.Replied) }, ms(90), 90 * time.Millisecond},
+		"and half of it later": {func(s *cwserver.Server) { s.Begin(ms(0)).End(ms(90), cwserver.Replied) }, ms(180), 50 * time.Millisecond},
+		"and longer after another": {func(s *cwserver.Server) {
+			s.Begin(ms(0)).End(ms(90), cwserver.Replied)
+			s.Begin(ms(90)).End(ms(180), cwserver.Replied)
+		}, ms(360), 50 * time.Millisecond},
+		"a usual reply ends that": {func(s *cwserver.Server) {
+			s.Begin(ms(0)).End(ms(90), cwserver.Replied)
+			s.Begin(ms(90)).End(ms(100), cwserver.Replied)
+		}, ms(100), usual},
 		"a failure counts most":   {func(s *cwserver.Server) { s.Begin(ms(0)).End(ms(1), cwserver.Failed) }, ms(1), 160 * time.Millisecond},
 		"a call that is not late": {func(s *cwserver.Server) { s.Begin(ms(0)) }, ms(14), usual},
 		"a call that is overdue":  {func(s *cwserver.Server) { s.Begin(ms(0)) }, ms(40), 40 * time.Millisecond},
@@ -98,6 +106,40 @@
 	}
 }
 
+// TestDoubt shows that reports which lack calls that we have there count for
+// little, and again once they fit.
+func TestDoubt(t *testing.T) {
+	all := servers(2)
+	s, now := all[0], start
+
+	report := func(total int) float64 {
+		now = now.Add(time.Millisecond)
+		s.SetReport(carobward.Report{At: now, Slots: 4, Running: total})
+
+		return view(s, now).Load - float64(s.Running.Load())
+	}
+
+	for range 6 {
+		s.Begin(start)
+	}
+
+	before := report(12)
+
+	for range 3 {
+		report(3)
+	}
+
+	doubted := report(12)
+
+	for range 10000 {
+		report(12)
+	}
+
+	if after := report(12); before < 5.9 || doubted > 1 || after < 5.9 {
+		t.Errorf("others' calls by the report: %.1f before, %.1f in doubt, %.1f after", before, doubted, after)
+	}
+}
+
 func TestEjection(t *testing.T) {
 	tests := map[string]struct {
 		servers, failing, want int
@@ -179,4 +221,15 @@
 	if half := s.Limit(); grown < 10 || half != grown/2 {
 		t.Errorf("limit %d after replies, %d after a refusal", grown, half)
 	}
+
+	// All three connections are in use, which is no fault of the server.
+	for range 3 {
+		s.Begin(start)
+	}
+
+	s.Begin(start).End(start, cwserver.Crowded)
+
+	if crowded, latency := s.Limit(), view(s, start).Latency; crowded != 3 || latency > 2*usual {
+		t.Errorf("limit %d, latency %s after too few connections", crowded, latency)
+	}
 }
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -1,6 +1,7 @@
 package cwserver
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,7 @@
 	// What the choice reads, without a lock.
 	slots    atomic.Int64
 	others   atomic.Int64
+	doubt    atomic.Uint64
 	reported atomic.Int64
 	latency  atomic.Int64
 	memory   atomic.Int64
@@ -84,7 +86,10 @@
 	s.report.Store(&r)
 	s.say(r)
 
-	others := max(0, int64(r.Running+r.Queued)-s.Running.Load())
+	own, total := s.Running.Load(), int64(r.Running+r.Queued)
+	s.check(own, total)
+
+	others := max(0, total-own)
 	s.slots.Store(int64(r.Slots))
 	s.others.Store(others)
 	s.reported.Store(int64(at(r.At)))
@@ -93,3 +98,29 @@
 		s.group.addOthers(at(r.At), others)
 	}
 }
+
+// The doubt in a server's reports, from 0 to 1.
+const (
+	// onTheWay is how many of our calls may be on the way to or from a server,
+	// so that a true report lacks them.
+	onTheWay = 2
+	// doubtFaster is how much of the trust one false report costs, and
+	// doubtSlower how much of the doubt one that may be true takes away.
+	doubtFaster = 0.9
+	doubtSlower = 1.0 / 1024
+)
+
+// check compares a report with what we know for sure: a server that holds
+// fewer calls than we have there reports what was, not what is. Its next
+// reports count less until they fit again.
+func (s *Server) check(own, total int64) {
+	doubt := math.Float64frombits(s.doubt.Load())
+
+	if own > total+onTheWay {
+		doubt += (1 - doubt) * doubtFaster
+	} else {
+		doubt -= doubt * doubtSlower
+	}
+
+	s.doubt.Store(math.Float64bits(doubt))
+}
--- a/internal/cwserver/view.go
+++ b/internal/cwserver/view.go
@@ -1,6 +1,9 @@
 package cwserver
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // The fading of old knowledge.
 const (
@@ -88,7 +91,9 @@
 		return m.others
 	}
 
-	return m.others + (float64(s.others.Load())-m.others)*fade(m.at.since(reported), reportFade)
+	weight := fade(m.at.since(reported), reportFade) * (1 - math.Float64frombits(s.doubt.Load()))
+
+	return m.others + (float64(s.others.Load())-m.others)*weight
 }
 
 // Rounds returns how many rounds of its slots a new call is expected to wait
