--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -3,6 +3,7 @@
 package cwentry
 
 import (
+	"context"
 	"expvar"
 	"math/rand/v2"
 	"sync/atomic"
@@ -65,6 +66,10 @@
 	running atomic.Int64
 	serial  atomic.Uint64
 	waiting waiting
+
+	// bound ends when a stop may wait no longer for requests in flight.
+	bound context.Context //nolint:containedctx // It outlives any request.
+	abort context.CancelFunc
 }
 
 // New returns a Carrier.
@@ -92,6 +97,7 @@
 
 	// Attempts of an earlier run have other ids.
 	c.serial.Store(uint64(rand.Uint32()) << 16)
+	c.bound, c.abort = context.WithCancel(context.Background())
 
 	return c
 }
@@ -99,6 +105,21 @@
 // Running returns the number of requests in flight.
 func (c *Carrier) Running() int64 { return c.running.Load() }
 
+// Abort gives up all requests in flight. What has been sent to a server is
+// answered with Unknown.
+func (c *Carrier) Abort() { c.abort() }
+
+// abortable returns a context that also ends at Abort.
+func (c *Carrier) abortable(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(c.bound, cancel)
+
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // Handle serves one request.
 func (c *Carrier) Handle(ctx *fasthttp.RequestCtx) {
 	id, err := requestID(ctx)
--- a/internal/cwlookup/handler.go
+++ b/internal/cwlookup/handler.go
@@ -15,6 +15,10 @@
 	Prefix() string
 }
 
+// Kept returns how long callers keep an answer, which they are told in whole
+// seconds.
+func Kept(keep time.Duration) time.Duration { return max(time.Second, keep.Truncate(time.Second)) }
+
 // Handler returns the HTTP side:
 // GET /addresses?caller=ID&domain=NAME&target=NAME&width=N. Without a target
 // all entry VMs come into question. The width is that of the last answer.
@@ -22,6 +26,11 @@
 	app := fiber.New(fiber.Config{DisableStartupMessage: true, Immutable: true})
 
 	app.Get("/addresses", func(c *fiber.Ctx) error {
+		if table.Self().State == carobward.PeerLeaving {
+			// The caller asks others next time.
+			c.Context().SetConnectionClose()
+		}
+
 		domain := carobward.Domain(c.Query("domain"))
 		peers := table.All()
 
@@ -40,7 +49,7 @@
 			return fiber.NewError(fiber.StatusServiceUnavailable, "no entry VM can take requests now")
 		}
 
-		return c.JSON(Answer{Use: use, Keep: max(1, int(keep.Seconds())), Width: width, Ticket: tickets.Prefix()})
+		return c.JSON(Answer{Use: use, Keep: int(Kept(keep).Seconds()), Width: width, Ticket: tickets.Prefix()})
 	})
 
 	return app
