--- a/internal/cwmember/service_test.go
+++ b/internal/cwmember/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"testing"
 
@@ -50,7 +51,7 @@
 	})}
 
 	clients, server := cwpeer.NewClients(cwpeer.Key(key)), cwpeer.NewServer(cwpeer.Key(key), logr.Discard())
-	p.service = cwmember.NewService(cwpeer.Key(key), conn, p.table, clients, clock, logr.Discard())
+	p.service = cwmember.NewService(cwpeer.Key(key), conn, p.table, clients, new(expvar.Map).Init(), clock, logr.Discard())
 
 	if err := server.Register("Member", p.service.Asked()); err != nil {
 		t.Fatal(err)
--- a/test/config/bench_test.go
+++ b/test/config/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"io"
 	"net"
@@ -108,7 +109,7 @@
 			const vms = 19
 
 			p, nodes := newNodes(b, vms)
-			writer := cwconfig.NewWriter(cwkv.New(p.URL(), "carobward/", time.Second), cwconfig.NewHolder())
+			writer := cwconfig.NewWriter(cwkv.New(p.URL(), "carobward/", time.Second, new(expvar.Map).Init()), cwconfig.NewHolder())
 
 			apply := writer.Apply
 			if !test.quiet {
