--- a/test/config/bench_test.go
+++ b/test/config/bench_test.go
@@ -109,7 +109,7 @@
 			const vms = 19
 
 			p, nodes := newNodes(b, vms)
-			writer := cwconfig.NewWriter(cwkv.New(p.URL(), "carobward/", time.Second, &expvar.Map{}), cwconfig.NewHolder())
+			writer := cwconfig.NewWriter(cwkv.New(p.URL(), "carobward/", time.Second, new(expvar.Map).Init()), cwconfig.NewHolder())
 
 			apply := writer.Apply
 			if !test.quiet {
