Always allow one call of ours at a full server

Whose call ends at a server knows first that a slot is free; the other entry VMs hold the server for full by its last report and get none, so their run-once work waited in vain.

The cases of full servers in TestWait and TestOldNewsOfFullServersFades now have a call of ours there; one more case allows one.

--- a/internal/cwroute/wait.go
+++ b/internal/cwroute/wait.go
@@ -162,7 +162,9 @@
 		return true
 	}
 
-	return v.Slots > 0 && v.Load+1 > v.Slots*w.Queue
+	// One call of ours is always allowed. Whose calls end there knows first
+	// that a slot is free, so the others would never get one.
+	return v.Running > 0 && v.Slots > 0 && v.Load+1 > v.Slots*w.Queue
 }
 
 // distance is what a call takes longer because of where the server is.
--- a/internal/cwroute/wait_test.go
+++ b/internal/cwroute/wait_test.go
@@ -118,9 +118,18 @@
 		}, nil, [5]bool{false, true, true, true, true}},
 		"full ones get nothing": {func(all []*cwserver.Server) {
 			for i := range 4 {
+				begin(all[i], 1)
 				all[i].SetReport(carobward.Report{At: now, Slots: 4, Running: 4, Queued: 9})
 			}
+
+			begin(all[4], 1)
 		}, nil, [5]bool{false, false, false, false, true}},
+		"one call is allowed at a full one": {func(all []*cwserver.Server) {
+			for i := range 5 {
+				begin(all[i], min(i, 1))
+				all[i].SetReport(carobward.Report{At: now, Slots: 4, Running: 4, Queued: 9})
+			}
+		}, nil, [5]bool{true, false, false, false, false}},
 		"none where all are full": {func(all []*cwserver.Server) {
 			for _, s := range all {
 				begin(s, 9)
@@ -239,6 +248,10 @@
 func TestOldNewsOfFullServersFades(t *testing.T) {
 	all := table(1, 5).Of(service(0))
 
+	for _, s := range all {
+		s.Begin(now)
+	}
+
 	for i := range 1000 {
 		for _, s := range all {
 			s.SetReport(carobward.Report{At: now.Add(time.Duration(i) * time.Millisecond), Slots: 4, Running: 4, Queued: 30})
