--- a/header.go
+++ b/header.go
@@ -31,6 +31,9 @@
 	HeaderTimeout = "Carobward-Timeout"
 	// HeaderVerdict carries a Verdict.
 	HeaderVerdict = "Carobward-Verdict"
+	// HeaderAttempt is not-run on a reply whose verdict is unknown only for
+	// the sake of earlier requests with the same ticket.
+	HeaderAttempt = "Carobward-Attempt"
 	// HeaderRetryMillis says in milliseconds what Retry-After rounds up.
 	HeaderRetryMillis = "Carobward-Retry-Ms"
 	// HeaderVM names the entry VM that answered.
@@ -42,6 +45,12 @@
 	// HeaderReport carries a server's load in the ORCA text format, see
 	// https://github.com/cncf/xds/blob/main/xds/data/orca/v3/orca_load_report.proto
 	HeaderReport = "Endpoint-Load-Metrics"
+	// HeaderAsk asks a server for a report with its reply; its value is
+	// AskReport.
+	HeaderAsk = "Carobward-Report"
 	// HeaderRetryAfter carries seconds, RFC 9110, 10.2.3.
 	HeaderRetryAfter = "Retry-After"
 )
+
+// AskReport is the value of HeaderAsk.
+const AskReport = "1"
--- a/internal/cwentry/gone.go
+++ b/internal/cwentry/gone.go
@@ -26,12 +26,12 @@
 	seen bool
 }
 
-// wait returns a context that ends when the caller has gone. The function
-// must be called when its work is done.
-func (w *waiting) wait(ctx *fasthttp.RequestCtx) (context.Context, func()) {
-	work, cancel := context.WithCancel(context.Background())
+// wait returns a context below ctx that ends when the caller of r has gone.
+// The function must be called when its work is done.
+func (w *waiting) wait(ctx context.Context, r *fasthttp.RequestCtx) (context.Context, func()) {
+	work, cancel := context.WithCancel(ctx)
 
-	conn := ctx.Conn()
+	conn := r.Conn()
 	if c, ok := conn.(*counted); ok {
 		conn = c.Conn
 	}
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -25,6 +25,7 @@
 		}
 
 		n.tickLink(now)
+		n.tickMetrics(now)
 		n.owner.Tick(now)
 		n.widths.Tick(now, n.carrier.Counts)
 
@@ -47,6 +48,7 @@
 	}
 
 	n.news.Listed(list)
+	n.measure.listVMs(n.clock.Now(), list)
 	n.servers.Update(list)
 	n.link.Retain(list)
 	n.member.Seeds(list)
