--- a/internal/cwentry/serve_test.go
+++ b/internal/cwentry/serve_test.go
@@ -21,6 +21,9 @@
 	"carobward.example/carobward/internal/cwticket"
 )
 
+// keptMost bounds the calls that a fake keeps.
+const keptMost = 100
+
 // fake is a Servers that answers by a function and keeps the calls.
 type fake struct {
 	answer func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error)
@@ -31,7 +34,7 @@
 
 func (f *fake) Exchange(ctx context.Context, _ carobward.Address, c *carobward.Call) (*carobward.Reply, error) {
 	f.mutex.Lock()
-	f.calls = append(f.calls, *c)
+	f.calls = append(f.calls[:min(len(f.calls), keptMost)], *c)
 	f.mutex.Unlock()
 
 	return f.answer(ctx, c)
@@ -91,7 +94,13 @@
 
 	const calls = 8
 
-	s := NewServer(o, newCarrier(servers, calls), logr.Discard())
+	return serveCarrier(t, o, newCarrier(servers, calls))
+}
+
+func serveCarrier(t testing.TB, o ServerOptions, c *Carrier) string {
+	t.Helper()
+
+	s := NewServer(o, c, logr.Discard())
 
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/cwoperator/api.go
+++ b/internal/cwoperator/api.go
@@ -39,6 +39,7 @@
 	holder *cwconfig.Holder
 	writer *cwconfig.Writer
 	peers  *cwpeer.Table
+	drains drains
 	syncer *cwconfig.Syncer
 }
 
@@ -64,6 +65,7 @@
 	app.Post("/config", a.apply)
 	app.Post("/restore", a.restore)
 	app.Get("/status", a.status)
+	a.drains.handle(app)
 	app.Get("/debug/vars", adaptor.HTTPHandler(expvar.Handler()))
 
 	return app
