--- /dev/null
+++ b/internal/cwowner/ways_test.go
@@ -0,0 +1,199 @@
+package cwowner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"carobward.example/carobward"
+)
+
+// The model of TestWays: fees at a steady rate, entry VMs that are killed and
+// replaced, replies that are lost, a store that is away for a while. Time is
+// counted, not waited for.
+const (
+	modelVMs     = 16
+	modelFees    = 20_000
+	modelEvery   = 10 * time.Millisecond // Between two fees.
+	modelHop     = time.Millisecond
+	modelWork    = 20 * time.Millisecond
+	modelKill    = 500 * time.Millisecond // Between two kills in the fleet.
+	modelDown    = time.Second
+	modelStore   = 3 * time.Millisecond // One write.
+	modelOutage  = 20 * time.Second
+	modelPause   = 500 * time.Millisecond
+	modelRetries = 5
+	lossOneIn    = 200 // Replies lost between entry VM and caller.
+)
+
+// model is one way of running fees at most once, or not.
+type model struct {
+	rng    *rand.Rand
+	kills  [modelVMs][]time.Duration
+	outage time.Duration
+	writes int
+	runs   int
+}
+
+func newModel(seed uint64) *model {
+	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), outage: modelFees * modelEvery / 2}
+
+	for at := time.Duration(0); at < modelFees*modelEvery*2; at += modelKill {
+		v := m.rng.IntN(modelVMs)
+		m.kills[v] = append(m.kills[v], at)
+	}
+
+	return m
+}
+
+// killed tells whether a VM is killed within a stretch of time, or down.
+func (m *model) killed(v int, from, to time.Duration) (killed, down bool) {
+	for _, k := range m.kills[v] {
+		down = down || (k <= from && from < k+modelDown)
+		killed = killed || (from < k && k <= to)
+	}
+
+	return killed, down
+}
+
+// write writes to the store and returns when it is done, or false.
+func (m *model) write(at time.Duration) (time.Duration, bool) {
+	if at >= m.outage && at < m.outage+modelOutage {
+		return at, false
+	}
+
+	m.writes++
+
+	return at + modelStore, true
+}
+
+// ticketFee runs a fee as this package does: the entry VM's memory has the
+// record, and an owner that was killed leaves an unknown.
+func (m *model) ticketFee(at time.Duration) carobward.Verdict {
+	for range modelRetries {
+		v := m.rng.IntN(modelVMs)
+		if _, down := m.killed(v, at, at); down {
+			at += modelHop // Nothing was sent: another VM, another ticket.
+
+			continue
+		}
+
+		done := at + modelHop + modelWork
+		if killed, _ := m.killed(v, at, at+modelHop); killed {
+			return carobward.Unknown
+		}
+
+		m.runs++
+
+		if killed, _ := m.killed(v, at, done+modelHop); killed {
+			return carobward.Unknown // The replacement has no record.
+		}
+
+		if m.rng.IntN(lossOneIn) > 0 {
+			return carobward.Ran
+		}
+
+		// The reply was lost; the owner replays it, if it still lives.
+		if killed, _ := m.killed(v, done, done+modelPause); killed {
+			return carobward.Unknown
+		}
+
+		return carobward.Ran
+	}
+
+	return carobward.NotRun
+}
+
+// claimFee claims each fee in the store before it runs and writes its outcome
+// there after, so that any entry VM can replay it.
+func (m *model) claimFee(at time.Duration) carobward.Verdict {
+	for range modelRetries {
+		v := m.rng.IntN(modelVMs)
+		if _, down := m.killed(v, at, at); down {
+			at += modelHop
+
+			continue
+		}
+
+		claimed, ok := m.write(at + modelHop)
+		if !ok {
+			at += modelPause
+
+			continue
+		}
+
+		if killed, _ := m.killed(v, at, claimed); killed {
+			return carobward.Unknown // The claim may stand.
+		}
+
+		m.runs++
+
+		done, ok := m.write(claimed + modelWork)
+		if killed, _ := m.killed(v, claimed, done); killed || !ok {
+			return carobward.Unknown // Claimed, and no outcome.
+		}
+
+		return carobward.Ran // A lost reply is replayed from the store.
+	}
+
+	return carobward.NotRun
+}
+
+// naiveFee runs a fee again after any error.
+func (m *model) naiveFee(at time.Duration) carobward.Verdict {
+	for range modelRetries {
+		v := m.rng.IntN(modelVMs)
+		if _, down := m.killed(v, at, at); down {
+			at += modelHop
+
+			continue
+		}
+
+		if killed, _ := m.killed(v, at, at+modelHop); !killed {
+			m.runs++
+		}
+
+		if killed, _ := m.killed(v, at, at+modelHop+modelWork); !killed && m.rng.IntN(lossOneIn) > 0 {
+			return carobward.Ran
+		}
+
+		at += modelWork
+	}
+
+	return carobward.Unknown
+}
+
+// TestWays compares the ways of running work at most once under the same
+// kills and the same outage of the store, see docs/MEASUREMENTS.md.
+func TestWays(t *testing.T) {
+	for _, way := range []struct {
+		name string
+		fee  func(*model, time.Duration) carobward.Verdict
+		once bool
+	}{
+		{"tickets", (*model).ticketFee, true},
+		{"claims in the store", (*model).claimFee, true},
+		{"retry on any error", (*model).naiveFee, false},
+	} {
+		m := newModel(1)
+		told := map[carobward.Verdict]int{}
+		twice := 0
+
+		for n := range modelFees {
+			before := m.runs
+			told[way.fee(m, time.Duration(n)*modelEvery)]++
+
+			if m.runs > before+1 {
+				twice++
+			}
+		}
+
+		t.Log(fmt.Sprintf("%-20s unknown %d, not-run %d, ran twice %d, store writes %d of %d fees",
+			way.name, told[carobward.Unknown], told[carobward.NotRun], twice, m.writes, modelFees))
+
+		if (twice == 0) != way.once {
+			t.Errorf("%s: %d fees ran twice", way.name, twice)
+		}
+	}
+}
--- a/internal/cwticket/budget.go
+++ b/internal/cwticket/budget.go
@@ -22,8 +22,8 @@
 // The cost of one record without its answer, and of one field of an answer,
 // in bytes. BenchmarkRecord measures less.
 const (
-	recordCost  = 256
-	outcomeCost = 192
+	recordCost  = 160
+	outcomeCost = 160
 	fieldCost   = 48
 )
 
