--- a/internal/cwbench/variant.go
+++ b/internal/cwbench/variant.go
@@ -3,8 +3,10 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 )
@@ -25,16 +27,23 @@
 	Attempt time.Duration
 	// Cancel closes the connection of a call that nobody waits for.
 	Cancel bool
-	// Hedge is the share of calls that may be sent to a second server once
-	// they have been out for longer than HedgeAt of all; zero: none.
-	Hedge   float64
-	HedgeAt float64
+	// Hedge sends a call that is out for long to a second server.
+	Hedge bool
+	// Budget bounds retries and hedges to a share of all calls.
+	Budget bool
+	// Queue lets calls wait at the entry VM, and sheds those that would wait
+	// for too long.
+	Queue bool
 }
 
 // World is what a policy may see that a real entry VM could not.
 type World struct {
-	timeline *timeline
-	backends []*backend
+	// Domain is the entry VM's failure domain.
+	Domain carobward.Domain
+
+	// expect is the time that one more call would take on a server now, in
+	// any unit.
+	expect func(server int) float64
 }
 
 // The variants that others are compared with.
@@ -65,33 +74,57 @@
 	return []Variant{v, Baselines()[0]}
 }
 
-// Products returns the variants that the product may use.
+// Products returns the variants that the product may use, each with one part
+// more than the one before it.
 func Products() []Variant {
-	wait := Variant{
-		Name: "wait", Policy: func(*World) cwroute.Policy { return cwroute.Wait{} },
-		Tries: naiveTries, Cancel: true,
-	}
+	wait := waits("wait", cwroute.Wait{Far: productFar})
 
 	hedged := wait
 	hedged.Name = "wait-hedge"
-	hedged.Hedge, hedged.HedgeAt = hedgeShare, hedgeAt
+	hedged.Hedge, hedged.Budget = true, true
 
-	limited := hedged
-	limited.Name = "wait-hedge-limit"
-	limited.Policy = func(*World) cwroute.Policy { return cwroute.Wait{Queue: queueRounds} }
+	queued := waits("product", cwroute.Wait{Far: productFar, Queue: productQueue})
+	queued.Hedge, queued.Budget, queued.Queue = true, true, true
 
-	return []Variant{wait, hedged, limited}
+	return []Variant{wait, hedged, queued}
 }
 
-// queueRounds is how many calls a slot a limited variant expects a server to
-// hold.
-const queueRounds = 3
+// Ablations returns the product's hedged choice with one part less or another
+// one in each.
+func Ablations() []Variant {
+	list := []Variant{
+		waits("all-parts", cwroute.Wait{Far: productFar}),
+		waits("no-reports", cwroute.Wait{Far: productFar, Ignore: cwroute.Reports}),
+		waits("no-latencies", cwroute.Wait{Far: productFar, Ignore: cwroute.Latencies}),
+		waits("own-calls-only", cwroute.Wait{Far: productFar, Ignore: cwroute.Reports | cwroute.Latencies}),
+		waits("no-domains", cwroute.Wait{}),
+		waits("sample-2", cwroute.Wait{Far: productFar, Sample: 2}),
+		waits("sample-5", cwroute.Wait{Far: productFar, Sample: 5}),
+	}
+	for i := range list {
+		list[i].Hedge, list[i].Budget = true, true
+	}
 
-// The hedging of the product's variants.
-const (
-	hedgeShare = 0.05
-	hedgeAt    = 95
-)
+	unhedged := waits("no-hedges", cwroute.Wait{Far: productFar})
+
+	return append(list, unhedged)
+}
+
+// waits returns a variant of the wait policy in the entry VM's domain.
+func waits(name string, w cwroute.Wait) Variant {
+	policy := func(world *World) cwroute.Policy {
+		one := w
+		one.Domain = world.Domain
+
+		return one
+	}
+
+	return Variant{Name: name, Policy: policy, Tries: naiveTries, Cancel: true}
+}
+
+// productFar is what the product expects a call to another failure domain to
+// take longer.
+const productFar = 1500 * time.Microsecond
 
 // naiveTimeout is a naive variant's timeout of one attempt.
 const naiveTimeout = 150 * time.Millisecond
@@ -100,7 +133,7 @@
 const naiveTries = 3
 
 // roundRobin takes the servers in turn, whatever is known of them.
-type roundRobin struct{ next int }
+type roundRobin struct{ next atomic.Uint64 }
 
 // Choose implements cwroute.Policy.
 func (r *roundRobin) Choose(_ time.Time, servers, _ []*cwserver.Server, rng *rand.Rand) *cwserver.Server {
@@ -108,13 +141,10 @@
 		return nil
 	}
 
-	if r.next == 0 {
-		r.next = 1 + rng.IntN(len(servers))
-	}
-
-	r.next++
+	// Each entry VM starts somewhere else.
+	r.next.CompareAndSwap(0, 1+rng.Uint64N(uint64(len(servers))))
 
-	return servers[r.next%len(servers)]
+	return servers[r.next.Add(1)%uint64(len(servers))]
 }
 
 // randomPolicy takes any server.
@@ -146,7 +176,7 @@
 			continue
 		}
 
-		wait := t.world.backends[i].expect(t.world.timeline.now)
+		wait := t.world.expect(i)
 
 		switch {
 		case wait < least:
@@ -171,3 +201,7 @@
 
 	return false
 }
+
+// productQueue is how many calls a slot the product expects a server to hold
+// at most, as internal/cwnode sets it.
+const productQueue = 2
--- a/internal/cwentry/visit.go
+++ b/internal/cwentry/visit.go
@@ -126,6 +126,9 @@
 	return after + time.Duration(rand.Int64N(int64(after)/2+1))
 }
 
+// Counts returns the requests of each target since it was last called.
+func (c *Carrier) Counts() map[carobward.TargetName]int { return c.shares.Counts() }
+
 // Tick cancels idempotent work whose caller has gone; work that must not
 // repeat goes on, so that its outcome is known to a retry. It also drops what
 // is kept for targets that are gone and for idle services. A request that
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/gofiber/fiber/v2"
@@ -22,7 +21,6 @@
 	"carobward.example/carobward/internal/cwoperator"
 	"carobward.example/carobward/internal/cwowner"
 	"carobward.example/carobward/internal/cwpeer"
-	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwsettings"
 	"carobward.example/carobward/internal/cwvm"
@@ -48,6 +46,8 @@
 	owner   *cwowner.Owner
 	carrier *cwentry.Carrier
 
+	widths *cwlookup.Widths
+
 	data      *cwentry.Server
 	lookup    *fiber.App
 	operators *fiber.App
@@ -100,9 +100,10 @@
 	}
 
 	n.link = newLink(&s.Link, clock)
-	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Wait{Queue: queuePerSlot}}, n.holder, n.servers, n.link, n.owner, clock, log)
+	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: newPolicy(&s)}, n.holder, n.servers, n.link, n.owner, clock, log)
 	n.data = n.dataServer()
-	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner)
+	n.widths = cwlookup.NewWidths(n.peers, s.Route.Rate, s.Keep.Std())
+	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner, n.widths)
 	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers, n.syncer).WithDrains(n.news, n.servers).Handler()
 
 	return n, n.owner.Register(n.server, n.carrier)
@@ -174,9 +175,7 @@
 	group.Go(func() { n.logEnd("peers", n.server.Serve(n.listeners.peers)) })
 	group.Go(func() { n.logEnd("operators", n.operators.Listener(n.listeners.operators)) })
 
-	<-ctx.Done()
-
-	err := n.leave()
+	err := n.leave(n.awaitStop(ctx))
 	n.link.Close()
 
 	stop()
@@ -184,8 +183,8 @@
 	<-n.member.Done()
 	<-n.news.Done()
 	n.closePeers()
-	_ = n.lookup.Shutdown()
-	_ = n.operators.Shutdown()
+	_ = n.lookup.ShutdownWithTimeout(closeMost)
+	_ = n.operators.ShutdownWithTimeout(closeMost)
 	group.Wait()
 	n.log.Info("Stopped.")
 
@@ -197,21 +196,3 @@
 		n.log.Error(err, "A listener ended.", "listener", listener)
 	}
 }
-
-// leave tells the peers, serves for as long as callers keep old answers, and
-// then waits for the requests in flight.
-func (n *Node) leave() error {
-	n.log.Info("Leaving.", "keep", n.settings.Keep.Std().String())
-	n.member.Leave(context.Background())
-
-	end := n.clock.Now().Add(n.settings.Stop.Std())
-	time.Sleep(n.settings.Keep.Std())
-
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-n.handOverTime()))
-	defer cancel()
-
-	err := n.data.ShutdownWithContext(ctx)
-	n.handOver(end)
-
-	return errors.Annotate(err, "node: requests were still in flight at the bound")
-}
