--- a/internal/cwowner/ways_test.go
+++ b/internal/cwowner/ways_test.go
@@ -1,7 +1,6 @@
 package cwowner
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -189,8 +188,8 @@
 			}
 		}
 
-		t.Log(fmt.Sprintf("%-20s unknown %d, not-run %d, ran twice %d, store writes %d of %d fees",
-			way.name, told[carobward.Unknown], told[carobward.NotRun], twice, m.writes, modelFees))
+		t.Logf("%-20s unknown %d, not-run %d, ran twice %d, store writes %d of %d fees",
+			way.name, told[carobward.Unknown], told[carobward.NotRun], twice, m.writes, modelFees)
 
 		if (twice == 0) != way.once {
 			t.Errorf("%s: %d fees ran twice", way.name, twice)
