--- a/internal/cwowner/owner_test.go
+++ b/internal/cwowner/owner_test.go
@@ -359,7 +359,7 @@
 	prefix := o.Prefix()
 	c := &carobward.Call{Method: "POST", URI: "/fees", Body: make([]byte, 256), Deadline: time.Now().Add(time.Hour)}
 	answer := &cwticket.Outcome{Reply: &carobward.Reply{Status: 200, Body: make([]byte, 256)}}
-	work := func(context.Context) (*cwticket.Outcome, error) { return answer, nil }
+	work := func(ctx context.Context) (*cwticket.Outcome, error) { return answer, ctx.Err() }
 
 	number := 0
 	next := func() string {
