A caller that leaves does not make an owner silent

The context of a passed request ends when its caller goes; that was taken for the owner's silence, and for a second others with its tickets were answered unknown.

--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -109,7 +109,7 @@
 
 	n.openMeasure(log)
 
-	if err := n.newOwner(); err != nil {
+	if err := n.newOwner(log); err != nil {
 		return nil, err
 	}
 
--- a/internal/cwnode/owner.go
+++ b/internal/cwnode/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
 	"carobward.example/carobward/internal/cwowner"
@@ -11,13 +12,13 @@
 )
 
 // newOwner makes the owner of this entry VM's tickets.
-func (n *Node) newOwner() error {
+func (n *Node) newOwner(log logr.Logger) error {
 	o := &n.settings.Once
 	limits := cwticket.Options{Horizon: o.Horizon.Std(), Records: o.Records, Bytes: o.Bytes}
 
 	var err error
 
-	n.owner, err = cwowner.New(limits, n.peers, n.ownerCalls(), n.clock, n.log)
+	n.owner, err = cwowner.New(limits, n.peers, n.ownerCalls(), n.clock, log)
 	if err != nil {
 		return errors.Annotate(err, "node")
 	}
--- /dev/null
+++ b/internal/cwowner/bench_test.go
@@ -0,0 +1,52 @@
+package cwowner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwticket"
+)
+
+// BenchmarkDo gives the cost of a ticket on the way of a request: issued on
+// arrival, brought along, replayed, and passed on without a network.
+func BenchmarkDo(b *testing.B) {
+	f := newFleet(b, 2)
+	defer f.stop()
+
+	o, other := f.at(0).owner, f.at(1).owner
+	o.pace, other.pace = usual, usual
+	o.budget = cwticket.NewBudget(cwticket.Options{Horizon: time.Hour, Records: 1 << 40, Bytes: 1 << 50})
+	o.own = cwticket.NewTable(cwticket.NewIssuer(o.self, o.secret, 0, time.Now()), o.budget)
+
+	prefix := o.Prefix()
+	c := &carobward.Call{Method: "POST", URI: "/fees", Body: make([]byte, 256), Deadline: time.Now().Add(time.Hour)}
+	answer := &cwticket.Outcome{Reply: &carobward.Reply{Status: 200, Body: make([]byte, 256)}}
+	work := func(ctx context.Context) (*cwticket.Outcome, error) { return answer, ctx.Err() }
+
+	number := 0
+	next := func() string {
+		number++
+
+		return fmt.Sprintf("%s.%d", prefix, number)
+	}
+
+	for name, one := range map[string]func() (*cwticket.Outcome, string, error){
+		"issued on arrival": func() (*cwticket.Outcome, string, error) { return o.Do(context.Background(), "", "", c, work) },
+		"brought along":     func() (*cwticket.Outcome, string, error) { return o.Do(context.Background(), next(), "", c, work) },
+		"replayed":          func() (*cwticket.Outcome, string, error) { return o.Do(context.Background(), prefix+".1", "", c, work) },
+		"passed on":         func() (*cwticket.Outcome, string, error) { return other.Do(context.Background(), next(), "", c, work) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+
+			for b.Loop() {
+				if _, _, err := one(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/cwowner/pass.go
+++ b/internal/cwowner/pass.go
@@ -82,17 +82,18 @@
 // ask calls an owner and notes when it is silent. The first call for a request
 // is the one that may start its work.
 func (o *Owner) ask(ctx context.Context, to carobward.Address, method string, in, out proto.Message, first bool) error {
-	ctx, cancel := context.WithTimeout(ctx, o.pace.hold+o.pace.grace)
+	short, cancel := context.WithTimeout(ctx, o.pace.hold+o.pace.grace)
 	defer cancel()
 
-	err := o.caller.Call(ctx, to, method, in, out)
+	err := o.caller.Call(short, to, method, in, out)
 	if err == nil {
 		return nil
 	}
 
 	o.log.V(1).Info("An owner did not answer.", "peer", to, "cause", err.Error())
 
-	if ctx.Err() != nil {
+	// A request that ended before its time says nothing of the owner.
+	if short.Err() != nil && ctx.Err() == nil {
 		o.mutex.Lock()
 		o.silent[to] = o.clock.Now()
 		o.mutex.Unlock()
