--- a/internal/cwmember/receive.go
+++ b/internal/cwmember/receive.go
@@ -32,11 +32,7 @@
 		}
 	}
 
-	e := m.members[carobward.VMID(sender.GetId())]
-	if e != nil && e.incarnation == versionOf(sender).incarnation {
-		from = e.address() // Else it is another run, at another address maybe.
-	}
-
+	from = m.replyTo(sender, from)
 	m.compareDigest(now, d.GetDigest(), from)
 
 	switch d.GetKind() {
@@ -51,6 +47,17 @@
 	}
 }
 
+// replyTo returns the address of a member that sent something from an address.
+// Another run than the one that we know may be at another address.
+func (m *Machine) replyTo(sender *cwwire.Member, from carobward.Address) carobward.Address {
+	e := m.members[carobward.VMID(sender.GetId())]
+	if e == nil || e.incarnation != versionOf(sender).incarnation {
+		return from
+	}
+
+	return e.address()
+}
+
 // acknowledge answers a ping. It tells the sender what we hold of it if that
 // is greater than its own word, so that it can refute it.
 func (m *Machine) acknowledge(to carobward.Address, d *cwwire.Datagram) Message {
--- a/internal/cwmetric/table.go
+++ b/internal/cwmetric/table.go
@@ -11,12 +11,55 @@
 	Doc  string
 }
 
+// The units that come often.
+const (
+	unitRequests = "requests"
+	unitVMs      = "entry VMs"
+	unitBytes    = "bytes"
+	unitCalls    = "calls"
+)
+
 // Table has every metric of an entry VM. docs/operators.md has the same.
 var Table = []Metric{
-	{"requests/TARGET/VERDICT/CLASS", "requests", "Answers to callers by target (- where none matched), by verdict and by class of the HTTP status."},
-	{"requests/TARGET/latency/count", "requests", "Answers whose time was taken, from the whole request to the whole answer."},
+	{"requests/TARGET/VERDICT/CLASS", unitRequests, "Answers to callers by target (- where none matched), by verdict and by class of the HTTP status."},
+	{"requests/TARGET/latency/count", unitRequests, "Answers whose time was taken, from the whole request to the whole answer."},
 	{"requests/TARGET/latency/sum", "milliseconds", "The sum of those times."},
-	{"requests/TARGET/latency/below/END", "requests", "Those that took at most END and more than half of it."},
+	{"requests/TARGET/latency/below/END", unitRequests, "Those that took at most END and more than half of it."},
+	{"node/flight", unitRequests, "Callers' requests in flight now."},
+	{"node/revision", "", "The revision in force here now."},
+	{"node/live", unitVMs, "Those that answer, this one among them, now."},
+	{"node/suspect", unitVMs, "Those that have missed heartbeats, now."},
+	{"node/leaving", unitVMs, "Those that said that they stop, now."},
+	{"node/dead", unitVMs, "Those taken for dead, now."},
+	{"entry/hedges", "attempts", "Second attempts at a slow request, within the target's budget."},
+	{"entry/retries", "attempts", "Attempts after a failed one, within the target's budget."},
+	{"entry/shed", unitRequests, "Requests refused since no server had room in time."},
+	{"config/adopted", "revisions", "Revisions that came into force here."},
+	{"config/full_copies", "copies", "Whole configurations taken, in place of changes."},
+	{"config/alarms", "alarms", "Times that the store or a peer offered a configuration that was refused: an older one, or another history. Look at once."},
+	{"config/exchanges_failed", "exchanges", "Questions to peers about the newest revision that got no answer."},
+	{"config/exchange_bytes_sent", unitBytes, "Bytes of those questions."},
+	{"config/exchange_bytes_received", unitBytes, "Bytes of the answers."},
+	{"store/reads", unitCalls, "Reads of the store."},
+	{"store/watches", unitCalls, "Watches of the store; a waiting one counts as one call."},
+	{"store/writes", unitCalls, "Writes to the store."},
+	{"store/failed", unitCalls, "Calls of the store that failed."},
+	{"member/pulls", "exchanges", "Whole lists of members taken from a peer."},
+	{"member/bytes_in", unitBytes, "Bytes of heartbeats that came."},
+	{"member/bytes_out", unitBytes, "Bytes of heartbeats that were sent."},
+	{"member/refused", "datagrams", "Heartbeats without the right key, or malformed. More than a few: somebody has another key."},
+	{"member/suspicions", unitVMs, "Times that an entry VM became suspect."},
+	{"member/deaths", unitVMs, "Times that an entry VM was taken for dead."},
+	{"member/refutations", "times", "Times that this VM had to say that it lives."},
+	{"member/pauses", "times", "Times that this VM found that it had stood still."},
+	{"tickets/records", "outcomes", "Outcomes of run-once work that are kept now; the bound is once.records."},
+	{"tickets/closed", "tickets", "Tickets closed without having run that are kept now."},
+	{"tickets/bytes", unitBytes, "Memory of the outcomes now; the bound is once.bytes."},
+	{"measuring/calls", unitCalls, "Measuring operations of this VM so far; they count against the operators' budget."},
+	{"measuring/bytes", unitBytes, "Bytes of them."},
+	{"measuring/unasked", unitBytes, "Bytes of reports that servers sent unasked."},
+	{"measuring/newscalls", unitCalls, "Exchanges of news of leaving servers."},
+	{"measuring/newsbytes", unitBytes, "Bytes of them."},
 	{"memstats", "", "Go's own figures of memory, runtime.MemStats."},
 	{"cmdline", "", "The command line of the process."},
 }
