--- a/internal/cwmember/receive.go
+++ b/internal/cwmember/receive.go
@@ -32,11 +32,7 @@
 		}
 	}
 
-	e := m.members[carobward.VMID(sender.GetId())]
-	if e != nil {
-		from = e.address()
-	}
-
+	from = m.replyTo(sender, from)
 	m.compareDigest(now, d.GetDigest(), from)
 
 	switch d.GetKind() {
@@ -51,6 +47,17 @@
 	}
 }
 
+// replyTo returns the address of a member that sent something from an address.
+// Another run than the one that we know may be at another address.
+func (m *Machine) replyTo(sender *cwwire.Member, from carobward.Address) carobward.Address {
+	e := m.members[carobward.VMID(sender.GetId())]
+	if e == nil || e.incarnation != versionOf(sender).incarnation {
+		return from
+	}
+
+	return e.address()
+}
+
 // acknowledge answers a ping. It tells the sender what we hold of it if that
 // is greater than its own word, so that it can refute it.
 func (m *Machine) acknowledge(to carobward.Address, d *cwwire.Datagram) Message {
@@ -82,6 +89,10 @@
 		target = carobward.VMID(d.GetTarget())
 	}
 
+	if m.greeting != 0 && d.GetNumber() == m.greeting {
+		m.joined = true
+	}
+
 	if p := m.probe; p != nil && p.number == d.GetNumber() && p.target == target {
 		m.probe = nil
 		m.joined = true
@@ -167,7 +178,7 @@
 			return // Its addresses are not known yet; they come as news.
 		}
 
-		e.about, e.revision = w.GetAbout(), carobward.Revision(w.GetRevision())
+		e.about, e.revision, e.since = w.GetAbout(), carobward.Revision(w.GetRevision()), now
 	}
 
 	m.take(now, e, v)
@@ -213,6 +224,7 @@
 		id:       carobward.VMID(w.GetId()),
 		about:    w.GetAbout(),
 		revision: carobward.Revision(w.GetRevision()),
+		since:    now,
 	}
 
 	if v.suspect {
@@ -232,6 +244,7 @@
 	switch {
 	case v.incarnation < m.self.incarnation:
 		// They know an earlier run, or nothing.
+		m.self.since = m.ticked
 		m.news[m.self.id] = 0
 	case v.incarnation > m.self.incarnation && m.joined:
 		m.replaced, m.dirty = true, true
@@ -250,7 +263,7 @@
 	const spread = 1_000_000_000
 
 	m.self.incarnation = above + 1 + carobward.Incarnation(m.rng.Uint64N(spread))
-	m.self.sequence = 0
+	m.self.sequence, m.self.since = 0, m.ticked
 	m.news[m.self.id] = 0
 	m.stale, m.dirty = true, true
 }
