--- a/internal/cwconfig/model_test.go
+++ b/internal/cwconfig/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -14,6 +15,12 @@
 	"carobward.example/carobward/internal/cwtest"
 )
 
+// The schedules are the same on each run; another -rapid.seed gives others.
+var (
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.checks", "300")
+)
+
 // world is a fleet with what its operators were told.
 type world struct {
 	*fleet
