Bound the memory of request bodies in all

The library takes the announced length of a body at once: 8,192 callers that announce 1 MB and send little would take 8 GB. Bodies are streamed now and read here, with their memory reserved first (limits.bodies, 128MB). A request refused in its body keeps its own id and ticket, and a ticket kept aside can no longer be left behind by a chunked body that ends early and meet another caller's refusal.

The library reads the first bytes before the handler in this mode; the bound on memory is worth more.

--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -41,6 +41,8 @@
 	VM carobward.VMID
 	// Calls is the number of requests in flight at once.
 	Calls int
+	// Bodies bounds the memory of all their bodies.
+	Bodies carobward.ByteCount
 	// Policy chooses servers.
 	Policy cwroute.Policy
 	// Metrics counts hedges, retries and sheds; nil makes a map of its own.
@@ -65,6 +67,7 @@
 	running atomic.Int64
 	serial  atomic.Uint64
 	waiting waiting
+	bodies  bodies
 }
 
 // New returns a Carrier.
@@ -84,6 +87,7 @@
 		metrics: o.Metrics,
 		records: cwmap.New[carobward.TargetName](cwretry.NewRecord),
 	}
+	c.bodies.most = int64(o.Bodies)
 	c.waiting.callers = map[*caller]struct{}{}
 
 	if c.metrics == nil {
@@ -119,12 +123,6 @@
 }
 
 func (c *Carrier) serve(ctx *fasthttp.RequestCtx, id carobward.RequestID) (*answer, error) {
-	defer c.running.Add(-1)
-
-	if err := c.admit(); err != nil {
-		return nil, c.refuse(ctx, err)
-	}
-
 	if err := check(ctx); err != nil {
 		return nil, c.refuse(ctx, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err))
 	}
@@ -136,7 +134,19 @@
 		return nil, c.refuse(ctx, err)
 	}
 
-	call, err := c.call(ctx, target, uri)
+	body, release, err := c.body(ctx, target)
+	if err != nil {
+		return nil, c.refuse(ctx, err)
+	}
+
+	defer release()
+	defer c.running.Add(-1)
+
+	if err := c.admit(); err != nil {
+		return nil, c.refuse(ctx, err)
+	}
+
+	call, err := c.call(ctx, target, uri, body)
 	if err != nil {
 		return nil, c.refuse(ctx, err)
 	}
--- a/internal/cwentry/message.go
+++ b/internal/cwentry/message.go
@@ -46,16 +46,17 @@
 }
 
 // call returns the request as it goes to a server, under its path and query.
-// Nothing in it refers to
-// the library's buffers, so that it may outlive the handler.
-func (c *Carrier) call(ctx *fasthttp.RequestCtx, target *carobward.Target, uri string) (*carobward.Call, error) {
+// Nothing in it refers to the library's buffers, so that it may outlive the
+// handler.
+func (c *Carrier) call(ctx *fasthttp.RequestCtx, target *carobward.Target, uri string, body []byte) (*carobward.Call, error) {
 	within, err := timeout(ctx, target)
 	if err != nil {
 		return nil, err
 	}
 
-	if int64(len(ctx.PostBody())) > int64(target.Body) {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusRequestEntityTooLarge, 0, ErrBody)
+	// A trailer came with the body.
+	if err := checkTrailer(ctx); err != nil {
+		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err)
 	}
 
 	return &carobward.Call{
@@ -63,7 +64,7 @@
 		URI:      uri,
 		Host:     string(ctx.Host()),
 		Header:   requestHeader(ctx),
-		Body:     ctx.Request.SwapBody(nil),
+		Body:     body,
 		Deadline: c.clock.Now().Add(within),
 		MaxReply: target.Body,
 		Fresh:    target.Promise == carobward.Once,
--- a/internal/cwentry/once.go
+++ b/internal/cwentry/once.go
@@ -42,11 +42,7 @@
 // refuse gives a request up before its work. With a ticket it may be the
 // retry of one that has run, so that not-run is for the ticket's owner to say.
 func (c *Carrier) refuse(ctx *fasthttp.RequestCtx, err error) error {
-	return c.refuseUnder(ctx, ticketOf(ctx), err)
-}
-
-// refuseUnder is refuse for a request whose ticket is known already.
-func (c *Carrier) refuseUnder(ctx *fasthttp.RequestCtx, ticket string, err error) error {
+	ticket := ticketOf(ctx)
 	if ticket == "" {
 		return err
 	}
--- a/internal/cwentry/request.go
+++ b/internal/cwentry/request.go
@@ -77,13 +77,6 @@
 		return ErrHost
 	}
 
-	// The library looks for a field in the trailer, too.
-	for name := range h.Trailers() {
-		if hop[string(name)] {
-			return ErrTrailer
-		}
-	}
-
 	uri := h.RequestURI()
 	if h.IsConnect() || (len(uri) > 0 && uri[0] != '/' && !bytes.Contains(uri, []byte("://"))) {
 		return ErrForm
@@ -92,6 +85,18 @@
 	return nil
 }
 
+// checkTrailer refuses a trailer with a field that we read: the library looks
+// for a field in the trailer, too.
+func checkTrailer(ctx *fasthttp.RequestCtx) error {
+	for name := range ctx.Request.Header.Trailers() {
+		if hop[string(name)] {
+			return ErrTrailer
+		}
+	}
+
+	return nil
+}
+
 // originForm returns the path and query of a request, without the address
 // that an absolute form begins with.
 func originForm(ctx *fasthttp.RequestCtx) string {
--- a/internal/cwentry/server.go
+++ b/internal/cwentry/server.go
@@ -48,10 +48,10 @@
 	options ServerOptions
 	carrier *Carrier
 	log     logr.Logger
-	// tickets has the tickets of requests whose body is being read, by the
-	// header's place, since the library drops the header when that fails. One
-	// left by a connection that ended may cost a later refusal its not-run.
-	tickets sync.Map
+	// reading has the names of requests whose first bytes of body are being
+	// read, by the header's place, since the library drops the header when
+	// that fails.
+	reading sync.Map
 }
 
 // NewServer returns a server for a Carrier.
@@ -66,7 +66,8 @@
 		Concurrency:                  o.Conns + 1,
 		ReadBufferSize:               int(o.Header),
 		MaxRequestBodySize:           int(o.Body),
-		HeaderReceived:               s.limits,
+		HeaderReceived:               s.remember,
+		StreamRequestBody:            true,
 		ReadTimeout:                  o.Read,
 		IdleTimeout:                  o.Idle,
 		CloseOnShutdown:              true,
@@ -85,20 +86,17 @@
 	return s.Server.Serve(newListener(ln, s.options, s.carrier.options.VM))
 }
 
-// limits bounds a request's body by its target, before it is read.
-func (s *Server) limits(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	var c fasthttp.RequestConfig
+// names are what a reply has to say of its request.
+type names struct{ id, ticket string }
 
-	if ticket := string(h.Peek(carobward.HeaderTicket)); ticket != "" {
-		s.tickets.Store(h, ticket)
+// remember keeps the names of a request with a body. Reading the first bytes
+// of one ends in handle or in refuse, also when its connection ends.
+func (s *Server) remember(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if h.ContentLength() > 0 {
+		s.reading.Store(h, names{string(h.Peek(carobward.HeaderID)), string(h.Peek(carobward.HeaderTicket))})
 	}
 
-	t, err := s.carrier.holder.Targets().Find(string(h.Host()), string(h.Method()), string(h.RequestURI()))
-	if err == nil {
-		c.MaxRequestBodySize = int(min(t.Body, s.options.Body))
-	}
-
-	return c
+	return fasthttp.RequestConfig{}
 }
 
 // handle serves one request. A fault in it costs this request only.
@@ -113,21 +111,15 @@
 		_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
 	}()
 
-	if len(ctx.Request.Header.Peek(carobward.HeaderTicket)) > 0 {
-		s.tickets.Delete(&ctx.Request.Header)
+	if ctx.Request.Header.ContentLength() > 0 {
+		s.reading.Delete(&ctx.Request.Header)
 	}
 
 	s.carrier.Handle(ctx)
-}
 
-// ticketOf returns the ticket of a request, also of one that was not read
-// whole.
-func (s *Server) ticketOf(ctx *fasthttp.RequestCtx) string {
-	if kept, ok := s.tickets.LoadAndDelete(&ctx.Request.Header); ok {
-		return kept.(string)
+	if ctx.Response.StatusCode() == fasthttp.StatusRequestEntityTooLarge {
+		linger(ctx)
 	}
-
-	return ticketOf(ctx)
 }
 
 // panicked answers a request whose handling failed. It may have been sent.
@@ -143,19 +135,28 @@
 
 // refuse answers a request that could not be read. None of it was sent on.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, err error) {
-	id, ierr := requestID(ctx)
-	if ierr != nil {
-		id = newID()
+	if kept, ok := s.reading.LoadAndDelete(&ctx.Request.Header); ok {
+		n, _ := kept.(names)
+		ctx.Request.Header.Set(carobward.HeaderID, n.id)
+		ctx.Request.Header.Set(carobward.HeaderTicket, n.ticket)
 	}
 
+	// A bad id is replaced; the request is refused anyway.
+	id, _ := requestID(ctx)
 	status, cause := refusal(err)
 	s.log.V(1).Info("A request could not be read.", "from", ctx.RemoteAddr().String(), "cause", err.Error())
 
 	f := carobward.NewFailure(carobward.NotRun, status, 0, cause)
-	s.carrier.writeFailure(ctx, id, s.carrier.refuseUnder(ctx, s.ticketOf(ctx), f))
+	s.carrier.writeFailure(ctx, id, s.carrier.refuse(ctx, f))
 
 	_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
 
+	linger(ctx)
+}
+
+// linger lets a caller that is still sending have the answer before its
+// connection is closed.
+func linger(ctx *fasthttp.RequestCtx) {
 	if c, ok := ctx.Conn().(*counted); ok {
 		c.refused.Store(true)
 	}
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -100,7 +100,7 @@
 	}
 
 	n.link = newLink(&s.Link, clock)
-	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: cwroute.Wait{Queue: queuePerSlot}}, n.holder, n.servers, n.link, n.owner, clock, log)
+	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Bodies: s.Limits.Bodies, Policy: cwroute.Wait{Queue: queuePerSlot}}, n.holder, n.servers, n.link, n.owner, clock, log)
 	n.data = n.dataServer()
 	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner)
 	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers, n.syncer).WithDrains(n.news, n.servers).Handler()
--- a/internal/cwsettings/settings.go
+++ b/internal/cwsettings/settings.go
@@ -87,6 +87,8 @@
 	Header carobward.ByteCount `json:"header"`
 	// Body is the largest request body in bytes; a target may ask for less.
 	Body carobward.ByteCount `json:"body"`
+	// Bodies bounds the memory of the bodies of all requests at once.
+	Bodies carobward.ByteCount `json:"bodies"`
 	// Calls is the number of requests in flight at once.
 	Calls int `json:"calls"`
 	// Conns is the number of open connections of callers.
@@ -126,6 +128,7 @@
 	defaultList    = time.Second
 	defaultHeader  = 16 * carobward.Kilobyte
 	defaultBody    = carobward.Megabyte
+	defaultBodies  = 128 * carobward.Megabyte
 	defaultCalls   = 4096
 	defaultConns   = 8192
 	defaultPerIP   = defaultConns / 4
@@ -146,6 +149,7 @@
 		Limits: Limits{
 			Header: defaultHeader,
 			Body:   defaultBody,
+			Bodies: defaultBodies,
 			Calls:  defaultCalls,
 			Conns:  defaultConns,
 			Read:   carobward.Duration(defaultRead),
--- a/internal/cwsettings/validate.go
+++ b/internal/cwsettings/validate.go
@@ -157,6 +157,9 @@
 	}
 }
 
+// memoryHigh is 64 GB, beyond the memory of any entry VM.
+const memoryHigh = 64 << 30
+
 func (l *Limits) validate(fail failer) {
 	within := func(key string, v, low, high int64) {
 		if v < low || v > high {
@@ -166,6 +169,7 @@
 
 	within("limits.header", int64(l.Header), int64(headerLow), int64(headerHigh))
 	within("limits.body", int64(l.Body), 1, int64(bodyHigh))
+	within("limits.bodies", int64(l.Bodies), int64(l.Body), memoryHigh)
 	within("limits.calls", int64(l.Calls), 1, callsHigh)
 	within("limits.conns", int64(l.Conns), 1, callsHigh)
 	within("limits.connsPerIP", int64(l.ConnsPerIP), 1, callsHigh)
