--- a/internal/cwentry/body.go
+++ b/internal/cwentry/body.go
@@ -13,6 +13,9 @@
 // ErrBodies tells that the bodies of all requests here take too much memory.
 const ErrBodies = errors.ConstError("this entry VM holds too many bytes of requests")
 
+// bodiesDefault is the bound where the options give none.
+const bodiesDefault = 128 * carobward.Megabyte
+
 // bodies bounds the memory of request bodies, from before they are read until
 // their requests are answered.
 type bodies struct {
--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -3,6 +3,7 @@
 package cwentry
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"math/rand/v2"
@@ -42,7 +43,7 @@
 	VM carobward.VMID
 	// Calls is the number of requests in flight at once.
 	Calls int
-	// Bodies bounds the memory of all their bodies.
+	// Bodies bounds the memory of all their bodies; zero is 128 MB.
 	Bodies carobward.ByteCount
 	// Policy chooses servers.
 	Policy cwroute.Policy
@@ -92,7 +93,7 @@
 		metrics: o.Metrics,
 		records: cwmap.New[carobward.TargetName](cwretry.NewRecord),
 	}
-	c.bodies.most = int64(o.Bodies)
+	c.bodies.most = int64(cmp.Or(o.Bodies, bodiesDefault))
 	c.waiting.callers = map[*caller]struct{}{}
 
 	if c.metrics == nil {
