--- a/cmd/cwstand/server.go
+++ b/cmd/cwstand/server.go
@@ -13,8 +13,9 @@
 
 const usageServer = `Answer each request with its method, path and body after some work, with a
 load report. GET /stand/counts returns what the server has counted, GET
-/healthz its health. SIGUSR1 makes it drain; SIGTERM ends it once the requests
-in flight have ended.`
+/healthz its health. SIGUSR1 drains: new work is shed, and reports and the
+health endpoint say so. SIGTERM drains, waits for the grace, finishes what is
+in flight and exits.`
 
 type serverCommand struct {
 	Listen     string        `long:"listen" default:"127.0.0.1:0" description:"Address to listen on."`
@@ -36,6 +37,8 @@
 	ReportLie  string        `long:"report-lie" choice:"" choice:"idle" choice:"full" description:"What reports say whatever is true."`
 	HealthLag  time.Duration `long:"health-lag" description:"How long the health endpoint hides a drain."`
 	Failing    bool          `long:"failing" description:"Fail each request at once."`
+	Asked      bool          `long:"asked" description:"Report only to requests that ask for it."`
+	Grace      time.Duration `long:"grace" description:"Time from the drain to the end of the listener."`
 }
 
 // The bounds of the command.
@@ -56,6 +59,7 @@
 		Slots: c.Slots, Work: c.Work, Spread: c.Spread, Queue: c.Queue, Conns: c.Conns, Open: c.Open,
 		Speed: cwstand.NewSpeed(c.spans()), Repeat: noisyHorizon,
 		ReportLag: c.ReportLag, ReportLie: cwstand.Lie(c.ReportLie), HealthLag: c.HealthLag,
+		Asked: c.Asked, Run: uint64(time.Now().Unix()),
 	})
 	s.SetFailing(c.Failing)
 
@@ -69,6 +73,8 @@
 	}()
 
 	wait()
+	s.Drain()
+	time.Sleep(c.Grace)
 
 	ctx, cancel := context.WithTimeout(context.Background(), stopMost)
 	defer cancel()
