--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -3,6 +3,7 @@
 package cwentry
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"math/rand/v2"
@@ -44,6 +45,8 @@
 	VM carobward.VMID
 	// Calls is the number of requests in flight at once.
 	Calls int
+	// Bodies bounds the memory of all their bodies; zero is 128 MB.
+	Bodies carobward.ByteCount
 	// Policy chooses servers.
 	Policy cwroute.Policy
 	// Metrics counts hedges, retries and sheds; nil makes a map of its own.
@@ -89,6 +92,7 @@
 	running atomic.Int64
 	serial  atomic.Uint64
 	waiting waiting
+	bodies  bodies
 
 	// bound ends when a stop may wait no longer for requests in flight.
 	bound context.Context //nolint:containedctx // It outlives any request.
@@ -116,6 +120,7 @@
 		metrics: o.Metrics,
 		records: cwmap.New[carobward.TargetName](cwretry.NewRecord),
 	}
+	c.bodies.most = int64(cmp.Or(o.Bodies, bodiesDefault))
 	c.waiting.callers = map[*caller]struct{}{}
 
 	if c.metrics == nil {
@@ -170,12 +175,6 @@
 }
 
 func (c *Carrier) serve(ctx *fasthttp.RequestCtx, id carobward.RequestID, o *observation) (*answer, error) {
-	defer c.running.Add(-1)
-
-	if err := c.admit(); err != nil {
-		return nil, c.refuse(ctx, err)
-	}
-
 	if err := check(ctx); err != nil {
 		return nil, c.refuse(ctx, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err))
 	}
@@ -189,7 +188,19 @@
 
 	o.belongs(target)
 
-	call, err := c.call(ctx, target, uri)
+	body, release, err := c.body(ctx, target)
+	if err != nil {
+		return nil, c.refuse(ctx, err)
+	}
+
+	defer release()
+	defer c.running.Add(-1)
+
+	if err := c.admit(); err != nil {
+		return nil, c.refuse(ctx, err)
+	}
+
+	call, err := c.call(ctx, target, uri, body)
 	if err != nil {
 		return nil, c.refuse(ctx, err)
 	}
--- a/internal/cwsettings/validate.go
+++ b/internal/cwsettings/validate.go
@@ -149,9 +149,13 @@
 	}
 }
 
+// memoryHigh is 64 GB, beyond the memory of any entry VM.
+const memoryHigh = 64 << 30
+
 func (l *Limits) validate(fail failer) {
 	fail.unless("limits.header", int64(l.Header), int64(headerLow), int64(headerHigh))
 	fail.unless("limits.body", int64(l.Body), 1, int64(bodyHigh))
+	fail.unless("limits.bodies", int64(l.Bodies), int64(l.Body), memoryHigh)
 	fail.unless("limits.calls", int64(l.Calls), 1, callsHigh)
 	fail.unless("limits.conns", int64(l.Conns), 1, callsHigh)
 	fail.unless("limits.connsPerIP", int64(l.ConnsPerIP), 1, callsHigh)
