--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -229,10 +229,14 @@
 	one := *call
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
+	one.Ask = c.options.Reports.Ask(s)
+
 	ctx, cancel := c.abortable(ctx)
 	defer cancel()
 
 	reply, err := c.exchange(ctx, s, noted, &one)
+	c.options.Reports.Took(one.Ask, reply)
+
 	if err != nil {
 		return nil, err
 	}
@@ -252,12 +256,25 @@
 
 	defer func() { noted.End(c.clock.Now(), o) }()
 
-	reply, err := c.link.Exchange(ctx, s.Address, one)
+	traced, span := c.options.Tracer.Attempt(ctx, s.Address)
+	one.Header = span.Header(one.Header)
+
+	reply, err := c.link.Exchange(traced, s.Address, one)
 	o = outcome(ctx, reply, err)
 
+	span.End(statusOf(reply), err)
+
 	return reply, err
 }
 
+func statusOf(r *carobward.Reply) int {
+	if r == nil {
+		return 0
+	}
+
+	return r.Status
+}
+
 // outcome is what an attempt tells of its server.
 func outcome(ctx context.Context, reply *carobward.Reply, err error) cwserver.Outcome {
 	switch {
--- a/internal/cwtarget/table_test.go
+++ b/internal/cwtarget/table_test.go
@@ -75,6 +75,7 @@
 		"capitals below":            {method: "POST", uri: "/fees/ABC", want: "fee"},
 		"bytes that need encoding":  {method: "GET", uri: "/caf\xc3\xa9", err: cwtarget.ErrByte},
 		"fragment":                  {method: "GET", uri: "/sheets#/fees", err: cwtarget.ErrByte},
+		"fragment in the query":     {method: "GET", uri: "/sheets?x#/fees", err: cwtarget.ErrByte},
 		"absolute form":             {method: "POST", uri: "http://club.example/fees", err: cwtarget.ErrForm},
 		"asterisk form":             {method: "OPTIONS", uri: "*", err: cwtarget.ErrForm},
 		"no path":                   {method: "GET", uri: "", err: cwtarget.ErrForm},
