--- a/internal/cwbench/capacity_test.go
+++ b/internal/cwbench/capacity_test.go
@@ -107,7 +107,6 @@
 				b.Fatal(err)
 			}
 
-			b.ReportMetric(float64(len(raw)), "list-bytes")
 			b.ReportAllocs()
 
 			for b.Loop() {
@@ -115,6 +114,8 @@
 					b.Fatal(err)
 				}
 			}
+
+			b.ReportMetric(float64(len(raw)), "list-bytes")
 		})
 	}
 }
