--- a/internal/cwnode/observe.go
+++ b/internal/cwnode/observe.go
@@ -23,7 +23,7 @@
 func (n *Node) carrierOptions() cwentry.Options {
 	return cwentry.Options{
 		VM: n.settings.VM, Calls: n.settings.Limits.Calls, Policy: newPolicy(&n.settings),
-		Tracer: n.tracer, Metrics: n.metrics.Part("entry"), Requests: n.metrics.Requests(),
+		Reports: n.measure.reports, Tracer: n.tracer, Metrics: n.metrics.Part("entry"), Requests: n.metrics.Requests(),
 	}
 }
 
--- a/internal/cwsettings/settings.go
+++ b/internal/cwsettings/settings.go
@@ -32,6 +32,8 @@
 	Link Link `json:"link"`
 	// Route is for the choice of servers and of entry VMs.
 	Route Route `json:"route"`
+	// Probe says how servers without fresh traffic are probed.
+	Probe Probe `json:"probe"`
 	// Keep is how long a caller may keep an address answer.
 	Keep carobward.Duration `json:"keep"`
 	// Stop bounds a graceful stop, from its start to the exit.
@@ -158,6 +160,7 @@
 		},
 		Link:  defaultLink(),
 		Route: defaultRoute(),
+		Probe: defaultProbe(),
 		Keep:  carobward.Duration(defaultKeep),
 		Stop:  carobward.Duration(defaultStop),
 		Once:  defaultOnce(),
