--- a/internal/cwsettings/probe.go
+++ b/internal/cwsettings/probe.go
@@ -40,11 +40,9 @@
 		fail("probe.path", `want a path such as "/healthz", got %q`, p.Path)
 	}
 
-	if p.Fresh <= 0 {
-		fail("probe.fresh", `want more than zero, such as "1s"`)
-	}
+	fail.unlessTime("probe.fresh", p.Fresh, timeLow)
 
-	if p.Timeout <= 0 || p.Timeout.Std() > probeTimeoutMost {
-		fail("probe.timeout", `want more than zero and at most %s`, probeTimeoutMost)
+	if p.Timeout.Std() < timeLow || p.Timeout.Std() > probeTimeoutMost {
+		fail("probe.timeout", "want a time from %s to %s, got %s", timeLow, probeTimeoutMost, p.Timeout.Std())
 	}
 }
