Bench: reports within the operator's budget

Cause: the model gave a report with each reply, while the product asks only within the budget for measuring, 128 reports a second of 16,800 calls at 64 KB/s.

--- a/internal/cwbench/entry.go
+++ b/internal/cwbench/entry.go
@@ -44,6 +44,8 @@
 	delay   time.Duration
 	settled bool
 	row     cwserver.Call
+	// asked tells that the reply brings a report.
+	asked bool
 
 	// The server's side of it.
 	running, replied, cancelled bool
@@ -56,6 +58,8 @@
 	rows   []*cwserver.Server
 	index  map[*cwserver.Server]int
 	open   []int
+	// next is when the next report of a server is due.
+	next   []time.Duration
 	policy cwroute.Policy
 	rng    *rand.Rand
 	quick  *cwretry.Record
@@ -73,6 +77,7 @@
 		domain: number % r.scenario.Domains,
 		index:  map[*cwserver.Server]int{},
 		open:   make([]int, len(r.backends)),
+		next:   make([]time.Duration, len(r.backends)),
 		rng:    random(r.scenario.Seed, streamChoices+uint64(number)<<8),
 		quick:  cwretry.NewRecord(),
 		once:   cwretry.NewRecord(),
@@ -175,6 +180,7 @@
 	b := e.run.backends[a.server]
 	b.committed++
 	a.row = s.Begin(e.now())
+	a.asked = e.ask(a.server)
 	e.run.timeline.after(cost+a.delay, func() { b.arrive(a) })
 
 	if wait := e.run.variant.Attempt; wait > 0 {
@@ -182,6 +188,18 @@
 	}
 }
 
+// ask tells whether the next reply of a server is to bring a report.
+func (e *entry) ask(server int) bool {
+	now := e.run.timeline.now
+	if now < e.next[server] {
+		return false
+	}
+
+	e.next[server] = now + e.run.scenario.reportEvery()
+
+	return true
+}
+
 // delay is the one-way delay between an entry VM's domain and a server.
 func (s *Scenario) delay(domain, server int) time.Duration {
 	if server%s.Domains == domain {
@@ -222,9 +240,13 @@
 	}
 
 	e.close(a, o)
-	e.rows[a.server].SetReport(carobward.Report{
-		At: e.now(), Slots: l.Slots, Running: l.Running, Queued: l.Queued, Draining: l.Draining,
-	})
+
+	if a.asked {
+		e.run.result.Reports++
+		e.rows[a.server].SetReport(carobward.Report{
+			At: e.now(), Slots: l.Slots, Running: l.Running, Queued: l.Queued, Draining: l.Draining,
+		})
+	}
 
 	if o != answered {
 		e.retry(a.call, o)
--- a/internal/cwbench/result.go
+++ b/internal/cwbench/result.go
@@ -22,6 +22,8 @@
 	// Attempts counts sendings over the whole run, Extra those after the
 	// first one of a request, Hedges those for a request that was still out.
 	Attempts, Extra, Hedges int
+	// Reports counts the reports that came with replies, over the whole run.
+	Reports int
 	// Total counts the requests of the whole run.
 	Total int
 	// Servers is what the servers counted over the whole run.
@@ -151,6 +153,7 @@
 	r.TimedOut += o.TimedOut
 	r.Attempts += o.Attempts
 	r.Extra += o.Extra
+	r.Reports += o.Reports
 	r.Hedges += o.Hedges
 	r.Total += o.Total
 	r.Servers = r.Servers.Add(o.Servers)
--- a/internal/cwbench/run_test.go
+++ b/internal/cwbench/run_test.go
@@ -257,6 +257,25 @@
 	}
 }
 
+func TestReportsKeepToTheBudget(t *testing.T) {
+	s := short()
+	s.Length = 3 * time.Second
+	s.Measure = 64 << 10
+	product := Products()[2:]
+
+	seconds := (s.end() + s.Timeout).Seconds()
+	first := s.VMs * s.Servers
+
+	if got, most := results(t, s, product, 1)[0].Reports, first+int(seconds*64*1024/2/reportBytes); got <= first || got > most {
+		t.Errorf("reports: got %d, want more than the first %d and up to %d", got, first, most)
+	}
+
+	s.Measure = 0
+	if r := results(t, s, product, 1)[0]; r.Reports < r.Total {
+		t.Errorf("without a budget: %d reports for %d calls", r.Reports, r.Total)
+	}
+}
+
 func TestValidateNamesTheField(t *testing.T) {
 	s := Atlas()
 	s.Slots = 0
--- a/internal/cwbench/scenario.go
+++ b/internal/cwbench/scenario.go
@@ -52,6 +52,10 @@
 	ReportLag  time.Duration
 	ReportLie  cwstand.Lie
 	Misleading int
+	// Measure is the operator's budget for measuring in bytes a second. Half
+	// of each entry VM's share is for reports on replies. Zero: each reply
+	// has one.
+	Measure int
 }
 
 // Stretch is a stretch of time.
@@ -174,6 +178,21 @@
 	return float64(s.Servers*s.Slots) / s.Work.Seconds()
 }
 
+// reportBytes is what a report costs with the question for it.
+const reportBytes = 256
+
+// reportEvery is the least age of a report at which an entry VM asks for the
+// next one, see cwbudget.Reports.
+func (s *Scenario) reportEvery() time.Duration {
+	const share = 2
+
+	if s.Measure == 0 {
+		return 0
+	}
+
+	return time.Duration(s.Servers*s.VMs*reportBytes*share) * time.Second / time.Duration(s.Measure)
+}
+
 // end is when the last arrival comes.
 func (s *Scenario) end() time.Duration { return s.Warm + s.Length }
 
--- a/internal/cwbench/suite.go
+++ b/internal/cwbench/suite.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwstand"
 )
 
@@ -47,6 +48,15 @@
 			Scenarios: []Scenario{Atlas().at(lowLoad).stragglers(), Pase().at(lowLoad).stragglers()},
 			Variants:  slices.Concat(Baselines(), Ablations(), few(Ablations())),
 		},
+		{
+			Name:  "measuring",
+			Usage: "Reports within a budget of 64 KB, 16 KB and 1 KB a second, with stragglers, at 70 %.",
+			Scenarios: []Scenario{
+				Atlas().at(lowLoad).stragglers(), Atlas().measured(64), Atlas().measured(16), Atlas().measured(1),
+				Pase().at(lowLoad).stragglers(), Pase().measured(64), Pase().measured(16), Pase().measured(1),
+			},
+			Variants: slices.Concat(Baselines(), Products(), few(Products())),
+		},
 		{
 			Name:      "faults",
 			Usage:     "One fault a scenario at 70 % of slots: drains, cold starts, failing fast, bad reports.",
@@ -124,6 +134,14 @@
 	return s.named("slow")
 }
 
+// measured has reports within a budget of so many kilobytes a second.
+func (s Scenario) measured(kilobytes int) Scenario {
+	s = s.at(lowLoad).stragglers().named(fmt.Sprintf("%dKB", kilobytes))
+	s.Measure = kilobytes * int(carobward.Kilobyte)
+
+	return s
+}
+
 func (s Scenario) fault(f Fault) Scenario {
 	s.Faults = append(slices.Clone(s.Faults), f)
 
