--- a/internal/cwnews/exchange.go
+++ b/internal/cwnews/exchange.go
@@ -112,8 +112,13 @@
 	return h.Sum32()
 }
 
-// digests returns a digest of each part; the mutex is held.
+// digests returns a digest of each part, which must not be changed; the mutex
+// is held.
 func (t *Table) digests() []uint32 {
+	if t.digest != nil {
+		return t.digest
+	}
+
 	all := make([]uint32, parts)
 
 	for k, l := range t.lines {
@@ -124,6 +129,8 @@
 		all[k.hash()%parts] ^= h.Sum32()
 	}
 
+	t.digest = all
+
 	return all
 }
 
--- a/internal/cwnews/table.go
+++ b/internal/cwnews/table.go
@@ -64,6 +64,8 @@
 	ticked time.Time
 	// changed tells that the levels are to be made anew.
 	changed bool
+	// digest has the digests of the parts; nil: they are to be made anew.
+	digest []uint32
 }
 
 // NewTable returns a table without marks.
@@ -96,6 +98,7 @@
 
 	t.lines[k] = l
 	t.changed = true
+	t.digest = nil
 }
 
 // on returns the mark if it is on; the mutex is held.
@@ -216,6 +219,7 @@
 			t.put(Mark{Address: l.Address, Source: l.Source, Run: l.Run, Time: l.Time + 1})
 		case !l.On && t.age-l.since >= endedKeep:
 			delete(t.lines, k)
+			t.digest = nil
 		}
 	}
 }
