--- a/test/path/drain_test.go
+++ b/test/path/drain_test.go
@@ -38,8 +38,8 @@
 	return b
 }
 
-// began returns how much work has begun on a server.
-func (b *backend) began(t *testing.T) int64 {
+// counts returns what a server has counted.
+func (b *backend) counts(t *testing.T) cwstand.Counts {
 	t.Helper()
 
 	status, body, err := fasthttp.Get(nil, "http://"+b.address+cwstand.CountsPath)
@@ -52,6 +52,15 @@
 		t.Fatal(err)
 	}
 
+	return c
+}
+
+// began returns how much work has reached a server.
+func (b *backend) began(t *testing.T) int64 {
+	t.Helper()
+
+	c := b.counts(t)
+
 	return c.Began + c.Shed
 }
 
@@ -106,10 +115,8 @@
 }
 
 // load sends lookups by way of each entry VM until the returned function is
-// called, which fails the test if one was not answered.
-func (f *fleet) load(t *testing.T) func() {
-	t.Helper()
-
+// called, which tells of one that was not answered, if any.
+func (f *fleet) load() func() string {
 	var (
 		group   sync.WaitGroup
 		failed  = make(chan string, 1)
@@ -143,14 +150,15 @@
 		}
 	}
 
-	return func() {
+	return func() string {
 		close(stopped)
 		group.Wait()
 
 		select {
 		case why := <-failed:
-			t.Errorf("a request failed: %s", why)
+			return why
 		default:
+			return ""
 		}
 	}
 }
@@ -191,14 +199,17 @@
 		t.Errorf("a server that is not there: %s", out)
 	}
 
-	end, sign := f.load(t), time.Now()
+	end, sign := f.load(), time.Now()
 
 	if out, code := cwtest.Run(t, f.carobward, "drain", "--vm", f.nodes["vm-1"].operators, address); code != 0 || !strings.Contains(out, address) {
 		t.Fatalf("drain: exit code %d\n%s", code, out)
 	}
 
 	t.Logf("the last new call came %s after the operator's word", servers[0].quiet(t, sign))
-	end()
+
+	if why := end(); why != "" {
+		t.Errorf("a request failed: %s", why)
+	}
 
 	for vm := range f.nodes {
 		f.leaving(t, vm, address, "operator", true)
@@ -243,7 +254,7 @@
 func TestServerStops(t *testing.T) {
 	f, _, servers := drainFleet(t)
 
-	end := f.load(t)
+	end := f.load()
 	sign := time.Now()
 	servers[0].process.Signal(t, syscall.SIGUSR1)
 
@@ -265,5 +276,7 @@
 		t.Errorf("the other server's stop: %v", err)
 	}
 
-	end()
+	if why := end(); why != "" {
+		t.Errorf("a request failed: %s", why)
+	}
 }
