--- a/internal/cwbench/table.go
+++ b/internal/cwbench/table.go
@@ -12,20 +12,35 @@
 // WriteTable prints one line a result. Times are in milliseconds.
 func WriteTable(to io.Writer, results []*Result) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(w, "scenario\tvariant\tcalls\tanswered %\tp50\tp90\tp99\tp99.9\tonce p99\textra %\trepeats\tp99/truth\tnaive/p99\tnaive/p99.9\t")
+	_, _ = fmt.Fprintln(w, "scenario\tvariant\tcalls\tanswered %\tp50\tp90\tp99\tp99.9\tonce %\tonce p99\textra %\trepeats\tp99/truth\tnaive/p99\tnaive/p99.9\t")
 
 	for _, r := range results {
 		truth, naive := find(results, r.Scenario, nameTruth), find(results, r.Scenario, nameNaive)
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%d\t%.2f\t%.2f\t%.2f\t\n",
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t%.2f\t%d\t%.2f\t%.2f\t%.2f\t\n",
 			r.Scenario, r.Variant, r.Calls, percent(r.Answered, r.Calls),
 			millis(r.Quick.P50), millis(r.Quick.P90), millis(r.Quick.P99), millis(r.Quick.P999),
-			millis(r.Once.P99), percent(r.Extra, r.Total), r.Servers.Repeats,
+			percent(r.Once.Answered, r.Once.Calls), millis(r.Once.P99), percent(r.Extra, r.Total), r.Servers.Repeats,
 			ratio(r.Quick.P99, truth.Quick.P99), ratio(naive.Quick.P99, r.Quick.P99), ratio(naive.Quick.P999, r.Quick.P999))
 	}
 
 	return errors.Annotate(w.Flush(), "bench")
 }
 
+// WriteMeasuring prints what the servers counted of measuring and of
+// connections.
+func WriteMeasuring(to io.Writer, results []*Result) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "scenario\tvariant\trequests\tran\tprobes\tprobes/100\tprobe bytes\treport bytes/call\tconnections\t")
+
+	for _, r := range results {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%.3f\t%d\t%.0f\t%d\t\n",
+			r.Scenario, r.Variant, r.Total, r.Servers.Ran, r.Servers.Probes, percent(int(r.Servers.Probes), r.Total),
+			r.Servers.ProbeBytes, ratio(r.Servers.ReportBytes, r.Servers.Ran), r.Servers.Opened)
+	}
+
+	return errors.Annotate(w.Flush(), "bench")
+}
+
 // WriteTrouble prints how the stretches of trouble went, if there were any.
 func WriteTrouble(to io.Writer, results []*Result) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
--- a/internal/cwentry/server_test.go
+++ b/internal/cwentry/server_test.go
@@ -248,6 +248,72 @@
 	}
 }
 
+// TestOutlives keeps a call whole when the next request is read into the
+// same buffers.
+func TestOutlives(t *testing.T) {
+	f := &fake{answer: echo}
+	c := dial(t, serve(t, options(), f))
+
+	for _, body := range []string{"first", "other"} {
+		c.write("POST /fees/" + body + " HTTP/1.1\r\nHost: " + body + "\r\nA: " + body + "\r\nContent-Length: 5\r\n\r\n" + body).read(false)
+	}
+
+	for i, want := range []string{"first", "other"} {
+		call := f.seen()[i]
+		got := []string{call.URI, call.Host, call.Header.Get("A"), string(call.Body)}
+
+		if diff := cmp.Diff([]string{"/fees/" + want, want, want, want}, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
+
+// TestGone cancels idempotent work whose caller has gone, and lets work that
+// must not repeat go on.
+func TestGone(t *testing.T) {
+	release, cancelled, ran := make(chan struct{}), make(chan string, 2), make(chan string, 2)
+	f := &fake{answer: func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error) {
+		select {
+		case <-ctx.Done():
+			cancelled <- c.URI
+		case <-release:
+			ran <- c.URI
+		}
+
+		return echo(ctx, c)
+	}}
+
+	carrier := newCarrier(f, 8)
+	to := serveCarrier(t, options(), carrier)
+
+	const end = " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+
+	stays := dial(t, to).write("GET /sheets/stays" + end)
+	once := dial(t, to).write("POST /fees/goes" + end)
+	quick := dial(t, to).write("GET /sheets/goes" + end)
+
+	cwtest.Wait(t, "three calls", func() bool { return len(f.seen()) == 3 })
+
+	_, _ = once.conn.Close(), quick.conn.Close()
+
+	cwtest.Wait(t, "a cancelled call", func() bool {
+		carrier.Tick()
+
+		return len(cancelled) == 1
+	})
+	close(release)
+
+	if status := stays.read(false).StatusCode(); status != 200 {
+		t.Errorf("status %d for the caller that stays", status)
+	}
+
+	cwtest.Wait(t, "the other calls", func() bool { return len(ran) == 2 })
+
+	if got := <-cancelled; got != "/sheets/goes" {
+		t.Errorf("%s was cancelled", got)
+	}
+}
+
 // TestPanic turns a fault into a failure of this request only.
 func TestPanic(t *testing.T) {
 	f := &fake{answer: func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error) {
@@ -317,6 +383,38 @@
 	}
 }
 
+// TestRefusedRetry does not call a retry not-run that is refused before its
+// ticket's owner was asked, since an earlier try may have run.
+func TestRefusedRetry(t *testing.T) {
+	const ticket = "Host: h\r\nCarobward-Ticket: another's\r\n"
+
+	for name, request := range map[string]string{
+		"id":           "POST /fees HTTP/1.1\r\n" + ticket + "X-Request-Id: a b\r\nContent-Length: 0\r\n\r\n",
+		"slow body":    "POST /fees HTTP/1.1\r\n" + ticket + "Content-Length: 4\r\n\r\nbo",
+		"large body":   "POST /fees HTTP/1.1\r\n" + ticket + "Content-Length: 65\r\n\r\n",
+		"large chunk":  "POST /fees HTTP/1.1\r\n" + ticket + "Transfer-Encoding: chunked\r\n\r\n99\r\n",
+		"bad chunk":    "POST /fees HTTP/1.1\r\n" + ticket + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"slow chunk":   "POST /fees HTTP/1.1\r\n" + ticket + "Transfer-Encoding: chunked\r\n\r\n4\r\nbo",
+		"path":         "POST /fees/../fees HTTP/1.1\r\n" + ticket + "Content-Length: 0\r\n\r\n",
+		"timeout":      "POST /fees HTTP/1.1\r\n" + ticket + "Carobward-Timeout: x\r\nContent-Length: 0\r\n\r\n",
+		"slow trailer": "POST /fees HTTP/1.1\r\n" + ticket + "Transfer-Encoding: chunked\r\n\r\n0\r\nA",
+		"slow, expect": "POST /fees HTTP/1.1\r\n" + ticket + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbo",
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := options()
+			o.Read = 300 * time.Millisecond
+			f := &fake{answer: echo}
+			resp := dial(t, serve(t, o, f)).write(request).read(false)
+
+			checkProblem(t, resp, carobward.Unknown)
+
+			if n := len(f.seen()); n != 0 {
+				t.Errorf("%d calls", n)
+			}
+		})
+	}
+}
+
 // TestIdle closes a connection that waits for too long.
 func TestIdle(t *testing.T) {
 	o := options()
@@ -364,7 +462,8 @@
 	}
 }
 
-// TestCalls refuses requests over the bound in flight.
+// TestCalls refuses requests over the bound in flight, and those of one
+// target over its half of it.
 func TestCalls(t *testing.T) {
 	release := make(chan struct{})
 	f := &fake{answer: func(ctx context.Context, c *carobward.Call) (*carobward.Reply, error) {
@@ -375,20 +474,27 @@
 
 	to := serve(t, options(), f)
 
-	const get = "GET /sheets HTTP/1.1\r\nHost: h\r\n\r\n"
-
 	var held []*client
-	for range 8 {
-		held = append(held, dial(t, to).write(get))
-	}
 
-	cwtest.Wait(t, "requests in flight", func() bool { return len(f.seen()) == len(held) })
+	for _, path := range []string{"/sheets", "/fees"} {
+		get := "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"
 
-	over := dial(t, to).write(get).read(false)
-	checkProblem(t, over, carobward.NotRun)
+		for range 4 {
+			held = append(held, dial(t, to).write(get))
+		}
+
+		cwtest.Wait(t, "requests in flight", func() bool { return len(f.seen()) == len(held) })
+
+		over := dial(t, to).write(get).read(false)
+		checkProblem(t, over, carobward.NotRun)
 
-	if over.StatusCode() != 503 || len(over.Header.Peek("Retry-After")) == 0 {
-		t.Errorf("status %d", over.StatusCode())
+		if over.StatusCode() != 503 || len(over.Header.Peek("Retry-After")) == 0 {
+			t.Errorf("%s: status %d", path, over.StatusCode())
+		}
+
+		if len(f.seen()) != len(held) {
+			t.Errorf("%s: a request over the bound was sent", path)
+		}
 	}
 
 	close(release)
--- a/test/path/budget_test.go
+++ b/test/leave/budget_test.go
@@ -1,4 +1,4 @@
-package path
+package leave
 
 import (
 	"syscall"
@@ -45,22 +45,19 @@
 	)
 
 	f := newFleet(t)
-	servers := []*backend{f.backend(t, "--asked"), f.backend(t, "--asked"), f.backend(t, "--asked")}
-	idle := []string{f.backend(t, "--asked").address, f.backend(t, "--asked").address}
-	list := map[string][]string{"records": {servers[0].address, servers[1].address, servers[2].address}, "billing": idle}
-	f.list(t, list)
+
+	var servers []*backend
+	for _, service := range []string{"records", "records", "records", "billing", "billing"} {
+		servers = append(servers, f.backend(t, service, "--asked"))
+	}
 
 	targets := cwtest.File(t, "targets.jsonc", `{"targets": [{"name": "sheet-lookup", "service": "records", "promise": "quick",
 		"match": [{"method": "GET", "path": "/sheets/"}]}], "measure": {"calls": 8, "bytes": "16KB"}}`)
-	if out, code := cwtest.Run(t, f.carobward, "apply", "--vm", f.nodes["vm-1"].operators, targets); code != 0 {
+	if out, code := cwtest.Run(t, f.Carobward, "apply", "--vm", f.VMs["vm-1"].Operators, targets); code != 0 {
 		t.Fatalf("apply: %s", out)
 	}
 
-	f.inForce(t, 1)
-
-	for _, a := range idle {
-		servers = append(servers, &backend{address: a})
-	}
+	f.InForce(t, 1, 3)
 
 	end := f.load()
 	samples := []sample{sampleOf(t, servers)}
@@ -87,11 +84,11 @@
 	}
 
 	measured("measuring", phase)
-	f.nodes["vm-2"].process.Signal(t, syscall.SIGSTOP)
+	f.VMs["vm-2"].Process.Signal(t, syscall.SIGSTOP)
 	measured("measuring beside a frozen entry VM", phase)
-	f.nodes["vm-2"].process.Signal(t, syscall.SIGCONT)
-	f.serve(t, "vm-4", "Azilal")
-	f.list(t, list)
+	f.VMs["vm-2"].Process.Signal(t, syscall.SIGCONT)
+	f.StartVM(t, "vm-4", "Azilal")
+	f.List(t)
 	measured("measuring with one more", phase)
 
 	// Requests that were frozen with their entry VM may fail.
--- a/test/path/drain_test.go
+++ b/test/leave/drain_test.go
@@ -1,8 +1,11 @@
-package path
+// Package leave tests leaving servers and the measuring budget with separate
+// processes.
+package leave
 
 import (
 	"encoding/json"
 	"fmt"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -15,16 +18,31 @@
 	"carobward.example/carobward/internal/cwtest"
 )
 
+// fleet is three entry VMs and their servers.
+type fleet struct{ *cwtest.Fleet }
+
+func newFleet(t *testing.T) fleet {
+	t.Helper()
+
+	f := fleet{cwtest.NewFleet(t)}
+
+	for i, d := range []string{"Ifrane", "Ouarzazate", "Azilal"} {
+		f.StartVM(t, fmt.Sprintf("vm-%d", i+1), d)
+	}
+
+	return f
+}
+
 // backend is a stand-in server as a process.
 type backend struct {
 	process *cwtest.Process
 	address string
 }
 
-func (f *fleet) backend(t *testing.T, args ...string) *backend {
+func (f fleet) backend(t *testing.T, service string, args ...string) *backend {
 	t.Helper()
 
-	p := cwtest.Start(t, f.cwstand, append([]string{"server"}, args...)...)
+	p := cwtest.Start(t, f.Stand, append([]string{"server"}, args...)...)
 	b := &backend{process: p}
 
 	cwtest.Wait(t, "a server that listens", func() bool {
@@ -34,10 +52,13 @@
 
 		return b.address != ""
 	})
+	f.AddServer(t, service, b.address)
 
 	return b
 }
 
+var listening = regexp.MustCompile(`listening (\S+)`)
+
 // counts returns what a server has counted.
 func (b *backend) counts(t *testing.T) cwstand.Counts {
 	t.Helper()
@@ -85,11 +106,11 @@
 
 // leaving waits until an entry VM shows a server as leaving by a sign, or
 // not.
-func (f *fleet) leaving(t *testing.T, vm, server, sign string, want bool) {
+func (f fleet) leaving(t *testing.T, vm, server, sign string, want bool) {
 	t.Helper()
 
 	cwtest.Wait(t, fmt.Sprintf("%s shows that %s leaves by %s: %v", vm, server, sign, want), func() bool {
-		out, code := cwtest.Run(t, f.carobward, "drain", "--vm", f.nodes[vm].operators)
+		out, code := cwtest.Run(t, f.Carobward, "drain", "--vm", f.VMs[vm].Operators)
 
 		found := false
 		for line := range strings.Lines(out) {
@@ -101,12 +122,12 @@
 }
 
 // lookups sends some requests by way of each entry VM.
-func (f *fleet) lookups(t *testing.T, count int) {
+func (f fleet) lookups(t *testing.T, count int) {
 	t.Helper()
 
-	for vm, n := range f.nodes {
+	for vm, n := range f.VMs {
 		for range count {
-			status, _, err := fasthttp.Get(nil, "http://"+n.callers+"/sheets/today")
+			status, _, err := fasthttp.Get(nil, "http://"+n.Callers+"/sheets/today")
 			if err != nil || status != fasthttp.StatusOK {
 				t.Fatalf("lookup by way of %s: %v, status %d", vm, err, status)
 			}
@@ -116,7 +137,7 @@
 
 // load sends lookups by way of each entry VM until the returned function is
 // called, which tells of one that was not answered, if any.
-func (f *fleet) load() func() string {
+func (f fleet) load() func() string {
 	var (
 		group   sync.WaitGroup
 		failed  = make(chan string, 1)
@@ -135,7 +156,7 @@
 		}
 	}
 
-	for vm, n := range f.nodes {
+	for vm, n := range f.VMs {
 		for range 4 {
 			group.Go(func() {
 				for {
@@ -143,7 +164,7 @@
 					case <-stopped:
 						return
 					default:
-						ask(vm, "http://"+n.callers+"/sheets/today")
+						ask(vm, "http://"+n.Callers+"/sheets/today")
 					}
 				}
 			})
@@ -163,20 +184,18 @@
 	}
 }
 
-func drainFleet(t *testing.T) (*fleet, map[string][]string, []*backend) {
+func drainFleet(t *testing.T) (fleet, []*backend) {
 	t.Helper()
 
 	f := newFleet(t)
-	servers := []*backend{f.backend(t), f.backend(t), f.backend(t)}
-	list := map[string][]string{"records": {servers[0].address, servers[1].address, servers[2].address}}
-	f.list(t, list)
+	servers := []*backend{f.backend(t, "records"), f.backend(t, "records"), f.backend(t, "records")}
 
-	out, code := cwtest.Run(t, f.carobward, "apply", "--vm", f.nodes["vm-1"].operators, "../../examples/atlas/targets.jsonc")
+	out, code := cwtest.Run(t, f.Carobward, "apply", "--vm", f.VMs["vm-1"].Operators, "../../examples/atlas/targets.jsonc")
 	if code != 0 {
 		t.Fatalf("apply: %s", out)
 	}
 
-	f.inForce(t, 1)
+	f.InForce(t, 1, 3)
 
 	for _, s := range servers {
 		cwtest.Wait(t, "work on each server", func() bool {
@@ -186,22 +205,22 @@
 		})
 	}
 
-	return f, list, servers
+	return f, servers
 }
 
 // TestDrain drains a server by an operator's word, replaces the entry VM that
 // was told, and undoes it by way of another.
 func TestDrain(t *testing.T) {
-	f, list, servers := drainFleet(t)
+	f, servers := drainFleet(t)
 	address := servers[0].address
 
-	if out, code := cwtest.Run(t, f.carobward, "drain", "--vm", f.nodes["vm-1"].operators, "10.9.9.9:1"); code == 0 {
+	if out, code := cwtest.Run(t, f.Carobward, "drain", "--vm", f.VMs["vm-1"].Operators, "10.9.9.9:1"); code == 0 {
 		t.Errorf("a server that is not there: %s", out)
 	}
 
 	end, sign := f.load(), time.Now()
 
-	if out, code := cwtest.Run(t, f.carobward, "drain", "--vm", f.nodes["vm-1"].operators, address); code != 0 || !strings.Contains(out, address) {
+	if out, code := cwtest.Run(t, f.Carobward, "drain", "--vm", f.VMs["vm-1"].Operators, address); code != 0 || !strings.Contains(out, address) {
 		t.Fatalf("drain: exit code %d\n%s", code, out)
 	}
 
@@ -211,7 +230,7 @@
 		t.Errorf("a request failed: %s", why)
 	}
 
-	for vm := range f.nodes {
+	for vm := range f.VMs {
 		f.leaving(t, vm, address, "operator", true)
 	}
 
@@ -222,23 +241,23 @@
 		t.Errorf("%d new calls on the drained server", after-before)
 	}
 
-	f.nodes["vm-1"].process.Signal(t, syscall.SIGKILL)
-	delete(f.nodes, "vm-1")
-	f.serve(t, "vm-4", "Ifrane")
-	f.list(t, list)
+	f.VMs["vm-1"].Process.Signal(t, syscall.SIGKILL)
+	delete(f.VMs, "vm-1")
+	f.StartVM(t, "vm-4", "Ifrane")
+	f.List(t)
 	f.leaving(t, "vm-4", address, "operator", true)
-	f.inForce(t, 1)
+	f.InForce(t, 1, 3)
 	f.lookups(t, 30)
 
 	if after := servers[0].began(t); after != before {
 		t.Errorf("%d new calls on the drained server after a replacement", after-before)
 	}
 
-	if out, code := cwtest.Run(t, f.carobward, "drain", "--undo", "--vm", f.nodes["vm-2"].operators, address); code != 0 {
+	if out, code := cwtest.Run(t, f.Carobward, "drain", "--undo", "--vm", f.VMs["vm-2"].Operators, address); code != 0 {
 		t.Fatalf("undo: %s", out)
 	}
 
-	for vm := range f.nodes {
+	for vm := range f.VMs {
 		f.leaving(t, vm, address, "operator", false)
 	}
 
@@ -249,31 +268,26 @@
 	})
 }
 
-// TestServerStops has a server drain by its own word and stop under load: no
-// request is cut, and all entry VMs know while the VM list still shows it.
+// TestServerStops has two servers drain by their own word and stop under load:
+// no request is cut, and all entry VMs know while the VM list still shows it.
 func TestServerStops(t *testing.T) {
-	f, _, servers := drainFleet(t)
+	f, servers := drainFleet(t)
 
 	end := f.load()
-	sign := time.Now()
-	servers[0].process.Signal(t, syscall.SIGUSR1)
-
-	t.Logf("the last new call came %s after the server's word", servers[0].quiet(t, sign))
-
-	for vm := range f.nodes {
-		f.leaving(t, vm, servers[0].address, "server", true)
-	}
+	for _, s := range servers[:2] {
+		sign := time.Now()
+		s.process.Signal(t, syscall.SIGUSR1)
+		t.Logf("the last new call came %s after the server's word", s.quiet(t, sign))
 
-	servers[0].process.Signal(t, syscall.SIGTERM)
-
-	if err := servers[0].process.Wait(t); err != nil {
-		t.Errorf("the server's stop: %v", err)
-	}
+		for vm := range f.VMs {
+			f.leaving(t, vm, s.address, "server", true)
+		}
 
-	servers[1].process.Signal(t, syscall.SIGTERM)
+		s.process.Signal(t, syscall.SIGTERM)
 
-	if err := servers[1].process.Wait(t); err != nil {
-		t.Errorf("the other server's stop: %v", err)
+		if err := s.process.Wait(t); err != nil {
+			t.Errorf("the server's stop: %v", err)
+		}
 	}
 
 	if why := end(); why != "" {
