--- a/test/leave/budget_test.go
+++ b/test/leave/budget_test.go
@@ -38,6 +38,8 @@
 // TestBudgetAtPeak counts at the servers what measuring costs, within each
 // second, under load, while one entry VM is frozen and resumed and one joins.
 func TestBudgetAtPeak(t *testing.T) {
+	t.Parallel()
+
 	const (
 		calls = 8
 		bytes = 16 << 10
--- a/test/leave/drain_test.go
+++ b/test/leave/drain_test.go
@@ -211,6 +211,8 @@
 // TestDrain drains a server by an operator's word, replaces the entry VM that
 // was told, and undoes it by way of another.
 func TestDrain(t *testing.T) {
+	t.Parallel()
+
 	f, servers := drainFleet(t)
 	address := servers[0].address
 
@@ -271,6 +273,8 @@
 // TestServerStops has two servers drain by their own word and stop under load:
 // no request is cut, and all entry VMs know while the VM list still shows it.
 func TestServerStops(t *testing.T) {
+	t.Parallel()
+
 	f, servers := drainFleet(t)
 
 	end := f.load()
