--- a/cmd/cwstand/server.go
+++ b/cmd/cwstand/server.go
@@ -13,8 +13,9 @@
 
 const usageServer = `Answer each request with its method, path and body after some work, with a
 load report. GET /stand/counts returns what the server has counted, GET
-/healthz its health. SIGUSR1 makes it drain; SIGTERM ends it once the requests
-in flight have ended.`
+/healthz its health. SIGUSR1 drains: new work is shed, and reports and the
+health endpoint say so. SIGTERM drains, waits for the grace, finishes what is
+in flight and exits.`
 
 type serverCommand struct {
 	Listen     string        `long:"listen" default:"127.0.0.1:0" description:"Address to listen on."`
@@ -35,8 +36,9 @@
 	ReportLag  time.Duration `long:"report-lag" description:"How old the reported load is."`
 	ReportLie  string        `long:"report-lie" choice:"" choice:"idle" choice:"full" description:"What reports say whatever is true."`
 	HealthLag  time.Duration `long:"health-lag" description:"How long the health endpoint hides a drain."`
-	Asked      bool          `long:"asked" description:"Report only to requests that ask for it."`
 	Failing    bool          `long:"failing" description:"Fail each request at once."`
+	Asked      bool          `long:"asked" description:"Report only to requests that ask for it."`
+	Grace      time.Duration `long:"grace" description:"Time from the drain to the end of the listener."`
 }
 
 // The bounds of the command.
@@ -71,6 +73,8 @@
 	}()
 
 	wait()
+	s.Drain()
+	time.Sleep(c.Grace)
 
 	ctx, cancel := context.WithTimeout(context.Background(), stopMost)
 	defer cancel()
--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -17,9 +17,11 @@
 	"carobward.example/carobward/internal/cwconfig"
 	"carobward.example/carobward/internal/cwlimit"
 	"carobward.example/carobward/internal/cwmap"
+	"carobward.example/carobward/internal/cwmetric"
 	"carobward.example/carobward/internal/cwretry"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
+	"carobward.example/carobward/internal/cwtrace"
 )
 
 // The errors of a request that is given up.
@@ -44,10 +46,14 @@
 	Calls int
 	// Policy chooses servers.
 	Policy cwroute.Policy
-	// Reports decides which calls ask for a report; nil: none does.
-	Reports Reports
 	// Metrics counts hedges, retries and sheds; nil makes a map of its own.
 	Metrics *expvar.Map
+	// Requests counts the requests; nil counts nothing.
+	Requests *cwmetric.Requests
+	// Tracer makes the requests' spans; nil is off.
+	Tracer *cwtrace.Tracer
+	// Reports decides which calls ask for a report; nil: none does.
+	Reports Reports
 }
 
 // Reports decides which calls ask the server for a report with the reply.
@@ -144,23 +150,26 @@
 // Handle serves one request.
 func (c *Carrier) Handle(ctx *fasthttp.RequestCtx) {
 	id, err := requestID(ctx)
-	if err != nil {
-		c.writeFailure(ctx, id, c.refuse(ctx, err))
+	o := c.observe(ctx, id)
 
-		return
+	var reply *answer
+
+	if err != nil {
+		err = c.refuse(ctx, err)
+	} else {
+		reply, err = c.serve(ctx, id, o)
 	}
 
-	reply, err := c.serve(ctx, id)
 	if err != nil {
 		c.writeFailure(ctx, id, err)
-
-		return
+	} else {
+		c.writeReply(ctx, id, reply)
 	}
 
-	c.writeReply(ctx, id, reply)
+	c.observed(ctx, o, err)
 }
 
-func (c *Carrier) serve(ctx *fasthttp.RequestCtx, id carobward.RequestID) (*answer, error) {
+func (c *Carrier) serve(ctx *fasthttp.RequestCtx, id carobward.RequestID, o *observation) (*answer, error) {
 	defer c.running.Add(-1)
 
 	if err := c.admit(); err != nil {
@@ -178,16 +187,18 @@
 		return nil, c.refuse(ctx, err)
 	}
 
+	o.belongs(target)
+
 	call, err := c.call(ctx, target, uri)
 	if err != nil {
 		return nil, c.refuse(ctx, err)
 	}
 
 	if target.Promise == carobward.Once {
-		return c.once(ctx, id, target, call)
+		return c.once(o.ctx, ctx, id, target, call)
 	}
 
-	work, done := c.waiting.wait(ctx)
+	work, done := c.waiting.wait(o.ctx, ctx)
 	defer done()
 
 	return c.carry(work, id, target, call)
--- a/internal/cwnode/measure.go
+++ b/internal/cwnode/measure.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -29,22 +28,6 @@
 	at  time.Time
 }
 
-// measuring has what each entry VM in this process has spent on measuring and
-// on news, by its id.
-var measuring = expvar.NewMap("measuring")
-
-// spent is what one entry VM has spent since its start, as a metric.
-type spent struct {
-	// Calls and Bytes count against the operators' budget.
-	Calls int64 `json:"calls"`
-	Bytes int64 `json:"bytes"`
-	// Unasked counts the bytes of reports that servers sent unasked.
-	Unasked int64 `json:"unasked_bytes"`
-	// NewsCalls and NewsBytes are those of the news of leaving servers.
-	NewsCalls int64 `json:"news_calls"`
-	NewsBytes int64 `json:"news_bytes"`
-}
-
 func (n *Node) openMeasure(log logr.Logger) {
 	p := &n.settings.Probe
 	m := &n.measure
@@ -65,12 +48,27 @@
 		Log:     log,
 	})
 
-	measuring.Set(string(n.settings.VM), expvar.Func(func() any {
-		total := m.account.Total()
-		calls, bytes := n.news.Spent()
+	n.publishMeasure()
+}
 
-		return spent{total.Calls, total.Bytes, m.reports.Unasked(), calls, bytes}
-	}))
+// publishMeasure shows what has been spent since the start.
+func (n *Node) publishMeasure() {
+	const part = "measuring"
+
+	m := &n.measure
+	n.metrics.Gauge(part, "calls", func() int64 { return m.account.Total().Calls })
+	n.metrics.Gauge(part, "bytes", func() int64 { return m.account.Total().Bytes })
+	n.metrics.Gauge(part, "unasked", m.reports.Unasked)
+	n.metrics.Gauge(part, "newscalls", func() int64 {
+		calls, _ := n.news.Spent()
+
+		return calls
+	})
+	n.metrics.Gauge(part, "newsbytes", func() int64 {
+		_, bytes := n.news.Spent()
+
+		return bytes
+	})
 }
 
 // listVMs takes the entry VMs of a VM list.
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"net"
+	"os"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/gofiber/fiber/v2"
@@ -17,12 +19,14 @@
 	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwlookup"
 	"carobward.example/carobward/internal/cwmember"
+	"carobward.example/carobward/internal/cwmetric"
 	"carobward.example/carobward/internal/cwnews"
 	"carobward.example/carobward/internal/cwoperator"
 	"carobward.example/carobward/internal/cwowner"
 	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwsettings"
+	"carobward.example/carobward/internal/cwtrace"
 	"carobward.example/carobward/internal/cwvm"
 )
 
@@ -46,6 +50,10 @@
 	link    *cwlink.Link
 	owner   *cwowner.Owner
 	carrier *cwentry.Carrier
+	metrics *cwmetric.Set
+	tracer  *cwtrace.Tracer
+	// metricsKept is when the counts were last compared with the targets.
+	metricsKept time.Time
 
 	widths *cwlookup.Widths
 
@@ -68,13 +76,15 @@
 		settings: s,
 		clock:    clock,
 		log:      log.WithName("node"),
-		store:    cwkv.New(s.Store.URL, s.Store.Prefix, s.Store.Timeout.Std()),
 		list:     cwvm.New(s.List.URL),
 		servers:  cwserver.NewTable(),
 		holder:   cwconfig.NewHolder(),
+		metrics:  cwmetric.New(),
 		done:     make(chan struct{}),
 	}
 
+	n.store = cwkv.New(s.Store.URL, s.Store.Prefix, s.Store.Timeout.Std(), n.metrics.Part("store"))
+
 	key, err := cwsettings.ReadKey(s.Keys.Operators)
 	if err != nil {
 		return nil, err
@@ -84,6 +94,11 @@
 		return nil, err
 	}
 
+	n.tracer, err = cwtrace.New(s.Trace, s.VM, s.Domain, os.Stdout, log)
+	if err != nil {
+		return nil, err
+	}
+
 	if err := n.openPeers(log); err != nil {
 		return nil, err
 	}
@@ -103,11 +118,12 @@
 	}
 
 	n.link = newLink(&s.Link, clock)
-	n.carrier = cwentry.New(cwentry.Options{VM: s.VM, Calls: s.Limits.Calls, Policy: newPolicy(&s), Reports: n.measure.reports}, n.holder, n.servers, n.link, n.owner, clock, log)
+	n.carrier = cwentry.New(n.carrierOptions(), n.holder, n.servers, n.link, n.owner, clock, log)
+	n.publish()
 	n.data = n.dataServer()
 	n.widths = cwlookup.NewWidths(n.peers, s.Route.Rate, s.Keep.Std())
 	n.lookup = cwlookup.Handler(n.peers, s.Keep.Std(), n.owner, n.widths)
-	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers, n.syncer).WithDrains(n.news, n.servers).Handler()
+	n.operators = cwoperator.New(key, n.holder, cwconfig.NewWriter(n.store, n.holder), n.peers, n.syncer, n.metrics).WithDrains(n.news, n.servers).Handler()
 
 	return n, n.owner.Register(n.server, n.carrier)
 }
@@ -192,6 +208,7 @@
 	_ = n.lookup.ShutdownWithTimeout(closeMost)
 	_ = n.operators.ShutdownWithTimeout(closeMost)
 	group.Wait()
+	n.closeTracer()
 	n.log.Info("Stopped.")
 
 	return err
--- a/internal/cwsettings/probe.go
+++ b/internal/cwsettings/probe.go
@@ -37,14 +37,14 @@
 
 func (p *Probe) validate(fail failer) {
 	if !strings.HasPrefix(p.Path, "/") {
-		fail(`settings: "probe.path": want a path such as "/healthz", got %q`, p.Path)
+		fail("probe.path", `want a path such as "/healthz", got %q`, p.Path)
 	}
 
 	if p.Fresh <= 0 {
-		fail(`settings: "probe.fresh": want more than zero, such as "1s"`)
+		fail("probe.fresh", `want more than zero, such as "1s"`)
 	}
 
 	if p.Timeout <= 0 || p.Timeout.Std() > probeTimeoutMost {
-		fail(`settings: "probe.timeout": want more than zero and at most %s`, probeTimeoutMost)
+		fail("probe.timeout", `want more than zero and at most %s`, probeTimeoutMost)
 	}
 }
