--- a/internal/cwmember/machine_test.go
+++ b/internal/cwmember/machine_test.go
@@ -379,3 +379,40 @@
 	until(t, n, 6*time.Second, "all suspect", func() bool { return n.doubt(1, carobward.PeerSuspect) == 49 })
 	until(t, n, 13*time.Second, "all know", func() bool { return n.doubt(1, carobward.PeerDead) == 49 })
 }
+
+// TestAcknowledge has the answer to a ping tell the sender what is held of it,
+// unless that is its own word.
+func TestAcknowledge(t *testing.T) {
+	for name, tt := range map[string]struct {
+		held, said uint64
+		suspect    bool
+		want       bool
+	}{
+		"its own word":         {held: 5, said: 5},
+		"an earlier run":       {held: 5, said: 4, want: true},
+		"suspected":            {held: 5, said: 5, suspect: true, want: true},
+		"a run not known here": {held: 5, said: 6, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(2, 1, machine)
+			m := n.vms[0].actor.(*cwmember.Machine)
+			word := n.vms[1].actor.(*cwmember.Machine).Answer(&cwwire.Ask{}).GetMembers()[0]
+			word.Incarnation, word.Suspect = tt.held, tt.suspect
+			m.Merge(n.now, &cwwire.Members{Members: []*cwwire.Member{word}})
+
+			ping := &cwwire.Datagram{Kind: cwwire.Datagram_PING, From: &cwwire.Member{Id: string(id(1)), Incarnation: tt.said}}
+
+			told := false
+
+			for _, a := range m.Receive(n.now, "10.0.0.9:1", ping) {
+				for _, w := range a.Datagram.GetNews() {
+					told = told || w.GetId() == string(id(1)) && w.GetIncarnation() == tt.held && w.GetSuspect() == tt.suspect
+				}
+			}
+
+			if told != tt.want {
+				t.Errorf("told: %v, want %v", told, tt.want)
+			}
+		})
+	}
+}
