--- a/internal/cwowner/owner_test.go
+++ b/internal/cwowner/owner_test.go
@@ -344,3 +344,28 @@
 
 	close(release)
 }
+
+// TestCallerGoneIsNotSilence: a request that ends before its time says nothing
+// of the owner that it was passed to.
+func TestCallerGoneIsNotSilence(t *testing.T) {
+	f := newFleet(t, 2)
+	defer f.stop()
+
+	ticket := f.at(0).owner.Prefix() + ".1"
+	thaw := f.at(0).freeze()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+
+	c := &carobward.Call{Method: "POST", URI: "/fees", Body: []byte("fee"), Deadline: time.Now().Add(time.Hour)}
+	if _, _, err := f.at(1).owner.Do(ctx, ticket, "", c, nil); carobward.VerdictOf(err) != carobward.Unknown {
+		t.Errorf("got %v", err)
+	}
+
+	f.at(1).owner.pace.quiet = time.Hour
+	thaw()
+
+	if got, _ := f.ask(1, "fee", ticket); got.Status == 503 {
+		t.Errorf("the owner is taken for silent: %+v", got)
+	}
+}
