A report that was asked for is accounted for also when the call panics

Cause: Took was called after the exchange and skipped by a panic, so that its reservation of the measuring budget was held for good. A request refused since this entry VM stood still now says so, instead of naming the servers.

--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -28,6 +28,7 @@
 // The errors of a request that is given up.
 const (
 	ErrServer = errors.ConstError("no server can take this request now")
+	ErrPaused = errors.ConstError("this entry VM stood still and does not know yet which servers leave")
 	ErrBusy   = errors.ConstError("this entry VM has too many requests in flight")
 	ErrNew    = errors.ConstError("this entry VM has no configuration yet")
 )
--- a/internal/cwentry/carry.go
+++ b/internal/cwentry/carry.go
@@ -223,20 +223,21 @@
 	if now := c.clock.Now(); !c.servers.MayDispatch(s, now) {
 		noted.End(now, cwserver.Cancelled)
 
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, 0, ErrServer)
+		cause := ErrServer
+		if !c.servers.Fresh(now) {
+			cause = ErrPaused
+		}
+
+		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, 0, cause)
 	}
 
 	one := *call
 	one.ID = id + "~" + carobward.RequestID(strconv.FormatUint(c.serial.Add(1), 36))
 
-	one.Ask = c.options.Reports.Ask(s)
-
 	ctx, cancel := c.abortable(ctx)
 	defer cancel()
 
 	reply, err := c.exchange(ctx, s, noted, &one)
-	c.options.Reports.Took(one.Ask, reply)
-
 	if err != nil {
 		return nil, err
 	}
@@ -250,16 +251,25 @@
 	return reply, nil
 }
 
-// exchange sends the call and notes its end, also if that panics.
+// exchange sends the call and notes its end and what its report cost, also if
+// that panics.
 func (c *Carrier) exchange(ctx context.Context, s *cwserver.Server, noted cwserver.Call, one *carobward.Call) (*carobward.Reply, error) {
+	var reply *carobward.Reply
+
 	o := cwserver.Failed
+	one.Ask = c.options.Reports.Ask(s)
 
-	defer func() { noted.End(c.clock.Now(), o) }()
+	defer func() {
+		noted.End(c.clock.Now(), o)
+		c.options.Reports.Took(one.Ask, reply)
+	}()
 
 	traced, span := c.options.Tracer.Attempt(ctx, s.Address)
 	one.Header = span.Header(one.Header)
 
-	reply, err := c.link.Exchange(traced, s.Address, one)
+	var err error
+
+	reply, err = c.link.Exchange(traced, s.Address, one)
 	o = outcome(ctx, reply, err)
 
 	span.End(statusOf(reply), err)
