--- a/internal/cwnode/observe.go
+++ b/internal/cwnode/observe.go
@@ -22,7 +22,7 @@
 
 func (n *Node) carrierOptions() cwentry.Options {
 	return cwentry.Options{
-		VM: n.settings.VM, Calls: n.settings.Limits.Calls, Policy: newPolicy(&n.settings),
+		VM: n.settings.VM, Calls: n.settings.Limits.Calls, Bodies: n.settings.Limits.Bodies, Policy: newPolicy(&n.settings),
 		Reports: n.measure.reports, Tracer: n.tracer, Metrics: n.metrics.Part("entry"), Requests: n.metrics.Requests(),
 	}
 }
