Make the model of a leaving server's news an experiment

The fleet that spreads the news with loss, cuts, freezes and newcomers stood in test files. It is now the package cwleave, and `carobward bench leave` prints the longest time from the first sign to the last new work, that of a balancer by the VM list alone, and the calls and bytes of the news against the fleet's size; BenchmarkFleet of cwnews is gone for it.

To drive a System from outside it has Tick, and takes its random source as an option. BenchmarkTick measures the same calls, on a table whose marks have all been told, without the fleet.

--- a/cmd/carobward/main.go
+++ b/cmd/carobward/main.go
@@ -98,6 +98,7 @@
 
 	for _, c := range []command{
 		{"budget", "Print what measuring costs the servers.", usageBenchBudget, &benchBudgetCommand{}},
+		{"leave", "Print how soon a leaving server gets no more work.", usageBenchLeave, &benchLeaveCommand{}},
 	} {
 		if _, err := bench.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
 			panic(err)
--- a/cmd/carobward/main_test.go
+++ b/cmd/carobward/main_test.go
@@ -26,6 +26,7 @@
 		"settings as target": {[]string{"check", "-s", "../../examples/atlas/ifrane-1.jsonc", "-t", "../../examples/atlas"}, exitFailed},
 		"an experiment":      {[]string{"bench", "budget", "--seeds", "1"}, exitOK},
 		"no fleet":           {[]string{"bench", "budget", "--vms", "0"}, exitFailed},
+		"a small fleet":      {[]string{"bench", "leave", "--seeds", "1", "--vms", "3"}, exitOK},
 		"fit targets":        {[]string{"check", "-t", "../../examples/pase/targets.jsonc"}, exitOK},
 		"unfit targets":      {[]string{"check", "-t", bad}, exitFailed},
 		"unfit settings":     {[]string{"serve", "-s", bad}, exitFailed},
--- a/internal/cwnews/mark_test.go
+++ b/internal/cwnews/mark_test.go
@@ -12,6 +12,8 @@
 	"carobward.example/carobward/internal/cwwire"
 )
 
+const leaver = carobward.Address("10.1.0.1:80")
+
 // life drives one table through time.
 type life struct {
 	table *Table
--- a/internal/cwnews/system.go
+++ b/internal/cwnews/system.go
@@ -13,8 +13,8 @@
 	"carobward.example/carobward/internal/cwwire"
 )
 
-// tickEvery is the pace of the spread.
-const tickEvery = 100 * time.Millisecond
+// TickEvery is the pace of the spread.
+const TickEvery = 100 * time.Millisecond
 
 // Options are what a System works with.
 type Options struct {
@@ -24,7 +24,9 @@
 	Peers  func() []carobward.Address
 	Caller Caller
 	Clock  carobward.Clock
-	Log    logr.Logger
+	// Rand draws the peers that are told; nil is one with a random seed.
+	Rand *rand.Rand
+	Log  logr.Logger
 }
 
 // System keeps the server table by the marks, and spreads them.
@@ -41,9 +43,11 @@
 
 // New returns a System.
 func New(o Options) *System {
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 
-	return &System{options: o, spread: NewSpread(o.Table, rng), log: o.Log.WithName("leave"), done: make(chan struct{})}
+	return &System{options: o, spread: NewSpread(o.Table, o.Rand), log: o.Log.WithName("leave"), done: make(chan struct{})}
 }
 
 // Done is closed once Run has returned.
@@ -53,14 +57,13 @@
 func (s *System) Run(ctx context.Context) {
 	defer close(s.done)
 
-	t := time.NewTicker(tickEvery)
+	t := time.NewTicker(TickEvery)
 	defer t.Stop()
 
 	for ctx.Err() == nil {
-		s.Apply()
-		s.spread.Tick(ctx, s.options.Clock, s.options.Peers(), s.options.Caller)
-		s.Apply()
-		s.open()
+		s.Tick(func(spread *Spread) {
+			spread.Tick(ctx, s.options.Clock, s.options.Peers(), s.options.Caller)
+		})
 
 		select {
 		case <-ctx.Done():
@@ -69,6 +72,15 @@
 	}
 }
 
+// Tick has the server table follow what is known before and after tell, which
+// tells peers the news and hears theirs.
+func (s *System) Tick(tell func(*Spread)) {
+	s.Apply()
+	tell(s.spread)
+	s.Apply()
+	s.open()
+}
+
 // Apply takes what the servers said and has the server table follow the
 // marks.
 func (s *System) Apply() {
