Membership: the same calls and seed do the same again

The machine promises it, but an answer's members and the numbers of farewells went by the order of a map, so the random choices after them did not repeat: two runs of one seed differed in their tables. Both go by id now. Cost: a sort of the members an answer.

--- a/internal/cwmember/digest.go
+++ b/internal/cwmember/digest.go
@@ -70,7 +70,8 @@
 func (m *Machine) Answer(in *cwwire.Ask) *cwwire.Members {
 	out := &cwwire.Members{Members: []*cwwire.Member{m.self.wire(true)}}
 
-	for id, e := range m.members {
+	for _, id := range sortedIDs(m.members) {
+		e := m.members[id]
 		if !e.dead {
 			out.Members = append(out.Members, e.wire(true))
 		}
--- a/internal/cwmember/news.go
+++ b/internal/cwmember/news.go
@@ -87,8 +87,8 @@
 	m.stale, m.dirty = true, true
 	m.farewell = map[carobward.VMID]uint64{}
 
-	for id, e := range m.members {
-		if !e.dead {
+	for _, id := range sortedIDs(m.members) {
+		if !m.members[id].dead {
 			m.farewell[id] = m.rng.Uint64()
 		}
 	}
@@ -137,7 +137,7 @@
 	return out
 }
 
-func sortedIDs(set map[carobward.VMID]uint64) []carobward.VMID {
+func sortedIDs[V any](set map[carobward.VMID]V) []carobward.VMID {
 	all := make([]carobward.VMID, 0, len(set))
 	for id := range set {
 		all = append(all, id)
