Bench members: the membership network leaves the tests

The network in memory, the naive fleet and the measurements against the fleet's size were test files. BenchmarkFleet and BenchmarkParts are that command now.

--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -43,6 +43,7 @@
 		{"budget", "Print what measuring costs the servers.", usageBenchBudget, &benchBudgetCommand{}},
 		{"idle", "Count the calls lost to closes of idle connections.", usageBenchIdle, &benchIdleCommand{}},
 		{"leave", "Print how soon a leaving server gets no more work.", usageBenchLeave, &benchLeaveCommand{}},
+		{"members", "Measure membership against the fleet's size.", usageBenchMembers, &benchMembersCommand{}},
 		{"scripts", "Count the faults against servers that misbehave.", usageBenchScripts, &benchScriptsCommand{}},
 	} {
 		if _, err := bench.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
--- /dev/null
+++ b/cmd/carobward/bench_members.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"os"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"carobward.example/carobward/internal/cwnetwork"
+)
+
+const usageBenchMembers = `Measure membership between entry VMs on a network in memory: the bytes that a
+VM sends a second while nothing happens and while VMs are restarted, and the
+time until a crash is suspected and known, against the fleet's size. Same
+seed, same table. Headers of UDP and IP are counted.
+
+With --parts it measures the worst second after a region is cut off, after the
+cut has healed and after a failure domain is lost. With --faults it counts
+false deaths, beside a naive version in which each tells all each second and
+waits for 5 s.
+
+  carobward bench members
+  carobward bench members --parts --size 50 --size 200
+  carobward bench members --faults --seeds 2`
+
+type benchMembersCommand struct {
+	Sizes    []int  `long:"size" default:"16" default:"50" default:"100" default:"200" description:"Entry VMs; again for each size."`
+	Seed     uint64 `long:"seed" default:"0" description:"The seed."`
+	Restarts int    `long:"restarts" default:"2000" description:"Restarts a day in the whole fleet."`
+	Parts    bool   `long:"parts" description:"Measure the worst seconds of rare events."`
+	Faults   bool   `long:"faults" description:"Count false deaths."`
+	Fleet    int    `long:"fleet" default:"19" description:"Entry VMs of --faults."`
+	Seeds    int    `long:"seeds" default:"2" description:"Seeds of --faults, counted up from 0; their deaths are added up."`
+}
+
+// The least sizes that the experiments make sense for.
+const (
+	membersLeast = 2
+	faultsLeast  = 6
+)
+
+// Execute prints the table.
+func (c *benchMembersCommand) Execute([]string) error {
+	switch {
+	case c.Restarts < 1:
+		return errors.New("bench members: --restarts must be at least 1")
+	case slices.Min(c.Sizes) < membersLeast:
+		return errors.Errorf("bench members: --size must be at least %d", membersLeast)
+	case c.Faults:
+		return c.faults()
+	case c.Parts:
+		return cwnetwork.WriteParts(os.Stdout, c.Sizes, c.Seed)
+	default:
+		return cwnetwork.WriteCosts(os.Stdout, c.Sizes, c.Restarts, c.Seed)
+	}
+}
+
+func (c *benchMembersCommand) faults() error {
+	if c.Fleet < faultsLeast {
+		return errors.Errorf("bench members: --fleet must be at least %d", faultsLeast)
+	}
+
+	return cwnetwork.WriteFaults(os.Stdout, c.Fleet, c.Seeds)
+}
--- a/internal/cwmember/schedule_test.go
+++ b/internal/cwmember/schedule_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwmember"
+	"carobward.example/carobward/internal/cwnetwork"
 	"carobward.example/carobward/internal/cwwire"
 )
 
@@ -32,19 +32,19 @@
 
 // history checks views while a schedule runs.
 type history struct {
-	n    *network
+	n    *cwnetwork.Network
 	last map[[2]carobward.VMID]seen
 	bad  string
 }
 
 func (h *history) look() {
-	for i, v := range h.n.vms {
-		if v.down {
+	for i, v := range h.n.VMs {
+		if v.Down {
 			continue
 		}
 
-		for _, p := range v.actor.Peers() {
-			h.check(id(i), v.actor.(*cwmember.Machine).Self().Incarnation, p)
+		for _, p := range v.Actor.Peers() {
+			h.check(cwnetwork.ID(i), v.Machine().Self().Incarnation, p)
 		}
 	}
 }
@@ -69,12 +69,12 @@
 // restart replaces the VM at a place by a new run.
 func (h *history) restart(i int) {
 	for k := range h.last {
-		if k[0] == id(i) {
+		if k[0] == cwnetwork.ID(i) {
 			delete(h.last, k) // The new run starts to look afresh.
 		}
 	}
 
-	h.n.vms[i] = &vm{actor: machine(i, h.n)}
+	h.n.VMs[i] = &cwnetwork.VM{Actor: cwnetwork.Machine(i, h.n)}
 }
 
 // TestSchedules drives fleets through generated faults and checks what must
@@ -83,39 +83,39 @@
 	const size, settle, calm = 6, 10 * time.Second, 40 * time.Second
 
 	rapid.Check(t, func(r *rapid.T) {
-		n := newNetwork(size, rapid.Uint64().Draw(r, "seed"), machine)
+		n := cwnetwork.New(size, rapid.Uint64().Draw(r, "seed"), cwnetwork.Machine)
 		h := &history{n: n, last: map[[2]carobward.VMID]seen{}}
-		n.run(settle, nil)
+		n.Run(settle, nil)
 
 		for range rapid.IntRange(1, 8).Draw(r, "events") {
 			i := rapid.IntRange(0, size-1).Draw(r, "vm")
-			v := n.vms[i]
+			v := n.VMs[i]
 
 			switch rapid.SampledFrom([]string{"kill", "restart", "leave", "freeze", "cut", "loss", "rest"}).Draw(r, "event") {
 			case "kill":
-				v.down = true
+				v.Down = true
 			case "restart":
 				h.restart(i)
 			case "leave":
-				v.actor.(*cwmember.Machine).Leave()
+				v.Machine().Leave()
 			case "freeze":
-				v.frozen = !v.frozen
+				v.Frozen = !v.Frozen
 			case "cut":
 				j := rapid.IntRange(0, size-1).Draw(r, "from")
-				n.cut = func(from, to int) bool { return to == i && from <= j }
+				n.Cut = func(from, to int) bool { return to == i && from <= j }
 			case "loss":
-				n.loss = rapid.Float64Range(0, 0.5).Draw(r, "loss")
+				n.Loss = rapid.Float64Range(0, 0.5).Draw(r, "loss")
 			}
 
-			n.run(time.Duration(rapid.IntRange(0, 15).Draw(r, "seconds"))*time.Second, h.look)
+			n.Run(time.Duration(rapid.IntRange(0, 15).Draw(r, "seconds"))*time.Second, h.look)
 		}
 
-		n.loss, n.cut = 0, func(int, int) bool { return false }
-		for _, v := range n.vms {
-			v.frozen = false
+		n.Loss, n.Cut = 0, func(int, int) bool { return false }
+		for _, v := range n.VMs {
+			v.Frozen = false
 		}
 
-		n.run(calm, h.look)
+		n.Run(calm, h.look)
 
 		if h.bad != "" {
 			r.Fatal(h.bad)
@@ -126,16 +126,16 @@
 }
 
 // mended checks that each VM that runs sees the others as they are.
-func mended(r *rapid.T, n *network) {
-	for i, v := range n.vms {
-		for j, w := range n.vms {
-			if i == j || v.down || w.down {
+func mended(r *rapid.T, n *cwnetwork.Network) {
+	for i, v := range n.VMs {
+		for j, w := range n.VMs {
+			if i == j || v.Down || w.Down {
 				continue
 			}
 
-			want := w.actor.(*cwmember.Machine).Self()
+			want := w.Machine().Self()
 
-			got, _ := n.state(i, j)
+			got, _ := n.State(i, j)
 			if got.State != want.State || got.Incarnation != want.Incarnation {
 				r.Fatalf("vm %d sees vm %d as %v at %d, it is %v at %d", i, j, got.State, got.Incarnation, want.State, want.Incarnation)
 			}
@@ -149,7 +149,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		words := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) *cwwire.Member {
 			i := rapid.IntRange(1, 3).Draw(r, "vm")
-			p := self(i, 1)
+			p := cwnetwork.Self(i, 1)
 
 			return &cwwire.Member{
 				Id:          string(p.ID),
@@ -169,11 +169,11 @@
 }
 
 func viewOf(words []*cwwire.Member) map[carobward.VMID]carobward.Peer {
-	n := newNetwork(1, 1, machine)
-	m := n.vms[0].actor.(*cwmember.Machine)
+	n := cwnetwork.New(1, 1, cwnetwork.Machine)
+	m := n.VMs[0].Machine()
 
 	for _, w := range words {
-		m.Merge(n.now, &cwwire.Members{Members: []*cwwire.Member{w}})
+		m.Merge(n.Now, &cwwire.Members{Members: []*cwwire.Member{w}})
 	}
 
 	view := map[carobward.VMID]carobward.Peer{}
@@ -193,13 +193,13 @@
 			return
 		}
 
-		n := newNetwork(1, 1, machine)
-		m := n.vms[0].actor.(*cwmember.Machine)
-		m.Receive(n.now, "10.0.0.9:1", d)
-		m.Tick(n.now)
+		n := cwnetwork.New(1, 1, cwnetwork.Machine)
+		m := n.VMs[0].Machine()
+		m.Receive(n.Now, "10.0.0.9:1", d)
+		m.Tick(n.Now)
 
 		for _, p := range m.Peers() {
-			if p.ID == id(0) || p.Peers == "" {
+			if p.ID == cwnetwork.ID(0) || p.Peers == "" {
 				t.Errorf("took in %+v", p)
 			}
 		}
--- /dev/null
+++ b/internal/cwnetwork/experiment_test.go
@@ -0,0 +1,28 @@
+package cwnetwork
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestSameSeedSameTable writes each table twice.
+func TestSameSeedSameTable(t *testing.T) {
+	table := func() string {
+		var b strings.Builder
+
+		sizes := []int{12}
+		for _, err := range []error{WriteCosts(&b, sizes, 2000, 3), WriteParts(&b, sizes, 3), WriteFaults(&b, 8, 1)} {
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+
+		return b.String()
+	}
+
+	if diff := cmp.Diff(table(), table()); diff != "" {
+		t.Error(diff)
+	}
+}
