--- a/cmd/carobward/main.go
+++ b/cmd/carobward/main.go
@@ -99,6 +99,7 @@
 	for _, c := range []command{
 		{"budget", "Print what measuring costs the servers.", usageBenchBudget, &benchBudgetCommand{}},
 		{"leave", "Print how soon a leaving server gets no more work.", usageBenchLeave, &benchLeaveCommand{}},
+		{"carriers", "Print which entry VMs carry which targets.", usageBenchCarriers, &benchCarriersCommand{}},
 	} {
 		if _, err := bench.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
 			panic(err)
--- a/cmd/carobward/main_test.go
+++ b/cmd/carobward/main_test.go
@@ -27,6 +27,7 @@
 		"an experiment":      {[]string{"bench", "budget", "--seeds", "1"}, exitOK},
 		"no fleet":           {[]string{"bench", "budget", "--vms", "0"}, exitFailed},
 		"a small fleet":      {[]string{"bench", "leave", "--seeds", "1", "--vms", "3"}, exitOK},
+		"carriers":           {[]string{"bench", "carriers", "--vms", "5"}, exitOK},
 		"fit targets":        {[]string{"check", "-t", "../../examples/pase/targets.jsonc"}, exitOK},
 		"unfit targets":      {[]string{"check", "-t", bad}, exitFailed},
 		"unfit settings":     {[]string{"serve", "-s", bad}, exitFailed},
--- a/internal/cwlookup/widths.go
+++ b/internal/cwlookup/widths.go
@@ -47,6 +47,9 @@
 	}
 }
 
+// Pace returns the time between two decisions.
+func (w *Widths) Pace() time.Duration { return w.pace }
+
 // Of returns the width of a target for a caller who was told another one
 // before, or zero. Callers may tell any number, so that only one who would
 // carry the target by it, and not else, goes by it, and no further than there
