--- a/cmd/carobward/bench_budget.go
+++ b/cmd/carobward/bench_budget.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"context"
+	"fmt"
 	"os"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -14,7 +17,11 @@
 to, and by a token bucket filled by each one's own view. Entry VMs join, leave
 and freeze, and their views lag, differ and flap. Same seed, same figures.
 
+With --live for a time, entry VMs of the first size probe servers over sockets,
+one of them pauses, and the servers count. These figures differ run by run.
+
   carobward bench budget
+  carobward bench budget --live 20s --vms 5 --calls 30
   carobward bench budget --vms 19 --vms 200 --calls 2000 --bytes 2097152`
 
 type benchBudgetCommand struct {
@@ -23,12 +30,19 @@
 	Bytes int64  `long:"bytes" default:"65536" description:"Budget in bytes a second."`
 	Seed  uint64 `long:"seed" default:"0" description:"The first seed."`
 	Seeds uint64 `long:"seeds" default:"5" description:"How many seeds, counted up."`
+
+	Live    time.Duration `long:"live" description:"Probe over sockets for so long instead."`
+	Servers int           `long:"servers" default:"20" description:"Live: servers."`
 }
 
 // Execute runs the fleets and prints the table.
 func (c *benchBudgetCommand) Execute([]string) error {
 	budget := cwbudget.Cost{Calls: c.Calls, Bytes: c.Bytes}
 
+	if c.Live > 0 {
+		return c.live(budget)
+	}
+
 	var all []cwspend.Worst
 
 	for _, vms := range c.VMs {
@@ -43,3 +57,31 @@
 
 	return cwspend.Write(os.Stdout, budget, all)
 }
+
+// live probes over sockets for the time and prints what the servers counted.
+func (c *benchBudgetCommand) live(budget cwbudget.Cost) error {
+	if c.VMs[0] < 1 || c.Servers < 1 {
+		return errors.New("bench budget: at least one entry VM and one server are needed")
+	}
+
+	l, err := cwspend.NewLive(budget, c.VMs[0], c.Servers)
+	if err != nil {
+		return err
+	}
+
+	defer l.Close()
+
+	ctx, stop := context.WithTimeout(context.Background(), c.Live)
+	defer stop()
+
+	pause := time.AfterFunc(c.Live/2, func() { l.Pause(0) })
+	defer pause.Stop()
+
+	l.Run(ctx)
+
+	worst := l.Worst()
+	fmt.Printf("%d entry VMs, %d servers, %d probes; worst second: %d calls and %d bytes of %d and %d\n",
+		c.VMs[0], c.Servers, l.Count(), worst.Calls, worst.Bytes, budget.Calls, budget.Bytes)
+
+	return nil
+}
--- /dev/null
+++ b/internal/cwcounter/counter.go
@@ -0,0 +1,125 @@
+// Package cwcounter is a stand-in of servers that answers health checks and
+// counts what they cost in each second.
+package cwcounter
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwbudget"
+)
+
+// Counter counts at all its listeners together. Make it by New.
+type Counter struct {
+	status atomic.Int64
+	// report is what each answer says, if anything.
+	report atomic.Pointer[string]
+
+	mutex sync.Mutex
+	seen  []arrival
+	all   []*fasthttp.Server
+	group sync.WaitGroup
+}
+
+// arrival is one request with its bytes both ways.
+type arrival struct {
+	at    time.Time
+	bytes int64
+}
+
+// New returns a counter whose answers have a status and, unless it is nil, a
+// report.
+func New(status int, report *string) *Counter {
+	c := &Counter{}
+	c.status.Store(int64(status))
+	c.report.Store(report)
+
+	return c
+}
+
+// Listen starts one server on the loopback device and returns its address.
+func (c *Counter) Listen() (carobward.Address, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Annotate(err, "counter")
+	}
+
+	s := &fasthttp.Server{Handler: c.handle, CloseOnShutdown: true}
+
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	c.all = append(c.all, s)
+
+	c.group.Go(func() { _ = s.Serve(ln) })
+
+	return carobward.Address(ln.Addr().String()), nil
+}
+
+// Close stops all servers and waits for their ends.
+func (c *Counter) Close() {
+	c.mutex.Lock()
+	all := c.all
+	c.mutex.Unlock()
+
+	for _, s := range all {
+		_ = s.Shutdown()
+	}
+
+	c.group.Wait()
+}
+
+func (c *Counter) handle(ctx *fasthttp.RequestCtx) {
+	ctx.SetStatusCode(int(c.status.Load()))
+
+	if r := c.report.Load(); r != nil {
+		ctx.Response.Header.Set(carobward.HeaderReport, *r)
+	}
+
+	ctx.SetBodyString("ok")
+
+	request, answer := ctx.Request.Header.Header(), ctx.Response.Header.Header()
+	bytes := int64(len(request) + len(answer) + len(ctx.Response.Body()))
+
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	c.seen = append(c.seen, arrival{time.Now(), bytes})
+}
+
+// Worst returns the most calls and the most bytes within any second.
+func (c *Counter) Worst() cwbudget.Cost {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	var worst, sum cwbudget.Cost
+
+	first := 0
+
+	for _, a := range c.seen {
+		sum = sum.Plus(cwbudget.Cost{Calls: 1, Bytes: a.bytes})
+
+		for a.at.Sub(c.seen[first].at) >= time.Second {
+			sum = sum.Minus(cwbudget.Cost{Calls: 1, Bytes: c.seen[first].bytes})
+			first++
+		}
+
+		worst = cwbudget.Cost{Calls: max(worst.Calls, sum.Calls), Bytes: max(worst.Bytes, sum.Bytes)}
+	}
+
+	return worst
+}
+
+// Count returns the number of requests so far.
+func (c *Counter) Count() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return len(c.seen)
+}
