--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -41,6 +41,7 @@
 
 	for _, c := range []command{
 		{"budget", "Print what measuring costs the servers.", usageBenchBudget, &benchBudgetCommand{}},
+		{"carriers", "Print which entry VMs carry which targets.", usageBenchCarriers, &benchCarriersCommand{}},
 		{"idle", "Count the calls lost to closes of idle connections.", usageBenchIdle, &benchIdleCommand{}},
 		{"leave", "Print how soon a leaving server gets no more work.", usageBenchLeave, &benchLeaveCommand{}},
 		{"members", "Measure membership against the fleet's size.", usageBenchMembers, &benchMembersCommand{}},
