config: move the models of the tests into cwspread and cwstore

Half of the lines of these tests were not tests: a fleet over fakes of the store and of net/rpc, a naive version, the store in memory, and benchmarks against the size of the fleet that only "go test -bench" could run.

The tests that use the fleet are in the external test package, since cwspread imports cwconfig. Of the syncer's inside they see what export_test.go names.

Ruled out: a fake platform behind HTTP in place of the store in memory, since the schedules need lost replies at chosen calls; and a seed flag, since the syncers draw their pauses from the global source.

No case, fault or bound is gone. Known difference: where a scenario goes wrong the text names each entry VM and value in place of a list's diff.

--- /dev/null
+++ b/cmd/carobward/bench_config.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"carobward.example/carobward/internal/cwspread"
+)
+
+const usageBenchConfig = `Measure how a change of the configuration spreads over a fleet of entry VMs,
+against its size. The entry VMs' writers and syncers run here on the machine's
+clock, over a store in memory and calls without a network.
+
+For each size it prints the seconds until a change is in force on the last
+entry VM, the bytes of the exchanges and the calls of the store, when
+  well    the change is made by way of an entry VM,
+  quiet   a writer makes it that tells only the store,
+  frozen  the same with all watchers of the store frozen,
+  idle    nothing is changed.
+Each change follows as soon as the one before is in force.
+
+  carobward bench config --vms 19 --vms 200 --case well
+  carobward bench config --loopback       whole entry VMs over sockets, also
+                                          with the store gone once it accepted
+  carobward bench config --naive          what a naive version gets wrong`
+
+type benchConfigCommand struct {
+	VMs      []int           `long:"vms" description:"Entry VMs; may be given again. 3, 19, 50, 100 and 200 unless given, 19 with --loopback."`
+	Cases    []cwspread.Case `long:"case" description:"A case to run; may be given again. All unless given."`
+	Changes  int             `long:"changes" default:"20" description:"Changes in each case."`
+	Idle     time.Duration   `long:"idle" default:"8s" description:"Length of the case idle."`
+	Loopback bool            `long:"loopback" description:"Run whole entry VMs over loopback, with a stand-in platform."`
+	Naive    bool            `long:"naive" description:"Take a naive version and the product through the same faults."`
+}
+
+// mostVMs and mostChanges bound what one process runs.
+const (
+	mostVMs     = 1000
+	mostChanges = 100000
+)
+
+// Execute runs the cases and prints the table.
+func (c *benchConfigCommand) Execute([]string) error {
+	if c.Naive {
+		return cwspread.WriteScenarios(os.Stdout)
+	}
+
+	if err := c.complete(); err != nil {
+		return err
+	}
+
+	var results []cwspread.Result
+
+	for _, one := range c.Cases {
+		for _, n := range c.VMs {
+			r, err := c.measure(one, n)
+			if err != nil {
+				return errors.Annotatef(err, "bench config: case %s, %d entry VMs", one, n)
+			}
+
+			results = append(results, r)
+		}
+	}
+
+	return cwspread.WriteTable(os.Stdout, results)
+}
+
+// complete checks the flags and sets what was not given.
+func (c *benchConfigCommand) complete() error {
+	sizes, cases := []int{3, 19, 50, 100, 200}, []cwspread.Case{cwspread.Well, cwspread.Quiet, cwspread.FrozenWatchers, cwspread.Idle}
+	if c.Loopback {
+		sizes, cases = []int{19}, []cwspread.Case{cwspread.Well, cwspread.Quiet, cwspread.Outage}
+	}
+
+	if len(c.VMs) == 0 {
+		c.VMs = sizes
+	}
+
+	if len(c.Cases) == 0 {
+		c.Cases = cases
+	}
+
+	for _, n := range c.VMs {
+		if n < 1 || n > mostVMs {
+			return errors.Errorf("bench config: --vms: want from 1 to %d, got %d", mostVMs, n)
+		}
+	}
+
+	if c.Changes < 1 || c.Changes > mostChanges {
+		return errors.Errorf("bench config: --changes: want from 1 to %d, got %d", mostChanges, c.Changes)
+	}
+
+	if c.Idle <= 0 {
+		return errors.Errorf("bench config: --idle: want more than 0s, got %s", c.Idle)
+	}
+
+	return c.known(cases)
+}
+
+// known refuses a case that is tried only with or without --loopback.
+func (c *benchConfigCommand) known(cases []cwspread.Case) error {
+	have := map[cwspread.Case]bool{}
+	for _, one := range cases {
+		have[one] = true
+	}
+
+	for _, one := range c.Cases {
+		if !have[one] {
+			return errors.Errorf("bench config: --case: want one of %s, got %s", fmt.Sprint(cases), one)
+		}
+	}
+
+	return nil
+}
+
+func (c *benchConfigCommand) measure(one cwspread.Case, vms int) (cwspread.Result, error) {
+	switch {
+	case c.Loopback:
+		return cwspread.Loopback(one, vms, c.Changes)
+	case one == cwspread.Idle:
+		return cwspread.Rest(context.Background(), vms, c.Idle)
+	default:
+		return cwspread.Spread(one, vms, c.Changes)
+	}
+}
--- a/internal/cwconfig/config_test.go
+++ b/internal/cwconfig/config_test.go
@@ -262,3 +262,21 @@
 		}
 	})
 }
+
+// TestHolderOnlyRises: neither a full copy nor changes lower the revision.
+func TestHolderOnlyRises(t *testing.T) {
+	configs, changes := history(t, 4, "a")
+	h := NewHolder()
+
+	for _, step := range []struct{ take, want int }{{2, 2}, {1, 2}, {2, 2}, {3, 3}, {0, 3}} {
+		h.Adopt(configs[step.take])
+
+		if got := h.Revision(); got != carobward.Revision(step.want) {
+			t.Errorf("revision %d after a copy of %d, want %d", got, step.take, step.want)
+		}
+	}
+
+	if rose, err := h.Advance(changes[:2]); rose || err != nil || h.Revision() != 3 {
+		t.Errorf("older changes: %t, %v, revision %d", rose, err, h.Revision())
+	}
+}
--- a/internal/cwconfig/history_test.go
+++ b/internal/cwconfig/history_test.go
@@ -13,7 +13,7 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/internal/cwstore"
 )
 
 // attempt is one operator's change, or a read of the store where ID is empty.
@@ -127,18 +127,18 @@
 func checkHistory(t *testing.T, seed uint64, apply applyFunc) {
 	t.Helper()
 
-	store := cwtest.NewStore()
+	store := cwstore.New()
 	rng := rand.New(rand.NewPCG(seed, 1))
-	store.Fault = func(write bool, _ carobward.Key) cwtest.StoreFault {
+	store.Fault = func(write bool, _ carobward.Key) cwstore.Fault {
 		switch n := rng.IntN(20); { // The store calls this under its mutex.
 		case write && n < 4:
-			return cwtest.StoreLost
+			return cwstore.Lost
 		case write && n < 6:
-			return cwtest.StoreDropped
+			return cwstore.Dropped
 		case n < 7:
-			return cwtest.StoreDown
+			return cwstore.Down
 		default:
-			return cwtest.StoreWell
+			return cwstore.Well
 		}
 	}
 
@@ -196,7 +196,7 @@
 
 // chainOf returns all changes in the store. They fit in few heads, so that
 // a holder which has followed all along has each of them.
-func chainOf(t *testing.T, store *cwtest.Store) string {
+func chainOf(t *testing.T, store *cwstore.Store) string {
 	t.Helper()
 
 	found, err := NewReader(store).State(context.Background(), &Config{})
--- a/internal/cwconfig/model_test.go
+++ b/internal/cwconfig/model_test.go
@@ -1,4 +1,4 @@
-package cwconfig
+package cwconfig_test
 
 import (
 	"context"
@@ -12,7 +12,9 @@
 	"pgregory.net/rapid"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwspread"
+	"carobward.example/carobward/internal/cwstore"
 )
 
 // The schedules are the same on each run; another -rapid.seed gives others.
@@ -20,7 +22,8 @@
 
 // world is a fleet with what its operators were told.
 type world struct {
-	*fleet
+	*cwspread.Fleet
+	time  *cwspread.Clock
 	saved map[carobward.Key]carobward.Entry
 	// accepted has the id of each accepted change by its revision.
 	accepted map[carobward.Revision]carobward.ChangeID
@@ -35,35 +38,34 @@
 }
 
 func newWorld(t *rapid.T) *world {
+	clock := cwspread.NewClock(began)
 	w := &world{
-		fleet: newFleet(4), accepted: map[carobward.Revision]carobward.ChangeID{},
+		Fleet: cwspread.New(4, clock), time: clock, accepted: map[carobward.Revision]carobward.ChangeID{},
 		refused: map[carobward.ChangeID]bool{}, highest: map[int]carobward.Revision{},
 	}
-	w.saved, w.restores = w.store.Save(), rapid.Bool().Draw(t, "restores")
+	w.saved, w.restores = w.Store.Save(), rapid.Bool().Draw(t, "restores")
 
-	for i := range w.order {
-		if !w.at(i).syncer.Join(context.Background(), true) {
-			t.Fatalf("vm-%d did not join", i)
-		}
+	if !w.Join() {
+		t.Fatal("the fleet did not join")
 	}
 
 	return w
 }
 
-func (w *world) any(t *rapid.T) int { return rapid.IntRange(0, len(w.order)-1).Draw(t, "vm") }
+func (w *world) any(t *rapid.T) int { return rapid.IntRange(0, len(w.Order)-1).Draw(t, "vm") }
 
 func (w *world) change(t *rapid.T) {
 	i := w.any(t)
-	v := w.at(i)
+	v := w.At(i)
 	w.made++
 	id := fmt.Sprint("c", w.made)
 	behind := rapid.IntRange(0, 2).Draw(t, "behind")
-	base := max(0, int(v.holder.Revision())-behind)
+	base := max(0, int(v.Holder.Revision())-behind)
 
-	w.store.Fault = script(rapid.SampledFrom([]string{".", "l.", "x.", "l", "x", "d"}).Draw(t, "writes"),
+	w.Store.Fault = cwstore.Script(rapid.SampledFrom([]string{".", "l.", "x.", "l", "x", "d"}).Draw(t, "writes"),
 		rapid.SampledFrom([]string{".", ".", ".d", "d"}).Draw(t, "reads"))
-	revision, err := v.apply(put(id, fmt.Sprint("operator-", i), base, fmt.Sprint("t", w.made%3)), true)
-	w.store.Fault = nil
+	revision, err := v.Apply(cwspread.Put(id, fmt.Sprint("operator-", i), base, fmt.Sprint("t", w.made%3)), true)
+	w.Store.Fault = nil
 
 	switch {
 	case err == nil:
@@ -78,21 +80,21 @@
 }
 
 func (w *world) restore(t *rapid.T) {
-	v := w.at(w.any(t))
-	if !w.restores || v.syncer.CatchUp(context.Background()) != nil {
+	v := w.At(w.any(t))
+	if !w.restores || v.Syncer.CatchUp(context.Background()) != nil {
 		return
 	}
 
 	w.made++
-	_, _ = v.writer.Restore(context.Background(), Change{ID: carobward.ChangeID(fmt.Sprint("r", w.made))}, v.syncer.FleetRevision())
+	_, _ = v.Writer.Restore(context.Background(), cwconfig.Change{ID: carobward.ChangeID(fmt.Sprint("r", w.made))}, v.Syncer.FleetRevision())
 }
 
 // check looks at what must always hold.
 func (w *world) check(t *rapid.T) {
-	chains := map[carobward.Revision]Chain{}
+	chains := map[carobward.Revision]cwconfig.Chain{}
 
-	for i := range w.order {
-		c := w.at(i).holder.Config()
+	for i := range w.Order {
+		c := w.At(i).Holder.Config()
 		if c.Revision < w.highest[i] {
 			t.Fatalf("vm-%d went back from revision %d to %d", i, w.highest[i], c.Revision)
 		}
@@ -105,7 +107,7 @@
 
 		chains[c.Revision] = c.Chain
 
-		for _, change := range w.at(i).holder.Recent() {
+		for _, change := range w.At(i).Holder.Recent() {
 			if w.refused[change.ID] {
 				t.Fatalf("change %s was refused and is in force", change.ID)
 			}
@@ -116,19 +118,19 @@
 // heal ends all faults and lets the fleet meet, with an operator who restores
 // the store if that is what it takes.
 func (w *world) heal(t *rapid.T) {
-	clear(w.cut)
+	clear(w.Cut)
 
 	for range 2 {
-		w.gossip()
+		w.Gossip()
 
-		for i := range w.order {
-			w.at(i).syncer.Poll(context.Background())
+		for i := range w.Order {
+			w.At(i).Syncer.Poll(context.Background())
 		}
 	}
 
-	if w.at(0).syncer.Condition().Alarm != "" {
+	if w.At(0).Syncer.Condition().Alarm != "" {
 		w.restore0()
-		w.gossip()
+		w.Gossip()
 	}
 
 	highest := carobward.Revision(0)
@@ -136,13 +138,13 @@
 		highest = max(highest, r)
 	}
 
-	for i := range w.order {
-		v := w.at(i)
-		if r := v.holder.Revision(); r < highest || r != w.at(0).holder.Revision() {
+	for i := range w.Order {
+		v := w.At(i)
+		if r := v.Holder.Revision(); r < highest || r != w.At(0).Holder.Revision() {
 			t.Fatalf("vm-%d has revision %d, accepted was %d", i, r, highest)
 		}
 
-		for _, change := range v.holder.Recent() {
+		for _, change := range v.Holder.Recent() {
 			if id, ok := w.accepted[change.Revision]; ok && id != change.ID {
 				t.Fatalf("revision %d was accepted as %s and is %s", change.Revision, id, change.ID)
 			}
@@ -151,8 +153,8 @@
 }
 
 func (w *world) restore0() {
-	v := w.at(0)
-	_, _ = v.writer.Restore(context.Background(), Change{ID: "heal"}, v.syncer.FleetRevision())
+	v := w.At(0)
+	_, _ = v.Writer.Restore(context.Background(), cwconfig.Change{ID: "heal"}, v.Syncer.FleetRevision())
 }
 
 // TestGeneratedSchedules: under generated changes, lost replies, outages,
@@ -162,34 +164,33 @@
 func TestGeneratedSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
-		clock, _ := w.clock.(*manualClock)
 
 		t.Repeat(map[string]func(*rapid.T){
 			"":       w.check,
 			"change": w.change,
 			"poll": func(t *rapid.T) {
-				w.store.Fault = script(".", rapid.SampledFrom([]string{".", "d"}).Draw(t, "reads"))
-				w.at(w.any(t)).syncer.Poll(context.Background())
-				w.store.Fault = nil
+				w.Store.Fault = cwstore.Script(".", rapid.SampledFrom([]string{".", "d"}).Draw(t, "reads"))
+				w.At(w.any(t)).Syncer.Poll(context.Background())
+				w.Store.Fault = nil
 			},
-			"exchange": func(t *rapid.T) { w.at(w.any(t)).syncer.Ask(context.Background(), w.order[w.any(t)]) },
+			"exchange": func(t *rapid.T) { w.At(w.any(t)).Syncer.Ask(context.Background(), w.Order[w.any(t)]) },
 			"older": func(*rapid.T) {
 				if w.restores {
-					w.store.Restore(w.saved)
+					w.Store.Restore(w.saved)
 				}
 			},
-			"save":    func(*rapid.T) { w.saved = w.store.Save() },
+			"save":    func(*rapid.T) { w.saved = w.Store.Save() },
 			"restore": w.restore,
-			"time":    func(*rapid.T) { clock.advance(10 * time.Second) },
+			"time":    func(*rapid.T) { w.time.Advance(10 * time.Second) },
 			"newcomer": func(*rapid.T) {
-				if len(w.order) < 8 {
-					w.add(w.store).syncer.Join(context.Background(), true)
+				if len(w.Order) < 8 {
+					w.Add(w.Store).Syncer.Join(context.Background(), true)
 				}
 			},
 			"cut": func(t *rapid.T) {
 				if !w.restores {
-					a, b := w.order[w.any(t)], w.order[w.any(t)]
-					w.cut[[2]carobward.Address{a, b}] = !w.cut[[2]carobward.Address{a, b}]
+					l := cwspread.Link{From: w.Order[w.any(t)], To: w.Order[w.any(t)]}
+					w.Cut[l] = !w.Cut[l]
 				}
 			},
 		})
@@ -201,45 +202,41 @@
 // TestCutOffStaysAndCatchesUp: an entry VM that reaches neither the store nor
 // a peer keeps what it has, its age grows, and it is told once the cut ends.
 func TestCutOffStaysAndCatchesUp(t *testing.T) {
-	f := newFleet(3)
-	lost := f.add(cwtest.NewStore())
-	lost.syncer.reader = NewReader(f.store)
-	f.ready(t)
-
-	clock, _ := f.clock.(*manualClock)
-	away := cwtest.NewStore()
-	away.Fault = script("d", "d")
-	lost.syncer.reader = NewReader(away)
-
-	for _, a := range f.order {
-		f.cut[[2]carobward.Address{lost.self.Peers, a}] = true
-		f.cut[[2]carobward.Address{a, lost.self.Peers}] = true
+	f, clock := joined(t, 4)
+	lost := f.At(3)
+	away := cwstore.New()
+	away.Fault = cwstore.Script("d", "d")
+	lost.Store.Store = away
+
+	for _, a := range f.Order {
+		f.Cut[cwspread.Link{From: lost.Self().Peers, To: a}] = true
+		f.Cut[cwspread.Link{From: a, To: lost.Self().Peers}] = true
 	}
 
-	if _, err := f.at(0).apply(put("a", "ana", 0, "fee"), false); err != nil {
+	if _, err := f.At(0).Apply(cwspread.Put("a", "ana", 0, "fee"), false); err != nil {
 		t.Fatal(err)
 	}
 
 	for range 10 {
-		clock.advance(time.Second)
-		f.at(1).syncer.Poll(context.Background())
-		lost.syncer.Poll(context.Background())
-		f.gossip()
+		clock.Advance(time.Second)
+		f.At(1).Syncer.Poll(context.Background())
+		lost.Syncer.Poll(context.Background())
+		f.Gossip()
 	}
 
 	var ages []time.Duration
-	for _, v := range []*vm{f.at(1), lost} {
-		ages = append(ages, clock.Now().Sub(v.syncer.Condition().Fresh))
+	for _, v := range []*cwspread.VM{f.At(1), lost} {
+		ages = append(ages, clock.Now().Sub(v.Syncer.Condition().Fresh))
 	}
 
-	if !slices.Equal(ages, []time.Duration{0, 10 * time.Second}) || lost.holder.Revision() != 0 {
-		t.Errorf("ages %v, the lost one has revision %d", ages, lost.holder.Revision())
+	if !slices.Equal(ages, []time.Duration{0, 10 * time.Second}) || lost.Holder.Revision() != 0 {
+		t.Errorf("ages %v, the lost one has revision %d", ages, lost.Holder.Revision())
 	}
 
-	clear(f.cut)
-	lost.syncer.Ask(context.Background(), f.order[0])
+	clear(f.Cut)
+	lost.Syncer.Ask(context.Background(), f.Order[0])
 
-	if c := lost.syncer.Condition(); c.Revision != 1 || clock.Now().Sub(c.Fresh) > time.Second {
+	if c := lost.Syncer.Condition(); c.Revision != 1 || clock.Now().Sub(c.Fresh) > time.Second {
 		t.Errorf("after the cut: %+v", c)
 	}
 }
--- a/internal/cwconfig/syncer_test.go
+++ b/internal/cwconfig/syncer_test.go
@@ -1,7 +1,9 @@
-package cwconfig
+package cwconfig_test
 
 import (
 	"context"
+	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -9,81 +11,51 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwspread"
+	"carobward.example/carobward/internal/cwstore"
 	"carobward.example/carobward/internal/cwtest"
 	"carobward.example/carobward/internal/cwwire"
 )
 
-// start runs the syncers of a fleet until the test ends, and checks that each
-// of them ends then.
-func (f *fleet) start(t testing.TB) {
+// began is when the clocks of the fleets start.
+var began = time.Unix(1000, 0)
+
+// joined returns a fleet that has joined, and its clock.
+func joined(t *testing.T, vms int) (*cwspread.Fleet, *cwspread.Clock) {
 	t.Helper()
 
-	ctx, stop := context.WithCancel(context.Background())
+	clock := cwspread.NewClock(began)
+	f := cwspread.New(vms, clock)
 
-	for i := range f.order {
-		go f.at(i).syncer.Run(ctx)
+	if !f.Join() {
+		t.Fatal("the fleet did not join")
 	}
 
-	t.Cleanup(func() {
-		stop()
-
-		for i := range f.order {
-			<-f.at(i).syncer.Done()
-		}
-	})
+	return f, clock
 }
 
-func (f *fleet) wait(t *testing.T, what string, r carobward.Revision, vms ...int) {
+func wait(t *testing.T, f *cwspread.Fleet, what string, r carobward.Revision, vms ...int) {
 	t.Helper()
 
 	for _, i := range vms {
 		cwtest.Wait(t, what, func() bool {
-			c := f.at(i).syncer.Condition()
+			c := f.At(i).Syncer.Condition()
 
 			return c.Ready && c.Revision >= r
 		})
 	}
 }
 
-// frozen is a store whose calls do not return before their context ends.
-type frozen struct{}
-
-func (frozen) Get(ctx context.Context, _ carobward.Key) (carobward.Entry, error) {
-	<-ctx.Done()
-
-	return carobward.Entry{}, carobward.ErrStoreDown
-}
-
-func (frozen) Swap(ctx context.Context, _ carobward.Key, _ []byte, _ carobward.StoreIndex) error {
-	<-ctx.Done()
-
-	return carobward.ErrStoreDown
-}
-
-func (f frozen) Watch(ctx context.Context, key carobward.Key, _ carobward.StoreIndex) (carobward.Entry, error) {
-	return f.Get(ctx, key)
-}
-
 // TestFrozenWatchers: with all watchers frozen the others learn by their
 // polls, and with the store gone for all but one, from that one.
 func TestFrozenWatchers(t *testing.T) {
-	f := newFleet(0)
-	f.clock = carobward.SystemClock{}
-
-	for range 7 {
-		f.add(f.store)
-	}
-
-	var well []int
+	f := cwspread.New(7, carobward.SystemClock{})
+	well := f.Freeze()
 
-	for i := range f.order {
-		v := f.at(i)
-		if Watches(v.self, v.All()) {
-			v.syncer.reader = NewReader(frozen{})
-			v.deaf = true // It does not answer peers either.
-			v.holder.Adopt(&Config{Revision: 1, Chain: "stale"})
-		} else {
-			well = append(well, i)
+	for i := range f.Order {
+		if !slices.Contains(well, i) {
+			f.At(i).Holder.Adopt(&cwconfig.Config{Revision: 1, Chain: "stale"})
 		}
 	}
 
@@ -91,15 +63,15 @@
 		t.Fatalf("%d do not watch", len(well))
 	}
 
-	f.start(t)
-	f.wait(t, "the others are ready", 0, well...)
+	t.Cleanup(f.Start())
+	wait(t, f, "the others are ready", 0, well...)
 
 	// A writer that is gone at once tells nobody.
-	if _, err := NewWriter(f.store, NewHolder()).Apply(context.Background(), put("a", "ana", 0, "fee")); err != nil {
+	if _, err := cwconfig.NewWriter(f.Store, cwconfig.NewHolder()).Apply(context.Background(), cwspread.Put("a", "ana", 0, "fee")); err != nil {
 		t.Fatal(err)
 	}
 
-	f.wait(t, "the change reaches the others", 1, well...)
+	wait(t, f, "the change reaches the others", 1, well...)
 }
 
 // TestNewcomer: without the store a newcomer is ready once several peers have
@@ -122,39 +94,38 @@
 		"all peers gone, the store up":     {3, 3, false, true, true, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(test.peers)
-			f.ready(t)
+			f, _ := joined(t, test.peers)
 
-			writer := NewWriter(f.store, NewHolder())
+			writer := cwconfig.NewWriter(f.Store, cwconfig.NewHolder())
 			for i, id := range []string{"a", "b"} {
-				if _, err := writer.Apply(context.Background(), put(id, "ana", i, "fee")); err != nil {
+				if _, err := writer.Apply(context.Background(), cwspread.Put(id, "ana", i, "fee")); err != nil {
 					t.Fatal(err)
 				}
 
 				// One peer knows the newest, the others are behind.
 				for j := range test.peers {
 					if i == 0 || j == 0 {
-						f.at(j).syncer.Poll(context.Background())
+						f.At(j).Syncer.Poll(context.Background())
 					}
 				}
 			}
 
 			for j := range test.gone {
-				f.at(test.peers - 1 - j).deaf = true
+				f.At(test.peers - 1 - j).Deaf = true
 			}
 
 			if test.storeDown {
-				f.store.Fault = script("d", "d")
+				f.Store.Fault = cwstore.Script("d", "d")
 			}
 
-			v := f.add(f.store)
-			ready := v.syncer.Join(context.Background(), test.alone)
+			v := f.Add(f.Store)
+			ready := v.Syncer.Join(context.Background(), test.alone)
 
-			if got := v.holder.Revision(); ready != test.ready || got != test.want {
+			if got := v.Holder.Revision(); ready != test.ready || got != test.want {
 				t.Errorf("ready %t with revision %d, want %t with %d", ready, got, test.ready, test.want)
 			}
 
-			if v.syncer.Condition().Ready != test.ready {
+			if v.Syncer.Condition().Ready != test.ready {
 				t.Error("the condition tells otherwise")
 			}
 		})
@@ -164,25 +135,23 @@
 // TestUnreadable: what a newer version wrote does not touch what is in force,
 // and raises an alarm until it is gone.
 func TestUnreadable(t *testing.T) {
-	f := newFleet(1)
-	f.ready(t)
-
-	v := f.at(0)
-	if _, err := v.apply(put("a", "ana", 0, "fee"), false); err != nil {
+	f, _ := joined(t, 1)
+	v := f.At(0)
+	if _, err := v.Apply(cwspread.Put("a", "ana", 0, "fee"), false); err != nil {
 		t.Fatal(err)
 	}
 
-	entry, err := f.store.Get(context.Background(), HeadKey)
+	entry, err := f.Store.Get(context.Background(), cwconfig.HeadKey)
 	if err != nil {
 		t.Fatal(err)
 	}
 
-	next, change, err := v.holder.Config().With(put("b", "bo", 1, "fee"))
+	next, change, err := v.Holder.Config().With(cwspread.Put("b", "bo", 1, "fee"))
 	if err != nil || next.Revision != 2 {
 		t.Fatal(err)
 	}
 
-	newer, _ := encode(Head{Format: format, Changes: []Change{change}})
+	newer, _ := json.Marshal(cwconfig.Head{Format: 1, Changes: []cwconfig.Change{change}})
 
 	for name, raw := range map[string]string{
 		"an unknown key, well linked": strings.Replace(string(newer), `"author"`, `"color":"red","author"`, 1),
@@ -191,22 +160,22 @@
 		"no JSON":                     `#`,
 		"an unlinked ring":            `{"format":1,"changes":[{"id":"b","revision":2,"chain":"x","drop":["a"]},{"id":"c","revision":4,"chain":"y","drop":["a"]}]}`,
 	} {
-		f.store.Put(HeadKey, []byte(raw))
-		v.syncer.Poll(context.Background())
+		f.Store.Put(cwconfig.HeadKey, []byte(raw))
+		v.Syncer.Poll(context.Background())
 
-		if c := v.syncer.Condition(); c.Revision != 1 || c.Alarm == "" {
+		if c := v.Syncer.Condition(); c.Revision != 1 || c.Alarm == "" {
 			t.Errorf("%s: %+v", name, c)
 		}
 
-		if v.holder.Targets().ByName("fee") == nil {
+		if v.Holder.Targets().ByName("fee") == nil {
 			t.Errorf("%s: the target is gone", name)
 		}
 	}
 
-	f.store.Put(HeadKey, entry.Value)
-	v.syncer.Poll(context.Background())
+	f.Store.Put(cwconfig.HeadKey, entry.Value)
+	v.Syncer.Poll(context.Background())
 
-	if c := v.syncer.Condition(); c.Alarm != "" {
+	if c := v.Syncer.Condition(); c.Alarm != "" {
 		t.Errorf("the alarm stays: %s", c.Alarm)
 	}
 }
@@ -214,42 +183,22 @@
 // TestLateReplyIsNoAlarm: a head that was read before a change came in force
 // here is older without being a restored store's.
 func TestLateReplyIsNoAlarm(t *testing.T) {
-	f := newFleet(1)
-	f.ready(t)
-
-	v := f.at(0)
-	known, sent := v.holder.Config(), f.clock.Now()
-	found, err := v.syncer.reader.Head(context.Background())
+	f, clock := joined(t, 1)
+	v := f.At(0)
+	known, sent := v.Holder.Config(), clock.Now()
+	found, err := cwconfig.NewReader(f.Store).Head(context.Background())
 
-	if _, err := v.apply(put("a", "ana", 0, "fee"), false); err != nil {
+	if _, err := v.Apply(cwspread.Put("a", "ana", 0, "fee"), false); err != nil {
 		t.Fatal(err)
 	}
 
-	v.syncer.saw(context.Background(), &found, err, known, sent)
+	cwconfig.Saw(v.Syncer, context.Background(), &found, err, known, sent)
 
-	if c := v.syncer.Condition(); c.Alarm != "" || c.Revision != 1 {
+	if c := v.Syncer.Condition(); c.Alarm != "" || c.Revision != 1 {
 		t.Errorf("got %+v", c)
 	}
 }
 
-// TestHolderOnlyRises: neither a full copy nor changes lower the revision.
-func TestHolderOnlyRises(t *testing.T) {
-	configs, changes := history(t, 4, "a")
-	h := NewHolder()
-
-	for _, step := range []struct{ take, want int }{{2, 2}, {1, 2}, {2, 2}, {3, 3}, {0, 3}} {
-		h.Adopt(configs[step.take])
-
-		if got := h.Revision(); got != carobward.Revision(step.want) {
-			t.Errorf("revision %d after a copy of %d, want %d", got, step.take, step.want)
-		}
-	}
-
-	if rose, err := h.Advance(changes[:2]); rose || err != nil || h.Revision() != 3 {
-		t.Errorf("older changes: %t, %v, revision %d", rose, err, h.Revision())
-	}
-}
-
 // TestFreshness: a peer's word counts from when it was asked, less its own
 // age, and only if it has nothing newer.
 func TestFreshness(t *testing.T) {
@@ -263,13 +212,13 @@
 		"has more, gives no": {&cwwire.ConfigDigest{Revision: 7, Known: true}, -1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(1)
-			clock, _ := f.clock.(*manualClock)
+			clock := cwspread.NewClock(began)
+			f := cwspread.New(1, clock)
 			sent := clock.Now()
-			clock.advance(3 * time.Second)
+			clock.Advance(3 * time.Second)
 
-			s := f.at(0).syncer
-			if err := s.hear(&cwwire.ConfigReply{Digest: test.digest}, sent); err != nil {
+			s := f.At(0).Syncer
+			if err := cwconfig.Hear(s, &cwwire.ConfigReply{Digest: test.digest}, sent); err != nil {
 				t.Fatal(err)
 			}
 
@@ -288,28 +237,30 @@
 // TestBehindPeers: no change is made by way of an entry VM that is known to
 // be behind and can't catch up, nor by a newcomer that is not ready.
 func TestBehindPeers(t *testing.T) {
-	f := newFleet(2)
-	v := f.at(1)
+	f := cwspread.New(2, cwspread.NewClock(began))
+	v := f.At(1)
 
-	if _, err := v.apply(put("a", "ana", 0, "fee"), false); !errors.Is(err, ErrNotReady) {
+	if _, err := v.Apply(cwspread.Put("a", "ana", 0, "fee"), false); !errors.Is(err, cwconfig.ErrNotReady) {
 		t.Errorf("newcomer: got %v", err)
 	}
 
-	f.ready(t)
+	if !f.Join() {
+		t.Fatal("the fleet did not join")
+	}
 
-	if _, err := f.at(0).apply(put("a", "ana", 0, "fee"), false); err != nil {
+	if _, err := f.At(0).Apply(cwspread.Put("a", "ana", 0, "fee"), false); err != nil {
 		t.Fatal(err)
 	}
 
-	f.at(0).deaf = true
+	f.At(0).Deaf = true
 
-	if _, err := v.apply(put("b", "bo", 0, "gate"), false); !errors.Is(err, ErrBehind) {
+	if _, err := v.Apply(cwspread.Put("b", "bo", 0, "gate"), false); !errors.Is(err, cwconfig.ErrBehind) {
 		t.Errorf("behind: got %v", err)
 	}
 
-	f.at(0).deaf = false
+	f.At(0).Deaf = false
 
-	if got, err := v.apply(put("b", "bo", 0, "gate"), false); err != nil || got != 2 {
+	if got, err := v.Apply(cwspread.Put("b", "bo", 0, "gate"), false); err != nil || got != 2 {
 		t.Errorf("caught up: revision %d, %v", got, err)
 	}
 }
--- a/internal/cwconfig/writer_test.go
+++ b/internal/cwconfig/writer_test.go
@@ -11,25 +11,10 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwstore"
 	"carobward.example/carobward/internal/cwtarget"
-	"carobward.example/carobward/internal/cwtest"
 )
 
-// script gives the calls of a kind these faults, and all later ones the last.
-func script(writes, reads string) func(bool, carobward.Key) cwtest.StoreFault {
-	kinds := map[byte]cwtest.StoreFault{'.': cwtest.StoreWell, 'd': cwtest.StoreDown, 'l': cwtest.StoreLost, 'x': cwtest.StoreDropped}
-	next := map[bool]string{true: writes, false: reads}
-
-	return func(write bool, _ carobward.Key) cwtest.StoreFault {
-		s := next[write]
-		if len(s) > 1 {
-			next[write] = s[1:]
-		}
-
-		return kinds[s[0]]
-	}
-}
-
 // TestApplyOutcome: what is answered is true, whatever reply was lost.
 func TestApplyOutcome(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -49,8 +34,8 @@
 		"the write is lost, then not reached": {"xd", ".", carobward.ErrStoreUnknown, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			store := cwtest.NewStore()
-			store.Fault = script(test.writes, test.reads)
+			store := cwstore.New()
+			store.Fault = cwstore.Script(test.writes, test.reads)
 
 			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 			defer cancel()
@@ -72,7 +57,7 @@
 
 // TestApplyAgain: the same change made again has the revision of the first.
 func TestApplyAgain(t *testing.T) {
-	store := cwtest.NewStore()
+	store := cwstore.New()
 	holder := NewHolder()
 
 	for i, want := range []carobward.Revision{1, 2, 1, 2} {
@@ -92,7 +77,7 @@
 
 // TestTwoOperators: one wins, the other learns by name what changed.
 func TestTwoOperators(t *testing.T) {
-	store := cwtest.NewStore()
+	store := cwstore.New()
 
 	if _, err := NewWriter(store, NewHolder()).Apply(context.Background(), put("a", "ana", 0, "fee")); err != nil {
 		t.Fatal(err)
@@ -109,18 +94,18 @@
 // TestLostThenConflict: the loser of a race whose write was lost as well is
 // refused, not left unknown: the store has moved on without it.
 func TestLostThenConflict(t *testing.T) {
-	store := cwtest.NewStore()
+	store := cwstore.New()
 	first := true
-	store.Fault = func(write bool, _ carobward.Key) cwtest.StoreFault {
+	store.Fault = func(write bool, _ carobward.Key) cwstore.Fault {
 		if write && first {
 			first = false
 
 			go func() { _, _ = NewWriter(store, NewHolder()).Apply(context.Background(), put("b", "bo", 0, "fee")) }()
 
-			return cwtest.StoreDropped
+			return cwstore.Dropped
 		}
 
-		return cwtest.StoreWell
+		return cwstore.Well
 	}
 
 	_, err := NewWriter(store, NewHolder()).Apply(context.Background(), put("a", "ana", 0, "fee"))
@@ -139,7 +124,7 @@
 // TestLongHistory: a newcomer and one that was away read the same as the
 // writers, however many changes came.
 func TestLongHistory(t *testing.T) {
-	store := cwtest.NewStore()
+	store := cwstore.New()
 	writers := []*Writer{NewWriter(store, NewHolder()), NewWriter(store, NewHolder())}
 	away := NewHolder()
 
@@ -175,7 +160,7 @@
 // TestSizeIsRefused: what would not fit into the store is refused by name,
 // and nothing changes.
 func TestSizeIsRefused(t *testing.T) {
-	store := cwtest.NewStore()
+	store := cwstore.New()
 	writer := NewWriter(store, NewHolder())
 	big := put("big", "ana", 0)
 
@@ -212,7 +197,7 @@
 
 	for name, others := range map[string]int{"an older copy": 0, "an empty one": -1, "one that went on": 9} {
 		t.Run(name, func(t *testing.T) {
-			store := cwtest.NewStore()
+			store := cwstore.New()
 			writer := NewWriter(store, NewHolder())
 			saved := store.Save()
 
@@ -245,7 +230,7 @@
 				t.Errorf("apply upon it: got %v", err)
 			}
 
-			store.Fault = script("l.", ".") // The first reply is lost.
+			store.Fault = cwstore.Script("l.", ".") // The first reply is lost.
 
 			got, err := writer.Restore(ctx, Change{ID: "r1", Author: "ana"}, 4)
 			if want := carobward.Revision(max(4, 2+others) + 1); err != nil || got != want {
@@ -278,7 +263,7 @@
 // are refused, not mixed.
 func TestSnapshotOfAnotherTime(t *testing.T) {
 	ctx := context.Background()
-	store := cwtest.NewStore()
+	store := cwstore.New()
 	writer := NewWriter(store, NewHolder())
 
 	for i := range 60 {
--- a/internal/cwoperator/api_test.go
+++ b/internal/cwoperator/api_test.go
@@ -18,7 +18,7 @@
 	"carobward.example/carobward/internal/cwconfig"
 	"carobward.example/carobward/internal/cwoperator"
 	"carobward.example/carobward/internal/cwpeer"
-	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/internal/cwstore"
 )
 
 // nobody is the Caller of an entry VM without peers.
@@ -29,7 +29,7 @@
 }
 
 // newAPI returns the API of a lone entry VM over a store, ready if told so.
-func newAPI(t *testing.T, store *cwtest.Store, ready bool) *fiber.App {
+func newAPI(t *testing.T, store *cwstore.Store, ready bool) *fiber.App {
 	t.Helper()
 
 	holder := cwconfig.NewHolder()
@@ -48,11 +48,11 @@
 // TestRefusals: each refusal has its status and code, and tells that nothing
 // was changed.
 func TestRefusals(t *testing.T) {
-	outage := func(bool, carobward.Key) cwtest.StoreFault { return cwtest.StoreDown }
+	outage := func(bool, carobward.Key) cwstore.Fault { return cwstore.Down }
 
 	for name, test := range map[string]struct {
 		method, path, body, key string
-		fault                   func(bool, carobward.Key) cwtest.StoreFault
+		fault                   func(bool, carobward.Key) cwstore.Fault
 		newcomer                bool
 		status                  int
 		code                    cwoperator.Code
@@ -73,7 +73,7 @@
 		"the store is out":  {"POST", "/config", change, "k", outage, false, 503, cwoperator.CodeDown},
 	} {
 		t.Run(name, func(t *testing.T) {
-			store := cwtest.NewStore()
+			store := cwstore.New()
 			app := newAPI(t, store, !test.newcomer)
 			store.Fault = test.fault
 
@@ -107,7 +107,7 @@
 	req := httptest.NewRequest(http.MethodGet, "/status", nil)
 	req.Header.Set(fiber.HeaderAuthorization, "Bearer k")
 
-	resp, err := newAPI(t, cwtest.NewStore(), true).Test(req, -1)
+	resp, err := newAPI(t, cwstore.New(), true).Test(req, -1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/cwspread/result.go
@@ -0,0 +1,117 @@
+package cwspread
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Result is what one case showed on a fleet of one size.
+type Result struct {
+	// Case names it.
+	Case string
+	// VMs is the number of entry VMs.
+	VMs int
+	// Took has the time of each change until it was in force on the last entry
+	// VM that is well, in ascending order: from the start of its write, over
+	// loopback from its acceptance. It is empty where nothing was changed.
+	Took []time.Duration
+	// Span is the length of the measurement.
+	Span time.Duration
+	// Bytes are those of all exchanges between the entry VMs, without the
+	// transport's own.
+	Bytes int
+	// Calls are those of the store that have ended; a waiting watch counts at
+	// its end.
+	Calls int
+	// Counted tells that Bytes and Calls are known.
+	Counted bool
+}
+
+const (
+	none       = "-"
+	percentage = 100
+	median     = 50
+	ninety     = 90
+)
+
+// quantile returns the time that so many percent of the changes stay below.
+func (r *Result) quantile(percent int) string {
+	if len(r.Took) == 0 {
+		return none
+	}
+
+	return fmt.Sprintf("%.3f", r.Took[min(len(r.Took)*percent/percentage, len(r.Took)-1)].Seconds())
+}
+
+// perChange returns the bytes of a change for each entry VM.
+func (r *Result) perChange() string {
+	if len(r.Took) == 0 || !r.Counted {
+		return none
+	}
+
+	return fmt.Sprintf("%.0f", float64(r.Bytes)/float64(len(r.Took)*r.VMs))
+}
+
+// perSecond returns an amount a second.
+func (r *Result) perSecond(amount float64) string {
+	if !r.Counted {
+		return none
+	}
+
+	return fmt.Sprintf("%.1f", amount/r.Span.Seconds())
+}
+
+// WriteTable prints one line a result. Times are in seconds.
+func WriteTable(to io.Writer, results []Result) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "case\tVMs\tchanges\tin force p50 s\tp90 s\tmax s\tB/change/VM\tB/s/VM\tstore calls/s\t")
+
+	for i := range results {
+		r := &results[i]
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t\n",
+			r.Case, r.VMs, len(r.Took), r.quantile(median), r.quantile(ninety), r.quantile(percentage),
+			r.perChange(), r.perSecond(float64(r.Bytes)/float64(r.VMs)), r.perSecond(float64(r.Calls)))
+	}
+
+	return errors.Annotate(w.Flush(), "spread")
+}
+
+// WriteScenarios takes the naive version and the product through all
+// scenarios and prints what is wrong in the end.
+func WriteScenarios(to io.Writer) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "scenario\tnaive\tproduct\t")
+
+	all := Scenarios()
+
+	names := make([]string, 0, len(all))
+	for name := range all {
+		names = append(names, name)
+	}
+
+	slices.Sort(names)
+
+	for _, name := range names {
+		f := New(ScenarioVMs, NewClock(time.Now()))
+		if !f.Join() {
+			return errors.New("spread: the fleet did not join")
+		}
+
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t\n", name, verdict(all[name](NewNaive(ScenarioVMs))), verdict(all[name](NewProduct(f))))
+	}
+
+	return errors.Annotate(w.Flush(), "spread")
+}
+
+func verdict(wrong string) string {
+	if wrong == "" {
+		return "holds"
+	}
+
+	return wrong
+}
--- a/internal/cwtest/store.go
+++ b/internal/cwstore/store.go
@@ -1,4 +1,6 @@
-package cwtest
+// Package cwstore is a carobward.Store in memory whose calls can fail, for
+// experiments and tests that need no platform.
+package cwstore
 
 import (
 	"context"
@@ -8,25 +10,25 @@
 	"carobward.example/carobward"
 )
 
-// StoreFault is what happens to one call of a Store.
-type StoreFault uint8
+// Fault is what happens to one call of a Store.
+type Fault uint8
 
 // The faults of a call.
 const (
-	// StoreWell: the call goes well.
-	StoreWell StoreFault = iota
-	// StoreDown: the call does not reach the store.
-	StoreDown
-	// StoreLost: a write takes effect, but its reply is lost.
-	StoreLost
-	// StoreDropped: a write is lost, and its writer can't tell.
-	StoreDropped
+	// Well: the call goes well.
+	Well Fault = iota
+	// Down: the call does not reach the store.
+	Down
+	// Lost: a write takes effect, but its reply is lost.
+	Lost
+	// Dropped: a write is lost, and its writer can't tell.
+	Dropped
 )
 
 // Store is a carobward.Store in memory.
 type Store struct {
 	// Fault, if set, decides the fate of each call.
-	Fault func(write bool, key carobward.Key) StoreFault
+	Fault func(write bool, key carobward.Key) Fault
 
 	mutex   sync.Mutex
 	index   carobward.StoreIndex
@@ -36,16 +38,17 @@
 	calls   int
 }
 
-// NewStore returns an empty store without faults.
-func NewStore() *Store {
+// New returns an empty store without faults.
+func New() *Store {
 	return &Store{index: 1, entries: map[carobward.Key]carobward.Entry{}, changed: make(chan struct{})}
 }
 
-func (s *Store) fault(write bool, key carobward.Key) StoreFault {
+// fault counts a call and returns its fate. The caller holds the mutex.
+func (s *Store) fault(write bool, key carobward.Key) Fault {
 	s.calls++
 
 	if s.Fault == nil {
-		return StoreWell
+		return Well
 	}
 
 	return s.Fault(write, key)
@@ -56,7 +59,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	if s.fault(false, key) != StoreWell {
+	if s.fault(false, key) != Well {
 		return carobward.Entry{Key: key}, carobward.ErrStoreDown
 	}
 
@@ -75,15 +78,15 @@
 	fault := s.fault(true, key)
 
 	switch fault {
-	case StoreDown:
+	case Down:
 		return carobward.ErrStoreDown
-	case StoreDropped:
+	case Dropped:
 		return carobward.ErrStoreUnknown
-	case StoreWell, StoreLost:
+	case Well, Lost:
 	}
 
 	if s.entries[key].Index != base {
-		if fault == StoreLost {
+		if fault == Lost {
 			return carobward.ErrStoreUnknown
 		}
 
@@ -92,7 +95,7 @@
 
 	s.put(key, value)
 
-	if fault == StoreLost {
+	if fault == Lost {
 		return carobward.ErrStoreUnknown
 	}
 
