--- a/cmd/carobward/bench_config.go
+++ b/cmd/carobward/bench_config.go
@@ -26,15 +26,19 @@
   carobward bench config --vms 19 --vms 200 --case well
   carobward bench config --loopback       whole entry VMs over sockets, also
                                           with the store gone once it accepted
-  carobward bench config --naive          what a naive version gets wrong`
+  carobward bench config --naive          what a naive version gets wrong
+  carobward bench config --operators 6    what concurrent operators are told
+                                          while replies are lost, six seeds`
 
 type benchConfigCommand struct {
-	VMs      []int           `long:"vms" description:"Entry VMs; may be given again. 3, 19, 50, 100 and 200 unless given, 19 with --loopback."`
-	Cases    []cwspread.Case `long:"case" description:"A case to run; may be given again. All unless given."`
-	Changes  int             `long:"changes" default:"20" description:"Changes in each case."`
-	Idle     time.Duration   `long:"idle" default:"8s" description:"Length of the case idle."`
-	Loopback bool            `long:"loopback" description:"Run whole entry VMs over loopback, with a stand-in platform."`
-	Naive    bool            `long:"naive" description:"Take a naive version and the product through the same faults."`
+	VMs       []int           `long:"vms" description:"Entry VMs; may be given again. 3, 19, 50, 100 and 200 unless given, 19 with --loopback."`
+	Cases     []cwspread.Case `long:"case" description:"A case to run; may be given again. All unless given."`
+	Changes   int             `long:"changes" default:"20" description:"Changes in each case."`
+	Idle      time.Duration   `long:"idle" default:"8s" description:"Length of the case idle."`
+	Loopback  bool            `long:"loopback" description:"Run whole entry VMs over loopback, with a stand-in platform."`
+	Operators int             `long:"operators" description:"Let concurrent operators change targets under faults, with so many seeds."`
+	Seed      uint64          `long:"seed" default:"0" description:"The first seed of --operators."`
+	Naive     bool            `long:"naive" description:"Take a naive version and the product through the same faults."`
 }
 
 // mostVMs and mostChanges bound what one process runs.
@@ -45,8 +49,11 @@
 
 // Execute runs the cases and prints the table.
 func (c *benchConfigCommand) Execute([]string) error {
-	if c.Naive {
+	switch {
+	case c.Naive:
 		return cwspread.WriteScenarios(os.Stdout)
+	case c.Operators > 0:
+		return cwspread.WriteOperators(os.Stdout, c.Seed, c.Operators)
 	}
 
 	if err := c.complete(); err != nil {
