config: an empty store's alarm is tested in the unit tests

The rows of TestUnreadable hid it, since an alarm of one row stood through the next. Now each row ends its alarm, and one row is a store that came back empty. Seen failing with the check taken out.

--- a/internal/cwconfig/syncer_test.go
+++ b/internal/cwconfig/syncer_test.go
@@ -132,8 +132,8 @@
 	}
 }
 
-// TestUnreadable: what a newer version wrote does not touch what is in force,
-// and raises an alarm until it is gone.
+// TestUnreadable: what a newer version wrote, or an older store has, does not
+// touch what is in force, and raises an alarm until it is gone.
 func TestUnreadable(t *testing.T) {
 	f, _ := joined(t, 1)
 	v := f.At(0)
@@ -158,6 +158,8 @@
 		"a newer format":              `{"format":2,"changes":[]}`,
 		"an unknown key":              `{"format":1,"changes":[{"id":"b","revision":2,"chain":"x","color":"red"}]}`,
 		"no JSON":                     `#`,
+		"an empty store":              "",
+		"no changes":                  `{"format":1,"changes":[]}`,
 		"an unlinked ring":            `{"format":1,"changes":[{"id":"b","revision":2,"chain":"x","drop":["a"]},{"id":"c","revision":4,"chain":"y","drop":["a"]}]}`,
 	} {
 		f.Store.Put(cwconfig.HeadKey, []byte(raw))
@@ -170,13 +172,13 @@
 		if v.Holder.Targets().ByName("fee") == nil {
 			t.Errorf("%s: the target is gone", name)
 		}
-	}
 
-	f.Store.Put(cwconfig.HeadKey, entry.Value)
-	v.Syncer.Poll(context.Background())
+		f.Store.Put(cwconfig.HeadKey, entry.Value)
+		v.Syncer.Poll(context.Background())
 
-	if c := v.Syncer.Condition(); c.Alarm != "" {
-		t.Errorf("the alarm stays: %s", c.Alarm)
+		if c := v.Syncer.Condition(); c.Alarm != "" {
+			t.Errorf("%s: the alarm stays: %s", name, c.Alarm)
+		}
 	}
 }
 
