--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -40,6 +40,7 @@
 	bench.SubcommandsOptional = true
 
 	for _, c := range []command{
+		{"config", "Measure how a change of the configuration spreads.", usageBenchConfig, &benchConfigCommand{}},
 		{"budget", "Print what measuring costs the servers.", usageBenchBudget, &benchBudgetCommand{}},
 		{"carriers", "Print which entry VMs carry which targets.", usageBenchCarriers, &benchCarriersCommand{}},
 		{"idle", "Count the calls lost to closes of idle connections.", usageBenchIdle, &benchIdleCommand{}},
