--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -40,7 +40,9 @@
 	bench.SubcommandsOptional = true
 
 	for _, c := range []command{
+		{"budget", "Print what measuring costs the servers.", usageBenchBudget, &benchBudgetCommand{}},
 		{"idle", "Count the calls lost to closes of idle connections.", usageBenchIdle, &benchIdleCommand{}},
+		{"leave", "Print how soon a leaving server gets no more work.", usageBenchLeave, &benchLeaveCommand{}},
 		{"scripts", "Count the faults against servers that misbehave.", usageBenchScripts, &benchScriptsCommand{}},
 	} {
 		if _, err := bench.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
