Move the fleet of owners with faults out of the tests: carobward bench once

The fake fleet, the weighed ways, the naive callers and the generated histories were in test files, so that the figures of run-once work could only be had from test logs. They are now internal/cwfee, which the tests import and carobward bench once runs; the hand-over against its size is a part of it.

cwowner gets Pace, SetPace and NewService for it. The checks are the same; the tests of cwowner are in the external package, since cwfee imports it.

--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
@@ -30,7 +31,22 @@
 --lookup and --server, on processes that run apart. The variants take turns,
 slice by slice. The baselines then send straight to the servers.
 
-  carobward bench --suite goals --scenario atlas-70 --live`
+  carobward bench --suite goals --scenario atlas-70 --live
+
+Experiments with one mechanism each are commands of their own, see below.`
+
+// addExperiments adds the subcommands, each an experiment.
+func addExperiments(bench *flags.Command) {
+	bench.SubcommandsOptional = true
+
+	for _, c := range []command{
+		{"once", "Count runs of work that must not repeat, through faults.", usageBenchOnce, &benchOnceCommand{}},
+	} {
+		if _, err := bench.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
+			panic(err)
+		}
+	}
+}
 
 type benchCommand struct {
 	Suite    string        `long:"suite" description:"The suite to run."`
--- /dev/null
+++ b/cmd/carobward/bench_once.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwfee"
+)
+
+const usageBenchOnce = `Charge fees that must not repeat through faults and count how often each ran.
+
+  ways       the ways that were weighed, in counted time, with kills of entry
+             VMs and an outage of the store: tickets, claims in the store, and
+             sending again after any error
+  faults     a fleet of owners of tickets in this process, and servers that
+             shed and lose requests and replies: tickets and the naive way
+  histories  the same fleet with many callers at once, lost and late messages,
+             kills, freezes and hand-overs; tickets only
+  hand-over  the time to hand outcomes over, by their number, without a network
+
+The share of unknown is that of the answers. Wrong are answers that do not
+agree with what ran. Ways and faults give the same figures for the same seed;
+histories depend on the machine's timing too.
+
+  carobward bench once --seed 1 --seeds 3`
+
+type benchOnceCommand struct {
+	Seed      uint64 `long:"seed" default:"1" description:"The first seed."`
+	Seeds     int    `long:"seeds" default:"3" description:"How many seeds, counted up."`
+	Weighed   int    `long:"weighed" default:"20000" description:"Fees of each run of the ways."`
+	Fees      int    `long:"fees" default:"2000" description:"Fees of each run of the faults."`
+	Histories int    `long:"histories" default:"50" description:"Histories of each seed, of 20 fees each."`
+	Outcomes  []int  `long:"outcomes" default:"1000" default:"10000" default:"100000" description:"How many outcomes to hand over; may be given again."`
+}
+
+// Execute runs the experiments and prints their table.
+func (c *benchOnceCommand) Execute([]string) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "experiment\tseed\tway\tanswers\truns\tran twice\twrong\tnot-run\tunknown\tstore writes\t")
+
+	for n := range uint64(max(c.Seeds, 1)) {
+		if err := c.seed(w, c.Seed+n); err != nil {
+			return err
+		}
+	}
+
+	if err := w.Flush(); err != nil {
+		return err
+	}
+
+	for _, n := range c.Outcomes {
+		took, err := cwfee.HandOver(n)
+		if err != nil {
+			return err
+		}
+
+		fmt.Printf("hand-over of %d outcomes: %s\n", n, took.Round(time.Millisecond))
+	}
+
+	return nil
+}
+
+// seed runs all experiments of one seed.
+func (c *benchOnceCommand) seed(w *tabwriter.Writer, seed uint64) error {
+	for _, way := range cwfee.Ways() {
+		count, writes := way.Weigh(seed, c.Weighed)
+		printCount(w, "ways", seed, way.Name, &count, writes)
+	}
+
+	for _, one := range []struct {
+		name string
+		send cwfee.Sender
+	}{{"tickets", cwfee.Ticketed}, {"retry on any error", cwfee.Naive}} {
+		count, err := cwfee.Compare(seed, c.Fees, one.send)
+		if err != nil {
+			return err
+		}
+
+		printCount(w, "faults", seed, one.name, &count, 0)
+	}
+
+	var all cwfee.Count
+
+	rng := rand.New(rand.NewPCG(seed, seed))
+
+	for range c.Histories {
+		played, err := cwfee.Play(cwfee.Draw(rng))
+		if err != nil {
+			return err
+		}
+
+		one := cwfee.Tally(played)
+		all.Add(&one)
+	}
+
+	printCount(w, "histories", seed, "tickets", &all, 0)
+
+	return nil
+}
+
+func printCount(w *tabwriter.Writer, experiment string, seed uint64, way string, c *cwfee.Count, writes int) {
+	answers := 0
+	for _, n := range c.Told {
+		answers += n
+	}
+
+	unknown := c.Told[carobward.Unknown]
+	_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%d (%.2f %%)\t%d\t\n",
+		experiment, seed, way, answers, c.Runs, c.Twice, c.Wrong, c.Told[carobward.NotRun],
+		unknown, 100*float64(unknown)/float64(max(answers, 1)), writes)
+}
--- a/cmd/carobward/main.go
+++ b/cmd/carobward/main.go
@@ -81,9 +81,14 @@
 		{"help", "Show what carobward does, or how one command is used.", usageHelp, &helpCommand{parser: p}},
 		{"bench", "Compare ways to choose servers under load.", usageBench, &benchCommand{}},
 	} {
-		if _, err := p.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
+		made, err := p.AddCommand(c.name, c.short, c.usage, c.data)
+		if err != nil {
 			panic(err)
 		}
+
+		if c.name == "bench" {
+			addExperiments(made)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/cwfee/compare_test.go
@@ -0,0 +1,35 @@
+package cwfee
+
+import (
+	"testing"
+
+	"carobward.example/carobward"
+)
+
+// TestAgainstNaive runs the same faults of servers against callers that try
+// again after any error, and against ours: the naive ones are charged twice.
+func TestAgainstNaive(t *testing.T) {
+	const fees = 2000
+
+	for seed := range uint64(3) {
+		naive, err := Compare(seed, fees, Naive)
+		if err != nil || naive.Twice == 0 {
+			t.Errorf("seed %d: the naive callers were not charged twice, so the faults prove nothing: %v, %+v", seed, err, naive)
+		}
+
+		ours, err := Compare(seed, fees, Ticketed)
+		if err != nil || ours.Twice > 0 || ours.Wrong > 0 || ours.Told[carobward.Ran] == 0 {
+			t.Errorf("seed %d: %v, %+v", seed, err, ours)
+		}
+	}
+}
+
+// TestWays compares the ways of running work at most once under the same
+// kills and the same outage of the store.
+func TestWays(t *testing.T) {
+	for _, w := range Ways() {
+		if c, _ := w.Weigh(1, 20_000); (c.Twice == 0) != w.Once {
+			t.Errorf("%s: %d fees ran twice", w.Name, c.Twice)
+		}
+	}
+}
--- a/internal/cwowner/ways_test.go
+++ b/internal/cwfee/ways.go
@@ -1,19 +1,17 @@
-package cwowner
+package cwfee
 
 import (
 	"math/rand/v2"
-	"testing"
 	"time"
 
 	"carobward.example/carobward"
 )
 
-// The model of TestWays: fees at a steady rate, entry VMs that are killed and
+// The model of Weigh: fees at a steady rate, entry VMs that are killed and
 // replaced, replies that are lost, a store that is away for a while. Time is
 // counted, not waited for.
 const (
 	modelVMs     = 16
-	modelFees    = 20_000
 	modelEvery   = 10 * time.Millisecond // Between two fees.
 	modelHop     = time.Millisecond
 	modelWork    = 20 * time.Millisecond
@@ -35,10 +33,11 @@
 	runs   int
 }
 
-func newModel(seed uint64) *model {
-	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), outage: modelFees * modelEvery / 2}
+func newModel(seed uint64, fees int) *model {
+	length := time.Duration(fees) * modelEvery
+	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), outage: length / 2}
 
-	for at := time.Duration(0); at < modelFees*modelEvery*2; at += modelKill {
+	for at := time.Duration(0); at < 2*length; at += modelKill {
 		v := m.rng.IntN(modelVMs)
 		m.kills[v] = append(m.kills[v], at)
 	}
@@ -163,36 +162,35 @@
 	return carobward.Unknown
 }
 
-// TestWays compares the ways of running work at most once under the same
-// kills and the same outage of the store, see docs/MEASUREMENTS.md.
-func TestWays(t *testing.T) {
-	for _, way := range []struct {
-		name string
-		fee  func(*model, time.Duration) carobward.Verdict
-		once bool
-	}{
-		{"tickets", (*model).ticketFee, true},
-		{"claims in the store", (*model).claimFee, true},
-		{"retry on any error", (*model).naiveFee, false},
-	} {
-		m := newModel(1)
-		told := map[carobward.Verdict]int{}
-		twice := 0
-
-		for n := range modelFees {
-			before := m.runs
-			told[way.fee(m, time.Duration(n)*modelEvery)]++
-
-			if m.runs > before+1 {
-				twice++
-			}
-		}
+// Way is one of the ways that were weighed.
+type Way struct {
+	Name string
+	// Once tells whether it promises that no fee runs twice.
+	Once bool
 
-		t.Logf("%-20s unknown %d, not-run %d, ran twice %d, store writes %d of %d fees",
-			way.name, told[carobward.Unknown], told[carobward.NotRun], twice, m.writes, modelFees)
+	fee func(*model, time.Duration) carobward.Verdict
+}
 
-		if (twice == 0) != way.once {
-			t.Errorf("%s: %d fees ran twice", way.name, twice)
-		}
+// Ways returns the ways that were weighed.
+func Ways() []Way {
+	return []Way{
+		{"tickets", true, (*model).ticketFee},
+		{"claims in the store", true, (*model).claimFee},
+		{"retry on any error", false, (*model).naiveFee},
+	}
+}
+
+// Weigh charges fees in counted time, under kills and an outage of the store
+// that follow from the seed alone, and returns the writes to the store too.
+func (w Way) Weigh(seed uint64, fees int) (c Count, writes int) {
+	m := newModel(seed, fees)
+	c.Told = map[carobward.Verdict]int{}
+
+	for n := range fees {
+		before := m.runs
+		v := w.fee(m, time.Duration(n)*modelEvery)
+		c.add(v, m.runs-before)
 	}
+
+	return c, m.writes
 }
--- a/internal/cwowner/estate.go
+++ b/internal/cwowner/estate.go
@@ -140,7 +140,7 @@
 	}
 
 	for to, at := range o.silent {
-		if now.Sub(at) >= o.pace.quiet {
+		if now.Sub(at) >= o.pace.Quiet {
 			delete(o.silent, to)
 		}
 	}
@@ -159,7 +159,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 
-	if o.telling || o.work.Err() != nil || now.Sub(o.told) < o.pace.tell || len(o.estates) == 0 {
+	if o.telling || o.work.Err() != nil || now.Sub(o.told) < o.pace.Tell || len(o.estates) == 0 {
 		return
 	}
 
@@ -223,7 +223,7 @@
 }
 
 func (o *Owner) send(to carobward.Address, in *cwwire.Moved) error {
-	ctx, cancel := context.WithTimeout(o.work, o.pace.hold+o.pace.grace)
+	ctx, cancel := context.WithTimeout(o.work, o.pace.Hold+o.pace.Grace)
 	defer cancel()
 
 	return o.caller.Call(ctx, to, "Owner.Moved", in, &cwwire.Noted{})
--- a/internal/cwowner/handover.go
+++ b/internal/cwowner/handover.go
@@ -91,7 +91,7 @@
 
 // bequeath hands one estate to the first entry VM that takes it.
 func (o *Owner) bequeath(ctx context.Context, of cwticket.Owner, e *estate) error {
-	parts := split(e.table.Export(), o.pace.part)
+	parts := split(e.table.Export(), o.pace.Part)
 
 	for _, p := range o.heirs(of) {
 		if err := o.give(ctx, p.Peers, of, e, parts); err != nil {
--- a/internal/cwowner/owner.go
+++ b/internal/cwowner/owner.go
@@ -61,7 +61,7 @@
 	caller Caller
 	clock  carobward.Clock
 	log    logr.Logger
-	pace   pace
+	pace   Pace
 
 	self   cwticket.Owner
 	secret cwticket.Secret
@@ -91,7 +91,7 @@
 		caller:  caller,
 		clock:   clock,
 		log:     log.WithName("owner"),
-		pace:    usual,
+		pace:    UsualPace(),
 		self:    cwticket.Owner{VM: self.ID, Incarnation: self.Incarnation},
 		budget:  cwticket.NewBudget(limits),
 		limits:  limits,
--- a/internal/cwowner/pass.go
+++ b/internal/cwowner/pass.go
@@ -12,31 +12,37 @@
 	"carobward.example/carobward/internal/cwwire"
 )
 
-// pace is how fast entry VMs talk about tickets.
-type pace struct {
-	// hold is how long an owner keeps a call waiting while the work runs,
+// Pace is how fast entry VMs talk about tickets.
+type Pace struct {
+	// Hold is how long an owner keeps a call waiting while the work runs,
 	// before it says so.
-	hold time.Duration
-	// grace is how much longer an answer may take. So an owner that has not
-	// answered after hold and grace is silent, however long the work takes.
-	grace time.Duration
-	// quiet is how long a silent owner is not asked again.
-	quiet time.Duration
-	// tell is the pause between two rounds of telling peers for whom this
+	Hold time.Duration
+	// Grace is how much longer an answer may take. So an owner that has not
+	// answered after Hold and Grace is silent, however long the work takes.
+	Grace time.Duration
+	// Quiet is how long a silent owner is not asked again.
+	Quiet time.Duration
+	// Tell is the pause between two rounds of telling peers for whom this
 	// entry VM stands in.
-	tell time.Duration
-	// part is the size of a part of what is handed over, in bytes.
-	part int
+	Tell time.Duration
+	// Part is the size of a part of what is handed over, in bytes.
+	Part int
 }
 
-var usual = pace{
-	hold:  150 * time.Millisecond,
-	grace: 350 * time.Millisecond,
-	quiet: time.Second,
-	tell:  500 * time.Millisecond,
-	part:  512 << 10,
+// UsualPace returns the pace of entry VMs in service.
+func UsualPace() Pace {
+	return Pace{
+		Hold:  150 * time.Millisecond,
+		Grace: 350 * time.Millisecond,
+		Quiet: time.Second,
+		Tell:  500 * time.Millisecond,
+		Part:  512 << 10,
+	}
 }
 
+// SetPace replaces the usual pace, before the owner is used.
+func (o *Owner) SetPace(p Pace) { o.pace = p }
+
 // unknown is the failure of a request that cannot be answered for here, with
 // the verdict on this one request.
 func unknown(cause error, attempt carobward.Verdict) *carobward.Failure {
@@ -82,7 +88,7 @@
 // ask calls an owner and notes when it is silent. The first call for a request
 // is the one that may start its work.
 func (o *Owner) ask(ctx context.Context, to carobward.Address, method string, in, out proto.Message, first bool) error {
-	short, cancel := context.WithTimeout(ctx, o.pace.hold+o.pace.grace)
+	short, cancel := context.WithTimeout(ctx, o.pace.Hold+o.pace.Grace)
 	defer cancel()
 
 	err := o.caller.Call(short, to, method, in, out)
@@ -119,7 +125,7 @@
 	defer o.mutex.Unlock()
 
 	if at, ok := o.silent[to]; ok {
-		if o.clock.Now().Sub(at) < o.pace.quiet {
+		if o.clock.Now().Sub(at) < o.pace.Quiet {
 			return "", unknown(ErrSilent, carobward.NotRun)
 		}
 
--- a/internal/cwowner/service.go
+++ b/internal/cwowner/service.go
@@ -16,14 +16,17 @@
 	runner Runner
 }
 
-// Register lets peers call the owner. The runner does the work of the
-// requests that they pass on.
+// NewService returns what peers may call on the owner. The runner does the
+// work of the requests that they pass on.
+func NewService(o *Owner, r Runner) *Service { return &Service{owner: o, runner: r} }
+
+// Register lets peers call the owner, see NewService.
 func (o *Owner) Register(s *cwpeer.Server, r Runner) error {
-	return s.Register("Owner", &Service{owner: o, runner: r})
+	return s.Register("Owner", NewService(o, r))
 }
 
 // Carry takes a request that another entry VM passes on. It answers after
-// hold at the latest; the work goes on meanwhile.
+// Hold at the latest; the work goes on meanwhile.
 func (s *Service) Carry(in *cwwire.OnceCall, out *cwwire.OnceAnswer) error {
 	o := s.owner
 	now := o.clock.Now()
@@ -57,7 +60,7 @@
 	return nil
 }
 
-// Result answers what became of a ticket. It waits for hold at the most while
+// Result answers what became of a ticket. It waits for Hold at the most while
 // its work runs.
 func (s *Service) Result(in *cwwire.OnceQuery, out *cwwire.OnceAnswer) error {
 	t, table, err := s.owner.kept(in.GetTicket())
@@ -76,11 +79,11 @@
 	return nil
 }
 
-// await waits until work has ended, for hold at the most.
+// await waits until work has ended, for Hold at the most.
 func (s *Service) await(done <-chan struct{}) {
 	select {
 	case <-done:
-	case <-time.After(s.owner.pace.hold):
+	case <-time.After(s.owner.pace.Hold):
 	}
 }
 
