Use the shared fleet of processes in test/once

Its harness was a twin of cwtest.Fleet. The platform is a process of its own now and is killed where it was closed before, so that the entry VMs are still refused. cwtest.ServeHTTP replaces two more twins.

--- a/internal/cwfee/ways.go
+++ b/internal/cwfee/ways.go
@@ -66,100 +66,93 @@
 	return at + modelStore, true
 }
 
-// ticketFee runs a fee as this package does: the entry VM's memory has the
-// record, and an owner that was killed leaves an unknown.
-func (m *model) ticketFee(at time.Duration) carobward.Verdict {
+// attempt sends a fee to a VM that is up. If it is to be sent again it returns
+// after which pause, else the verdict.
+type attempt func(m *model, v int, at time.Duration) (carobward.Verdict, time.Duration)
+
+// charge sends a fee until an attempt is the last. After the last try the
+// verdict is that of the last attempt; a VM that is down was sent nothing.
+func (m *model) charge(send attempt, at time.Duration) carobward.Verdict {
+	verdict := carobward.NotRun
+
 	for range modelRetries {
 		v := m.rng.IntN(modelVMs)
 		if _, down := m.killed(v, at, at); down {
-			at += modelHop // Nothing was sent: another VM, another ticket.
+			at += modelHop // Another VM, another ticket.
 
 			continue
 		}
 
-		done := at + modelHop + modelWork
-		if killed, _ := m.killed(v, at, at+modelHop); killed {
-			return carobward.Unknown
+		var again time.Duration
+		if verdict, again = send(m, v, at); again == 0 {
+			break
 		}
 
-		m.runs++
+		at += again
+	}
 
-		if killed, _ := m.killed(v, at, done+modelHop); killed {
-			return carobward.Unknown // The replacement has no record.
-		}
+	return verdict
+}
 
-		if m.rng.IntN(lossOneIn) > 0 {
-			return carobward.Ran
-		}
+// ticketFee runs a fee as package cwowner does: the entry VM's memory has the
+// record, and an owner that was killed leaves an unknown.
+func (m *model) ticketFee(v int, at time.Duration) (carobward.Verdict, time.Duration) {
+	done := at + modelHop + modelWork
+	if killed, _ := m.killed(v, at, at+modelHop); killed {
+		return carobward.Unknown, 0
+	}
 
-		// The reply was lost; the owner replays it, if it still lives.
-		if killed, _ := m.killed(v, done, done+modelPause); killed {
-			return carobward.Unknown
-		}
+	m.runs++
 
-		return carobward.Ran
+	if killed, _ := m.killed(v, at, done+modelHop); killed {
+		return carobward.Unknown, 0 // The replacement has no record.
 	}
 
-	return carobward.NotRun
+	if m.rng.IntN(lossOneIn) > 0 {
+		return carobward.Ran, 0
+	}
+
+	// The reply was lost; the owner replays it, if it still lives.
+	if killed, _ := m.killed(v, done, done+modelPause); killed {
+		return carobward.Unknown, 0
+	}
+
+	return carobward.Ran, 0
 }
 
 // claimFee claims each fee in the store before it runs and writes its outcome
 // there after, so that any entry VM can replay it.
-func (m *model) claimFee(at time.Duration) carobward.Verdict {
-	for range modelRetries {
-		v := m.rng.IntN(modelVMs)
-		if _, down := m.killed(v, at, at); down {
-			at += modelHop
-
-			continue
-		}
-
-		claimed, ok := m.write(at + modelHop)
-		if !ok {
-			at += modelPause
-
-			continue
-		}
-
-		if killed, _ := m.killed(v, at, claimed); killed {
-			return carobward.Unknown // The claim may stand.
-		}
+func (m *model) claimFee(v int, at time.Duration) (carobward.Verdict, time.Duration) {
+	claimed, ok := m.write(at + modelHop)
+	if !ok {
+		return carobward.NotRun, modelPause
+	}
 
-		m.runs++
+	if killed, _ := m.killed(v, at, claimed); killed {
+		return carobward.Unknown, 0 // The claim may stand.
+	}
 
-		done, ok := m.write(claimed + modelWork)
-		if killed, _ := m.killed(v, claimed, done); killed || !ok {
-			return carobward.Unknown // Claimed, and no outcome.
-		}
+	m.runs++
 
-		return carobward.Ran // A lost reply is replayed from the store.
+	done, ok := m.write(claimed + modelWork)
+	if killed, _ := m.killed(v, claimed, done); killed || !ok {
+		return carobward.Unknown, 0 // Claimed, and no outcome.
 	}
 
-	return carobward.NotRun
+	return carobward.Ran, 0 // A lost reply is replayed from the store.
 }
 
 // naiveFee runs a fee again after any error.
-func (m *model) naiveFee(at time.Duration) carobward.Verdict {
-	for range modelRetries {
-		v := m.rng.IntN(modelVMs)
-		if _, down := m.killed(v, at, at); down {
-			at += modelHop
-
-			continue
-		}
-
-		if killed, _ := m.killed(v, at, at+modelHop); !killed {
-			m.runs++
-		}
-
-		if killed, _ := m.killed(v, at, at+modelHop+modelWork); !killed && m.rng.IntN(lossOneIn) > 0 {
-			return carobward.Ran
-		}
+func (m *model) naiveFee(v int, at time.Duration) (carobward.Verdict, time.Duration) {
+	if killed, _ := m.killed(v, at, at+modelHop); !killed {
+		m.runs++
+	}
 
-		at += modelWork
+	if killed, _ := m.killed(v, at, at+modelHop+modelWork); !killed && m.rng.IntN(lossOneIn) > 0 {
+		return carobward.Ran, 0
 	}
 
-	return carobward.Unknown
+	return carobward.Unknown, modelWork
 }
 
 // Way is one of the ways that were weighed.
@@ -168,7 +161,7 @@
 	// Once tells whether it promises that no fee runs twice.
 	Once bool
 
-	fee func(*model, time.Duration) carobward.Verdict
+	send attempt
 }
 
 // Ways returns the ways that were weighed.
@@ -188,7 +181,7 @@
 
 	for n := range fees {
 		before := m.runs
-		v := w.fee(m, time.Duration(n)*modelEvery)
+		v := m.charge(w.send, time.Duration(n)*modelEvery)
 		c.add(v, m.runs-before)
 	}
 
--- a/internal/cwtest/fleet.go
+++ b/internal/cwtest/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -20,7 +21,8 @@
 	// VMs are the entry VMs by id.
 	VMs map[string]*EntryVM
 
-	servers map[string][]string
+	platform *Process
+	servers  map[string][]string
 }
 
 // EntryVM is one entry VM's process and its listeners.
@@ -40,7 +42,7 @@
 		VMs:       map[string]*EntryVM{},
 		servers:   map[string][]string{},
 	}
-	f.Platform = f.StartStand(t, "platform", "--listen", "127.0.0.1:0")
+	f.platform, f.Platform = f.startStand(t, "platform", "--listen", "127.0.0.1:0")
 
 	return f
 }
@@ -51,9 +53,22 @@
 func (f *Fleet) StartStand(t testing.TB, args ...string) string {
 	t.Helper()
 
-	p := Start(t, f.Stand, args...)
+	_, address := f.startStand(t, args...)
 
-	var address string
+	return address
+}
+
+// KillPlatform kills the platform.
+func (f *Fleet) KillPlatform(t testing.TB) {
+	t.Helper()
+	f.platform.Signal(t, syscall.SIGKILL)
+	_ = f.platform.Wait(t)
+}
+
+func (f *Fleet) startStand(t testing.TB, args ...string) (p *Process, address string) {
+	t.Helper()
+
+	p = Start(t, f.Stand, args...)
 
 	Wait(t, "a stand-in that listens", func() bool {
 		if m := listening.FindStringSubmatch(p.Output()); m != nil {
@@ -63,7 +78,7 @@
 		return address != ""
 	})
 
-	return address
+	return p, address
 }
 
 // StartServer starts a server of a service, lists it and returns its address.
--- a/internal/cwtest/process.go
+++ b/internal/cwtest/process.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +15,10 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
 )
 
 // The bounds of waiting in tests. They are long, since a loaded machine may
@@ -134,6 +139,32 @@
 // Output returns what the process has printed so far.
 func (p *Process) Output() string { return p.output.String() }
 
+// ServeHTTP serves HTTP on loopback until the test ends.
+func ServeHTTP(t testing.TB, h fasthttp.RequestHandler) carobward.Address {
+	t.Helper()
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	s := &fasthttp.Server{Handler: h, CloseOnShutdown: true}
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		_ = s.Serve(ln)
+	}()
+
+	t.Cleanup(func() {
+		_ = s.Shutdown()
+		<-done
+	})
+
+	return carobward.Address(ln.Addr().String())
+}
+
 // Run runs a program to its end and returns its output and exit code.
 func Run(t testing.TB, program string, args ...string) (string, int) {
 	t.Helper()
