--- a/internal/cwprobe/prober_test.go
+++ b/internal/cwprobe/prober_test.go
@@ -33,30 +33,7 @@
 }
 
 // listen starts a server that counts, and returns its address.
-func (c *counter) listen(t testing.TB) carobward.Address {
-	t.Helper()
-
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-
-	s := &fasthttp.Server{Handler: c.handle, CloseOnShutdown: true}
-	done := make(chan struct{})
-
-	go func() {
-		defer close(done)
-
-		_ = s.Serve(ln)
-	}()
-
-	t.Cleanup(func() {
-		_ = s.Shutdown()
-		<-done
-	})
-
-	return carobward.Address(ln.Addr().String())
-}
+func (c *counter) listen(t testing.TB) carobward.Address { return cwtest.ServeHTTP(t, c.handle) }
 
 func (c *counter) handle(ctx *fasthttp.RequestCtx) {
 	if status := c.state.Load(); status != 0 {
