--- a/internal/cwentry/serve_test.go
+++ b/internal/cwentry/serve_test.go
@@ -18,6 +18,7 @@
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwtarget"
+	"carobward.example/carobward/internal/cwtest"
 	"carobward.example/carobward/internal/cwticket"
 )
 
@@ -105,25 +106,7 @@
 
 	s := NewServer(o, c, logr.Discard())
 
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-
-	done := make(chan struct{})
-
-	go func() {
-		defer close(done)
-
-		_ = s.Serve(ln)
-	}()
-
-	t.Cleanup(func() {
-		_ = ln.Close()
-		<-done
-	})
-
-	return ln.Addr().String()
+	return string(cwtest.Serve(t, s.Serve, func() error { return nil }))
 }
 
 // client is a caller that writes bytes as they are.
--- a/internal/cwtest/process.go
+++ b/internal/cwtest/process.go
@@ -143,22 +143,32 @@
 func ServeHTTP(t testing.TB, h fasthttp.RequestHandler) carobward.Address {
 	t.Helper()
 
+	s := &fasthttp.Server{Handler: h, CloseOnShutdown: true}
+
+	return Serve(t, s.Serve, s.Shutdown)
+}
+
+// Serve lets serve have a listener on loopback until the test ends; stop is
+// called before the listener is closed.
+func Serve(t testing.TB, serve func(net.Listener) error, stop func() error) carobward.Address {
+	t.Helper()
+
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 
-	s := &fasthttp.Server{Handler: h, CloseOnShutdown: true}
 	done := make(chan struct{})
 
 	go func() {
 		defer close(done)
 
-		_ = s.Serve(ln)
+		_ = serve(ln)
 	}()
 
 	t.Cleanup(func() {
-		_ = s.Shutdown()
+		_ = stop()
+		_ = ln.Close()
 		<-done
 	})
 
