--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -40,7 +40,11 @@
 	bench.SubcommandsOptional = true
 
 	for _, c := range []command{
+		{"budget", "Print what measuring costs the servers.", usageBenchBudget, &benchBudgetCommand{}},
+		{"idle", "Count the calls lost to closes of idle connections.", usageBenchIdle, &benchIdleCommand{}},
+		{"leave", "Print how soon a leaving server gets no more work.", usageBenchLeave, &benchLeaveCommand{}},
 		{"once", "Count runs of work that must not repeat, through faults.", usageBenchOnce, &benchOnceCommand{}},
+		{"scripts", "Count the faults against servers that misbehave.", usageBenchScripts, &benchScriptsCommand{}},
 	} {
 		if _, err := bench.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
 			panic(err)
@@ -67,7 +71,11 @@
 }
 
 // Execute runs the suite and prints the table.
-func (c *benchCommand) Execute([]string) error {
+func (c *benchCommand) Execute(args []string) error {
+	if len(args) > 0 {
+		return errors.NotFoundf("bench: experiment %q", args[0])
+	}
+
 	if c.Suite == "" {
 		for _, s := range cwbench.Suites() {
 			fmt.Printf("%-10s %s\n", s.Name, s.Usage)
