--- a/internal/cwentry/serve_test.go
+++ b/internal/cwentry/serve_test.go
@@ -134,21 +134,8 @@
 	t.Helper()
 
 	s := NewServer(o, c, logr.Discard())
-	ln := cwtest.Listen(t)
-	done := make(chan struct{})
 
-	go func() {
-		defer close(done)
-
-		_ = s.Serve(ln)
-	}()
-
-	t.Cleanup(func() {
-		_ = ln.Close()
-		<-done
-	})
-
-	return ln.Addr().String()
+	return string(cwtest.Serve(t, s.Serve, func() error { return nil }))
 }
 
 // client is a caller that writes bytes as they are.
