--- a/cmd/carobward/bench_once.go
+++ b/cmd/carobward/bench_once.go
@@ -7,6 +7,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/juju/errors"
+
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwfee"
 )
@@ -20,7 +22,8 @@
              shed and lose requests and replies: tickets and the naive way
   histories  the same fleet with many callers at once, lost and late messages,
              kills, freezes and hand-overs; tickets only
-  hand-over  the time to hand outcomes over, by their number, without a network
+  hand-over  the time to hand outcomes over, by their number, without a network,
+             and the memory that so many records take
 
 The share of unknown is that of the answers. Wrong are answers that do not
 agree with what ran. Ways and faults give the same figures for the same seed;
@@ -34,7 +37,7 @@
 	Weighed   int    `long:"weighed" default:"20000" description:"Fees of each run of the ways."`
 	Fees      int    `long:"fees" default:"2000" description:"Fees of each run of the faults."`
 	Histories int    `long:"histories" default:"50" description:"Histories of each seed, of 20 fees each."`
-	Outcomes  []int  `long:"outcomes" default:"1000" default:"10000" default:"100000" description:"How many outcomes to hand over; may be given again."`
+	Outcomes  []int  `long:"outcomes" default:"1000" default:"10000" default:"100000" description:"How many outcomes to keep and hand over; may be given again."`
 }
 
 // Execute runs the experiments and prints their table.
@@ -53,12 +56,22 @@
 	}
 
 	for _, n := range c.Outcomes {
+		if n <= 0 {
+			return errors.Errorf("bench once: %d outcomes, want more than none", n)
+		}
+
 		took, err := cwfee.HandOver(n)
 		if err != nil {
 			return err
 		}
 
-		fmt.Printf("hand-over of %d outcomes: %s\n", n, took.Round(time.Millisecond))
+		heap, accounted, err := cwfee.RecordCost(n)
+		if err != nil {
+			return err
+		}
+
+		fmt.Printf("%d outcomes: handed over in %s, heap %d B a record, accounted %d B\n",
+			n, took.Round(time.Millisecond), heap/int64(n), accounted/int64(n))
 	}
 
 	return nil
--- a/internal/cwfee/compare_test.go
+++ b/internal/cwfee/compare_test.go
@@ -33,3 +33,13 @@
 		}
 	}
 }
+
+// TestRecordCost holds the accounted cost of records against the heap, at
+// sizes just past and just before the map grows.
+func TestRecordCost(t *testing.T) {
+	for _, records := range []int{10_000, 28_000, 29_000, 50_000} {
+		if heap, accounted, err := RecordCost(records); err != nil || heap > accounted {
+			t.Errorf("%d records: %d bytes of heap, %d accounted, %v", records, heap, accounted, err)
+		}
+	}
+}
--- a/internal/cwticket/table_test.go
+++ b/internal/cwticket/table_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime"
 	"strconv"
 	"testing"
 	"time"
@@ -237,58 +236,6 @@
 	}
 }
 
-// heapOf returns the heap that a number of tickets takes, and what the budget
-// counts for them, in bytes.
-func heapOf(t testing.TB, count uint64) (heap, accounted int64) {
-	table := newTable(Options{Horizon: horizon, Records: int(count), Bytes: 1 << 40})
-	ticket := table.Issuer().Ticket(start)
-
-	var before, after runtime.MemStats
-
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-
-	for n := range count {
-		claim, s := ask(table, start, numbered(ticket, n), Digest{})
-		if claim == nil {
-			t.Fatalf("ticket %d: %+v", n, s)
-		}
-
-		claim.Ran(start, outcome("launch 17 charged"))
-	}
-
-	runtime.GC()
-	runtime.ReadMemStats(&after)
-
-	_, _, bytes := table.budget.Used()
-	runtime.KeepAlive(table)
-
-	return int64(after.HeapAlloc) - int64(before.HeapAlloc), int64(bytes)
-}
-
-// TestRecordCost holds the accounted cost of records against the heap, at
-// sizes just past and just before the map grows.
-func TestRecordCost(t *testing.T) {
-	for _, count := range []uint64{10_000, 28_000, 29_000, 50_000} {
-		if heap, accounted := heapOf(t, count); heap > accounted {
-			t.Errorf("%d records: %d bytes of heap, %d accounted", count, heap, accounted)
-		}
-	}
-}
-
-// BenchmarkRecord gives the memory of one record with a short answer.
-func BenchmarkRecord(b *testing.B) {
-	for _, count := range []uint64{1_000, 10_000, 100_000, 200_000} {
-		b.Run(strconv.FormatUint(count, 10), func(b *testing.B) {
-			for b.Loop() {
-				heap, accounted := heapOf(b, count)
-				b.ReportMetric(float64(heap)/float64(count), "heap-B/record")
-				b.ReportMetric(float64(accounted)/float64(count), "accounted-B/record")
-			}
-		})
-	}
-}
-
 func TestHandOver(t *testing.T) {
 	table := newTable(limits)
 	ran, lost, running, shut, never := table.Issuer().Ticket(start), table.Issuer().Ticket(start), table.Issuer().Ticket(start), table.Issuer().Ticket(start), table.Issuer().Ticket(start)
