--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -40,9 +40,12 @@
 	bench.SubcommandsOptional = true
 
 	for _, c := range []command{
+		{"config", "Measure how a change of the configuration spreads.", usageBenchConfig, &benchConfigCommand{}},
 		{"budget", "Print what measuring costs the servers.", usageBenchBudget, &benchBudgetCommand{}},
+		{"carriers", "Print which entry VMs carry which targets.", usageBenchCarriers, &benchCarriersCommand{}},
 		{"idle", "Count the calls lost to closes of idle connections.", usageBenchIdle, &benchIdleCommand{}},
 		{"leave", "Print how soon a leaving server gets no more work.", usageBenchLeave, &benchLeaveCommand{}},
+		{"members", "Measure membership against the fleet's size.", usageBenchMembers, &benchMembersCommand{}},
 		{"once", "Count runs of work that must not repeat, through faults.", usageBenchOnce, &benchOnceCommand{}},
 		{"scripts", "Count the faults against servers that misbehave.", usageBenchScripts, &benchScriptsCommand{}},
 	} {
