--- a/internal/cwkv/client_test.go
+++ b/internal/cwkv/client_test.go
@@ -133,7 +133,6 @@
 	cwtest.Wait(t, "the end of all connections", func() bool { return s.open.Load() == 0 })
 }
 
-// FuzzDecode: no reply makes the client panic.
 // FuzzDecode: no reply makes the client panic.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`[{"Value":"eA==","ModifyIndex":7}]`))
--- a/internal/cwsettings/settings_test.go
+++ b/internal/cwsettings/settings_test.go
@@ -3,11 +3,13 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
+	"carobward.example/carobward/internal/cwjson"
 	"carobward.example/carobward/internal/cwsettings"
 	"carobward.example/carobward/internal/cwtest"
 )
@@ -115,6 +117,10 @@
 	}
 }
 
+func TestPageHasEachKey(t *testing.T) {
+	cwtest.WantKeys(t, "../../docs/settings.md", cwjson.Keys(reflect.TypeFor[cwsettings.Settings]()))
+}
+
 func TestExamples(t *testing.T) {
 	files, _ := filepath.Glob("../../examples/*/*-1.jsonc")
 	if len(files) != 6 {
--- a/internal/cwtarget/file_test.go
+++ b/internal/cwtarget/file_test.go
@@ -3,12 +3,14 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwjson"
 	"carobward.example/carobward/internal/cwtarget"
 	"carobward.example/carobward/internal/cwtest"
 )
@@ -108,6 +110,10 @@
 	}
 }
 
+func TestPageHasEachKey(t *testing.T) {
+	cwtest.WantKeys(t, "../../docs/targets.md", cwjson.Keys(reflect.TypeFor[cwtarget.Set]()))
+}
+
 func TestExamples(t *testing.T) {
 	for _, f := range []string{"atlas", "pase"} {
 		if _, err := cwtarget.Load("../../examples/" + f + "/targets.jsonc"); err != nil {
