--- a/cmd/carobward/bench_config.go
+++ b/cmd/carobward/bench_config.go
@@ -26,6 +26,8 @@
   carobward bench config --vms 19 --vms 200 --case well
   carobward bench config --loopback       whole entry VMs over sockets, also
                                           with the store gone once it accepted
+  carobward bench config --services 220   what one change costs where each of
+                                          so many services has one target
   carobward bench config --naive          what a naive version gets wrong
   carobward bench config --operators 6    what concurrent operators are told
                                           while replies are lost, six seeds`
@@ -38,13 +40,16 @@
 	Loopback  bool            `long:"loopback" description:"Run whole entry VMs over loopback, with a stand-in platform."`
 	Operators int             `long:"operators" description:"Let concurrent operators change targets under faults, with so many seeds."`
 	Seed      uint64          `long:"seed" default:"0" description:"The first seed of --operators."`
+	Services  []int           `long:"services" description:"Measure the cost of one change with so many services; may be given again."`
 	Naive     bool            `long:"naive" description:"Take a naive version and the product through the same faults."`
 }
 
-// mostVMs and mostChanges bound what one process runs.
+// The bounds of what one process runs. A valid configuration has no more
+// targets than mostServices.
 const (
-	mostVMs     = 1000
-	mostChanges = 100000
+	mostVMs      = 1000
+	mostChanges  = 100000
+	mostServices = 2000
 )
 
 // Execute runs the cases and prints the table.
@@ -60,6 +65,10 @@
 		return err
 	}
 
+	if len(c.Services) > 0 {
+		return cwspread.WriteCosts(os.Stdout, c.Services, c.Changes)
+	}
+
 	var results []cwspread.Result
 
 	for _, one := range c.Cases {
@@ -97,6 +106,12 @@
 		}
 	}
 
+	for _, n := range c.Services {
+		if n < 1 || n > mostServices {
+			return errors.Errorf("bench config: --services: want from 1 to %d, got %d", mostServices, n)
+		}
+	}
+
 	if c.Changes < 1 || c.Changes > mostChanges {
 		return errors.Errorf("bench config: --changes: want from 1 to %d, got %d", mostChanges, c.Changes)
 	}
