--- a/cmd/carobward/bench_config.go
+++ b/cmd/carobward/bench_config.go
@@ -100,22 +100,16 @@
 		c.Cases = cases
 	}
 
-	for _, n := range c.VMs {
-		if n < 1 || n > mostVMs {
-			return errors.Errorf("bench config: --vms: want from 1 to %d, got %d", mostVMs, n)
+	for _, one := range []struct {
+		flag   string
+		values []int
+		most   int
+	}{{"vms", c.VMs, mostVMs}, {"services", c.Services, mostServices}, {"changes", []int{c.Changes}, mostChanges}} {
+		if err := within(one.flag, one.values, one.most); err != nil {
+			return err
 		}
 	}
 
-	for _, n := range c.Services {
-		if n < 1 || n > mostServices {
-			return errors.Errorf("bench config: --services: want from 1 to %d, got %d", mostServices, n)
-		}
-	}
-
-	if c.Changes < 1 || c.Changes > mostChanges {
-		return errors.Errorf("bench config: --changes: want from 1 to %d, got %d", mostChanges, c.Changes)
-	}
-
 	if c.Idle <= 0 {
 		return errors.Errorf("bench config: --idle: want more than 0s, got %s", c.Idle)
 	}
@@ -123,6 +117,17 @@
 	return c.known(cases)
 }
 
+// within refuses a flag's values that are not from one to the most.
+func within(flag string, values []int, most int) error {
+	for _, n := range values {
+		if n < 1 || n > most {
+			return errors.Errorf("bench config: --%s: want from 1 to %d, got %d", flag, most, n)
+		}
+	}
+
+	return nil
+}
+
 // known refuses a case that is tried only with or without --loopback.
 func (c *benchConfigCommand) known(cases []cwspread.Case) error {
 	have := map[cwspread.Case]bool{}
