--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -42,8 +42,10 @@
 	for _, c := range []command{
 		{"config", "Measure how a change of the configuration spreads.", usageBenchConfig, &benchConfigCommand{}},
 		{"budget", "Print what measuring costs the servers.", usageBenchBudget, &benchBudgetCommand{}},
+		{"carriers", "Print which entry VMs carry which targets.", usageBenchCarriers, &benchCarriersCommand{}},
 		{"idle", "Count the calls lost to closes of idle connections.", usageBenchIdle, &benchIdleCommand{}},
 		{"leave", "Print how soon a leaving server gets no more work.", usageBenchLeave, &benchLeaveCommand{}},
+		{"members", "Measure membership against the fleet's size.", usageBenchMembers, &benchMembersCommand{}},
 		{"scripts", "Count the faults against servers that misbehave.", usageBenchScripts, &benchScriptsCommand{}},
 	} {
 		if _, err := bench.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
