--- a/internal/cwlookup/lookup_test.go
+++ b/internal/cwlookup/lookup_test.go
@@ -15,6 +15,10 @@
 		return carobward.Peer{ID: id, Domain: d, State: s}
 	}
 
+	revised := func(id carobward.VMID, d carobward.Domain, r carobward.Revision) carobward.Peer {
+		return carobward.Peer{ID: id, Domain: d, Revision: r}
+	}
+
 	const live, suspect, leaving, dead = carobward.PeerLive, carobward.PeerSuspect, carobward.PeerLeaving, carobward.PeerDead
 
 	for name, tt := range map[string]struct {
@@ -26,6 +30,12 @@
 		"only suspects":          {[]carobward.Peer{peer("a", "x", suspect)}, []carobward.VMID{"a"}},
 		"leaving and dead never": {[]carobward.Peer{peer("a", "x", leaving), peer("b", "x", dead), peer("c", "y", live)}, []carobward.VMID{"c"}},
 		"nobody":                 {[]carobward.Peer{peer("a", "x", leaving)}, nil},
+
+		// One without a configuration is in no answer while another has one.
+		"one is new":   {[]carobward.Peer{revised("a", "x", 3), revised("b", "y", 0)}, []carobward.VMID{"a"}},
+		"one lags":     {[]carobward.Peer{revised("a", "x", 3), revised("b", "y", 2)}, []carobward.VMID{"a", "b"}},
+		"all are new":  {[]carobward.Peer{revised("a", "x", 0), revised("b", "y", 0)}, []carobward.VMID{"a", "b"}},
+		"new one asks": {[]carobward.Peer{revised("a", "x", 0), revised("b", "y", 1)}, []carobward.VMID{"b"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var got []carobward.VMID
--- a/test/leave/drain_test.go
+++ b/test/leave/drain_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"regexp"
 	"strings"
@@ -15,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
 )
@@ -64,13 +64,8 @@
 func (b *backend) counts(t *testing.T) cwstand.Counts {
 	t.Helper()
 
-	status, body, err := fasthttp.Get(nil, "http://"+b.address+cwstand.CountsPath)
-	if err != nil || status != fasthttp.StatusOK {
-		t.Fatalf("counts of %s: %v, status %d", b.address, err, status)
-	}
-
-	var c cwstand.Counts
-	if err := json.Unmarshal(body, &c); err != nil {
+	c, err := cwstand.ReadCounts(carobward.Address(b.address))
+	if err != nil {
 		t.Fatal(err)
 	}
 
