Peers and the calls to them are each declared once

cwconfig and cwowner each declared the same Peers interface, and with cwnews the same Caller. A Caller there was a peer's, though the glossary keeps the word for who sends requests. Peers stands in the root package now, as its doc comment promises; Calls stands in cwpeer, so that the callers' library does not import protocol buffers through the root package. Behaviour is unchanged.

--- a/internal/cwconfig/exchange.go
+++ b/internal/cwconfig/exchange.go
@@ -198,7 +198,7 @@
 
 	s.metrics.Add(metricSent, int64(proto.Size(in)))
 
-	err := s.caller.Call(ctx, to, exchangeMethod, in, out)
+	err := s.calls.Call(ctx, to, exchangeMethod, in, out)
 	s.metrics.Add(metricReceived, int64(proto.Size(out)))
 
 	return out, err
--- a/internal/cwconfig/syncer.go
+++ b/internal/cwconfig/syncer.go
@@ -10,22 +10,11 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
-	"google.golang.org/protobuf/proto"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwpeer"
 )
 
-// Peers are the entry VMs as this one knows them, itself among them.
-type Peers interface {
-	Self() carobward.Peer
-	All() []carobward.Peer
-}
-
-// Caller calls a method of a peer, see cwpeer.Clients.
-type Caller interface {
-	Call(ctx context.Context, to carobward.Address, method string, in, out proto.Message) error
-}
-
 // The metrics by name.
 const (
 	metricAdopted  = "adopted"
@@ -55,8 +44,8 @@
 type Syncer struct {
 	reader *Reader
 	holder *Holder
-	peers  Peers
-	caller Caller
+	peers  carobward.Peers
+	calls  cwpeer.Calls
 	clock  carobward.Clock
 	log    logr.Logger
 	// metrics counts what the syncer did.
@@ -71,12 +60,12 @@
 
 // NewSyncer returns a syncer of a holder. Register its Service with the peers'
 // server before Run. It counts what it does in metrics.
-func NewSyncer(store carobward.Store, holder *Holder, peers Peers, caller Caller, metrics *expvar.Map, clock carobward.Clock, log logr.Logger) *Syncer {
+func NewSyncer(store carobward.Store, holder *Holder, peers carobward.Peers, calls cwpeer.Calls, metrics *expvar.Map, clock carobward.Clock, log logr.Logger) *Syncer {
 	return &Syncer{
 		reader: NewReader(store),
 		holder: holder,
 		peers:  peers,
-		caller: caller,
+		calls:  calls,
 		clock:  clock,
 		log:    log.WithName("config"),
 
--- a/internal/cwnews/spread.go
+++ b/internal/cwnews/spread.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwwire"
 )
 
@@ -33,11 +34,6 @@
 	deafMost = time.Second
 )
 
-// Caller calls a method of a peer.
-type Caller interface {
-	Call(ctx context.Context, to carobward.Address, method string, in, out proto.Message) error
-}
-
 // Send is one message to a peer.
 type Send struct {
 	To   carobward.Address
@@ -150,7 +146,7 @@
 }
 
 // Tick does the calls of one Plan and waits for their ends.
-func (s *Spread) Tick(ctx context.Context, clock carobward.Clock, peers []carobward.Address, caller Caller) {
+func (s *Spread) Tick(ctx context.Context, clock carobward.Clock, peers []carobward.Address, calls cwpeer.Calls) {
 	ctx, cancel := context.WithTimeout(ctx, callMost)
 	defer cancel()
 
@@ -162,7 +158,7 @@
 	for i, one := range sends {
 		group.Go(func() {
 			answer := &cwwire.News{}
-			if caller.Call(ctx, one.To, "News.Exchange", one.News, answer) == nil {
+			if calls.Call(ctx, one.To, "News.Exchange", one.News, answer) == nil {
 				answers[i] = answer
 			}
 
--- a/internal/cwnews/system.go
+++ b/internal/cwnews/system.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwwire"
 )
@@ -21,10 +22,10 @@
 	Table   *Table
 	Servers *cwserver.Table
 	// Peers returns where the other entry VMs take peers' calls.
-	Peers  func() []carobward.Address
-	Caller Caller
-	Clock  carobward.Clock
-	Log    logr.Logger
+	Peers func() []carobward.Address
+	Calls cwpeer.Calls
+	Clock carobward.Clock
+	Log   logr.Logger
 }
 
 // System keeps the server table by the marks, and spreads them.
@@ -58,7 +59,7 @@
 
 	for ctx.Err() == nil {
 		s.Apply()
-		s.spread.Tick(ctx, s.options.Clock, s.options.Peers(), s.options.Caller)
+		s.spread.Tick(ctx, s.options.Clock, s.options.Peers(), s.options.Calls)
 		s.Apply()
 		s.open()
 
--- a/internal/cwnode/leave.go
+++ b/internal/cwnode/leave.go
@@ -16,7 +16,7 @@
 		Table:   cwnews.NewTable(),
 		Servers: n.servers,
 		Peers:   n.livePeers,
-		Caller:  n.clients,
+		Calls:   n.clients,
 		Clock:   n.clock,
 		Log:     log,
 	})
--- a/internal/cwnode/observe.go
+++ b/internal/cwnode/observe.go
@@ -9,6 +9,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwentry"
 	"carobward.example/carobward/internal/cwowner"
+	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwtrace"
 	"carobward.example/carobward/internal/cwwire"
 )
@@ -80,19 +81,19 @@
 
 // ownerCalls returns how the owner of tickets calls peers: with a span around
 // each request that is passed on, if spans are made at all.
-func (n *Node) ownerCalls() cwowner.Caller {
+func (n *Node) ownerCalls() cwpeer.Calls {
 	if n.tracer == nil {
 		return n.clients
 	}
 
-	return &tracedCalls{Caller: n.clients, tracer: n.tracer}
+	return &tracedCalls{Calls: n.clients, tracer: n.tracer}
 }
 
 // tracedCalls puts a span around each request that is passed to a peer. The
 // waiting for its outcome, should it take longer, is part of the request's
 // own span.
 type tracedCalls struct {
-	cwowner.Caller
+	cwpeer.Calls
 
 	tracer *cwtrace.Tracer
 }
@@ -101,12 +102,12 @@
 func (t *tracedCalls) Call(ctx context.Context, to carobward.Address, method string, in, out proto.Message) error {
 	call, ok := in.(*cwwire.OnceCall)
 	if !ok {
-		return t.Caller.Call(ctx, to, method, in, out)
+		return t.Calls.Call(ctx, to, method, in, out)
 	}
 
 	ctx, span := t.tracer.Pass(ctx, to)
 	call.Header = cwowner.FieldsToWire(span.Header(cwowner.FieldsFromWire(call.GetHeader())))
-	err := t.Caller.Call(ctx, to, method, in, out)
+	err := t.Calls.Call(ctx, to, method, in, out)
 	span.End(0, err)
 
 	return err
--- a/internal/cwowner/estate.go
+++ b/internal/cwowner/estate.go
@@ -226,5 +226,5 @@
 	ctx, cancel := context.WithTimeout(o.work, o.pace.hold+o.pace.grace)
 	defer cancel()
 
-	return o.caller.Call(ctx, to, "Owner.Moved", in, &cwwire.Noted{})
+	return o.calls.Call(ctx, to, "Owner.Moved", in, &cwwire.Noted{})
 }
--- a/internal/cwowner/handover.go
+++ b/internal/cwowner/handover.go
@@ -122,7 +122,7 @@
 			Tickets:     ticketsToWire(part),
 		}
 
-		if err := o.caller.Call(ctx, to, "Owner.Take", in, out); err != nil {
+		if err := o.calls.Call(ctx, to, "Owner.Take", in, out); err != nil {
 			return err
 		}
 
--- a/internal/cwowner/owner.go
+++ b/internal/cwowner/owner.go
@@ -14,9 +14,9 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
-	"google.golang.org/protobuf/proto"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwticket"
 )
 
@@ -30,19 +30,6 @@
 	RunOnce(ctx context.Context, id carobward.RequestID, c *carobward.Call) (*cwticket.Outcome, error)
 }
 
-// Peers is what has to be known of the other entry VMs.
-type Peers interface {
-	// Self returns this entry VM.
-	Self() carobward.Peer
-	// All returns all entry VMs, this one among them.
-	All() []carobward.Peer
-}
-
-// Caller calls peers. The error does not tell whether the method ran.
-type Caller interface {
-	Call(ctx context.Context, to carobward.Address, method string, in, out proto.Message) error
-}
-
 // The reasons of a failure.
 const (
 	ErrOwner  = errors.ConstError("owner: the entry VM that owns the ticket is gone or not known")
@@ -57,11 +44,11 @@
 // Owner keeps the tickets of this entry VM, and those of the owners that it
 // stands in for.
 type Owner struct {
-	peers  Peers
-	caller Caller
-	clock  carobward.Clock
-	log    logr.Logger
-	pace   pace
+	peers carobward.Peers
+	calls cwpeer.Calls
+	clock carobward.Clock
+	log   logr.Logger
+	pace  pace
 
 	self   cwticket.Owner
 	secret cwticket.Secret
@@ -84,11 +71,11 @@
 }
 
 // New returns the owner of this entry VM's tickets, under a key of its own.
-func New(limits cwticket.Options, peers Peers, caller Caller, clock carobward.Clock, log logr.Logger) (*Owner, error) {
+func New(limits cwticket.Options, peers carobward.Peers, calls cwpeer.Calls, clock carobward.Clock, log logr.Logger) (*Owner, error) {
 	self := peers.Self()
 	o := &Owner{
 		peers:   peers,
-		caller:  caller,
+		calls:   calls,
 		clock:   clock,
 		log:     log.WithName("owner"),
 		pace:    usual,
--- a/internal/cwowner/pass.go
+++ b/internal/cwowner/pass.go
@@ -85,7 +85,7 @@
 	short, cancel := context.WithTimeout(ctx, o.pace.hold+o.pace.grace)
 	defer cancel()
 
-	err := o.caller.Call(short, to, method, in, out)
+	err := o.calls.Call(short, to, method, in, out)
 	if err == nil {
 		return nil
 	}
--- a/peer.go
+++ b/peer.go
@@ -52,3 +52,11 @@
 
 	return "unknown"
 }
+
+// Peers is the table of entry VMs as this one knows them.
+type Peers interface {
+	// Self returns this entry VM.
+	Self() Peer
+	// All returns all entry VMs, this one among them.
+	All() []Peer
+}
