Words, doc comments and a twin mended

A server is called that, as the glossary says, not a backend server. The stand-in server looked at its connections with a copy of cwsocket.Peek; it uses that now. The two differed only for errors other than ECONNRESET, which now count as closed too.

--- a/cmd/cwstand/main.go
+++ b/cmd/cwstand/main.go
@@ -1,5 +1,5 @@
 // Command cwstand runs the stand-ins as separate processes: the platform, a
-// backend server, a caller.
+// server, a caller.
 package main
 
 import (
@@ -23,7 +23,7 @@
 		data               any
 	}{
 		{"platform", "Run the platform: key-value service and VM list.", usagePlatform, &platformCommand{}},
-		{"server", "Run a backend server.", usageServer, &serverCommand{}},
+		{"server", "Run a server.", usageServer, &serverCommand{}},
 		{"caller", "Send requests as a caller.", usageCaller, &callerCommand{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.short, c.usage, c.data); err != nil {
--- a/ids.go
+++ b/ids.go
@@ -8,11 +8,7 @@
 // time in nanoseconds since the Unix epoch, so that a later run is higher.
 type Incarnation uint64
 
-// ServerID names a backend server: its address, since the VM list knows no
-// other name that holds while the server runs.
-type ServerID string
-
-// Service names a group of backend servers that do the same work.
+// Service names a group of servers that do the same work.
 type Service string
 
 // Domain names a failure domain.
--- a/internal/cwbench/result.go
+++ b/internal/cwbench/result.go
@@ -135,7 +135,7 @@
 	_ = l.histogram.RecordValue(min(took.Microseconds(), latencyMost))
 }
 
-// Quantiles fills in the figures from the histogram.
+// quantiles fills in the figures from the histogram.
 func (l *Latency) quantiles() {
 	l.P50 = l.histogram.ValueAtQuantile(50)
 	l.P90 = l.histogram.ValueAtQuantile(90)
--- a/internal/cwfleet/fleet.go
+++ b/internal/cwfleet/fleet.go
@@ -1,4 +1,4 @@
-// Package cwfleet runs a small platform, backend servers and entry VMs in one
+// Package cwfleet runs a small platform, servers and entry VMs in one
 // process, on loopback, for the demo and for experiments over sockets.
 package cwfleet
 
--- a/internal/cwlink/link.go
+++ b/internal/cwlink/link.go
@@ -1,4 +1,4 @@
-// Package cwlink carries calls to backend servers over HTTP/1.1. It keeps a
+// Package cwlink carries calls to servers over HTTP/1.1. It keeps a
 // pool of connections a server, sends each call at most once, and knows
 // whether a byte of it was ever taken by the kernel.
 package cwlink
--- a/internal/cwserver/table.go
+++ b/internal/cwserver/table.go
@@ -1,4 +1,4 @@
-// Package cwserver holds the table of backend servers and what this entry VM
+// Package cwserver holds the table of servers and what this entry VM
 // knows of each.
 package cwserver
 
--- a/internal/cwstand/platform.go
+++ b/internal/cwstand/platform.go
@@ -1,5 +1,5 @@
 // Package cwstand has small stand-ins for what carobward is used with: the
-// platform (key-value service and VM list), backend servers and callers.
+// platform (key-value service and VM list), servers and callers.
 // They are for tests, the demo and experiments.
 package cwstand
 
--- a/internal/cwstand/server.go
+++ b/internal/cwstand/server.go
@@ -27,7 +27,7 @@
 	CountsPath = "/stand/counts"
 )
 
-// ServerOptions describe a backend server. The zero value of each field but
+// ServerOptions describe a server. The zero value of each field but
 // Slots leaves its behaviour out.
 type ServerOptions struct {
 	// Slots is how many requests run at once; others wait.
@@ -63,7 +63,7 @@
 	Ledger *Ledger
 }
 
-// Server is a stand-in for a backend server: it answers each request with
+// Server is a stand-in for a server: it answers each request with
 // its method, path and body after the work, reports its load, and counts.
 type Server struct {
 	options  ServerOptions
--- a/internal/cwstand/server_count.go
+++ b/internal/cwstand/server_count.go
@@ -6,13 +6,13 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwsocket"
 )
 
 // Counts is what a stand-in server counted. Measuring is counted here and
@@ -175,25 +175,4 @@
 }
 
 // left tells whether the other side has closed the connection.
-func (c *serverConn) left() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-
-	gone := false
-
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-
-		n, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = n == 0 && rerr == nil || rerr == syscall.ECONNRESET
-	})
-
-	return err != nil || gone
-}
+func (c *serverConn) left() bool { return cwsocket.Peek(c.Conn) == cwsocket.Closed }
--- a/server.go
+++ b/server.go
@@ -59,7 +59,7 @@
 	Shed bool
 }
 
-// Servers carries calls to backend servers.
+// Servers carries calls to servers.
 type Servers interface {
 	// Exchange sends a call to a server and returns its whole reply, or a
 	// Failure. It never sends a call twice. When ctx ends the call is
--- a/vm.go
+++ b/vm.go
@@ -27,12 +27,12 @@
 // EntryService is the service name under which the VM list has entry VMs.
 const EntryService Service = "carobward"
 
-// VM is one line of the platform's VM list: an entry VM or a backend server.
+// VM is one line of the platform's VM list: an entry VM or a server.
 type VM struct {
-	// Address is where the VM serves: for a backend server its port, for an
+	// Address is where the VM serves: for a server its port, for an
 	// entry VM its peer listener.
 	Address Address
-	// ID names an entry VM; it is empty for a backend server.
+	// ID names an entry VM; it is empty for a server.
 	ID VMID
 	// Service is what runs there.
 	Service Service
