--- a/internal/cwentry/body.go
+++ b/internal/cwentry/body.go
@@ -11,7 +11,7 @@
 )
 
 // ErrBodies tells that the bodies of all requests here take too much memory.
-const ErrBodies = errors.ConstError("this entry VM holds too many bytes of requests")
+const ErrBodies = errors.ConstError("entry: this entry VM holds too many bytes of requests")
 
 // bodiesDefault is the bound where the options give none.
 const bodiesDefault = 128 * carobward.Megabyte
--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -27,10 +27,10 @@
 
 // The errors of a request that is given up.
 const (
-	ErrServer = errors.ConstError("no server can take this request now")
-	ErrPaused = errors.ConstError("this entry VM stood still and does not know yet which servers leave")
-	ErrBusy   = errors.ConstError("this entry VM has too many requests in flight")
-	ErrNew    = errors.ConstError("this entry VM has no configuration yet")
+	ErrServer = errors.ConstError("entry: no server can take this request now")
+	ErrPaused = errors.ConstError("entry: this entry VM stood still and does not know yet which servers leave")
+	ErrBusy   = errors.ConstError("entry: this entry VM has too many requests in flight")
+	ErrNew    = errors.ConstError("entry: this entry VM has no configuration yet")
 )
 
 // retryAfter is when a caller should come back if nothing better is known.
--- a/internal/cwentry/message.go
+++ b/internal/cwentry/message.go
@@ -15,8 +15,8 @@
 
 // The errors of a request that is refused.
 const (
-	ErrTimeout = errors.ConstError("the timeout header holds no whole number of milliseconds above zero")
-	ErrBody    = errors.ConstError("the body is larger than the target allows")
+	ErrTimeout = errors.ConstError("entry: the timeout header holds no whole number of milliseconds above zero")
+	ErrBody    = errors.ConstError("entry: the body is larger than the target allows")
 )
 
 // hop lists the fields that concern one connection only, RFC 9110, 7.6.1,
--- a/internal/cwentry/request.go
+++ b/internal/cwentry/request.go
@@ -14,11 +14,11 @@
 
 // The errors of a request that two readers could understand differently.
 const (
-	ErrID      = errors.ConstError("the request id is given twice, longer than 128 bytes, or has bytes other than A-Z a-z 0-9 . _ ~ : + / = @ -")
-	ErrVersion = errors.ConstError("the protocol is neither HTTP/1.1 nor HTTP/1.0")
-	ErrHost    = errors.ConstError("the request has no Host")
-	ErrTrailer = errors.ConstError("the trailer has a field that belongs into the header")
-	ErrForm    = errors.ConstError("the request target is neither a path nor a whole address")
+	ErrID      = errors.ConstError("entry: the request id is given twice, longer than 128 bytes, or has bytes other than A-Z a-z 0-9 . _ ~ : + / = @ -")
+	ErrVersion = errors.ConstError("entry: the protocol is neither HTTP/1.1 nor HTTP/1.0")
+	ErrHost    = errors.ConstError("entry: the request has no Host")
+	ErrTrailer = errors.ConstError("entry: the trailer has a field that belongs into the header")
+	ErrForm    = errors.ConstError("entry: the request target is neither a path nor a whole address")
 )
 
 // idMost bounds a caller's request id in bytes.
--- a/internal/cwentry/server.go
+++ b/internal/cwentry/server.go
@@ -18,10 +18,10 @@
 
 // The errors of a request that could not be read.
 const (
-	ErrRequest  = errors.ConstError("the request is malformed")
-	ErrHeader   = errors.ConstError("the request's header is too large")
-	ErrSlow     = errors.ConstError("the request did not arrive in time")
-	ErrPanicked = errors.ConstError("this entry VM failed while it handled the request")
+	ErrRequest  = errors.ConstError("entry: the request is malformed")
+	ErrHeader   = errors.ConstError("entry: the request's header is too large")
+	ErrSlow     = errors.ConstError("entry: the request did not arrive in time")
+	ErrPanicked = errors.ConstError("entry: this entry VM failed while it handled the request")
 )
 
 // ServerOptions bound what callers can hold.
--- a/internal/cwentry/target.go
+++ b/internal/cwentry/target.go
@@ -26,5 +26,5 @@
 		status = fasthttp.StatusNotFound
 	}
 
-	return nil, carobward.NewFailure(carobward.NotRun, status, 0, err)
+	return nil, carobward.NewFailure(carobward.NotRun, status, 0, errors.Annotate(err, "target"))
 }
--- a/internal/cwlimit/gate.go
+++ b/internal/cwlimit/gate.go
@@ -10,7 +10,7 @@
 )
 
 // ErrShed is the cause of a request that can't be answered in time.
-const ErrShed = errors.ConstError("the servers are too busy to answer in time")
+const ErrShed = errors.ConstError("limit: the servers are too busy to answer in time")
 
 // Shed tells that a request was given up before it was sent.
 type Shed struct {
