--- a/internal/cwspread/vm.go
+++ b/internal/cwspread/vm.go
@@ -15,7 +15,7 @@
 // errCut tells that the direction between two entry VMs is cut.
 const errCut = errors.ConstError("spread: cut")
 
-// VM is one entry VM of a fleet. It is its own cwconfig.Peers and Caller.
+// VM is one entry VM of a fleet. It is its own carobward.Peers and cwpeer.Calls.
 type VM struct {
 	// Store is what the entry VM reaches as the store.
 	Store *cwstore.Switch
