--- a/internal/cwnews/system.go
+++ b/internal/cwnews/system.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwserver"
 	"carobward.example/carobward/internal/cwwire"
 )
@@ -21,9 +22,9 @@
 	Table   *Table
 	Servers *cwserver.Table
 	// Peers returns where the other entry VMs take peers' calls.
-	Peers  func() []carobward.Address
-	Caller Caller
-	Clock  carobward.Clock
+	Peers func() []carobward.Address
+	Calls cwpeer.Calls
+	Clock carobward.Clock
 	// Rand draws the peers that are told; nil is one with a random seed.
 	Rand *rand.Rand
 	Log  logr.Logger
@@ -62,7 +63,7 @@
 
 	for ctx.Err() == nil {
 		s.Tick(func(spread *Spread) {
-			spread.Tick(ctx, s.options.Clock, s.options.Peers(), s.options.Caller)
+			spread.Tick(ctx, s.options.Clock, s.options.Peers(), s.options.Calls)
 		})
 
 		select {
