--- a/internal/cwentry/carry_test.go
+++ b/internal/cwentry/carry_test.go
@@ -57,7 +57,7 @@
 		Calls   int64
 	}
 
-	firstThen := func(first func() (*carobward.Reply, error)) serving {
+	firstThen := func(first, then func() (*carobward.Reply, error)) serving {
 		var n atomic.Int64
 
 		return func(context.Context, *carobward.Call) (*carobward.Reply, error) {
@@ -65,7 +65,7 @@
 				return first()
 			}
 
-			return good()
+			return then()
 		}
 	}
 	always := func(do func() (*carobward.Reply, error)) serving {
@@ -82,15 +82,16 @@
 		want seen
 	}{
 		"good":                        {"/sheets", always(good), seen{heard{200, "ran", false}, 1}},
-		"a lookup is sent again":      {"/sheets", firstThen(unknown), seen{heard{200, "ran", false}, 2}},
-		"also after an error status":  {"/sheets", firstThen(broken), seen{heard{200, "ran", false}, 2}},
+		"a lookup is sent again":      {"/sheets", firstThen(unknown, good), seen{heard{200, "ran", false}, 2}},
+		"also after an error status":  {"/sheets", firstThen(broken, good), seen{heard{200, "ran", false}, 2}},
 		"error statuses only":         {"/sheets", always(broken), seen{heard{500, "ran", false}, 3}},
 		"failures only":               {"/sheets", always(unknown), seen{heard{502, "unknown", true}, 3}},
+		"unknown, then not run":       {"/sheets", firstThen(unknown, notRun), seen{heard{502, "unknown", true}, 3}},
 		"refusals only":               {"/sheets", always(shed), seen{heard{503, "not-run", true}, 3}},
-		"a fee is not sent again":     {"/fees", firstThen(unknown), seen{heard{502, "unknown", true}, 1}},
-		"unless it was not run":       {"/fees", firstThen(notRun), seen{heard{200, "ran", false}, 2}},
-		"or the server refused it":    {"/fees", firstThen(shed), seen{heard{200, "ran", false}, 2}},
-		"nor after an error status":   {"/fees", firstThen(broken), seen{heard{500, "ran", false}, 1}},
+		"a fee is not sent again":     {"/fees", firstThen(unknown, good), seen{heard{502, "unknown", true}, 1}},
+		"unless it was not run":       {"/fees", firstThen(notRun, good), seen{heard{200, "ran", false}, 2}},
+		"or the server refused it":    {"/fees", firstThen(shed, good), seen{heard{200, "ran", false}, 2}},
+		"nor after an error status":   {"/fees", firstThen(broken, good), seen{heard{500, "ran", false}, 1}},
 		"a service without servers":   {"/none", always(good), seen{heard{503, "not-run", true}, 0}},
 		"a fee that is never run":     {"/fees", always(notRun), seen{heard{502, "not-run", true}, 3}},
 		"a fee that all servers shed": {"/fees", always(shed), seen{heard{503, "not-run", true}, 3}},
