--- a/internal/cwtest/process.go
+++ b/internal/cwtest/process.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +15,10 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
 )
 
 // The bounds of waiting in tests. They are long, since a loaded machine may
@@ -134,6 +139,42 @@
 // Output returns what the process has printed so far.
 func (p *Process) Output() string { return p.output.String() }
 
+// ServeHTTP serves HTTP on loopback until the test ends.
+func ServeHTTP(t testing.TB, h fasthttp.RequestHandler) carobward.Address {
+	t.Helper()
+
+	s := &fasthttp.Server{Handler: h, CloseOnShutdown: true}
+
+	return Serve(t, s.Serve, s.Shutdown)
+}
+
+// Serve lets serve have a listener on loopback until the test ends; stop is
+// called before the listener is closed.
+func Serve(t testing.TB, serve func(net.Listener) error, stop func() error) carobward.Address {
+	t.Helper()
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		_ = serve(ln)
+	}()
+
+	t.Cleanup(func() {
+		_ = stop()
+		_ = ln.Close()
+		<-done
+	})
+
+	return carobward.Address(ln.Addr().String())
+}
+
 // Run runs a program to its end and returns its output and exit code.
 func Run(t testing.TB, program string, args ...string) (string, int) {
 	t.Helper()
