--- a/internal/cwowner/owner.go
+++ b/internal/cwowner/owner.go
@@ -48,7 +48,7 @@
 	calls cwpeer.Calls
 	clock carobward.Clock
 	log   logr.Logger
-	pace  pace
+	pace  Pace
 
 	self   cwticket.Owner
 	secret cwticket.Secret
@@ -78,7 +78,7 @@
 		calls:   calls,
 		clock:   clock,
 		log:     log.WithName("owner"),
-		pace:    usual,
+		pace:    UsualPace(),
 		self:    cwticket.Owner{VM: self.ID, Incarnation: self.Incarnation},
 		budget:  cwticket.NewBudget(limits),
 		limits:  limits,
