--- a/cmd/cwstand/caller.go
+++ b/cmd/cwstand/caller.go
@@ -3,14 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwload"
 	"carobward.example/carobward/pkg/cwcaller"
 )
 
 const usageCaller = `Ask the entry VMs which addresses to use, send requests one after the other
-and print each reply with its verdict.`
+and print each reply with its verdict.
+
+With --load several callers keep sending instead, hold an answer for as long as
+they may and never try again, and the counts are printed: who served, and what
+was cut. Every other worker posts to --charge.
+
+  cwstand caller --lookup 127.0.0.1:7002 --load 10s`
 
 type callerCommand struct {
 	Lookup  []string      `long:"lookup" required:"yes" description:"Lookup address of an entry VM; may be given again."`
@@ -21,6 +31,10 @@
 	Once    bool          `long:"once" description:"The request must not repeat: send it with a ticket."`
 	Count   int           `short:"n" default:"1" description:"Number of requests."`
 	Timeout time.Duration `long:"timeout" default:"2s" description:"Time for one request."`
+	Load    time.Duration `long:"load" description:"Load: how long."`
+	Callers int           `long:"callers" default:"6" description:"Load: number of callers."`
+	Workers int           `long:"workers" default:"4" description:"Load: requests that a caller has out at once."`
+	Charge  string        `long:"charge" default:"/fees" description:"Load: path to post to."`
 }
 
 // Execute sends the requests.
@@ -30,6 +44,12 @@
 		o.Lookup = append(o.Lookup, carobward.Address(l))
 	}
 
+	if c.Load > 0 {
+		c.load(o.Lookup)
+
+		return nil
+	}
+
 	client := cwcaller.New(o, carobward.SystemClock{})
 
 	for range c.Count {
@@ -44,3 +64,21 @@
 
 	return nil
 }
+
+// load puts load on and prints what became of it.
+func (c *callerCommand) load(lookup []carobward.Address) {
+	l := cwload.Start(cwload.Options{
+		Lookup: lookup, Domain: carobward.Domain(c.Domain), Callers: c.Callers, Workers: c.Workers, Read: c.URI, Charge: c.Charge,
+	})
+
+	<-time.After(c.Load)
+	l.Stop()
+
+	got := l.Counts()
+	for _, vm := range slices.Sorted(maps.Keys(got.By)) {
+		fmt.Println(got.By[vm], "served by", vm)
+	}
+
+	fmt.Println(got.Charged, "charged")
+	fmt.Println(got.Cut, "cut", strings.Join(got.First, "; "))
+}
--- /dev/null
+++ b/internal/cwcost/cost.go
@@ -0,0 +1,73 @@
+// Package cwcost reads what a process has used of the machine.
+package cwcost
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Cost is what a process has used so far.
+type Cost struct {
+	// Processor is the time on a processor.
+	Processor time.Duration
+	// Resident is the memory now, in bytes.
+	Resident int64
+}
+
+// The fields of proc(5)'s stat after the program's name, from zero, and the
+// time of the kernel's clock tick as programs see it.
+const (
+	statUser   = 11
+	statSystem = 12
+	statPages  = 21
+	clockTick  = 10 * time.Millisecond
+)
+
+// Of reads what a process has used.
+func Of(pid int) (Cost, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return Cost{}, errors.Annotate(err, "cost")
+	}
+
+	fields := bytes.Fields(raw[bytes.LastIndexByte(raw, ')')+1:])
+	if len(fields) <= statPages {
+		return Cost{}, errors.Errorf("cost: the stat of process %d has %d fields", pid, len(fields))
+	}
+
+	var numbers [statPages + 1]int64
+
+	for _, i := range []int{statUser, statSystem, statPages} {
+		numbers[i], err = strconv.ParseInt(string(fields[i]), 10, 64)
+		if err != nil {
+			return Cost{}, errors.Annotate(err, "cost")
+		}
+	}
+
+	return Cost{
+		Processor: time.Duration(numbers[statUser]+numbers[statSystem]) * clockTick,
+		Resident:  numbers[statPages] * int64(os.Getpagesize()),
+	}, nil
+}
+
+// Sum adds up what processes have used.
+func Sum(pids []int) (Cost, error) {
+	var sum Cost
+
+	for _, p := range pids {
+		c, err := Of(p)
+		if err != nil {
+			return sum, err
+		}
+
+		sum.Processor += c.Processor
+		sum.Resident += c.Resident
+	}
+
+	return sum, nil
+}
--- a/test/path/stop_test.go
+++ b/test/path/stop_test.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwload"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
 )
@@ -75,22 +76,28 @@
 
 			more := peersKey(t)
 			f := newStopFleet(t, more, ln.Addr().String())
-			l := startLoad(t, f)
+			o := cwload.Options{Domain: "Ifrane", Callers: 6, Workers: 4, Read: "/sheets/today", Charge: "/fees"}
+			for _, v := range f.VMs {
+				o.Lookup = append(o.Lookup, carobward.Address(v.Lookup))
+			}
+
+			l := cwload.Start(o)
+			defer l.Stop()
 
 			for range 2 {
 				replace(t, f, l, more, tt.naive)
 			}
 
-			l.end()
+			l.Stop()
 
-			cut := l.cuts()
-			t.Logf("%d requests by vm-1, %d by the others, %d cut", l.served("vm-1"), l.served("vm-2")+l.served("vm-3"), len(cut))
+			got := l.Counts()
+			t.Logf("%d requests by vm-1, %d by the others, %d cut", got.By["vm-1"], got.By["vm-2"]+got.By["vm-3"], got.Cut)
 
-			if tt.naive != (len(cut) > 0) {
-				t.Errorf("%d requests were cut: %v", len(cut), cut[:min(3, len(cut))])
+			if tt.naive != (got.Cut > 0) {
+				t.Errorf("%d requests were cut: %v", got.Cut, got.First)
 			}
 
-			if ran, want := billing.Ran(), l.charged.Load(); !tt.naive && ran != want {
+			if ran, want := billing.Ran(), got.Charged; !tt.naive && ran != want {
 				t.Errorf("%d fees ran, %d were confirmed", ran, want)
 			}
 		})
@@ -98,14 +105,14 @@
 }
 
 // replace stops vm-1 while it is in use and starts its successor.
-func replace(t *testing.T, f *cwtest.Fleet, l *load, more string, naive bool) {
+func replace(t *testing.T, f *cwtest.Fleet, l *cwload.Load, more string, naive bool) {
 	t.Helper()
 
 	const enough = 50
 
 	old := f.VMs["vm-1"]
-	before := l.served("vm-1")
-	cwtest.Wait(t, "vm-1 is in use", func() bool { return l.served("vm-1") > before+enough })
+	before := l.Served("vm-1")
+	cwtest.Wait(t, "vm-1 is in use", func() bool { return l.Served("vm-1") > before+enough })
 
 	old.Process.Signal(t, syscall.SIGTERM)
 
