Bench hop and cost: the measuring tools leave the tests

BenchmarkHop, BenchmarkCarry and BenchmarkIdle were test files that started processes. Both readers of /proc in cwtest are one, in cwcost.

--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -41,6 +41,8 @@
 
 	for _, c := range []command{
 		{"budget", "Print what measuring costs the servers.", usageBenchBudget, &benchBudgetCommand{}},
+		{"cost", "Measure what processes use.", usageBenchCost, &benchCostCommand{}},
+		{"hop", "Measure what the hop by way of an entry VM adds.", usageBenchHop, &benchHopCommand{}},
 		{"idle", "Count the calls lost to closes of idle connections.", usageBenchIdle, &benchIdleCommand{}},
 		{"leave", "Print how soon a leaving server gets no more work.", usageBenchLeave, &benchLeaveCommand{}},
 		{"members", "Measure membership against the fleet's size.", usageBenchMembers, &benchMembersCommand{}},
--- /dev/null
+++ b/internal/cwcost/cost_test.go
@@ -0,0 +1,28 @@
+package cwcost
+
+import (
+	"os"
+	"testing"
+
+	"carobward.example/carobward/internal/cwtest"
+)
+
+// TestSum watches this process work, twice over.
+func TestSum(t *testing.T) {
+	me := os.Getpid()
+
+	cwtest.Wait(t, "a processor time that grows", func() bool {
+		one, err := Of(me)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		two, err := Sum([]int{me, me})
+
+		return err == nil && one.Processor > 0 && one.Resident > 0 && two.Processor >= 2*one.Processor && two.Resident > one.Resident
+	})
+
+	if _, err := Of(0); err == nil {
+		t.Error("a cost of no process")
+	}
+}
--- a/internal/cwtest/process.go
+++ b/internal/cwtest/process.go
@@ -4,12 +4,9 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -162,33 +159,3 @@
 
 	return path
 }
-
-// Processor returns the processor time that the process has used so far.
-func (p *Process) Processor(t testing.TB) time.Duration {
-	t.Helper()
-
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.command.Process.Pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-
-	// The fields after the name in brackets: user and system time are the
-	// 12th and 13th, in hundredths of a second, see proc(5).
-	const user, system, tick = 11, 12, 10 * time.Millisecond
-
-	_, rest, _ := strings.Cut(string(raw), ") ")
-	fields := strings.Fields(rest)
-
-	var sum time.Duration
-
-	for _, f := range []string{fields[user], fields[system]} {
-		n, err := strconv.ParseInt(f, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-
-		sum += time.Duration(n) * tick
-	}
-
-	return sum
-}
