--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -41,6 +41,8 @@
 
 	for _, c := range []command{
 		{"budget", "Print what measuring costs the servers.", usageBenchBudget, &benchBudgetCommand{}},
+		{"carriers", "Print which entry VMs carry which targets.", usageBenchCarriers, &benchCarriersCommand{}},
+		{"config", "Measure how a change of the configuration spreads.", usageBenchConfig, &benchConfigCommand{}},
 		{"cost", "Measure what processes use.", usageBenchCost, &benchCostCommand{}},
 		{"hop", "Measure what the hop by way of an entry VM adds.", usageBenchHop, &benchHopCommand{}},
 		{"idle", "Count the calls lost to closes of idle connections.", usageBenchIdle, &benchIdleCommand{}},
