Owner: handover and successor instead of metaphors; a bound for TestHedge's wait

TestHedge's fake no longer waits without end where a hedge does not come: the test then fails by its assertions.

--- a/internal/cwentry/carry_test.go
+++ b/internal/cwentry/carry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/juju/errors"
@@ -168,6 +169,8 @@
 			return failed(carobward.Unknown)
 		case <-release:
 			return good()
+		case <-time.After(cwtest.WaitMost):
+			return failed(carobward.Unknown)
 		}
 	}}
 	c := newCarrierOf(5, 100, wait, l)
--- a/internal/cwfee/vm.go
+++ b/internal/cwfee/vm.go
@@ -136,7 +136,7 @@
 	case "Owner.Result":
 		_ = v.service.Result(in.(*cwwire.OnceQuery), out.(*cwwire.OnceAnswer))
 	case "Owner.Take":
-		_ = v.service.Take(in.(*cwwire.Estate), out.(*cwwire.Taken))
+		_ = v.service.Take(in.(*cwwire.Handover), out.(*cwwire.Taken))
 	case "Owner.Moved":
 		_ = v.service.Moved(in.(*cwwire.Moved), out.(*cwwire.Noted))
 	}
--- a/internal/cwowner/export_test.go
+++ b/internal/cwowner/export_test.go
@@ -7,7 +7,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 
-	for e := range o.estates {
+	for e := range o.handovers {
 		if e.VM == of {
 			return true
 		}
--- a/internal/cwowner/handover.go
+++ b/internal/cwowner/handover.go
@@ -12,14 +12,14 @@
 	"carobward.example/carobward/internal/cwwire"
 )
 
-// ErrHeir tells that no other entry VM took what became of the tickets.
-const ErrHeir = errors.ConstError("owner: no entry VM took the outcomes")
+// ErrSuccessor tells that no other entry VM took what became of the tickets.
+const ErrSuccessor = errors.ConstError("owner: no entry VM took the outcomes")
 
 // The bounds of handing over: the largest answer that goes along, in bytes,
 // and the number of entry VMs that are asked.
 const (
-	answerMost = 3 << 20
-	heirsMost  = 3
+	answerMost     = 3 << 20
+	successorsMost = 3
 )
 
 // Close ends the starting of new work on this entry VM's tickets, for good.
@@ -46,7 +46,7 @@
 	var failed error
 
 	for of, e := range o.all() {
-		if err := o.bequeath(ctx, of, e); err != nil {
+		if err := o.handTo(ctx, of, e); err != nil {
 			failed = err
 		}
 	}
@@ -73,14 +73,14 @@
 	return short
 }
 
-// all returns our own table as an estate, and those that we stand in for.
-func (o *Owner) all() map[cwticket.Owner]*estate {
+// all returns our own table as a handover, and those that we stand in for.
+func (o *Owner) all() map[cwticket.Owner]*handover {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 
-	all := map[cwticket.Owner]*estate{o.self: {table: o.own, secret: o.secret, closedAt: o.closedAt}}
+	all := map[cwticket.Owner]*handover{o.self: {table: o.own, secret: o.secret, closedAt: o.closedAt}}
 
-	for of, e := range o.estates {
+	for of, e := range o.handovers {
 		if e.table.Whole() {
 			all[of] = e
 		}
@@ -89,11 +89,11 @@
 	return all
 }
 
-// bequeath hands one estate to the first entry VM that takes it.
-func (o *Owner) bequeath(ctx context.Context, of cwticket.Owner, e *estate) error {
+// handTo gives one handover to the first entry VM that takes it.
+func (o *Owner) handTo(ctx context.Context, of cwticket.Owner, e *handover) error {
 	parts := split(e.table.Export(), o.pace.Part)
 
-	for _, p := range o.heirs(of) {
+	for _, p := range o.successors(of) {
 		if err := o.give(ctx, p.Peers, of, e, parts); err != nil {
 			o.log.Info("An entry VM did not take the outcomes.", "peer", p.ID, "cause", err.Error())
 
@@ -105,13 +105,13 @@
 		return nil
 	}
 
-	return ErrHeir
+	return ErrSuccessor
 }
 
-func (o *Owner) give(ctx context.Context, to carobward.Address, of cwticket.Owner, e *estate, parts [][]cwticket.Entry) error {
+func (o *Owner) give(ctx context.Context, to carobward.Address, of cwticket.Owner, e *handover, parts [][]cwticket.Entry) error {
 	for i, part := range parts {
 		out := &cwwire.Taken{}
-		in := &cwwire.Estate{
+		in := &cwwire.Handover{
 			Vm:          string(of.VM),
 			Incarnation: uint64(of.Incarnation),
 			Secret:      e.secret[:],
@@ -127,7 +127,7 @@
 		}
 
 		if !out.GetTaken() {
-			return ErrHeir
+			return ErrSuccessor
 		}
 	}
 
@@ -158,9 +158,9 @@
 	return parts
 }
 
-// heirs returns the live entry VMs that are asked, in random order, so that
-// the estates of many are spread.
-func (o *Owner) heirs(of cwticket.Owner) []carobward.Peer {
+// successors returns the live entry VMs that are asked, in random order, so that
+// the handovers of many are spread.
+func (o *Owner) successors(of cwticket.Owner) []carobward.Peer {
 	var fit []carobward.Peer
 
 	for _, p := range o.peers.All() {
@@ -171,5 +171,5 @@
 
 	rand.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
 
-	return fit[:min(len(fit), heirsMost)]
+	return fit[:min(len(fit), successorsMost)]
 }
--- a/internal/cwowner/owner.go
+++ b/internal/cwowner/owner.go
@@ -56,13 +56,13 @@
 	limits cwticket.Options
 	own    *cwticket.Table
 
-	mutex    sync.Mutex
-	closedAt time.Duration
-	estates  map[cwticket.Owner]*estate
-	moved    map[cwticket.Owner]*heir
-	silent   map[carobward.Address]time.Time
-	telling  bool
-	told     time.Time
+	mutex     sync.Mutex
+	closedAt  time.Duration
+	handovers map[cwticket.Owner]*handover
+	moved     map[cwticket.Owner]*successor
+	silent    map[carobward.Address]time.Time
+	telling   bool
+	told      time.Time
 
 	stop  context.CancelFunc
 	work  context.Context //nolint:containedctx // It ends what runs in the background.
@@ -74,18 +74,18 @@
 func New(limits cwticket.Options, peers carobward.Peers, calls cwpeer.Calls, clock carobward.Clock, log logr.Logger) (*Owner, error) {
 	self := peers.Self()
 	o := &Owner{
-		peers:   peers,
-		calls:   calls,
-		clock:   clock,
-		log:     log.WithName("owner"),
-		pace:    UsualPace(),
-		self:    cwticket.Owner{VM: self.ID, Incarnation: self.Incarnation},
-		budget:  cwticket.NewBudget(limits),
-		limits:  limits,
-		estates: map[cwticket.Owner]*estate{},
-		moved:   map[cwticket.Owner]*heir{},
-		silent:  map[carobward.Address]time.Time{},
-		done:    make(chan struct{}),
+		peers:     peers,
+		calls:     calls,
+		clock:     clock,
+		log:       log.WithName("owner"),
+		pace:      UsualPace(),
+		self:      cwticket.Owner{VM: self.ID, Incarnation: self.Incarnation},
+		budget:    cwticket.NewBudget(limits),
+		limits:    limits,
+		handovers: map[cwticket.Owner]*handover{},
+		moved:     map[cwticket.Owner]*successor{},
+		silent:    map[carobward.Address]time.Time{},
+		done:      make(chan struct{}),
 	}
 
 	if _, err := rand.Read(o.secret[:]); err != nil {
@@ -188,7 +188,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 
-	if e := o.estates[of]; e != nil {
+	if e := o.handovers[of]; e != nil {
 		return e.table
 	}
 
@@ -249,7 +249,7 @@
 // entry VM stands in.
 func (o *Owner) Tick(now time.Time) {
 	o.own.Tick(now)
-	o.tickEstates(now)
+	o.tickHandovers(now)
 	o.tell(now)
 }
 
--- a/internal/cwowner/estate.go
+++ b/internal/cwowner/successor.go
@@ -9,30 +9,30 @@
 	"carobward.example/carobward/internal/cwwire"
 )
 
-// estate is what became of the tickets of an owner that left.
-type estate struct {
+// handover is what became of the tickets of an owner that left.
+type handover struct {
 	table  *cwticket.Table
 	secret cwticket.Secret
 	// closedAt is how old the owner was when it closed.
 	closedAt time.Duration
 	// parts is how many parts have come.
 	parts uint32
-	// told has the runs of peers that know that the estate is here.
+	// told has the runs of peers that know that the handover is here.
 	told map[cwticket.Owner]bool
 }
 
-// heir is where the tickets of an owner that left are kept.
-type heir struct {
+// successor is where the tickets of an owner that left are kept.
+type successor struct {
 	peers carobward.Address
 	until time.Time
 }
 
-// estatesMost bounds how many owners this entry VM stands in for, and for how
+// handoversMost bounds how many owners this entry VM stands in for, and for how
 // many it knows who does.
-const estatesMost = 4096
+const handoversMost = 4096
 
 // Take takes one part of what a leaving owner hands over.
-func (s *Service) Take(in *cwwire.Estate, out *cwwire.Taken) error {
+func (s *Service) Take(in *cwwire.Handover, out *cwwire.Taken) error {
 	o := s.owner
 	of := cwticket.Owner{VM: carobward.VMID(in.GetVm()), Incarnation: carobward.Incarnation(in.GetIncarnation())}
 
@@ -45,9 +45,9 @@
 	}
 
 	if err := e.table.Import(ticketsFromWire(in.GetTickets())); err != nil {
-		o.log.Info("An estate found no room.", "vm", of.VM)
+		o.log.Info("A handover found no room.", "vm", of.VM)
 		e.table.Drop()
-		delete(o.estates, of)
+		delete(o.handovers, of)
 
 		return nil
 	}
@@ -64,10 +64,10 @@
 	return nil
 }
 
-// open returns the estate that a part belongs to; the first part starts it. A
+// open returns the handover that a part belongs to; the first part starts it. A
 // part that is missing, or a closed owner, leaves none.
-func (o *Owner) open(of cwticket.Owner, in *cwwire.Estate) *estate {
-	e := o.estates[of]
+func (o *Owner) open(of cwticket.Owner, in *cwwire.Handover) *handover {
+	e := o.handovers[of]
 	shut := o.closedAt != 0 || of == o.self || len(in.GetSecret()) != cwticket.KeySize
 
 	if shut || (e != nil && e.table.Whole()) {
@@ -75,7 +75,7 @@
 	}
 
 	if in.GetPart() == 0 {
-		if len(o.estates) >= estatesMost {
+		if len(o.handovers) >= handoversMost {
 			return nil
 		}
 
@@ -85,13 +85,13 @@
 
 		secret := cwticket.Secret(in.GetSecret())
 		issuer := cwticket.NewIssuer(of, secret, time.Duration(in.GetAge()), o.clock.Now())
-		e = &estate{
-			table:    cwticket.NewHeir(issuer, o.budget),
+		e = &handover{
+			table:    cwticket.NewSuccessor(issuer, o.budget),
 			secret:   secret,
 			closedAt: time.Duration(in.GetClosed()),
 			told:     map[cwticket.Owner]bool{},
 		}
-		o.estates[of] = e
+		o.handovers[of] = e
 
 		return e
 	}
@@ -112,24 +112,24 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 
-	if len(o.moved) < estatesMost || o.moved[of] != nil {
-		o.moved[of] = &heir{peers: carobward.Address(in.GetPeers()), until: o.clock.Now().Add(left)}
+	if len(o.moved) < handoversMost || o.moved[of] != nil {
+		o.moved[of] = &successor{peers: carobward.Address(in.GetPeers()), until: o.clock.Now().Add(left)}
 	}
 
 	return nil
 }
 
-// tickEstates forgets estates whose last ticket is no longer honoured.
-func (o *Owner) tickEstates(now time.Time) {
+// tickHandovers forgets handovers whose last ticket is no longer honoured.
+func (o *Owner) tickHandovers(now time.Time) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 
-	for of, e := range o.estates {
+	for of, e := range o.handovers {
 		e.table.Tick(now)
 
 		if e.table.Expired(now, e.closedAt) {
 			e.table.Drop()
-			delete(o.estates, of)
+			delete(o.handovers, of)
 		}
 	}
 
@@ -159,7 +159,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 
-	if o.telling || o.work.Err() != nil || now.Sub(o.told) < o.pace.Tell || len(o.estates) == 0 {
+	if o.telling || o.work.Err() != nil || now.Sub(o.told) < o.pace.Tell || len(o.handovers) == 0 {
 		return
 	}
 
@@ -182,7 +182,7 @@
 			continue
 		}
 
-		for of, e := range o.estates {
+		for of, e := range o.handovers {
 			if e.table.Whole() && !e.told[run(p)] {
 				left := e.closedAt + o.limits.Horizon - e.table.Issuer().Age(now)
 				all = append(all, notice{to: p, of: of, left: left})
@@ -204,14 +204,14 @@
 		in := &cwwire.Moved{
 			Vm:          string(n.of.VM),
 			Incarnation: uint64(n.of.Incarnation),
-			Heir:        string(self.ID),
+			Successor:   string(self.ID),
 			Peers:       string(self.Peers),
 			Left:        int64(n.left),
 		}
 		err := o.send(n.to.Peers, in)
 
 		o.mutex.Lock()
-		if e := o.estates[n.of]; e != nil && err == nil {
+		if e := o.handovers[n.of]; e != nil && err == nil {
 			e.told[run(n.to)] = true
 		}
 		o.mutex.Unlock()
--- a/internal/cwticket/handover.go
+++ b/internal/cwticket/handover.go
@@ -94,9 +94,9 @@
 	return t.phase == closed
 }
 
-// NewHeir returns the table of an owner that hands its tickets over. Until
+// NewSuccessor returns the table of an owner that hands its tickets over. Until
 // Complete it answers for none of those that are missing.
-func NewHeir(issuer *Issuer, budget *Budget) *Table {
+func NewSuccessor(issuer *Issuer, budget *Budget) *Table {
 	t := NewTable(issuer, budget)
 	t.phase = partial
 	close(t.drained)
--- a/internal/cwticket/table_test.go
+++ b/internal/cwticket/table_test.go
@@ -265,17 +265,17 @@
 	}
 
 	now := start.Add(time.Minute)
-	heir := NewHeir(NewIssuer(owner, Secret{1, 2, 3}, table.Issuer().Age(now), now), NewBudget(limits))
+	successor := NewSuccessor(NewIssuer(owner, Secret{1, 2, 3}, table.Issuer().Age(now), now), NewBudget(limits))
 
-	if err := heir.Import(table.Export()); err != nil {
+	if err := successor.Import(table.Export()); err != nil {
 		t.Fatal(err)
 	}
 
-	if _, s := ask(heir, now, never, Digest{1}); s.Verdict != carobward.Unknown {
-		t.Errorf("an heir that lacks a part: %+v", s)
+	if _, s := ask(successor, now, never, Digest{1}); s.Verdict != carobward.Unknown {
+		t.Errorf("a successor that lacks a part: %+v", s)
 	}
 
-	heir.Complete()
+	successor.Complete()
 
 	for name, test := range map[string]struct {
 		ticket Ticket
@@ -289,14 +289,14 @@
 		"closed":    {shut, Digest{1}, said{Verdict: carobward.NotRun, Status: 409, Cause: ErrSpent}},
 		"never ran": {never, Digest{1}, said{Verdict: carobward.NotRun, Status: 503, Cause: ErrClosed}},
 	} {
-		_, got := ask(heir, now, test.ticket, test.digest)
+		_, got := ask(successor, now, test.ticket, test.digest)
 		if diff := cmp.Diff(test.want, got, cmp.Comparer(errors.Is)); diff != "" {
 			t.Errorf("%s: %s", name, diff)
 		}
 	}
 
-	if _, s := ask(heir, start.Add(horizon), ran, Digest{1}); !errors.Is(s.Cause, ErrExpired) {
-		t.Errorf("an heir counts the owner's time: %+v", s)
+	if _, s := ask(successor, start.Add(horizon), ran, Digest{1}); !errors.Is(s.Cause, ErrExpired) {
+		t.Errorf("a successor counts the owner's time: %+v", s)
 	}
 
 	c.Close(now)
