VM list: an empty one takes no servers away, a bad line costs only itself

Cause: a list that came back empty, or with one line that has no IP number, was taken as it was: the first removed every server at once, the second put an address into the table that no call can reach. Found by reading; the package had no test. Now an empty list is an error and the last one stays in use, a bad line is named and left out, and an address that comes twice counts once.

--- a/internal/cwnode/member.go
+++ b/internal/cwnode/member.go
@@ -32,9 +32,7 @@
 
 	list, err := n.list.List(context.Background())
 	if err != nil {
-		n.log.Info("The VM list did not answer.", "cause", err.Error())
-
-		return nil
+		n.log.Info("The VM list could not be read whole.", "read", len(list), "cause", err.Error())
 	}
 
 	n.member.Join(context.Background(), list)
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -42,9 +42,11 @@
 func (n *Node) readList(ctx context.Context) {
 	list, err := n.list.List(ctx)
 	if err != nil {
-		n.log.Info("The VM list did not answer.", "cause", err.Error())
+		n.log.Info("The VM list could not be read whole.", "read", len(list), "cause", err.Error())
+	}
 
-		return
+	if len(list) == 0 {
+		return // What was listed before stands.
 	}
 
 	n.news.Listed(list)
--- a/internal/cwvm/client.go
+++ b/internal/cwvm/client.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -66,28 +67,60 @@
 	return Parse(body)
 }
 
-// Parse reads the format.
+// The errors of a list.
+const (
+	// ErrEmpty tells that no VM is on the list. A platform that lost its
+	// memory must not take all servers away from us.
+	ErrEmpty = errors.ConstError("list: it is empty")
+	// ErrAddress tells that a line has no IP number and port.
+	ErrAddress = errors.ConstError("list: want an IP number and a port")
+)
+
+// Parse reads the format. Lines without a proper address are left out and
+// named in the error, beside which the others are returned. An address that
+// comes twice counts once, as leaving if either line says so.
 func Parse(raw []byte) ([]carobward.VM, error) {
 	var groups []Group
 	if err := json.Unmarshal(raw, &groups); err != nil {
 		return nil, errors.Annotate(err, "list")
 	}
 
-	var all []carobward.VM
+	var (
+		all []carobward.VM
+		bad error
+	)
+
+	at := map[carobward.Address]int{}
 
 	for _, g := range groups {
 		for _, a := range g.Targets {
-			all = append(all, carobward.VM{
-				Address: a,
-				ID:      g.Labels.VM,
-				Service: g.Labels.Service,
-				Domain:  g.Labels.Domain,
-				State:   state(g.Labels.State),
-			})
+			if _, err := netip.ParseAddrPort(string(a)); err != nil {
+				bad = errors.Annotatef(ErrAddress, "list: %q", a)
+
+				continue
+			}
+
+			v := vm(a, &g.Labels)
+			if i, twice := at[a]; twice {
+				all[i].State = max(all[i].State, v.State)
+
+				continue
+			}
+
+			at[a] = len(all)
+			all = append(all, v)
 		}
 	}
 
-	return all, nil
+	if len(all) == 0 && bad == nil {
+		bad = ErrEmpty
+	}
+
+	return all, bad
+}
+
+func vm(a carobward.Address, l *Labels) carobward.VM {
+	return carobward.VM{Address: a, ID: l.VM, Service: l.Service, Domain: l.Domain, State: state(l.State)}
 }
 
 func state(name string) carobward.VMState {
--- a/vm.go
+++ b/vm.go
@@ -44,6 +44,7 @@
 
 // VMList is the platform's list of VMs. It lags behind the truth.
 type VMList interface {
-	// List returns all VMs.
+	// List returns all VMs. Beside an error it returns those that could be
+	// read all the same, if any.
 	List(ctx context.Context) ([]VM, error)
 }
