--- a/internal/cwtest/process.go
+++ b/internal/cwtest/process.go
@@ -150,12 +150,7 @@
 func Serve(t testing.TB, serve func(net.Listener) error, stop func() error) carobward.Address {
 	t.Helper()
 
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-
-	done := make(chan struct{})
+	ln, done := Listen(t), make(chan struct{})
 
 	go func() {
 		defer close(done)
