--- /dev/null
+++ b/cmd/cwgateway/main.go
@@ -0,0 +1,124 @@
+// Command cwgateway runs one entry VM on the users' platform.
+//
+// Usage:
+//
+//	CAROBWARD_BOOT=/path/to/settings.toml cwgateway
+//
+// It reads the settings that the platform writes, serves callers, and stops
+// within the grace on SIGTERM or SIGINT. On SIGHUP it reads the settings again
+// and says what a restart would change.
+package main
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/go-logr/logr"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwgateway"
+	"carobward.example/carobward/internal/cwlog"
+	"carobward.example/carobward/internal/cwmesh"
+	"carobward.example/carobward/platform"
+)
+
+const (
+	// gcPercent keeps the heap small: memory is dearer here than processor
+	// time.
+	gcPercent = 40
+	// logLines bounds the log lines that wait to be written: some 200 bytes
+	// each, and some 20 a second and request.
+	logLines = 2048
+	// metricsPort is where the metrics are served, as deploy/system.toml says.
+	metricsPort = "9464"
+)
+
+func main() {
+	debug.SetGCPercent(gcPercent)
+
+	out := cwlog.NewAsync(os.Stdout, logLines)
+	log := cwlog.New(out, "info")
+	err := run(log)
+
+	if err != nil {
+		log.Error(err, "Ended.")
+	}
+
+	out.Close()
+
+	if err != nil {
+		os.Exit(1)
+	}
+}
+
+func run(log logr.Logger) error {
+	path := os.Getenv(platform.SettingsVariable)
+	if path == "" {
+		return fmt.Errorf("set %s to the path of the platform's settings file", platform.SettingsVariable)
+	}
+
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+
+	g, err := cwgateway.New(options(s, log))
+	if err != nil {
+		return err
+	}
+
+	stop := make(chan struct{})
+
+	go watchSignals(path, log.WithName("signal"), stop)
+
+	return g.Run(stop)
+}
+
+func options(s *platform.Settings, log logr.Logger) cwgateway.Options {
+	host, _, _ := net.SplitHostPort(string(s.Callers))
+	// All entry VMs of a deployment share its store. The key keeps those of
+	// another one out; it is no secret.
+	key := sha256.Sum256([]byte("carobward " + string(s.Store)))
+
+	return cwgateway.Options{
+		Self:        cwmesh.Node{ID: s.VM, Domain: s.Domain, Callers: s.Callers, Peers: s.Peers},
+		Ready:       s.Ready,
+		Lookup:      s.Lookup,
+		Metrics:     carobward.Address(net.JoinHostPort(host, metricsPort)),
+		Seeds:       s.Seeds,
+		Key:         key[:],
+		Grace:       s.Bounds.Grace,
+		AnswerMost:  s.Bounds.AnswerMost,
+		ExtraShare:  s.Bounds.ExtraShare,
+		ExtraWindow: s.Bounds.ExtraWindow,
+		ExtraLeast:  s.Bounds.ExtraLeast,
+		Adapter:     platform.Adapter(s.Store, func() {}),
+		Clock:       carobward.SystemClock{},
+		Log:         log,
+	}
+}
+
+// watchSignals closes stop on SIGTERM or SIGINT.
+func watchSignals(path string, log logr.Logger, stop chan<- struct{}) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+
+	for s := range signals {
+		log.Info("Got a signal.", "signal", s.String())
+
+		if s != syscall.SIGHUP {
+			close(stop)
+
+			return
+		}
+
+		if _, err := platform.ReadSettings(path); err != nil {
+			log.Error(err, "The settings can't be read, the old ones stay.")
+		}
+	}
+}
--- a/ids.go
+++ b/ids.go
@@ -33,3 +33,13 @@
 // StoreIndex is the store's own counter of one key. Zero means that the key
 // does not exist.
 type StoreIndex uint64
+
+// Instance names one run of a server; a restart has another one.
+type Instance string
+
+// Version numbers the operators' configurations on the platform. It rises, in
+// uneven steps.
+type Version uint64
+
+// RouteName names a route of the operators' configuration.
+type RouteName string
--- /dev/null
+++ b/internal/cwbackend/server.go
@@ -0,0 +1,194 @@
+package cwbackend
+
+import (
+	"sync"
+	"time"
+
+	"carobward.example/carobward"
+)
+
+// Outcome is how a request or a health check at a server ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered: a whole answer came.
+	Answered Outcome = iota
+	// Refused: the server said that the request did not run.
+	Refused
+	// Failed: an answer that blames the server came, such as a status 500.
+	Failed
+	// Broken: no whole answer came; the connection ended or it was no answer.
+	Broken
+	// Silent: no answer came in time.
+	Silent
+	// Abandoned: we gave the request up ourselves, which says nothing of the
+	// server.
+	Abandoned
+)
+
+var outcomeNames = [...]string{
+	Answered: "answered", Refused: "refused", Failed: "failed",
+	Broken: "broken", Silent: "silent", Abandoned: "abandoned",
+}
+
+// String returns the outcome's name.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// The bounds of blocking a server for its failures.
+const (
+	// blockFirst is the time for which a server gets no requests after a
+	// failure in a row of failures; it doubles with each further one up to
+	// blockMost. The first is a few request times long: a failure that was
+	// chance costs little, and a server that fails all is tried rarely.
+	blockFirst = 250 * time.Millisecond
+	blockMost  = 4 * time.Second
+	// trustShare is the weight of one outcome in the share of failures.
+	trustShare = 0.2
+	// overdueFactor is how many usual times without an answer make a request
+	// at a server overdue, which speaks against sending another one there.
+	overdueFactor = 4
+)
+
+// Server is one run of a backend server and what this entry VM knows of it.
+type Server struct {
+	mutex   sync.Mutex
+	backend carobward.Backend
+	joined  time.Time
+	warm    time.Time
+	report  carobward.Report
+	// failures counts the failures in a row, trouble is the moving share of
+	// requests that failed.
+	failures int
+	trouble  float64
+	blocked  time.Time
+	// out has the start of each of our requests at the server.
+	out map[int64]time.Time
+	seq int64
+}
+
+func newServer(b carobward.Backend, now time.Time) *Server {
+	return &Server{backend: b, joined: now, warm: now.Add(b.Warmup), out: map[int64]time.Time{}}
+}
+
+// Backend returns the server as the platform's list shows it.
+func (s *Server) Backend() carobward.Backend {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return s.backend
+}
+
+// update takes a new entry of the list.
+func (s *Server) update(b carobward.Backend, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.backend = b
+	s.warm = now.Add(b.Warmup)
+}
+
+// SetReport takes what the server said of its load.
+func (s *Server) SetReport(r carobward.Report) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	if !r.At.IsZero() && r.At.After(s.report.At) {
+		s.report = r
+	}
+}
+
+// Begin notes a request that is sent. End must be called once with what it
+// returns.
+func (s *Server) Begin(now time.Time) int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.seq++
+	s.out[s.seq] = now
+
+	return s.seq
+}
+
+// End notes how a request ended.
+func (s *Server) End(number int64, now time.Time, o Outcome) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	delete(s.out, number)
+	s.learn(now, o)
+}
+
+// Looked notes how a health check ended. Its success does not excuse failed
+// requests: a server may fail those while its health check is good.
+func (s *Server) Looked(now time.Time, o Outcome) {
+	if o != Broken && o != Silent {
+		return
+	}
+
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.block(now)
+}
+
+func (s *Server) learn(now time.Time, o Outcome) {
+	switch o {
+	case Answered:
+		s.failures = 0
+		s.trouble -= trustShare * s.trouble
+	case Failed, Broken, Silent, Refused:
+		s.trouble += trustShare * (1 - s.trouble)
+		s.block(now)
+	case Abandoned:
+	}
+}
+
+// block takes the server out of the choice for a time.
+func (s *Server) block(now time.Time) {
+	s.blocked = now.Add(min(blockMost, blockFirst<<min(s.failures, 8)))
+	s.failures++
+}
+
+// View is what the choice of a server sees of one.
+type View struct {
+	Server *Server
+	// Leaving tells that it takes no new work.
+	Leaving bool
+	// Blocked tells that it failed lately.
+	Blocked bool
+	// Warming tells that it has just started and is slow.
+	Warming bool
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Own is how many of our requests it has.
+	Own int
+	// Overdue tells that one of ours has been there for too long.
+	Overdue bool
+	// Trouble is the share of our requests that failed lately.
+	Trouble float64
+	// Domain is its failure domain.
+	Domain carobward.Domain
+	// Report is its last word on its load.
+	Report carobward.Report
+}
+
+// View returns what is known of the server. Usual is the usual time of a
+// request.
+func (s *Server) View(now time.Time, usual time.Duration) View {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	v := View{
+		Server: s, Leaving: s.backend.Leaving, Blocked: now.Before(s.blocked), Warming: now.Before(s.warm),
+		Slots: max(1, s.backend.Slots), Own: len(s.out), Trouble: s.trouble, Domain: s.backend.Domain, Report: s.report,
+	}
+
+	for _, began := range s.out {
+		if now.Sub(began) > overdueFactor*usual {
+			v.Overdue = true
+		}
+	}
+
+	return v
+}
--- a/internal/cwentry/carrier.go
+++ b/internal/cwentry/carrier.go
@@ -16,6 +16,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
+	"carobward.example/carobward/internal/cwgone"
 	"carobward.example/carobward/internal/cwlimit"
 	"carobward.example/carobward/internal/cwmap"
 	"carobward.example/carobward/internal/cwmetric"
@@ -92,7 +93,7 @@
 
 	running atomic.Int64
 	serial  atomic.Uint64
-	waiting waiting
+	waiting *cwgone.Table
 	bodies  bodies
 
 	// bound ends when a stop may wait no longer for requests in flight.
@@ -122,7 +123,7 @@
 		records: cwmap.New[carobward.TargetName](cwretry.NewRecord),
 	}
 	c.bodies.most = int64(cmp.Or(o.Bodies, bodiesDefault))
-	c.waiting.callers = map[*caller]struct{}{}
+	c.waiting = cwgone.New()
 
 	if c.metrics == nil {
 		c.metrics = new(expvar.Map).Init()
@@ -210,7 +211,7 @@
 		return c.once(o.ctx, ctx, id, target, call)
 	}
 
-	work, done := c.waiting.wait(o.ctx, ctx)
+	work, done := c.waiting.Wait(o.ctx, conn(ctx))
 	defer done()
 
 	return c.carry(work, id, target, call)
--- a/internal/cwentry/listener.go
+++ b/internal/cwentry/listener.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"carobward.example/carobward"
 )
 
@@ -160,3 +162,12 @@
 
 	return c.Conn.Close()
 }
+
+// conn returns the TCP connection of a request.
+func conn(r *fasthttp.RequestCtx) net.Conn {
+	if c, ok := r.Conn().(*counted); ok {
+		return c.Conn
+	}
+
+	return r.Conn()
+}
--- a/internal/cwentry/visit.go
+++ b/internal/cwentry/visit.go
@@ -134,7 +134,7 @@
 // is kept for targets that are gone and for idle services. A request that
 // holds a dropped gate may still enter it.
 func (c *Carrier) Tick() {
-	c.waiting.tick()
+	c.waiting.Tick()
 
 	targets := c.holder.Targets()
 	c.records.Keep(func(name carobward.TargetName, _ *cwretry.Record) bool { return targets.ByName(name) != nil })
--- /dev/null
+++ b/internal/cwfollow/duty.go
@@ -0,0 +1,96 @@
+package cwfollow
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmesh"
+)
+
+// The rule by which a few entry VMs ask the store for all.
+const (
+	// watchers is the number of entry VMs that watch the store: one more than
+	// is needed, in another failure domain, so that the loss of one is no
+	// delay.
+	watchers = 2
+	// staleTime is the age of the newest word from the store, from whomever,
+	// at which an entry VM asks by itself: watchers have one each watchTime,
+	// and a change has to be in force within two seconds.
+	staleTime = 950 * time.Millisecond
+	// turnTime is the time by which each further entry VM in the order waits
+	// longer than the one before, up to turnsMost turns, so that one asks and
+	// the others hear of it.
+	turnTime  = 80 * time.Millisecond
+	turnsMost = 8
+)
+
+// order returns the entry VMs that may watch, the first of each failure
+// domain before the second of any.
+func order(self cwmesh.Node, away bool, peers []cwmesh.Peer) []carobward.VMID {
+	byDomain := map[carobward.Domain][]carobward.VMID{}
+
+	if !away {
+		byDomain[self.Domain] = append(byDomain[self.Domain], self.ID)
+	}
+
+	for i := range peers {
+		p := &peers[i]
+		if p.State != cwmesh.Leaving && !p.Away && !p.Heard.IsZero() {
+			byDomain[p.Domain] = append(byDomain[p.Domain], p.ID)
+		}
+	}
+
+	domains := make([]carobward.Domain, 0, len(byDomain))
+
+	for d, list := range byDomain {
+		domains = append(domains, d)
+		slices.SortFunc(list, func(a, b carobward.VMID) int { return cmp.Compare(hash(string(a)), hash(string(b))) })
+	}
+
+	slices.SortFunc(domains, func(a, b carobward.Domain) int { return cmp.Compare(hash(string(a)), hash(string(b))) })
+
+	return interleave(domains, byDomain)
+}
+
+func interleave(domains []carobward.Domain, byDomain map[carobward.Domain][]carobward.VMID) []carobward.VMID {
+	var out []carobward.VMID
+
+	for turn := 0; ; turn++ {
+		before := len(out)
+
+		for _, d := range domains {
+			if turn < len(byDomain[d]) {
+				out = append(out, byDomain[d][turn])
+			}
+		}
+
+		if len(out) == before {
+			return out
+		}
+	}
+}
+
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text))
+
+	return h.Sum64() * 0x9E3779B97F4A7C15
+}
+
+// mustAsk tells whether the entry VM at a place of the order asks the store
+// now, by the age of the newest word from it. A place below zero is not in the
+// order.
+func mustAsk(place int, age time.Duration) bool {
+	if place >= 0 && place < watchers {
+		return true
+	}
+
+	if place < 0 {
+		place = turnsMost
+	}
+
+	return age > staleTime+time.Duration(min(place, turnsMost))*turnTime
+}
--- /dev/null
+++ b/internal/cwfollow/follower.go
@@ -0,0 +1,208 @@
+// Package cwfollow keeps an entry VM's copy of the platform's store up to
+// date. A few entry VMs watch the store and tell the others; each asks by
+// itself once it has heard of no word from the store for too long.
+package cwfollow
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmesh"
+	"carobward.example/carobward/internal/cwmirror"
+)
+
+// The paces of following.
+const (
+	// watchTime is how long a watch waits. A watch may hear nothing though
+	// there are changes, and only the next call shows it.
+	watchTime = 600 * time.Millisecond
+	// gatherTime is the pause after changes in which further ones gather,
+	// since each call is paid for.
+	gatherTime = 100 * time.Millisecond
+	// idleTime is the time between looks at whether to ask.
+	idleTime = 50 * time.Millisecond
+	// backFirst and backMost bound the pause after a failed call; it doubles.
+	// Calls to a store that is away are paid for, too.
+	backFirst = 150 * time.Millisecond
+	backMost  = 1200 * time.Millisecond
+	// outageTime is how long calls have to fail before the store's list of
+	// servers may have lost entries of servers that live.
+	outageTime = 1500 * time.Millisecond
+	// returnTime is how long after the store's return such entries may be
+	// missing: about two seconds, and the way to us.
+	returnTime = 2200 * time.Millisecond
+)
+
+// Options are the parts that a Follower needs.
+type Options struct {
+	Feed   carobward.Feed
+	Mirror *cwmirror.Mirror
+	Mesh   *cwmesh.Mesh
+	Table  *cwmesh.Table
+	Clock  carobward.Clock
+	Log    logr.Logger
+	// Changed is called with the changes that came from the store.
+	Changed func([]carobward.Item)
+}
+
+// Follower asks the store.
+type Follower struct {
+	Options
+
+	// cursor is the index after which the next watch begins.
+	cursor carobward.StoreIndex
+	// list asks for all keys in place of a watch.
+	list bool
+	// back is the present pause after a failure, 0 while the store answers.
+	back time.Duration
+	// failing is when the calls began to fail.
+	failing time.Time
+	// hold is until when removals are held back.
+	hold time.Time
+}
+
+// New returns a Follower.
+func New(o Options) *Follower {
+	o.Log = o.Log.WithName("follow")
+
+	return &Follower{Options: o}
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !f.due() {
+			pause(ctx, idleTime)
+
+			continue
+		}
+
+		f.step(ctx)
+	}
+}
+
+// pause waits for a time or for the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// due tells whether this entry VM asks the store now.
+func (f *Follower) due() bool {
+	now := f.Clock.Now()
+	if !f.hold.IsZero() {
+		return true
+	}
+
+	self := f.Table.Self()
+	list := order(self, f.back > 0, f.Table.Live(now))
+	age := now.Sub(f.Mesh.Fresh())
+
+	return mustAsk(slices.Index(list, self.ID), age)
+}
+
+// step makes one call and takes its outcome.
+func (f *Follower) step(ctx context.Context) {
+	now := f.Clock.Now()
+
+	if !f.hold.IsZero() && now.After(f.hold) {
+		f.hold = time.Time{}
+		f.list = true
+	}
+
+	// Peers may have brought the copy further.
+	f.cursor = max(f.cursor, f.Mirror.State().Index)
+
+	c, err := f.ask(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+
+	if err != nil {
+		f.failed(ctx, err)
+
+		return
+	}
+
+	f.took(ctx, c)
+}
+
+// ask lists all keys, or watches for changes.
+func (f *Follower) ask(ctx context.Context) (carobward.Changes, error) {
+	if f.list || f.cursor == 0 {
+		return f.Feed.List(ctx)
+	}
+
+	return f.Feed.Watch(ctx, f.cursor, watchTime)
+}
+
+// failed notes a call that failed.
+func (f *Follower) failed(ctx context.Context, err error) {
+	if errors.Is(err, carobward.ErrHistory) {
+		f.Log.Info("The store no longer has the changes, listing all keys.", "after", f.cursor)
+		f.list = true
+
+		return
+	}
+
+	if f.back == 0 {
+		f.failing = f.Clock.Now()
+		f.Log.Info("Lost the store.", "cause", err.Error(), "index", f.cursor)
+	}
+
+	f.back = min(backMost, max(backFirst, 2*f.back))
+	f.Mesh.SetAway(true)
+	pause(ctx, f.back)
+}
+
+// took takes an answer of the store.
+func (f *Follower) took(ctx context.Context, c carobward.Changes) {
+	now := f.Clock.Now()
+	f.regained(now)
+
+	hold := !f.hold.IsZero()
+	fresh := f.Mirror.Apply(c, hold)
+	f.cursor = max(f.cursor, c.Index)
+	f.list = false
+
+	f.Mesh.SetFresh(now)
+	f.Mesh.Tell()
+
+	if len(c.Items) == 0 {
+		return
+	}
+
+	f.Log.Info("Took changes from the store.", "index", c.Index, "whole", c.Whole, "keys", len(c.Items), "changed", len(fresh), "held", hold)
+	f.Changed(fresh)
+	pause(ctx, gatherTime)
+}
+
+// regained notes that the store answers. After an outage its list may lack
+// servers that live, which have to write their entries again; for a while a
+// missing entry proves nothing.
+func (f *Follower) regained(now time.Time) {
+	if f.back == 0 {
+		return
+	}
+
+	away := now.Sub(f.failing)
+	stale := now.Sub(f.Mesh.Fresh()) > outageTime
+	f.back = 0
+	f.Mesh.SetAway(false)
+
+	if away > outageTime && stale && f.Mirror.State().Index > 0 {
+		f.hold = now.Add(returnTime)
+	}
+
+	f.Log.Info("The store is back.", "away", away.String(), "hold", !f.hold.IsZero())
+}
--- /dev/null
+++ b/internal/cwfront/carry.go
@@ -0,0 +1,184 @@
+package cwfront
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwbackend"
+	"carobward.example/carobward/internal/cwframe"
+)
+
+// illCost is the cost of a server whose health check fails. Health may be
+// wrong either way, so that such a server is used where all others are worse.
+const illCost = 3
+
+// errOtherInstance is the error of a health check that another run of a server
+// answered.
+const errOtherInstance = errors.ConstError("another server has the address")
+
+// lookFailed notes a health check without an answer.
+func (f *Front) lookFailed(service carobward.Service, i carobward.Instance, s *cwbackend.Server, err error) {
+	o := cwbackend.Broken
+	if cwframe.IsTimeout(err) || errors.Is(err, context.DeadlineExceeded) {
+		o = cwbackend.Silent
+	}
+
+	s.Looked(f.Clock.Now(), o)
+	f.Log.Info("A look at a server failed.", "service", service, "server", i, "outcome", o.String(), "cause", err.Error())
+}
+
+// carry sends the request until it has an answer or its final failure. Ctx
+// ends when the caller has gone.
+func (r *request) carry(ctx context.Context) {
+	tried := map[*cwbackend.Server]bool{}
+
+	for {
+		l, err := r.choose(ctx, tried)
+		if err != nil {
+			r.giveUp(err)
+
+			return
+		}
+
+		b := l.view.Server.Backend()
+		if !r.front.Servers.Has(b.Instance) { // It left while we looked.
+			l.release()
+			tried[l.view.Server] = true
+
+			continue
+		}
+
+		tried[l.view.Server] = true
+		r.send(ctx, l, b)
+
+		if !r.again(ctx) {
+			return
+		}
+	}
+}
+
+// giveUp ends the request without another send. An earlier answer stands.
+func (r *request) giveUp(err error) {
+	if r.reply != nil || r.err != nil {
+		return
+	}
+
+	r.err = err
+}
+
+// send hands the request to one server over the connection that was looked at.
+func (r *request) send(ctx context.Context, l *looked, b carobward.Backend) {
+	f := r.front
+	now := f.Clock.Now()
+
+	// Work that may not be repeated is not broken off because its caller has
+	// gone: it has begun.
+	work := ctx
+	if !r.route.Idempotent {
+		work = context.Background()
+	}
+
+	r.sends++
+	r.server = b.Instance
+	r.call.Instance = b.Instance
+
+	number := l.view.Server.Begin(now)
+	r.reply, r.err = l.held.Exchange(work, &r.call)
+	l.release()
+
+	end := f.Clock.Now()
+	outcome := r.outcome(ctx)
+	l.view.Server.End(number, end, outcome)
+
+	if r.reply != nil {
+		l.view.Server.SetReport(r.reply.Report)
+	}
+
+	if outcome == cwbackend.Answered {
+		r.kept.learn(end.Sub(now))
+	}
+
+	f.logSend(r, l, b, outcome, end.Sub(now), now)
+	r.judge()
+}
+
+func (f *Front) logSend(r *request, l *looked, b carobward.Backend, o cwbackend.Outcome, took time.Duration, sent time.Time) {
+	load := l.view.Report
+
+	f.Log.Info("Sent.", "id", r.id, "server", b.Instance, "address", b.Address, "cost", l.cost,
+		"running", load.Running, "queued", load.Queued, "slots", load.Slots, "slowness", load.Slowness,
+		"age", sent.Sub(load.At).Milliseconds(), "outcome", o.String(), "took", took.Milliseconds())
+}
+
+// outcome says what the end of a send tells of the server.
+func (r *request) outcome(ctx context.Context) cwbackend.Outcome {
+	switch {
+	case r.err != nil && ctx.Err() != nil:
+		return cwbackend.Abandoned
+	case r.err != nil && cwframe.IsTimeout(r.err):
+		return cwbackend.Silent
+	case r.err != nil:
+		return cwbackend.Broken
+	case r.reply.Shed:
+		return cwbackend.Refused
+	case r.reply.Status >= fasthttp.StatusInternalServerError:
+		return cwbackend.Failed
+	default:
+		return cwbackend.Answered
+	}
+}
+
+// judge turns a reply that may not be passed on into a failure.
+func (r *request) judge() {
+	if r.err != nil {
+		if cwframe.IsTimeout(r.err) {
+			r.err = carobward.NewFailure(carobward.VerdictOf(r.err), fasthttp.StatusGatewayTimeout, 0, ErrLate)
+		}
+
+		return
+	}
+
+	switch {
+	case r.reply.Shed:
+		r.reply, r.err = nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, fullAfter, ErrFull)
+	case promises(r.reply.Status):
+		// Passed on, these would tell the caller that the request did not run.
+		r.reply, r.err = nil, carobward.NewFailure(carobward.Unknown, fasthttp.StatusBadGateway, 0, ErrDoubt)
+	}
+}
+
+// promises tells whether a status says that a request did not run.
+func promises(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// leastLeft is the time that must be left for another send to make sense, in
+// usual times of an answer.
+const leastLeft = 0.5
+
+// again tells whether the request goes to another server.
+func (r *request) again(ctx context.Context) bool {
+	f := r.front
+	failed := r.err != nil || r.reply.Status >= fasthttp.StatusInternalServerError
+	repeatable := r.route.Idempotent || r.err != nil && carobward.VerdictOf(r.err) == carobward.NotRun
+
+	if !failed || !repeatable || r.sends >= r.route.Attempts || ctx.Err() != nil {
+		return false
+	}
+
+	now := f.Clock.Now()
+	if left := r.deadline.Sub(now); float64(left) < leastLeft*float64(r.kept.time(r.route.Objective)) {
+		return false
+	}
+
+	return r.kept.window.Take(now, f.slack())
+}
--- /dev/null
+++ b/internal/cwfront/front.go
@@ -0,0 +1,225 @@
+// Package cwfront carries callers' requests to backend servers: it finds the
+// route, looks at a few servers right before it sends, sends to the best, and
+// answers with the whole reply or a failure that says no more than is known.
+package cwfront
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwbackend"
+	"carobward.example/carobward/internal/cwgone"
+	"carobward.example/carobward/internal/cwlink"
+	"carobward.example/carobward/internal/cwmetric"
+	"carobward.example/carobward/internal/cwretry"
+	"carobward.example/carobward/internal/cwroutes"
+)
+
+// Options are the parts and figures that a Front needs.
+type Options struct {
+	Dialect carobward.CallerDialect
+	Domain  carobward.Domain
+	Servers *cwbackend.Table
+	Link    *cwlink.Link
+	Clock   carobward.Clock
+	Metrics *cwmetric.Set
+	Log     logr.Logger
+	// ExtraShare, ExtraWindow and ExtraLeast bound the calls beyond the first
+	// of each request over all entry VMs.
+	ExtraShare  float64
+	ExtraWindow time.Duration
+	ExtraLeast  int
+	// Fleet returns the number of entry VMs that share those bounds.
+	Fleet func() int
+}
+
+// Front takes callers' requests.
+type Front struct {
+	Options
+
+	routes  atomic.Pointer[cwroutes.Table]
+	gone    *cwgone.Table
+	flight  atomic.Int64
+	leaving atomic.Bool
+	work    conc.WaitGroup
+
+	mutex    sync.Mutex
+	services map[carobward.Service]*service
+}
+
+// service is what is kept of a service beyond one configuration.
+type service struct {
+	window *cwretry.Window
+	// usual is the moving average of the time of answers, in nanoseconds.
+	usual atomic.Int64
+}
+
+// The bounds of the callers' listener.
+const (
+	// readTime bounds the time to read one whole request. Callers that keep
+	// the operator's limits take less.
+	readTime = 20 * time.Second
+	// writeTime bounds the time to write one answer to a caller that does not
+	// read.
+	writeTime = 5 * time.Second
+	// idleTime is how long a connection waits for its next request: longer
+	// than the operator's limit, so that no request crosses our close.
+	idleTime = 60 * time.Second
+	// bufferBytes is the buffer a connection; it bounds the request header.
+	bufferBytes = 16 << 10
+	// connsMost bounds the callers' connections, well below the descriptors
+	// that a VM has.
+	connsMost = 2400
+	// bodyMost bounds a request's body where no configuration does.
+	bodyMost = 64 << 20
+)
+
+// New returns a front without a configuration, which refuses requests.
+func New(o Options) *Front {
+	o.Log = o.Log.WithName("front")
+
+	return &Front{Options: o, gone: cwgone.New(), services: map[carobward.Service]*service{}}
+}
+
+// Server returns the HTTP server of the callers' listener.
+func (f *Front) Server() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      f.handle,
+		ErrorHandler:                 f.unreadable,
+		Concurrency:                  connsMost,
+		ReadBufferSize:               bufferBytes,
+		MaxRequestBodySize:           bodyMost,
+		ReadTimeout:                  readTime,
+		WriteTimeout:                 writeTime,
+		IdleTimeout:                  idleTime,
+		ReduceMemoryUsage:            true,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		DisablePreParseMultipartForm: true,
+		SecureErrorLogMessage:        true,
+		Logger:                       printer{f.Log},
+	}
+}
+
+// printer takes the HTTP library's own messages.
+type printer struct{ log logr.Logger }
+
+// Printf logs a message.
+func (p printer) Printf(format string, args ...any) {
+	p.log.V(1).Info("The HTTP library reports.", "message", format, "values", args)
+}
+
+// SetRoutes puts a configuration in force for the requests from now on.
+func (f *Front) SetRoutes(t *cwroutes.Table) { f.routes.Store(t) }
+
+// Routes returns the configuration in force, or nil.
+func (f *Front) Routes() *cwroutes.Table { return f.routes.Load() }
+
+// Leave makes each answer from now on the last one of its connection.
+func (f *Front) Leave() { f.leaving.Store(true) }
+
+// Flight returns the number of requests that are being carried.
+func (f *Front) Flight() int { return int(f.flight.Load()) }
+
+// Tick looks for callers that have gone.
+func (f *Front) Tick() { f.gone.Tick() }
+
+// Wait waits until all that was started for requests has ended.
+func (f *Front) Wait() { f.work.Wait() }
+
+// service returns what is kept of a service.
+func (f *Front) service(name carobward.Service) *service {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	s := f.services[name]
+	if s == nil {
+		s = &service{window: cwretry.NewWindow(f.ExtraShare*extraPart, f.ExtraWindow, f.Clock.Now())}
+		f.services[name] = s
+	}
+
+	return s
+}
+
+// extraPart is the part of the bound on extra calls that is used. The rest is
+// for entry VMs that see the fleet smaller than it is, and for windows that
+// the entry VMs begin at different times.
+const extraPart = 0.8
+
+// slack is this entry VM's part of the extra calls that are free of the
+// number of requests.
+func (f *Front) slack() float64 {
+	return extraPart * float64(f.ExtraLeast) / float64(max(1, f.Fleet()))
+}
+
+// usualFirst is the time of an answer where none is known, as a part of the
+// objective: servers are fit for their objectives.
+const usualFirst = 0.4
+
+// usualShare is the weight of one answer in the moving average.
+const usualShare = 0.05
+
+func (s *service) time(objective time.Duration) time.Duration {
+	if t := s.usual.Load(); t > 0 {
+		return time.Duration(t)
+	}
+
+	return time.Duration(usualFirst * float64(objective))
+}
+
+// learn takes the time of one answer. Two at once may lose one, which an
+// average can bear.
+func (s *service) learn(took time.Duration) {
+	old := s.usual.Load()
+	if old == 0 {
+		old = int64(took)
+	}
+
+	s.usual.Store(old + int64(usualShare*float64(int64(took)-old)))
+}
+
+// handle serves one request.
+func (f *Front) handle(ctx *fasthttp.RequestCtx) {
+	f.flight.Add(1)
+	defer f.flight.Add(-1)
+
+	now := f.Clock.Now()
+	r := f.request(ctx, now)
+
+	if r.err == nil {
+		work, done := f.gone.Wait(context.Background(), ctx.Conn())
+		r.carry(work)
+		done()
+	}
+
+	f.answer(ctx, r)
+
+	if f.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+// unreadable answers a request that could not be read. Nothing of it was sent.
+func (f *Front) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	f.Log.Info("A request could not be read.", "from", addr(ctx.RemoteAddr()), "cause", err.Error())
+	ctx.Response.Reset()
+	ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	ctx.SetConnectionClose()
+}
+
+func addr(a net.Addr) string {
+	if a == nil {
+		return ""
+	}
+
+	return a.String()
+}
--- /dev/null
+++ b/internal/cwfront/look.go
@@ -0,0 +1,229 @@
+package cwfront
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwbackend"
+	"carobward.example/carobward/internal/cwlink"
+	"carobward.example/carobward/internal/cwpick"
+)
+
+// The measures of looking at servers before a request is sent.
+const (
+	// lookWidth is how many servers are looked at at once. Of four, with a
+	// quarter of the machines slowed at any moment, one is at its usual speed
+	// in 99.6 of 100 looks.
+	lookWidth = 4
+	// lookTime is how long an answer is awaited at most: several round trips
+	// between failure domains, and a new connection.
+	lookTime = 60 * time.Millisecond
+	// lateTime is how long the others are awaited once one has answered.
+	lateTime = 6 * time.Millisecond
+	// endTime is how long an answer that is no longer awaited may take before
+	// its connection is given up.
+	endTime = 500 * time.Millisecond
+	// goodCost is the cost at which no better server is looked for: a free
+	// slot on a machine at its usual speed.
+	goodCost = 1.6
+	// roundsMost bounds the rounds of looking for a better server.
+	roundsMost = 2
+	// admitPart is the part of the objective for which room is looked for. A
+	// refusal within a quarter of it leaves the caller time to come back.
+	admitPart = 0.18
+	// againTime is the pause before servers without room are looked at again.
+	againTime = 25 * time.Millisecond
+)
+
+// looked is the outcome of a look at one server.
+type looked struct {
+	view cwbackend.View
+	held *cwlink.Held
+	cost float64
+	ok   bool
+}
+
+// release gives the connection back, if there is one.
+func (l *looked) release() {
+	if l != nil && l.held != nil {
+		l.held.Release()
+	}
+}
+
+// choose looks at servers until one with room is found. The request has not
+// been sent when it returns an error.
+func (r *request) choose(ctx context.Context, tried map[*cwbackend.Server]bool) (*looked, error) {
+	f := r.front
+	until := r.arrived.Add(time.Duration(admitPart * float64(r.route.Objective)))
+	if len(tried) > 0 {
+		until = f.Clock.Now() // A second server is sought once only.
+	}
+
+	for {
+		best, known := r.chooseOnce(ctx, tried)
+		if best != nil {
+			return best, nil
+		}
+
+		switch {
+		case ctx.Err() != nil:
+			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, 0, ErrGone)
+		case !known:
+			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, fullAfter, ErrNone)
+		case !f.Clock.Now().Before(until):
+			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, fullAfter, ErrFull)
+		}
+
+		time.Sleep(againTime)
+	}
+}
+
+// chooseOnce looks at some servers, and at some more where none of them is
+// good. It returns nil where none has room, and whether any is known.
+func (r *request) chooseOnce(ctx context.Context, tried map[*cwbackend.Server]bool) (*looked, bool) {
+	f := r.front
+	now := f.Clock.Now()
+	views := f.Servers.Views(r.service, now, r.kept.time(r.route.Objective))
+	rank, ranks := r.routes.Rank(r.service, r.route.Priority)
+
+	seen := make(map[*cwbackend.Server]bool, len(tried)+roundsMost*lookWidth)
+	for s := range tried {
+		seen[s] = true
+	}
+
+	var best *looked
+
+	for range roundsMost {
+		draw := cwpick.Draw(views, lookWidth, seen)
+		if len(draw) == 0 {
+			break
+		}
+
+		for i := range draw {
+			seen[draw[i].Server] = true
+		}
+
+		best = better(best, r.look(ctx, draw, rank, ranks))
+
+		if best != nil && best.cost <= goodCost || ctx.Err() != nil {
+			break
+		}
+	}
+
+	return best, len(views) > 0
+}
+
+// better returns the one of lower cost and releases the other.
+func better(a, b *looked) *looked {
+	if a == nil || b != nil && b.cost < a.cost {
+		a, b = b, a
+	}
+
+	b.release()
+
+	return a
+}
+
+// look asks some servers at once for their load and returns the best with
+// room, or nil. Those that answer later end by themselves: their connections
+// are kept.
+func (r *request) look(ctx context.Context, draw []cwbackend.View, rank, ranks int) *looked {
+	f := r.front
+	results := make(chan *looked, len(draw))
+	r.looks += len(draw)
+
+	for i := range draw {
+		v := draw[i]
+
+		f.work.Go(func() { results <- f.lookAt(r.service, r.routes.Service(r.service).HealthPath, v) })
+	}
+
+	timer := time.NewTimer(lookTime)
+	defer timer.Stop()
+
+	var best *looked
+
+	awaited := len(draw)
+	for awaited > 0 {
+		select {
+		case l := <-results:
+			awaited--
+
+			if l.ok && best == nil {
+				timer.Reset(lateTime)
+			}
+
+			if l.ok && cwpick.Room(&l.view, rank, ranks) {
+				best = better(best, l)
+			} else {
+				l.release()
+			}
+
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+
+		break
+	}
+
+	if left := awaited; left > 0 {
+		f.work.Go(func() {
+			for range left {
+				l := <-results
+				l.release()
+			}
+		})
+	}
+
+	return best
+}
+
+// lookAt makes one health check, over a connection that is then held.
+func (f *Front) lookAt(service carobward.Service, path string, v cwbackend.View) *looked {
+	b := v.Server.Backend()
+	now := f.Clock.Now()
+	l := &looked{view: v}
+
+	ctx, cancel := context.WithTimeout(context.Background(), endTime)
+	defer cancel()
+
+	held, err := f.Link.Hold(ctx, b.Address, now.Add(endTime), false)
+	if err != nil {
+		f.lookFailed(service, b.Instance, v.Server, err)
+
+		return l
+	}
+
+	l.held = held
+
+	reply, err := held.Exchange(ctx, &carobward.Call{
+		Method: fasthttp.MethodGet, URI: path, Host: string(b.Address), Look: true,
+		Deadline: now.Add(endTime), MaxReply: carobward.Megabyte,
+	})
+	if err != nil {
+		f.lookFailed(service, b.Instance, v.Server, err)
+
+		return l
+	}
+
+	if reply.Instance != "" && reply.Instance != b.Instance {
+		f.lookFailed(service, b.Instance, v.Server, errOtherInstance)
+
+		return l
+	}
+
+	v.Server.SetReport(reply.Report)
+	l.view.Report = reply.Report
+	l.cost = cwpick.Cost(&l.view, f.Domain)
+	l.ok = true
+
+	if reply.Status != fasthttp.StatusOK {
+		l.cost += illCost
+	}
+
+	return l
+}
--- /dev/null
+++ b/internal/cwfront/request.go
@@ -0,0 +1,219 @@
+package cwfront
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwframe"
+	"carobward.example/carobward/internal/cwroutes"
+)
+
+// The causes of a request's failure here.
+const (
+	ErrStarting = errors.ConstError("this entry VM has no configuration yet")
+	ErrNoRoute  = errors.ConstError("no route has this host and path")
+	ErrFrame    = errors.ConstError("the request's header could be understood in two ways")
+	ErrID       = errors.ConstError("the request has no id")
+	ErrFull     = errors.ConstError("no server has room now")
+	ErrNone     = errors.ConstError("no server of the service is known")
+	ErrGone     = errors.ConstError("the caller has gone")
+	ErrLate     = errors.ConstError("the time was over")
+	ErrDoubt    = errors.ConstError("the server refused in a way that does not say whether the request ran")
+)
+
+// The times to come back after.
+const (
+	// startAfter is when a newcomer probably has its configuration.
+	startAfter = 200 * time.Millisecond
+	// fullAfter is about the time in which a server's slot is freed.
+	fullAfter = 250 * time.Millisecond
+)
+
+// request is one caller's request on its way.
+type request struct {
+	front   *Front
+	id      carobward.RequestID
+	arrived time.Time
+	// deadline is when the final answer is due.
+	deadline time.Time
+	routes   *cwroutes.Table
+	route    *cwroutes.Route
+	service  carobward.Service
+	kept     *service
+	call     carobward.Call
+
+	// sends counts the servers that the request was handed to, looks the
+	// health checks made for it.
+	sends int
+	looks int
+	// server is the last server that it was handed to.
+	server carobward.Instance
+
+	reply *carobward.Reply
+	err   error
+}
+
+// request reads a caller's request. Its err is set where it ends here.
+func (f *Front) request(ctx *fasthttp.RequestCtx, now time.Time) *request {
+	h := &ctx.Request.Header
+	field := func(name string) string { return string(h.Peek(name)) }
+	r := &request{front: f, arrived: now, id: f.Dialect.ID(field), routes: f.routes.Load()}
+
+	if r.routes == nil {
+		r.err = carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, startAfter, ErrStarting)
+
+		return r
+	}
+
+	if r.err = r.check(ctx); r.err != nil {
+		return r
+	}
+
+	r.route = r.routes.Find(string(h.Host()), string(h.RequestURI()))
+	if r.route == nil {
+		r.err = carobward.NewFailure(carobward.NotRun, fasthttp.StatusNotFound, 0, ErrNoRoute)
+
+		return r
+	}
+
+	left, ok, err := f.Dialect.Left(field)
+	if err != nil {
+		r.err = carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err)
+
+		return r
+	}
+
+	r.deadline = now.Add(r.route.Timeout)
+	if ok && left < r.route.Timeout {
+		r.deadline = now.Add(left)
+	}
+
+	r.service = r.route.Pick()
+	r.kept = f.service(r.service)
+	r.kept.window.Request(now)
+	r.call = r.newCall(ctx)
+
+	return r
+}
+
+// check refuses a request that a server could understand differently.
+func (r *request) check(ctx *fasthttp.RequestCtx) error {
+	if err := cwframe.Check(ctx.Request.Header.RawHeaders()); err != nil {
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, errors.Annotate(err, ErrFrame.Error()))
+	}
+
+	if r.id == "" {
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, ErrID)
+	}
+
+	return nil
+}
+
+// newCall returns the request as it goes to a server. Nothing in it refers to
+// the library's buffers.
+func (r *request) newCall(ctx *fasthttp.RequestCtx) carobward.Call {
+	h := &ctx.Request.Header
+
+	return carobward.Call{
+		ID:     r.id,
+		Method: string(h.Method()),
+		URI:    string(h.RequestURI()),
+		Host:   string(h.Host()),
+		Header: cwframe.Copy(h.All(), func(name []byte) bool { return !r.front.Dialect.Hides(string(name)) }),
+		Body:   append([]byte(nil), ctx.Request.Body()...),
+
+		Deadline: r.deadline,
+		MaxReply: replyMost,
+	}
+}
+
+// replyMost bounds a reply's body, which is held whole before it is passed on.
+const replyMost = 64 * carobward.Megabyte
+
+// answer writes the request's end to the caller.
+func (f *Front) answer(ctx *fasthttp.RequestCtx, r *request) {
+	resp := &ctx.Response
+
+	if r.err != nil {
+		f.writeFailure(resp, r)
+	} else {
+		f.writeReply(resp, r)
+	}
+
+	took := f.Clock.Now().Sub(r.arrived)
+	f.count(r, resp.StatusCode(), took)
+	f.logAnswer(r, resp.StatusCode(), took)
+}
+
+func (f *Front) writeReply(resp *fasthttp.Response, r *request) {
+	resp.SetStatusCode(r.reply.Status)
+
+	for i := range r.reply.Header {
+		if h := &r.reply.Header[i]; !f.Dialect.Hides(h.Name) {
+			resp.Header.Add(h.Name, h.Value)
+		}
+	}
+
+	f.Dialect.Answer(r.id, resp.Header.Set)
+	resp.SetBodyRaw(r.reply.Body)
+}
+
+func (f *Front) writeFailure(resp *fasthttp.Response, r *request) {
+	failure := asFailure(r.err)
+	resp.SetStatusCode(failure.Status)
+	f.Dialect.Answer(r.id, resp.Header.Set)
+	f.Dialect.RetryAfter(failure.RetryAfter, resp.Header.Set)
+	resp.SetBodyString(failure.Cause.Error() + "\n")
+}
+
+func asFailure(err error) *carobward.Failure {
+	failure := &carobward.Failure{}
+	if errors.As(err, &failure) {
+		return failure
+	}
+
+	return carobward.NewFailure(carobward.Unknown, fasthttp.StatusBadGateway, 0, err)
+}
+
+func (r *request) verdict() carobward.Verdict {
+	if r.err != nil {
+		return carobward.VerdictOf(r.err)
+	}
+
+	return carobward.Ran
+}
+
+func (f *Front) count(r *request, status int, took time.Duration) {
+	name := carobward.TargetName("-")
+	if r.route != nil {
+		name = carobward.TargetName(r.route.Name)
+	}
+
+	f.Metrics.Requests().Target(name).Done(r.verdict(), status, took)
+}
+
+func (f *Front) logAnswer(r *request, status int, took time.Duration) {
+	var (
+		version carobward.Version
+		route   carobward.RouteName
+		cause   string
+	)
+
+	if r.routes != nil {
+		version = r.routes.Version
+	}
+
+	if r.route != nil {
+		route = r.route.Name
+	}
+
+	if r.err != nil {
+		cause = r.err.Error()
+	}
+
+	f.Log.Info("Answered.", "id", r.id, "status", status, "verdict", r.verdict().String(), "took", took.Milliseconds(),
+		"route", route, "version", version, "service", r.service, "sends", r.sends, "looks", r.looks, "server", r.server, "cause", cause)
+}
--- /dev/null
+++ b/internal/cwgateway/gateway.go
@@ -0,0 +1,345 @@
+// Package cwgateway puts the parts of one entry VM on the users' platform
+// together: the callers' requests, the answer which addresses to use, the
+// readiness check, the other entry VMs and the platform's store.
+package cwgateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwbackend"
+	"carobward.example/carobward/internal/cwfollow"
+	"carobward.example/carobward/internal/cwfront"
+	"carobward.example/carobward/internal/cwlink"
+	"carobward.example/carobward/internal/cwmesh"
+	"carobward.example/carobward/internal/cwmetric"
+	"carobward.example/carobward/internal/cwmirror"
+	"carobward.example/carobward/internal/cwpeer"
+)
+
+// The figures of an entry VM.
+const (
+	// tickTime is the pace of the systems that run over the tables. A caller
+	// that goes is noticed within two ticks.
+	tickTime = 100 * time.Millisecond
+	// answerTime is how long callers may keep an answer which addresses to
+	// use. Some keep it three times as long, and an entry VM that stops has to
+	// outlast that.
+	answerTime = 1200 * time.Millisecond
+	// nearLeast is how many entry VMs of the caller's failure domain are
+	// enough, so that the loss of several leaves one.
+	nearLeast = 4
+	// addressesMost is how many addresses a caller takes.
+	addressesMost = 64
+	// serveShare is the part of the grace for which a stopping entry VM still
+	// takes connections, and endShare by when it ends in any case.
+	serveShare = 0.7
+	endShare   = 0.93
+	// connsFirst is the bound on connections to one server before a
+	// configuration gives it.
+	connsFirst = 200
+	// connIdle is how long an idle connection is used where the server does
+	// not say how long it keeps it.
+	connIdle = 4 * time.Second
+	// dialTime bounds opening a connection to a server.
+	dialTime = 300 * time.Millisecond
+	// headerBytes is the largest header of a reply.
+	headerBytes = 8 * carobward.Kilobyte
+	// listenTime bounds reading and writing of the small listeners.
+	listenTime = 5 * time.Second
+)
+
+// Adapter translates between the platform and the product.
+type Adapter struct {
+	Feed    carobward.Feed
+	Caller  carobward.CallerDialect
+	Lookup  carobward.LookupDialect
+	Servers carobward.Dialect
+	// LookupPath and ReadyPath are the paths of the two questions.
+	LookupPath string
+	ReadyPath  string
+
+	IsRouting func(carobward.Key) bool
+	IsBackend func(carobward.Key) bool
+	Instance  func(carobward.Key) carobward.Instance
+	Routing   func([]byte) (*carobward.Routing, error)
+	Backend   func(carobward.Key, []byte) (carobward.Backend, error)
+}
+
+// Options are what one entry VM is told.
+type Options struct {
+	Self    cwmesh.Node
+	Ready   carobward.Address
+	Lookup  carobward.Address
+	Metrics carobward.Address
+	Seeds   []carobward.Address
+	Key     cwpeer.Key
+	// Grace is the time that a stopping entry VM has.
+	Grace time.Duration
+	// AnswerMost is the longest time that callers keep an answer.
+	AnswerMost time.Duration
+	// ExtraShare, ExtraWindow and ExtraLeast bound extra calls, see cwfront.
+	ExtraShare  float64
+	ExtraWindow time.Duration
+	ExtraLeast  int
+	Adapter     Adapter
+	Clock       carobward.Clock
+	Log         logr.Logger
+}
+
+// Gateway is one entry VM.
+type Gateway struct {
+	Options
+
+	log     logr.Logger
+	metrics *cwmetric.Set
+	table   *cwmesh.Table
+	mirror  *cwmirror.Mirror
+	servers *cwbackend.Table
+	link    *cwlink.Link
+	front   *cwfront.Front
+	mesh    *cwmesh.Mesh
+	follow  *cwfollow.Follower
+
+	mutex sync.Mutex
+}
+
+// New returns an entry VM whose parts do not run yet.
+func New(o Options) (*Gateway, error) {
+	g := &Gateway{
+		Options: o, log: o.Log.WithName("gateway"), metrics: cwmetric.New(),
+		table: cwmesh.NewTable(o.Self), mirror: cwmirror.New(), servers: cwbackend.New(o.Self.ID),
+	}
+
+	g.link = cwlink.New(cwlink.Options{
+		Conns: connsFirst, Keep: connIdle, Dial: dialTime, Header: headerBytes, Dialect: o.Adapter.Servers,
+	}, o.Clock)
+
+	g.front = cwfront.New(cwfront.Options{
+		Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Servers: g.servers, Link: g.link, Clock: o.Clock,
+		Metrics: g.metrics, Log: o.Log, ExtraShare: o.ExtraShare, ExtraWindow: o.ExtraWindow, ExtraLeast: o.ExtraLeast,
+		Fleet: func() int { return g.table.Size(o.Clock.Now()) },
+	})
+
+	conn, err := net.ListenPacket("udp", string(o.Self.Peers))
+	if err != nil {
+		return nil, errors.Annotate(err, "peers")
+	}
+
+	g.mesh = cwmesh.New(cwmesh.Options{
+		Table: g.table, Mirror: g.mirror, Seeds: o.Seeds, Key: o.Key, Clock: o.Clock, Log: o.Log, Changed: g.changed,
+	}, conn)
+
+	g.follow = cwfollow.New(cwfollow.Options{
+		Feed: o.Adapter.Feed, Mirror: g.mirror, Mesh: g.mesh, Table: g.table, Clock: o.Clock, Log: o.Log, Changed: g.changed,
+	})
+
+	return g, nil
+}
+
+// Run serves until stop is closed, and then stops within the grace.
+func (g *Gateway) Run(stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+
+	listeners, err := g.listen(ctx, &group)
+	if err != nil {
+		return err
+	}
+
+	group.Go(func() { g.mesh.Run(ctx) })
+	group.Go(func() { g.follow.Run(ctx) })
+	group.Go(func() { g.tick(ctx) })
+	g.log.Info("Started.", "vm", g.Self.ID, "domain", g.Self.Domain, "callers", g.Self.Callers, "seeds", g.Seeds)
+
+	<-stop
+	g.stop(listeners)
+
+	return nil
+}
+
+// listen opens all listeners and serves them.
+func (g *Gateway) listen(ctx context.Context, group *conc.WaitGroup) ([]net.Listener, error) {
+	peers := cwpeer.NewServer(g.Key, g.Log)
+	if err := peers.Register(cwmesh.Service, &cwmesh.Answers{Mesh: g.mesh}); err != nil {
+		return nil, err
+	}
+
+	small := func(h fasthttp.RequestHandler) func(net.Listener) error {
+		s := &fasthttp.Server{
+			Handler: h, ReadTimeout: listenTime, WriteTimeout: listenTime, ReduceMemoryUsage: true,
+			NoDefaultServerHeader: true, NoDefaultDate: true,
+		}
+
+		return s.Serve
+	}
+
+	parts := []struct {
+		name    string
+		address carobward.Address
+		serve   func(net.Listener) error
+	}{
+		{"callers", g.Self.Callers, g.front.Server().Serve},
+		{"ready", g.Ready, small(g.serveReady)},
+		{"lookup", g.Lookup, small(g.serveLookup)},
+		{"peers", g.Self.Peers, peers.Serve},
+		{"metrics", g.Metrics, small(g.serveMetrics)},
+	}
+
+	var all []net.Listener
+
+	for _, p := range parts {
+		ln, err := net.Listen("tcp", string(p.address))
+		if err != nil {
+			return nil, errors.Annotate(err, p.name)
+		}
+
+		all = append(all, ln)
+
+		group.Go(func() {
+			if err := p.serve(ln); err != nil && ctx.Err() == nil {
+				g.log.Info("A listener ended.", "listener", p.name, "cause", err.Error())
+			}
+		})
+	}
+
+	group.Go(func() {
+		<-ctx.Done()
+		peers.Close()
+
+		for _, ln := range all {
+			_ = ln.Close()
+		}
+	})
+
+	return all, nil
+}
+
+// tick runs the systems over the tables.
+func (g *Gateway) tick(ctx context.Context) {
+	t := time.NewTicker(tickTime)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+
+		now := g.Clock.Now()
+		g.front.Tick()
+		g.link.Tick(now)
+		g.share(now)
+	}
+}
+
+// share tells the tables which entry VMs share the servers.
+func (g *Gateway) share(now time.Time) {
+	list := []carobward.VMID{g.Self.ID}
+
+	for _, p := range g.table.Live(now) {
+		if p.State != cwmesh.Leaving {
+			list = append(list, p.ID)
+		}
+	}
+
+	g.servers.SetVMs(list)
+	g.link.SetFleet(g.table.Size(now), now)
+}
+
+// ready tells the peers once there is a configuration and a list of servers.
+func (g *Gateway) ready() {
+	if g.mesh.State() == cwmesh.Starting && g.front.Routes() != nil && g.servers.Count() > 0 {
+		g.log.Info("Ready.", "version", g.front.Routes().Version, "servers", g.servers.Count())
+		g.mesh.SetState(cwmesh.Ready)
+	}
+}
+
+func (g *Gateway) isReady() bool { return g.mesh.State() == cwmesh.Ready }
+
+func (g *Gateway) readyPeers() []cwmesh.Peer {
+	var list []cwmesh.Peer
+
+	for _, p := range g.table.Live(g.Clock.Now()) {
+		if p.State == cwmesh.Ready {
+			list = append(list, p)
+		}
+	}
+
+	return list
+}
+
+// stop lets the callers go: the entry VM leaves all answers, serves those that
+// still come by an older one, and ends once none is left or the grace is over.
+func (g *Gateway) stop(listeners []net.Listener) {
+	began := g.Clock.Now()
+	g.log.Info("Stopping.", "flight", g.front.Flight())
+	g.front.Leave()
+	g.mesh.SetState(cwmesh.Leaving)
+
+	time.Sleep(time.Duration(serveShare * float64(g.Grace)))
+
+	// The callers' listener is the first.
+	_ = listeners[0].Close()
+
+	for g.front.Flight() > 0 && g.Clock.Now().Sub(began) < time.Duration(endShare*float64(g.Grace)) {
+		time.Sleep(tickTime / 4)
+	}
+
+	g.log.Info("Stopped.", "flight", g.front.Flight(), "took", g.Clock.Now().Sub(began).String())
+}
+
+func (g *Gateway) serveReady(ctx *fasthttp.RequestCtx) {
+	switch {
+	case string(ctx.Path()) != g.Adapter.ReadyPath:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	case !g.isReady():
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+func (g *Gateway) serveLookup(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != g.Adapter.LookupPath {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+
+		return
+	}
+
+	domain := g.Adapter.Lookup.Domain(func(name string) string { return string(ctx.QueryArgs().Peek(name)) })
+	list := g.addresses(domain)
+
+	if len(list) == 0 {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+
+		return
+	}
+
+	body, err := g.Adapter.Lookup.Answer(list, min(answerTime, g.AnswerMost))
+	if err != nil {
+		g.log.Error(err, "The answer which addresses to use could not be encoded.")
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+
+		return
+	}
+
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func (g *Gateway) serveMetrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString(g.metrics.String())
+}
--- /dev/null
+++ b/internal/cwgateway/state.go
@@ -0,0 +1,108 @@
+package cwgateway
+
+import (
+	"slices"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwroutes"
+)
+
+// changed takes changes of the copy of the store: a configuration comes into
+// force, and the table of servers follows the list.
+func (g *Gateway) changed(items []carobward.Item) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	now := g.Clock.Now()
+
+	var (
+		list []carobward.Backend
+		gone []carobward.Instance
+	)
+
+	for i := range items {
+		it := &items[i]
+
+		switch {
+		case g.Adapter.IsRouting(it.Key):
+			g.configure(it)
+		case !g.Adapter.IsBackend(it.Key):
+		case it.Gone:
+			instance := g.Adapter.Instance(it.Key)
+			gone = append(gone, instance)
+			g.log.Info("A server is gone.", "server", instance, "index", it.Index)
+		default:
+			b, err := g.Adapter.Backend(it.Key, it.Value)
+			if err != nil {
+				g.log.Error(err, "An entry of a server can't be read, its last one stands.", "index", it.Index)
+
+				continue
+			}
+
+			list = append(list, b)
+			g.log.Info("A server's entry.", "server", b.Instance, "address", b.Address, "service", b.Service,
+				"leaving", b.Leaving, "warmup", b.Warmup.String(), "index", it.Index)
+		}
+	}
+
+	if len(list)+len(gone) > 0 {
+		g.servers.Put(list, gone, now)
+		g.link.Retain(g.servers.VMs())
+	}
+
+	g.ready()
+}
+
+// configure puts a configuration in force if it is newer than the one there.
+func (g *Gateway) configure(it *carobward.Item) {
+	if it.Gone {
+		g.log.Info("The store has no configuration, the last one stays in force.", "index", it.Index)
+
+		return
+	}
+
+	r, err := g.Adapter.Routing(it.Value)
+	if err != nil {
+		g.log.Error(err, "A configuration can't be read, the last one stays in force.", "index", it.Index)
+
+		return
+	}
+
+	if old := g.front.Routes(); old != nil && old.Version >= r.Version {
+		g.log.Info("A configuration is older than the one in force.", "version", r.Version, "force", old.Version)
+
+		return
+	}
+
+	g.front.SetRoutes(cwroutes.New(r))
+	g.log.Info("A configuration is in force.", "version", r.Version, "index", it.Index)
+}
+
+// addresses returns the addresses that a caller should use: those of the entry
+// VMs that take callers, of its own failure domain where there are enough.
+func (g *Gateway) addresses(domain carobward.Domain) []carobward.Address {
+	var near, all []carobward.Address
+
+	add := func(d carobward.Domain, a carobward.Address) {
+		all = append(all, a)
+
+		if d == domain {
+			near = append(near, a)
+		}
+	}
+
+	if g.isReady() {
+		self := g.table.Self()
+		add(self.Domain, self.Callers)
+	}
+
+	for _, p := range g.readyPeers() {
+		add(p.Domain, p.Callers)
+	}
+
+	if len(near) >= nearLeast {
+		all = near
+	}
+
+	return slices.Clip(all[:min(len(all), addressesMost)])
+}
--- a/internal/cwentry/gone.go
+++ b/internal/cwgone/gone.go
@@ -1,18 +1,18 @@
-package cwentry
+// Package cwgone cancels the work of callers that have gone. The HTTP library
+// does not tell of them, so each tick looks at their connections.
+package cwgone
 
 import (
 	"context"
 	"net"
 	"sync"
 
-	"github.com/valyala/fasthttp"
-
 	"carobward.example/carobward/internal/cwsocket"
 )
 
-// waiting is the table of callers that wait for idempotent work. The HTTP
-// library does not tell of a caller that has gone, so each tick looks.
-type waiting struct {
+// Table is the table of callers that wait for work. It is safe for use by
+// several goroutines.
+type Table struct {
 	mutex   sync.Mutex
 	callers map[*caller]struct{}
 }
@@ -26,16 +26,13 @@
 	seen bool
 }
 
-// wait returns a context below ctx that ends when the caller of r has gone.
-// The function must be called when its work is done.
-func (w *waiting) wait(ctx context.Context, r *fasthttp.RequestCtx) (context.Context, func()) {
-	work, cancel := context.WithCancel(ctx)
-
-	conn := r.Conn()
-	if c, ok := conn.(*counted); ok {
-		conn = c.Conn
-	}
+// New returns an empty table.
+func New() *Table { return &Table{callers: map[*caller]struct{}{}} }
 
+// Wait returns a context below ctx that ends when the other side of a TCP
+// connection has gone. The function must be called when its work is done.
+func (w *Table) Wait(ctx context.Context, conn net.Conn) (context.Context, func()) {
+	work, cancel := context.WithCancel(ctx)
 	one := &caller{conn: conn, cancel: cancel}
 
 	w.mutex.Lock()
@@ -52,9 +49,9 @@
 	}
 }
 
-// tick cancels the work of callers that have closed their connection. Bytes
+// Tick cancels the work of callers that have closed their connection. Bytes
 // that wait are another request, behind which a close cannot be seen.
-func (w *waiting) tick() {
+func (w *Table) Tick() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 
--- a/internal/cwlink/fuzz_test.go
+++ b/internal/cwlink/fuzz_test.go
@@ -72,7 +72,7 @@
 		}
 
 		b := &buffers{reader: bufio.NewReaderSize(bytes.NewReader(raw), most)}
-		trip := trip{buffers: b, call: one, clock: carobward.SystemClock{}}
+		trip := trip{buffers: b, call: one, clock: carobward.SystemClock{}, dialect: Own{}}
 
 		reply, _, err := trip.read()
 		if err != nil {
--- /dev/null
+++ b/internal/cwlink/hold.go
@@ -0,0 +1,131 @@
+package cwlink
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+
+	"carobward.example/carobward"
+)
+
+// Held is a connection to a server that is held for one caller of this
+// package. It carries one call at a time and must be released.
+type Held struct {
+	link *Link
+	pool *pool
+	conn *conn
+	// Dialed tells that the connection was opened for this caller.
+	Dialed bool
+	// whole tells that nothing is outstanding on the connection, so that it
+	// may carry another call.
+	whole bool
+}
+
+// Hold returns a connection to a server: an idle one, or a new one that is
+// opened before the deadline. Fresh refuses idle ones. The error is a Failure
+// with the verdict NotRun.
+func (l *Link) Hold(ctx context.Context, to carobward.Address, deadline time.Time, fresh bool) (*Held, error) {
+	p, err := l.pool(to)
+	if err != nil {
+		return nil, notRun(err)
+	}
+
+	c, dialed, err := l.conn(ctx, p, deadline, fresh)
+	if err != nil {
+		return nil, notRun(err)
+	}
+
+	return &Held{link: l, pool: p, conn: c, Dialed: dialed, whole: true}, nil
+}
+
+// HoldIdle returns an idle connection to a server, or nil if there is none.
+func (l *Link) HoldIdle(to carobward.Address) *Held {
+	l.mutex.RLock()
+	p := l.pools[to]
+	l.mutex.RUnlock()
+
+	if p == nil {
+		return nil
+	}
+
+	c := p.takeIdle(l.clock.Now(), l.options.Keep)
+	if c == nil {
+		return nil
+	}
+
+	return &Held{link: l, pool: p, conn: c, whole: true}
+}
+
+// Exchange sends a call once over the connection and returns the whole reply,
+// or a Failure. It is NotRun only where the kernel took no byte of the call.
+// When ctx ends the connection is closed.
+func (h *Held) Exchange(ctx context.Context, call *carobward.Call) (*carobward.Reply, error) {
+	if !h.whole {
+		return nil, notRun(ErrClosed)
+	}
+
+	stop := context.AfterFunc(ctx, func() { _ = h.conn.Close() })
+	t := h.link.trip(h.conn.Conn, call)
+	reply, err := t.run()
+
+	h.link.end(&t)
+
+	// A context that ended has closed the connection or is about to.
+	h.whole = stop() && err == nil && t.again
+
+	if err != nil && t.sent == 0 {
+		return nil, notRun(err)
+	}
+
+	if err != nil {
+		return nil, carobward.NewFailure(carobward.Unknown, status(err), 0, err)
+	}
+
+	if reply.Keep > 0 {
+		h.conn.keep = reply.Keep
+	}
+
+	return reply, nil
+}
+
+// Release gives the connection back if it may carry another call, and closes
+// it else.
+func (h *Held) Release() {
+	if h.whole {
+		h.pool.put(h.conn, h.link.clock.Now(), h.link.most())
+	} else {
+		h.pool.drop(h.conn)
+	}
+}
+
+// conn returns an idle connection, or opens one and returns true.
+func (l *Link) conn(ctx context.Context, p *pool, deadline time.Time, fresh bool) (*conn, bool, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, false, err
+	}
+
+	now := l.clock.Now()
+	keep := l.options.Keep
+
+	if fresh {
+		keep = 0
+	}
+
+	c, err := p.take(now, keep, l.most())
+	if c != nil || err != nil {
+		return c, false, err
+	}
+
+	d := net.Dialer{Deadline: now.Add(min(l.options.Dial, deadline.Sub(now)))}
+
+	n, err := d.DialContext(ctx, "tcp", string(p.address))
+	if err != nil {
+		p.drop(nil)
+
+		return nil, false, errors.Annotate(err, "link")
+	}
+
+	return &conn{Conn: n}, true, nil
+}
--- a/internal/cwlink/link.go
+++ b/internal/cwlink/link.go
@@ -5,12 +5,10 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
@@ -29,6 +27,8 @@
 	Dial time.Duration
 	// Header is the largest reply header in bytes.
 	Header carobward.ByteCount
+	// Dialect is how servers are spoken to. Nil: the product's own protocol.
+	Dialect carobward.Dialect
 }
 
 // Link is the Servers of the product.
@@ -46,6 +46,10 @@
 
 // New returns a Link without connections, for a fleet of one entry VM.
 func New(o Options, clock carobward.Clock) *Link {
+	if o.Dialect == nil {
+		o.Dialect = Own{}
+	}
+
 	l := &Link{options: o, clock: clock, pools: map[carobward.Address]*pool{}}
 	l.share.Store(int64(o.Conns))
 
@@ -55,38 +59,14 @@
 // Exchange sends a call once and returns the whole reply, or a Failure. It
 // is NotRun only where the kernel took no byte of the call.
 func (l *Link) Exchange(ctx context.Context, to carobward.Address, call *carobward.Call) (*carobward.Reply, error) {
-	p, err := l.pool(to)
-	if err != nil {
-		return nil, notRun(err)
-	}
-
-	c, err := l.conn(ctx, p, call)
+	h, err := l.Hold(ctx, to, call.Deadline, call.Fresh)
 	if err != nil {
-		return nil, notRun(err)
-	}
-
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	t := l.trip(c.Conn, call)
-	reply, err := t.run()
-
-	l.end(&t)
-
-	// A context that ended has closed the connection or is about to.
-	if stop() && err == nil && t.again {
-		p.put(c, l.clock.Now(), l.most())
-	} else {
-		p.drop(c)
+		return nil, err
 	}
 
-	if err != nil && t.sent == 0 {
-		return nil, notRun(err)
-	}
+	defer h.Release()
 
-	if err != nil {
-		return nil, carobward.NewFailure(carobward.Unknown, status(err), 0, err)
-	}
-
-	return reply, nil
+	return h.Exchange(ctx, call)
 }
 
 func notRun(err error) error {
@@ -167,32 +147,3 @@
 
 	return p, nil
 }
-
-func (l *Link) conn(ctx context.Context, p *pool, call *carobward.Call) (*conn, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, err
-	}
-
-	now := l.clock.Now()
-	keep := l.options.Keep
-
-	if call.Fresh {
-		keep = 0
-	}
-
-	c, err := p.take(now, keep, l.most())
-	if c != nil || err != nil {
-		return c, err
-	}
-
-	d := net.Dialer{Deadline: now.Add(min(l.options.Dial, call.Deadline.Sub(now)))}
-
-	n, err := d.DialContext(ctx, "tcp", string(p.address))
-	if err != nil {
-		p.drop(nil)
-
-		return nil, errors.Annotate(err, "link")
-	}
-
-	return &conn{Conn: n}, nil
-}
--- a/internal/cwlink/link_test.go
+++ b/internal/cwlink/link_test.go
@@ -47,7 +47,7 @@
 		t.Run(name, func(t *testing.T) {
 			c.call.ID = "one"
 			c.call.Deadline = time.Now().Add(time.Minute)
-			trip := trip{buffers: &buffers{}, call: &c.call, clock: carobward.SystemClock{}}
+			trip := trip{buffers: &buffers{}, call: &c.call, clock: carobward.SystemClock{}, dialect: Own{}}
 			head, _, _ := bytes.Cut(trip.appendHead(nil), []byte("\r\n\r\n"))
 
 			var lines []string
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -22,6 +22,23 @@
 type conn struct {
 	net.Conn
 	used time.Time
+	// keep is how long the server keeps it open while it is idle, where the
+	// server said so.
+	keep time.Duration
+}
+
+// keepShare is the part of the time that a server keeps an idle connection
+// for which it is used: a call that crosses the server's close is lost.
+const keepShare = 0.8
+
+// fit tells whether a connection has been idle for less than keep and than
+// the server's own bound.
+func (c *conn) fit(now time.Time, keep time.Duration) bool {
+	if c.keep > 0 {
+		keep = min(keep, time.Duration(keepShare*float64(c.keep)))
+	}
+
+	return now.Sub(c.used) < keep
 }
 
 // pool holds the connections to one server.
@@ -48,12 +65,37 @@
 	}
 }
 
+// takeIdle returns an idle connection that is whole, or nil.
+func (p *pool) takeIdle(now time.Time, keep time.Duration) *conn {
+	p.mutex.Lock()
+	usable := len(p.idle) > 0 && p.idle[len(p.idle)-1].fit(now, keep)
+	p.mutex.Unlock()
+
+	if !usable {
+		return nil
+	}
+
+	c, err := p.take(now, keep, noLimit)
+	if err != nil {
+		return nil
+	}
+
+	if c == nil {
+		p.drop(nil) // The last idle one was gone, and none is dialled here.
+	}
+
+	return c
+}
+
+// noLimit is a bound on connections that is never reached.
+const noLimit = 1 << 30
+
 func (p *pool) pop(now time.Time, keep time.Duration, most int) (*conn, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
 	last := len(p.idle) - 1
-	if last >= 0 && now.Sub(p.idle[last].used) < keep {
+	if last >= 0 && p.idle[last].fit(now, keep) {
 		c := p.idle[last]
 		p.idle[last] = nil
 		p.idle = p.idle[:last]
@@ -109,7 +151,7 @@
 	defer p.mutex.Unlock()
 
 	old := 0
-	for old < len(p.idle) && now.Sub(p.idle[old].used) >= keep {
+	for old < len(p.idle) && !p.idle[old].fit(now, keep) {
 		old++
 	}
 
--- a/internal/cwlink/reply.go
+++ b/internal/cwlink/reply.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"strings"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
@@ -19,7 +18,8 @@
 	ErrHeader  = errors.ConstError("the reply's header is too large")
 	ErrStatus  = errors.ConstError("the reply has no final status")
 	ErrInterim = errors.ConstError("too many interim replies")
-	ErrID      = errors.ConstError("the reply is to another request")
+	ErrID      = carobward.ErrOther
+	ErrOthers  = errors.ConstError("too many replies to other requests")
 )
 
 // interimMost bounds the interim replies (1xx) before the final one.
@@ -31,9 +31,27 @@
 	lengthUnknown = -2
 )
 
-// read reads one whole reply. It also tells whether the connection may be
-// used again.
+// otherMost bounds the replies to other calls that are passed over while ours
+// is awaited.
+const otherMost = 2
+
+// read reads the whole reply to this call. It also tells whether the
+// connection may be used again. A server may answer an earlier call twice; in
+// a protocol where each reply names its call, that reply is passed over, so
+// that a call which may not be repeated still gets its own.
 func (t *trip) read() (*carobward.Reply, bool, error) {
+	for others := range 1 + otherMost {
+		reply, again, err := t.readOne()
+		if !errors.Is(err, carobward.ErrOther) || !t.dialect.Extra() {
+			return reply, again && others == 0, err
+		}
+	}
+
+	return nil, false, ErrOthers
+}
+
+// readOne reads one whole reply.
+func (t *trip) readOne() (*carobward.Reply, bool, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 
@@ -46,8 +64,10 @@
 	// The header is taken before the body, so that trailers cannot add to
 	// it.
 	reply := &carobward.Reply{Status: resp.StatusCode(), Header: cwframe.Copy(resp.Header.All(), cwframe.All)}
-	if err := t.own(reply); err != nil {
-		return nil, false, err
+
+	owned := t.dialect.Read(t.call, reply, t.clock.Now())
+	if owned != nil && !(t.dialect.Extra() && errors.Is(owned, carobward.ErrOther)) {
+		return nil, false, owned
 	}
 
 	if !bodiless(t.call.Method, reply.Status) {
@@ -60,7 +80,7 @@
 
 	again := !resp.ConnectionClose() && t.reader.Buffered() == 0
 
-	return reply, again, nil
+	return reply, again, owned
 }
 
 // bodiless tells whether a reply has no body, whatever length it names, RFC
@@ -145,7 +165,7 @@
 	length := resp.Header.ContentLength()
 	most := int(t.call.MaxReply)
 
-	if length == lengthUnknown {
+	if length == lengthUnknown && !t.dialect.Unframed() {
 		return ErrLength
 	}
 
@@ -164,36 +184,3 @@
 
 	return nil
 }
-
-// own checks that the reply is to this call and reads what the server says
-// of itself. The call's id must be there once.
-func (t *trip) own(reply *carobward.Reply) error {
-	ids, verdicts := 0, 0
-	shed := true
-
-	for i := range reply.Header {
-		f := &reply.Header[i]
-
-		switch {
-		case strings.EqualFold(f.Name, carobward.HeaderID):
-			if ids++; f.Value != string(t.call.ID) {
-				return ErrID
-			}
-		case strings.EqualFold(f.Name, carobward.HeaderVerdict):
-			verdicts++
-			shed = shed && carobward.ParseVerdict(f.Value) == carobward.NotRun
-		case strings.EqualFold(f.Name, carobward.HeaderReport):
-			reply.Report = ParseReport(f.Value, t.clock.Now())
-		}
-	}
-
-	if ids != 1 {
-		return ErrID
-	}
-
-	// The word counts only where status and header agree.
-	refused := reply.Status == fasthttp.StatusServiceUnavailable || reply.Status == fasthttp.StatusTooManyRequests
-	reply.Shed = refused && verdicts > 0 && shed
-
-	return nil
-}
--- a/internal/cwlink/trip.go
+++ b/internal/cwlink/trip.go
@@ -25,6 +25,8 @@
 	conn  net.Conn
 	call  *carobward.Call
 	clock carobward.Clock
+	// dialect is how the server is spoken to.
+	dialect carobward.Dialect
 	// sent is the number of bytes that the kernel took.
 	sent int64
 	// again tells that the connection may carry another call.
@@ -40,7 +42,7 @@
 
 	b.reader.Reset(c)
 
-	return trip{buffers: b, conn: c, call: call, clock: l.clock}
+	return trip{buffers: b, conn: c, call: call, clock: l.clock, dialect: l.options.Dialect}
 }
 
 // end gives the buffers of a trip back.
@@ -112,13 +114,7 @@
 		h.Add(t.call.Header[i].Name, t.call.Header[i].Value)
 	}
 
-	left := t.call.Deadline.Sub(t.clock.Now()).Milliseconds()
-	h.Add(carobward.HeaderID, string(t.call.ID))
-	h.Add(carobward.HeaderTimeout, strconv.FormatInt(max(left, 1), 10))
-
-	if t.call.Ask {
-		h.Add(carobward.HeaderAsk, carobward.AskReport)
-	}
+	t.dialect.Fields(t.call, t.call.Deadline.Sub(t.clock.Now()), h.Add)
 
 	if len(t.call.Body) > 0 || bodyExpected(t.call.Method) {
 		h.Add(fasthttp.HeaderContentLength, strconv.Itoa(len(t.call.Body)))
--- /dev/null
+++ b/internal/cwmesh/mesh.go
@@ -0,0 +1,284 @@
+package cwmesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmirror"
+	"carobward.example/carobward/internal/cwpeer"
+	"carobward.example/carobward/internal/cwwire"
+)
+
+// The paces of the mesh.
+const (
+	// beatTime is the time between heartbeats. Datagrams between failure
+	// domains are paid for, and all that must be quick is sent at once.
+	beatTime = time.Second
+	// seedTime is the time between heartbeats to seeds that did not answer.
+	seedTime = 300 * time.Millisecond
+	// pullTime bounds fetching changes from a peer.
+	pullTime = 400 * time.Millisecond
+	// othersMost is how many peers a datagram tells of: some 80 bytes each,
+	// within one packet.
+	othersMost = 14
+	// datagramMost is the largest datagram in bytes.
+	datagramMost = 4096
+)
+
+// Service is the name of the peers' service for net/rpc.
+const Service = "Mesh"
+
+// Options are the parts that a Mesh needs.
+type Options struct {
+	Table  *Table
+	Mirror *cwmirror.Mirror
+	// Seeds are addresses of entry VMs to begin with.
+	Seeds []carobward.Address
+	Key   cwpeer.Key
+	Clock carobward.Clock
+	Log   logr.Logger
+	// Changed is called with the changes that came from a peer.
+	Changed func([]carobward.Item)
+}
+
+// Mesh sends and takes heartbeats and fetches changes.
+type Mesh struct {
+	Options
+
+	boot    uint64
+	conn    net.PacketConn
+	clients *cwpeer.Clients
+	state   atomic.Uint32
+	away    atomic.Bool
+	wake    chan struct{}
+
+	mutex sync.Mutex
+	// fresh is when the copy was last known to be the newest.
+	fresh time.Time
+	// seeded has the seeds that have not answered yet.
+	seeded map[carobward.Address]bool
+	// pulling tells that a fetch is under way.
+	pulling atomic.Bool
+}
+
+// New returns a mesh that talks over a datagram socket.
+func New(o Options, conn net.PacketConn) *Mesh {
+	o.Log = o.Log.WithName("mesh")
+	m := &Mesh{
+		Options: o, boot: rand.Uint64(), conn: conn, clients: cwpeer.NewClients(o.Key),
+		wake: make(chan struct{}, 1), seeded: map[carobward.Address]bool{},
+	}
+
+	for _, s := range o.Seeds {
+		if s != o.Table.Self().Peers {
+			m.seeded[s] = true
+		}
+	}
+
+	return m
+}
+
+// Run works until the context ends.
+func (m *Mesh) Run(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+
+	group.Go(func() { m.receive(ctx) })
+	group.Go(func() { m.send(ctx) })
+
+	<-ctx.Done()
+	_ = m.conn.Close()
+	m.clients.Close()
+}
+
+// SetState tells the peers whether this entry VM takes callers.
+func (m *Mesh) SetState(s State) {
+	if m.state.Swap(uint32(s)) != uint32(s) {
+		m.Tell()
+	}
+}
+
+// State returns whether this entry VM takes callers.
+func (m *Mesh) State() State { return State(m.state.Load()) }
+
+// SetAway notes whether the store serves this entry VM.
+func (m *Mesh) SetAway(away bool) { m.away.Store(away) }
+
+// Tell sends a heartbeat to all now.
+func (m *Mesh) Tell() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// SetFresh notes when the copy was the newest.
+func (m *Mesh) SetFresh(at time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	if at.After(m.fresh) {
+		m.fresh = at
+	}
+}
+
+// Fresh returns when the copy was last known to be the newest, or the zero
+// time.
+func (m *Mesh) Fresh() time.Time {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	return m.fresh
+}
+
+// encodeFresh returns an age for a message.
+func encodeFresh(fresh, now time.Time) uint32 {
+	if fresh.IsZero() {
+		return 0
+	}
+
+	return uint32(max(0, now.Sub(fresh).Milliseconds())) + 1
+}
+
+func (m *Mesh) receive(ctx context.Context) {
+	buffer := make([]byte, datagramMost)
+
+	for ctx.Err() == nil {
+		n, from, err := m.conn.ReadFrom(buffer)
+		if err != nil {
+			if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+				m.Log.Error(err, "A datagram could not be read.")
+				time.Sleep(time.Millisecond) // A fault that lasts must not spin.
+			}
+
+			continue
+		}
+
+		raw, err := m.Key.Open(buffer[:n], from)
+		if err != nil {
+			m.Log.V(1).Info("A datagram was refused.", "from", from.String(), "cause", err.Error())
+
+			continue
+		}
+
+		beat := &cwwire.Beat{}
+		if err := proto.Unmarshal(raw, beat); err != nil {
+			m.Log.V(1).Info("A datagram is malformed.", "from", from.String(), "cause", err.Error())
+
+			continue
+		}
+
+		m.take(ctx, beat, from)
+	}
+}
+
+// take handles one heartbeat.
+func (m *Mesh) take(ctx context.Context, b *cwwire.Beat, from net.Addr) {
+	if b.GetId() == string(m.Table.Self().ID) {
+		return
+	}
+
+	now := m.Clock.Now()
+	p := Peer{
+		Boot: b.GetBoot(), State: State(b.GetState()), Away: b.GetAway(), Heard: now,
+		Copy: cwmirror.State{Index: carobward.StoreIndex(b.GetIndex()), Top: carobward.StoreIndex(b.GetTop())},
+	}
+	p.ID = carobward.VMID(b.GetId())
+
+	if n := b.GetNode(); n != nil {
+		p.Node = node(n)
+		m.unseed(p.Peers)
+	}
+
+	known := m.Table.heard(p)
+
+	for _, o := range b.GetOthers() {
+		m.Table.told(node(o))
+	}
+
+	if !known || b.GetAsk() {
+		m.reply(from, !known, b.GetAsk())
+	}
+
+	if own := m.Mirror.State(); own.Behind(p.Copy) {
+		m.pull(ctx, carobward.Address(from.String()), "heartbeat of "+b.GetId())
+	} else if f := b.GetFresh(); f > 0 {
+		// What a peer knew to be the newest is what we have as well.
+		m.SetFresh(now.Add(-time.Duration(f-1) * time.Millisecond))
+	}
+}
+
+func node(n *cwwire.Node) Node {
+	return Node{
+		ID: carobward.VMID(n.GetId()), Domain: carobward.Domain(n.GetDomain()),
+		Callers: carobward.Address(n.GetCallers()), Peers: carobward.Address(n.GetPeers()),
+	}
+}
+
+func wireNode(n Node) *cwwire.Node {
+	return &cwwire.Node{Id: string(n.ID), Domain: string(n.Domain), Callers: string(n.Callers), Peers: string(n.Peers)}
+}
+
+func (m *Mesh) unseed(a carobward.Address) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	delete(m.seeded, a)
+}
+
+// pull fetches the changes that this entry VM lacks. One fetch runs at a time.
+func (m *Mesh) pull(ctx context.Context, from carobward.Address, why string) {
+	if m.pulling.Swap(true) {
+		return
+	}
+
+	go func() {
+		defer m.pulling.Store(false)
+
+		if err := m.fetch(ctx, from); err != nil {
+			m.Log.Info("Changes could not be fetched.", "from", string(from), "why", why, "cause", err.Error())
+		}
+	}()
+}
+
+func (m *Mesh) fetch(ctx context.Context, from carobward.Address) error {
+	limited, cancel := context.WithTimeout(ctx, pullTime)
+	defer cancel()
+
+	own := m.Mirror.State()
+	sent := m.Clock.Now()
+	reply := &cwwire.ChangesReply{}
+
+	err := m.clients.Call(limited, from, Service+".Changes", &cwwire.ChangesRequest{After: uint64(own.Index)}, reply)
+	if err != nil {
+		return err
+	}
+
+	c := carobward.Changes{Index: carobward.StoreIndex(reply.GetIndex()), Whole: reply.GetWhole()}
+	for _, e := range reply.GetEntries() {
+		c.Items = append(c.Items, carobward.Item{
+			Key: carobward.Key(e.GetKey()), Value: e.GetValue(), Index: carobward.StoreIndex(e.GetIndex()), Gone: e.GetGone(),
+		})
+	}
+
+	fresh := m.Mirror.Apply(c, false)
+	m.Log.Info("Took changes from a peer.", "from", string(from), "after", own.Index, "index", c.Index, "whole", c.Whole, "changed", len(fresh))
+
+	if f := reply.GetFresh(); f > 0 {
+		m.SetFresh(sent.Add(-time.Duration(f-1) * time.Millisecond))
+	}
+
+	m.Changed(fresh)
+
+	return nil
+}
--- /dev/null
+++ b/internal/cwmesh/table.go
@@ -0,0 +1,173 @@
+// Package cwmesh keeps what an entry VM knows of the others. Each sends a
+// small heartbeat to all; it tells that the VM lives, whether it takes callers
+// and how far its copy of the platform's store is. Who is behind fetches the
+// changes from who is ahead.
+package cwmesh
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmirror"
+)
+
+// State is whether an entry VM takes callers.
+type State uint8
+
+// The states of an entry VM.
+const (
+	// Starting: it has no configuration yet.
+	Starting State = iota
+	// Ready: it takes callers.
+	Ready
+	// Leaving: it stops.
+	Leaving
+)
+
+// Node is one entry VM.
+type Node struct {
+	ID      carobward.VMID
+	Domain  carobward.Domain
+	Callers carobward.Address
+	Peers   carobward.Address
+}
+
+// Peer is what is known of another entry VM.
+type Peer struct {
+	Node
+
+	// Boot names the run of the entry VM.
+	Boot  uint64
+	State State
+	// Copy is how far its copy of the store is.
+	Copy cwmirror.State
+	// Away tells that the store does not serve it.
+	Away bool
+	// Heard is when its last heartbeat came.
+	Heard time.Time
+}
+
+// The times of knowing peers.
+const (
+	// liveTime is how long after its last heartbeat a peer counts as alive:
+	// two heartbeats and a half, so that one lost datagram does no harm.
+	liveTime = 2500 * time.Millisecond
+	// keepTime is how long a peer that is not heard is still sent heartbeats
+	// to, and counts for the sharing of budgets: it may be cut off from this
+	// entry VM alone and serve callers.
+	keepTime = 30 * time.Second
+)
+
+// Table has the entry VMs. It is safe for use by several goroutines.
+type Table struct {
+	self Node
+
+	mutex sync.RWMutex
+	peers map[carobward.VMID]*Peer
+	// size is the largest number of entry VMs seen lately, and sized when.
+	size  int
+	sized time.Time
+}
+
+// NewTable returns a table that has this entry VM only.
+func NewTable(self Node) *Table {
+	return &Table{self: self, peers: map[carobward.VMID]*Peer{}, size: 1}
+}
+
+// Self returns this entry VM.
+func (t *Table) Self() Node { return t.self }
+
+// heard takes a heartbeat of a peer whose Node is known or comes with it. It
+// returns false if the Node is not known.
+func (t *Table) heard(p Peer) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	old := t.peers[p.ID]
+
+	if p.Callers == "" {
+		if old == nil || old.Callers == "" {
+			return false
+		}
+
+		p.Node = old.Node
+	}
+
+	t.peers[p.ID] = &p
+
+	return true
+}
+
+// told takes the Node of an entry VM that a peer has heard. It is not alive
+// for this one until it is heard here.
+func (t *Table) told(n Node) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	if n.ID != t.self.ID && t.peers[n.ID] == nil {
+		t.peers[n.ID] = &Peer{Node: n, Heard: time.Time{}}
+	}
+}
+
+// Live returns the peers that were heard lately, in the order of their names.
+func (t *Table) Live(now time.Time) []Peer { return t.within(now, liveTime) }
+
+func (t *Table) within(now time.Time, age time.Duration) []Peer {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	list := make([]Peer, 0, len(t.peers))
+
+	for _, p := range t.peers {
+		if now.Sub(p.Heard) < age {
+			list = append(list, *p)
+		}
+	}
+
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+
+	return list
+}
+
+// sendable returns the peers that get heartbeats: those heard lately, and
+// those told of and not yet heard.
+func (t *Table) sendable(now time.Time) []Peer {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	list := make([]Peer, 0, len(t.peers))
+
+	for id, p := range t.peers {
+		if p.Heard.IsZero() {
+			p.Heard = now.Add(-liveTime) // Not alive, but given a chance.
+		}
+
+		if now.Sub(p.Heard) > keepTime {
+			delete(t.peers, id)
+
+			continue
+		}
+
+		list = append(list, *p)
+	}
+
+	return list
+}
+
+// Size returns the number of entry VMs that a budget is shared by: the most
+// seen lately, since one that is out of sight may still spend.
+func (t *Table) Size(now time.Time) int {
+	n := 1 + len(t.within(now, keepTime))
+
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	if n >= t.size || now.Sub(t.sized) > keepTime {
+		t.size, t.sized = n, now
+	}
+
+	return t.size
+}
--- /dev/null
+++ b/internal/cwmirror/mirror_test.go
@@ -0,0 +1,121 @@
+package cwmirror
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobward.example/carobward"
+)
+
+func item(key string, index int) carobward.Item {
+	return carobward.Item{Key: carobward.Key(key), Value: []byte(key), Index: carobward.StoreIndex(index)}
+}
+
+func gone(key string, index int) carobward.Item {
+	return carobward.Item{Key: carobward.Key(key), Index: carobward.StoreIndex(index), Gone: true}
+}
+
+func changes(index int, items ...carobward.Item) carobward.Changes {
+	return carobward.Changes{Items: items, Index: carobward.StoreIndex(index)}
+}
+
+func whole(index int, items ...carobward.Item) carobward.Changes {
+	c := changes(index, items...)
+	c.Whole = true
+
+	return c
+}
+
+// live returns the keys that a copy has.
+func live(m *Mirror) []string {
+	var keys []string
+
+	for _, it := range m.Since(0).Items {
+		keys = append(keys, string(it.Key))
+	}
+
+	slices.Sort(keys)
+
+	return keys
+}
+
+func TestApply(t *testing.T) {
+	for name, c := range map[string]struct {
+		changes []carobward.Changes
+		hold    bool
+		want    []string
+		state   State
+	}{
+		"a list and an event": {
+			[]carobward.Changes{whole(3, item("a", 1), item("b", 3)), changes(4, item("c", 4))},
+			false, []string{"a", "b", "c"}, State{4, 4},
+		},
+		"a removal":              {[]carobward.Changes{whole(3, item("a", 1)), changes(4, gone("a", 4))}, false, nil, State{4, 4}},
+		"a removal is held back": {[]carobward.Changes{changes(4, item("a", 1), gone("a", 4), item("b", 3))}, true, []string{"a", "b"}, State{0, 3}},
+		"a list without a key":   {[]carobward.Changes{whole(3, item("a", 1)), whole(5, item("b", 4))}, false, []string{"b"}, State{5, 5}},
+		"an older list":          {[]carobward.Changes{whole(5, item("b", 4)), whole(3, item("a", 1))}, false, []string{"b"}, State{5, 5}},
+		"a key comes back":       {[]carobward.Changes{changes(2, gone("a", 2)), changes(3, item("a", 3))}, false, []string{"a"}, State{3, 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New()
+			for _, one := range c.changes {
+				m.Apply(one, c.hold)
+			}
+
+			if diff := cmp.Diff(c.want, live(m)); diff != "" {
+				t.Error(diff)
+			}
+
+			if diff := cmp.Diff(c.state, m.State()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestSince brings one copy up to date from another, also past the memory of
+// removed keys.
+func TestSince(t *testing.T) {
+	for name, churn := range map[string]int{"within memory": 10, "beyond memory": 2 * goneMost} {
+		t.Run(name, func(t *testing.T) {
+			from, to := New(), New()
+			from.Apply(whole(1, item("stays", 1), item("goes", 1)), false)
+			to.Apply(from.Since(0), false)
+
+			index := 1
+			step := func(it carobward.Item) {
+				from.Apply(changes(int(it.Index), it), false)
+			}
+
+			for range churn {
+				step(item("churn", index+1))
+				step(gone("churn", index+2))
+				index += 2
+			}
+
+			for i := range churn {
+				step(item(string(rune('a'+i)), index+1))
+				step(gone(string(rune('a'+i)), index+2))
+				index += 2
+			}
+
+			step(gone("goes", index+1))
+
+			if !to.State().Behind(from.State()) {
+				t.Fatal("not behind")
+			}
+
+			to.Apply(from.Since(to.State().Index), false)
+
+			if diff := cmp.Diff(live(from), live(to)); diff != "" {
+				t.Error(diff)
+			}
+
+			if to.State() != from.State() {
+				t.Errorf("%v and %v", to.State(), from.State())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/cwpick/pick.go
@@ -0,0 +1,132 @@
+// Package cwpick decides which server gets a request: whom to look at, and
+// which of those that were looked at is the best. It is pure over the table's
+// views.
+package cwpick
+
+import (
+	"math/rand/v2"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwbackend"
+)
+
+// The weights of the choice.
+const (
+	// slowWeight is how much of a machine's present slowness a new request
+	// feels. Slowness changes several times within a request, so that only a
+	// part of what is seen now lasts.
+	slowWeight = 0.6
+	// kneeShare is the part of the slots in use above which many servers slow
+	// down, and kneeFactor by how much.
+	kneeShare  = 0.8
+	kneeFactor = 1.7
+	// warmFactor is how much longer a server takes that has just started.
+	warmFactor = 2
+	// awayCost is the cost of another failure domain, as a part of a request's
+	// time: a millisecond or two of a few hundred.
+	awayCost = 0.01
+	// troubleCost is the cost of a server all of whose requests failed lately.
+	troubleCost = 4
+	// overdueCost is the cost of a server where one of ours is overdue.
+	overdueCost = 4
+)
+
+// Cost returns the time that a request would take at a server, in usual times.
+func Cost(v *cwbackend.View, home carobward.Domain) float64 {
+	r := &v.Report
+
+	slots := max(1, v.Slots)
+	if r.Slots > 0 {
+		slots = r.Slots
+	}
+
+	running := float64(max(r.Running, 0))
+	cost := 1.0
+
+	if r.Slowness > 1 {
+		cost += slowWeight * (r.Slowness - 1)
+	}
+
+	if (running+1)/float64(slots) > kneeShare {
+		cost *= kneeFactor
+	}
+
+	if v.Warming {
+		cost *= warmFactor
+	}
+
+	// Each request ahead beyond the free slots waits for one to be freed.
+	if ahead := running + float64(r.Queued) + 1 - float64(slots); ahead > 0 {
+		cost += cost * ahead / float64(slots)
+	}
+
+	// Among servers alike, the one with more free slots stays good for longer.
+	cost += 0.05 * running / float64(slots)
+	cost += troubleCost * v.Trouble
+
+	if v.Overdue {
+		cost += overdueCost
+	}
+
+	if v.Domain != home {
+		cost += awayCost
+	}
+
+	return cost
+}
+
+// Draw returns up to n servers to look at, at random among those that may get
+// a request. Blocked ones are looked at only where there are too few others.
+func Draw(views []cwbackend.View, n int, seen map[*cwbackend.Server]bool) []cwbackend.View {
+	var good, blocked []cwbackend.View
+
+	for i := range views {
+		switch {
+		case seen[views[i].Server]:
+		case views[i].Blocked:
+			blocked = append(blocked, views[i])
+		default:
+			good = append(good, views[i])
+		}
+	}
+
+	shuffle(good)
+
+	if len(good) >= n {
+		return good[:n]
+	}
+
+	shuffle(blocked)
+
+	if len(good) == 0 {
+		return blocked[:min(1, len(blocked))]
+	}
+
+	return good
+}
+
+func shuffle(list []cwbackend.View) {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
+// Room tells whether a server has room for a request of a rank out of so many
+// ranks: the most urgent ones may queue for a while, the least urgent ones
+// leave slots free for others.
+func Room(v *cwbackend.View, rank, ranks int) bool {
+	r := &v.Report
+	if r.At.IsZero() {
+		return true
+	}
+
+	slots := max(1, r.Slots)
+	most := slots
+
+	switch {
+	case rank == 0 && ranks > 1:
+		most = slots + slots/2
+	case rank == ranks-1 && ranks > 1:
+		most = max(1, slots-1)
+	}
+
+	return r.Running+r.Queued < most
+}
--- /dev/null
+++ b/routing.go
@@ -0,0 +1,75 @@
+package carobward
+
+import "time"
+
+// Routing is one version of the operators' configuration as an entry VM uses
+// it. It is not changed once it is in force.
+type Routing struct {
+	// Version rises from one configuration to the next.
+	Version Version
+	// Services has the groups of servers by name.
+	Services map[Service]ServiceSpec
+	// Limits bound what callers may send.
+	Limits Limits
+	// Hosts has the routes by the Host that they serve.
+	Hosts map[string][]Route
+}
+
+// ServiceSpec is what the operator says of a group of servers.
+type ServiceSpec struct {
+	// HealthPath is the path of the servers' health check.
+	HealthPath string
+	// Conns is how many connections one server takes from all entry VMs.
+	Conns int
+}
+
+// Limits bound what a caller may send, and how long it may take.
+type Limits struct {
+	// Header and Body are the largest request header and body in bytes.
+	Header ByteCount
+	Body   ByteCount
+	// HeaderTime bounds the time to send a header, Idle the time that a
+	// connection waits for its next request.
+	HeaderTime time.Duration
+	Idle       time.Duration
+}
+
+// Route sends the requests of a host under a path prefix to services.
+type Route struct {
+	Name   RouteName
+	Prefix string
+	// Idempotent tells that a request may run more than once.
+	Idempotent bool
+	// Timeout bounds the time until a request's final answer.
+	Timeout time.Duration
+	// Objective is the latency within which an answer is worth the most.
+	Objective time.Duration
+	// Priority is the rank under overload; 0 is served first.
+	Priority int
+	// Shares has the services with their shares of the requests.
+	Shares []Share
+	// Attempts is the most servers that one request is sent to.
+	Attempts int
+}
+
+// Share is a service's share of a route's requests.
+type Share struct {
+	Service Service
+	// Weight is relative to the weights of the route's other shares.
+	Weight int
+}
+
+// Backend is a backend server as the platform's list shows it.
+type Backend struct {
+	Instance Instance
+	Address  Address
+	Service  Service
+	Domain   Domain
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Leaving tells that it takes no new work and will end.
+	Leaving bool
+	// Warmup is how much longer it is slow after its start, from the time at
+	// which the entry was written.
+	Warmup time.Duration
+}
--- a/server.go
+++ b/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Report is the load that a server reported of itself.
@@ -20,6 +22,9 @@
 	// Run numbers the server's runs, rising with each start; 0 where it gives
 	// no number.
 	Run uint64
+	// Slowness is how many times longer than usual work takes on the server's
+	// machine now; 0 where the server does not say.
+	Slowness float64
 }
 
 // Call is one request as it goes to a server.
@@ -43,6 +48,11 @@
 	Fresh bool
 	// Ask asks the server for a load report with the reply.
 	Ask bool
+	// Instance is the run of a server that alone may do the work; another one
+	// at the same address refuses. Empty: any.
+	Instance Instance
+	// Look marks a health check, which is no caller's request and has no id.
+	Look bool
 }
 
 // Reply is a server's whole reply.
@@ -57,8 +67,17 @@
 	Report Report
 	// Shed tells that the server refused the call before it began.
 	Shed bool
+	// Instance is the run of the server that replied, where it says so.
+	Instance Instance
+	// Keep is how long the server keeps an idle connection open; 0 where it
+	// does not say.
+	Keep time.Duration
 }
 
+// ErrOther is the error of a Dialect for a reply that belongs to another call.
+// The reply to this call may still follow it.
+const ErrOther = errors.ConstError("the reply is to another request")
+
 // Servers carries calls to servers.
 type Servers interface {
 	// Exchange sends a call to a server and returns its whole reply, or a
