--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -13,26 +13,39 @@
 	"carobward.example/carobward"
 )
 
-// known is how many servers of a service an entry VM knows at least, if there
-// are as many. It keeps the connections of all entry VMs few, and is wide
-// enough that a look at some of them finds one that is fast and has room.
-const known = 12
+// The sets of servers that an entry VM sends to. They keep the connections of
+// all entry VMs few, and are wide enough that a look at some of them finds one
+// that is fast and has room.
+const (
+	// knownNear is how many servers of its own failure domain an entry VM
+	// knows at least, if there are as many. Bytes between failure domains are
+	// paid for.
+	knownNear = 12
+	// knownFar is how many of the others it knows at least, for when the near
+	// ones have no room or are lost.
+	knownFar = 6
+)
+
+// VM is an entry VM that shares the servers.
+type VM struct {
+	ID     carobward.VMID
+	Domain carobward.Domain
+}
 
 // Table is the table of servers. It is safe for use by several goroutines.
 type Table struct {
-	self carobward.VMID
+	self VM
 
 	mutex      sync.RWMutex
 	byInstance map[carobward.Instance]*Server
-	byService  map[carobward.Service][]*Server
-	vms        []carobward.VMID
+	vms        []VM
 	// mine has the servers of each service that this entry VM sends to.
 	mine map[carobward.Service][]*Server
 }
 
 // New returns an empty table for an entry VM.
-func New(self carobward.VMID) *Table {
-	return &Table{self: self, byInstance: map[carobward.Instance]*Server{}, vms: []carobward.VMID{self}}
+func New(self VM) *Table {
+	return &Table{self: self, byInstance: map[carobward.Instance]*Server{}, vms: []VM{self}}
 }
 
 // Put takes new and changed entries, and the instances that are gone.
@@ -56,7 +69,7 @@
 }
 
 // SetVMs tells which entry VMs share the servers.
-func (t *Table) SetVMs(list []carobward.VMID) {
+func (t *Table) SetVMs(list []VM) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 
@@ -70,33 +83,50 @@
 
 // arrange sorts the servers by service and picks ours; the mutex is held.
 func (t *Table) arrange() {
-	t.byService = map[carobward.Service][]*Server{}
-	t.mine = map[carobward.Service][]*Server{}
+	near, far := map[carobward.Service][]*Server{}, map[carobward.Service][]*Server{}
 
 	for _, s := range t.byInstance {
 		b := s.Backend()
-		t.byService[b.Service] = append(t.byService[b.Service], s)
+		if b.Domain == t.self.Domain {
+			near[b.Service] = append(near[b.Service], s)
+		} else {
+			far[b.Service] = append(far[b.Service], s)
+		}
+	}
+
+	var neighbours []VM
+
+	for _, vm := range t.vms {
+		if vm.Domain == t.self.Domain {
+			neighbours = append(neighbours, vm)
+		}
+	}
+
+	t.mine = map[carobward.Service][]*Server{}
+
+	for service, list := range near {
+		t.mine[service] = t.pick(list, neighbours, knownNear)
 	}
 
-	for service, list := range t.byService {
-		t.mine[service] = t.pick(list)
+	for service, list := range far {
+		t.mine[service] = append(t.mine[service], t.pick(list, t.vms, knownFar)...)
 	}
 }
 
-// pick returns the servers that this entry VM sends to. Each server is known
-// to the same number of entry VMs, chosen by rendezvous hashing, so that no
-// server is left out, and a change of either side moves few.
-func (t *Table) pick(list []*Server) []*Server {
-	if len(list) <= known || len(t.vms) < 2 {
-		return list
+// pick returns the servers of a list that this entry VM sends to. Each server
+// is known to the same number of the entry VMs, chosen by rendezvous hashing,
+// so that no server is left out, and a change of either side moves few.
+func (t *Table) pick(list []*Server, vms []VM, known int) []*Server {
+	if len(list) <= known || len(vms) < 2 {
+		return slices.Clone(list)
 	}
 
-	each := (len(t.vms)*known + len(list) - 1) / len(list)
+	each := (len(vms)*known + len(list) - 1) / len(list)
 
 	var mine, others []*Server
 
 	for _, s := range list {
-		if t.place(s) < each {
+		if t.place(s, vms) < each {
 			mine = append(mine, s)
 		} else {
 			others = append(others, s)
@@ -105,21 +135,21 @@
 
 	// Chance may leave this entry VM with few.
 	if lack := known/2 - len(mine); lack > 0 {
-		slices.SortFunc(others, func(a, b *Server) int { return cmp.Compare(t.place(a), t.place(b)) })
+		slices.SortFunc(others, func(a, b *Server) int { return cmp.Compare(t.place(a, vms), t.place(b, vms)) })
 		mine = append(mine, others[:min(lack, len(others))]...)
 	}
 
 	return mine
 }
 
-// place returns how many entry VMs come before this one for a server.
-func (t *Table) place(s *Server) int {
+// place returns how many of the entry VMs come before this one for a server.
+func (t *Table) place(s *Server, vms []VM) int {
 	instance := s.Backend().Instance
-	own := weight(t.self, instance)
+	own := weight(t.self.ID, instance)
 	before := 0
 
-	for _, vm := range t.vms {
-		if vm != t.self && weight(vm, instance) > own {
+	for _, vm := range vms {
+		if vm.ID != t.self.ID && weight(vm.ID, instance) > own {
 			before++
 		}
 	}
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -97,7 +97,7 @@
 	var best *looked
 
 	for range roundsMost {
-		draw := cwpick.Draw(views, lookWidth, seen)
+		draw := cwpick.Draw(views, lookWidth, f.Domain, seen)
 		if len(draw) == 0 {
 			break
 		}
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -116,7 +116,7 @@
 func New(o Options) (*Gateway, error) {
 	g := &Gateway{
 		Options: o, log: o.Log.WithName("gateway"), metrics: cwmetric.New(),
-		table: cwmesh.NewTable(o.Self), mirror: cwmirror.New(), servers: cwbackend.New(o.Self.ID),
+		table: cwmesh.NewTable(o.Self), mirror: cwmirror.New(), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain}),
 	}
 
 	g.link = cwlink.New(cwlink.Options{
@@ -248,11 +248,11 @@
 
 // share tells the tables which entry VMs share the servers.
 func (g *Gateway) share(now time.Time) {
-	list := []carobward.VMID{g.Self.ID}
+	list := []cwbackend.VM{{ID: g.Self.ID, Domain: g.Self.Domain}}
 
 	for _, p := range g.table.Live(now) {
 		if p.State != cwmesh.Leaving {
-			list = append(list, p.ID)
+			list = append(list, cwbackend.VM{ID: p.ID, Domain: p.Domain})
 		}
 	}
 
--- a/internal/cwpick/pick.go
+++ b/internal/cwpick/pick.go
@@ -22,9 +22,9 @@
 	kneeFactor = 1.7
 	// warmFactor is how much longer a server takes that has just started.
 	warmFactor = 2
-	// awayCost is the cost of another failure domain, as a part of a request's
-	// time: a millisecond or two of a few hundred.
-	awayCost = 0.01
+	// awayCost is the cost of another failure domain, in usual times: less for
+	// the way than for the bytes, which are paid for.
+	awayCost = 0.3
 	// troubleCost is the cost of a server all of whose requests failed lately.
 	troubleCost = 4
 	// overdueCost is the cost of a server where one of ours is overdue.
@@ -76,33 +76,34 @@
 }
 
 // Draw returns up to n servers to look at, at random among those that may get
-// a request. Blocked ones are looked at only where there are too few others.
-func Draw(views []cwbackend.View, n int, seen map[*cwbackend.Server]bool) []cwbackend.View {
-	var good, blocked []cwbackend.View
+// a request, those of the home domain before the others. Blocked ones are
+// looked at only where there is no other.
+func Draw(views []cwbackend.View, n int, home carobward.Domain, seen map[*cwbackend.Server]bool) []cwbackend.View {
+	var near, far, blocked []cwbackend.View
 
 	for i := range views {
 		switch {
 		case seen[views[i].Server]:
 		case views[i].Blocked:
 			blocked = append(blocked, views[i])
+		case views[i].Domain == home:
+			near = append(near, views[i])
 		default:
-			good = append(good, views[i])
+			far = append(far, views[i])
 		}
 	}
 
-	shuffle(good)
+	shuffle(near)
+	shuffle(far)
 
-	if len(good) >= n {
-		return good[:n]
+	good := append(near, far...)
+	if len(good) > 0 {
+		return good[:min(n, len(good))]
 	}
 
 	shuffle(blocked)
 
-	if len(good) == 0 {
-		return blocked[:min(1, len(blocked))]
-	}
-
-	return good
+	return blocked[:min(1, len(blocked))]
 }
 
 func shuffle(list []cwbackend.View) {
