--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -97,6 +97,7 @@
 		ExtraShare:  s.Bounds.ExtraShare,
 		ExtraWindow: s.Bounds.ExtraWindow,
 		ExtraLeast:  s.Bounds.ExtraLeast,
+		Looks:       s.Bounds.Looks,
 		Adapter:     platform.Adapter(s.Store, func() {}),
 		Clock:       carobward.SystemClock{},
 		Log:         log,
--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -45,6 +45,10 @@
 	blockMost  = 4 * time.Second
 	// trustShare is the weight of one outcome in the share of failures.
 	trustShare = 0.2
+	// lagShare is the weight of one answer in a server's lag. Machines that are
+	// slow for seconds are found after two or three answers; single slow ones
+	// are common.
+	lagShare = 0.35
 	// overdueFactor is how many usual times without an answer make a request
 	// at a server overdue, which speaks against sending another one there.
 	overdueFactor = 4
@@ -61,7 +65,9 @@
 	// requests that failed.
 	failures int
 	trouble  float64
-	blocked  time.Time
+	// lag is the moving average of the times of answers, in usual times.
+	lag     float64
+	blocked time.Time
 	// out has the start of each of our requests at the server.
 	out map[int64]time.Time
 	seq int64
@@ -110,12 +116,19 @@
 	return s.seq
 }
 
-// End notes how a request ended.
-func (s *Server) End(number int64, now time.Time, o Outcome) {
+// End notes how a request ended. Usual is the usual time of a request.
+func (s *Server) End(number int64, now time.Time, o Outcome, usual time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
+	took := now.Sub(s.out[number])
 	delete(s.out, number)
+
+	// Also one that was given up took so long at least.
+	if ratio := float64(took) / float64(max(usual, 1)); o == Answered || ratio > s.lag {
+		s.lag += lagShare * (ratio - s.lag)
+	}
+
 	s.learn(now, o)
 }
 
@@ -167,12 +180,25 @@
 	Overdue bool
 	// Trouble is the share of our requests that failed lately.
 	Trouble float64
+	// Lag is how many usual times our requests took there lately, 0 where
+	// there were none.
+	Lag float64
 	// Domain is its failure domain.
 	Domain carobward.Domain
 	// Report is its last word on its load.
 	Report carobward.Report
 }
 
+// SlotCount returns how many requests the server runs at once, by its last
+// word or else by the list.
+func (v *View) SlotCount() int {
+	if v.Report.Slots > 0 {
+		return v.Report.Slots
+	}
+
+	return max(1, v.Slots)
+}
+
 // View returns what is known of the server. Usual is the usual time of a
 // request.
 func (s *Server) View(now time.Time, usual time.Duration) View {
@@ -181,7 +207,7 @@
 
 	v := View{
 		Server: s, Leaving: s.backend.Leaving, Blocked: now.Before(s.blocked), Warming: now.Before(s.warm),
-		Slots: max(1, s.backend.Slots), Own: len(s.out), Trouble: s.trouble, Domain: s.backend.Domain, Report: s.report,
+		Slots: max(1, s.backend.Slots), Own: len(s.out), Trouble: s.trouble, Lag: s.lag, Domain: s.backend.Domain, Report: s.report,
 	}
 
 	for _, began := range s.out {
--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -41,6 +41,8 @@
 	vms        []VM
 	// mine has the servers of each service that this entry VM sends to.
 	mine map[carobward.Service][]*Server
+	// counts has the number of all servers of each service.
+	counts map[carobward.Service]int
 }
 
 // New returns an empty table for an entry VM.
@@ -84,9 +86,12 @@
 // arrange sorts the servers by service and picks ours; the mutex is held.
 func (t *Table) arrange() {
 	near, far := map[carobward.Service][]*Server{}, map[carobward.Service][]*Server{}
+	t.counts = map[carobward.Service]int{}
 
 	for _, s := range t.byInstance {
 		b := s.Backend()
+		t.counts[b.Service]++
+
 		if b.Domain == t.self.Domain {
 			near[b.Service] = append(near[b.Service], s)
 		} else {
@@ -214,6 +219,14 @@
 	return list
 }
 
+// CountOf returns the number of servers of a service.
+func (t *Table) CountOf(service carobward.Service) int {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	return t.counts[service]
+}
+
 // Count returns the number of servers.
 func (t *Table) Count() int {
 	t.mutex.RLock()
--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -92,7 +92,7 @@
 
 	end := f.Clock.Now()
 	outcome := r.outcome(ctx)
-	l.view.Server.End(number, end, outcome)
+	l.view.Server.End(number, end, outcome, r.usual())
 
 	if r.reply != nil {
 		l.view.Server.SetReport(r.reply.Report)
@@ -176,7 +176,7 @@
 	}
 
 	now := f.Clock.Now()
-	if left := r.deadline.Sub(now); float64(left) < leastLeft*float64(r.kept.time(r.route.Objective)) {
+	if left := r.deadline.Sub(now); float64(left) < leastLeft*float64(r.usual()) {
 		return false
 	}
 
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
@@ -37,6 +38,9 @@
 	ExtraShare  float64
 	ExtraWindow time.Duration
 	ExtraLeast  int
+	// Looks is the most health checks a second that one server gets from all
+	// entry VMs.
+	Looks float64
 	// Fleet returns the number of entry VMs that share those bounds.
 	Fleet func() int
 }
@@ -58,6 +62,8 @@
 // service is what is kept of a service beyond one configuration.
 type service struct {
 	window *cwretry.Window
+	// looks bounds the health checks.
+	looks *rate.Limiter
 	// usual is the moving average of the time of answers, in nanoseconds.
 	usual atomic.Int64
 }
@@ -130,8 +136,32 @@
 // Flight returns the number of requests that are being carried.
 func (f *Front) Flight() int { return int(f.flight.Load()) }
 
-// Tick looks for callers that have gone.
-func (f *Front) Tick() { f.gone.Tick() }
+// Tick looks for callers that have gone, and sets the pace of looks at
+// servers by the number of those and of entry VMs.
+func (f *Front) Tick(now time.Time) {
+	f.gone.Tick()
+
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	for name, s := range f.services {
+		f.pace(now, name, s)
+	}
+}
+
+// The part of the bound on looks that is used, and the time for which looks
+// can be saved up for a peak.
+const (
+	looksPart = 0.85
+	looksSave = 3
+)
+
+func (f *Front) pace(now time.Time, name carobward.Service, s *service) {
+	most := looksPart * f.Looks * float64(f.Servers.CountOf(name)) / float64(max(1, f.Fleet()))
+
+	s.looks.SetLimitAt(now, rate.Limit(most))
+	s.looks.SetBurstAt(now, int(looksSave*most)+lookWidth)
+}
 
 // Wait waits until all that was started for requests has ended.
 func (f *Front) Wait() { f.work.Wait() }
@@ -143,8 +173,12 @@
 
 	s := f.services[name]
 	if s == nil {
-		s = &service{window: cwretry.NewWindow(f.ExtraShare*extraPart, f.ExtraWindow, f.Clock.Now())}
+		s = &service{
+			window: cwretry.NewWindow(f.ExtraShare*extraPart, f.ExtraWindow, f.Clock.Now()),
+			looks:  rate.NewLimiter(0, 0),
+		}
 		f.services[name] = s
+		f.pace(f.Clock.Now(), name, s)
 	}
 
 	return s
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -28,7 +28,7 @@
 	endTime = 500 * time.Millisecond
 	// goodCost is the cost at which no better server is looked for: a free
 	// slot on a machine at its usual speed.
-	goodCost = 1.6
+	goodCost = 1.45
 	// roundsMost bounds the rounds of looking for a better server.
 	roundsMost = 2
 	// admitPart is the part of the objective for which room is looked for. A
@@ -86,8 +86,7 @@
 func (r *request) chooseOnce(ctx context.Context, tried map[*cwbackend.Server]bool) (*looked, bool) {
 	f := r.front
 	now := f.Clock.Now()
-	views := f.Servers.Views(r.service, now, r.kept.time(r.route.Objective))
-	rank, ranks := r.routes.Rank(r.service, r.route.Priority)
+	views := f.Servers.Views(r.service, now, r.usual())
 
 	seen := make(map[*cwbackend.Server]bool, len(tried)+roundsMost*lookWidth)
 	for s := range tried {
@@ -97,7 +96,7 @@
 	var best *looked
 
 	for range roundsMost {
-		draw := cwpick.Draw(views, lookWidth, f.Domain, seen)
+		draw := cwpick.Draw(views, r.width(now), f.Domain, seen)
 		if len(draw) == 0 {
 			break
 		}
@@ -106,7 +105,7 @@
 			seen[draw[i].Server] = true
 		}
 
-		best = better(best, r.look(ctx, draw, rank, ranks))
+		best = better(best, r.look(ctx, draw))
 
 		if best != nil && best.cost <= goodCost || ctx.Err() != nil {
 			break
@@ -116,6 +115,17 @@
 	return best, len(views) > 0
 }
 
+// width returns how many servers may be looked at now.
+func (r *request) width(now time.Time) int {
+	for n := lookWidth; n > 0; n-- {
+		if r.kept.looks.AllowN(now, n) {
+			return n
+		}
+	}
+
+	return 0
+}
+
 // better returns the one of lower cost and releases the other.
 func better(a, b *looked) *looked {
 	if a == nil || b != nil && b.cost < a.cost {
@@ -130,7 +140,7 @@
 // look asks some servers at once for their load and returns the best with
 // room, or nil. Those that answer later end by themselves: their connections
 // are kept.
-func (r *request) look(ctx context.Context, draw []cwbackend.View, rank, ranks int) *looked {
+func (r *request) look(ctx context.Context, draw []cwbackend.View) *looked {
 	f := r.front
 	results := make(chan *looked, len(draw))
 	r.looks += len(draw)
@@ -138,7 +148,7 @@
 	for i := range draw {
 		v := draw[i]
 
-		f.work.Go(func() { results <- f.lookAt(r.service, r.routes.Service(r.service).HealthPath, v) })
+		f.work.Go(func() { results <- r.lookAt(v) })
 	}
 
 	timer := time.NewTimer(lookTime)
@@ -146,6 +156,7 @@
 
 	var best *looked
 
+	rank, ranks := r.routes.Rank(r.service, r.route.Priority)
 	awaited := len(draw)
 	for awaited > 0 {
 		select {
@@ -156,7 +167,7 @@
 				timer.Reset(lateTime)
 			}
 
-			if l.ok && cwpick.Room(&l.view, rank, ranks) {
+			if l.ok && cwpick.Free(&l.view, rank, ranks) > 0 {
 				best = better(best, l)
 			} else {
 				l.release()
@@ -183,7 +194,8 @@
 }
 
 // lookAt makes one health check, over a connection that is then held.
-func (f *Front) lookAt(service carobward.Service, path string, v cwbackend.View) *looked {
+func (r *request) lookAt(v cwbackend.View) *looked {
+	f := r.front
 	b := v.Server.Backend()
 	now := f.Clock.Now()
 	l := &looked{view: v}
@@ -193,7 +205,7 @@
 
 	held, err := f.Link.Hold(ctx, b.Address, now.Add(endTime), false)
 	if err != nil {
-		f.lookFailed(service, b.Instance, v.Server, err)
+		f.lookFailed(r.service, b.Instance, v.Server, err)
 
 		return l
 	}
@@ -201,17 +213,17 @@
 	l.held = held
 
 	reply, err := held.Exchange(ctx, &carobward.Call{
-		Method: fasthttp.MethodGet, URI: path, Host: string(b.Address), Look: true,
+		Method: fasthttp.MethodGet, URI: r.routes.Service(r.service).HealthPath, Host: string(b.Address), Look: true,
 		Deadline: now.Add(endTime), MaxReply: carobward.Megabyte,
 	})
 	if err != nil {
-		f.lookFailed(service, b.Instance, v.Server, err)
+		f.lookFailed(r.service, b.Instance, v.Server, err)
 
 		return l
 	}
 
 	if reply.Instance != "" && reply.Instance != b.Instance {
-		f.lookFailed(service, b.Instance, v.Server, errOtherInstance)
+		f.lookFailed(r.service, b.Instance, v.Server, errOtherInstance)
 
 		return l
 	}
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -133,6 +133,9 @@
 // replyMost bounds a reply's body, which is held whole before it is passed on.
 const replyMost = 64 * carobward.Megabyte
 
+// usual returns the usual time of an answer to such a request.
+func (r *request) usual() time.Duration { return r.kept.time(r.route.Objective) }
+
 // answer writes the request's end to the caller.
 func (f *Front) answer(ctx *fasthttp.RequestCtx, r *request) {
 	resp := &ctx.Response
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -90,9 +90,11 @@
 	ExtraShare  float64
 	ExtraWindow time.Duration
 	ExtraLeast  int
-	Adapter     Adapter
-	Clock       carobward.Clock
-	Log         logr.Logger
+	// Looks bounds the health checks of one server, see cwfront.
+	Looks   float64
+	Adapter Adapter
+	Clock   carobward.Clock
+	Log     logr.Logger
 }
 
 // Gateway is one entry VM.
@@ -125,7 +127,7 @@
 
 	g.front = cwfront.New(cwfront.Options{
 		Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Servers: g.servers, Link: g.link, Clock: o.Clock,
-		Metrics: g.metrics, Log: o.Log, ExtraShare: o.ExtraShare, ExtraWindow: o.ExtraWindow, ExtraLeast: o.ExtraLeast,
+		Metrics: g.metrics, Log: o.Log, ExtraShare: o.ExtraShare, ExtraWindow: o.ExtraWindow, ExtraLeast: o.ExtraLeast, Looks: o.Looks,
 		Fleet: func() int { return g.table.Size(o.Clock.Now()) },
 	})
 
@@ -240,7 +242,7 @@
 		}
 
 		now := g.Clock.Now()
-		g.front.Tick()
+		g.front.Tick(now)
 		g.link.Tick(now)
 		g.share(now)
 	}
--- a/internal/cwpick/pick.go
+++ b/internal/cwpick/pick.go
@@ -13,8 +13,7 @@
 // The weights of the choice.
 const (
 	// slowWeight is how much of a machine's present slowness a new request
-	// feels. Slowness changes several times within a request, so that only a
-	// part of what is seen now lasts.
+	// feels.
 	slowWeight = 0.6
 	// kneeShare is the part of the slots in use above which many servers slow
 	// down, and kneeFactor by how much.
@@ -25,6 +24,9 @@
 	// awayCost is the cost of another failure domain, in usual times: less for
 	// the way than for the bytes, which are paid for.
 	awayCost = 0.3
+	// fillCost is the cost of a server's slots in use. Among servers alike,
+	// the one with more free slots stays good for longer.
+	fillCost = 0.1
 	// troubleCost is the cost of a server all of whose requests failed lately.
 	troubleCost = 4
 	// overdueCost is the cost of a server where one of ours is overdue.
@@ -34,20 +36,11 @@
 // Cost returns the time that a request would take at a server, in usual times.
 func Cost(v *cwbackend.View, home carobward.Domain) float64 {
 	r := &v.Report
-
-	slots := max(1, v.Slots)
-	if r.Slots > 0 {
-		slots = r.Slots
-	}
-
-	running := float64(max(r.Running, 0))
+	slots := float64(v.SlotCount())
+	running := float64(r.Running)
 	cost := 1.0
 
-	if r.Slowness > 1 {
-		cost += slowWeight * (r.Slowness - 1)
-	}
-
-	if (running+1)/float64(slots) > kneeShare {
+	if (running+1)/slots > kneeShare {
 		cost *= kneeFactor
 	}
 
@@ -55,13 +48,16 @@
 		cost *= warmFactor
 	}
 
+	if r.Slowness > 1 {
+		cost *= 1 + slowWeight*(r.Slowness-1)
+	}
+
 	// Each request ahead beyond the free slots waits for one to be freed.
-	if ahead := running + float64(r.Queued) + 1 - float64(slots); ahead > 0 {
-		cost += cost * ahead / float64(slots)
+	if ahead := running + float64(r.Queued) + 1 - slots; ahead > 0 {
+		cost += cost * ahead / slots
 	}
 
-	// Among servers alike, the one with more free slots stays good for longer.
-	cost += 0.05 * running / float64(slots)
+	cost += fillCost * running / slots
 	cost += troubleCost * v.Trouble
 
 	if v.Overdue {
@@ -110,24 +106,21 @@
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
 
-// Room tells whether a server has room for a request of a rank out of so many
-// ranks: the most urgent ones may queue for a while, the least urgent ones
-// leave slots free for others.
-func Room(v *cwbackend.View, rank, ranks int) bool {
+// Free returns how many more requests of a rank, out of so many ranks, a
+// server takes, below zero where it has more already. The most urgent ones may
+// queue for a while, the least urgent ones leave a slot free for others.
+func Free(v *cwbackend.View, rank, ranks int) int {
 	r := &v.Report
-	if r.At.IsZero() {
-		return true
-	}
-
-	slots := max(1, r.Slots)
+	slots := v.SlotCount()
 	most := slots
 
 	switch {
-	case rank == 0 && ranks > 1:
+	case ranks < 2:
+	case rank == 0:
 		most = slots + slots/2
-	case rank == ranks-1 && ranks > 1:
+	case rank == ranks-1:
 		most = max(1, slots-1)
 	}
 
-	return r.Running+r.Queued < most
+	return most - r.Running - r.Queued
 }
