Looks saved up for a peak, fewer looks for room

Cause: the limiter began empty and could save three seconds only; each refused request made two dozen looks. Two looks from half of the savings on: no gain, kept at a quarter.

--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -145,22 +145,25 @@
 	defer f.mutex.Unlock()
 
 	for name, s := range f.services {
-		f.pace(now, name, s)
+		limit, burst := f.pace(name)
+		s.looks.SetLimitAt(now, limit)
+		s.looks.SetBurstAt(now, burst)
 	}
 }
 
 // The part of the bound on looks that is used, and the time for which looks
 // can be saved up for a peak.
 const (
-	looksPart = 0.85
-	looksSave = 3
+	looksPart = 0.8
+	looksSave = 6
 )
 
-func (f *Front) pace(now time.Time, name carobward.Service, s *service) {
+// pace returns how many looks at a service's servers this entry VM makes a
+// second, and how many it can save up.
+func (f *Front) pace(name carobward.Service) (rate.Limit, int) {
 	most := looksPart * f.Looks * float64(f.Servers.CountOf(name)) / float64(max(1, f.Fleet()))
 
-	s.looks.SetLimitAt(now, rate.Limit(most))
-	s.looks.SetBurstAt(now, int(looksSave*most)+lookWidth)
+	return rate.Limit(most), int(looksSave*most) + lookWidth
 }
 
 // Wait waits until all that was started for requests has ended.
@@ -175,10 +178,10 @@
 	if s == nil {
 		s = &service{
 			window: cwretry.NewWindow(f.ExtraShare*extraPart, f.ExtraWindow, f.Clock.Now()),
-			looks:  rate.NewLimiter(0, 0),
 		}
+		limit, burst := f.pace(name)
+		s.looks = rate.NewLimiter(limit, burst)
 		f.services[name] = s
-		f.pace(f.Clock.Now(), name, s)
 	}
 
 	return s
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -18,6 +18,10 @@
 	// quarter of the machines slowed at any moment, one is at its usual speed
 	// in 99.6 of 100 looks.
 	lookWidth = 4
+	// lookLow is the width once less than lowPart of the looks that can be
+	// saved up is left.
+	lookLow = 2
+	lowPart = 0.25
 	// lookTime is how long an answer is awaited at most: several round trips
 	// between failure domains, and a new connection.
 	lookTime = 60 * time.Millisecond
@@ -35,7 +39,7 @@
 	// refusal within a quarter of it leaves the caller time to come back.
 	admitPart = 0.18
 	// againTime is the pause before servers without room are looked at again.
-	againTime = 25 * time.Millisecond
+	againTime = 40 * time.Millisecond
 )
 
 // looked is the outcome of a look at one server.
@@ -115,9 +119,15 @@
 	return best, len(views) > 0
 }
 
-// width returns how many servers may be looked at now.
+// width returns how many servers may be looked at now: fewer once much of what
+// was saved up is spent, so that there is something left for each request.
 func (r *request) width(now time.Time) int {
-	for n := lookWidth; n > 0; n-- {
+	most := lookWidth
+	if r.kept.looks.TokensAt(now) < lowPart*float64(r.kept.looks.Burst()) {
+		most = lookLow
+	}
+
+	for n := most; n > 0; n-- {
 		if r.kept.looks.AllowN(now, n) {
 			return n
 		}
