--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -199,6 +199,15 @@
 	return max(1, v.Slots)
 }
 
+// Expected returns the load that the server is expected to have without a
+// look: our own requests there, and its last word as far as it was more.
+func (v *View) Expected() carobward.Report {
+	r := v.Report
+	r.Running = max(v.Own, r.Running)
+
+	return r
+}
+
 // View returns what is known of the server. Usual is the usual time of a
 // request.
 func (s *Server) View(now time.Time, usual time.Duration) View {
--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -21,14 +21,15 @@
 const errOtherInstance = errors.ConstError("another server has the address")
 
 // lookFailed notes a health check without an answer.
-func (f *Front) lookFailed(service carobward.Service, i carobward.Instance, s *cwbackend.Server, err error) {
+func (r *request) lookFailed(s *cwbackend.Server, i carobward.Instance, err error) {
+	f := r.front
 	o := cwbackend.Broken
 	if cwframe.IsTimeout(err) || errors.Is(err, context.DeadlineExceeded) {
 		o = cwbackend.Silent
 	}
 
 	s.Looked(f.Clock.Now(), o)
-	f.Log.Info("A look at a server failed.", "service", service, "server", i, "outcome", o.String(), "cause", err.Error())
+	f.Log.Info("A look at a server failed.", "id", r.id, "service", r.service, "server", i, "outcome", o.String(), "cause", err.Error())
 }
 
 // carry sends the request until it has an answer or its final failure. Ctx
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -154,8 +154,8 @@
 // The part of the bound on looks that is used, and the time for which looks
 // can be saved up for a peak.
 const (
-	looksPart = 0.8
-	looksSave = 6
+	looksPart = 0.9
+	looksSave = 4
 )
 
 // pace returns how many looks at a service's servers this entry VM makes a
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -22,6 +22,8 @@
 	// saved up is left.
 	lookLow = 2
 	lowPart = 0.25
+	// blindWidth is how many servers are compared where none can be looked at.
+	blindWidth = 3
 	// lookTime is how long an answer is awaited at most: several round trips
 	// between failure domains, and a new connection.
 	lookTime = 60 * time.Millisecond
@@ -97,6 +99,10 @@
 		seen[s] = true
 	}
 
+	if r.kept.looks.TokensAt(now) < 1 {
+		return r.blind(ctx, views, tried), len(views) > 0
+	}
+
 	var best *looked
 
 	for range roundsMost {
@@ -119,6 +125,41 @@
 	return best, len(views) > 0
 }
 
+// blind takes the best server by what is known without a look, for when no
+// looks are left. It returns nil where none has room.
+func (r *request) blind(ctx context.Context, views []cwbackend.View, tried map[*cwbackend.Server]bool) *looked {
+	f := r.front
+	rank, ranks := r.routes.Rank(r.service, r.route.Priority)
+
+	var best *looked
+
+	for _, v := range cwpick.Draw(views, blindWidth, f.Domain, tried) {
+		v.Report = v.Expected()
+
+		if l := (&looked{view: v, cost: cwpick.Cost(&v, f.Domain)}); cwpick.Free(&v, rank, ranks) > 0 {
+			best = better(best, l)
+		}
+	}
+
+	if best == nil {
+		return nil
+	}
+
+	b := best.view.Server.Backend()
+	// On a connection that nobody has used just now, a failed write would
+	// leave open whether the request ran.
+	held, err := f.Link.Hold(ctx, b.Address, f.Clock.Now().Add(endTime), !r.route.Idempotent)
+	if err != nil {
+		r.lookFailed(best.view.Server, b.Instance, err)
+
+		return nil
+	}
+
+	best.held = held
+
+	return best
+}
+
 // width returns how many servers may be looked at now: fewer once much of what
 // was saved up is spent, so that there is something left for each request.
 func (r *request) width(now time.Time) int {
@@ -215,7 +256,7 @@
 
 	held, err := f.Link.Hold(ctx, b.Address, now.Add(endTime), false)
 	if err != nil {
-		f.lookFailed(r.service, b.Instance, v.Server, err)
+		r.lookFailed(v.Server, b.Instance, err)
 
 		return l
 	}
@@ -227,13 +268,13 @@
 		Deadline: now.Add(endTime), MaxReply: carobward.Megabyte,
 	})
 	if err != nil {
-		f.lookFailed(r.service, b.Instance, v.Server, err)
+		r.lookFailed(v.Server, b.Instance, err)
 
 		return l
 	}
 
 	if reply.Instance != "" && reply.Instance != b.Instance {
-		f.lookFailed(r.service, b.Instance, v.Server, errOtherInstance)
+		r.lookFailed(v.Server, b.Instance, errOtherInstance)
 
 		return l
 	}
