--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -43,6 +43,9 @@
 	Looks float64
 	// Fleet returns the number of entry VMs that share those bounds.
 	Fleet func() int
+	// Part returns this entry VM's part of all requests, by which the bound on
+	// health checks is shared.
+	Part func() float64
 }
 
 // Front takes callers' requests.
@@ -52,6 +55,7 @@
 	routes  atomic.Pointer[cwroutes.Table]
 	gone    *cwgone.Table
 	flight  atomic.Int64
+	total   atomic.Int64
 	leaving atomic.Bool
 	work    conc.WaitGroup
 
@@ -136,6 +140,9 @@
 // Flight returns the number of requests that are being carried.
 func (f *Front) Flight() int { return int(f.flight.Load()) }
 
+// Total returns the number of requests that came.
+func (f *Front) Total() int64 { return f.total.Load() }
+
 // Tick looks for callers that have gone, and sets the pace of looks at
 // servers by the number of those and of entry VMs.
 func (f *Front) Tick(now time.Time) {
@@ -161,7 +168,7 @@
 // pace returns how many looks at a service's servers this entry VM makes a
 // second, and how many it can save up.
 func (f *Front) pace(name carobward.Service) (rate.Limit, int) {
-	most := looksPart * f.Looks * float64(f.Servers.CountOf(name)) / float64(max(1, f.Fleet()))
+	most := looksPart * f.Looks * float64(f.Servers.CountOf(name)) * f.Part()
 
 	return rate.Limit(most), int(looksSave*most) + lookWidth
 }
@@ -227,6 +234,7 @@
 // handle serves one request.
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
 	f.flight.Add(1)
+	f.total.Add(1)
 	defer f.flight.Add(-1)
 
 	now := f.Clock.Now()
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -32,9 +32,9 @@
 	// endTime is how long an answer that is no longer awaited may take before
 	// its connection is given up.
 	endTime = 500 * time.Millisecond
-	// goodCost is the cost at which no better server is looked for: a free
-	// slot on a machine at its usual speed.
-	goodCost = 1.45
+	// goodCost is the cost at which no better server is looked for: one of the
+	// last slots of a machine at its usual speed.
+	goodCost = 1.75
 	// roundsMost bounds the rounds of looking for a better server.
 	roundsMost = 2
 	// admitPart is the part of the objective for which room is looked for. A
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -112,6 +114,10 @@
 	follow  *cwfollow.Follower
 
 	mutex sync.Mutex
+	// rate is this entry VM's requests a second, and counted the requests at
+	// the last tick; only the tick writes them.
+	rate    atomic.Uint64
+	counted int64
 }
 
 // New returns an entry VM whose parts do not run yet.
@@ -129,6 +135,7 @@
 		Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Servers: g.servers, Link: g.link, Clock: o.Clock,
 		Metrics: g.metrics, Log: o.Log, ExtraShare: o.ExtraShare, ExtraWindow: o.ExtraWindow, ExtraLeast: o.ExtraLeast, Looks: o.Looks,
 		Fleet: func() int { return g.table.Size(o.Clock.Now()) },
+		Part:  func() float64 { return g.part(o.Clock.Now()) },
 	})
 
 	conn, err := net.ListenPacket("udp", string(o.Self.Peers))
@@ -245,6 +252,7 @@
 		g.front.Tick(now)
 		g.link.Tick(now)
 		g.share(now)
+		g.measure()
 	}
 }
 
@@ -262,6 +270,36 @@
 	g.link.SetFleet(g.table.Size(now), now)
 }
 
+// rateShare is the weight of one tick in the moving average of requests: the
+// average follows a change of load within two seconds.
+const rateShare = 0.1
+
+// measure follows this entry VM's requests a second.
+func (g *Gateway) measure() {
+	total := g.front.Total()
+	now := float64(total-g.counted) / tickTime.Seconds()
+	g.counted = total
+
+	old := math.Float64frombits(g.rate.Load())
+	rate := old + rateShare*(now-old)
+
+	g.rate.Store(math.Float64bits(rate))
+	g.mesh.SetRate(int(math.Round(rate)))
+}
+
+// part returns this entry VM's part of all requests. Each entry VM counts for
+// one request a second at least, so that one without any can begin.
+func (g *Gateway) part(now time.Time) float64 {
+	own := 1 + math.Float64frombits(g.rate.Load())
+	all := own
+
+	for _, p := range g.table.Live(now) {
+		all += 1 + float64(p.Rate)
+	}
+
+	return own / all
+}
+
 // ready tells the peers once there is a configuration and a list of servers.
 func (g *Gateway) ready() {
 	if g.mesh.State() == cwmesh.Starting && g.front.Routes() != nil && g.servers.Count() > 0 {
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -60,6 +60,7 @@
 	clients *cwpeer.Clients
 	state   atomic.Uint32
 	away    atomic.Bool
+	rate    atomic.Int64
 	wake    chan struct{}
 
 	mutex sync.Mutex
@@ -114,6 +115,10 @@
 // SetAway notes whether the store serves this entry VM.
 func (m *Mesh) SetAway(away bool) { m.away.Store(away) }
 
+// SetRate tells the peers this entry VM's requests a second, from the next
+// heartbeat on.
+func (m *Mesh) SetRate(perSecond int) { m.rate.Store(int64(perSecond)) }
+
 // Tell sends a heartbeat to all now.
 func (m *Mesh) Tell() {
 	select {
@@ -190,7 +195,7 @@
 
 	now := m.Clock.Now()
 	p := Peer{
-		Boot: b.GetBoot(), State: State(b.GetState()), Away: b.GetAway(), Heard: now,
+		Boot: b.GetBoot(), State: State(b.GetState()), Away: b.GetAway(), Rate: int(b.GetRate()), Heard: now,
 		Copy: cwmirror.State{Index: carobward.StoreIndex(b.GetIndex()), Top: carobward.StoreIndex(b.GetTop())},
 	}
 	p.ID = carobward.VMID(b.GetId())
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -119,6 +119,7 @@
 	return &cwwire.Beat{
 		Id: string(m.Table.Self().ID), Boot: m.boot, State: uint32(m.State()),
 		Index: uint64(s.Index), Top: uint64(s.Top), Fresh: encodeFresh(m.Fresh(), now), Away: m.away.Load(),
+		Rate: uint32(m.rate.Load()),
 	}
 }
 
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -46,6 +46,8 @@
 	Copy cwmirror.State
 	// Away tells that the store does not serve it.
 	Away bool
+	// Rate is its requests a second.
+	Rate int
 	// Heard is when its last heartbeat came.
 	Heard time.Time
 }
