A request keeps the pace of its server's machine: wait for a fast one

Cause, read from the log of sends: at slowness 5 answers took 4 to 5 usual times whatever came later; at a high fill and usual speed they took the usual time on Pase Ciudad (no knee there). So the full slowness counts, a pause of 30 ms for another look is cheaper than a slow machine, and crowding is learned.

--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -10,6 +10,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
 	"carobward.example/carobward/internal/cwframe"
+	"carobward.example/carobward/internal/cwpick"
 )
 
 // illCost is the cost of a server whose health check fails. Health may be
@@ -100,7 +101,8 @@
 	}
 
 	if outcome == cwbackend.Answered {
-		r.kept.learn(end.Sub(now))
+		load := &l.view.Report
+		r.kept.learn(r.route.Objective, end.Sub(now), load.Slowness, cwpick.Crowded(load, l.view.SlotCount()))
 	}
 
 	f.logSend(r, l, b, outcome, end.Sub(now), now)
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -20,7 +20,6 @@
 	"carobward.example/carobward/internal/cwgone"
 	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwmetric"
-	"carobward.example/carobward/internal/cwretry"
 	"carobward.example/carobward/internal/cwroutes"
 )
 
@@ -63,15 +62,6 @@
 	services map[carobward.Service]*service
 }
 
-// service is what is kept of a service beyond one configuration.
-type service struct {
-	window *cwretry.Window
-	// looks bounds the health checks.
-	looks *rate.Limiter
-	// usual is the moving average of the time of answers, in nanoseconds.
-	usual atomic.Int64
-}
-
 // The bounds of the callers' listener.
 const (
 	// readTime bounds the time to read one whole request. Callers that keep
@@ -176,24 +166,6 @@
 // Wait waits until all that was started for requests has ended.
 func (f *Front) Wait() { f.work.Wait() }
 
-// service returns what is kept of a service.
-func (f *Front) service(name carobward.Service) *service {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-
-	s := f.services[name]
-	if s == nil {
-		s = &service{
-			window: cwretry.NewWindow(f.ExtraShare*extraPart, f.ExtraWindow, f.Clock.Now()),
-		}
-		limit, burst := f.pace(name)
-		s.looks = rate.NewLimiter(limit, burst)
-		f.services[name] = s
-	}
-
-	return s
-}
-
 // extraPart is the part of the bound on extra calls that is used. The rest is
 // for entry VMs that see the fleet smaller than it is, and for windows that
 // the entry VMs begin at different times.
@@ -205,32 +177,6 @@
 	return extraPart * float64(f.ExtraLeast) / float64(max(1, f.Fleet()))
 }
 
-// usualFirst is the time of an answer where none is known, as a part of the
-// objective: servers are fit for their objectives.
-const usualFirst = 0.4
-
-// usualShare is the weight of one answer in the moving average.
-const usualShare = 0.05
-
-func (s *service) time(objective time.Duration) time.Duration {
-	if t := s.usual.Load(); t > 0 {
-		return time.Duration(t)
-	}
-
-	return time.Duration(usualFirst * float64(objective))
-}
-
-// learn takes the time of one answer. Two at once may lose one, which an
-// average can bear.
-func (s *service) learn(took time.Duration) {
-	old := s.usual.Load()
-	if old == 0 {
-		old = int64(took)
-	}
-
-	s.usual.Store(old + int64(usualShare*float64(int64(took)-old)))
-}
-
 // handle serves one request.
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
 	f.flight.Add(1)
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -40,8 +40,10 @@
 	// admitPart is the part of the objective for which room is looked for. A
 	// refusal within a quarter of it leaves the caller time to come back.
 	admitPart = 0.18
-	// againTime is the pause before servers without room are looked at again.
-	againTime = 40 * time.Millisecond
+	// againTime is the pause before servers are looked at again where none was
+	// good: machines change their speed several times a second, and a slow one
+	// costs far more than the pause.
+	againTime = 30 * time.Millisecond
 )
 
 // looked is the outcome of a look at one server.
@@ -59,27 +61,30 @@
 	}
 }
 
-// choose looks at servers until one with room is found. The request has not
-// been sent when it returns an error.
+// choose looks at servers until a good one is found, and takes the best there
+// is once the time for that is over. The request has not been sent when it
+// returns an error.
 func (r *request) choose(ctx context.Context, tried map[*cwbackend.Server]bool) (*looked, error) {
 	f := r.front
 	until := r.arrived.Add(time.Duration(admitPart * float64(r.route.Objective)))
-	if len(tried) > 0 {
-		until = f.Clock.Now() // A second server is sought once only.
-	}
 
 	for {
 		best, known := r.chooseOnce(ctx, tried)
-		if best != nil {
+		now := f.Clock.Now()
+		last := !now.Before(until)
+
+		if best != nil && (best.cost <= goodCost || last && r.fits(best, now)) {
 			return best, nil
 		}
 
+		best.release()
+
 		switch {
 		case ctx.Err() != nil:
 			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, 0, ErrGone)
 		case !known:
 			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, fullAfter, ErrNone)
-		case !f.Clock.Now().Before(until):
+		case last:
 			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, fullAfter, ErrFull)
 		}
 
@@ -87,6 +92,13 @@
 	}
 }
 
+// fits tells whether a server would probably answer before the deadline.
+func (r *request) fits(l *looked, now time.Time) bool {
+	takes := cwpick.Time(&l.view, r.kept.crowding()) * float64(r.usual())
+
+	return time.Duration(takes) < r.deadline.Sub(now)
+}
+
 // chooseOnce looks at some servers, and at some more where none of them is
 // good. It returns nil where none has room, and whether any is known.
 func (r *request) chooseOnce(ctx context.Context, tried map[*cwbackend.Server]bool) (*looked, bool) {
@@ -136,7 +148,7 @@
 	for _, v := range cwpick.Draw(views, blindWidth, f.Domain, tried) {
 		v.Report = v.Expected()
 
-		if l := (&looked{view: v, cost: cwpick.Cost(&v, f.Domain)}); cwpick.Free(&v, rank, ranks) > 0 {
+		if l := (&looked{view: v, cost: cwpick.Cost(&v, r.kept.crowding(), f.Domain)}); cwpick.Free(&v, rank, ranks) > 0 {
 			best = better(best, l)
 		}
 	}
@@ -281,7 +293,7 @@
 
 	v.Server.SetReport(reply.Report)
 	l.view.Report = reply.Report
-	l.cost = cwpick.Cost(&l.view, f.Domain)
+	l.cost = cwpick.Cost(&l.view, r.kept.crowding(), f.Domain)
 	l.ok = true
 
 	if reply.Status != fasthttp.StatusOK {
--- a/internal/cwpick/pick.go
+++ b/internal/cwpick/pick.go
@@ -12,13 +12,9 @@
 
 // The weights of the choice.
 const (
-	// slowWeight is how much of a machine's present slowness a new request
-	// feels.
-	slowWeight = 0.6
-	// kneeShare is the part of the slots in use above which many servers slow
-	// down, and kneeFactor by how much.
-	kneeShare  = 0.8
-	kneeFactor = 1.7
+	// kneeShare is the part of the slots in use above which some servers slow
+	// down. By how much is learned.
+	kneeShare = 0.8
 	// warmFactor is how much longer a server takes that has just started.
 	warmFactor = 2
 	// awayCost is the cost of another failure domain, in usual times: less for
@@ -33,31 +29,41 @@
 	overdueCost = 4
 )
 
-// Cost returns the time that a request would take at a server, in usual times.
-func Cost(v *cwbackend.View, home carobward.Domain) float64 {
+// Crowded tells whether one more request takes a server above the part of its
+// slots at which some servers slow down.
+func Crowded(r *carobward.Report, slots int) bool {
+	return float64(r.Running+1) > kneeShare*float64(slots)
+}
+
+// Time returns how long a request would take at a server, in usual times.
+// Crowd is how many times longer requests take at a crowded server.
+func Time(v *cwbackend.View, crowd float64) float64 {
 	r := &v.Report
-	slots := float64(v.SlotCount())
-	running := float64(r.Running)
-	cost := 1.0
+	slots := v.SlotCount()
+	// A request keeps the pace that its server's machine has when it begins.
+	out := max(1, r.Slowness)
 
-	if (running+1)/slots > kneeShare {
-		cost *= kneeFactor
+	if Crowded(r, slots) {
+		out *= crowd
 	}
 
 	if v.Warming {
-		cost *= warmFactor
-	}
-
-	if r.Slowness > 1 {
-		cost *= 1 + slowWeight*(r.Slowness-1)
+		out *= warmFactor
 	}
 
 	// Each request ahead beyond the free slots waits for one to be freed.
-	if ahead := running + float64(r.Queued) + 1 - slots; ahead > 0 {
-		cost += cost * ahead / slots
+	if ahead := r.Running + r.Queued + 1 - slots; ahead > 0 {
+		out += out * float64(ahead) / float64(slots)
 	}
 
-	cost += fillCost * running / slots
+	return out
+}
+
+// Cost returns what speaks against a server: the time that a request would
+// take there, in usual times, and what makes another one better all the same.
+func Cost(v *cwbackend.View, crowd float64, home carobward.Domain) float64 {
+	cost := Time(v, crowd)
+	cost += fillCost * float64(v.Report.Running) / float64(v.SlotCount())
 	cost += troubleCost * v.Trouble
 
 	if v.Overdue {
