--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -43,6 +43,9 @@
 	// chance costs little, and a server that fails all is tried rarely.
 	blockFirst = 250 * time.Millisecond
 	blockMost  = 4 * time.Second
+	// refusedTime is for how long a server gets no requests after it refused
+	// one: less than a usual answer takes.
+	refusedTime = 100 * time.Millisecond
 	// trustShare is the weight of one outcome in the share of failures.
 	trustShare = 0.2
 	// lagShare is the weight of one answer in a server's lag. Machines that are
@@ -150,7 +153,11 @@
 	case Answered:
 		s.failures = 0
 		s.trouble -= trustShare * s.trouble
-	case Failed, Broken, Silent, Refused:
+	case Refused:
+		// It lives and says how it is; the next request may find room.
+		s.trouble += trustShare * (1 - s.trouble)
+		s.blocked = now.Add(refusedTime)
+	case Failed, Broken, Silent:
 		s.trouble += trustShare * (1 - s.trouble)
 		s.block(now)
 	case Abandoned:
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -32,9 +32,11 @@
 	// endTime is how long an answer that is no longer awaited may take before
 	// its connection is given up.
 	endTime = 500 * time.Millisecond
-	// goodCost is the cost at which no better server is looked for: one of the
+	// goodCost is the cost at which no better server is looked for, and
+	// goodTime the time in usual times for which none is waited for: one of the
 	// last slots of a machine at its usual speed.
 	goodCost = 1.75
+	goodTime = 1.75
 	// roundsMost bounds the rounds of looking for a better server.
 	roundsMost = 2
 	// admitPart is the part of the objective for which room is looked for. A
@@ -50,6 +52,9 @@
 type looked struct {
 	view cwbackend.View
 	held *cwlink.Held
+	// time is how long the request would take there, in usual times, and cost
+	// what speaks against the server.
+	time float64
 	cost float64
 	ok   bool
 }
@@ -73,7 +78,7 @@
 		now := f.Clock.Now()
 		last := !now.Before(until)
 
-		if best != nil && (best.cost <= goodCost || last && r.fits(best, now)) {
+		if best != nil && (best.time <= goodTime || last && r.fits(best, now)) {
 			return best, nil
 		}
 
@@ -94,9 +99,7 @@
 
 // fits tells whether a server would probably answer before the deadline.
 func (r *request) fits(l *looked, now time.Time) bool {
-	takes := cwpick.Time(&l.view, r.kept.crowding()) * float64(r.usual())
-
-	return time.Duration(takes) < r.deadline.Sub(now)
+	return time.Duration(l.time*float64(r.usual())) < r.deadline.Sub(now)
 }
 
 // chooseOnce looks at some servers, and at some more where none of them is
@@ -148,7 +151,9 @@
 	for _, v := range cwpick.Draw(views, blindWidth, f.Domain, tried) {
 		v.Report = v.Expected()
 
-		if l := (&looked{view: v, cost: cwpick.Cost(&v, r.kept.crowding(), f.Domain)}); cwpick.Free(&v, rank, ranks) > 0 {
+		if cwpick.Free(&v, rank, ranks) > 0 {
+			l := &looked{view: v}
+			r.rate(l)
 			best = better(best, l)
 		}
 	}
@@ -256,6 +261,13 @@
 	return best
 }
 
+// rate sets the time and the cost of a server.
+func (r *request) rate(l *looked) {
+	crowd := r.kept.crowding()
+	l.time = cwpick.Time(&l.view, crowd)
+	l.cost = cwpick.Cost(&l.view, crowd, r.front.Domain)
+}
+
 // lookAt makes one health check, over a connection that is then held.
 func (r *request) lookAt(v cwbackend.View) *looked {
 	f := r.front
@@ -293,7 +305,7 @@
 
 	v.Server.SetReport(reply.Report)
 	l.view.Report = reply.Report
-	l.cost = cwpick.Cost(&l.view, r.kept.crowding(), f.Domain)
+	r.rate(l)
 	l.ok = true
 
 	if reply.Status != fasthttp.StatusOK {
