--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -190,8 +190,11 @@
 	// Lag is how many usual times our requests took there lately, 0 where
 	// there were none.
 	Lag float64
-	// Domain is its failure domain.
-	Domain carobward.Domain
+	// Domain is its failure domain, Address where it listens.
+	Domain  carobward.Domain
+	Address carobward.Address
+	// Idle tells that there is an idle connection to it.
+	Idle bool
 	// Report is its last word on its load.
 	Report carobward.Report
 }
@@ -223,7 +226,7 @@
 
 	v := View{
 		Server: s, Leaving: s.backend.Leaving, Blocked: now.Before(s.blocked), Warming: now.Before(s.warm),
-		Slots: max(1, s.backend.Slots), Own: len(s.out), Trouble: s.trouble, Lag: s.lag, Domain: s.backend.Domain, Report: s.report,
+		Slots: max(1, s.backend.Slots), Own: len(s.out), Trouble: s.trouble, Lag: s.lag, Domain: s.backend.Domain, Address: s.backend.Address, Report: s.report,
 	}
 
 	for _, began := range s.out {
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -109,6 +109,10 @@
 	now := f.Clock.Now()
 	views := f.Servers.Views(r.service, now, r.usual())
 
+	for i := range views {
+		views[i].Idle = f.Link.HasIdle(views[i].Address)
+	}
+
 	seen := make(map[*cwbackend.Server]bool, len(tried)+roundsMost*lookWidth)
 	for s := range tried {
 		seen[s] = true
--- a/internal/cwlink/hold.go
+++ b/internal/cwlink/hold.go
@@ -40,22 +40,14 @@
 	return &Held{link: l, pool: p, conn: c, Dialed: dialed, whole: true}, nil
 }
 
-// HoldIdle returns an idle connection to a server, or nil if there is none.
-func (l *Link) HoldIdle(to carobward.Address) *Held {
+// HasIdle tells whether there is an idle connection to a server that may be
+// used. It may be gone a moment later.
+func (l *Link) HasIdle(to carobward.Address) bool {
 	l.mutex.RLock()
 	p := l.pools[to]
 	l.mutex.RUnlock()
 
-	if p == nil {
-		return nil
-	}
-
-	c := p.takeIdle(l.clock.Now(), l.options.Keep)
-	if c == nil {
-		return nil
-	}
-
-	return &Held{link: l, pool: p, conn: c, whole: true}
+	return p != nil && p.hasIdle(l.clock.Now(), l.options.Keep)
 }
 
 // Exchange sends a call once over the connection and returns the whole reply,
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -65,31 +65,16 @@
 	}
 }
 
-// takeIdle returns an idle connection that is whole, or nil.
-func (p *pool) takeIdle(now time.Time, keep time.Duration) *conn {
+// hasIdle tells whether there is an idle connection that may be used.
+func (p *pool) hasIdle(now time.Time, keep time.Duration) bool {
 	p.mutex.Lock()
-	usable := len(p.idle) > 0 && p.idle[len(p.idle)-1].fit(now, keep)
-	p.mutex.Unlock()
-
-	if !usable {
-		return nil
-	}
-
-	c, err := p.take(now, keep, noLimit)
-	if err != nil {
-		return nil
-	}
+	defer p.mutex.Unlock()
 
-	if c == nil {
-		p.drop(nil) // The last idle one was gone, and none is dialled here.
-	}
+	last := len(p.idle) - 1
 
-	return c
+	return last >= 0 && p.idle[last].fit(now, keep)
 }
 
-// noLimit is a bound on connections that is never reached.
-const noLimit = 1 << 30
-
 func (p *pool) pop(now time.Time, keep time.Duration, most int) (*conn, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/cwpick/pick.go
+++ b/internal/cwpick/pick.go
@@ -77,28 +77,41 @@
 	return cost
 }
 
+// newShare is the share of draws in which a server without an idle connection
+// may come before those with one. New connections are paid for, and without
+// any new one the choice would narrow to a few servers.
+const newShare = 0.1
+
 // Draw returns up to n servers to look at, at random among those that may get
-// a request, those of the home domain before the others. Blocked ones are
-// looked at only where there is no other.
+// a request: those of the home domain before the others, and of these those
+// with an idle connection before the others. Blocked ones are looked at only
+// where there is no other.
 func Draw(views []cwbackend.View, n int, home carobward.Domain, seen map[*cwbackend.Server]bool) []cwbackend.View {
-	var near, far, blocked []cwbackend.View
+	var idle, near, far, blocked []cwbackend.View
+
+	wide := rand.Float64() < newShare
 
 	for i := range views {
+		v := &views[i]
+
 		switch {
-		case seen[views[i].Server]:
-		case views[i].Blocked:
-			blocked = append(blocked, views[i])
-		case views[i].Domain == home:
-			near = append(near, views[i])
+		case seen[v.Server]:
+		case v.Blocked:
+			blocked = append(blocked, *v)
+		case v.Domain != home:
+			far = append(far, *v)
+		case v.Idle || wide || v.Report.At.IsZero():
+			idle = append(idle, *v)
 		default:
-			far = append(far, views[i])
+			near = append(near, *v)
 		}
 	}
 
+	shuffle(idle)
 	shuffle(near)
 	shuffle(far)
 
-	good := append(near, far...)
+	good := append(append(idle, near...), far...)
 	if len(good) > 0 {
 		return good[:min(n, len(good))]
 	}
