--- a/internal/cwgateway/state.go
+++ b/internal/cwgateway/state.go
@@ -62,8 +62,12 @@
 	}
 
 	r, err := g.Adapter.Routing(it.Value)
+	if err == nil {
+		err = r.Validate()
+	}
+
 	if err != nil {
-		g.log.Error(err, "A configuration can't be read, the last one stays in force.", "index", it.Index)
+		g.log.Error(err, "A configuration can't be used, the last one stays in force.", "index", it.Index)
 
 		return
 	}
--- /dev/null
+++ b/internal/cwroutes/table_test.go
@@ -0,0 +1,93 @@
+package cwroutes
+
+import (
+	"math"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobward.example/carobward"
+)
+
+func newTable() *Table {
+	one := func(name, prefix string, priority int, shares ...carobward.Share) carobward.Route {
+		return carobward.Route{Name: carobward.RouteName(name), Prefix: prefix, Priority: priority, Shares: shares}
+	}
+
+	return New(&carobward.Routing{Version: 7, Hosts: map[string][]carobward.Route{
+		"a.example": {
+			one("all", "/", 5, carobward.Share{Service: "records", Weight: 1}),
+			one("sheets", "/sheets/", 2, carobward.Share{Service: "records", Weight: 90}, carobward.Share{Service: "fees", Weight: 10}),
+			one("old", "/sheets/old/", 0, carobward.Share{Service: "fees", Weight: 1}),
+		},
+		"b.example": {one("only", "/b/", 0, carobward.Share{Service: "fees", Weight: 1})},
+	}})
+}
+
+func TestFind(t *testing.T) {
+	for name, c := range map[string]struct{ host, path, want string }{
+		"the longest":          {"a.example", "/sheets/old/1", "old"},
+		"a shorter one":        {"a.example", "/sheets/new/1", "sheets"},
+		"the prefix itself":    {"a.example", "/sheets/", "sheets"},
+		"not a whole segment":  {"a.example", "/sheetsold", "all"},
+		"without the slash":    {"a.example", "/sheets", "all"},
+		"a slash in the query": {"a.example", "/x?/sheets/old/", "all"},
+		"with a query":         {"a.example", "/sheets/old/?a=/b/", "old"},
+		"a port":               {"A.example:80", "/sheets/", "sheets"},
+		"another host":         {"b.example", "/sheets/", ""},
+		"an unknown host":      {"c.example", "/", ""},
+		"no path":              {"b.example", "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := ""
+			if r := newTable().Find(c.host, c.path); r != nil {
+				got = string(r.Name)
+			}
+
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestPick wants each run of requests to be split close to the weights, also
+// a short one.
+func TestPick(t *testing.T) {
+	for n, within := range map[int]float64{10: 0.11, 100: 0.02, 5000: 0.002} {
+		r := newTable().Find("a.example", "/sheets/")
+		fees := 0
+
+		for range n {
+			if r.Pick() == "fees" {
+				fees++
+			}
+		}
+
+		if got := float64(fees) / float64(n); math.Abs(got-0.1) > within {
+			t.Errorf("%d requests: share %.3f, want 0.1", n, got)
+		}
+	}
+}
+
+func TestRank(t *testing.T) {
+	table := newTable()
+
+	for name, c := range map[string]struct {
+		service     carobward.Service
+		priority    int
+		rank, ranks int
+	}{
+		"the least urgent":   {"records", 5, 1, 2},
+		"the most urgent":    {"records", 2, 0, 2},
+		"one of two":         {"fees", 2, 1, 2},
+		"an unknown service": {"x", 0, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rank, ranks := table.Rank(c.service, c.priority)
+			if rank != c.rank || ranks != c.ranks {
+				t.Errorf("%d of %d", rank, ranks)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/cwstand/metadata.go
@@ -0,0 +1,286 @@
+package cwstand
+
+import (
+	"encoding/json"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+)
+
+// MetadataFaults are the faults of a Metadata store.
+type MetadataFaults struct {
+	// Status answers all calls with this status and nothing else; 0 is none.
+	Status int
+	// Reset closes the connection of each call without an answer.
+	Reset bool
+	// Silent keeps each call without an answer until the fault ends.
+	Silent bool
+	// Deaf lets watches hear nothing.
+	Deaf bool
+	// Wait delays each answer.
+	Wait time.Duration
+}
+
+// metadataItem is one key, or the memory of a removed one.
+type metadataItem struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Revision  uint64 `json:"revision"`
+	Created   uint64 `json:"created,omitempty"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+// Metadata is a stand-in for the users' metadata store: ranges by page and
+// watches by prefix, with faults. What the operator and the servers write is
+// written by its methods.
+type Metadata struct {
+	*fasthttp.Server
+
+	mutex    sync.Mutex
+	revision uint64
+	floor    uint64
+	items    map[string]metadataItem
+	log      []metadataItem
+	faults   MetadataFaults
+	changed  chan struct{}
+	calls    int
+	page     int
+	done     chan struct{}
+}
+
+// pageItems is how many items the stand-in returns in one answer where it is
+// not told.
+const pageItems = 500
+
+// NewMetadata returns an empty store. It serves by Serve of the HTTP library.
+func NewMetadata() *Metadata {
+	m := &Metadata{items: map[string]metadataItem{}, changed: make(chan struct{}), page: pageItems, done: make(chan struct{})}
+	m.Server = &fasthttp.Server{Handler: m.handle, CloseOnShutdown: true}
+
+	return m
+}
+
+// Put writes a key and returns its revision.
+func (m *Metadata) Put(key string, value []byte) uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	m.revision++
+	old, ok := m.items[key]
+	it := metadataItem{Key: key, Value: value, Revision: m.revision, Created: m.revision}
+
+	if ok {
+		it.Created = old.Created
+	}
+
+	m.items[key] = it
+	m.add(it)
+
+	return m.revision
+}
+
+// Delete removes a key.
+func (m *Metadata) Delete(key string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	m.revision++
+	delete(m.items, key)
+	m.add(metadataItem{Key: key, Revision: m.revision, Tombstone: true})
+}
+
+// add keeps a change and wakes the watches; the mutex is held.
+func (m *Metadata) add(it metadataItem) {
+	m.log = append(m.log, it)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Compact drops the history up to now.
+func (m *Metadata) Compact() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	m.floor, m.log = m.revision, nil
+}
+
+// SetFaults switches faults on and off.
+func (m *Metadata) SetFaults(f MetadataFaults) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	m.faults = f
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// SetPage sets how many items one answer has at most.
+func (m *Metadata) SetPage(n int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	m.page = n
+}
+
+// Calls returns the number of calls so far.
+func (m *Metadata) Calls() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	return m.calls
+}
+
+// Stop ends the store and the watches that wait.
+func (m *Metadata) Stop() error {
+	close(m.done)
+
+	return m.Shutdown()
+}
+
+func (m *Metadata) handle(ctx *fasthttp.RequestCtx) {
+	m.mutex.Lock()
+	m.calls++
+	faults := m.faults
+	m.mutex.Unlock()
+
+	time.Sleep(faults.Wait)
+
+	switch {
+	case faults.Reset:
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+	case faults.Silent:
+		m.silence()
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	case faults.Status != 0:
+		ctx.SetStatusCode(faults.Status)
+	case string(ctx.Path()) == "/api/kv-range":
+		m.list(ctx)
+	case string(ctx.Path()) == "/api/kv-watch":
+		m.watch(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// silence waits until the store is no longer silent.
+func (m *Metadata) silence() {
+	for {
+		m.mutex.Lock()
+		silent, changed := m.faults.Silent, m.changed
+		m.mutex.Unlock()
+
+		if !silent {
+			return
+		}
+
+		select {
+		case <-changed:
+		case <-m.done:
+			return
+		}
+	}
+}
+
+func (m *Metadata) list(ctx *fasthttp.RequestCtx) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	prefix, after := string(ctx.QueryArgs().Peek("prefix")), string(ctx.QueryArgs().Peek("after"))
+
+	var keys []string
+
+	for key := range m.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+
+	slices.Sort(keys)
+
+	more := len(keys) > m.page
+	items := []metadataItem{}
+
+	for _, key := range keys[:min(len(keys), m.page)] {
+		items = append(items, m.items[key])
+	}
+
+	writeJSON(ctx, map[string]any{"items": items, "has_more": more, "current_rev": m.revision})
+}
+
+func (m *Metadata) watch(ctx *fasthttp.RequestCtx) {
+	prefix := string(ctx.QueryArgs().Peek("prefix"))
+	after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
+	wait, _ := strconv.Atoi(string(ctx.QueryArgs().Peek("wait_ms")))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+
+	defer timer.Stop()
+
+	for over := false; ; {
+		events, current, lost, changed := m.since(prefix, after)
+
+		switch {
+		case lost:
+			ctx.SetStatusCode(fasthttp.StatusGone)
+
+			return
+		case len(events) > 0 || over:
+			writeJSON(ctx, map[string]any{"events": events, "current_rev": current})
+
+			return
+		}
+
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-m.done:
+			return
+		}
+	}
+}
+
+// since returns the changes after a revision, and whether they are lost.
+func (m *Metadata) since(prefix string, after uint64) ([]metadataItem, uint64, bool, <-chan struct{}) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	if after < m.floor {
+		return nil, 0, true, nil
+	}
+
+	events := []metadataItem{}
+
+	if m.faults.Deaf {
+		return events, after, false, m.changed
+	}
+
+	for _, it := range m.log {
+		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
+			events = append(events, it)
+		}
+	}
+
+	return events, m.revision, false, m.changed
+}
+
+// MetadataServer returns the value of a server's entry.
+func MetadataServer(service carobward.Service, address carobward.Address, domain carobward.Domain, state string) []byte {
+	raw, err := json.Marshal(map[string]any{
+		"address": address,
+		"info":    map[string]any{"service": service, "version": "v1", "zone": domain, "slots": upstreamSlots},
+		"status":  map[string]any{"state": state, "seq": 1, "warmup_left": "0ms"},
+	})
+	if err != nil {
+		return nil
+	}
+
+	return raw
+}
--- /dev/null
+++ b/internal/cwstand/upstream.go
@@ -0,0 +1,270 @@
+package cwstand
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+)
+
+// UpstreamWay is how an Upstream treats the requests that it gets.
+type UpstreamWay uint8
+
+// The ways of an Upstream.
+const (
+	// UpstreamServes runs each request and answers it.
+	UpstreamServes UpstreamWay = iota
+	// UpstreamSheds refuses each request and says that it did not run.
+	UpstreamSheds
+	// UpstreamResets runs each request and resets the connection.
+	UpstreamResets
+	// UpstreamSilent runs each request and never answers.
+	UpstreamSilent
+	// UpstreamFails runs each request and answers with status 500.
+	UpstreamFails
+	// UpstreamRefuses answers with status 503, and does not say whether the
+	// request ran; it did.
+	UpstreamRefuses
+	// UpstreamCuts runs each request and ends its answer in the middle.
+	UpstreamCuts
+	// UpstreamUnsigned runs each request and leaves out the signature.
+	UpstreamUnsigned
+	// UpstreamRepeats answers each request twice.
+	UpstreamRepeats
+	// UpstreamUnframed ends its answers with the connection.
+	UpstreamUnframed
+)
+
+// upstreamSlots is the number of slots that an Upstream claims.
+const upstreamSlots = 4
+
+// Run is one request that an Upstream ran.
+type Run struct {
+	ID     string
+	Method string
+	URI    string
+	Body   string
+	// Left is the time left that came with it, in milliseconds.
+	Left string
+}
+
+// Upstream is a stand-in for a backend server of the users' platform.
+type Upstream struct {
+	*acceptor
+
+	instance carobward.Instance
+
+	mutex sync.Mutex
+	way   UpstreamWay
+	work  time.Duration
+	load  string
+	ill   bool
+	runs  []Run
+	looks int
+	// broken counts the requests whose caller left before the answer.
+	broken int
+	stop   chan struct{}
+}
+
+// NewUpstream returns a server that serves on the listener until Close.
+func NewUpstream(ln net.Listener, instance carobward.Instance) *Upstream {
+	u := &Upstream{instance: instance, load: "0,0,4,100", stop: make(chan struct{})}
+	u.acceptor = accept(ln, u.serve)
+
+	return u
+}
+
+// Set tells how requests are treated and how long they take.
+func (u *Upstream) Set(way UpstreamWay, work time.Duration) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	u.way, u.work = way, work
+}
+
+// SetLoad sets what it says of its load.
+func (u *Upstream) SetLoad(load string) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	u.load = load
+}
+
+// SetIll sets whether its health check fails.
+func (u *Upstream) SetIll(ill bool) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	u.ill = ill
+}
+
+// Runs returns the requests that it ran.
+func (u *Upstream) Runs() []Run {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	return append([]Run(nil), u.runs...)
+}
+
+// Looks returns the number of health checks.
+func (u *Upstream) Looks() int {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	return u.looks
+}
+
+// Broken returns how many requests ended since their caller left.
+func (u *Upstream) Broken() int {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	return u.broken
+}
+
+// Close ends it.
+func (u *Upstream) Close() {
+	close(u.stop)
+	u.acceptor.Close()
+}
+
+func (u *Upstream) serve(c net.Conn) {
+	r := bufio.NewReader(c)
+
+	for {
+		var req fasthttp.Request
+		if err := req.Read(r); err != nil {
+			return
+		}
+
+		if !u.answer(c, r, &req) {
+			return
+		}
+	}
+}
+
+// answer answers one request and tells whether the connection stays open.
+func (u *Upstream) answer(c net.Conn, r *bufio.Reader, req *fasthttp.Request) bool {
+	head := func(name string) string { return string(req.Header.Peek(name)) }
+
+	if string(req.Header.RequestURI()) == "/health" {
+		return u.look(c)
+	}
+
+	u.mutex.Lock()
+	way, work, load := u.way, u.work, u.load
+	u.mutex.Unlock()
+
+	if expected := head("Expect-Instance"); expected != "" && expected != string(u.instance) {
+		return say(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", u.instance)
+	}
+
+	if way == UpstreamSheds {
+		return say(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	}
+
+	u.mutex.Lock()
+	u.runs = append(u.runs, Run{
+		ID: head("Request-Id"), Method: string(req.Header.Method()), URI: string(req.Header.RequestURI()),
+		Body: string(req.Body()), Left: head("Deadline-Ms"),
+	})
+	u.mutex.Unlock()
+
+	if !u.wait(c, r, work) {
+		return false
+	}
+
+	return u.end(c, way, head("Request-Id"), load)
+}
+
+// look answers a health check.
+func (u *Upstream) look(c net.Conn) bool {
+	u.mutex.Lock()
+	u.looks++
+	load, ill := u.load, u.ill
+	u.mutex.Unlock()
+
+	status := "200 OK"
+	if ill {
+		status = "503 Service Unavailable"
+	}
+
+	return say(c, "HTTP/1.1 %s\r\nInstance-Id: %s\r\nUpstream-Load: %s\r\nContent-Length: 0\r\n\r\n", status, u.instance, load)
+}
+
+// wait works for a time, or until the caller leaves.
+func (u *Upstream) wait(c net.Conn, r *bufio.Reader, work time.Duration) bool {
+	if work == 0 {
+		return true
+	}
+
+	_ = c.SetReadDeadline(time.Now().Add(work))
+	_, err := r.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+
+	var timeout net.Error
+	if t, ok := err.(net.Error); ok {
+		timeout = t
+	}
+
+	if timeout != nil && timeout.Timeout() {
+		return true
+	}
+
+	u.mutex.Lock()
+	u.broken++
+	u.mutex.Unlock()
+
+	return false
+}
+
+// end writes the answer to a request that ran.
+func (u *Upstream) end(c net.Conn, way UpstreamWay, id, load string) bool {
+	const body = "done"
+
+	whole := fmt.Sprintf("Request-Id: %s\r\nResponse-Seal: s.%s\r\nUpstream-Load: %s\r\n", id, id, load)
+	good := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", whole, len(body), body)
+
+	switch way {
+	case UpstreamResets:
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+
+		return false
+	case UpstreamSilent:
+		<-u.stop
+
+		return false
+	case UpstreamFails:
+		return say(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 0\r\n\r\n", whole)
+	case UpstreamRefuses:
+		return say(c, "HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: 0\r\n\r\n", whole)
+	case UpstreamCuts:
+		say(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 100\r\n\r\n%s", whole, body)
+
+		return false
+	case UpstreamUnsigned:
+		return say(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	case UpstreamRepeats:
+		return say(c, "%s%s", good, good)
+	case UpstreamUnframed:
+		say(c, "HTTP/1.1 200 OK\r\n%s\r\n%s", whole, body)
+
+		return false
+	default:
+		return say(c, "%s", good)
+	}
+}
+
+// say writes an answer and tells whether that went well.
+func say(c net.Conn, format string, values ...any) bool {
+	_, err := fmt.Fprintf(c, format, values...)
+
+	return err == nil
+}
--- a/routing.go
+++ b/routing.go
@@ -1,6 +1,11 @@
 package carobward
 
-import "time"
+import (
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
 
 // Routing is one version of the operators' configuration as an entry VM uses
 // it. It is not changed once it is in force.
@@ -73,3 +78,50 @@
 	// which the entry was written.
 	Warmup time.Duration
 }
+
+// Validate returns all that is wrong with a configuration, or nil.
+func (r *Routing) Validate() error {
+	var wrong []string
+
+	for _, list := range r.Hosts {
+		for i := range list {
+			for _, one := range r.check(&list[i]) {
+				wrong = append(wrong, "route "+string(list[i].Name)+": "+one)
+			}
+		}
+	}
+
+	if len(wrong) > 0 {
+		return errors.New("configuration: " + strings.Join(wrong, "; "))
+	}
+
+	return nil
+}
+
+// check returns what is wrong with one route.
+func (r *Routing) check(o *Route) []string {
+	var wrong []string
+
+	need := func(ok bool, text string) {
+		if !ok {
+			wrong = append(wrong, text)
+		}
+	}
+
+	need(strings.HasPrefix(o.Prefix, "/") && strings.HasSuffix(o.Prefix, "/"), "the prefix must begin and end with a slash")
+	need(o.Timeout > 0, "the timeout must be above zero")
+	need(o.Attempts > 0, "the number of attempts must be above zero")
+
+	total := 0
+
+	for _, s := range o.Shares {
+		_, known := r.Services[s.Service]
+		need(known, "there is no service "+string(s.Service))
+		need(s.Weight >= 0, "the weight of "+string(s.Service)+" must not be below zero")
+		total += s.Weight
+	}
+
+	need(total > 0, "it has no service with a weight above zero")
+
+	return wrong
+}
