--- a/feed.go
+++ b/feed.go
@@ -42,5 +42,6 @@
 	Watch(ctx context.Context, after StoreIndex, wait time.Duration) (Changes, error)
 }
 
-// ErrStoreRefused: the store answered that it does not serve this VM now.
+// ErrStoreRefused is the error of a store that answers, but does not serve this
+// VM now.
 const ErrStoreRefused = errors.ConstError("store: refused")
--- /dev/null
+++ b/internal/cwfollow/duty_test.go
@@ -0,0 +1,89 @@
+package cwfollow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmesh"
+)
+
+func peer(id, domain string) cwmesh.Peer {
+	return cwmesh.Peer{
+		Node:  cwmesh.Node{ID: carobward.VMID(id), Domain: carobward.Domain(domain)},
+		State: cwmesh.Ready, Heard: time.Now(),
+	}
+}
+
+// TestOrder wants all entry VMs to come to the same order, with the first ones
+// in different failure domains, and those left out that can't ask.
+func TestOrder(t *testing.T) {
+	peers := []cwmesh.Peer{peer("1", "a"), peer("2", "a"), peer("3", "b"), peer("4", "b"), peer("5", "c")}
+
+	var want []carobward.VMID
+
+	for i := range peers {
+		others := append(append([]cwmesh.Peer{}, peers[:i]...), peers[i+1:]...)
+		got := order(peers[i].Node, false, others)
+
+		if want == nil {
+			want = got
+		}
+
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+
+	domains := map[carobward.VMID]carobward.Domain{"1": "a", "2": "a", "3": "b", "4": "b", "5": "c"}
+	if domains[want[0]] == domains[want[1]] || domains[want[1]] == domains[want[2]] || len(want) != 5 {
+		t.Errorf("order %v", want)
+	}
+
+	for name, change := range map[string]func(*cwmesh.Peer){
+		"leaving":       func(p *cwmesh.Peer) { p.State = cwmesh.Leaving },
+		"not served":    func(p *cwmesh.Peer) { p.Away = true },
+		"never heard":   func(p *cwmesh.Peer) { p.Heard = time.Time{} },
+		"ready as ever": func(*cwmesh.Peer) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			one := peer("2", "a")
+			change(&one)
+
+			got := order(peers[0].Node, false, []cwmesh.Peer{one})
+			if (len(got) == 2) != (name == "ready as ever") {
+				t.Errorf("order %v", got)
+			}
+		})
+	}
+
+	if got := order(peers[0].Node, true, nil); len(got) != 0 {
+		t.Errorf("order %v though the store does not serve us", got)
+	}
+}
+
+func TestMustAsk(t *testing.T) {
+	for name, c := range map[string]struct {
+		place int
+		age   time.Duration
+		want  bool
+	}{
+		"the first watches":             {0, 0, true},
+		"the second watches":            {1, 0, true},
+		"the third relies on them":      {2, 900 * time.Millisecond, false},
+		"until they are silent":         {2, 1200 * time.Millisecond, true},
+		"the next waits for it":         {6, 1200 * time.Millisecond, false},
+		"but not for long":              {6, 1500 * time.Millisecond, true},
+		"the last asks within the time": {500, 1700 * time.Millisecond, true},
+		"one out of the order, late":    {-1, 1700 * time.Millisecond, true},
+		"one out of the order, early":   {-1, 1000 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := mustAsk(c.place, c.age); got != c.want {
+				t.Errorf("got %v", got)
+			}
+		})
+	}
+}
--- a/internal/cwlink/reply.go
+++ b/internal/cwlink/reply.go
@@ -66,7 +66,9 @@
 	reply := &carobward.Reply{Status: resp.StatusCode(), Header: cwframe.Copy(resp.Header.All(), cwframe.All)}
 
 	owned := t.dialect.Read(t.call, reply, t.clock.Now())
-	if owned != nil && !(t.dialect.Extra() && errors.Is(owned, carobward.ErrOther)) {
+	passOver := t.dialect.Extra() && errors.Is(owned, carobward.ErrOther)
+
+	if owned != nil && !passOver {
 		return nil, false, owned
 	}
 
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -62,6 +62,7 @@
 	away    atomic.Bool
 	rate    atomic.Int64
 	wake    chan struct{}
+	work    conc.WaitGroup
 
 	mutex sync.Mutex
 	// fresh is when the copy was last known to be the newest.
@@ -91,11 +92,10 @@
 
 // Run works until the context ends.
 func (m *Mesh) Run(ctx context.Context) {
-	var group conc.WaitGroup
-	defer group.Wait()
+	m.work.Go(func() { m.receive(ctx) })
+	m.work.Go(func() { m.send(ctx) })
 
-	group.Go(func() { m.receive(ctx) })
-	group.Go(func() { m.send(ctx) })
+	defer m.work.Wait()
 
 	<-ctx.Done()
 	_ = m.conn.Close()
@@ -247,13 +247,13 @@
 		return
 	}
 
-	go func() {
+	m.work.Go(func() {
 		defer m.pulling.Store(false)
 
 		if err := m.fetch(ctx, from); err != nil {
 			m.Log.Info("Changes could not be fetched.", "from", string(from), "why", why, "cause", err.Error())
 		}
-	}()
+	})
 }
 
 func (m *Mesh) fetch(ctx context.Context, from carobward.Address) error {
--- /dev/null
+++ b/internal/cwpick/pick_test.go
@@ -0,0 +1,119 @@
+package cwpick
+
+import (
+	"testing"
+	"time"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwbackend"
+)
+
+const home = carobward.Domain("a")
+
+// view returns a server at home with a report.
+func view(running, queued int, slowness float64) cwbackend.View {
+	return cwbackend.View{
+		Server: &cwbackend.Server{}, Slots: 4, Domain: home,
+		Report: carobward.Report{At: time.Now(), Running: running, Queued: queued, Slots: 4, Slowness: slowness},
+	}
+}
+
+// TestCost has pairs of which the first must be preferred.
+func TestCost(t *testing.T) {
+	const crowd = 1.5
+
+	with := func(v cwbackend.View, change func(*cwbackend.View)) cwbackend.View {
+		change(&v)
+
+		return v
+	}
+
+	for name, c := range map[string]struct{ good, bad cwbackend.View }{
+		"more free slots":               {view(0, 0, 1), view(2, 0, 1)},
+		"below the knee":                {view(2, 0, 1), view(3, 0, 1)},
+		"a crowded one to a slow one":   {view(3, 0, 1), view(0, 0, 5)},
+		"a queue to a slow machine":     {view(4, 1, 1), view(0, 0, 5)},
+		"no queue":                      {view(3, 0, 1), view(4, 2, 1)},
+		"home":                          {view(1, 0, 1), with(view(1, 0, 1), func(v *cwbackend.View) { v.Domain = "b" })},
+		"away to a slow one at home":    {with(view(1, 0, 1), func(v *cwbackend.View) { v.Domain = "b" }), view(1, 0, 2)},
+		"a warm one":                    {view(2, 0, 1), with(view(0, 0, 1), func(v *cwbackend.View) { v.Warming = true })},
+		"one that answers":              {view(3, 0, 1), with(view(0, 0, 1), func(v *cwbackend.View) { v.Trouble = 0.5 })},
+		"one where nothing is overdue":  {view(3, 0, 1), with(view(0, 0, 1), func(v *cwbackend.View) { v.Overdue = true })},
+		"one without a report to a bad": {cwbackend.View{Slots: 4, Domain: home}, view(3, 0, 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if good, bad := Cost(&c.good, crowd, home), Cost(&c.bad, crowd, home); good >= bad {
+				t.Errorf("costs %.2f and %.2f", good, bad)
+			}
+		})
+	}
+}
+
+// TestFree wants urgent work to have room longer than other work.
+func TestFree(t *testing.T) {
+	for name, c := range map[string]struct {
+		running, rank, ranks int
+		room                 bool
+	}{
+		"the least urgent leaves a slot": {3, 2, 3, false},
+		"and takes the others":           {2, 2, 3, true},
+		"the next takes all slots":       {3, 1, 3, true},
+		"and no more":                    {4, 1, 3, false},
+		"the most urgent may queue":      {5, 0, 3, true},
+		"for a while":                    {6, 0, 3, false},
+		"one kind of work alone":         {3, 0, 1, true},
+		"does not queue":                 {4, 0, 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := view(c.running, 0, 1)
+			if got := Free(&v, c.rank, c.ranks) > 0; got != c.room {
+				t.Errorf("room: %v", got)
+			}
+		})
+	}
+}
+
+// TestDraw checks who is looked at.
+func TestDraw(t *testing.T) {
+	near, far, blocked, cold := view(0, 0, 1), view(0, 0, 1), view(0, 0, 1), view(0, 0, 1)
+	near.Idle = true
+	far.Domain, far.Idle = "b", true
+	blocked.Blocked = true
+	all := []cwbackend.View{far, blocked, cold, near}
+
+	draw := func(views []cwbackend.View, n int, seen ...*cwbackend.Server) []*cwbackend.Server {
+		had := map[*cwbackend.Server]bool{}
+		for _, s := range seen {
+			had[s] = true
+		}
+
+		var out []*cwbackend.Server
+		for _, v := range Draw(views, n, home, had) {
+			out = append(out, v.Server)
+		}
+
+		return out
+	}
+
+	first := map[*cwbackend.Server]int{}
+
+	for range 1000 {
+		first[draw(all, 1)[0]]++
+	}
+
+	if first[far.Server] > 0 || first[blocked.Server] > 0 || first[cold.Server] == 0 || first[near.Server] < 800 {
+		t.Errorf("first: near %d, cold %d, far %d, blocked %d", first[near.Server], first[cold.Server], first[far.Server], first[blocked.Server])
+	}
+
+	if got := draw(all, 4); len(got) != 3 || got[2] != far.Server {
+		t.Errorf("%d drawn of three that are not blocked", len(got))
+	}
+
+	if got := draw(all, 4, near.Server, cold.Server, far.Server); len(got) != 1 || got[0] != blocked.Server {
+		t.Error("the blocked one is not the last resort")
+	}
+
+	if got := draw(nil, 4); len(got) != 0 {
+		t.Error("drawn from nothing")
+	}
+}
