--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -89,7 +89,7 @@
 	r.call.Instance = b.Instance
 
 	number := l.view.Server.Begin(now)
-	r.reply, r.err = l.held.Exchange(work, &r.call)
+	r.reply, r.err = r.exchange(work, l, b)
 	l.release()
 
 	end := f.Clock.Now()
@@ -109,6 +109,23 @@
 	r.judge()
 }
 
+// exchange sends the call over the connection that was looked at, or over a new
+// one where the server has ended that.
+func (r *request) exchange(ctx context.Context, l *looked, b carobward.Backend) (*carobward.Reply, error) {
+	if !l.held.Whole() {
+		l.release()
+
+		held, err := r.front.Link.Hold(ctx, b.Address, r.deadline, true)
+		l.held = held
+
+		if err != nil {
+			return nil, err
+		}
+	}
+
+	return l.held.Exchange(ctx, &r.call)
+}
+
 func (f *Front) logSend(r *request, l *looked, b carobward.Backend, o cwbackend.Outcome, took time.Duration, sent time.Time) {
 	load := l.view.Report
 
--- a/internal/cwgateway/gateway_test.go
+++ b/internal/cwgateway/gateway_test.go
@@ -194,6 +194,24 @@
 	}
 }
 
+// TestClosing wants a server that ends the connection of a health check to get
+// the request over another one.
+func TestClosing(t *testing.T) {
+	f := newFleet(t)
+	u := f.upstream(t, "fees", "i-1")
+	u.SetClosing(true)
+	f.configure(t, safe("fees"), unsafe())
+
+	v := f.start(t, "vm-1")
+	v.waitReady(t)
+
+	for i, path := range []string{reading, charging} {
+		if got := v.ask(http.MethodPost, path, fmt.Sprint("id-", i), ""); got.status != http.StatusOK {
+			t.Errorf("%s: %+v", path, got)
+		}
+	}
+}
+
 // TestNoRoute wants a newcomer without a configuration to refuse, and a
 // request without a route to get 404.
 func TestNoRoute(t *testing.T) {
--- a/internal/cwlink/hold.go
+++ b/internal/cwlink/hold.go
@@ -55,7 +55,7 @@
 // When ctx ends the connection is closed.
 func (h *Held) Exchange(ctx context.Context, call *carobward.Call) (*carobward.Reply, error) {
 	if !h.whole {
-		return nil, notRun(ErrClosed)
+		return nil, notRun(ErrSpent)
 	}
 
 	stop := context.AfterFunc(ctx, func() { _ = h.conn.Close() })
@@ -82,6 +82,10 @@
 	return reply, nil
 }
 
+// Whole tells whether the connection may carry another call. A server may end
+// it with its reply.
+func (h *Held) Whole() bool { return h.whole }
+
 // Release gives the connection back if it may carry another call, and closes
 // it else.
 func (h *Held) Release() {
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -15,6 +15,7 @@
 const (
 	ErrConns  = errors.ConstError("link: all connections to the server are in use")
 	ErrClosed = errors.ConstError("link: stopped")
+	ErrSpent  = errors.ConstError("link: the connection carries no further call")
 )
 
 // conn is one connection to a server. It carries one call at a time, and
--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -66,8 +66,10 @@
 	work  time.Duration
 	load  string
 	ill   bool
-	runs  []Run
-	looks int
+	// closing ends the connection of each health check.
+	closing bool
+	runs    []Run
+	looks   int
 	// broken counts the requests whose caller left before the answer.
 	broken int
 	stop   chan struct{}
@@ -105,6 +107,14 @@
 	u.ill = ill
 }
 
+// SetClosing sets whether it ends the connection of each health check.
+func (u *Upstream) SetClosing(closing bool) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	u.closing = closing
+}
+
 // Runs returns the requests that it ran.
 func (u *Upstream) Runs() []Run {
 	u.mutex.Lock()
@@ -188,7 +198,7 @@
 func (u *Upstream) look(c net.Conn) bool {
 	u.mutex.Lock()
 	u.looks++
-	load, ill := u.load, u.ill
+	load, ill, closing := u.load, u.ill, u.closing
 	u.mutex.Unlock()
 
 	status := "200 OK"
@@ -196,7 +206,15 @@
 		status = "503 Service Unavailable"
 	}
 
-	return say(c, "HTTP/1.1 %s\r\nInstance-Id: %s\r\nUpstream-Load: %s\r\nContent-Length: 0\r\n\r\n", status, u.instance, load)
+	connection := "keep-alive"
+	if closing {
+		connection = "close"
+	}
+
+	good := say(c, "HTTP/1.1 %s\r\nConnection: %s\r\nInstance-Id: %s\r\nUpstream-Load: %s\r\nContent-Length: 0\r\n\r\n",
+		status, connection, u.instance, load)
+
+	return good && !closing
 }
 
 // wait works for a time, or until the caller leaves.
