--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -19,6 +19,7 @@
 	"syscall"
 
 	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwgateway"
@@ -39,11 +40,14 @@
 )
 
 func main() {
+	// From the first moment on, so that an early SIGHUP does not end us.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	debug.SetGCPercent(gcPercent)
 
 	out := cwlog.NewAsync(os.Stdout, logLines)
 	log := cwlog.New(out, "info")
-	err := run(log)
+	err := run(log, out, signals)
 
 	if err != nil {
 		log.Error(err, "Ended.")
@@ -56,7 +60,7 @@
 	}
 }
 
-func run(log logr.Logger) error {
+func run(log logr.Logger, out *cwlog.Async, signals <-chan os.Signal) error {
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return fmt.Errorf("set %s to the path of the platform's settings file", platform.SettingsVariable)
@@ -67,16 +71,26 @@
 		return err
 	}
 
-	g, err := cwgateway.New(options(s, log))
+	o := options(s, log)
+	o.Dropped = out.Dropped
+
+	g, err := cwgateway.New(o)
 	if err != nil {
 		return err
 	}
 
 	stop := make(chan struct{})
 
-	go watchSignals(path, log.WithName("signal"), stop)
+	var group conc.WaitGroup
 
-	return g.Run(stop)
+	group.Go(func() { watchSignals(path, log.WithName("signal"), signals, stop) })
+
+	err = g.Run(stop)
+	if err == nil {
+		group.Wait() // It has ended, since it alone closes stop.
+	}
+
+	return err
 }
 
 func options(s *platform.Settings, log logr.Logger) cwgateway.Options {
@@ -105,10 +119,7 @@
 }
 
 // watchSignals closes stop on SIGTERM or SIGINT.
-func watchSignals(path string, log logr.Logger, stop chan<- struct{}) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-
+func watchSignals(path string, log logr.Logger, signals <-chan os.Signal, stop chan<- struct{}) {
 	for s := range signals {
 		log.Info("Got a signal.", "signal", s.String())
 
--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -85,6 +85,7 @@
 	}
 
 	r.sends++
+	f.counts.Add(countSends, 1)
 	r.server = b.Instance
 	r.call.Instance = b.Instance
 
@@ -200,5 +201,13 @@
 		return false
 	}
 
-	return r.kept.window.Take(now, f.slack())
+	if !r.kept.window.Take(now, f.slack()) {
+		f.counts.Add(countDenied, 1)
+
+		return false
+	}
+
+	f.counts.Add(countAgain, 1)
+
+	return true
 }
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,8 @@
 	total   atomic.Int64
 	leaving atomic.Bool
 	work    conc.WaitGroup
+	// counts has this part's metrics.
+	counts *expvar.Map
 
 	mutex    sync.Mutex
 	services map[carobward.Service]*service
@@ -86,9 +89,20 @@
 func New(o Options) *Front {
 	o.Log = o.Log.WithName("front")
 
-	return &Front{Options: o, gone: cwgone.New(), services: map[carobward.Service]*service{}}
+	return &Front{
+		Options: o, gone: cwgone.New(), services: map[carobward.Service]*service{}, counts: o.Metrics.Part(part),
+	}
 }
 
+// The names of this part's metrics.
+const (
+	part        = "front"
+	countLooks  = "looks"
+	countSends  = "sends"
+	countAgain  = "again"
+	countDenied = "denied"
+)
+
 // Server returns the HTTP server of the callers' listener.
 func (f *Front) Server() *fasthttp.Server {
 	return &fasthttp.Server{
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -216,6 +216,7 @@
 	f := r.front
 	results := make(chan *looked, len(draw))
 	r.looks += len(draw)
+	f.counts.Add(countLooks, int64(len(draw)))
 
 	for i := range draw {
 		v := draw[i]
@@ -239,10 +240,19 @@
 				timer.Reset(lateTime)
 			}
 
-			if l.ok && cwpick.Free(&l.view, rank, ranks) > 0 {
-				best = better(best, l)
-			} else {
+			switch {
+			case !l.ok:
+				r.seen.failed++
+				l.release()
+			case cwpick.Free(&l.view, rank, ranks) <= 0:
+				r.seen.full++
 				l.release()
+			default:
+				if l.time > goodTime {
+					r.seen.slow++
+				}
+
+				best = better(best, l)
 			}
 
 			continue
@@ -253,6 +263,8 @@
 		break
 	}
 
+	r.seen.late += awaited
+
 	if left := awaited; left > 0 {
 		f.work.Go(func() {
 			for range left {
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -49,6 +49,7 @@
 	// health checks made for it.
 	sends int
 	looks int
+	seen  seen
 	// server is the last server that it was handed to.
 	server carobward.Instance
 
@@ -56,6 +57,10 @@
 	err   error
 }
 
+// seen counts what looks at servers showed: those that did not answer, or too
+// late, those without room, and those with room that were slow.
+type seen struct{ failed, late, full, slow int }
+
 // request reads a caller's request. Its err is set where it ends here.
 func (f *Front) request(ctx *fasthttp.RequestCtx, now time.Time) *request {
 	h := &ctx.Request.Header
@@ -218,5 +223,6 @@
 	}
 
 	f.Log.Info("Answered.", "id", r.id, "status", status, "verdict", r.verdict().String(), "took", took.Milliseconds(),
-		"route", route, "version", version, "service", r.service, "sends", r.sends, "looks", r.looks, "server", r.server, "cause", cause)
+		"route", route, "version", version, "service", r.service, "sends", r.sends, "looks", r.looks,
+		"failed", r.seen.failed, "late", r.seen.late, "full", r.seen.full, "slow", r.seen.slow, "server", r.server, "cause", cause)
 }
--- a/internal/cwgateway/fleet_test.go
+++ b/internal/cwgateway/fleet_test.go
@@ -1,7 +1,6 @@
 package cwgateway_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -69,50 +68,20 @@
 	f.store.Put("servers/"+instance, cwstand.MetadataServer(carobward.Service(service), at, "a", state))
 }
 
-// route is one route of the configuration.
-type route map[string]any
-
 // safe is the route of idempotent requests.
-func safe(service string) route {
-	return route{"prefix": reading, "kind": "safe", "service": service}
+func safe(service string) cwstand.MetadataRoute {
+	return cwstand.MetadataRoute{"prefix": reading, "kind": "safe", "service": service}
 }
 
 // unsafe is the route of requests that may run once at most.
-func unsafe() route {
-	return route{"prefix": charging, "kind": "unsafe", "service": "fees"}
+func unsafe() cwstand.MetadataRoute {
+	return cwstand.MetadataRoute{"prefix": charging, "kind": "unsafe", "service": "fees"}
 }
 
 // configure writes the next configuration.
-func (f *fleet) configure(t *testing.T, routes ...route) {
-	t.Helper()
-
-	for i, r := range routes {
-		for key, value := range map[string]any{
-			"name": fmt.Sprintf("r-%d", i), "timeout": "2s", "target_latency": "500ms", "priority": i, "max_attempts": 2,
-		} {
-			if _, ok := r[key]; !ok {
-				r[key] = value
-			}
-		}
-	}
-
+func (f *fleet) configure(routes ...cwstand.MetadataRoute) {
 	f.version += 3
-
-	service := func(name string) map[string]any {
-		return map[string]any{"name": name, "health_path": "/health", "max_conns": 200}
-	}
-
-	raw, err := json.Marshal(map[string]any{
-		"version":  fmt.Sprintf("%08x", f.version),
-		"services": []any{service("records"), service("fees")},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout": "3s", "idle_timeout": "15s"},
-		"hosts":    []any{map[string]any{"host": host, "paths": routes}},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-
-	f.store.Put("op/config", raw)
+	f.store.Put("op/config", cwstand.MetadataConfig(f.version, host, routes...))
 }
 
 // free returns an address that is free for TCP and UDP.
@@ -145,7 +114,7 @@
 		Ready: free(t), Lookup: free(t), Metrics: free(t),
 		Grace: 400 * time.Millisecond, AnswerMost: 5 * time.Second,
 		ExtraShare: 0.2, ExtraWindow: 10 * time.Second, ExtraLeast: 64, Looks: 60,
-		Adapter: platform.Adapter(f.address, func() {}), Clock: carobward.SystemClock{}, Log: logr.Discard(),
+		Adapter: platform.Adapter(f.address, func() {}), Dropped: func() int64 { return 0 }, Clock: carobward.SystemClock{}, Log: logr.Discard(),
 	}
 
 	f.mutex.Lock()
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -95,6 +95,8 @@
 	// Looks bounds the health checks of one server, see cwfront.
 	Looks   float64
 	Adapter Adapter
+	// Dropped returns the number of log lines that were dropped.
+	Dropped func() int64
 	Clock   carobward.Clock
 	Log     logr.Logger
 }
@@ -151,6 +153,8 @@
 		Feed: o.Adapter.Feed, Mirror: g.mirror, Mesh: g.mesh, Table: g.table, Clock: o.Clock, Log: o.Log, Changed: g.changed,
 	})
 
+	g.gauges()
+
 	return g, nil
 }
 
@@ -179,6 +183,9 @@
 	return nil
 }
 
+// partMetrics names the listener without which an entry VM still serves.
+const partMetrics = "metrics"
+
 // listen opens all listeners and serves them.
 func (g *Gateway) listen(ctx context.Context, group *conc.WaitGroup) ([]net.Listener, error) {
 	peers := cwpeer.NewServer(g.Key, g.Log)
@@ -204,13 +211,20 @@
 		{"ready", g.Ready, small(g.serveReady)},
 		{"lookup", g.Lookup, small(g.serveLookup)},
 		{"peers", g.Self.Peers, peers.Serve},
-		{"metrics", g.Metrics, small(g.serveMetrics)},
+		{partMetrics, g.Metrics, small(g.serveMetrics)},
 	}
 
 	var all []net.Listener
 
 	for _, p := range parts {
 		ln, err := net.Listen("tcp", string(p.address))
+		if err != nil && p.name == partMetrics {
+			// Callers are served without metrics, too.
+			g.log.Error(err, "The metrics are not served.")
+
+			continue
+		}
+
 		if err != nil {
 			return nil, errors.Annotate(err, p.name)
 		}
@@ -379,6 +393,22 @@
 	ctx.SetBody(body)
 }
 
+// gauges shows what is counted elsewhere.
+func (g *Gateway) gauges() {
+	g.metrics.Gauge("gateway", "flight", func() int64 { return int64(g.front.Flight()) })
+	g.metrics.Gauge("gateway", "servers", func() int64 { return int64(g.servers.Count()) })
+	g.metrics.Gauge("gateway", "peers", func() int64 { return int64(len(g.table.Live(g.Clock.Now()))) })
+	g.metrics.Gauge("gateway", "fresh", func() int64 { return g.Clock.Now().Sub(g.mesh.Fresh()).Milliseconds() })
+	g.metrics.Gauge("gateway", "dropped", g.Dropped)
+	g.metrics.Gauge("gateway", "version", func() int64 {
+		if t := g.front.Routes(); t != nil {
+			return int64(t.Version)
+		}
+
+		return 0
+	})
+}
+
 func (g *Gateway) serveMetrics(ctx *fasthttp.RequestCtx) {
 	ctx.SetContentType("application/json")
 	ctx.SetBodyString(g.metrics.String())
--- a/internal/cwgateway/gateway_test.go
+++ b/internal/cwgateway/gateway_test.go
@@ -24,7 +24,7 @@
 func TestServes(t *testing.T) {
 	f := newFleet(t)
 	records, fees := f.upstream(t, "records", "i-1"), f.upstream(t, "fees", "i-2")
-	f.configure(t, safe("records"), unsafe())
+	f.configure(safe("records"), unsafe())
 
 	v := f.start(t, "vm-1")
 	v.waitReady(t)
@@ -61,7 +61,7 @@
 func TestChunked(t *testing.T) {
 	f := newFleet(t)
 	fees := f.upstream(t, "fees", "i-1")
-	f.configure(t, unsafe())
+	f.configure(unsafe())
 
 	v := f.start(t, "vm-1")
 	v.waitReady(t)
@@ -106,7 +106,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t)
 			servers := []*cwstand.Upstream{f.upstream(t, "fees", "i-1"), f.upstream(t, "fees", "i-2"), f.upstream(t, "fees", "i-3")}
-			f.configure(t, safe("fees"), unsafe())
+			f.configure(safe("fees"), unsafe())
 
 			for _, s := range servers {
 				s.Set(c.way, 0)
@@ -172,7 +172,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t)
 			bad, good := f.upstream(t, "fees", "i-1"), f.upstream(t, "fees", "i-2")
-			f.configure(t, safe("fees"), unsafe())
+			f.configure(safe("fees"), unsafe())
 			bad.Set(c.way, 0)
 			good.SetLoad("2,0,4,100") // So that the bad one is preferred.
 
@@ -200,7 +200,7 @@
 	f := newFleet(t)
 	u := f.upstream(t, "fees", "i-1")
 	u.SetClosing(true)
-	f.configure(t, safe("fees"), unsafe())
+	f.configure(safe("fees"), unsafe())
 
 	v := f.start(t, "vm-1")
 	v.waitReady(t)
@@ -231,7 +231,7 @@
 	}
 
 	f.upstream(t, "records", "i-1")
-	f.configure(t, safe("records"))
+	f.configure(safe("records"))
 	v.waitReady(t)
 
 	if got := v.ask(http.MethodGet, "/elsewhere", "two", ""); got.status != http.StatusNotFound {
@@ -245,7 +245,7 @@
 	u := f.upstream(t, "fees", "i-1")
 	r := unsafe()
 	r["timeout"] = "300ms"
-	f.configure(t, r)
+	f.configure(r)
 	u.Set(cwstand.UpstreamSilent, 0)
 
 	v := f.start(t, "vm-1")
@@ -270,7 +270,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t)
 			u := f.upstream(t, "fees", "i-1")
-			f.configure(t, safe("fees"), unsafe())
+			f.configure(safe("fees"), unsafe())
 			u.Set(cwstand.UpstreamServes, time.Second)
 
 			v := f.start(t, "vm-1", func(o *cwgateway.Options) { o.Grace = 3 * time.Second })
@@ -313,7 +313,7 @@
 			f := newFleet(t)
 			f.upstream(t, "records", "i-1")
 			fees := f.upstream(t, "fees", "i-2")
-			f.configure(t, safe("records"))
+			f.configure(safe("records"))
 
 			var all []*vm
 			for i := range 5 {
@@ -326,7 +326,7 @@
 			}
 
 			fault(f.store)
-			f.configure(t, safe("fees"))
+			f.configure(safe("fees"))
 			f.store.Compact()
 			f.store.SetFaults(cwstand.MetadataFaults{})
 
@@ -356,7 +356,7 @@
 
 	f := newFleet(t)
 	f.upstream(t, "records", "i-1")
-	f.configure(t, safe("records"))
+	f.configure(safe("records"))
 
 	var calls [vms]atomic.Int64
 
@@ -404,7 +404,7 @@
 func TestStoreAway(t *testing.T) {
 	f := newFleet(t)
 	records := f.upstream(t, "records", "i-1")
-	f.configure(t, safe("records"))
+	f.configure(safe("records"))
 
 	first := f.start(t, "vm-1")
 	first.waitReady(t)
@@ -425,7 +425,7 @@
 
 	f.store.SetFaults(cwstand.MetadataFaults{})
 	f.upstream(t, "fees", "i-2")
-	f.configure(t, safe("fees"))
+	f.configure(safe("fees"))
 
 	for _, v := range []*vm{first, next} {
 		cwtest.Wait(t, "the change after the outage", func() bool {
@@ -443,7 +443,7 @@
 	f := newFleet(t)
 	f.upstream(t, "records", "i-1")
 	fees := f.upstream(t, "fees", "i-2")
-	f.configure(t, safe("records"))
+	f.configure(safe("records"))
 
 	other := cwstand.NewMetadata()
 	other.SetFaults(cwstand.MetadataFaults{Status: http.StatusTooManyRequests})
@@ -453,7 +453,7 @@
 
 	v := f.start(t, "vm-2", func(o *cwgateway.Options) { o.Adapter = platform.Adapter(refused, func() {}) })
 	v.waitReady(t)
-	f.configure(t, safe("fees"))
+	f.configure(safe("fees"))
 
 	cwtest.Wait(t, "the change", func() bool {
 		v.ask(http.MethodGet, reading, "one", "")
@@ -472,7 +472,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t)
 			leaving := f.upstream(t, "records", "i-1")
-			f.configure(t, safe("records"))
+			f.configure(safe("records"))
 
 			v := f.start(t, "vm-1")
 			v.waitReady(t)
@@ -498,7 +498,7 @@
 	f := newFleet(t)
 	other := f.upstream(t, "fees", "i-2")
 	f.register("records", "i-1", other.Address(), "ready")
-	f.configure(t, safe("records"))
+	f.configure(safe("records"))
 
 	v := f.start(t, "vm-1")
 	v.waitReady(t)
@@ -513,7 +513,7 @@
 func TestLookup(t *testing.T) {
 	f := newFleet(t)
 	f.upstream(t, "records", "i-1")
-	f.configure(t, safe("records"))
+	f.configure(safe("records"))
 
 	var all []*vm
 	for i := range 3 {
@@ -543,7 +543,7 @@
 func TestStop(t *testing.T) {
 	f := newFleet(t)
 	u := f.upstream(t, "records", "i-1")
-	f.configure(t, safe("records"))
+	f.configure(safe("records"))
 	u.Set(cwstand.UpstreamServes, 20*time.Millisecond)
 
 	v := f.start(t, "vm-1")
--- a/internal/cwmetric/table.go
+++ b/internal/cwmetric/table.go
@@ -70,6 +70,16 @@
 	{"measuring/newsbytes", unitBytes, "Bytes of them."},
 	{"memstats", "", "Go's own figures of memory, runtime.MemStats."},
 	{"cmdline", "", "The command line of the process."},
+	{"front/looks", "health checks", "Looks at servers, made right before a request is sent."},
+	{"front/sends", "sends", "Requests handed to a server."},
+	{"front/again", "sends", "Those of them that were not the first of their request."},
+	{"front/denied", "sends", "Further sends that the bound on them did not allow."},
+	{"gateway/flight", unitRequests, "On the users' platform: callers' requests in flight now."},
+	{"gateway/servers", "servers", "Backend servers known now."},
+	{"gateway/peers", unitVMs, "Other entry VMs that answer now."},
+	{"gateway/fresh", "milliseconds", "For how long it has not been known whether the copy of the store is the newest: below a second as a rule."},
+	{"gateway/version", "", "The version of the configuration in force."},
+	{"gateway/dropped", "lines", "Log lines dropped since the buffer was full."},
 }
 
 // Find returns the metric that a path, its names joined by slashes, belongs
--- a/internal/cwstand/metadata.go
+++ b/internal/cwstand/metadata.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -284,3 +286,40 @@
 
 	return raw
 }
+
+// MetadataRoute is one route of a configuration. What is left out gets a usual
+// value.
+type MetadataRoute map[string]any
+
+// MetadataConfig returns the value of a configuration with one host, for which
+// every named service exists.
+func MetadataConfig(version int, host string, routes ...MetadataRoute) []byte {
+	services := map[any]bool{}
+	paths := []MetadataRoute{}
+
+	for i, r := range routes {
+		one := MetadataRoute{
+			"name": "r-" + strconv.Itoa(i), "timeout": "2s", "target_latency": "500ms", "priority": i, "max_attempts": 2,
+		}
+		maps.Copy(one, r)
+		paths = append(paths, one)
+		services[one["service"]] = true
+	}
+
+	list := []any{}
+	for name := range services {
+		list = append(list, map[string]any{"name": name, "health_path": "/health", "max_conns": 200})
+	}
+
+	raw, err := json.Marshal(map[string]any{
+		"version":  fmt.Sprintf("%08x", version),
+		"services": list,
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout": "3s", "idle_timeout": "15s"},
+		"hosts":    []any{map[string]any{"host": host, "paths": paths}},
+	})
+	if err != nil {
+		return nil
+	}
+
+	return raw
+}
--- a/internal/cwtest/process.go
+++ b/internal/cwtest/process.go
@@ -85,7 +85,16 @@
 func Start(t testing.TB, program string, args ...string) *Process {
 	t.Helper()
 
+	return StartWith(t, nil, program, args...)
+}
+
+// StartWith starts a process with more variables in its environment. It is
+// killed when the test ends.
+func StartWith(t testing.TB, environment []string, program string, args ...string) *Process {
+	t.Helper()
+
 	p := &Process{command: exec.Command(program, args...), output: &buffer{}, exited: make(chan struct{})}
+	p.command.Env = append(os.Environ(), environment...)
 	p.command.Stdout = p.output
 	p.command.Stderr = p.output
 
