--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -153,12 +153,10 @@
 	}
 }
 
-// judge turns a reply that may not be passed on into a failure.
+// judge turns the end of a send into what the caller may be told.
 func (r *request) judge() {
 	if r.err != nil {
-		if cwframe.IsTimeout(r.err) {
-			r.err = carobward.NewFailure(carobward.VerdictOf(r.err), fasthttp.StatusGatewayTimeout, 0, ErrLate)
-		}
+		r.err = sendFailure(r.err)
 
 		return
 	}
@@ -172,6 +170,21 @@
 	}
 }
 
+// sendFailure returns the failure of a send without a reply. Where no byte was
+// sent the caller may come back.
+func sendFailure(err error) error {
+	cause := errors.Cause(asFailure(err).Cause)
+
+	switch {
+	case carobward.VerdictOf(err) == carobward.NotRun:
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, fullAfter, cause)
+	case cwframe.IsTimeout(err):
+		return carobward.NewFailure(carobward.Unknown, fasthttp.StatusGatewayTimeout, 0, ErrLate)
+	default:
+		return carobward.NewFailure(carobward.Unknown, fasthttp.StatusBadGateway, 0, cause)
+	}
+}
+
 // promises tells whether a status says that a request did not run.
 func promises(status int) bool {
 	switch status {
