--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -224,56 +224,70 @@
 		f.work.Go(func() { results <- r.lookAt(v) })
 	}
 
+	best, late := r.gather(ctx, results, len(draw))
+	r.seen.late += late
+
+	if late > 0 {
+		f.work.Go(func() {
+			for range late {
+				l := <-results
+				l.release()
+			}
+		})
+	}
+
+	return best
+}
+
+// gather takes the results of looks as they come, and for a short while after
+// the first. It returns the best with room, or nil, and how many are awaited.
+func (r *request) gather(ctx context.Context, results <-chan *looked, awaited int) (*looked, int) {
 	timer := time.NewTimer(lookTime)
 	defer timer.Stop()
 
 	var best *looked
 
-	rank, ranks := r.routes.Rank(r.service, r.route.Priority)
-	awaited := len(draw)
-	for awaited > 0 {
+	for answered := false; awaited > 0; {
 		select {
 		case l := <-results:
 			awaited--
 
-			if l.ok && best == nil {
-				timer.Reset(lateTime)
-			}
-
-			switch {
-			case !l.ok:
-				r.seen.failed++
-				l.release()
-			case cwpick.Free(&l.view, rank, ranks) <= 0:
-				r.seen.full++
-				l.release()
-			default:
-				if l.time > goodTime {
-					r.seen.slow++
-				}
+			if l.ok && !answered {
+				answered = true
 
-				best = better(best, l)
+				timer.Reset(lateTime)
 			}
 
-			continue
+			best = r.weigh(best, l)
 		case <-timer.C:
+			return best, awaited
 		case <-ctx.Done():
+			return best, awaited
 		}
-
-		break
 	}
 
-	r.seen.late += awaited
+	return best, 0
+}
 
-	if left := awaited; left > 0 {
-		f.work.Go(func() {
-			for range left {
-				l := <-results
-				l.release()
-			}
-		})
+// weigh returns the better one of a server and the best so far, if it has room.
+func (r *request) weigh(best, l *looked) *looked {
+	rank, ranks := r.routes.Rank(r.service, r.route.Priority)
+
+	switch {
+	case !l.ok:
+		r.seen.failed++
+	case cwpick.Free(&l.view, rank, ranks) <= 0:
+		r.seen.full++
+	default:
+		if l.time > goodTime {
+			r.seen.slow++
+		}
+
+		return better(best, l)
 	}
 
+	l.release()
+
 	return best
 }
 
--- a/internal/cwtest/gateways.go
+++ b/internal/cwsite/site.go
@@ -1,4 +1,6 @@
-package cwtest
+// Package cwsite starts entry VMs of the users' platform as separate processes,
+// with a stand-in of the platform's store, for tests.
+package cwsite
 
 import (
 	"fmt"
@@ -12,6 +14,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwstand"
+	"carobward.example/carobward/internal/cwtest"
 )
 
 // Gateway is one entry VM of the users' platform, as a process of its own.
@@ -24,11 +27,11 @@
 	Settings string
 
 	mutex   sync.Mutex
-	process *Process
+	process *cwtest.Process
 }
 
 // Process returns its present process.
-func (g *Gateway) Process() *Process {
+func (g *Gateway) Process() *cwtest.Process {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 
@@ -44,8 +47,8 @@
 	return err == nil && status == fasthttp.StatusOK
 }
 
-// Gateways is a set of entry VMs with a stand-in of the platform's store.
-type Gateways struct {
+// Site is a set of entry VMs with a stand-in of the platform's store.
+type Site struct {
 	// Store is the stand-in, StoreProxy what stands before it.
 	Store      *cwstand.Metadata
 	StoreProxy *cwstand.Proxy
@@ -64,21 +67,21 @@
 	portLookup
 )
 
-// NewGateways builds the program and starts a store. Entry VMs are on the
+// New builds the program and starts a store. Entry VMs are on the
 // loopback addresses 127.NET.0.1 and up.
-func NewGateways(t testing.TB, net int, grace string) *Gateways {
+func New(t testing.TB, net int, grace string) *Site {
 	t.Helper()
 
-	g := &Gateways{Store: cwstand.NewMetadata(), program: Build(t, "cmd/cwgateway"), net: net, grace: grace}
-	address := Serve(t, g.Store.Serve, g.Store.Stop)
-	g.StoreProxy = cwstand.NewProxy(Listen(t), address)
+	g := &Site{Store: cwstand.NewMetadata(), program: cwtest.Build(t, "cmd/cwgateway"), net: net, grace: grace}
+	address := cwtest.Serve(t, g.Store.Serve, g.Store.Stop)
+	g.StoreProxy = cwstand.NewProxy(cwtest.Listen(t), address)
 	t.Cleanup(g.StoreProxy.Close)
 
 	return g
 }
 
 // Start starts one more entry VM.
-func (g *Gateways) Start(t testing.TB) *Gateway {
+func (g *Site) Start(t testing.TB) *Gateway {
 	t.Helper()
 
 	n := len(g.All) + 1
@@ -124,11 +127,11 @@
 }
 
 // Restart starts an entry VM whose process has ended, or had none.
-func (g *Gateways) Restart(t testing.TB, v *Gateway) {
+func (g *Site) Restart(t testing.TB, v *Gateway) {
 	t.Helper()
 
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 
-	v.process = StartWith(t, []string{"CAROBWARD_BOOT=" + v.Settings}, g.program)
+	v.process = cwtest.StartWith(t, []string{"CAROBWARD_BOOT=" + v.Settings}, g.program)
 }
--- a/internal/cwstand/proxy.go
+++ b/internal/cwstand/proxy.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 
 	"carobward.example/carobward"
@@ -115,7 +116,7 @@
 		}
 
 		if err != nil {
-			if err != io.EOF {
+			if !errors.Is(err, io.EOF) {
 				reset(to)
 			}
 
--- a/test/gateway/process_test.go
+++ b/test/gateway/process_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"carobward.example/carobward/internal/cwsite"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
 )
@@ -21,10 +22,10 @@
 )
 
 // fleet starts entry VMs with one server.
-func fleet(t *testing.T, n int) (*cwtest.Gateways, *cwstand.Upstream) {
+func fleet(t *testing.T, n int) (*cwsite.Site, *cwstand.Upstream) {
 	t.Helper()
 
-	g := cwtest.NewGateways(t, network, grace)
+	g := cwsite.New(t, network, grace)
 	u := cwstand.NewUpstream(cwtest.Listen(t), "i-1")
 	t.Cleanup(u.Close)
 	g.Store.Put("servers/i-1", cwstand.MetadataServer("records", u.Address(), "zone-1", "ready"))
@@ -39,7 +40,7 @@
 }
 
 // ask sends one request and returns its status.
-func ask(v *cwtest.Gateway, id string) int {
+func ask(v *cwsite.Gateway, id string) int {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 
 	defer fasthttp.ReleaseRequest(req)
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/internal/cwsite"
 )
 
 const host = "club.example"
@@ -55,7 +55,7 @@
 }
 
 // send sends one request.
-func send(v *cwtest.Gateway, method, path, id string) result {
+func send(v *cwsite.Gateway, method, path, id string) result {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 
 	defer fasthttp.ReleaseRequest(req)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"carobward.example/carobward/internal/cwsite"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
 )
@@ -53,7 +54,7 @@
 
 // world is one run of the soak.
 type world struct {
-	*cwtest.Gateways
+	*cwsite.Site
 
 	random  *rand.Rand
 	servers []*server
@@ -71,8 +72,8 @@
 
 func run(t *testing.T, seed uint64) {
 	w := &world{
-		Gateways: cwtest.NewGateways(t, network, grace),
-		random:   rand.New(rand.NewPCG(seed, seed)), history: newHistory(),
+		Site:   cwsite.New(t, network, grace),
+		random: rand.New(rand.NewPCG(seed, seed)), history: newHistory(),
 	}
 
 	for i := range servers {
@@ -164,7 +165,7 @@
 }
 
 // replace ends a process and starts the next one.
-func (w *world) replace(t *testing.T, v *cwtest.Gateway, s syscall.Signal) {
+func (w *world) replace(t *testing.T, v *cwsite.Gateway, s syscall.Signal) {
 	t.Helper()
 
 	p := v.Process()
@@ -179,7 +180,7 @@
 }
 
 // pause freezes a process for a while.
-func (w *world) pause(t *testing.T, v *cwtest.Gateway) {
+func (w *world) pause(t *testing.T, v *cwsite.Gateway) {
 	t.Helper()
 
 	const longest = 1500
