--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -155,7 +155,7 @@
 	for _, v := range cwpick.Draw(views, blindWidth, f.Domain, tried) {
 		v.Report = v.Expected()
 
-		if cwpick.Free(&v, rank, ranks) > 0 {
+		if cwpick.Free(&v, rank, ranks, r.kept.crowding()) > 0 {
 			l := &looked{view: v}
 			r.rate(l)
 			best = better(best, l)
@@ -276,7 +276,7 @@
 	switch {
 	case !l.ok:
 		r.seen.failed++
-	case cwpick.Free(&l.view, rank, ranks) <= 0:
+	case cwpick.Free(&l.view, rank, ranks, r.kept.crowding()) <= 0:
 		r.seen.full++
 	default:
 		if l.time > goodTime {
--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -34,6 +34,9 @@
 	usualFirst = 0.4
 	// usualShare is the weight of one answer in a moving average.
 	usualShare = 0.05
+	// crowdShare is the weight of one answer of a crowded server. They are
+	// few, and a burst is over in seconds.
+	crowdShare = 0.1
 	// crowdFirst is how many times longer answers take at crowded servers
 	// where it is not known, and crowdMost bounds what is learned.
 	crowdFirst = 1.3
@@ -94,7 +97,7 @@
 	own := float64(took) / max(1, slowness)
 
 	if crowded {
-		s.crowd += usualShare * (min(crowdMost, max(1, own/usual)) - s.crowd)
+		s.crowd += crowdShare * (min(crowdMost, max(1, own/usual)) - s.crowd)
 
 		return
 	}
--- a/internal/cwpick/pick.go
+++ b/internal/cwpick/pick.go
@@ -126,20 +126,33 @@
 }
 
 // Free returns how many more requests of a rank, out of so many ranks, a
-// server takes, below zero where it has more already. The most urgent ones may
-// queue for a while, the least urgent ones leave a slot free for others.
-func Free(v *cwbackend.View, rank, ranks int) int {
+// server takes, below zero where it has more already. Crowd is how many times
+// longer requests take at a crowded server. The most urgent ones may queue for a
+// while, the least urgent ones leave a slot free for others.
+func Free(v *cwbackend.View, rank, ranks int, crowd float64) int {
 	r := &v.Report
 	slots := v.SlotCount()
-	most := slots
+	useful := usefulSlots(slots, crowd)
+	most := useful
 
 	switch {
 	case ranks < 2:
 	case rank == 0:
-		most = slots + slots/2
+		most = useful + slots/2
 	case rank == ranks-1:
-		most = max(1, slots-1)
+		most = max(1, min(useful, slots-1))
 	}
 
 	return most - r.Running - r.Queued
 }
+
+// usefulSlots returns how many of a server's slots add to its throughput:
+// where crowding costs more than the last slots bring, those are left empty.
+func usefulSlots(slots int, crowd float64) int {
+	below := max(1, int(kneeShare*float64(slots)))
+	if float64(slots)/crowd < float64(below) {
+		return below
+	}
+
+	return slots
+}
