Heartbeats and connections at the size of 145 entry VMs

Each newcomer asked each peer that it was told of for the list of all; now seeds only. Peers of other domains get heartbeats by turns of 24. And: a server's connections were shared by a fixed 200 in place of the operator's figure, one a VM here, and having none left counted as the server's failure. Tests: TestTurn, TestSize, TestHeard.

--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -10,6 +10,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
 	"carobward.example/carobward/internal/cwframe"
+	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwpick"
 )
 
@@ -24,6 +25,12 @@
 // lookFailed notes a health check without an answer.
 func (r *request) lookFailed(s *cwbackend.Server, i carobward.Instance, err error) {
 	f := r.front
+
+	// That we have used up our part of its connections says nothing of it.
+	if errors.Is(err, cwlink.ErrConns) {
+		return
+	}
+
 	o := cwbackend.Broken
 	if cwframe.IsTimeout(err) || errors.Is(err, context.DeadlineExceeded) {
 		o = cwbackend.Silent
--- a/internal/cwgateway/state.go
+++ b/internal/cwgateway/state.go
@@ -79,9 +79,27 @@
 	}
 
 	g.front.SetRoutes(cwroutes.New(r))
+	g.link.SetConns(leastConns(r))
 	g.log.Info("A configuration is in force.", "version", r.Version, "index", it.Index)
 }
 
+// leastConns returns how many connections a server takes in any case.
+func leastConns(r *carobward.Routing) int {
+	least := 0
+
+	for _, s := range r.Services {
+		if s.Conns > 0 && (least == 0 || s.Conns < least) {
+			least = s.Conns
+		}
+	}
+
+	if least == 0 {
+		return connsFirst
+	}
+
+	return least
+}
+
 // addresses returns the addresses that a caller should use: those of the entry
 // VMs that take callers, of its own failure domain where there are enough.
 func (g *Gateway) addresses(domain carobward.Domain) []carobward.Address {
--- a/internal/cwlink/fleet.go
+++ b/internal/cwlink/fleet.go
@@ -25,6 +25,20 @@
 	defer l.mutex.Unlock()
 
 	l.fleet.set(size, now)
+	l.setShare()
+}
+
+// SetConns tells how many connections one server takes from all entry VMs.
+func (l *Link) SetConns(n int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	l.options.Conns = n
+	l.setShare()
+}
+
+// setShare sets this entry VM's part; the mutex is held.
+func (l *Link) setShare() {
 	l.share.Store(int64(max(1, l.options.Conns/max(1, l.fleet.size))))
 }
 
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -211,8 +211,8 @@
 		m.Table.told(node(o))
 	}
 
-	if !known || b.GetAsk() {
-		m.reply(from, !known, b.GetAsk())
+	if !known || b.GetAsk() || b.GetList() {
+		m.reply(from, !known, b.GetList())
 	}
 
 	if own := m.Mirror.State(); own.Behind(p.Copy) {
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -20,26 +20,29 @@
 
 	m.tellSeeds()
 
-	for {
+	for round := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-beat.C:
-			m.tellAll()
+			round++
+			m.tell(m.Table.turn(m.Clock.Now(), round))
 		case <-m.wake:
-			m.tellAll()
+			m.tell(m.Table.sendable(m.Clock.Now()))
 		case <-seed.C:
 			m.tellSeeds()
 		}
 	}
 }
 
-// tellAll sends a heartbeat to all peers.
-func (m *Mesh) tellAll() {
+// tell sends a heartbeat to some peers.
+func (m *Mesh) tell(peers []Peer) {
 	now := m.Clock.Now()
 	raw := m.encode(m.beat(now))
 
-	for _, p := range m.Table.sendable(now) {
+	for i := range peers {
+		p := &peers[i]
+
 		if !p.unknown() {
 			m.write(raw, p.Peers)
 
@@ -73,7 +76,7 @@
 
 	b := m.beat(m.Clock.Now())
 	b.Node = wireNode(m.Table.Self())
-	b.Ask = true
+	b.Ask, b.List = true, true
 
 	raw := m.encode(b)
 	for _, s := range seeds {
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -57,6 +57,10 @@
 	// liveTime is how long after its last heartbeat a peer counts as alive:
 	// two heartbeats and a half, so that one lost datagram does no harm.
 	liveTime = 2500 * time.Millisecond
+	// farMost is how many peers of other failure domains get a heartbeat at each
+	// turn; where there are more, they get it by turns and are alive for as
+	// many turns longer. All get what must be known at once.
+	farMost = 24
 	// keepTime is how long a peer that is not heard is still sent heartbeats
 	// to, and counts for the sharing of budgets: it may be cut off from this
 	// entry VM alone and serve callers.
@@ -115,21 +119,70 @@
 }
 
 // Live returns the peers that were heard lately, in the order of their names.
-func (t *Table) Live(now time.Time) []Peer { return t.within(now, liveTime) }
-
-func (t *Table) within(now time.Time, age time.Duration) []Peer {
+func (t *Table) Live(now time.Time) []Peer {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
 
+	far := liveTime * time.Duration(t.turns())
+
+	return t.filter(func(p *Peer) bool {
+		if p.Domain == t.self.Domain {
+			return now.Sub(p.Heard) < liveTime
+		}
+
+		return now.Sub(p.Heard) < far
+	})
+}
+
+// turns returns the number of turns in which all peers of other failure domains
+// get a heartbeat; the mutex is held.
+func (t *Table) turns() int {
+	far := 0
+
+	for _, p := range t.peers {
+		if p.Domain != t.self.Domain {
+			far++
+		}
+	}
+
+	return max(1, (far+farMost-1)/farMost)
+}
+
+// turn returns the peers that get a heartbeat in a round.
+func (t *Table) turn(now time.Time, round int) []Peer {
+	all := t.sendable(now)
+
+	t.mutex.RLock()
+	turns := t.turns()
+	t.mutex.RUnlock()
+
+	slices.SortFunc(all, byID)
+
+	list := all[:0]
+
+	for i := range all {
+		if all[i].Domain == t.self.Domain || (i+round)%turns == 0 {
+			list = append(list, all[i])
+		}
+	}
+
+	return list
+}
+
+func byID(a, b Peer) int { return cmp.Compare(a.ID, b.ID) }
+
+// filter returns the peers that are wanted, in the order of their names; the
+// mutex is held.
+func (t *Table) filter(want func(*Peer) bool) []Peer {
 	list := make([]Peer, 0, len(t.peers))
 
 	for _, p := range t.peers {
-		if now.Sub(p.Heard) < age {
+		if want(p) {
 			list = append(list, *p)
 		}
 	}
 
-	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, byID)
 
 	return list
 }
@@ -162,11 +215,11 @@
 // Size returns the number of entry VMs that a budget is shared by: the most
 // seen lately, since one that is out of sight may still spend.
 func (t *Table) Size(now time.Time) int {
-	n := 1 + len(t.within(now, keepTime))
-
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 
+	n := 1 + len(t.filter(func(p *Peer) bool { return now.Sub(p.Heard) < keepTime }))
+
 	if n >= t.size || now.Sub(t.sized) > keepTime {
 		t.size, t.sized = n, now
 	}
--- /dev/null
+++ b/internal/cwmesh/table_test.go
@@ -0,0 +1,107 @@
+package cwmesh
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"carobward.example/carobward"
+)
+
+// newTable returns a table with so many peers of each of three domains, all
+// heard at a time.
+func newTable(each int, heard time.Time) *Table {
+	t := NewTable(Node{ID: "self", Domain: "a"})
+
+	for i := range 3 * each {
+		domain := carobward.Domain("abc"[i%3 : i%3+1])
+		t.heard(Peer{
+			Node: Node{ID: carobward.VMID(fmt.Sprintf("vm-%d", i)), Domain: domain, Callers: "c", Peers: "p"},
+			Boot: 1, Heard: heard,
+		})
+	}
+
+	return t
+}
+
+// TestTurn wants each peer of our failure domain to get each heartbeat, and
+// each other one to get one for as long as it counts as alive.
+func TestTurn(t *testing.T) {
+	now := time.Now()
+
+	for name, each := range map[string]int{"a small fleet": 6, "a large one": 48} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(each, now)
+			turns := table.turns()
+			got := map[carobward.VMID]int{}
+
+			for round := range turns {
+				list := table.turn(now, round)
+				if far := len(list) - each; far > farMost+1 {
+					t.Errorf("%d peers of other domains in one turn", far)
+				}
+
+				for _, p := range list {
+					got[p.ID]++
+				}
+			}
+
+			for _, p := range table.Live(now) {
+				want := 1
+				if p.Domain == "a" {
+					want = turns
+				}
+
+				if got[p.ID] != want {
+					t.Errorf("%s of %s got %d heartbeats in %d turns", p.ID, p.Domain, got[p.ID], turns)
+				}
+			}
+
+			alive := now.Add(beatTime * time.Duration(2*turns))
+			if n := len(table.Live(alive)); n < 2*each {
+				t.Errorf("%d alive after two rounds of turns", n)
+			}
+		})
+	}
+}
+
+// TestSize wants the fleet to be shared by as many as were seen lately.
+func TestSize(t *testing.T) {
+	now := time.Now()
+	table := newTable(2, now)
+
+	for _, later := range []time.Duration{0, 10 * time.Second} {
+		if got := table.Size(now.Add(later)); got != 7 {
+			t.Errorf("%d after %s", got, later)
+		}
+	}
+
+	if got := table.Size(now.Add(2 * keepTime)); got != 1 {
+		t.Errorf("gone for long: %d", got)
+	}
+}
+
+// TestHeard wants a peer whose listeners are not known to stay unknown, and one
+// that was told of to be no one alive.
+func TestHeard(t *testing.T) {
+	now := time.Now()
+	table := NewTable(Node{ID: "self", Domain: "a"})
+
+	if table.heard(Peer{Node: Node{ID: "x"}, Boot: 1, Heard: now}) {
+		t.Error("a peer without listeners is known")
+	}
+
+	table.told(Node{ID: "x", Domain: "a", Callers: "c", Peers: "p"})
+
+	if len(table.Live(now)) != 0 || len(table.sendable(now)) != 1 {
+		t.Error("a peer that was told of is alive, or gets no heartbeat")
+	}
+
+	if !table.heard(Peer{Node: Node{ID: "x"}, Boot: 1, Heard: now}) || len(table.Live(now)) != 1 {
+		t.Error("a peer with known listeners is not alive when it is heard")
+	}
+
+	if len(table.sendable(now.Add(2*keepTime))) != 0 {
+		t.Error("a peer that is silent for long still gets heartbeats")
+	}
+}
