--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -106,6 +106,7 @@
 		Metrics:     carobward.Address(net.JoinHostPort(host, metricsPort)),
 		Seeds:       s.Seeds,
 		Key:         key[:],
+		First:       s.First,
 		Grace:       s.Bounds.Grace,
 		AnswerMost:  s.Bounds.AnswerMost,
 		ExtraShare:  s.Bounds.ExtraShare,
--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -48,6 +48,9 @@
 	Log    logr.Logger
 	// Changed is called with the changes that came from the store.
 	Changed func([]carobward.Item)
+	// Patience is how long after the start an entry VM without a copy waits for
+	// its peers' before it asks the store.
+	Patience time.Duration
 }
 
 // Follower asks the store.
@@ -62,6 +65,8 @@
 	back time.Duration
 	// failing is when the calls began to fail.
 	failing time.Time
+	// began is when the Follower was made.
+	began time.Time
 	// hold is until when removals are held back.
 	hold time.Time
 }
@@ -70,7 +75,7 @@
 func New(o Options) *Follower {
 	o.Log = o.Log.WithName("follow")
 
-	return &Follower{Options: o}
+	return &Follower{Options: o, began: o.Clock.Now()}
 }
 
 // Run follows until the context ends.
@@ -104,6 +109,10 @@
 		return true
 	}
 
+	if f.Mirror.State().Index == 0 && now.Sub(f.began) < f.Patience {
+		return false
+	}
+
 	self := f.Table.Self()
 	list := order(self, f.back > 0, f.Table.Live(now))
 	age := now.Sub(f.Mesh.Fresh())
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,7 +84,9 @@
 	Lookup  carobward.Address
 	Metrics carobward.Address
 	Seeds   []carobward.Address
-	Key     cwpeer.Key
+	// First tells that the whole fleet starts for the first time.
+	First bool
+	Key   cwpeer.Key
 	// Grace is the time that a stopping entry VM has.
 	Grace time.Duration
 	// AnswerMost is the longest time that callers keep an answer.
@@ -101,6 +104,20 @@
 	Log     logr.Logger
 }
 
+// firstTime is how long the first start of the whole fleet leaves to one entry VM
+// to ask the store for all. Callers come seconds later.
+const firstTime = 1200 * time.Millisecond
+
+// patience returns how long this entry VM waits for its peers' copy. Seeds do
+// not wait, so that the others find one that has it.
+func (o *Options) patience() time.Duration {
+	if !o.First || slices.Contains(o.Seeds, o.Self.Peers) {
+		return 0
+	}
+
+	return firstTime
+}
+
 // Gateway is one entry VM.
 type Gateway struct {
 	Options
@@ -151,6 +168,7 @@
 
 	g.follow = cwfollow.New(cwfollow.Options{
 		Feed: o.Adapter.Feed, Mirror: g.mirror, Mesh: g.mesh, Table: g.table, Clock: o.Clock, Log: o.Log, Changed: g.changed,
+		Patience: o.patience(),
 	})
 
 	g.gauges()
--- a/internal/cwgateway/gateway_test.go
+++ b/internal/cwgateway/gateway_test.go
@@ -437,6 +437,37 @@
 	}
 }
 
+// TestFirst wants the first start of a fleet to ask the store once, by its
+// seed, and an entry VM that finds no seed to ask all the same.
+func TestFirst(t *testing.T) {
+	f := newFleet(t)
+	f.upstream(t, "records", "i-1")
+	f.configure(safe("records"))
+
+	var asked atomic.Int64
+
+	first := func(o *cwgateway.Options) {
+		o.First = true
+		o.Adapter = platform.Adapter(f.address, func() { asked.Add(1) })
+	}
+
+	seed := f.start(t, "vm-1", func(o *cwgateway.Options) {
+		o.First, o.Seeds = true, []carobward.Address{o.Self.Peers}
+	})
+	next := f.start(t, "vm-2", first)
+
+	seed.waitReady(t)
+	next.waitReady(t)
+
+	alone := f.start(t, "vm-3", first, func(o *cwgateway.Options) { o.Seeds = []carobward.Address{free(t)} })
+	before := asked.Load()
+	alone.waitReady(t)
+
+	if asked.Load() == before {
+		t.Error("an entry VM without a seed did not ask the store")
+	}
+}
+
 // TestTurnedAway wants an entry VM that the store refuses to learn of a change
 // from the others.
 func TestTurnedAway(t *testing.T) {
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
 	"carobward.example/carobward"
@@ -150,15 +152,35 @@
 	}
 }
 
+// wholeMost is how many peers get all keys at once. Hundreds of servers are some
+// hundred kilobytes, and many newcomers at once would fill the link on which
+// callers are served; they find other peers, or the store.
+const wholeMost = 2
+
+// errBusy is the error of a peer that asks for all keys while others get them.
+const errBusy = errors.ConstError("mesh: other peers get all keys now")
+
 // Answers is the peers' service.
-type Answers struct{ Mesh *Mesh }
+type Answers struct {
+	Mesh *Mesh
+	// whole counts the peers that get all keys now.
+	whole atomic.Int32
+}
 
 // Changes returns the changes after an index.
 func (a *Answers) Changes(in *cwwire.ChangesRequest, out *cwwire.ChangesReply) error {
 	m := a.Mesh
 	out.Fresh = encodeFresh(m.Fresh(), m.Clock.Now())
-
 	c := m.Mirror.Since(carobward.StoreIndex(in.GetAfter()))
+
+	if c.Whole {
+		defer a.whole.Add(-1)
+
+		if a.whole.Add(1) > wholeMost {
+			return errBusy
+		}
+	}
+
 	out.Index, out.Whole = uint64(c.Index), c.Whole
 
 	for i := range c.Items {
