--- a/internal/cwentry/fuzz_test.go
+++ b/internal/cwentry/fuzz_test.go
@@ -70,7 +70,7 @@
 	}
 
 	for _, f := range call.Header {
-		if hop[f.Name] || strings.ContainsAny(f.Name, " \r\n:") || strings.ContainsAny(f.Value, "\r\n") {
+		if hop(f.Name) || strings.ContainsAny(f.Name, " \r\n:") || strings.ContainsAny(f.Value, "\r\n") {
 			t.Errorf("%q: field %q: %q", raw, f.Name, f.Value)
 		}
 	}
--- a/internal/cwentry/message.go
+++ b/internal/cwentry/message.go
@@ -19,34 +19,25 @@
 	ErrBody    = errors.ConstError("entry: the body is larger than the target allows")
 )
 
-// hop lists the fields that concern one connection only, RFC 9110, 7.6.1,
-// and those that this package writes itself, as the HTTP library spells them.
-var hop = map[string]bool{
-	"Connection":          true,
-	"Keep-Alive":          true,
-	"Proxy-Connection":    true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-	"Content-Length":      true,
-	"Host":                true,
-	"Expect":              true,
-	"X-Request-Id":        true,
-	"Carobward-Timeout":   true,
-	"Carobward-Ticket":    true,
-	"Carobward-Verdict":   true,
-	"Carobward-Attempt":   true,
-	"Carobward-Vm":        true,
-	"Carobward-Server":    true,
-	"Carobward-Retry-Ms":  true,
-	"Carobward-Report":    true,
+// own lists the fields that this package writes itself, as the HTTP library
+// spells them.
+var own = map[string]bool{
+	"X-Request-Id":       true,
+	"Carobward-Timeout":  true,
+	"Carobward-Ticket":   true,
+	"Carobward-Verdict":  true,
+	"Carobward-Attempt":  true,
+	"Carobward-Vm":       true,
+	"Carobward-Server":   true,
+	"Carobward-Retry-Ms": true,
+	"Carobward-Report":   true,
 	// The load is between the server and us.
 	"Endpoint-Load-Metrics": true,
 }
 
+// hop tells whether a field is not passed on.
+func hop(name string) bool { return cwframe.HopByHop(name) || own[name] }
+
 // call returns the request as it goes to a server, under its path and query.
 // Nothing in it refers to the library's buffers, so that it may outlive the
 // handler.
@@ -94,7 +85,7 @@
 	named := ctx.Request.Header.PeekAll(fasthttp.HeaderConnection)
 
 	return cwframe.Copy(ctx.Request.Header.All(), func(name []byte) bool {
-		return !hop[string(name)] && !nominated(named, name)
+		return !hop(string(name)) && !nominated(named, name)
 	})
 }
 
@@ -125,7 +116,7 @@
 
 	for i := range a.reply.Header {
 		f := &a.reply.Header[i]
-		if !hop[f.Name] && !nominated(named, []byte(f.Name)) {
+		if !hop(f.Name) && !nominated(named, []byte(f.Name)) {
 			resp.Header.Add(f.Name, f.Value)
 		}
 	}
--- a/internal/cwentry/request.go
+++ b/internal/cwentry/request.go
@@ -89,7 +89,7 @@
 // for a field in the trailer, too.
 func checkTrailer(ctx *fasthttp.RequestCtx) error {
 	for name := range ctx.Request.Header.Trailers() {
-		if hop[string(name)] {
+		if hop(string(name)) {
 			return ErrTrailer
 		}
 	}
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"slices"
 	"sync"
@@ -15,7 +14,6 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
@@ -201,137 +199,6 @@
 	return nil
 }
 
-// partMetrics names the listener without which an entry VM still serves.
-const partMetrics = "metrics"
-
-// listen opens all listeners and serves them.
-func (g *Gateway) listen(ctx context.Context, group *conc.WaitGroup) ([]net.Listener, error) {
-	peers := cwpeer.NewServer(g.Key, g.Log)
-	if err := peers.Register(cwmesh.Service, &cwmesh.Answers{Mesh: g.mesh}); err != nil {
-		return nil, err
-	}
-
-	small := func(h fasthttp.RequestHandler) func(net.Listener) error {
-		s := &fasthttp.Server{
-			Handler: h, ReadTimeout: listenTime, WriteTimeout: listenTime, ReduceMemoryUsage: true,
-			NoDefaultServerHeader: true, NoDefaultDate: true,
-		}
-
-		return s.Serve
-	}
-
-	parts := []struct {
-		name    string
-		address carobward.Address
-		serve   func(net.Listener) error
-	}{
-		{"callers", g.Self.Callers, g.front.Server().Serve},
-		{"ready", g.Ready, small(g.serveReady)},
-		{"lookup", g.Lookup, small(g.serveLookup)},
-		{"peers", g.Self.Peers, peers.Serve},
-		{partMetrics, g.Metrics, small(g.serveMetrics)},
-	}
-
-	var all []net.Listener
-
-	for _, p := range parts {
-		ln, err := net.Listen("tcp", string(p.address))
-		if err != nil && p.name == partMetrics {
-			// Callers are served without metrics, too.
-			g.log.Error(err, "The metrics are not served.")
-
-			continue
-		}
-
-		if err != nil {
-			return nil, errors.Annotate(err, p.name)
-		}
-
-		all = append(all, ln)
-
-		group.Go(func() {
-			if err := p.serve(ln); err != nil && ctx.Err() == nil {
-				g.log.Info("A listener ended.", "listener", p.name, "cause", err.Error())
-			}
-		})
-	}
-
-	group.Go(func() {
-		<-ctx.Done()
-		peers.Close()
-
-		for _, ln := range all {
-			_ = ln.Close()
-		}
-	})
-
-	return all, nil
-}
-
-// tick runs the systems over the tables.
-func (g *Gateway) tick(ctx context.Context) {
-	t := time.NewTicker(tickTime)
-	defer t.Stop()
-
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-
-		now := g.Clock.Now()
-		g.front.Tick(now)
-		g.link.Tick(now)
-		g.share(now)
-		g.measure()
-	}
-}
-
-// share tells the tables which entry VMs share the servers.
-func (g *Gateway) share(now time.Time) {
-	list := []cwbackend.VM{{ID: g.Self.ID, Domain: g.Self.Domain}}
-
-	for _, p := range g.table.Live(now) {
-		if p.State != cwmesh.Leaving {
-			list = append(list, cwbackend.VM{ID: p.ID, Domain: p.Domain})
-		}
-	}
-
-	g.servers.SetVMs(list)
-	g.link.SetFleet(g.table.Size(now), now)
-}
-
-// rateShare is the weight of one tick in the moving average of requests: the
-// average follows a change of load within two seconds.
-const rateShare = 0.1
-
-// measure follows this entry VM's requests a second.
-func (g *Gateway) measure() {
-	total := g.front.Total()
-	now := float64(total-g.counted) / tickTime.Seconds()
-	g.counted = total
-
-	old := math.Float64frombits(g.rate.Load())
-	rate := old + rateShare*(now-old)
-
-	g.rate.Store(math.Float64bits(rate))
-	g.mesh.SetRate(int(math.Round(rate)))
-}
-
-// part returns this entry VM's part of all requests. Each entry VM counts for
-// one request a second at least, so that one without any can begin.
-func (g *Gateway) part(now time.Time) float64 {
-	own := 1 + math.Float64frombits(g.rate.Load())
-	all := own
-
-	for _, p := range g.table.Live(now) {
-		all += 1 + float64(p.Rate)
-	}
-
-	return own / all
-}
-
 // ready tells the peers once there is a configuration and a list of servers.
 func (g *Gateway) ready() {
 	if g.mesh.State() == cwmesh.Starting && g.front.Routes() != nil && g.servers.Count() > 0 {
@@ -373,61 +240,3 @@
 
 	g.log.Info("Stopped.", "flight", g.front.Flight(), "took", g.Clock.Now().Sub(began).String())
 }
-
-func (g *Gateway) serveReady(ctx *fasthttp.RequestCtx) {
-	switch {
-	case string(ctx.Path()) != g.Adapter.ReadyPath:
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-	case !g.isReady():
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-	}
-}
-
-func (g *Gateway) serveLookup(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != g.Adapter.LookupPath {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-
-		return
-	}
-
-	domain := g.Adapter.Lookup.Domain(func(name string) string { return string(ctx.QueryArgs().Peek(name)) })
-	list := g.addresses(domain)
-
-	if len(list) == 0 {
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-
-		return
-	}
-
-	body, err := g.Adapter.Lookup.Answer(list, min(answerTime, g.AnswerMost))
-	if err != nil {
-		g.log.Error(err, "The answer which addresses to use could not be encoded.")
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-
-		return
-	}
-
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
-
-// gauges shows what is counted elsewhere.
-func (g *Gateway) gauges() {
-	g.metrics.Gauge("gateway", "flight", func() int64 { return int64(g.front.Flight()) })
-	g.metrics.Gauge("gateway", "servers", func() int64 { return int64(g.servers.Count()) })
-	g.metrics.Gauge("gateway", "peers", func() int64 { return int64(len(g.table.Live(g.Clock.Now()))) })
-	g.metrics.Gauge("gateway", "fresh", func() int64 { return g.Clock.Now().Sub(g.mesh.Fresh()).Milliseconds() })
-	g.metrics.Gauge("gateway", "dropped", g.Dropped)
-	g.metrics.Gauge("gateway", "version", func() int64 {
-		if t := g.front.Routes(); t != nil {
-			return int64(t.Version)
-		}
-
-		return 0
-	})
-}
-
-func (g *Gateway) serveMetrics(ctx *fasthttp.RequestCtx) {
-	ctx.SetContentType("application/json")
-	ctx.SetBodyString(g.metrics.String())
-}
--- /dev/null
+++ b/internal/cwgateway/listen.go
@@ -0,0 +1,123 @@
+package cwgateway
+
+import (
+	"context"
+	"net"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmesh"
+	"carobward.example/carobward/internal/cwpeer"
+)
+
+// partMetrics names the listener without which an entry VM still serves.
+const partMetrics = "metrics"
+
+// listen opens all listeners and serves them.
+func (g *Gateway) listen(ctx context.Context, group *conc.WaitGroup) ([]net.Listener, error) {
+	peers := cwpeer.NewServer(g.Key, g.Log)
+	if err := peers.Register(cwmesh.Service, &cwmesh.Answers{Mesh: g.mesh}); err != nil {
+		return nil, err
+	}
+
+	small := func(h fasthttp.RequestHandler) func(net.Listener) error {
+		s := &fasthttp.Server{
+			Handler: h, ReadTimeout: listenTime, WriteTimeout: listenTime, ReduceMemoryUsage: true,
+			NoDefaultServerHeader: true, NoDefaultDate: true,
+		}
+
+		return s.Serve
+	}
+
+	parts := []struct {
+		name    string
+		address carobward.Address
+		serve   func(net.Listener) error
+	}{
+		{"callers", g.Self.Callers, g.front.Server().Serve},
+		{"ready", g.Ready, small(g.serveReady)},
+		{"lookup", g.Lookup, small(g.serveLookup)},
+		{"peers", g.Self.Peers, peers.Serve},
+		{partMetrics, g.Metrics, small(g.serveMetrics)},
+	}
+
+	var all []net.Listener
+
+	for _, p := range parts {
+		ln, err := net.Listen("tcp", string(p.address))
+		if err != nil && p.name == partMetrics {
+			// Callers are served without metrics, too.
+			g.log.Error(err, "The metrics are not served.")
+
+			continue
+		}
+
+		if err != nil {
+			return nil, errors.Annotate(err, p.name)
+		}
+
+		all = append(all, ln)
+
+		group.Go(func() {
+			if err := p.serve(ln); err != nil && ctx.Err() == nil {
+				g.log.Info("A listener ended.", "listener", p.name, "cause", err.Error())
+			}
+		})
+	}
+
+	group.Go(func() {
+		<-ctx.Done()
+		peers.Close()
+
+		for _, ln := range all {
+			_ = ln.Close()
+		}
+	})
+
+	return all, nil
+}
+
+func (g *Gateway) serveReady(ctx *fasthttp.RequestCtx) {
+	switch {
+	case string(ctx.Path()) != g.Adapter.ReadyPath:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	case !g.isReady():
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+func (g *Gateway) serveLookup(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != g.Adapter.LookupPath {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+
+		return
+	}
+
+	domain := g.Adapter.Lookup.Domain(func(name string) string { return string(ctx.QueryArgs().Peek(name)) })
+	list := g.addresses(domain)
+
+	if len(list) == 0 {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+
+		return
+	}
+
+	body, err := g.Adapter.Lookup.Answer(list, min(answerTime, g.AnswerMost))
+	if err != nil {
+		g.log.Error(err, "The answer which addresses to use could not be encoded.")
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+
+		return
+	}
+
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func (g *Gateway) serveMetrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString(g.metrics.String())
+}
--- /dev/null
+++ b/internal/cwgateway/tick.go
@@ -0,0 +1,90 @@
+package cwgateway
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"carobward.example/carobward/internal/cwbackend"
+	"carobward.example/carobward/internal/cwmesh"
+)
+
+// tick runs the systems over the tables.
+func (g *Gateway) tick(ctx context.Context) {
+	t := time.NewTicker(tickTime)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+
+		now := g.Clock.Now()
+		g.front.Tick(now)
+		g.link.Tick(now)
+		g.share(now)
+		g.measure()
+	}
+}
+
+// share tells the tables which entry VMs share the servers.
+func (g *Gateway) share(now time.Time) {
+	list := []cwbackend.VM{{ID: g.Self.ID, Domain: g.Self.Domain}}
+
+	for _, p := range g.table.Live(now) {
+		if p.State != cwmesh.Leaving {
+			list = append(list, cwbackend.VM{ID: p.ID, Domain: p.Domain})
+		}
+	}
+
+	g.servers.SetVMs(list)
+	g.link.SetFleet(g.table.Size(now), now)
+}
+
+// rateShare is the weight of one tick in the moving average of requests: the
+// average follows a change of load within two seconds.
+const rateShare = 0.1
+
+// measure follows this entry VM's requests a second.
+func (g *Gateway) measure() {
+	total := g.front.Total()
+	now := float64(total-g.counted) / tickTime.Seconds()
+	g.counted = total
+
+	old := math.Float64frombits(g.rate.Load())
+	rate := old + rateShare*(now-old)
+
+	g.rate.Store(math.Float64bits(rate))
+	g.mesh.SetRate(int(math.Round(rate)))
+}
+
+// part returns this entry VM's part of all requests. Each entry VM counts for
+// one request a second at least, so that one without any can begin.
+func (g *Gateway) part(now time.Time) float64 {
+	own := 1 + math.Float64frombits(g.rate.Load())
+	all := own
+
+	for _, p := range g.table.Live(now) {
+		all += 1 + float64(p.Rate)
+	}
+
+	return own / all
+}
+
+// gauges shows what is counted elsewhere.
+func (g *Gateway) gauges() {
+	g.metrics.Gauge("gateway", "flight", func() int64 { return int64(g.front.Flight()) })
+	g.metrics.Gauge("gateway", "servers", func() int64 { return int64(g.servers.Count()) })
+	g.metrics.Gauge("gateway", "peers", func() int64 { return int64(len(g.table.Live(g.Clock.Now()))) })
+	g.metrics.Gauge("gateway", "fresh", func() int64 { return g.Clock.Now().Sub(g.mesh.Fresh()).Milliseconds() })
+	g.metrics.Gauge("gateway", "dropped", g.Dropped)
+	g.metrics.Gauge("gateway", "version", func() int64 {
+		if t := g.front.Routes(); t != nil {
+			return int64(t.Version)
+		}
+
+		return 0
+	})
+}
