--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -161,7 +161,7 @@
 		w.pause(t, v)
 	}
 
-	time.Sleep(time.Duration(50+w.random.IntN(300)) * time.Millisecond)
+	<-time.After(time.Duration(50+w.random.IntN(300)) * time.Millisecond)
 }
 
 // replace ends a process and starts the next one.
@@ -186,7 +186,7 @@
 	const longest = 1500
 
 	v.Process().Signal(t, syscall.SIGSTOP)
-	time.Sleep(time.Duration(w.random.IntN(longest)) * time.Millisecond)
+	<-time.After(time.Duration(w.random.IntN(longest)) * time.Millisecond)
 	v.Process().Signal(t, syscall.SIGCONT)
 }
 
