--- a/internal/cwbackend/backend_test.go
+++ b/internal/cwbackend/backend_test.go
@@ -46,7 +46,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newServer(backend(1, "a"), start)
 			for _, o := range c.outcomes {
-				s.End(s.Begin(start), start, o, usual)
+				s.End(s.Begin(start), start, o)
 			}
 
 			got := time.Duration(0)
@@ -65,11 +65,11 @@
 func TestBlockedAgain(t *testing.T) {
 	s := newServer(backend(1, "a"), start)
 	for _, o := range []Outcome{Broken, Broken, Broken, Answered} {
-		s.End(s.Begin(start), start, o, usual)
+		s.End(s.Begin(start), start, o)
 	}
 
 	later := start.Add(time.Minute)
-	s.End(s.Begin(later), later, Broken, usual)
+	s.End(s.Begin(later), later, Broken)
 
 	if !s.View(later, usual).Blocked || s.View(later.Add(blockFirst), usual).Blocked {
 		t.Error("the failures before the answer still count")
@@ -79,7 +79,7 @@
 // TestLooked wants a good health check not to excuse failed requests.
 func TestLooked(t *testing.T) {
 	s := newServer(backend(1, "a"), start)
-	s.End(s.Begin(start), start, Broken, usual)
+	s.End(s.Begin(start), start, Broken)
 	s.Looked(start, Answered)
 
 	if !s.View(start, usual).Blocked {
@@ -102,7 +102,7 @@
 		t.Error("overdue after the wrong time")
 	}
 
-	s.End(number, start.Add(5*usual), Answered, usual)
+	s.End(number, start.Add(5*usual), Answered)
 
 	if s.View(start.Add(9*usual), usual).Overdue {
 		t.Error("overdue though it was answered")
@@ -115,7 +115,7 @@
 	table.Put([]carobward.Backend{backend(1, "a")}, nil, start)
 
 	old := table.Views("records", start, usual)[0].Server
-	old.End(old.Begin(start), start, Broken, usual)
+	old.End(old.Begin(start), start, Broken)
 
 	next := backend(2, "a")
 	next.Address = backend(1, "a").Address
--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -48,10 +48,6 @@
 	refusedTime = 100 * time.Millisecond
 	// trustShare is the weight of one outcome in the share of failures.
 	trustShare = 0.2
-	// lagShare is the weight of one answer in a server's lag. Machines that are
-	// slow for seconds are found after two or three answers; single slow ones
-	// are common.
-	lagShare = 0.35
 	// overdueFactor is how many usual times without an answer make a request
 	// at a server overdue, which speaks against sending another one there.
 	overdueFactor = 4
@@ -119,19 +115,12 @@
 	return s.seq
 }
 
-// End notes how a request ended. Usual is the usual time of a request.
-func (s *Server) End(number int64, now time.Time, o Outcome, usual time.Duration) {
+// End notes how a request ended.
+func (s *Server) End(number int64, now time.Time, o Outcome) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	took := now.Sub(s.out[number])
 	delete(s.out, number)
-
-	// Also one that was given up took so long at least.
-	if ratio := float64(took) / float64(max(usual, 1)); o == Answered || ratio > s.lag {
-		s.lag += lagShare * (ratio - s.lag)
-	}
-
 	s.learn(now, o)
 }
 
@@ -187,9 +176,6 @@
 	Overdue bool
 	// Trouble is the share of our requests that failed lately.
 	Trouble float64
-	// Lag is how many usual times our requests took there lately, 0 where
-	// there were none.
-	Lag float64
 	// Domain is its failure domain, Address where it listens.
 	Domain  carobward.Domain
 	Address carobward.Address
@@ -226,7 +212,7 @@
 
 	v := View{
 		Server: s, Leaving: s.backend.Leaving, Blocked: now.Before(s.blocked), Warming: now.Before(s.warm),
-		Slots: max(1, s.backend.Slots), Own: len(s.out), Trouble: s.trouble, Lag: s.lag, Domain: s.backend.Domain, Address: s.backend.Address, Report: s.report,
+		Slots: max(1, s.backend.Slots), Own: len(s.out), Trouble: s.trouble, Domain: s.backend.Domain, Address: s.backend.Address, Report: s.report,
 	}
 
 	for _, began := range s.out {
--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -102,7 +102,7 @@
 
 	end := f.Clock.Now()
 	outcome := r.outcome(ctx)
-	l.view.Server.End(number, end, outcome, r.usual())
+	l.view.Server.End(number, end, outcome)
 
 	if r.reply != nil {
 		l.view.Server.SetReport(r.reply.Report)
