The list of entry VMs lies in the store; bodies within the operator's limit

Cause: a newcomer whose seeds are all gone found no peer: it served nobody and watched the store for itself. The first watcher writes the list when it lacks one that lives; all have it by their copy.

--- a/feed.go
+++ b/feed.go
@@ -40,8 +40,14 @@
 	// none after the wait. It returns ErrHistory, ErrStoreRefused or
 	// ErrStoreDown.
 	Watch(ctx context.Context, after StoreIndex, wait time.Duration) (Changes, error)
+	// Write writes a key of ours. It returns ErrStoreRefused if nothing was
+	// written, and ErrStoreUnknown where that is not known.
+	Write(ctx context.Context, key Key, value []byte) error
 }
 
+// KeyFleet has the list of entry VMs. Its value is ours.
+const KeyFleet Key = "carobward/fleet"
+
 // ErrStoreRefused is the error of a store that answers, but does not serve this
 // VM now.
 const ErrStoreRefused = errors.ConstError("store: refused")
--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -30,6 +30,9 @@
 	// Calls to a store that is away are paid for, too.
 	backFirst = 150 * time.Millisecond
 	backMost  = 1200 * time.Millisecond
+	// writeTime is the least time between writes of the list of entry VMs, and
+	// from the start to the first: the fleet has found itself by then.
+	writeTime = 3 * time.Second
 	// outageTime is how long calls have to fail before the store's list of
 	// servers may have lost entries of servers that live.
 	outageTime = 1500 * time.Millisecond
@@ -65,8 +68,10 @@
 	back time.Duration
 	// failing is when the calls began to fail.
 	failing time.Time
-	// began is when the Follower was made.
+	// began is when the Follower was made, wrote when it last wrote the list of
+	// entry VMs.
 	began time.Time
+	wrote time.Time
 	// hold is until when removals are held back.
 	hold time.Time
 }
@@ -188,6 +193,8 @@
 	f.Mesh.Tell()
 
 	if len(c.Items) == 0 {
+		f.writeFleet(ctx, now)
+
 		return
 	}
 
@@ -196,6 +203,41 @@
 	pause(ctx, gatherTime)
 }
 
+// writeFleet writes the list of entry VMs to the store if it lacks one that
+// lives. A newcomer whose seeds are all gone finds the others by it.
+func (f *Follower) writeFleet(ctx context.Context, now time.Time) {
+	self := f.Table.Self()
+	list := order(self, false, f.Table.Live(now))
+
+	if list[0] != self.ID || now.Sub(f.wrote) < writeTime || now.Sub(f.began) < writeTime {
+		return
+	}
+
+	known, err := cwmesh.DecodeFleet(f.Mirror.Get(carobward.KeyFleet))
+	if err != nil {
+		f.Log.Error(err, "The list of entry VMs can't be read, it is written anew.")
+	}
+
+	if !f.Table.Lacks(known, now) {
+		return
+	}
+
+	f.wrote = now
+	raw, err := f.Table.EncodeFleet(now)
+
+	if err == nil {
+		err = f.Feed.Write(ctx, carobward.KeyFleet, raw)
+	}
+
+	if err != nil {
+		f.Log.Info("The list of entry VMs could not be written.", "cause", err.Error())
+
+		return
+	}
+
+	f.Log.Info("Wrote the list of entry VMs.", "others", len(list)-1)
+}
+
 // regained notes that the store answers. After an outage its list may lack
 // servers that live, which have to write their entries again; for a while a
 // missing entry proves nothing.
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -76,8 +76,9 @@
 	// idleTime is how long a connection waits for its next request: longer
 	// than the operator's limit, so that no request crosses our close.
 	idleTime = 60 * time.Second
-	// bufferBytes is the buffer a connection; it bounds the request header.
-	bufferBytes = 16 << 10
+	// bufferBytes is the buffer a connection. It bounds the request line and
+	// header, which the operators allow 16 KB.
+	bufferBytes = 20 << 10
 	// connsMost bounds the callers' connections, well below the descriptors
 	// that a VM has.
 	connsMost = 2400
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -16,6 +16,7 @@
 	ErrStarting = errors.ConstError("this entry VM has no configuration yet")
 	ErrNoRoute  = errors.ConstError("no route has this host and path")
 	ErrFrame    = errors.ConstError("the request's header could be understood in two ways")
+	ErrBody     = errors.ConstError("the request's body is larger than the operator allows")
 	ErrID       = errors.ConstError("the request has no id")
 	ErrFull     = errors.ConstError("no server has room now")
 	ErrShed     = errors.ConstError("the server refused it, and no further send is allowed")
@@ -107,12 +108,17 @@
 	return r
 }
 
-// check refuses a request that a server could understand differently.
+// check refuses a request that is too large, or that a server could understand
+// differently.
 func (r *request) check(ctx *fasthttp.RequestCtx) error {
 	if err := cwframe.Check(ctx.Request.Header.RawHeaders()); err != nil {
 		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, errors.Annotate(err, ErrFrame.Error()))
 	}
 
+	if most := r.routes.Limits.Body; most > 0 && carobward.ByteCount(len(ctx.Request.Body())) > most {
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusRequestEntityTooLarge, 0, ErrBody)
+	}
+
 	if r.id == "" {
 		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, ErrID)
 	}
--- a/internal/cwgateway/gateway_test.go
+++ b/internal/cwgateway/gateway_test.go
@@ -77,6 +77,28 @@
 	}
 }
 
+// TestLargeBody wants a body above the operator's limit to be refused.
+func TestLargeBody(t *testing.T) {
+	const limit = 1 << 20 // That of the stand-in's configuration.
+
+	f := newFleet(t)
+	u := f.upstream(t, "fees", "i-1")
+	f.configure(unsafe())
+
+	v := f.start(t, "vm-1")
+	v.waitReady(t)
+
+	for size, want := range map[int]int{limit: http.StatusOK, limit + 1: http.StatusRequestEntityTooLarge} {
+		if got := v.ask(http.MethodPost, charging, fmt.Sprint("id-", size), strings.Repeat("a", size)); got.status != want {
+			t.Errorf("%d bytes: status %d, %v", size, got.status, got.err)
+		}
+	}
+
+	if n := len(u.Runs()); n != 1 {
+		t.Errorf("%d requests ran", n)
+	}
+}
+
 // TestClosing wants a server that ends the connection of a health check to get
 // the request over another one.
 func TestClosing(t *testing.T) {
--- a/internal/cwgateway/know_test.go
+++ b/internal/cwgateway/know_test.go
@@ -181,6 +181,31 @@
 	}
 }
 
+// TestSeedsGone wants a newcomer whose seeds are all gone to find the others by
+// the store, and they it.
+func TestSeedsGone(t *testing.T) {
+	f := newFleet(t)
+	f.upstream(t, "records", "i-1")
+	f.configure(safe("records"))
+
+	first := f.start(t, "vm-1")
+	first.waitReady(t)
+	f.start(t, "vm-2").waitReady(t)
+
+	gone := func(o *cwgateway.Options) { o.Seeds = []carobward.Address{free(t)} }
+
+	cwtest.Wait(t, "the list in the store", func() bool { return f.store.Has(string(carobward.KeyFleet)) })
+
+	late := f.start(t, "vm-3", gone)
+	late.waitReady(t)
+
+	for _, v := range []*vm{first, late} {
+		cwtest.Wait(t, "all three", func() bool {
+			return strings.Count(get(v.options.Lookup, platform.PathLookup+"?zone=a").body, "127.0.0.1") == 3
+		})
+	}
+}
+
 // TestTurnedAway wants an entry VM that the store refuses to learn of a change
 // from the others.
 func TestTurnedAway(t *testing.T) {
--- a/internal/cwgateway/listen.go
+++ b/internal/cwgateway/listen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
@@ -89,6 +90,15 @@
 	}
 }
 
+// keep returns for how long callers may keep an answer which addresses to use.
+// Some keep it three times as long, and must be gone when a stopping entry VM
+// takes no more connections.
+func (g *Gateway) keep() time.Duration {
+	const longest = 3.2
+
+	return min(answerTime, g.AnswerMost, time.Duration(serveShare*float64(g.Grace)/longest))
+}
+
 func (g *Gateway) serveLookup(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != g.Adapter.LookupPath {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -105,7 +115,7 @@
 		return
 	}
 
-	body, err := g.Adapter.Lookup.Answer(list, min(answerTime, g.AnswerMost))
+	body, err := g.Adapter.Lookup.Answer(list, g.keep())
 	if err != nil {
 		g.log.Error(err, "The answer which addresses to use could not be encoded.")
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
--- a/internal/cwgateway/state.go
+++ b/internal/cwgateway/state.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmesh"
 	"carobward.example/carobward/internal/cwroutes"
 )
 
@@ -26,6 +27,8 @@
 		switch {
 		case g.Adapter.IsRouting(it.Key):
 			g.configure(it)
+		case it.Key == carobward.KeyFleet && !it.Gone:
+			g.told(it)
 		case !g.Adapter.IsBackend(it.Key):
 		case it.Gone:
 			instance := g.Adapter.Instance(it.Key)
@@ -53,6 +56,19 @@
 	g.ready()
 }
 
+// told takes the list of entry VMs that the store has.
+func (g *Gateway) told(it *carobward.Item) {
+	list, err := cwmesh.DecodeFleet(it.Value)
+	if err != nil {
+		g.log.Error(err, "The list of entry VMs can't be read.", "index", it.Index)
+
+		return
+	}
+
+	g.table.Told(list)
+	g.mesh.Tell()
+}
+
 // configure puts a configuration in force if it is newer than the one there.
 func (g *Gateway) configure(it *carobward.Item) {
 	if it.Gone {
--- a/internal/cwmirror/mirror.go
+++ b/internal/cwmirror/mirror.go
@@ -45,6 +45,14 @@
 	return m.state
 }
 
+// Get returns the value of a key, or nil.
+func (m *Mirror) Get(key carobward.Key) []byte {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	return m.items[key].Value
+}
+
 // Apply takes changes and returns those that were new. Hold keeps keys that
 // were removed, and with them Index, for a time in which removals by the store
 // prove nothing.
--- a/internal/cwstand/metadata.go
+++ b/internal/cwstand/metadata.go
@@ -105,6 +105,16 @@
 	m.changed = make(chan struct{})
 }
 
+// Has tells whether there is a key.
+func (m *Metadata) Has(key string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	_, ok := m.items[key]
+
+	return ok
+}
+
 // Compact drops the history up to now.
 func (m *Metadata) Compact() {
 	m.mutex.Lock()
@@ -167,6 +177,8 @@
 		m.list(ctx)
 	case string(ctx.Path()) == "/api/kv-watch":
 		m.watch(ctx)
+	case string(ctx.Path()) == "/api/kv-txn":
+		m.write(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -249,6 +261,29 @@
 	}
 }
 
+// write takes a transaction without conditions.
+func (m *Metadata) write(ctx *fasthttp.RequestCtx) {
+	var t struct {
+		Writes []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+		} `json:"writes"`
+	}
+
+	if err := json.Unmarshal(ctx.PostBody(), &t); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+
+		return
+	}
+
+	revision := uint64(0)
+	for _, w := range t.Writes {
+		revision = m.Put(w.Key, w.Value)
+	}
+
+	writeJSON(ctx, map[string]any{"revision": revision})
+}
+
 // since returns the changes after a revision, and whether they are lost.
 func (m *Metadata) since(prefix string, after uint64) ([]metadataItem, uint64, bool, <-chan struct{}) {
 	m.mutex.Lock()
