--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -64,9 +64,7 @@
 	// requests that failed.
 	failures int
 	trouble  float64
-	// lag is the moving average of the times of answers, in usual times.
-	lag     float64
-	blocked time.Time
+	blocked  time.Time
 	// out has the start of each of our requests at the server.
 	out map[int64]time.Time
 	seq int64
