--- a/internal/cwlink/hold.go
+++ b/internal/cwlink/hold.go
@@ -16,8 +16,6 @@
 	link *Link
 	pool *pool
 	conn *conn
-	// Dialed tells that the connection was opened for this caller.
-	Dialed bool
 	// whole tells that nothing is outstanding on the connection, so that it
 	// may carry another call.
 	whole bool
@@ -32,12 +30,12 @@
 		return nil, notRun(err)
 	}
 
-	c, dialed, err := l.conn(ctx, p, deadline, fresh)
+	c, err := l.conn(ctx, p, deadline, fresh)
 	if err != nil {
 		return nil, notRun(err)
 	}
 
-	return &Held{link: l, pool: p, conn: c, Dialed: dialed, whole: true}, nil
+	return &Held{link: l, pool: p, conn: c, whole: true}, nil
 }
 
 // HasIdle tells whether there is an idle connection to a server that may be
@@ -96,10 +94,10 @@
 	}
 }
 
-// conn returns an idle connection, or opens one and returns true.
-func (l *Link) conn(ctx context.Context, p *pool, deadline time.Time, fresh bool) (*conn, bool, error) {
+// conn returns an idle connection, or opens one.
+func (l *Link) conn(ctx context.Context, p *pool, deadline time.Time, fresh bool) (*conn, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, false, err
+		return nil, err
 	}
 
 	now := l.clock.Now()
@@ -111,7 +109,7 @@
 
 	c, err := p.take(now, keep, l.most())
 	if c != nil || err != nil {
-		return c, false, err
+		return c, err
 	}
 
 	d := net.Dialer{Deadline: now.Add(min(l.options.Dial, deadline.Sub(now)))}
@@ -120,8 +118,8 @@
 	if err != nil {
 		p.drop(nil)
 
-		return nil, false, errors.Annotate(err, "link")
+		return nil, errors.Annotate(err, "link")
 	}
 
-	return &conn{Conn: n}, true, nil
+	return &conn{Conn: n}, nil
 }
--- a/internal/cwlink/link_bench_test.go
+++ b/internal/cwlink/link_bench_test.go
@@ -60,7 +60,7 @@
 			before := heap()
 
 			for range n {
-				c, _, err := l.conn(context.Background(), p, fresh.Deadline, fresh.Fresh)
+				c, err := l.conn(context.Background(), p, fresh.Deadline, fresh.Fresh)
 				if err != nil {
 					b.Fatal(err)
 				}
