A copy takes newer items from an older list; changes are sent to few at once

All watched for changes of some hundred kilobytes were fetched from one peer at once, over 10 Mbit/s. And a VM that is behind took the store for having been out though others had heard from it. Test: a row of TestApply, seen failing.

--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -240,14 +240,15 @@
 
 // regained notes that the store answers. After an outage its list may lack
 // servers that live, which have to write their entries again; for a while a
-// missing entry proves nothing.
+// missing entry proves nothing. Where the store served others meanwhile there was
+// no outage.
 func (f *Follower) regained(now time.Time) {
 	if f.back == 0 {
 		return
 	}
 
 	away := now.Sub(f.failing)
-	stale := now.Sub(f.Mesh.Fresh()) > outageTime
+	stale := now.Sub(f.Mesh.Word()) > outageTime
 	f.back = 0
 	f.Mesh.SetAway(false)
 
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -65,8 +65,10 @@
 	work    conc.WaitGroup
 
 	mutex sync.Mutex
-	// fresh is when the copy was last known to be the newest.
+	// fresh is when the copy was last known to be the newest, and word when the
+	// store last answered anybody, as far as was heard.
 	fresh time.Time
+	word  time.Time
 	// seeded has the seeds that have not answered yet.
 	seeded map[carobward.Address]bool
 	// pulling tells that a fetch is under way.
@@ -135,6 +137,36 @@
 	if at.After(m.fresh) {
 		m.fresh = at
 	}
+
+	m.hear(at)
+}
+
+// hear notes when the store answered somebody; the mutex is held.
+func (m *Mesh) hear(at time.Time) {
+	if at.After(m.word) {
+		m.word = at
+	}
+}
+
+// Word returns when the store last answered anybody, as far as was heard, or
+// the zero time. It may be newer than Fresh: this entry VM may be behind.
+func (m *Mesh) Word() time.Time {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	return m.word
+}
+
+// heard takes the age of a peer's copy.
+func (m *Mesh) heard(age uint32, now time.Time) {
+	if age == 0 {
+		return
+	}
+
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	m.hear(now.Add(-time.Duration(age-1) * time.Millisecond))
 }
 
 // Fresh returns when the copy was last known to be the newest, or the zero
@@ -215,6 +247,8 @@
 		m.reply(from, !known, b.GetList())
 	}
 
+	m.heard(b.GetFresh(), now)
+
 	if own := m.Mirror.State(); own.Behind(p.Copy) {
 		m.pull(ctx, carobward.Address(from.String()), "heartbeat of "+b.GetId())
 	} else if f := b.GetFresh(); f > 0 {
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -152,19 +152,23 @@
 	}
 }
 
-// wholeMost is how many peers get all keys at once. Hundreds of servers are some
-// hundred kilobytes, and many newcomers at once would fill the link on which
-// callers are served; they find other peers, or the store.
-const wholeMost = 2
+// bytesMost bounds the bytes that are being sent to peers at once. Some hundred
+// kilobytes to each of a hundred peers would fill the link on which callers are
+// served; those that are refused find other peers, or the store. One reply may
+// be larger.
+const bytesMost = 256 << 10
 
-// errBusy is the error of a peer that asks for all keys while others get them.
-const errBusy = errors.ConstError("mesh: other peers get all keys now")
+// byteTime is the time of one byte on the slowest link, of 10 Mbit/s.
+const byteTime = 800 * time.Nanosecond
+
+// errBusy is the error of a peer that asks while others get too much.
+const errBusy = errors.ConstError("mesh: other peers are being sent changes")
 
 // Answers is the peers' service.
 type Answers struct {
 	Mesh *Mesh
-	// whole counts the peers that get all keys now.
-	whole atomic.Int32
+	// bytes counts what is being sent.
+	bytes atomic.Int64
 }
 
 // Changes returns the changes after an index.
@@ -173,14 +177,21 @@
 	out.Fresh = encodeFresh(m.Fresh(), m.Clock.Now())
 	c := m.Mirror.Since(carobward.StoreIndex(in.GetAfter()))
 
-	if c.Whole {
-		defer a.whole.Add(-1)
+	size := int64(0)
+	for i := range c.Items {
+		size += int64(len(c.Items[i].Key) + len(c.Items[i].Value))
+	}
+
+	if now := a.bytes.Add(size); now > bytesMost && now > size {
+		a.bytes.Add(-size)
 
-		if a.whole.Add(1) > wholeMost {
-			return errBusy
-		}
+		return errBusy
 	}
 
+	// The reply leaves after this returns; it is under way for about as long as
+	// its bytes take on a slow link.
+	time.AfterFunc(time.Duration(size)*byteTime, func() { a.bytes.Add(-size) })
+
 	out.Index, out.Whole = uint64(c.Index), c.Whole
 
 	for i := range c.Items {
--- a/internal/cwmirror/mirror.go
+++ b/internal/cwmirror/mirror.go
@@ -60,14 +60,11 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	if c.Index < m.state.Index {
-		return nil // An older list says nothing of what came since.
-	}
-
 	var fresh []carobward.Item
 
 	for _, it := range c.Items {
-		if it.Gone && hold {
+		// Up to Index the copy is complete: what it lacks was removed.
+		if it.Index <= m.state.Index || it.Gone && hold {
 			continue
 		}
 
@@ -76,7 +73,9 @@
 		}
 	}
 
-	if hold {
+	// A list that is complete up to an older index says nothing of keys that it
+	// lacks.
+	if hold || c.Index < m.state.Index {
 		return fresh
 	}
 
--- a/internal/cwmirror/mirror_test.go
+++ b/internal/cwmirror/mirror_test.go
@@ -56,7 +56,11 @@
 		"a removal is held back": {[]carobward.Changes{changes(4, item("a", 1), gone("a", 4), item("b", 3))}, true, []string{"a", "b"}, State{0, 3}},
 		"a list without a key":   {[]carobward.Changes{whole(3, item("a", 1)), whole(5, item("b", 4))}, false, []string{"b"}, State{5, 5}},
 		"an older list":          {[]carobward.Changes{whole(5, item("b", 4)), whole(3, item("a", 1))}, false, []string{"b"}, State{5, 5}},
-		"a key comes back":       {[]carobward.Changes{changes(2, gone("a", 2)), changes(3, item("a", 3))}, false, []string{"a"}, State{3, 3}},
+		"an older list with newer items": {
+			[]carobward.Changes{whole(5, item("b", 4)), changes(3, item("c", 7))},
+			false, []string{"b", "c"}, State{5, 7},
+		},
+		"a key comes back": {[]carobward.Changes{changes(2, gone("a", 2)), changes(3, item("a", 3))}, false, []string{"a"}, State{3, 3}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := New()
