--- a/internal/cwsite/site.go
+++ b/internal/cwsite/site.go
@@ -15,6 +15,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/platform"
 )
 
 // Gateway is one entry VM of the users' platform, as a process of its own.
@@ -40,9 +41,7 @@
 
 // IsReady tells whether it says that it takes callers.
 func (g *Gateway) IsReady() bool {
-	const path = "/api/readiness"
-
-	status, _, err := fasthttp.Get(nil, "http://"+string(g.Ready)+path)
+	status, _, err := fasthttp.Get(nil, "http://"+string(g.Ready)+platform.PathReady)
 
 	return err == nil && status == fasthttp.StatusOK
 }
