Ages of messages are decoded in one place; an unread field goes

The age of a peer's copy was turned into a time in three places, a heartbeat got its sender's Node in three, and a server's joining time was never read. Behaviour stays.

--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -57,7 +57,6 @@
 type Server struct {
 	mutex   sync.Mutex
 	backend carobward.Backend
-	joined  time.Time
 	warm    time.Time
 	report  carobward.Report
 	// failures counts the failures in a row, trouble is the moving share of
@@ -71,7 +70,7 @@
 }
 
 func newServer(b carobward.Backend, now time.Time) *Server {
-	return &Server{backend: b, joined: now, warm: now.Add(b.Warmup), out: map[int64]time.Time{}}
+	return &Server{backend: b, warm: now.Add(b.Warmup), out: map[int64]time.Time{}}
 }
 
 // Backend returns the server as the platform's list shows it.
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -157,16 +157,12 @@
 	return m.word
 }
 
-// heard takes the age of a peer's copy.
-func (m *Mesh) heard(age uint32, now time.Time) {
-	if age == 0 {
-		return
-	}
-
+// heard notes when the store answered a peer.
+func (m *Mesh) heard(at time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	m.hear(now.Add(-time.Duration(age-1) * time.Millisecond))
+	m.hear(at)
 }
 
 // Fresh returns when the copy was last known to be the newest, or the zero
@@ -187,6 +183,16 @@
 	return uint32(max(0, now.Sub(fresh).Milliseconds())) + 1
 }
 
+// decodeFresh returns the time that an age of a message speaks of, or the zero
+// time, which is older than any.
+func decodeFresh(age uint32, now time.Time) time.Time {
+	if age == 0 {
+		return time.Time{}
+	}
+
+	return now.Add(-time.Duration(age-1) * time.Millisecond)
+}
+
 func (m *Mesh) receive(ctx context.Context) {
 	buffer := make([]byte, datagramMost)
 
@@ -247,13 +253,14 @@
 		m.reply(from, !known, b.GetList())
 	}
 
-	m.heard(b.GetFresh(), now)
+	fresh := decodeFresh(b.GetFresh(), now)
+	m.heard(fresh)
 
 	if own := m.Mirror.State(); own.Behind(p.Copy) {
 		m.pull(ctx, carobward.Address(from.String()), "heartbeat of "+b.GetId())
-	} else if f := b.GetFresh(); f > 0 {
+	} else {
 		// What a peer knew to be the newest is what we have as well.
-		m.SetFresh(now.Add(-time.Duration(f-1) * time.Millisecond))
+		m.SetFresh(fresh)
 	}
 }
 
@@ -313,10 +320,7 @@
 	fresh := m.Mirror.Apply(c, false)
 	m.Log.Info("Took changes from a peer.", "from", string(from), "after", own.Index, "index", c.Index, "whole", c.Whole, "changed", len(fresh))
 
-	if f := reply.GetFresh(); f > 0 {
-		m.SetFresh(sent.Add(-time.Duration(f-1) * time.Millisecond))
-	}
-
+	m.SetFresh(decodeFresh(reply.GetFresh(), sent))
 	m.Changed(fresh)
 
 	return nil
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -52,8 +52,7 @@
 		}
 
 		// It has never been heard, so it may not know this entry VM.
-		b := m.beat(now)
-		b.Node = wireNode(m.Table.Self())
+		b := m.introduce(now)
 		b.Ask = true
 		m.write(m.encode(b), p.Peers)
 	}
@@ -76,8 +75,7 @@
 		return
 	}
 
-	b := m.beat(m.Clock.Now())
-	b.Node = wireNode(m.Table.Self())
+	b := m.introduce(m.Clock.Now())
 	b.Ask, b.List = true, true
 
 	raw := m.encode(b)
@@ -89,8 +87,7 @@
 // reply answers a peer that is not known here, or that asks who there is.
 func (m *Mesh) reply(to net.Addr, ask, others bool) {
 	now := m.Clock.Now()
-	b := m.beat(now)
-	b.Node = wireNode(m.Table.Self())
+	b := m.introduce(now)
 	b.Ask = ask
 
 	if !others {
@@ -128,6 +125,15 @@
 	}
 }
 
+// introduce returns the heartbeat of this moment for who may not know this entry
+// VM.
+func (m *Mesh) introduce(now time.Time) *cwwire.Beat {
+	b := m.beat(now)
+	b.Node = wireNode(m.Table.Self())
+
+	return b
+}
+
 func (m *Mesh) encode(b *cwwire.Beat) []byte {
 	raw, err := proto.Marshal(b)
 	if err != nil {
