One entry VM watches the store; calls to one that is away are shared

Two VMs watched where the age of the newest word bounds the delay anyway; and with all VMs away from the store the order of who asks was empty, so that each of 145 asked on its own back-off.

Now one watches, and the pause after a failed call grows with the number of live peers that the store does not serve either: ten calls a second in all.

Ruled out: a longer watch (hears nothing of some changes for as long).

Seen failing before: TestMustAsk (the second place), TestBackOff, TestFewCalls with the bound of two VMs in place of three.

--- a/internal/cwfollow/duty.go
+++ b/internal/cwfollow/duty.go
@@ -12,10 +12,10 @@
 
 // The rule by which a few entry VMs ask the store for all.
 const (
-	// watchers is the number of entry VMs that watch the store: one more than
-	// is needed, in another failure domain, so that the loss of one is no
-	// delay.
-	watchers = 2
+	// watchers is the number of entry VMs that watch the store. The others
+	// notice the loss of one by staleTime, which leaves time enough; a second
+	// one would double the calls and the heartbeats, which are paid for.
+	watchers = 1
 	// staleTime is the age of the newest word from the store, from whomever,
 	// at which an entry VM asks by itself: watchers have one each watchTime,
 	// and a change has to be in force within two seconds.
@@ -25,8 +25,32 @@
 	// the others hear of it.
 	turnTime  = 80 * time.Millisecond
 	turnsMost = 8
+	// outagePace is the time between calls of all entry VMs together while the
+	// store serves none of them. Calls to a store that is away are paid for,
+	// and the first that is served tells the others.
+	outagePace = 100 * time.Millisecond
 )
 
+// backOff returns the pause between calls of an entry VM that the store does
+// not serve. Back is its own pause, away has the number of its live peers that
+// the store does not serve either.
+func backOff(back time.Duration, away int) time.Duration {
+	return max(back, time.Duration(away+1)*outagePace)
+}
+
+// countAway returns how many peers the store does not serve.
+func countAway(peers []cwmesh.Peer) int {
+	away := 0
+
+	for i := range peers {
+		if peers[i].Away && peers[i].State != cwmesh.Leaving {
+			away++
+		}
+	}
+
+	return away
+}
+
 // order returns the entry VMs that may watch, the first of each failure
 // domain before the second of any.
 func order(self cwmesh.Node, away bool, peers []cwmesh.Peer) []carobward.VMID {
--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -66,8 +66,9 @@
 	list bool
 	// back is the present pause after a failure, 0 while the store answers.
 	back time.Duration
-	// failing is when the calls began to fail.
+	// failing is when the calls began to fail, tried when the last one failed.
 	failing time.Time
+	tried   time.Time
 	// began is when the Follower was made, wrote when it last wrote the list of
 	// entry VMs.
 	began time.Time
@@ -110,6 +111,12 @@
 // due tells whether this entry VM asks the store now.
 func (f *Follower) due() bool {
 	now := f.Clock.Now()
+	peers := f.Table.Live(now)
+
+	if f.back > 0 && now.Sub(f.tried) < backOff(f.back, countAway(peers)) {
+		return false
+	}
+
 	if !f.hold.IsZero() {
 		return true
 	}
@@ -119,7 +126,7 @@
 	}
 
 	self := f.Table.Self()
-	list := order(self, f.back > 0, f.Table.Live(now))
+	list := order(self, f.back > 0, peers)
 	age := now.Sub(f.Mesh.Fresh())
 
 	return mustAsk(slices.Index(list, self.ID), age)
@@ -143,7 +150,7 @@
 	}
 
 	if err != nil {
-		f.failed(ctx, err)
+		f.failed(err)
 
 		return
 	}
@@ -161,7 +168,7 @@
 }
 
 // failed notes a call that failed.
-func (f *Follower) failed(ctx context.Context, err error) {
+func (f *Follower) failed(err error) {
 	if errors.Is(err, carobward.ErrHistory) {
 		f.Log.Info("The store no longer has the changes, listing all keys.", "after", f.cursor)
 		f.list = true
@@ -175,8 +182,8 @@
 	}
 
 	f.back = min(backMost, max(backFirst, 2*f.back))
+	f.tried = f.Clock.Now()
 	f.Mesh.SetAway(true)
-	pause(ctx, f.back)
 }
 
 // took takes an answer of the store.
