A look without an answer costs all connections that were idle

Cause: a path that forgets its connections silences those that are open, without a reset, while new ones work. Each look took another of them and waited for it, and the server was blocked for longer each time.

Seen failing: TestSilent kept 2 of 3 silent connections, and the next call hung until its deadline.

--- a/internal/cwlink/hold.go
+++ b/internal/cwlink/hold.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwframe"
 )
 
 // Held is a connection to a server that is held for one caller of this
@@ -56,6 +57,7 @@
 		return nil, notRun(ErrSpent)
 	}
 
+	began := h.link.clock.Now()
 	stop := context.AfterFunc(ctx, func() { _ = h.conn.Close() })
 	t := h.link.trip(h.conn.Conn, call)
 	reply, err := t.run()
@@ -70,6 +72,8 @@
 	}
 
 	if err != nil {
+		h.distrust(call, began, cwframe.IsTimeout(err) || errors.Is(ctx.Err(), context.DeadlineExceeded))
+
 		return nil, carobward.NewFailure(carobward.Unknown, status(err), 0, err)
 	}
 
@@ -80,6 +84,16 @@
 	return reply, nil
 }
 
+// distrust closes the connections that were idle when a health check began that
+// got no answer over a used one. Servers answer those at once, so what lost it
+// may have silenced the others as well: a path that forgot its connections, say.
+// A request without an answer says nothing of others.
+func (h *Held) distrust(call *carobward.Call, began time.Time, late bool) {
+	if late && call.Look && !h.conn.used.IsZero() {
+		h.pool.retire(began)
+	}
+}
+
 // Whole tells whether the connection may carry another call. A server may end
 // it with its reply.
 func (h *Held) Whole() bool { return h.whole }
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -145,6 +145,19 @@
 	p.trim(most)
 }
 
+// retire closes the connections that have been idle since before a time.
+func (p *pool) retire(before time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	n := 0
+	for n < len(p.idle) && p.idle[n].used.Before(before) {
+		n++
+	}
+
+	p.prune(n)
+}
+
 // trim closes idle connections until there are most, or none is idle. The
 // mutex is held.
 func (p *pool) trim(most int) {
--- a/internal/cwstand/proxy.go
+++ b/internal/cwstand/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -40,12 +41,16 @@
 
 	mutex sync.Mutex
 	fault ProxyFault
+	// silent has the connections that carry nothing any more, in either
+	// direction, and stay open.
+	silent map[net.Conn]bool
+	open   map[net.Conn]bool
 }
 
 // NewProxy returns a proxy to a server that takes connections from the
 // listener until Close.
 func NewProxy(ln net.Listener, to carobward.Address) *Proxy {
-	p := &Proxy{to: to}
+	p := &Proxy{to: to, silent: map[net.Conn]bool{}, open: map[net.Conn]bool{}}
 	p.acceptor = accept(ln, p.serve)
 
 	return p
@@ -59,6 +64,38 @@
 	p.fault = f
 }
 
+// Silence makes the connections that are open now carry nothing for good. New
+// ones are as the fault says.
+func (p *Proxy) Silence() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	maps.Copy(p.silent, p.open)
+}
+
+func (p *Proxy) isSilent(c net.Conn) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	return p.silent[c]
+}
+
+// note adds a caller's connection, and returns what forgets it.
+func (p *Proxy) note(c net.Conn) func() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	p.open[c] = true
+
+	return func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+
+		delete(p.open, c)
+		delete(p.silent, c)
+	}
+}
+
 func (p *Proxy) current() ProxyFault {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -78,15 +115,20 @@
 		return
 	}
 
+	defer p.note(c)()
+
 	var group conc.WaitGroup
 
-	group.Go(func() { p.copy(c, s, ProxyLosesReplies) })
-	p.copy(s, c, ProxyLosesRequests)
+	silent := func() bool { return p.isSilent(c) }
+
+	group.Go(func() { p.copy(c, s, ProxyLosesReplies, silent) })
+	p.copy(s, c, ProxyLosesRequests, silent)
 	group.Wait()
 }
 
-// copy passes bytes on until either side ends, and drops them under one fault.
-func (p *Proxy) copy(to, from net.Conn, loses ProxyFault) {
+// copy passes bytes on until either side ends, and drops them under one fault
+// and while the connection is silent.
+func (p *Proxy) copy(to, from net.Conn, loses ProxyFault, silent func() bool) {
 	const size = 16 << 10
 
 	defer func() { _, _ = to.Close(), from.Close() }()
@@ -109,7 +151,7 @@
 		default:
 		}
 
-		if n > 0 {
+		if n > 0 && !silent() {
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				return
 			}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -142,7 +142,7 @@
 		cwstand.ProxyPasses, cwstand.ProxyDelays, cwstand.ProxyLosesRequests, cwstand.ProxyLosesReplies, cwstand.ProxyResets,
 	}
 
-	switch w.random.IntN(10) {
+	switch w.random.IntN(12) {
 	case 0:
 		w.configure()
 	case 1:
@@ -159,6 +159,10 @@
 		w.replace(t, v, syscall.SIGTERM)
 	case 9:
 		w.pause(t, v)
+	case 10:
+		s.proxy.Silence()
+	case 11:
+		w.StoreProxy.Silence()
 	}
 
 	<-time.After(time.Duration(50+w.random.IntN(300)) * time.Millisecond)
