Idle connections are used as long as their server says

The server's word now counts, with a fifth of it left, up to 30 s; 4 s where it says nothing.

Test: TestFit.

--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -50,6 +50,9 @@
 	// connIdle is how long an idle connection is used where the server does
 	// not say how long it keeps it.
 	connIdle = 4 * time.Second
+	// connIdleMost is how long one is used at most: new connections are paid
+	// for, and idle ones cost some hundred bytes each.
+	connIdleMost = 30 * time.Second
 	// dialTime bounds opening a connection to a server.
 	dialTime = 300 * time.Millisecond
 	// headerBytes is the largest header of a reply.
@@ -145,7 +148,7 @@
 	}
 
 	g.link = cwlink.New(cwlink.Options{
-		Conns: connsFirst, Keep: connIdle, Dial: dialTime, Header: headerBytes, Dialect: o.Adapter.Servers,
+		Conns: connsFirst, Keep: connIdle, KeepMost: connIdleMost, Dial: dialTime, Header: headerBytes, Dialect: o.Adapter.Servers,
 	}, o.Clock)
 
 	g.front = cwfront.New(cwfront.Options{
--- a/internal/cwlink/hold.go
+++ b/internal/cwlink/hold.go
@@ -46,7 +46,7 @@
 	p := l.pools[to]
 	l.mutex.RUnlock()
 
-	return p != nil && p.hasIdle(l.clock.Now(), l.options.Keep)
+	return p != nil && p.hasIdle(l.clock.Now(), l.idling())
 }
 
 // Exchange sends a call once over the connection and returns the whole reply,
@@ -115,13 +115,13 @@
 	}
 
 	now := l.clock.Now()
-	keep := l.options.Keep
+	bounds := l.idling()
 
 	if fresh {
-		keep = 0
+		bounds = idling{}
 	}
 
-	c, err := p.take(now, keep, l.most())
+	c, err := p.take(now, bounds, l.most())
 	if c != nil || err != nil {
 		return c, err
 	}
--- a/internal/cwlink/link.go
+++ b/internal/cwlink/link.go
@@ -20,8 +20,11 @@
 	// Conns is the number of connections that one server takes. All entry
 	// VMs share them.
 	Conns int
-	// Keep is how long a connection may be idle and still be used.
+	// Keep is how long a connection may be idle and still be used where its
+	// server does not say how long it keeps one.
 	Keep time.Duration
+	// KeepMost bounds what servers say of that. 0: Keep.
+	KeepMost time.Duration
 	// Dial bounds the time to open a connection, so that a server that
 	// does not answer leaves time for another one.
 	Dial time.Duration
@@ -87,10 +90,15 @@
 	defer l.mutex.RUnlock()
 
 	for _, p := range l.pools {
-		p.tick(now, l.options.Keep, l.most())
+		p.tick(now, l.idling(), l.most())
 	}
 }
 
+// idling returns how long a connection may be idle.
+func (l *Link) idling() idling {
+	return idling{usual: l.options.Keep, most: max(l.options.Keep, l.options.KeepMost)}
+}
+
 // Retain closes and forgets the connections to servers that are not on the
 // list. A call in flight goes on.
 func (l *Link) Retain(list []carobward.VM) {
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -32,14 +32,22 @@
 // for which it is used: a call that crosses the server's close is lost.
 const keepShare = 0.8
 
-// fit tells whether a connection has been idle for less than keep and than
-// the server's own bound.
-func (c *conn) fit(now time.Time, keep time.Duration) bool {
+// idling bounds how long a connection may be idle and still be used.
+type idling struct {
+	// usual holds where the server does not say how long it keeps one.
+	usual time.Duration
+	// most bounds what the server says.
+	most time.Duration
+}
+
+// fit tells whether a connection has been idle within the bounds.
+func (c *conn) fit(now time.Time, i idling) bool {
+	bound := i.usual
 	if c.keep > 0 {
-		keep = min(keep, time.Duration(keepShare*float64(c.keep)))
+		bound = min(i.most, time.Duration(keepShare*float64(c.keep)))
 	}
 
-	return now.Sub(c.used) < keep
+	return now.Sub(c.used) < bound
 }
 
 // pool holds the connections to one server.
@@ -52,12 +60,12 @@
 	closed bool
 }
 
-// take returns the connection that was used last if it has been idle for
-// less than keep and is still whole. Without one it makes room for a new
+// take returns the connection that was used last if it has been idle within
+// the bounds and is still whole. Without one it makes room for a new
 // connection within most and returns nil.
-func (p *pool) take(now time.Time, keep time.Duration, most int) (*conn, error) {
+func (p *pool) take(now time.Time, i idling, most int) (*conn, error) {
 	for {
-		c, err := p.pop(now, keep, most)
+		c, err := p.pop(now, i, most)
 		if c == nil || cwsocket.Peek(c.Conn) == cwsocket.Quiet {
 			return c, err
 		}
@@ -67,21 +75,21 @@
 }
 
 // hasIdle tells whether there is an idle connection that may be used.
-func (p *pool) hasIdle(now time.Time, keep time.Duration) bool {
+func (p *pool) hasIdle(now time.Time, i idling) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
 	last := len(p.idle) - 1
 
-	return last >= 0 && p.idle[last].fit(now, keep)
+	return last >= 0 && p.idle[last].fit(now, i)
 }
 
-func (p *pool) pop(now time.Time, keep time.Duration, most int) (*conn, error) {
+func (p *pool) pop(now time.Time, i idling, most int) (*conn, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
 	last := len(p.idle) - 1
-	if last >= 0 && p.idle[last].fit(now, keep) {
+	if last >= 0 && p.idle[last].fit(now, i) {
 		c := p.idle[last]
 		p.idle[last] = nil
 		p.idle = p.idle[:last]
@@ -130,14 +138,14 @@
 	p.open--
 }
 
-// tick closes connections that have been idle for longer than keep or are
-// more than most.
-func (p *pool) tick(now time.Time, keep time.Duration, most int) {
+// tick closes connections that have been idle for too long or are more than
+// most.
+func (p *pool) tick(now time.Time, i idling, most int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
 	old := 0
-	for old < len(p.idle) && !p.idle[old].fit(now, keep) {
+	for old < len(p.idle) && !p.idle[old].fit(now, i) {
 		old++
 	}
 
--- a/internal/cwlink/pool_test.go
+++ b/internal/cwlink/pool_test.go
@@ -218,3 +218,31 @@
 		t.Errorf("%d open, %d idle, %d pools", p.open, len(p.idle), len(l.pools))
 	}
 }
+
+// TestFit has how long a connection is used while it is idle: as long as its
+// server says, with some time left, within our bound; else the usual time.
+func TestFit(t *testing.T) {
+	now := time.Now()
+	bounds := idling{usual: 4 * time.Second, most: 12 * time.Second}
+
+	for name, c := range map[string]struct {
+		keep, idle time.Duration
+		bounds     idling
+		want       bool
+	}{
+		"no word, short":            {0, 3 * time.Second, bounds, true},
+		"no word, long":             {0, 5 * time.Second, bounds, false},
+		"a word, longer than usual": {10 * time.Second, 7 * time.Second, bounds, true},
+		"close to its end":          {10 * time.Second, 9 * time.Second, bounds, false},
+		"a short word":              {2 * time.Second, 1900 * time.Millisecond, bounds, false},
+		"a word beyond our bound":   {time.Minute, 13 * time.Second, bounds, false},
+		"none may be used":          {10 * time.Second, 0, idling{}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			one := &conn{used: now.Add(-c.idle), keep: c.keep}
+			if got := one.fit(now, c.bounds); got != c.want {
+				t.Errorf("got %v", got)
+			}
+		})
+	}
+}
