--- a/internal/cwlink/hold.go
+++ b/internal/cwlink/hold.go
@@ -20,6 +20,8 @@
 	// whole tells that nothing is outstanding on the connection, so that it
 	// may carry another call.
 	whole bool
+	// used tells that it had carried a call before.
+	used bool
 }
 
 // Hold returns a connection to a server: an idle one, or a new one that is
@@ -36,7 +38,7 @@
 		return nil, notRun(err)
 	}
 
-	return &Held{link: l, pool: p, conn: c, whole: true}, nil
+	return &Held{link: l, pool: p, conn: c, whole: true, used: !c.used.IsZero()}, nil
 }
 
 // HasIdle tells whether there is an idle connection to a server that may be
@@ -89,7 +91,7 @@
 // may have silenced the others as well: a path that forgot its connections, say.
 // A request without an answer says nothing of others.
 func (h *Held) distrust(call *carobward.Call, began time.Time, late bool) {
-	if late && call.Look && !h.conn.used.IsZero() {
+	if late && call.Look && h.used {
 		h.pool.retire(began)
 	}
 }
@@ -98,6 +100,10 @@
 // it with its reply.
 func (h *Held) Whole() bool { return h.whole }
 
+// Used tells whether the connection had carried a call before it was held. It is
+// false where there is none.
+func (h *Held) Used() bool { return h != nil && h.used }
+
 // Release gives the connection back if it may carry another call, and closes
 // it else.
 func (h *Held) Release() {
--- a/internal/cwstand/proxy.go
+++ b/internal/cwstand/proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"maps"
 	"net"
 	"sync"
 	"time"
@@ -41,16 +40,26 @@
 
 	mutex sync.Mutex
 	fault ProxyFault
-	// silent has the connections that carry nothing any more, in either
-	// direction, and stay open.
-	silent map[net.Conn]bool
-	open   map[net.Conn]bool
+	// open has the callers' connections, and what happened to each.
+	open map[net.Conn]proxyMark
 }
 
+// proxyMark is what happened to one connection.
+type proxyMark uint8
+
+const (
+	markNone proxyMark = iota
+	// markSilent: it carries nothing any more, in either direction, and stays
+	// open.
+	markSilent
+	// markForgotten: it is reset by the next byte.
+	markForgotten
+)
+
 // NewProxy returns a proxy to a server that takes connections from the
 // listener until Close.
 func NewProxy(ln net.Listener, to carobward.Address) *Proxy {
-	p := &Proxy{to: to, silent: map[net.Conn]bool{}, open: map[net.Conn]bool{}}
+	p := &Proxy{to: to, open: map[net.Conn]proxyMark{}}
 	p.acceptor = accept(ln, p.serve)
 
 	return p
@@ -66,18 +75,25 @@
 
 // Silence makes the connections that are open now carry nothing for good. New
 // ones are as the fault says.
-func (p *Proxy) Silence() {
+func (p *Proxy) Silence() { p.markAll(markSilent) }
+
+// Forget makes the connections that are open now be reset by the next byte.
+func (p *Proxy) Forget() { p.markAll(markForgotten) }
+
+func (p *Proxy) markAll(m proxyMark) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	maps.Copy(p.silent, p.open)
+	for c := range p.open {
+		p.open[c] = m
+	}
 }
 
-func (p *Proxy) isSilent(c net.Conn) bool {
+func (p *Proxy) mark(c net.Conn) proxyMark {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	return p.silent[c]
+	return p.open[c]
 }
 
 // note adds a caller's connection, and returns what forgets it.
@@ -85,14 +101,13 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	p.open[c] = true
+	p.open[c] = markNone
 
 	return func() {
 		p.mutex.Lock()
 		defer p.mutex.Unlock()
 
 		delete(p.open, c)
-		delete(p.silent, c)
 	}
 }
 
@@ -119,16 +134,16 @@
 
 	var group conc.WaitGroup
 
-	silent := func() bool { return p.isSilent(c) }
+	mark := func() proxyMark { return p.mark(c) }
 
-	group.Go(func() { p.copy(c, s, ProxyLosesReplies, silent) })
-	p.copy(s, c, ProxyLosesRequests, silent)
+	group.Go(func() { p.copy(c, s, ProxyLosesReplies, mark) })
+	p.copy(s, c, ProxyLosesRequests, mark)
 	group.Wait()
 }
 
 // copy passes bytes on until either side ends, and drops them under one fault
-// and while the connection is silent.
-func (p *Proxy) copy(to, from net.Conn, loses ProxyFault, silent func() bool) {
+// and on a silent connection.
+func (p *Proxy) copy(to, from net.Conn, loses ProxyFault, mark func() proxyMark) {
 	const size = 16 << 10
 
 	defer func() { _, _ = to.Close(), from.Close() }()
@@ -138,20 +153,21 @@
 	for {
 		n, err := from.Read(buffer)
 
-		switch p.current() {
-		case loses:
-			n = 0
-		case ProxyDelays:
-			time.Sleep(proxyDelay)
-		case ProxyResets:
+		m, fault := mark(), p.current()
+
+		switch {
+		case m == markForgotten && n > 0, fault == ProxyResets:
 			reset(to)
 			reset(from)
 
 			return
-		default:
+		case m == markSilent, fault == loses:
+			n = 0
+		case fault == ProxyDelays:
+			time.Sleep(proxyDelay)
 		}
 
-		if n > 0 && !silent() {
+		if n > 0 {
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				return
 			}
