Changes spread from those who fetched them; fewer servers known; fewer far heartbeats

A log of who asks: when many servers register at once, all VMs fetch 30 KB from the one that told them; it refuses most, so they stay behind and some 55 ask the store 1.6 s later.

Tests: TestSome, TestAhead; TestPick holds unchanged (a trial with 8 and 4 alone failed it: three near VMs a server).

--- a/feed.go
+++ b/feed.go
@@ -27,6 +27,16 @@
 	Whole bool
 }
 
+// Size returns the bytes of all keys and values.
+func (c *Changes) Size() ByteCount {
+	size := 0
+	for i := range c.Items {
+		size += len(c.Items[i].Key) + len(c.Items[i].Value)
+	}
+
+	return ByteCount(size)
+}
+
 // ErrHistory is the error of a Feed that no longer has the changes since an
 // index. All keys have to be listed again.
 const ErrHistory = errors.ConstError("store: the history since then is no longer kept")
--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -20,10 +20,13 @@
 	// knownNear is how many servers of its own failure domain an entry VM
 	// knows at least, if there are as many. Bytes between failure domains are
 	// paid for.
-	knownNear = 12
+	knownNear = 8
 	// knownFar is how many of the others it knows at least, for when the near
 	// ones have no room or are lost.
-	knownFar = 6
+	knownFar = 4
+	// knownBy is how many entry VMs of its failure domain know a server at
+	// least, so that it stays in use when some of them are lost.
+	knownBy = 4
 )
 
 // VM is an entry VM that shares the servers.
@@ -110,23 +113,25 @@
 	t.mine = map[carobward.Service][]*Server{}
 
 	for service, list := range near {
-		t.mine[service] = t.pick(list, neighbours, knownNear)
+		t.mine[service] = t.pick(list, neighbours, knownNear, knownBy)
 	}
 
 	for service, list := range far {
-		t.mine[service] = append(t.mine[service], t.pick(list, t.vms, knownFar)...)
+		t.mine[service] = append(t.mine[service], t.pick(list, t.vms, knownFar, 1)...)
 	}
 }
 
 // pick returns the servers of a list that this entry VM sends to. Each server
 // is known to the same number of the entry VMs, chosen by rendezvous hashing,
-// so that no server is left out, and a change of either side moves few.
-func (t *Table) pick(list []*Server, vms []VM, known int) []*Server {
+// so that no server is left out, and a change of either side moves few. That
+// number is least, or more where it takes that for an entry VM to know so many
+// servers.
+func (t *Table) pick(list []*Server, vms []VM, known, least int) []*Server {
 	if len(list) <= known || len(vms) < 2 {
 		return slices.Clone(list)
 	}
 
-	each := (len(vms)*known + len(list) - 1) / len(list)
+	each := max(least, (len(vms)*known+len(list)-1)/len(list))
 
 	var mine, others []*Server
 
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -33,6 +33,19 @@
 	othersMost = 14
 	// datagramMost is the largest datagram in bytes.
 	datagramMost = 4096
+	// pullTries bounds the fetches for one heartbeat, and pullPause is the pause
+	// before each further one, at random up to twice as long. A peer that is
+	// asked by all at once refuses most; some others are up to date soon.
+	pullTries = 4
+	pullPause = 40 * time.Millisecond
+	// bulkBytes is the size of changes from which on those who fetched them tell
+	// others: for a hundred peers they take the first to have them 0.16 s on a
+	// link of 10 Mbit/s.
+	bulkBytes = 2 << 10
+	// spreadPeers is how many peers of the own failure domain who has fetched
+	// such changes tells of it. The number of those that can send them grows
+	// by so many times with each step.
+	spreadPeers = 3
 )
 
 // Service is the name of the peers' service for net/rpc.
@@ -291,12 +304,41 @@
 	m.work.Go(func() {
 		defer m.pulling.Store(false)
 
-		if err := m.fetch(ctx, from); err != nil {
-			m.Log.Info("Changes could not be fetched.", "from", string(from), "why", why, "cause", err.Error())
-		}
+		m.pullFromAny(ctx, from, why)
 	})
 }
 
+// pullFromAny fetches changes from a peer, or else from others that have them.
+func (m *Mesh) pullFromAny(ctx context.Context, from carobward.Address, why string) {
+	for try := 1; ctx.Err() == nil; try++ {
+		err := m.fetch(ctx, from)
+		if err == nil {
+			return
+		}
+
+		m.Log.Info("Changes could not be fetched.", "from", string(from), "why", why, "try", try, "cause", err.Error())
+
+		if try == pullTries {
+			return
+		}
+
+		timer := time.NewTimer(pullPause + rand.N(pullPause))
+
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+
+		ahead := m.Table.ahead(m.Mirror.State(), m.Clock.Now())
+		if len(ahead) == 0 {
+			return
+		}
+
+		from = ahead[rand.IntN(len(ahead))].Peers
+	}
+}
+
 func (m *Mesh) fetch(ctx context.Context, from carobward.Address) error {
 	limited, cancel := context.WithTimeout(ctx, pullTime)
 	defer cancel()
@@ -323,5 +365,9 @@
 	m.SetFresh(decodeFresh(reply.GetFresh(), sent))
 	m.Changed(fresh)
 
+	if c.Size() >= bulkBytes {
+		m.tell(m.Table.some(m.Clock.Now(), spreadPeers))
+	}
+
 	return nil
 }
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -183,10 +183,7 @@
 	out.Fresh = encodeFresh(m.Fresh(), m.Clock.Now())
 	c := m.Mirror.Since(carobward.StoreIndex(in.GetAfter()))
 
-	size := int64(0)
-	for i := range c.Items {
-		size += int64(len(c.Items[i].Key) + len(c.Items[i].Value))
-	}
+	size := int64(c.Size())
 
 	if now := a.bytes.Add(size); now > bytesMost && now > size {
 		a.bytes.Add(-size)
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -60,7 +61,7 @@
 	// farMost is how many peers of other failure domains get a heartbeat at each
 	// turn; where there are more, they get it by turns and are alive for as
 	// many turns longer. All get what must be known at once.
-	farMost = 24
+	farMost = 12
 	// keepTime is how long a peer that is not heard is still sent heartbeats
 	// to, and counts for the sharing of budgets: it may be cut off from this
 	// entry VM alone and serve callers.
@@ -171,6 +172,39 @@
 
 func byID(a, b Peer) int { return cmp.Compare(a.ID, b.ID) }
 
+// some returns up to n live peers of our failure domain, drawn at random.
+func (t *Table) some(now time.Time, n int) []Peer {
+	t.mutex.RLock()
+	list := t.filter(func(p *Peer) bool { return p.Domain == t.self.Domain && now.Sub(p.Heard) < liveTime && !p.unknown() })
+	t.mutex.RUnlock()
+
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+
+	return list[:min(n, len(list))]
+}
+
+// ahead returns the live peers of our failure domain whose copy has what ours
+// lacks, or such peers of others where there is none.
+func (t *Table) ahead(own cwmirror.State, now time.Time) []Peer {
+	var near, far []Peer
+
+	for _, p := range t.Live(now) {
+		switch {
+		case p.unknown() || !own.Behind(p.Copy):
+		case p.Domain == t.self.Domain:
+			near = append(near, p)
+		default:
+			far = append(far, p)
+		}
+	}
+
+	if len(near) > 0 {
+		return near
+	}
+
+	return far
+}
+
 // filter returns the peers that are wanted, in the order of their names; the
 // mutex is held.
 func (t *Table) filter(want func(*Peer) bool) []Peer {
--- a/internal/cwmesh/table_test.go
+++ b/internal/cwmesh/table_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmirror"
 )
 
 // newTable returns a table with so many peers of each of three domains, all
@@ -105,3 +108,71 @@
 		t.Error("a peer that is silent for long still gets heartbeats")
 	}
 }
+
+// TestSome wants a few peers of our failure domain, different ones each time,
+// and none that is not heard any more.
+func TestSome(t *testing.T) {
+	const want = 3
+
+	now := time.Now()
+	table := newTable(48, now)
+	drawn := map[carobward.VMID]bool{}
+
+	for range 100 {
+		list := table.some(now, want)
+		if len(list) != want {
+			t.Fatalf("%d peers", len(list))
+		}
+
+		for i := range list {
+			if list[i].Domain != "a" {
+				t.Errorf("%s of %s", list[i].ID, list[i].Domain)
+			}
+
+			drawn[list[i].ID] = true
+		}
+	}
+
+	if len(drawn) < 40 {
+		t.Errorf("only %d of 48 peers were ever drawn", len(drawn))
+	}
+
+	if list := table.some(now.Add(liveTime), want); len(list) > 0 {
+		t.Errorf("%d peers that are not heard any more", len(list))
+	}
+}
+
+// TestAhead wants the peers that have what we lack, near ones only where there
+// are any.
+func TestAhead(t *testing.T) {
+	now := time.Now()
+	own := cwmirror.State{Index: 5, Top: 5}
+
+	for name, c := range map[string]struct {
+		ahead []carobward.VMID
+		want  []carobward.VMID
+	}{
+		"nobody":       {nil, nil},
+		"near and far": {[]carobward.VMID{"vm-0", "vm-1", "vm-3"}, []carobward.VMID{"vm-0", "vm-3"}},
+		"far only":     {[]carobward.VMID{"vm-1", "vm-2"}, []carobward.VMID{"vm-1", "vm-2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(4, now)
+
+			for _, id := range c.ahead {
+				table.heard(Peer{
+					Node: table.peers[id].Node, Boot: 1, Heard: now, Copy: cwmirror.State{Index: 7, Top: 7},
+				})
+			}
+
+			var got []carobward.VMID
+			for _, p := range table.ahead(own, now) {
+				got = append(got, p.ID)
+			}
+
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
