Replies are read while a long body is being written

Cause: the whole body was written before the reply was read. A server that answers early, keeps the connection and reads on later blocks that write, and the caller waited until its deadline for an answer that was there.

Bodies above 2 KB are written beside the reading now. A reply that comes first ends the connection, on which the rest of the body would still be due.

Seen failing: TestEarlyReplyUnread (hangs until the deadline of a minute).

--- a/internal/cwlink/link_test.go
+++ b/internal/cwlink/link_test.go
@@ -310,3 +310,62 @@
 		t.Error(err)
 	}
 }
+
+// TestEarlyReplyUnread has a server answer before it has read a long body, and
+// read on only later. The caller gets the reply at once, and the connection is
+// not used again: the rest of the body is due on it.
+func TestEarlyReplyUnread(t *testing.T) {
+	const size = 8 << 20 // More than the kernel takes for a server that does not read.
+
+	for name, c := range map[string]struct {
+		reply string
+		shed  bool
+	}{
+		"refused":  {"HTTP/1.1 503 Busy\r\nX-Request-Id: one\r\nCarobward-Verdict: not-run\r\nContent-Length: 0\r\n\r\n", true},
+		"answered": {"HTTP/1.1 413 Large\r\nX-Request-Id: one\r\nContent-Length: 4\r\n\r\nlong", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln := cwtest.Listen(t)
+			release, done := make(chan struct{}), make(chan int64, 1)
+
+			go func() {
+				c2, err := ln.Accept()
+				if err != nil {
+					return
+				}
+
+				one := make([]byte, 1)
+				_, _ = c2.Read(one)
+				_, _ = c2.Write([]byte(c.reply))
+
+				<-release
+
+				n, _ := bytes.NewBuffer(nil).ReadFrom(c2)
+				_ = c2.Close()
+				done <- n
+			}()
+
+			l := newLink(t)
+			one := call("one")
+			one.Method, one.Body = "POST", make([]byte, size)
+
+			to := carobward.Address(ln.Addr().String())
+
+			// The server reads on only after this has returned.
+			got, err := l.Exchange(context.Background(), to, one)
+			if err != nil || got.Shed != c.shed {
+				t.Errorf("%+v, %v", got, err)
+			}
+
+			if n, open := idle(l, to); n != 0 || open != 0 {
+				t.Errorf("%d idle, %d open connections", n, open)
+			}
+
+			close(release)
+
+			if n := <-done; n >= size {
+				t.Errorf("the server got %d bytes", n)
+			}
+		})
+	}
+}
--- a/internal/cwlink/trip.go
+++ b/internal/cwlink/trip.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
@@ -51,20 +52,62 @@
 	l.buffers.Put(t.buffers)
 }
 
-// run sends the call and reads the reply. A server may refuse a call before
-// it has read the whole; then writing fails, and a whole reply that already
-// waits is still taken.
+// run sends the call and reads the reply. A server may refuse a call before it
+// has read the whole; then writing fails, and a whole reply that already waits
+// is still taken.
 func (t *trip) run() (*carobward.Reply, error) {
 	if err := t.conn.SetDeadline(t.call.Deadline); err != nil {
 		return nil, errors.Annotate(err, "link")
 	}
 
+	if len(t.call.Body) > overlapLeast {
+		return t.overlap()
+	}
+
 	werr := t.send()
 	if werr != nil && t.sent == 0 {
 		return nil, errors.Annotate(werr, "link: write")
 	}
 
 	reply, again, err := t.read()
+
+	return t.outcome(reply, again, err, werr)
+}
+
+// overlapLeast is the size of a body in bytes above which the reply is read
+// while the body is still being written: less than the smallest window of a peer
+// that does not read.
+const overlapLeast = 2 << 10
+
+// overlap reads the reply while the call is still being written. Without that a
+// server that answers early and reads on later would block the write until the
+// deadline.
+func (t *trip) overlap() (*carobward.Reply, error) {
+	var group conc.WaitGroup
+	defer group.Wait()
+
+	wrote := make(chan error, 1)
+
+	group.Go(func() { wrote <- t.send() })
+
+	reply, again, err := t.read()
+
+	select {
+	case werr := <-wrote:
+		return t.outcome(reply, again, err, werr)
+	default:
+	}
+
+	// The rest need not be sent. As it is still due on the connection, that
+	// carries no further call, and the error of ending the write says nothing.
+	_ = t.conn.SetWriteDeadline(t.clock.Now())
+	<-wrote
+
+	return t.outcome(reply, false, err, nil)
+}
+
+// outcome returns the end of reading and writing.
+func (t *trip) outcome(reply *carobward.Reply, again bool, err, werr error) (*carobward.Reply, error) {
 	if err != nil && werr != nil {
 		err = werr
 	}
