Changed settings are put in force without a restart

Cause: SIGHUP read the settings file and dropped what it read, and a change of the file without a signal was never seen, though both come on the platform.

Bounds (grace, time of an answer, extra calls, looks) and seeds are put in force; names, addresses, the store and the window of extra calls are said to need a restart. The calls to the store are a metric.

--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -5,8 +5,9 @@
 //	CAROBWARD_BOOT=/path/to/settings.toml cwgateway
 //
 // It reads the settings that the platform writes, serves callers, and stops
-// within the grace on SIGTERM or SIGINT. On SIGHUP it reads the settings again
-// and says what a restart would change.
+// within the grace on SIGTERM or SIGINT. On SIGHUP, and when their file has
+// changed, it reads the settings again: bounds and seeds are put in force, the
+// others change with a restart.
 package main
 
 import (
@@ -16,6 +17,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/go-logr/logr"
@@ -83,7 +85,8 @@
 
 	var group conc.WaitGroup
 
-	group.Go(func() { watchSignals(path, log.WithName("signal"), signals, stop) })
+	w := newWatcher(path, s, g.SetBounds, log.WithName("signal"))
+	group.Go(func() { w.run(signals, stop) })
 
 	err = g.Run(stop)
 	if err == nil {
@@ -99,39 +102,19 @@
 	// another one out; it is no secret.
 	key := sha256.Sum256([]byte("carobward " + string(s.Store)))
 
-	return cwgateway.Options{
-		Self:        cwmesh.Node{ID: s.VM, Domain: s.Domain, Callers: s.Callers, Peers: s.Peers},
-		Ready:       s.Ready,
-		Lookup:      s.Lookup,
-		Metrics:     carobward.Address(net.JoinHostPort(host, metricsPort)),
-		Seeds:       s.Seeds,
-		Key:         key[:],
-		First:       s.First,
-		Grace:       s.Bounds.Grace,
-		AnswerMost:  s.Bounds.AnswerMost,
-		ExtraShare:  s.Bounds.ExtraShare,
-		ExtraWindow: s.Bounds.ExtraWindow,
-		ExtraLeast:  s.Bounds.ExtraLeast,
-		Looks:       s.Bounds.Looks,
-		Adapter:     platform.Adapter(s.Store, func() {}),
-		Clock:       carobward.SystemClock{},
-		Log:         log,
-	}
-}
-
-// watchSignals closes stop on SIGTERM or SIGINT.
-func watchSignals(path string, log logr.Logger, signals <-chan os.Signal, stop chan<- struct{}) {
-	for s := range signals {
-		log.Info("Got a signal.", "signal", s.String())
+	var calls atomic.Int64
 
-		if s != syscall.SIGHUP {
-			close(stop)
-
-			return
-		}
-
-		if _, err := platform.ReadSettings(path); err != nil {
-			log.Error(err, "The settings can't be read, the old ones stay.")
-		}
+	return cwgateway.Options{
+		Self:    cwmesh.Node{ID: s.VM, Domain: s.Domain, Callers: s.Callers, Peers: s.Peers},
+		Ready:   s.Ready,
+		Lookup:  s.Lookup,
+		Metrics: carobward.Address(net.JoinHostPort(host, metricsPort)),
+		Bounds:  bounds(s),
+		Key:     key[:],
+		First:   s.First,
+		Adapter: platform.Adapter(s.Store, func() { calls.Add(1) }),
+		Calls:   calls.Load,
+		Clock:   carobward.SystemClock{},
+		Log:     log,
 	}
 }
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -33,14 +33,8 @@
 	Clock   carobward.Clock
 	Metrics *cwmetric.Set
 	Log     logr.Logger
-	// ExtraShare, ExtraWindow and ExtraLeast bound the calls beyond the first
-	// of each request over all entry VMs.
-	ExtraShare  float64
-	ExtraWindow time.Duration
-	ExtraLeast  int
-	// Looks is the most health checks a second that one server gets from all
-	// entry VMs.
-	Looks float64
+	// Limits are the limits at the start, see SetLimits.
+	Limits Limits
 	// Fleet returns the number of entry VMs that share those bounds.
 	Fleet func() int
 	// Part returns this entry VM's part of all requests, by which the bound on
@@ -48,10 +42,23 @@
 	Part func() float64
 }
 
+// Limits are the operators' limits over all entry VMs. They may change while an
+// entry VM runs.
+type Limits struct {
+	// ExtraShare, ExtraWindow and ExtraLeast bound the calls beyond the first
+	// of each request: in each window ExtraShare of the requests and ExtraLeast.
+	ExtraShare  float64
+	ExtraWindow time.Duration
+	ExtraLeast  int
+	// Looks is the most health checks a second that one server gets.
+	Looks float64
+}
+
 // Front takes callers' requests.
 type Front struct {
 	Options
 
+	limits  atomic.Pointer[Limits]
 	routes  atomic.Pointer[cwroutes.Table]
 	gone    *cwgone.Table
 	flight  atomic.Int64
@@ -90,9 +97,26 @@
 func New(o Options) *Front {
 	o.Log = o.Log.WithName("front")
 
-	return &Front{
+	f := &Front{
 		Options: o, gone: cwgone.New(), services: map[carobward.Service]*service{}, counts: o.Metrics.Part(part),
 	}
+	f.limits.Store(&o.Limits)
+
+	return f
+}
+
+// SetLimits puts the operators' limits in force, but for ExtraWindow: what was
+// counted in a window of another length says nothing of the new one.
+func (f *Front) SetLimits(l Limits) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	l.ExtraWindow = f.limits.Load().ExtraWindow
+	f.limits.Store(&l)
+
+	for _, s := range f.services {
+		s.window.SetShare(l.ExtraShare * extraPart)
+	}
 }
 
 // The names of this part's metrics.
@@ -174,7 +198,7 @@
 // pace returns how many looks at a service's servers this entry VM makes a
 // second, and how many it can save up.
 func (f *Front) pace(name carobward.Service) (rate.Limit, int) {
-	most := looksPart * f.Looks * float64(f.Servers.CountOf(name)) * f.Part()
+	most := looksPart * f.limits.Load().Looks * float64(f.Servers.CountOf(name)) * f.Part()
 
 	return rate.Limit(most), int(looksSave*most) + lookWidth
 }
@@ -190,7 +214,7 @@
 // slack is this entry VM's part of the extra calls that are free of the
 // number of requests.
 func (f *Front) slack() float64 {
-	return extraPart * float64(f.ExtraLeast) / float64(max(1, f.Fleet()))
+	return extraPart * float64(f.limits.Load().ExtraLeast) / float64(max(1, f.Fleet()))
 }
 
 // handle serves one request.
--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -51,8 +51,9 @@
 	s := f.services[name]
 	if s == nil {
 		limit, burst := f.pace(name)
+		limits := f.limits.Load()
 		s = &service{
-			window: cwretry.NewWindow(f.ExtraShare*extraPart, f.ExtraWindow, f.Clock.Now()),
+			window: cwretry.NewWindow(limits.ExtraShare*extraPart, limits.ExtraWindow, f.Clock.Now()),
 			looks:  rate.NewLimiter(limit, burst),
 			usual:  map[time.Duration]float64{},
 			crowd:  crowdFirst,
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -84,23 +84,16 @@
 	Ready   carobward.Address
 	Lookup  carobward.Address
 	Metrics carobward.Address
-	Seeds   []carobward.Address
+	// Bounds are those at the start, see SetBounds.
+	Bounds
 	// First tells that the whole fleet starts for the first time.
-	First bool
-	Key   cwpeer.Key
-	// Grace is the time that a stopping entry VM has.
-	Grace time.Duration
-	// AnswerMost is the longest time that callers keep an answer.
-	AnswerMost time.Duration
-	// ExtraShare, ExtraWindow and ExtraLeast bound extra calls, see cwfront.
-	ExtraShare  float64
-	ExtraWindow time.Duration
-	ExtraLeast  int
-	// Looks bounds the health checks of one server, see cwfront.
-	Looks   float64
+	First   bool
+	Key     cwpeer.Key
 	Adapter Adapter
-	// Dropped returns the number of log lines that were dropped.
+	// Dropped returns the number of log lines that were dropped, Calls that of
+	// the calls to the store.
 	Dropped func() int64
+	Calls   func() int64
 	Clock   carobward.Clock
 	Log     logr.Logger
 }
@@ -133,6 +126,8 @@
 	mesh    *cwmesh.Mesh
 	follow  *cwfollow.Follower
 
+	bounds atomic.Pointer[Bounds]
+
 	mutex sync.Mutex
 	// rate is this entry VM's requests a second, and counted the requests at
 	// the last tick; only the tick writes them.
@@ -153,11 +148,13 @@
 
 	g.front = cwfront.New(cwfront.Options{
 		Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Servers: g.servers, Link: g.link, Clock: o.Clock,
-		Metrics: g.metrics, Log: o.Log, ExtraShare: o.ExtraShare, ExtraWindow: o.ExtraWindow, ExtraLeast: o.ExtraLeast, Looks: o.Looks,
+		Metrics: g.metrics, Log: o.Log, Limits: o.Limits,
 		Fleet: func() int { return g.table.Size(o.Clock.Now()) },
 		Part:  func() float64 { return g.part(o.Clock.Now()) },
 	})
 
+	g.bounds.Store(&o.Bounds)
+
 	conn, err := net.ListenPacket("udp", string(o.Self.Peers))
 	if err != nil {
 		return nil, errors.Annotate(err, "peers")
@@ -228,16 +225,17 @@
 // still come by an older one, and ends once none is left or the grace is over.
 func (g *Gateway) stop(listeners []net.Listener) {
 	began := g.Clock.Now()
+	grace := float64(g.bounds.Load().Grace)
 	g.log.Info("Stopping.", "flight", g.front.Flight())
 	g.front.Leave()
 	g.mesh.SetState(cwmesh.Leaving)
 
-	time.Sleep(time.Duration(serveShare * float64(g.Grace)))
+	time.Sleep(time.Duration(serveShare * grace))
 
 	// The callers' listener is the first.
 	_ = listeners[0].Close()
 
-	for g.front.Flight() > 0 && g.Clock.Now().Sub(began) < time.Duration(endShare*float64(g.Grace)) {
+	for g.front.Flight() > 0 && g.Clock.Now().Sub(began) < time.Duration(endShare*grace) {
 		time.Sleep(tickTime / 4)
 	}
 
--- a/internal/cwgateway/listen.go
+++ b/internal/cwgateway/listen.go
@@ -96,7 +96,9 @@
 func (g *Gateway) keep() time.Duration {
 	const longest = 3.2
 
-	return min(answerTime, g.AnswerMost, time.Duration(serveShare*float64(g.Grace)/longest))
+	b := g.bounds.Load()
+
+	return min(answerTime, b.AnswerMost, time.Duration(serveShare*float64(b.Grace)/longest))
 }
 
 func (g *Gateway) serveLookup(ctx *fasthttp.RequestCtx) {
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -80,6 +80,7 @@
 	g.metrics.Gauge("gateway", "peers", func() int64 { return int64(len(g.table.Live(g.Clock.Now()))) })
 	g.metrics.Gauge("gateway", "fresh", func() int64 { return g.Clock.Now().Sub(g.mesh.Fresh()).Milliseconds() })
 	g.metrics.Gauge("gateway", "dropped", g.Dropped)
+	g.metrics.Gauge("gateway", "calls", g.Calls)
 	g.metrics.Gauge("gateway", "version", func() int64 {
 		if t := g.front.Routes(); t != nil {
 			return int64(t.Version)
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -96,13 +96,21 @@
 		wake: make(chan struct{}, 1), seeded: map[carobward.Address]bool{},
 	}
 
-	for _, s := range o.Seeds {
-		if s != o.Table.Self().Peers {
+	m.AddSeeds(o.Seeds)
+
+	return m
+}
+
+// AddSeeds asks more entry VMs who there is, until they answer.
+func (m *Mesh) AddSeeds(list []carobward.Address) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	for _, s := range list {
+		if s != m.Table.Self().Peers {
 			m.seeded[s] = true
 		}
 	}
-
-	return m
 }
 
 // Run works until the context ends.
--- a/internal/cwretry/window.go
+++ b/internal/cwretry/window.go
@@ -28,6 +28,14 @@
 	return &Window{share: share, span: span, start: now}
 }
 
+// SetShare changes the share of the requests that extra calls may be.
+func (w *Window) SetShare(share float64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	w.share = share
+}
+
 // Request notes a request.
 func (w *Window) Request(now time.Time) {
 	w.mutex.Lock()
--- a/test/gateway/process_test.go
+++ b/test/gateway/process_test.go
@@ -59,7 +59,7 @@
 	return resp.StatusCode()
 }
 
-// TestSignals wants SIGHUP to change nothing, also with settings that can't be
+// TestSignals wants SIGHUP to cost no request, also with settings that can't be
 // read, and SIGTERM to end the process well.
 func TestSignals(t *testing.T) {
 	g, _ := fleet(t, 2)
@@ -99,6 +99,39 @@
 	}
 }
 
+// TestReload changes the settings file of a process. A new bound is put in force
+// without a restart, on a signal and without one.
+func TestReload(t *testing.T) {
+	for name, signal := range map[string]bool{"on a signal": true, "without one": false} {
+		t.Run(name, func(t *testing.T) {
+			g, _ := fleet(t, 1)
+			v := g.All[0]
+
+			raw, err := os.ReadFile(v.Settings)
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			text := strings.Replace(string(raw), "probes_per_s = 60", "probes_per_s = 17", 1)
+			if err := os.WriteFile(v.Settings, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+
+			if signal {
+				v.Process().Signal(t, syscall.SIGHUP)
+			}
+
+			cwtest.Wait(t, "the new bound", func() bool {
+				return strings.Contains(v.Process().Output(), "New bounds are in force") && strings.Contains(v.Process().Output(), "looks=17")
+			})
+
+			if status := ask(v, "one"); status != http.StatusOK {
+				t.Errorf("status %d", status)
+			}
+		})
+	}
+}
+
 // TestBadSettings wants an error that names what is missing.
 func TestBadSettings(t *testing.T) {
 	program := cwtest.Build(t, "cmd/cwgateway")
