--- a/cmd/cwgateway/settings.go
+++ b/cmd/cwgateway/settings.go
@@ -68,7 +68,7 @@
 
 // state returns the file's state, or the zero one where it can't be read.
 func (w *watcher) state() fileState {
-	info, err := os.Stat(w.path)
+	info, err := os.Stat(w.path) //nolint:gosec // The platform names the file.
 	if err != nil {
 		w.log.Info("The settings file can't be found.", "cause", err.Error())
 
--- a/internal/cwfront/look_test.go
+++ b/internal/cwfront/look_test.go
@@ -119,5 +119,4 @@
 	if l := r.lookAt(view()); l.ok {
 		t.Error("a look beyond the bound")
 	}
-
 }
--- a/internal/cwlink/trip.go
+++ b/internal/cwlink/trip.go
@@ -86,14 +86,20 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 
-	wrote := make(chan error, 1)
+	var werr error
 
-	group.Go(func() { wrote <- t.send() })
+	wrote := make(chan struct{})
+
+	group.Go(func() {
+		defer close(wrote)
+
+		werr = t.send()
+	})
 
 	reply, again, err := t.read()
 
 	select {
-	case werr := <-wrote:
+	case <-wrote:
 		return t.outcome(reply, again, err, werr)
 	default:
 	}
