Models, naive versions and experiments in a folder of their own

14 of 58 packages below internal/ serve nobody: they are the other side of differential tests and what carobward bench measures. internal/lab says so; a newcomer who follows a request has 44 to look at. No behaviour changes: paths only.

--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -13,7 +13,7 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwbench"
+	"carobward.example/carobward/internal/lab/cwbench"
 )
 
 const usageBench = `Compare ways to choose servers under load and faults. A suite runs scenarios
--- a/cmd/carobward/bench_budget.go
+++ b/cmd/carobward/bench_budget.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward/internal/cwbudget"
-	"carobward.example/carobward/internal/cwspend"
+	"carobward.example/carobward/internal/lab/cwspend"
 )
 
 const usageBenchBudget = `Print what measuring costs the servers in the worst second, of a model fleet
--- a/cmd/carobward/bench_carriers.go
+++ b/cmd/carobward/bench_carriers.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"carobward.example/carobward/internal/cwcarrier"
+	"carobward.example/carobward/internal/lab/cwcarrier"
 )
 
 const usageBenchCarriers = `Print which entry VMs carry which targets. The table has the fewest and the
--- a/cmd/carobward/bench_config.go
+++ b/cmd/carobward/bench_config.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"carobward.example/carobward/internal/cwspread"
+	"carobward.example/carobward/internal/lab/cwspread"
 )
 
 const usageBenchConfig = `Measure how a change of the configuration spreads over a fleet of entry VMs,
--- a/cmd/carobward/bench_cost.go
+++ b/cmd/carobward/bench_cost.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"carobward.example/carobward/internal/cwcost"
+	"carobward.example/carobward/internal/lab/cwcost"
 )
 
 const usageBenchCost = `Measure the processor time and memory of processes for a while, such as entry
--- a/cmd/carobward/bench_hop.go
+++ b/cmd/carobward/bench_hop.go
@@ -11,9 +11,9 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
-	"carobward.example/carobward/internal/cwfleet"
-	"carobward.example/carobward/internal/cwhop"
 	"carobward.example/carobward/internal/cwstand"
+	"carobward.example/carobward/internal/lab/cwfleet"
+	"carobward.example/carobward/internal/lab/cwhop"
 )
 
 const usageBenchHop = `Measure what the hop by way of an entry VM adds to a call: pairs of a direct
--- a/cmd/carobward/bench_idle.go
+++ b/cmd/carobward/bench_idle.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"carobward.example/carobward/internal/cwtrial"
+	"carobward.example/carobward/internal/lab/cwtrial"
 )
 
 const usageBenchIdle = `Count the calls that are left unknown since the server closed the idle
--- a/cmd/carobward/bench_leave.go
+++ b/cmd/carobward/bench_leave.go
@@ -7,7 +7,7 @@
 
 	"github.com/juju/errors"
 
-	"carobward.example/carobward/internal/cwleave"
+	"carobward.example/carobward/internal/lab/cwleave"
 )
 
 const usageBenchLeave = `Print how the news that a server leaves spread in a model fleet. The first table
--- a/cmd/carobward/bench_members.go
+++ b/cmd/carobward/bench_members.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"carobward.example/carobward/internal/cwnetwork"
+	"carobward.example/carobward/internal/lab/cwnetwork"
 )
 
 const usageBenchMembers = `Measure membership between entry VMs on a network in memory: the bytes that a
--- a/cmd/carobward/bench_once.go
+++ b/cmd/carobward/bench_once.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwfee"
+	"carobward.example/carobward/internal/lab/cwfee"
 )
 
 const usageBenchOnce = `Charge fees that must not repeat through faults and count how often each ran.
--- a/cmd/carobward/bench_scripts.go
+++ b/cmd/carobward/bench_scripts.go
@@ -5,7 +5,7 @@
 
 	"github.com/juju/errors"
 
-	"carobward.example/carobward/internal/cwtrial"
+	"carobward.example/carobward/internal/lab/cwtrial"
 )
 
 const usageBenchScripts = `Count the faults in what callers get from a server that misbehaves: wrong or
--- a/cmd/cwstand/caller.go
+++ b/cmd/cwstand/caller.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwload"
+	"carobward.example/carobward/internal/lab/cwload"
 	"carobward.example/carobward/pkg/cwcaller"
 )
 
--- a/internal/cwbudget/budget_test.go
+++ b/internal/cwbudget/budget_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 
 	"carobward.example/carobward/internal/cwbudget"
-	"carobward.example/carobward/internal/cwspend"
+	"carobward.example/carobward/internal/lab/cwspend"
 )
 
 // TestBudgetHoldsAlways draws fleets at peak and counts at the servers, in
--- a/internal/cwconfig/history_test.go
+++ b/internal/cwconfig/history_test.go
@@ -12,8 +12,8 @@
 	"github.com/anishathalye/porcupine"
 
 	"carobward.example/carobward/internal/cwconfig"
-	"carobward.example/carobward/internal/cwspread"
-	"carobward.example/carobward/internal/cwstore"
+	"carobward.example/carobward/internal/lab/cwspread"
+	"carobward.example/carobward/internal/lab/cwstore"
 )
 
 // chain is what a read of the store showed: id/target of each change in order.
--- a/internal/cwconfig/model_test.go
+++ b/internal/cwconfig/model_test.go
@@ -13,8 +13,8 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
-	"carobward.example/carobward/internal/cwspread"
-	"carobward.example/carobward/internal/cwstore"
+	"carobward.example/carobward/internal/lab/cwspread"
+	"carobward.example/carobward/internal/lab/cwstore"
 )
 
 // The schedules are the same on each run; another -rapid.seed gives others.
--- a/internal/cwconfig/naive_test.go
+++ b/internal/cwconfig/naive_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"carobward.example/carobward/internal/cwspread"
+	"carobward.example/carobward/internal/lab/cwspread"
 )
 
 // TestAgainstNaive takes both systems through the same faults.
--- a/internal/cwconfig/syncer_test.go
+++ b/internal/cwconfig/syncer_test.go
@@ -12,10 +12,10 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
-	"carobward.example/carobward/internal/cwspread"
-	"carobward.example/carobward/internal/cwstore"
 	"carobward.example/carobward/internal/cwtest"
 	"carobward.example/carobward/internal/cwwire"
+	"carobward.example/carobward/internal/lab/cwspread"
+	"carobward.example/carobward/internal/lab/cwstore"
 )
 
 // began is when the clocks of the fleets start.
--- a/internal/cwconfig/writer_test.go
+++ b/internal/cwconfig/writer_test.go
@@ -11,8 +11,8 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwstore"
 	"carobward.example/carobward/internal/cwtarget"
+	"carobward.example/carobward/internal/lab/cwstore"
 )
 
 // TestApplyOutcome: what is answered is true, whatever reply was lost.
--- a/internal/cwlink/proof_test.go
+++ b/internal/cwlink/proof_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 
 	"carobward.example/carobward/internal/cwstand"
-	"carobward.example/carobward/internal/cwtrial"
+	"carobward.example/carobward/internal/lab/cwtrial"
 )
 
 // play sends calls by a new link and returns the faults.
--- a/internal/cwlookup/carriers_test.go
+++ b/internal/cwlookup/carriers_test.go
@@ -13,9 +13,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwcarrier"
 	"carobward.example/carobward/internal/cwlookup"
 	"carobward.example/carobward/internal/cwpeer"
+	"carobward.example/carobward/internal/lab/cwcarrier"
 )
 
 func TestCarriers(t *testing.T) {
--- a/internal/cwmember/machine_test.go
+++ b/internal/cwmember/machine_test.go
@@ -7,8 +7,8 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwmember"
-	"carobward.example/carobward/internal/cwnetwork"
 	"carobward.example/carobward/internal/cwwire"
+	"carobward.example/carobward/internal/lab/cwnetwork"
 )
 
 // settled returns a fleet that has met.
--- a/internal/cwmember/schedule_test.go
+++ b/internal/cwmember/schedule_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwnetwork"
 	"carobward.example/carobward/internal/cwwire"
+	"carobward.example/carobward/internal/lab/cwnetwork"
 )
 
 // TestMain bounds the generated cases; -rapid.checks asks for more.
--- a/internal/cwnews/fleet_test.go
+++ b/internal/cwnews/fleet_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"carobward.example/carobward/internal/cwleave"
+	"carobward.example/carobward/internal/lab/cwleave"
 )
 
 const (
--- a/internal/cwoperator/api_test.go
+++ b/internal/cwoperator/api_test.go
@@ -18,7 +18,7 @@
 	"carobward.example/carobward/internal/cwconfig"
 	"carobward.example/carobward/internal/cwoperator"
 	"carobward.example/carobward/internal/cwpeer"
-	"carobward.example/carobward/internal/cwstore"
+	"carobward.example/carobward/internal/lab/cwstore"
 )
 
 // nobody is the Caller of an entry VM without peers.
--- a/internal/cwowner/bench_test.go
+++ b/internal/cwowner/bench_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwfee"
 	"carobward.example/carobward/internal/cwticket"
+	"carobward.example/carobward/internal/lab/cwfee"
 )
 
 // BenchmarkDo gives the cost of a ticket on the way of a request: issued on
--- a/internal/cwowner/history_test.go
+++ b/internal/cwowner/history_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwfee"
+	"carobward.example/carobward/internal/lab/cwfee"
 )
 
 // work is the state of one fee: the run that happened, and the tickets that
--- a/internal/cwowner/owner_test.go
+++ b/internal/cwowner/owner_test.go
@@ -10,10 +10,10 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwfee"
 	"carobward.example/carobward/internal/cwowner"
 	"carobward.example/carobward/internal/cwtest"
 	"carobward.example/carobward/internal/cwticket"
+	"carobward.example/carobward/internal/lab/cwfee"
 )
 
 const (
--- a/internal/cwprobe/budget_test.go
+++ b/internal/cwprobe/budget_test.go
@@ -7,8 +7,8 @@
 	"github.com/sourcegraph/conc"
 
 	"carobward.example/carobward/internal/cwbudget"
-	"carobward.example/carobward/internal/cwspend"
 	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/internal/lab/cwspend"
 )
 
 // TestBudgetOverSockets has five entry VMs probe as much as they may. They
--- a/internal/cwprobe/prober_test.go
+++ b/internal/cwprobe/prober_test.go
@@ -12,9 +12,9 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbudget"
-	"carobward.example/carobward/internal/cwcounter"
 	"carobward.example/carobward/internal/cwnews"
 	"carobward.example/carobward/internal/cwserver"
+	"carobward.example/carobward/internal/lab/cwcounter"
 )
 
 // TestCheck has the outcomes of one probe.
--- a/internal/cwbench/live.go
+++ b/internal/lab/cwbench/live.go
@@ -11,9 +11,9 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
-	"carobward.example/carobward/internal/cwfleet"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtarget"
+	"carobward.example/carobward/internal/lab/cwfleet"
 )
 
 // sender sends one request and waits for its end.
--- a/internal/cwhop/hop.go
+++ b/internal/lab/cwhop/hop.go
@@ -15,7 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwcost"
+	"carobward.example/carobward/internal/lab/cwcost"
 )
 
 // Options describe one run.
--- a/internal/cwspend/live.go
+++ b/internal/lab/cwspend/live.go
@@ -11,10 +11,10 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbudget"
-	"carobward.example/carobward/internal/cwcounter"
 	"carobward.example/carobward/internal/cwnews"
 	"carobward.example/carobward/internal/cwprobe"
 	"carobward.example/carobward/internal/cwserver"
+	"carobward.example/carobward/internal/lab/cwcounter"
 )
 
 // Live is a fleet of entry VMs that probe servers over sockets as much as they
--- a/internal/cwspread/cost.go
+++ b/internal/lab/cwspread/cost.go
@@ -13,7 +13,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
-	"carobward.example/carobward/internal/cwstore"
+	"carobward.example/carobward/internal/lab/cwstore"
 )
 
 // Cost is what one change of one target costs where each of so many services
--- a/internal/cwspread/fleet.go
+++ b/internal/lab/cwspread/fleet.go
@@ -14,7 +14,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
-	"carobward.example/carobward/internal/cwstore"
+	"carobward.example/carobward/internal/lab/cwstore"
 )
 
 const (
--- a/internal/cwspread/loopback.go
+++ b/internal/lab/cwspread/loopback.go
@@ -12,10 +12,10 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
-	"carobward.example/carobward/internal/cwfleet"
 	"carobward.example/carobward/internal/cwkv"
 	"carobward.example/carobward/internal/cwnode"
 	"carobward.example/carobward/internal/cwstand"
+	"carobward.example/carobward/internal/lab/cwfleet"
 )
 
 const (
--- a/internal/cwspread/naive.go
+++ b/internal/lab/cwspread/naive.go
@@ -6,7 +6,7 @@
 	"maps"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwstore"
+	"carobward.example/carobward/internal/lab/cwstore"
 )
 
 // naiveKey is where a naive fleet keeps its configuration.
--- a/internal/cwspread/scenario.go
+++ b/internal/lab/cwspread/scenario.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"carobward.example/carobward/internal/cwstore"
+	"carobward.example/carobward/internal/lab/cwstore"
 )
 
 // ScenarioVMs is how many entry VMs a System has at the start of a Scenario.
--- a/internal/cwspread/system.go
+++ b/internal/lab/cwspread/system.go
@@ -6,7 +6,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
-	"carobward.example/carobward/internal/cwstore"
+	"carobward.example/carobward/internal/lab/cwstore"
 )
 
 // System is a fleet that a Scenario takes through faults.
--- a/internal/cwspread/vm.go
+++ b/internal/lab/cwspread/vm.go
@@ -8,8 +8,8 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwconfig"
-	"carobward.example/carobward/internal/cwstore"
 	"carobward.example/carobward/internal/cwwire"
+	"carobward.example/carobward/internal/lab/cwstore"
 )
 
 // errCut tells that the direction between two entry VMs is cut.
--- a/test/path/stop_test.go
+++ b/test/path/stop_test.go
@@ -12,9 +12,9 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwload"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/internal/lab/cwload"
 )
 
 // peersKey names a key file that the entry VMs share.
