--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -5,12 +5,12 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwrank"
 )
 
 // The sets of servers that an entry VM sends to. They keep the connections of
@@ -154,12 +154,12 @@
 
 // place returns how many of the entry VMs come before this one for a server.
 func (t *Table) place(s *Server, vms []VM) int {
-	instance := s.Backend().Instance
-	own := weight(t.self.ID, instance)
+	instance := string(s.Backend().Instance)
+	own := cwrank.Weight(string(t.self.ID), instance)
 	before := 0
 
 	for _, vm := range vms {
-		if vm.ID != t.self.ID && weight(vm.ID, instance) > own {
+		if vm.ID != t.self.ID && cwrank.Weight(string(vm.ID), instance) > own {
 			before++
 		}
 	}
@@ -167,21 +167,6 @@
 	return before
 }
 
-// weight is the rendezvous hash of an entry VM and a server.
-func weight(vm carobward.VMID, i carobward.Instance) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(vm))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(i))
-
-	// The last bytes of FNV's input hardly reach its high bits.
-	n := h.Sum64()
-	n ^= n >> 33
-	n *= 0xff51afd7ed558ccd
-
-	return n ^ n>>33
-}
-
 // Views returns what is known of the servers of a service that this entry VM
 // sends to and that are not leaving. Usual is the usual time of a request.
 func (t *Table) Views(service carobward.Service, now time.Time, usual time.Duration) []View {
--- a/internal/cwconfig/schedule.go
+++ b/internal/cwconfig/schedule.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwrank"
 )
 
 // The pace of the syncer.
@@ -118,9 +118,4 @@
 	return slices.ContainsFunc(slices.Concat(firsts, rest[:more]), func(p carobward.Peer) bool { return p.ID == self.ID })
 }
 
-func rank(id carobward.VMID) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-
-	return h.Sum64()
-}
+func rank(id carobward.VMID) uint64 { return cwrank.Weight(string(id), "") }
--- a/internal/cwfollow/duty.go
+++ b/internal/cwfollow/duty.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwmesh"
+	"carobward.example/carobward/internal/cwrank"
 )
 
 // The rule by which a few entry VMs ask the store for all.
@@ -71,10 +71,14 @@
 
 	for d, list := range byDomain {
 		domains = append(domains, d)
-		slices.SortFunc(list, func(a, b carobward.VMID) int { return cmp.Compare(hash(string(a)), hash(string(b))) })
+		slices.SortFunc(list, func(a, b carobward.VMID) int {
+			return cmp.Compare(cwrank.Weight(string(a), ""), cwrank.Weight(string(b), ""))
+		})
 	}
 
-	slices.SortFunc(domains, func(a, b carobward.Domain) int { return cmp.Compare(hash(string(a)), hash(string(b))) })
+	slices.SortFunc(domains, func(a, b carobward.Domain) int {
+		return cmp.Compare(cwrank.Weight(string(a), ""), cwrank.Weight(string(b), ""))
+	})
 
 	return interleave(domains, byDomain)
 }
@@ -97,13 +101,6 @@
 	}
 }
 
-func hash(text string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(text))
-
-	return h.Sum64() * 0x9E3779B97F4A7C15
-}
-
 // mustAsk tells whether the entry VM at a place of the order asks the store
 // now, by the age of the newest word from it. A place below zero is not in the
 // order.
--- a/internal/cwlookup/carriers.go
+++ b/internal/cwlookup/carriers.go
@@ -2,6 +2,7 @@
 
 import (
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwrank"
 )
 
 // Base is how many entry VMs of each failure domain carry a target that is
@@ -31,12 +32,12 @@
 // place returns how many entry VMs of its failure domain go before one among
 // a target's carriers.
 func place(peers []carobward.Peer, target carobward.TargetName, self *carobward.Peer) int {
-	own := weight(self.ID, string(target))
+	own := cwrank.Weight(string(self.ID), string(target))
 	before := 0
 
 	for i := range peers {
 		p := &peers[i]
-		if p.Domain == self.Domain && p.State != carobward.PeerDead && weight(p.ID, string(target)) > own {
+		if p.Domain == self.Domain && p.State != carobward.PeerDead && cwrank.Weight(string(p.ID), string(target)) > own {
 			before++
 		}
 	}
--- a/internal/cwlookup/lookup.go
+++ b/internal/cwlookup/lookup.go
@@ -3,11 +3,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
-	"math"
 	"slices"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwrank"
 )
 
 // Line is one address that a caller may use.
@@ -91,7 +90,7 @@
 		}
 
 		if p.State == carobward.PeerLive || p.State == carobward.PeerSuspect {
-			fit = append(fit, ranked{p, weight(p.ID, caller)})
+			fit = append(fit, ranked{p, cwrank.Weight(string(p.ID), caller)})
 		}
 	}
 
@@ -110,23 +109,5 @@
 // ranked is a peer with its weight, which is worked out once.
 type ranked struct {
 	peer   *carobward.Peer
-	weight float64
-}
-
-func weight(id carobward.VMID, caller string) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(caller))
-
-	return float64(mix(h.Sum64())) / math.MaxUint64
-}
-
-// mix spreads the bits of an FNV sum, whose high bits differ little between
-// short texts (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-
-	return x ^ (x >> 31)
+	weight uint64
 }
