A caller that can come back is refused rather than given a late answer

Now a server that is not good is taken in the end only if its answer is in time, or if the caller has come back already, which its time left tells. Others are refused, with when to come back.

Ruled out: refusing those that have come back as well (they have no other try).

--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -79,7 +79,7 @@
 		now := f.Clock.Now()
 		last := !now.Before(until)
 
-		if best != nil && (best.time <= goodTime || last && r.fits(best, now)) {
+		if best != nil && (best.time <= goodTime || last && r.suits(best, now)) {
 			return best, nil
 		}
 
@@ -98,6 +98,20 @@
 	}
 }
 
+// suits tells whether a server that is not good is better than a refusal. Its
+// answer would be in time, or the caller has come back already and may not do so
+// again. A caller that can come back is better off with that than with a late
+// answer, which would also hold the slots of a slow machine for long: they are
+// missed once it is fast again, several times a second.
+func (r *request) suits(l *looked, now time.Time) bool {
+	took := time.Duration(l.time * float64(r.usual()))
+	if took < r.arrived.Add(r.route.Objective).Sub(now) {
+		return true
+	}
+
+	return r.returned && r.fits(l, now)
+}
+
 // fits tells whether a server would probably answer before the deadline.
 func (r *request) fits(l *looked, now time.Time) bool {
 	return time.Duration(l.time*float64(r.usual())) < r.deadline.Sub(now)
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -43,6 +43,8 @@
 	arrived time.Time
 	// deadline is when the final answer is due.
 	deadline time.Time
+	// returned tells that the caller has probably come back after a refusal.
+	returned bool
 	routes   *cwroutes.Table
 	route    *cwroutes.Route
 	service  carobward.Service
@@ -103,13 +105,14 @@
 		return r
 	}
 
+	r.service = r.route.Pick()
+	r.kept = f.service(r.service)
+	r.returned = ok && r.kept.isReturned(r.route.Name, left)
 	r.deadline = now.Add(r.route.Timeout)
 	if ok && left < r.route.Timeout {
 		r.deadline = now.Add(left)
 	}
 
-	r.service = r.route.Pick()
-	r.kept = f.service(r.service)
 	r.kept.window.Request(now)
 	r.call = r.newCall(ctx)
 
--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -25,6 +25,26 @@
 	// crowd is the moving average of how many times longer answers take at
 	// crowded servers.
 	crowd float64
+	// longest is the longest time that a caller of a route said it would wait.
+	longest map[carobward.RouteName]time.Duration
+}
+
+// returnedPart is the part of the longest wait of a route's callers below which a
+// caller has probably been refused before: it has used the rest.
+const returnedPart = 0.95
+
+// isReturned tells whether a caller that still waits for so long has probably
+// come back after a refusal. Where callers differ in how long they wait, those
+// with the longest wait are told apart only.
+func (s *service) isReturned(route carobward.RouteName, left time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	if left > s.longest[route] {
+		s.longest[route] = left
+	}
+
+	return float64(left) < returnedPart*float64(s.longest[route])
 }
 
 // The figures of what is learned from answers.
@@ -53,10 +73,11 @@
 		limit, burst := f.pace(name)
 		limits := f.limits.Load()
 		s = &service{
-			window: cwretry.NewWindow(limits.ExtraShare*extraPart, limits.ExtraWindow, f.Clock.Now()),
-			looks:  rate.NewLimiter(limit, burst),
-			usual:  map[time.Duration]float64{},
-			crowd:  crowdFirst,
+			window:  cwretry.NewWindow(limits.ExtraShare*extraPart, limits.ExtraWindow, f.Clock.Now()),
+			looks:   rate.NewLimiter(limit, burst),
+			usual:   map[time.Duration]float64{},
+			longest: map[carobward.RouteName]time.Duration{},
+			crowd:   crowdFirst,
 		}
 		f.services[name] = s
 	}
