Changes are handed out by the speed of the link

Its bound on bytes drained each reply beside the others, so it admitted several times what the link carries; fetches timed out after 0.4 s, and who failed asked the same VM again, up to three times, and the store after 1.6 s.

Now a token bucket hands out what half of the link carries (the settings tell its speed), at most a tenth of a second at once; a fetch that fails goes to another peer that is ahead, at once if one tells so; and who fetched changes that are large for the fleet tells three more.

Ruled out: the store's answers (4 ms), the table of servers (some ms a change).

Tests: TestAnswersBound (seen failing with a hundred times the rate), TestOffer, TestIsBusy, TestBulk.

--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -111,6 +111,7 @@
 		Metrics: carobward.Address(net.JoinHostPort(host, metricsPort)),
 		Bounds:  bounds(s),
 		Key:     key[:],
+		Link:    s.Link,
 		First:   s.First,
 		Adapter: platform.Adapter(s.Store, func() { calls.Add(1) }),
 		Calls:   calls.Load,
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -87,8 +87,10 @@
 	// Bounds are those at the start, see SetBounds.
 	Bounds
 	// First tells that the whole fleet starts for the first time.
-	First   bool
-	Key     cwpeer.Key
+	First bool
+	Key   cwpeer.Key
+	// Link is the speed of the VM's link in bytes a second, 0 if it is not known.
+	Link    carobward.ByteCount
 	Adapter Adapter
 	// Dropped returns the number of log lines that were dropped, Calls that of
 	// the calls to the store.
@@ -161,7 +163,7 @@
 	}
 
 	g.mesh = cwmesh.New(cwmesh.Options{
-		Table: g.table, Mirror: g.mirror, Seeds: o.Seeds, Key: o.Key, Clock: o.Clock, Log: o.Log, Changed: g.changed,
+		Table: g.table, Mirror: g.mirror, Seeds: o.Seeds, Key: o.Key, Link: o.Link, Clock: o.Clock, Log: o.Log, Changed: g.changed,
 	}, conn)
 
 	g.follow = cwfollow.New(cwfollow.Options{
--- a/internal/cwgateway/know_test.go
+++ b/internal/cwgateway/know_test.go
@@ -181,6 +181,50 @@
 	}
 }
 
+// TestBulk lets many servers register while only one entry VM, over a slow link,
+// is served by the store. All entry VMs must come to know all servers: by those
+// that have them already, since the first can't send them to all.
+func TestBulk(t *testing.T) {
+	const (
+		vms     = 8
+		servers = 300
+	)
+
+	f := newFleet(t)
+	f.upstream(t, "records", "i-1")
+	f.configure(safe("records"))
+
+	other := cwstand.NewMetadata()
+	other.SetFaults(cwstand.MetadataFaults{Status: http.StatusTooManyRequests})
+	refused := cwtest.Serve(t, other.Serve, other.Stop)
+
+	var all []*vm
+
+	for i := range vms {
+		all = append(all, f.start(t, fmt.Sprint("vm-", i), func(o *cwgateway.Options) {
+			o.Link = 300_000
+
+			if i > 0 {
+				o.Adapter = platform.Adapter(refused, func() {})
+			}
+		}))
+	}
+
+	for _, v := range all {
+		v.waitReady(t)
+	}
+
+	for i := range servers {
+		f.register("records", fmt.Sprintf("i-more-%03d", i), "127.0.0.1:1", "ready")
+	}
+
+	for _, v := range all {
+		cwtest.Wait(t, "all servers", func() bool {
+			return strings.Contains(get(v.options.Metrics, "/metrics").body, fmt.Sprintf(`"servers": %d`, servers+1))
+		})
+	}
+}
+
 // TestSeedsGone wants a newcomer whose seeds are all gone to find the others by
 // the store, and they it.
 func TestSeedsGone(t *testing.T) {
--- a/internal/cwgateway/listen.go
+++ b/internal/cwgateway/listen.go
@@ -20,7 +20,7 @@
 // listen opens all listeners and serves them.
 func (g *Gateway) listen(ctx context.Context, group *conc.WaitGroup) ([]net.Listener, error) {
 	peers := cwpeer.NewServer(g.Key, g.Log)
-	if err := peers.Register(cwmesh.Service, &cwmesh.Answers{Mesh: g.mesh}); err != nil {
+	if err := peers.Register(cwmesh.Service, cwmesh.NewAnswers(g.mesh)); err != nil {
 		return nil, err
 	}
 
--- /dev/null
+++ b/internal/cwmesh/fetch.go
@@ -0,0 +1,248 @@
+package cwmesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/rpc"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/time/rate"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmirror"
+	"carobward.example/carobward/internal/cwwire"
+)
+
+// The figures of fetching changes from peers. A change of many keys can't go from
+// one entry VM to a hundred others at once: its link would take seconds. Those
+// that are refused find the ones that have it by then.
+const (
+	// fetchTime bounds one fetch.
+	fetchTime = 400 * time.Millisecond
+	// fetchTries bounds the fetches after one heartbeat. The next one begins
+	// anew.
+	fetchTries = 5
+	// fetchPause is the pause after a fetch that failed, at random up to twice
+	// as long; it doubles. A peer that tells that it is ahead ends it.
+	fetchPause = 30 * time.Millisecond
+	// spreadPeers is how many peers of the own failure domain who has fetched
+	// changes that are large for the fleet tells of it. The number of those that
+	// can send them grows by so many times with each step.
+	spreadPeers = 3
+	// linkLeast is the speed of a link that is not known, in bytes a second:
+	// 10 Mbit/s.
+	linkLeast = 1_250_000
+	// linkShare is the part of the link that changes for peers may take. Callers
+	// are served by the rest.
+	linkShare = 0.5
+	// linkBurst is for how long of the link's time changes may be handed out at
+	// once: those who wait longer are better served by others.
+	linkBurst = 100 * time.Millisecond
+)
+
+// errBusy is the error of a peer that asks while others get too much.
+const errBusy = errors.ConstError("mesh: other peers are being sent changes")
+
+// offer is the word of a peer that it has what this entry VM lacks.
+type offer struct {
+	from carobward.Address
+	id   carobward.VMID
+	copy cwmirror.State
+}
+
+// offer notes that a peer is ahead. The newest offer counts.
+func (m *Mesh) offer(o offer) {
+	for {
+		select {
+		case m.offers <- o:
+			return
+		default:
+		}
+
+		select {
+		case <-m.offers:
+		default:
+		}
+	}
+}
+
+// follow fetches changes from peers that offer some, one fetch at a time.
+func (m *Mesh) follow(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-m.offers:
+			if m.Mirror.State().Behind(o.copy) { // It may have come from another one.
+				m.catchUp(ctx, o)
+			}
+		}
+	}
+}
+
+// catchUp fetches changes from a peer, or else from others that have them.
+func (m *Mesh) catchUp(ctx context.Context, o offer) {
+	pause := fetchPause
+
+	for try := 1; ; try++ {
+		err := m.fetch(ctx, o.from)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+
+		// That a peer is busy is no news: many ask the first one to have changes.
+		if try == fetchTries || !isBusy(err) {
+			m.Log.Info("Changes could not be fetched.", "from", string(o.from), "vm", o.id, "try", try, "cause", err.Error())
+		}
+
+		if try == fetchTries {
+			return
+		}
+
+		next, ok := m.nextOffer(ctx, o, pause)
+		if !ok {
+			return
+		}
+
+		o = next
+		pause *= 2
+	}
+}
+
+// isBusy tells whether a peer refused since others get too much.
+func isBusy(err error) bool {
+	var said rpc.ServerError
+
+	return errors.As(err, &said) && string(said) == errBusy.Error()
+}
+
+// nextOffer waits for a peer that is ahead, and else draws one of those that are
+// known to be, another one than failed where there is one.
+func (m *Mesh) nextOffer(ctx context.Context, failed offer, pause time.Duration) (offer, bool) {
+	timer := time.NewTimer(pause + rand.N(pause))
+	defer timer.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return offer{}, false
+		case o := <-m.offers:
+			if o.id != failed.id {
+				return o, true
+			}
+		case <-timer.C:
+			return m.drawAhead(failed)
+		}
+	}
+}
+
+// drawAhead draws one of the peers that are known to be ahead.
+func (m *Mesh) drawAhead(failed offer) (offer, bool) {
+	var others []Peer
+
+	ahead := m.Table.ahead(m.Mirror.State(), m.Clock.Now())
+	for i := range ahead {
+		if ahead[i].ID != failed.id {
+			others = append(others, ahead[i])
+		}
+	}
+
+	if len(others) == 0 {
+		others = ahead
+	}
+
+	if len(others) == 0 {
+		return offer{}, false
+	}
+
+	p := &others[rand.IntN(len(others))]
+
+	return offer{from: p.Peers, id: p.ID, copy: p.Copy}, true
+}
+
+// fetch takes the changes that this entry VM lacks from a peer.
+func (m *Mesh) fetch(ctx context.Context, from carobward.Address) error {
+	limited, cancel := context.WithTimeout(ctx, fetchTime)
+	defer cancel()
+
+	own := m.Mirror.State()
+	sent := m.Clock.Now()
+	reply := &cwwire.ChangesReply{}
+
+	err := m.clients.Call(limited, from, Service+".Changes", &cwwire.ChangesRequest{After: uint64(own.Index)}, reply)
+	if err != nil {
+		return err
+	}
+
+	c := carobward.Changes{Index: carobward.StoreIndex(reply.GetIndex()), Whole: reply.GetWhole()}
+	for _, e := range reply.GetEntries() {
+		c.Items = append(c.Items, carobward.Item{
+			Key: carobward.Key(e.GetKey()), Value: e.GetValue(), Index: carobward.StoreIndex(e.GetIndex()), Gone: e.GetGone(),
+		})
+	}
+
+	fresh := m.Mirror.Apply(c, false)
+	m.Log.Info("Took changes from a peer.", "from", string(from), "after", own.Index, "index", c.Index, "whole", c.Whole, "changed", len(fresh))
+
+	m.SetFresh(decodeFresh(reply.GetFresh(), sent))
+	m.Changed(fresh)
+	m.spread(&c)
+
+	return nil
+}
+
+// spread tells some peers of changes that are too large for the first to have
+// them to send to all.
+func (m *Mesh) spread(c *carobward.Changes) {
+	now := m.Clock.Now()
+
+	if all := int(c.Size()) * len(m.Table.Live(now)); all > burstBytes(linkLeast) {
+		m.tell(m.Table.some(now, spreadPeers))
+	}
+}
+
+// burstBytes returns how many bytes of changes may be handed out at once over a
+// link of a speed in bytes a second.
+func burstBytes(link carobward.ByteCount) int {
+	return int(float64(link) * linkBurst.Seconds())
+}
+
+// Answers is the peers' service.
+type Answers struct {
+	mesh *Mesh
+	// bytes bounds what is sent to peers, by the speed of the link.
+	bytes *rate.Limiter
+}
+
+// NewAnswers returns the service of a mesh.
+func NewAnswers(m *Mesh) *Answers {
+	link := m.Link
+	if link <= 0 {
+		link = linkLeast
+	}
+
+	return &Answers{mesh: m, bytes: rate.NewLimiter(rate.Limit(linkShare*float64(link)), burstBytes(link))}
+}
+
+// Changes returns the changes after an index. A reply that is larger than what
+// may be handed out at once takes all of that.
+func (a *Answers) Changes(in *cwwire.ChangesRequest, out *cwwire.ChangesReply) error {
+	m := a.mesh
+	now := m.Clock.Now()
+	c := m.Mirror.Since(carobward.StoreIndex(in.GetAfter()))
+
+	if !a.bytes.AllowN(now, min(int(c.Size()), a.bytes.Burst())) {
+		return errBusy
+	}
+
+	out.Fresh = encodeFresh(m.Fresh(), now)
+	out.Index, out.Whole = uint64(c.Index), c.Whole
+
+	for i := range c.Items {
+		it := &c.Items[i]
+		out.Entries = append(out.Entries, &cwwire.Entry{Key: string(it.Key), Value: it.Value, Index: uint64(it.Index), Gone: it.Gone})
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/cwmesh/fetch_test.go
@@ -0,0 +1,137 @@
+package cwmesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmirror"
+	"carobward.example/carobward/internal/cwwire"
+)
+
+// stepClock is a clock that a test moves.
+type stepClock struct{ now time.Time }
+
+func (c *stepClock) Now() time.Time { return c.now }
+
+// TestAnswersBound lets many peers ask for changes at once, and wants what is
+// sent to stay within the part of the link that is for that. A peer that asks
+// alone gets all, however large.
+func TestAnswersBound(t *testing.T) {
+	const (
+		link  = 1_250_000
+		keys  = 100
+		value = 400
+		size  = keys * (value + 10)
+		most  = link*linkShare + link/10
+	)
+
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer func() { _ = conn.Close() }()
+
+	clock := &stepClock{now: time.Now()}
+	mirror := cwmirror.New()
+	changes := carobward.Changes{Index: keys}
+
+	for i := range keys {
+		changes.Items = append(changes.Items, carobward.Item{
+			Key: carobward.Key(fmt.Sprintf("servers/%02d", i)), Value: make([]byte, value), Index: carobward.StoreIndex(i + 1),
+		})
+	}
+
+	mirror.Apply(changes, false)
+
+	m := New(Options{Table: NewTable(Node{ID: "self"}), Mirror: mirror, Clock: clock, Log: logr.Discard(), Link: link}, conn)
+	answers := NewAnswers(m)
+
+	sent := 0
+
+	for range 1000 {
+		clock.now = clock.now.Add(time.Millisecond)
+
+		for range 3 {
+			if err := answers.Changes(&cwwire.ChangesRequest{After: 0}, &cwwire.ChangesReply{}); err == nil {
+				sent += size
+			}
+		}
+	}
+
+	if sent > most || sent < most/2 {
+		t.Errorf("%d bytes in a second, of %d at most", sent, int(most))
+	}
+
+	slow := NewAnswers(New(Options{Table: NewTable(Node{ID: "self"}), Mirror: mirror, Clock: clock, Log: logr.Discard(), Link: size}, conn))
+	reply := &cwwire.ChangesReply{}
+
+	if err := slow.Changes(&cwwire.ChangesRequest{After: 0}, reply); err != nil || len(reply.GetEntries()) != keys {
+		t.Errorf("%d keys for a peer that asks alone, %v", len(reply.GetEntries()), err)
+	}
+}
+
+// TestIsBusy wants a refusal to be told from other failures, as it comes over
+// the wire.
+func TestIsBusy(t *testing.T) {
+	for name, c := range map[string]struct {
+		err  error
+		want bool
+	}{
+		"a refusal":            {carobward.NewFailure(carobward.Unknown, 502, 0, errors.Annotate(rpc.ServerError(errBusy.Error()), "peer")), true},
+		"another error of his": {rpc.ServerError("mesh: broken"), false},
+		"no answer":            {context.DeadlineExceeded, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := isBusy(c.err); got != c.want {
+				t.Errorf("got %v", got)
+			}
+		})
+	}
+}
+
+// TestOffer wants the newest offer to count, and one peer that failed not to be
+// taken again where there is another.
+func TestOffer(t *testing.T) {
+	now := time.Now()
+	table := newTable(4, now)
+
+	for _, id := range []carobward.VMID{"vm-0", "vm-3"} {
+		table.heard(Peer{Node: table.peers[id].Node, Boot: 1, Heard: now, Copy: cwmirror.State{Index: 7, Top: 7}})
+	}
+
+	clock := &stepClock{now: now}
+	m := &Mesh{
+		Options: Options{Table: table, Mirror: cwmirror.New(), Clock: clock},
+		offers:  make(chan offer, 1),
+	}
+
+	m.offer(offer{id: "vm-0"})
+	m.offer(offer{id: "vm-3"})
+
+	if got := <-m.offers; got.id != "vm-3" || len(m.offers) != 0 {
+		t.Errorf("offer of %s, %d more", got.id, len(m.offers))
+	}
+
+	for range 20 {
+		if got, ok := m.drawAhead(offer{id: "vm-0"}); !ok || got.id != "vm-3" {
+			t.Fatalf("drew %q", got.id)
+		}
+	}
+
+	// The only one that is ahead is asked again.
+	table.heard(Peer{Node: table.peers["vm-3"].Node, Boot: 1, Heard: now})
+	clock.now = now.Add(liveStale)
+
+	if got, ok := m.drawAhead(offer{id: "vm-0"}); !ok || got.id != "vm-0" {
+		t.Errorf("drew %q", got.id)
+	}
+}
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -26,26 +26,11 @@
 	beatTime = time.Second
 	// seedTime is the time between heartbeats to seeds that did not answer.
 	seedTime = 300 * time.Millisecond
-	// pullTime bounds fetching changes from a peer.
-	pullTime = 400 * time.Millisecond
 	// othersMost is how many peers a datagram tells of: some 80 bytes each,
 	// within one packet.
 	othersMost = 14
 	// datagramMost is the largest datagram in bytes.
 	datagramMost = 4096
-	// pullTries bounds the fetches for one heartbeat, and pullPause is the pause
-	// before each further one, at random up to twice as long. A peer that is
-	// asked by all at once refuses most; some others are up to date soon.
-	pullTries = 4
-	pullPause = 40 * time.Millisecond
-	// bulkBytes is the size of changes from which on those who fetched them tell
-	// others: for a hundred peers they take the first to have them 0.16 s on a
-	// link of 10 Mbit/s.
-	bulkBytes = 2 << 10
-	// spreadPeers is how many peers of the own failure domain who has fetched
-	// such changes tells of it. The number of those that can send them grows
-	// by so many times with each step.
-	spreadPeers = 3
 )
 
 // Service is the name of the peers' service for net/rpc.
@@ -60,6 +45,8 @@
 	Key   cwpeer.Key
 	Clock carobward.Clock
 	Log   logr.Logger
+	// Link is the speed of this VM's link in bytes a second; 0: linkLeast.
+	Link carobward.ByteCount
 	// Changed is called with the changes that came from a peer.
 	Changed func([]carobward.Item)
 }
@@ -75,6 +62,7 @@
 	away    atomic.Bool
 	rate    atomic.Int64
 	wake    chan struct{}
+	offers  chan offer
 	work    conc.WaitGroup
 
 	mutex sync.Mutex
@@ -84,8 +72,6 @@
 	word  time.Time
 	// seeded has the seeds that have not answered yet.
 	seeded map[carobward.Address]bool
-	// pulling tells that a fetch is under way.
-	pulling atomic.Bool
 }
 
 // New returns a mesh that talks over a datagram socket.
@@ -93,7 +79,7 @@
 	o.Log = o.Log.WithName("mesh")
 	m := &Mesh{
 		Options: o, boot: rand.Uint64(), conn: conn, clients: cwpeer.NewClients(o.Key),
-		wake: make(chan struct{}, 1), seeded: map[carobward.Address]bool{},
+		wake: make(chan struct{}, 1), offers: make(chan offer, 1), seeded: map[carobward.Address]bool{},
 	}
 
 	m.AddSeeds(o.Seeds)
@@ -117,6 +103,7 @@
 func (m *Mesh) Run(ctx context.Context) {
 	m.work.Go(func() { m.receive(ctx) })
 	m.work.Go(func() { m.send(ctx) })
+	m.work.Go(func() { m.follow(ctx) })
 
 	defer m.work.Wait()
 
@@ -242,12 +229,12 @@
 			continue
 		}
 
-		m.take(ctx, beat, from)
+		m.take(beat, from)
 	}
 }
 
 // take handles one heartbeat.
-func (m *Mesh) take(ctx context.Context, b *cwwire.Beat, from net.Addr) {
+func (m *Mesh) take(b *cwwire.Beat, from net.Addr) {
 	if b.GetId() == string(m.Table.Self().ID) {
 		return
 	}
@@ -278,7 +265,7 @@
 	m.heard(fresh)
 
 	if own := m.Mirror.State(); own.Behind(p.Copy) {
-		m.pull(ctx, carobward.Address(from.String()), "heartbeat of "+b.GetId())
+		m.offer(offer{from: carobward.Address(from.String()), id: p.ID, copy: p.Copy})
 	} else {
 		// What a peer knew to be the newest is what we have as well.
 		m.SetFresh(fresh)
@@ -302,80 +289,3 @@
 
 	delete(m.seeded, a)
 }
-
-// pull fetches the changes that this entry VM lacks. One fetch runs at a time.
-func (m *Mesh) pull(ctx context.Context, from carobward.Address, why string) {
-	if m.pulling.Swap(true) {
-		return
-	}
-
-	m.work.Go(func() {
-		defer m.pulling.Store(false)
-
-		m.pullFromAny(ctx, from, why)
-	})
-}
-
-// pullFromAny fetches changes from a peer, or else from others that have them.
-func (m *Mesh) pullFromAny(ctx context.Context, from carobward.Address, why string) {
-	for try := 1; ctx.Err() == nil; try++ {
-		err := m.fetch(ctx, from)
-		if err == nil {
-			return
-		}
-
-		m.Log.Info("Changes could not be fetched.", "from", string(from), "why", why, "try", try, "cause", err.Error())
-
-		if try == pullTries {
-			return
-		}
-
-		timer := time.NewTimer(pullPause + rand.N(pullPause))
-
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-		case <-timer.C:
-		}
-
-		ahead := m.Table.ahead(m.Mirror.State(), m.Clock.Now())
-		if len(ahead) == 0 {
-			return
-		}
-
-		from = ahead[rand.IntN(len(ahead))].Peers
-	}
-}
-
-func (m *Mesh) fetch(ctx context.Context, from carobward.Address) error {
-	limited, cancel := context.WithTimeout(ctx, pullTime)
-	defer cancel()
-
-	own := m.Mirror.State()
-	sent := m.Clock.Now()
-	reply := &cwwire.ChangesReply{}
-
-	err := m.clients.Call(limited, from, Service+".Changes", &cwwire.ChangesRequest{After: uint64(own.Index)}, reply)
-	if err != nil {
-		return err
-	}
-
-	c := carobward.Changes{Index: carobward.StoreIndex(reply.GetIndex()), Whole: reply.GetWhole()}
-	for _, e := range reply.GetEntries() {
-		c.Items = append(c.Items, carobward.Item{
-			Key: carobward.Key(e.GetKey()), Value: e.GetValue(), Index: carobward.StoreIndex(e.GetIndex()), Gone: e.GetGone(),
-		})
-	}
-
-	fresh := m.Mirror.Apply(c, false)
-	m.Log.Info("Took changes from a peer.", "from", string(from), "after", own.Index, "index", c.Index, "whole", c.Whole, "changed", len(fresh))
-
-	m.SetFresh(decodeFresh(reply.GetFresh(), sent))
-	m.Changed(fresh)
-
-	if c.Size() >= bulkBytes {
-		m.tell(m.Table.some(m.Clock.Now(), spreadPeers))
-	}
-
-	return nil
-}
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"net"
-	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
 	"carobward.example/carobward"
@@ -157,50 +155,3 @@
 		m.Log.V(1).Info("A heartbeat could not be sent.", "to", string(to), "cause", err.Error())
 	}
 }
-
-// bytesMost bounds the bytes that are being sent to peers at once. Some hundred
-// kilobytes to each of a hundred peers would fill the link on which callers are
-// served; those that are refused find other peers, or the store. One reply may
-// be larger.
-const bytesMost = 256 << 10
-
-// byteTime is the time of one byte on the slowest link, of 10 Mbit/s.
-const byteTime = 800 * time.Nanosecond
-
-// errBusy is the error of a peer that asks while others get too much.
-const errBusy = errors.ConstError("mesh: other peers are being sent changes")
-
-// Answers is the peers' service.
-type Answers struct {
-	Mesh *Mesh
-	// bytes counts what is being sent.
-	bytes atomic.Int64
-}
-
-// Changes returns the changes after an index.
-func (a *Answers) Changes(in *cwwire.ChangesRequest, out *cwwire.ChangesReply) error {
-	m := a.Mesh
-	out.Fresh = encodeFresh(m.Fresh(), m.Clock.Now())
-	c := m.Mirror.Since(carobward.StoreIndex(in.GetAfter()))
-
-	size := int64(c.Size())
-
-	if now := a.bytes.Add(size); now > bytesMost && now > size {
-		a.bytes.Add(-size)
-
-		return errBusy
-	}
-
-	// The reply leaves after this returns; it is under way for about as long as
-	// its bytes take on a slow link.
-	time.AfterFunc(time.Duration(size)*byteTime, func() { a.bytes.Add(-size) })
-
-	out.Index, out.Whole = uint64(c.Index), c.Whole
-
-	for i := range c.Items {
-		it := &c.Items[i]
-		out.Entries = append(out.Entries, &cwwire.Entry{Key: string(it.Key), Value: it.Value, Index: uint64(it.Index), Gone: it.Gone})
-	}
-
-	return nil
-}
