Extra calls are left to callers that have come back

Cause: where all servers of a service refuse most requests, the bound on extra calls was spent on whoever came first. A caller that is refused for the first time can come back, which is a request of its own and costs no extra call; one that has come back and is refused again is lost.

A request that was refused for the first time, and a second send for an overdue answer, leave three quarters of the bound to the others.

Tests: TestTakeLeaving, TestLeaves.

--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -123,6 +123,21 @@
 // usual times of an answer.
 const leastLeft = 0.5
 
+// firstLeaves is the part of the bound on extra calls that a refused request
+// leaves to those that have come back: its caller can do so itself, which costs
+// no extra call, and has another try then.
+const firstLeaves = 0.75
+
+// leaves returns the part of the bound on extra calls that must be left after
+// another send of this request.
+func (r *request) leaves() float64 {
+	if r.returned || carobward.VerdictOf(r.err) != carobward.NotRun {
+		return 0
+	}
+
+	return firstLeaves
+}
+
 // again tells whether the request goes to another server.
 func (r *request) again(ctx context.Context) bool {
 	f := r.front
@@ -138,7 +153,7 @@
 		return false
 	}
 
-	if !r.kept.window.Take(now, f.slack()) {
+	if !r.kept.window.TakeLeaving(now, f.slack(), r.leaves()) {
 		f.counts.Add(countDenied, 1)
 
 		return false
--- a/internal/cwfront/hedge.go
+++ b/internal/cwfront/hedge.go
@@ -117,7 +117,7 @@
 		return b, false
 	}
 
-	if !r.kept.window.Take(now, f.slack()) {
+	if !r.kept.window.TakeLeaving(now, f.slack(), firstLeaves) {
 		f.counts.Add(countDenied, 1)
 
 		return b, false
--- a/internal/cwfront/service_test.go
+++ b/internal/cwfront/service_test.go
@@ -190,3 +190,26 @@
 		})
 	}
 }
+
+// TestLeaves has what a request leaves of the bound on extra calls: a caller that
+// can come back after a refusal leaves most, one that has come back nothing, and
+// so does a request that failed otherwise.
+func TestLeaves(t *testing.T) {
+	refused := carobward.NewFailure(carobward.NotRun, 503, 0, ErrShed)
+
+	for name, c := range map[string]struct {
+		request request
+		want    float64
+	}{
+		"refused, for the first time": {request{err: refused}, firstLeaves},
+		"refused, come back":          {request{err: refused, returned: true}, 0},
+		"no answer":                   {request{err: carobward.NewFailure(carobward.Unknown, 502, 0, ErrDoubt)}, 0},
+		"a server's failure":          {request{reply: &carobward.Reply{Status: 500}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := c.request.leaves(); got != c.want {
+				t.Errorf("%.2f of the bound", got)
+			}
+		})
+	}
+}
--- a/internal/cwretry/window.go
+++ b/internal/cwretry/window.go
@@ -47,7 +47,10 @@
 
 // Take spends one extra call if there is one left. Slack is how many may be
 // made whatever the number of requests.
-func (w *Window) Take(now time.Time, slack float64) bool {
+func (w *Window) Take(now time.Time, slack float64) bool { return w.TakeLeaving(now, slack, 0) }
+
+// TakeLeaving spends one extra call if a part of the bound is left after it.
+func (w *Window) TakeLeaving(now time.Time, slack, part float64) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 
@@ -59,7 +62,7 @@
 		extras += w.extras[i]
 	}
 
-	if float64(extras+1) > w.share*float64(requests)+slack {
+	if float64(extras+1) > (1-part)*(w.share*float64(requests)+slack) {
 		return false
 	}
 
--- a/internal/cwretry/window_test.go
+++ b/internal/cwretry/window_test.go
@@ -87,3 +87,36 @@
 		t.Error("nothing came back")
 	}
 }
+
+// TestTakeLeaving wants extra calls of less need to leave a part of the bound to
+// others, and the bound to hold for both.
+func TestTakeLeaving(t *testing.T) {
+	const (
+		slack = 10.0
+		part  = 0.4
+	)
+
+	now := time.Now()
+	w := NewWindow(0.2, 10*time.Second, now)
+
+	count := func(take func() bool) int {
+		n := 0
+		for take() {
+			n++
+		}
+
+		return n
+	}
+
+	if n := count(func() bool { return w.TakeLeaving(now, slack, part) }); n != 6 {
+		t.Errorf("%d extra calls that leave four of ten", n)
+	}
+
+	if n := count(func() bool { return w.Take(now, slack) }); n != 4 {
+		t.Errorf("%d extra calls of those left", n)
+	}
+
+	if w.TakeLeaving(now, slack, part) {
+		t.Error("an extra call beyond the bound")
+	}
+}
