A route without an objective has its timeout as one; a second server is not tried again

Cause: read in the change. A route without a target latency had an objective of zero, so that each answer was overdue at once and no room was looked for. And the server of a second send was not among those already tried.

Test: TestObjective, seen failing (0 s).

--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -117,6 +117,8 @@
 
 			if b, ok := r.mayHedge(ctx, found.looked); ok {
 				r.front.counts.Add(countHedges, 1)
+
+				tried[found.looked.view.Server] = true
 				out = append(out, r.start(ctx, found.looked, b, ends))
 			} else {
 				found.looked.release()
--- a/internal/cwroutes/table.go
+++ b/internal/cwroutes/table.go
@@ -57,6 +57,12 @@
 
 func (t *Table) newRoute(r carobward.Route) *Route {
 	out := &Route{Route: r}
+	if out.Objective <= 0 {
+		// Without an objective an answer in time is as good as any; a zero would
+		// take each one for overdue at once.
+		out.Objective = r.Timeout
+	}
+
 	// Entry VMs start at different places of the sequence, so that their
 	// requests do not go to the same part at the same time.
 	out.turn.Store(rand.Uint64())
--- a/internal/cwroutes/table_test.go
+++ b/internal/cwroutes/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -91,3 +92,21 @@
 		})
 	}
 }
+
+// TestObjective wants a route without an objective to have its timeout as one.
+func TestObjective(t *testing.T) {
+	for name, c := range map[string]struct{ objective, want time.Duration }{
+		"none": {0, 2 * time.Second},
+		"one":  {time.Second, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New(&carobward.Routing{Hosts: map[string][]carobward.Route{"h": {{
+				Prefix: "/", Timeout: 2 * time.Second, Objective: c.objective, Shares: []carobward.Share{{Service: "a", Weight: 1}},
+			}}}})
+
+			if got := table.Find("h", "/").Objective; got != c.want {
+				t.Errorf("got %s", got)
+			}
+		})
+	}
+}
