--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -125,7 +125,8 @@
 
 // firstLeaves is the part of the bound on extra calls that a refused request
 // leaves to those that have come back: its caller can do so itself, which costs
-// no extra call, and has another try then.
+// no extra call, and has another try then. A second send for an overdue answer
+// leaves as much, since the first may still be answered.
 const firstLeaves = 0.75
 
 // leaves returns the part of the bound on extra calls that must be left after
--- a/internal/cwmesh/fetch.go
+++ b/internal/cwmesh/fetch.go
@@ -46,9 +46,9 @@
 
 // offer is the word of a peer that it has what this entry VM lacks.
 type offer struct {
-	from carobward.Address
-	id   carobward.VMID
-	copy cwmirror.State
+	from  carobward.Address
+	id    carobward.VMID
+	state cwmirror.State
 }
 
 // offer notes that a peer is ahead. The newest offer counts.
@@ -67,14 +67,14 @@
 	}
 }
 
-// follow fetches changes from peers that offer some, one fetch at a time.
-func (m *Mesh) follow(ctx context.Context) {
+// takeOffers fetches changes from peers that offer some, one fetch at a time.
+func (m *Mesh) takeOffers(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case o := <-m.offers:
-			if m.Mirror.State().Behind(o.copy) { // It may have come from another one.
+			if m.Mirror.State().Behind(o.state) { // It may have come from another one.
 				m.catchUp(ctx, o)
 			}
 		}
@@ -158,7 +158,7 @@
 
 	p := &others[rand.IntN(len(others))]
 
-	return offer{from: p.Peers, id: p.ID, copy: p.Copy}, true
+	return offer{from: p.Peers, id: p.ID, state: p.Copy}, true
 }
 
 // fetch takes the changes that this entry VM lacks from a peer.
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -103,7 +103,7 @@
 func (m *Mesh) Run(ctx context.Context) {
 	m.work.Go(func() { m.receive(ctx) })
 	m.work.Go(func() { m.send(ctx) })
-	m.work.Go(func() { m.follow(ctx) })
+	m.work.Go(func() { m.takeOffers(ctx) })
 
 	defer m.work.Wait()
 
@@ -265,7 +265,7 @@
 	m.heard(fresh)
 
 	if own := m.Mirror.State(); own.Behind(p.Copy) {
-		m.offer(offer{from: carobward.Address(from.String()), id: p.ID, copy: p.Copy})
+		m.offer(offer{from: carobward.Address(from.String()), id: p.ID, state: p.Copy})
 	} else {
 		// What a peer knew to be the newest is what we have as well.
 		m.SetFresh(fresh)
