A copy that came from a list says which changes it does not know

Entry VMs that joined had listed the store at 668. They know no removal before that, yet answered a peer at 642 with changes "complete up to 668"; it took its copy for the newest and kept sending to a server that was gone.

A copy that takes a list now notes a gap from its old index to the list's, and says so with the changes that it passes on. A peer within a gap is refused (or gets all keys where they are few), asks others, and the store at once; where the store does not serve it, it gets all keys. Newer items that later changes lack are removed, and pages of a list that were taken meanwhile are part of the gap.

Ruled out: late changes.

Tests: TestAnswersGap, TestLacks.

--- a/feed.go
+++ b/feed.go
@@ -16,12 +16,28 @@
 	Gone bool
 }
 
+// Gap is a span of the store's history that is not known: from a copy at From a
+// list of all keys at To was taken, and keys may have come and gone between.
+type Gap struct{ From, To StoreIndex }
+
+// Has tells whether a copy at an index needs changes that are not known.
+func (g Gap) Has(index StoreIndex) bool { return g.From < index && index < g.To }
+
+// IsEmpty tells whether no copy can be within the gap.
+func (g Gap) IsEmpty() bool { return g.To <= g.From+1 }
+
 // Changes are items that were written or removed.
 type Changes struct {
 	// Items holds the newest state of each changed key.
 	Items []Item
-	// Index is the store's index up to which these changes are complete.
+	// After and Index are the store's indexes between which these changes are
+	// complete, unless Whole is set: all that changed after After, up to Index.
+	After StoreIndex
 	Index StoreIndex
+	// Gap is a part of the history of which the sender itself knows no changes in
+	// between: who has these changes can't bring a copy up to date that is within
+	// it. It may go beyond Index where a list was taken in pages meanwhile.
+	Gap Gap
 	// Whole tells that Items are all keys there are: what is not among them
 	// does not exist.
 	Whole bool
--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -117,7 +117,7 @@
 		return false
 	}
 
-	if !f.hold.IsZero() {
+	if !f.hold.IsZero() || f.Mesh.Lacks() {
 		return true
 	}
 
@@ -141,8 +141,12 @@
 		f.list = true
 	}
 
-	// Peers may have brought the copy further.
+	// Peers may have brought the copy further. While removals are held back, the
+	// copy's index is, too, and the changes since then are listed in the end.
 	f.cursor = max(f.cursor, f.Mirror.State().Index)
+	if f.hold.IsZero() {
+		f.cursor = f.Mirror.State().Index
+	}
 
 	c, err := f.ask(ctx)
 	if ctx.Err() != nil {
--- a/internal/cwmesh/fetch.go
+++ b/internal/cwmesh/fetch.go
@@ -39,10 +39,19 @@
 	// linkBurst is for how long of the link's time changes may be handed out at
 	// once: those who wait longer are better served by others.
 	linkBurst = 100 * time.Millisecond
+	// wholeFree is the size of all keys up to which a peer that is behind gets
+	// them in place of changes that are not known: some ten packets. Beyond that
+	// one call of the store is cheaper than hundreds of kilobytes from a peer.
+	wholeFree = 16 << 10
 )
 
-// errBusy is the error of a peer that asks while others get too much.
-const errBusy = errors.ConstError("mesh: other peers are being sent changes")
+// The errors of a peer that asks for changes.
+const (
+	// errBusy: others get too much already.
+	errBusy = errors.ConstError("mesh: other peers are being sent changes")
+	// errGap: the changes since the peer's copy are not known here.
+	errGap = errors.ConstError("mesh: the changes since then are not known here")
+)
 
 // offer is the word of a peer that it has what this entry VM lacks.
 type offer struct {
@@ -84,15 +93,23 @@
 // catchUp fetches changes from a peer, or else from others that have them.
 func (m *Mesh) catchUp(ctx context.Context, o offer) {
 	pause := fetchPause
+	whole := false
 
 	for try := 1; ; try++ {
-		err := m.fetch(ctx, o.from)
+		err := m.fetch(ctx, o.from, whole)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
 
+		if isSaid(err, errGap) {
+			// The store knows; where it does not serve this VM, all keys do.
+			m.setLack()
+
+			whole = m.away.Load()
+		}
+
 		// That a peer is busy is no news: many ask the first one to have changes.
-		if try == fetchTries || !isBusy(err) {
+		if try == fetchTries || !isSaid(err, errBusy) {
 			m.Log.Info("Changes could not be fetched.", "from", string(o.from), "vm", o.id, "try", try, "cause", err.Error())
 		}
 
@@ -110,11 +127,28 @@
 	}
 }
 
-// isBusy tells whether a peer refused since others get too much.
-func isBusy(err error) bool {
+// isSaid tells whether an error is one that a peer answered with.
+func isSaid(err, want error) bool {
 	var said rpc.ServerError
 
-	return errors.As(err, &said) && string(said) == errBusy.Error()
+	return errors.As(err, &said) && string(said) == want.Error()
+}
+
+// setLack notes that no peer was found to bring the copy up to date.
+func (m *Mesh) setLack() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	m.lack = m.Clock.Now()
+}
+
+// Lacks tells whether peers are ahead which do not know the changes since this
+// copy, so that the store has to be asked.
+func (m *Mesh) Lacks() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	return m.lack.After(m.fresh)
 }
 
 // nextOffer waits for a peer that is ahead, and else draws one of those that are
@@ -161,12 +195,16 @@
 	return offer{from: p.Peers, id: p.ID, state: p.Copy}, true
 }
 
-// fetch takes the changes that this entry VM lacks from a peer.
-func (m *Mesh) fetch(ctx context.Context, from carobward.Address) error {
+// fetch takes the changes that this entry VM lacks from a peer, or all keys.
+func (m *Mesh) fetch(ctx context.Context, from carobward.Address, whole bool) error {
 	limited, cancel := context.WithTimeout(ctx, fetchTime)
 	defer cancel()
 
 	own := m.Mirror.State()
+	if whole {
+		own = cwmirror.State{}
+	}
+
 	sent := m.Clock.Now()
 	reply := &cwwire.ChangesReply{}
 
@@ -175,7 +213,10 @@
 		return err
 	}
 
-	c := carobward.Changes{Index: carobward.StoreIndex(reply.GetIndex()), Whole: reply.GetWhole()}
+	c := carobward.Changes{
+		After: own.Index, Index: carobward.StoreIndex(reply.GetIndex()), Whole: reply.GetWhole(),
+		Gap: carobward.Gap{From: carobward.StoreIndex(reply.GetGapFrom()), To: carobward.StoreIndex(reply.GetGapTo())},
+	}
 	for _, e := range reply.GetEntries() {
 		c.Items = append(c.Items, carobward.Item{
 			Key: carobward.Key(e.GetKey()), Value: e.GetValue(), Index: carobward.StoreIndex(e.GetIndex()), Gone: e.GetGone(),
@@ -226,18 +267,24 @@
 }
 
 // Changes returns the changes after an index. A reply that is larger than what
-// may be handed out at once takes all of that.
+// may be handed out at once takes all of that. A peer that has no copy gets all
+// keys.
 func (a *Answers) Changes(in *cwwire.ChangesRequest, out *cwwire.ChangesReply) error {
 	m := a.mesh
 	now := m.Clock.Now()
 	c := m.Mirror.Since(carobward.StoreIndex(in.GetAfter()))
 
+	if c.Whole && in.GetAfter() > 0 && c.Size() > wholeFree {
+		return errGap
+	}
+
 	if !a.bytes.AllowN(now, min(int(c.Size()), a.bytes.Burst())) {
 		return errBusy
 	}
 
 	out.Fresh = encodeFresh(m.Fresh(), now)
 	out.Index, out.Whole = uint64(c.Index), c.Whole
+	out.GapFrom, out.GapTo = uint64(c.Gap.From), uint64(c.Gap.To)
 
 	for i := range c.Items {
 		it := &c.Items[i]
--- a/internal/cwmesh/fetch_test.go
+++ b/internal/cwmesh/fetch_test.go
@@ -79,9 +79,75 @@
 	}
 }
 
-// TestIsBusy wants a refusal to be told from other failures, as it comes over
+// TestAnswersGap asks a newcomer, whose copy came from a list of all keys, for
+// the changes since before that: it does not know which keys went.
+func TestAnswersGap(t *testing.T) {
+	const listed = 50
+
+	for name, c := range map[string]struct {
+		after, size int
+		whole       bool
+		want        error
+	}{
+		"nothing known yet":        {0, wholeFree, true, nil},
+		"before the list":          {listed - 1, wholeFree, false, errGap},
+		"before a short list":      {listed - 1, 10, true, nil},
+		"from the list on":         {listed, wholeFree, false, nil},
+		"a little after that list": {listed + 1, wholeFree, false, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			mirror := cwmirror.New()
+			mirror.Apply(carobward.Changes{
+				Index: listed, Whole: true, Items: []carobward.Item{{Key: "a", Value: make([]byte, c.size), Index: listed}},
+			}, false)
+			mirror.Apply(carobward.Changes{After: listed, Index: listed + 2, Items: []carobward.Item{{Key: "b", Index: listed + 2}}}, false)
+
+			conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			defer func() { _ = conn.Close() }()
+
+			m := New(Options{Table: NewTable(Node{ID: "self"}), Mirror: mirror, Clock: carobward.SystemClock{}, Log: logr.Discard()}, conn)
+			reply := &cwwire.ChangesReply{}
+
+			err = NewAnswers(m).Changes(&cwwire.ChangesRequest{After: uint64(c.after)}, reply)
+			if !errors.Is(err, c.want) || reply.GetWhole() != c.whole {
+				t.Errorf("%v, whole %v", err, reply.GetWhole())
+			}
+		})
+	}
+}
+
+// TestLacks wants the store to be asked once peers can't help, until the copy is
+// known to be the newest.
+func TestLacks(t *testing.T) {
+	clock := &stepClock{now: time.Now()}
+	m := &Mesh{Options: Options{Clock: clock}}
+	m.SetFresh(clock.now)
+
+	if m.Lacks() {
+		t.Error("lacks changes at first")
+	}
+
+	clock.now = clock.now.Add(time.Second)
+	m.setLack()
+
+	if !m.Lacks() {
+		t.Error("does not lack changes")
+	}
+
+	m.SetFresh(clock.now)
+
+	if m.Lacks() {
+		t.Error("lacks changes with the newest copy")
+	}
+}
+
+// TestIsSaid wants a refusal to be told from other failures, as it comes over
 // the wire.
-func TestIsBusy(t *testing.T) {
+func TestIsSaid(t *testing.T) {
 	for name, c := range map[string]struct {
 		err  error
 		want bool
@@ -91,7 +157,7 @@
 		"no answer":            {context.DeadlineExceeded, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if got := isBusy(c.err); got != c.want {
+			if got := isSaid(c.err, errBusy); got != c.want {
 				t.Errorf("got %v", got)
 			}
 		})
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -70,6 +70,8 @@
 	// store last answered anybody, as far as was heard.
 	fresh time.Time
 	word  time.Time
+	// lack is when peers were ahead that could not bring the copy up to date.
+	lack time.Time
 	// seeded has the seeds that have not answered yet.
 	seeded map[carobward.Address]bool
 }
--- a/internal/cwmirror/mirror.go
+++ b/internal/cwmirror/mirror.go
@@ -4,14 +4,22 @@
 package cwmirror
 
 import (
+	"slices"
 	"sync"
 
 	"carobward.example/carobward"
 )
 
-// goneMost bounds the removed keys that are remembered for others. A peer that
-// is further behind gets all keys anew.
-const goneMost = 512
+// The bounds of what is remembered for others. A peer that is further behind
+// gets all keys anew.
+const (
+	// goneMost bounds the removed keys: those of some minutes in which all
+	// servers are replaced.
+	goneMost = 512
+	// gapsMost bounds the gaps. One comes with each listing and with each fetch
+	// from a copy that has one.
+	gapsMost = 16
+)
 
 // State tells how far a copy is.
 type State struct {
@@ -30,7 +38,10 @@
 	mutex sync.Mutex
 	items map[carobward.Key]carobward.Item
 	gone  int
+	// floor is the index before which removed keys are not remembered, gaps has
+	// the spans after it in which they may not be known.
 	floor carobward.StoreIndex
+	gaps  []carobward.Gap
 	state State
 }
 
@@ -74,13 +85,19 @@
 	}
 
 	// A list that is complete up to an older index says nothing of keys that it
-	// lacks.
-	if hold || c.Index < m.state.Index {
+	// lacks, and changes that begin after ours leave some out.
+	if hold || c.Index < m.state.Index || !c.Whole && c.After > m.state.Index {
 		return fresh
 	}
 
+	fresh = append(fresh, m.removeUnlisted(&c)...)
+
 	if c.Whole {
-		fresh = append(fresh, m.removeOthers(c)...)
+		// Where the list was taken in pages, keys that went meanwhile count as
+		// removed at its index, which copies at that index are not told.
+		m.addGap(carobward.Gap{From: min(m.state.Index, max(c.Index, 1)-1), To: max(c.Index, c.Gap.To)})
+	} else {
+		m.addGap(c.Gap)
 	}
 
 	m.state.Index = c.Index
@@ -111,17 +128,29 @@
 	return true
 }
 
-// removeOthers removes the keys that a whole list lacks.
-func (m *Mirror) removeOthers(c carobward.Changes) []carobward.Item {
+// removeUnlisted removes the keys that were removed at the sender without that
+// being among the changes. A whole list lacks them. Other changes name each key
+// that changed after ours, so that a newer item which they lack is gone.
+func (m *Mirror) removeUnlisted(c *carobward.Changes) []carobward.Item {
+	after := carobward.StoreIndex(0)
+
+	if !c.Whole {
+		if after = m.state.Index; m.state.Top <= after {
+			return nil
+		}
+	}
+
 	has := make(map[carobward.Key]bool, len(c.Items))
 	for i := range c.Items {
-		has[c.Items[i].Key] = true
+		// A removal that is older than our item stands for one that the sender
+		// does not know of: there is no such key at its index.
+		has[c.Items[i].Key] = !c.Items[i].Gone
 	}
 
 	var gone []carobward.Item
 
 	for key, it := range m.items {
-		if it.Gone || has[key] || it.Index > c.Index {
+		if it.Gone || has[key] || it.Index <= after || it.Index > c.Index {
 			continue
 		}
 
@@ -134,6 +163,19 @@
 	return gone
 }
 
+// addGap notes a span of the history that is not known.
+func (m *Mirror) addGap(g carobward.Gap) {
+	if g.IsEmpty() || g.To <= m.floor {
+		return
+	}
+
+	m.gaps = append(m.gaps, g)
+	if len(m.gaps) > gapsMost {
+		m.floor = max(m.floor, m.gaps[0].To)
+		m.gaps = m.gaps[1:]
+	}
+}
+
 // forget drops the memory of removed keys once there are too many.
 func (m *Mirror) forget() {
 	if m.gone <= goneMost {
@@ -148,15 +190,21 @@
 	}
 
 	m.gone = 0
+	m.gaps = slices.DeleteFunc(m.gaps, func(g carobward.Gap) bool { return g.To <= m.floor })
 }
 
-// Since returns the changes after an index: all keys where that is too long
-// ago.
+// Since returns the changes after an index: all keys where that is too long ago
+// or in a gap.
 func (m *Mirror) Since(after carobward.StoreIndex) carobward.Changes {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	out := carobward.Changes{Index: m.state.Index, Whole: after < m.floor || after == 0}
+	out := carobward.Changes{After: after, Index: m.state.Index, Whole: m.lacks(after)}
+	if out.Whole {
+		after = 0
+	}
+
+	out.Gap = m.gapAfter(after)
 
 	for _, it := range m.items {
 		if out.Whole && !it.Gone || !out.Whole && it.Index > after {
@@ -166,3 +214,29 @@
 
 	return out
 }
+
+// lacks tells whether removals after an index may not be known.
+func (m *Mirror) lacks(after carobward.StoreIndex) bool {
+	inGap := func(g carobward.Gap) bool { return g.Has(after) }
+
+	return after == 0 || after < m.floor || slices.ContainsFunc(m.gaps, inGap)
+}
+
+// gapAfter returns one gap that covers all that begin at an index or later.
+func (m *Mirror) gapAfter(after carobward.StoreIndex) carobward.Gap {
+	var all carobward.Gap
+
+	for _, g := range m.gaps {
+		if g.From < after {
+			continue
+		}
+
+		if all.IsEmpty() {
+			all = g
+		}
+
+		all.From, all.To = min(all.From, g.From), max(all.To, g.To)
+	}
+
+	return all
+}
--- /dev/null
+++ b/internal/cwmirror/model_test.go
@@ -0,0 +1,142 @@
+package cwmirror
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"carobward.example/carobward"
+)
+
+// modelStore is a store whose whole history is kept.
+type modelStore struct {
+	index int
+	items map[string]carobward.Item
+}
+
+func (s *modelStore) write(key string, remove bool) {
+	s.index++
+
+	it := item(key, s.index)
+	if remove {
+		it = gone(key, s.index)
+	}
+
+	s.items[key] = it
+}
+
+// list returns all keys; the index may be older than the items, since pages are
+// no snapshot.
+func (s *modelStore) list(index int) carobward.Changes {
+	c := whole(index)
+	c.Gap.To = carobward.StoreIndex(s.index)
+
+	for _, it := range s.items {
+		if !it.Gone {
+			c.Items = append(c.Items, it)
+		}
+	}
+
+	return c
+}
+
+// watch returns the changes after an index.
+func (s *modelStore) watch(after carobward.StoreIndex) carobward.Changes {
+	c := changes(s.index)
+	c.After = after
+
+	for _, it := range s.items {
+		if it.Index > after {
+			c.Items = append(c.Items, it)
+		}
+	}
+
+	return c
+}
+
+func (s *modelStore) live() []string {
+	var keys []string
+
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if !s.items[key].Gone {
+			keys = append(keys, key)
+		}
+	}
+
+	return keys
+}
+
+// TestModel lets copies that list, watch, hold removals back, fetch from each
+// other and start anew in any order follow a store. In the end one of them is
+// brought up to date by the store and the others by copies: all must have just
+// the keys that the store has.
+func TestModel(t *testing.T) {
+	const copies = 4
+
+	rapid.Check(t, func(t *rapid.T) {
+		s := &modelStore{items: map[string]carobward.Item{}}
+		all := make([]*Mirror, copies)
+
+		for i := range all {
+			all[i] = New()
+		}
+
+		one := func(name string) *Mirror { return all[rapid.IntRange(0, copies-1).Draw(t, name)] }
+
+		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		for range steps {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0, 1, 2:
+				key := fmt.Sprint("key-", rapid.IntRange(0, 5).Draw(t, "key"))
+				s.write(key, rapid.Bool().Draw(t, "remove"))
+			case 3:
+				older := rapid.IntRange(0, min(2, s.index)).Draw(t, "older")
+				one("lists").Apply(s.list(s.index-older), rapid.Bool().Draw(t, "hold"))
+			case 4:
+				m := one("watches")
+				m.Apply(s.watch(m.State().Index), rapid.Bool().Draw(t, "hold"))
+			case 5, 6:
+				fetch(one("fetches"), one("from"))
+			case 7:
+				all[rapid.IntRange(0, copies-1).Draw(t, "starts")] = New()
+			}
+		}
+
+		all[0].Apply(s.watch(all[0].State().Index), false)
+
+		for i := 1; i < copies; i++ {
+			fetch(all[i], all[i-1])
+		}
+
+		for i, m := range all {
+			if diff := cmp.Diff(s.live(), live(m)); diff != "" {
+				t.Fatalf("copy %d: %s", i, diff)
+			}
+		}
+	})
+}
+
+// fetch brings a copy up to date from another one, as entry VMs do.
+func fetch(to, from *Mirror) {
+	if own := to.State(); own.Behind(from.State()) {
+		to.Apply(from.Since(own.Index), false)
+	}
+}
+
+// TestNewcomer has what went wrong: a newcomer lists the store after a key was
+// removed, and brings a copy up to date that has the key.
+func TestNewcomer(t *testing.T) {
+	old, newcomer := New(), New()
+	old.Apply(whole(3, item("a", 1), item("b", 3)), false)
+	newcomer.Apply(whole(5, item("a", 1), item("c", 5)), false)
+
+	fetch(old, newcomer)
+
+	if diff := cmp.Diff([]string{"a", "c"}, live(old)); diff != "" {
+		t.Error(diff)
+	}
+}
