Tests of callers that read nothing, and of connections without a request

The first asked for an answer to each of 24 callers at one server and waited in vain under load: all look at one server at once, and some are refused. A quarter is enough to fill the buffers; what is tested is that others are served.

--- /dev/null
+++ b/internal/cwgateway/bound_test.go
@@ -0,0 +1,99 @@
+package cwgateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"carobward.example/carobward/internal/cwtest"
+)
+
+// request writes a request on a connection of its own and returns that.
+func (v *vm) request(t *testing.T, id string) net.Conn {
+	t.Helper()
+
+	c, err := net.Dial("tcp", string(v.options.Self.Callers))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { _ = c.Close() })
+
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\n\r\n", reading, host, id); err != nil {
+		t.Fatal(err)
+	}
+
+	return c
+}
+
+// TestDeafCallers has callers that ask for long answers and read nothing of
+// them. Others are served meanwhile, and the entry VM ends all the same.
+func TestDeafCallers(t *testing.T) {
+	const (
+		callers = 24
+		size    = 8 << 20 // More than the kernel takes for a caller that does not read.
+	)
+
+	f := newFleet(t)
+	u := f.upstream(t, "records", "i-1")
+	f.configure(safe("records"))
+
+	v := f.start(t, "vm-1")
+	v.waitReady(t)
+	u.SetBody(strings.Repeat("a", size))
+
+	for i := range callers {
+		v.request(t, fmt.Sprint("deaf-", i))
+	}
+
+	// Some may be refused: all ask one server at once.
+	cwtest.Wait(t, "answers to those that read nothing", func() bool { return len(u.Runs()) >= callers/4 })
+	u.SetBody("done")
+
+	for i := range 4 {
+		if got := v.ask(http.MethodGet, reading, fmt.Sprint("id-", i), ""); got.status != http.StatusOK || got.body != "done" {
+			t.Errorf("status %d, %v", got.status, got.err)
+		}
+	}
+
+	v.end()
+}
+
+// TestManyCallers has many connections on which nothing or half a request comes.
+// They hold no server and no place in what is in flight.
+func TestManyCallers(t *testing.T) {
+	const callers = 500
+
+	f := newFleet(t)
+	f.upstream(t, "records", "i-1")
+	f.configure(safe("records"))
+
+	v := f.start(t, "vm-1")
+	v.waitReady(t)
+
+	for i := range callers {
+		c, err := net.DialTimeout("tcp", string(v.options.Self.Callers), 10*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		defer func() { _ = c.Close() }()
+
+		if i%2 == 0 {
+			_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: ", reading)
+		}
+	}
+
+	if got := v.ask(http.MethodGet, reading, "one", ""); got.status != http.StatusOK {
+		t.Errorf("status %d, %v", got.status, got.err)
+	}
+
+	if page := get(v.options.Metrics, "/metrics").body; !strings.Contains(page, `"flight": 0`) {
+		t.Error("connections without a request are in flight")
+	}
+
+	v.end()
+}
--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -68,8 +68,10 @@
 	ill   bool
 	// closing ends the connection of each health check.
 	closing bool
-	runs    []Run
-	looks   int
+	// body is what answers have.
+	body  string
+	runs  []Run
+	looks int
 	// broken counts the requests whose caller left before the answer.
 	broken int
 	stop   chan struct{}
@@ -77,7 +79,7 @@
 
 // NewUpstream returns a server that serves on the listener until Close.
 func NewUpstream(ln net.Listener, instance carobward.Instance) *Upstream {
-	u := &Upstream{instance: instance, load: "0,0,4,100", stop: make(chan struct{})}
+	u := &Upstream{instance: instance, load: "0,0,4,100", body: "done", stop: make(chan struct{})}
 	u.acceptor = accept(ln, u.serve)
 
 	return u
@@ -99,6 +101,14 @@
 	u.load = load
 }
 
+// SetBody sets what answers have, "done" at first.
+func (u *Upstream) SetBody(body string) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	u.body = body
+}
+
 // SetIll sets whether its health check fails.
 func (u *Upstream) SetIll(ill bool) {
 	u.mutex.Lock()
@@ -240,7 +250,9 @@
 
 // end writes the answer to a request that ran.
 func (u *Upstream) end(c net.Conn, way UpstreamWay, id, load string) bool {
-	const body = "done"
+	u.mutex.Lock()
+	body := u.body
+	u.mutex.Unlock()
 
 	whole := fmt.Sprintf("Request-Id: %s\r\nResponse-Seal: s.%s\r\nUpstream-Load: %s\r\n", id, id, load)
 	good := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", whole, len(body), body)
