--- /dev/null
+++ b/internal/cwpick/pick_bench_test.go
@@ -0,0 +1,46 @@
+package cwpick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwbackend"
+)
+
+// BenchmarkChoice has the cost of one choice without the looks themselves: the
+// views of the servers that an entry VM knows, a draw of four of them, and what
+// speaks against each.
+func BenchmarkChoice(b *testing.B) {
+	const (
+		servers = 12
+		looks   = 4
+		usual   = 200 * time.Millisecond
+	)
+
+	table := cwbackend.New(cwbackend.VM{ID: "vm-1", Domain: "a"})
+	now := time.Now()
+
+	var list []carobward.Backend
+	for i := range servers {
+		list = append(list, carobward.Backend{
+			Instance: carobward.Instance(fmt.Sprint("i-", i)), Service: "records", Domain: carobward.Domain("ab"[i%2 : i%2+1]), Slots: 4,
+		})
+	}
+
+	table.Put(list, nil, now)
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		views := table.Views("records", now, usual)
+		best := 0.0
+
+		for _, v := range Draw(views, looks, "a", nil) {
+			if Free(&v, 1, 3, 1.3) > 0 {
+				best = max(best, Cost(&v, 1.3, "a"))
+			}
+		}
+	}
+}
