Not run is said only if no send may have run

Cause: a request that may be repeated and broke off at one server was refused by the next, and the end of the last send alone was judged: 503, not run, though it had run. Its caller may repeat it all the same, but the word was untrue.

Now an end after a send that may have run is 502.

--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -77,15 +77,19 @@
 	r.err = err
 }
 
-// judge turns the end of a send into what the caller may be told.
+// judge turns the end of a send into what the caller may be told. That the last
+// send did not run says nothing where an earlier one may have.
 func (r *request) judge() {
 	if r.err != nil {
 		r.err = sendFailure(r.err)
-
-		return
 	}
 
+	refused := r.err == nil && r.reply.Shed || carobward.VerdictOf(r.err) == carobward.NotRun
+
 	switch {
+	case refused && r.begun:
+		r.reply, r.err = nil, carobward.NewFailure(carobward.Unknown, fasthttp.StatusBadGateway, 0, ErrBegun)
+	case r.err != nil:
 	case r.reply.Shed:
 		r.reply, r.err = nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, shedAfter, ErrShed)
 	case promises(r.reply.Status):
--- a/internal/cwfront/judge_test.go
+++ b/internal/cwfront/judge_test.go
@@ -47,6 +47,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r, one := &request{reply: c.reply, err: c.err}, &sent{reply: c.reply, err: c.err}
+			begun := &request{reply: c.reply, err: c.err, begun: true}
 
 			if got := one.outcome(context.Background()); got != c.of {
 				t.Errorf("outcome %s, want %s", got, c.of)
@@ -54,6 +55,13 @@
 
 			r.judge()
 
+			// After a send that may have run nothing is said not to have run.
+			begun.judge()
+
+			if v := begun.verdict(); v == carobward.NotRun || c.want.Verdict != "not-run" && v.String() != c.want.Verdict {
+				t.Errorf("verdict %s after an earlier send", v)
+			}
+
 			got := end{Verdict: r.verdict().String()}
 			if r.err != nil {
 				f := asFailure(r.err)
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -23,6 +23,7 @@
 	ErrNone     = errors.ConstError("no server of the service is known")
 	ErrGone     = errors.ConstError("the caller has gone")
 	ErrLate     = errors.ConstError("the time was over")
+	ErrBegun    = errors.ConstError("a server refused it, but an earlier send may have run")
 	ErrDoubt    = errors.ConstError("the server refused in a way that does not say whether the request ran")
 )
 
@@ -51,6 +52,8 @@
 	kept     *service
 	call     carobward.Call
 
+	// begun tells that the request may have run at a server.
+	begun bool
 	// sends counts the servers that the request was handed to, looks the
 	// health checks made for it.
 	sends int
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -32,6 +32,15 @@
 	return s.err == nil && !s.reply.Shed && s.reply.Status < fasthttp.StatusInternalServerError
 }
 
+// mayHaveRun tells whether the request may have run at the server.
+func (s *sent) mayHaveRun() bool {
+	if s.err != nil {
+		return carobward.VerdictOf(s.err) != carobward.NotRun
+	}
+
+	return !s.reply.Shed
+}
+
 // start hands the request to one server over the connection that was looked at.
 // The send comes back on the channel, ended.
 func (r *request) start(ctx context.Context, l *looked, b carobward.Backend, ends chan<- *sent) *sent {
@@ -103,6 +112,8 @@
 		case s := <-ends:
 			r.note(ctx, s)
 
+			r.begun = r.begun || s.mayHaveRun()
+
 			if out = without(out, s); s.good() || len(out) == 0 {
 				r.abandon(ctx, out, ends)
 
--- a/internal/cwgateway/ends_test.go
+++ b/internal/cwgateway/ends_test.go
@@ -128,6 +128,33 @@
 	}
 }
 
+// TestNotRunIsTrue has one server that runs what it gets and breaks off, and one
+// that refuses. Whichever comes first, a caller that is told to come back since
+// its request did not run must not have had it run.
+func TestNotRunIsTrue(t *testing.T) {
+	const requests = 24
+
+	f := newFleet(t)
+	breaks, refuses := f.upstream(t, "fees", "i-1"), f.upstream(t, "fees", "i-2")
+	f.configure(safe("fees"), unsafe())
+	breaks.Set(cwstand.UpstreamResets, 0)
+	refuses.Set(cwstand.UpstreamSheds, 0)
+
+	v := f.start(t, "vm-1")
+	v.waitReady(t)
+
+	for i := range requests {
+		for _, path := range []string{reading, charging} {
+			id := fmt.Sprint(path, i)
+			got := v.ask(http.MethodPost, path, id, "")
+
+			if n := runs([]*cwstand.Upstream{breaks}, id); got.status == http.StatusServiceUnavailable && n > 0 {
+				t.Errorf("%s is said not to have run, and ran %d times", id, n)
+			}
+		}
+	}
+}
+
 // TestTimeout wants a request to end by the route's timeout.
 func TestTimeout(t *testing.T) {
 	f := newFleet(t)
