The pause at a store that is away is drawn at random

Now each pause is drawn from zero to twice its mean: the calls of all are as few, and never far apart.

Seen failing: TestBackOffSpread with fixed pauses (no call for 1.9 s with 19 VMs, 14.5 s with 145). TestBackOff has the draw as well.

--- a/internal/cwfollow/duty.go
+++ b/internal/cwfollow/duty.go
@@ -31,11 +31,15 @@
 	outagePace = 100 * time.Millisecond
 )
 
-// backOff returns the pause between calls of an entry VM that the store does
-// not serve. Back is its own pause, away has the number of its live peers that
-// the store does not serve either.
-func backOff(back time.Duration, away int) time.Duration {
-	return max(back, time.Duration(away+1)*outagePace)
+// backOff returns the pause after a failed call of an entry VM that the store
+// does not serve. Back is its own pause, away has the number of its live peers
+// that the store does not serve either, draw is a random number from 0 to 1. All
+// lose the store at the same moment, so that pauses of one length would leave
+// nobody to notice its return until all of them are over.
+func backOff(back time.Duration, away int, draw float64) time.Duration {
+	const mean = 0.5
+
+	return max(back, time.Duration(draw/mean*float64(away+1)*float64(outagePace)))
 }
 
 // countAway returns how many peers the store does not serve.
--- a/internal/cwfollow/duty_test.go
+++ b/internal/cwfollow/duty_test.go
@@ -1,6 +1,8 @@
 package cwfollow
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -89,32 +91,72 @@
 	}
 }
 
-// TestBackOff wants the calls of all entry VMs to a store that serves none of
-// them to be few, however many there are, and an entry VM that is alone in that
-// to try at its own pace.
+// TestBackOff has the pause of one entry VM: its own where it is alone with its
+// trouble, longer the more others have the same.
 func TestBackOff(t *testing.T) {
-	const callsMost = 10.0 // A second, of all.
-
 	for name, c := range map[string]struct {
 		back time.Duration
 		away int
+		draw float64
 		want time.Duration
 	}{
-		"alone":           {backFirst, 0, backFirst},
-		"alone for long":  {backMost, 0, backMost},
-		"with a few":      {backMost, 3, backMost},
-		"all of a small":  {backFirst, 18, 1900 * time.Millisecond},
-		"all of a larger": {backMost, 144, 14500 * time.Millisecond},
+		"alone":           {backFirst, 0, 0.5, backFirst},
+		"alone for long":  {backMost, 0, 1, backMost},
+		"with a few":      {backMost, 3, 1, backMost},
+		"all of a small":  {backFirst, 18, 0.5, 1900 * time.Millisecond},
+		"all of a larger": {backMost, 144, 0.5, 14500 * time.Millisecond},
+		"a short draw":    {backFirst, 144, 0, backFirst},
+		"a long draw":     {backMost, 144, 1, 29 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got := backOff(c.back, c.away)
-			if diff := cmp.Diff(c.want, got); diff != "" {
+			if diff := cmp.Diff(c.want, backOff(c.back, c.away, c.draw)); diff != "" {
 				t.Error(diff)
 			}
+		})
+	}
+}
+
+// TestBackOffSpread lets all entry VMs lose the store at the same moment. Their
+// calls must be few at any time, and never far apart: the first after the
+// store's return is what brings the changes.
+func TestBackOffSpread(t *testing.T) {
+	const (
+		seconds   = 30
+		callsMost = 15.0 // A second, of all: half more than the pace, since they begin together.
+		apartMost = 1500 * time.Millisecond
+	)
+
+	for name, vms := range map[string]int{"a small fleet": 19, "a large one": 145} {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(uint64(vms), 1))
+
+			var calls []time.Duration
+
+			for range vms {
+				back := time.Duration(0)
 
-			if rate := float64(c.away+1) / got.Seconds(); rate > callsMost {
+				for at := time.Duration(0); at < seconds*time.Second; {
+					back = min(backMost, max(backFirst, 2*back))
+					at += backOff(back, vms-1, random.Float64())
+					calls = append(calls, at)
+				}
+			}
+
+			slices.Sort(calls)
+
+			if rate := float64(len(calls)) / seconds; rate > callsMost {
 				t.Errorf("%.1f calls a second", rate)
 			}
+
+			last := time.Duration(0)
+
+			for _, at := range calls {
+				if at-last > apartMost && at < seconds*time.Second {
+					t.Errorf("no call from %s to %s", last, at)
+				}
+
+				last = at
+			}
 		})
 	}
 }
--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -69,6 +70,8 @@
 	// failing is when the calls began to fail, tried when the last one failed.
 	failing time.Time
 	tried   time.Time
+	// draw is the random part of the pause after that.
+	draw float64
 	// began is when the Follower was made, wrote when it last wrote the list of
 	// entry VMs.
 	began time.Time
@@ -113,7 +116,7 @@
 	now := f.Clock.Now()
 	peers := f.Table.Live(now)
 
-	if f.back > 0 && now.Sub(f.tried) < backOff(f.back, countAway(peers)) {
+	if f.back > 0 && now.Sub(f.tried) < backOff(f.back, countAway(peers), f.draw) {
 		return false
 	}
 
@@ -186,7 +189,7 @@
 	}
 
 	f.back = min(backMost, max(backFirst, 2*f.back))
-	f.tried = f.Clock.Now()
+	f.tried, f.draw = f.Clock.Now(), rand.Float64()
 	f.Mesh.SetAway(true)
 }
 
