--- a/internal/cwgateway/bound_test.go
+++ b/internal/cwgateway/bound_test.go
@@ -11,8 +11,9 @@
 	"carobward.example/carobward/internal/cwtest"
 )
 
-// request writes a request on a connection of its own and returns that.
-func (v *vm) request(t *testing.T, id string) net.Conn {
+// request writes a request on a connection of its own, from which nothing is
+// read.
+func (v *vm) request(t *testing.T, id string) {
 	t.Helper()
 
 	c, err := net.Dial("tcp", string(v.options.Self.Callers))
@@ -25,8 +26,6 @@
 	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\n\r\n", reading, host, id); err != nil {
 		t.Fatal(err)
 	}
-
-	return c
 }
 
 // TestDeafCallers has callers that ask for long answers and read nothing of
