--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -44,6 +44,8 @@
 	arrived time.Time
 	// deadline is when the final answer is due.
 	deadline time.Time
+	// left is how long the caller said that it still waits, or zero.
+	left time.Duration
 	// returned tells that the caller has probably come back after a refusal.
 	returned bool
 	routes   *cwroutes.Table
@@ -108,6 +110,7 @@
 		return r
 	}
 
+	r.left = left
 	r.service = r.route.Pick()
 	r.kept = f.service(r.service)
 	r.returned = ok && r.kept.isReturned(r.route.Name, left)
@@ -246,6 +249,6 @@
 	}
 
 	f.Log.Info("Answered.", "id", r.id, "status", status, "verdict", r.verdict().String(), "took", took.Milliseconds(),
-		"route", route, "version", version, "service", r.service, "sends", r.sends, "looks", r.looks,
+		"left", r.left.Milliseconds(), "returned", r.returned, "route", route, "version", version, "service", r.service, "sends", r.sends, "looks", r.looks,
 		"failed", r.seen.failed, "late", r.seen.late, "full", r.seen.full, "slow", r.seen.slow, "server", r.server, "cause", cause)
 }
