Waiting requests take turns, and a freed slot goes to the next in line

Three reasons. Two in three first attempts were taken for callers that have come back, since first attempts wait for 0.85 to 1 of the longest wait, and these may take a slow server's slots for a late answer. Each waiting request looked at servers for itself, so that looks ran out and servers were chosen blindly. Slots that became free were found by chance.

New beside that: where nearly all servers are slow, that is their pace, and a late answer is better than none; before, a first refusal of all was the end.

--- /dev/null
+++ b/internal/cwcaller/waits_test.go
@@ -0,0 +1,128 @@
+package cwcaller
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestAge lets callers come whose first attempts wait for one time or for some
+// between two, and wants first attempts to be told from later ones.
+func TestAge(t *testing.T) {
+	const (
+		second = time.Second
+		calls  = 2000
+	)
+
+	for name, c := range map[string]struct {
+		most, least time.Duration
+		// back is the share of callers that come back, after is when.
+		back  float64
+		after time.Duration
+		// wrong is the largest share of first attempts taken for later ones,
+		// missed of later ones taken for first.
+		wrong, missed float64
+	}{
+		"all wait alike":                 {2 * second, 2 * second, 0, 0, 0, 0},
+		"all alike, some come back":      {2 * second, 2 * second, 0.2, 100 * time.Millisecond, 0, 0.01},
+		"waits differ":                   {2 * second, 1700 * time.Millisecond, 0, 0, 0.1, 0},
+		"waits differ, some come back":   {2 * second, 1700 * time.Millisecond, 0.2, 400 * time.Millisecond, 0.05, 0.15},
+		"a burst, two in five come back": {2 * second, 1700 * time.Millisecond, 0.4, 600 * time.Millisecond, 0.05, 0.1},
+		"a lost connection":              {2 * second, 1700 * time.Millisecond, 0.45, second, 0.05, 0.01},
+		"waits differ by a third":        {1500 * time.Millisecond, second, 0, 0, 0.15, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 2))
+
+			var (
+				w                           Waits
+				first, later, wrong, missed int
+			)
+
+			for i := range calls {
+				left := c.least + time.Duration(rng.Float64()*float64(c.most-c.least))
+				back := rng.Float64() < c.back
+
+				if back {
+					left -= c.after
+				}
+
+				w.Add(left)
+				taken := w.Age(left) > 0
+
+				if i < recent {
+					continue
+				}
+
+				if back {
+					later++
+				} else {
+					first++
+				}
+
+				if back && !taken {
+					missed++
+				}
+
+				if !back && taken {
+					wrong++
+				}
+			}
+
+			if float64(wrong) > c.wrong*float64(first) || float64(missed) > c.missed*float64(later) {
+				t.Errorf("%d of %d first attempts taken for later ones, %d of %d missed", wrong, first, missed, later)
+			}
+		})
+	}
+}
+
+// TestAgeAfterOutage starts without knowledge among callers of whom most come
+// back, since their connections were lost a second ago.
+func TestAgeAfterOutage(t *testing.T) {
+	const (
+		wait    = 2 * time.Second
+		lost    = time.Second
+		callers = 30
+	)
+
+	var w Waits
+
+	for i := range callers {
+		left := wait - time.Duration(i%10)*30*time.Millisecond
+		if i%3 > 0 {
+			left -= lost
+		}
+
+		w.Add(left)
+
+		if i == 0 {
+			continue
+		}
+
+		if age := w.Age(left); (age > 0) != (i%3 > 0) {
+			t.Errorf("caller %d with %s left: %s ago", i, left, age)
+		}
+	}
+
+	if got := w.Age(wait - lost); got < lost/2 || got > lost*13/10 {
+		t.Errorf("a caller that began %s ago is taken for one of %s", lost, got)
+	}
+}
+
+// TestAgeFollows lets an operator shorten the callers' wait: the new one is taken
+// for that of first attempts once enough callers have it.
+func TestAgeFollows(t *testing.T) {
+	var w Waits
+
+	for range recent {
+		w.Add(2 * time.Second)
+	}
+
+	for range recent {
+		w.Add(time.Second)
+	}
+
+	if got := w.Age(time.Second); got != 0 {
+		t.Errorf("first attempts are taken for some of %s ago", got)
+	}
+}
--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -82,7 +82,7 @@
 // send did not run says nothing where an earlier one may have.
 func (r *request) judge() {
 	if r.err != nil {
-		r.err = sendFailure(r.err)
+		r.err = r.sendFailure(r.err)
 	}
 
 	refused := r.err == nil && r.reply.Shed || carobward.VerdictOf(r.err) == carobward.NotRun
@@ -92,7 +92,7 @@
 		r.reply, r.err = nil, carobward.NewFailure(carobward.Unknown, fasthttp.StatusBadGateway, 0, ErrBegun)
 	case r.err != nil:
 	case r.reply.Shed:
-		r.reply, r.err = nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, shedAfter, ErrShed)
+		r.reply, r.err = nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, r.turn.ReturnShed(), ErrShed)
 	case promises(r.reply.Status):
 		// Passed on, these would tell the caller that the request did not run.
 		r.reply, r.err = nil, carobward.NewFailure(carobward.Unknown, fasthttp.StatusBadGateway, 0, ErrDoubt)
@@ -101,12 +101,12 @@
 
 // sendFailure returns the failure of a send without a reply. Where no byte was
 // sent the caller may come back.
-func sendFailure(err error) error {
+func (r *request) sendFailure(err error) error {
 	cause := errors.Cause(asFailure(err).Cause)
 
 	switch {
 	case carobward.VerdictOf(err) == carobward.NotRun:
-		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, fullAfter, cause)
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, r.turn.Return(), cause)
 	case cwframe.IsTimeout(err):
 		return carobward.NewFailure(carobward.Unknown, fasthttp.StatusGatewayTimeout, 0, ErrLate)
 	default:
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -127,6 +127,7 @@
 	countAgain  = "again"
 	countDenied = "denied"
 	countHedges = "hedges"
+	countHanded = "handed"
 )
 
 // Server returns the HTTP server of the callers' listener.
--- a/internal/cwfront/hedge.go
+++ b/internal/cwfront/hedge.go
@@ -106,14 +106,14 @@
 func (r *request) mayHedge(ctx context.Context, l *looked) (carobward.Backend, bool) {
 	f := r.front
 
-	if l == nil || l.time > goodTime || ctx.Err() != nil {
+	if l == nil || !r.turn.Good(l.time) || ctx.Err() != nil {
 		return carobward.Backend{}, false
 	}
 
 	b := l.view.Server.Backend()
 	now := f.Clock.Now()
 
-	if !f.Servers.Has(b.Instance) || !r.fits(l, r.deadline, now) {
+	if !f.Servers.Has(b.Instance) || r.turn.Deadline.Sub(now) < time.Duration(l.time*float64(r.usual())) {
 		return b, false
 	}
 
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -4,11 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
-	"carobward.example/carobward/internal/cwframe"
 	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwpick"
 )
@@ -33,20 +29,11 @@
 	// endTime is how long an answer that is no longer awaited may take before
 	// its connection is given up.
 	endTime = 500 * time.Millisecond
-	// goodCost is the cost at which no better server is looked for, and
-	// goodTime the time in usual times for which none is waited for: one of the
+	// goodCost is the cost at which no better server is looked for: one of the
 	// last slots of a machine at its usual speed.
 	goodCost = 1.75
-	goodTime = 1.75
 	// roundsMost bounds the rounds of looking for a better server.
 	roundsMost = 2
-	// admitPart is the part of the objective for which room is looked for. A
-	// refusal within a quarter of it leaves the caller time to come back.
-	admitPart = 0.18
-	// againTime is the pause before servers are looked at again where none was
-	// good: machines change their speed several times a second, and a slow one
-	// costs far more than the pause.
-	againTime = 30 * time.Millisecond
 )
 
 // looked is the outcome of a look at one server.
@@ -67,55 +54,6 @@
 	}
 }
 
-// choose looks at servers until a good one is found, and takes the best there
-// is once the time for that is over. The request has not been sent when it
-// returns an error.
-func (r *request) choose(ctx context.Context, tried map[*cwbackend.Server]bool) (*looked, error) {
-	f := r.front
-	until := r.arrived.Add(time.Duration(admitPart * float64(r.route.Objective)))
-
-	for {
-		best, known := r.chooseOnce(ctx, tried)
-		now := f.Clock.Now()
-		last := !now.Before(until)
-
-		if best != nil && (best.time <= goodTime || last && r.suits(best, now)) {
-			return best, nil
-		}
-
-		best.release()
-
-		switch {
-		case ctx.Err() != nil:
-			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, 0, ErrGone)
-		case !known:
-			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, fullAfter, ErrNone)
-		case last:
-			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, fullAfter, ErrFull)
-		}
-
-		time.Sleep(againTime)
-	}
-}
-
-// suits tells whether a server that is not good is better than a refusal. Its
-// answer would be in time, or the caller has come back already and may not do so
-// again. A caller that can come back is better off with that than with a late
-// answer, which would also hold the slots of a slow machine for long: they are
-// missed once it is fast again, several times a second.
-func (r *request) suits(l *looked, now time.Time) bool {
-	if r.fits(l, r.arrived.Add(r.route.Objective), now) {
-		return true
-	}
-
-	return r.returned && r.fits(l, r.deadline, now)
-}
-
-// fits tells whether a server would probably answer before a time.
-func (r *request) fits(l *looked, before, now time.Time) bool {
-	return time.Duration(l.time*float64(r.usual())) < before.Sub(now)
-}
-
 // chooseOnce looks at some servers, and at some more where none of them is
 // good. It returns nil where none has room, and whether any is known.
 func (r *request) chooseOnce(ctx context.Context, tried map[*cwbackend.Server]bool) (*looked, bool) {
@@ -162,14 +100,14 @@
 // looks are left. It returns nil where none has room.
 func (r *request) blind(ctx context.Context, views []cwbackend.View, tried map[*cwbackend.Server]bool) *looked {
 	f := r.front
-	rank, ranks := r.routes.Rank(r.service, r.route.Priority)
+	now := f.Clock.Now()
 
 	var best *looked
 
 	for _, v := range cwpick.Draw(views, blindWidth, f.Domain, tried) {
 		v.Report = v.Expected()
 
-		if cwpick.Free(&v, rank, ranks, r.kept.crowding()) > 0 {
+		if r.free(&v, now) > 0 {
 			l := &looked{view: v}
 			r.rate(l)
 			best = better(best, l)
@@ -183,7 +121,7 @@
 	b := best.view.Server.Backend()
 	// On a connection that nobody has used just now, a failed write would
 	// leave open whether the request ran.
-	held, err := f.Link.Hold(ctx, b.Address, f.Clock.Now().Add(endTime), !r.route.Idempotent)
+	held, err := f.Link.Hold(ctx, b.Address, now.Add(endTime), !r.route.Idempotent)
 	if err != nil {
 		r.lookFailed(best.view.Server, b.Instance, err)
 
@@ -285,15 +223,17 @@
 
 // weigh returns the better one of a server and the best so far, if it has room.
 func (r *request) weigh(best, l *looked) *looked {
-	rank, ranks := r.routes.Rank(r.service, r.route.Priority)
+	if l.ok {
+		r.kept.addPace(l.view.Report.Slowness)
+	}
 
 	switch {
 	case !l.ok:
 		r.seen.failed++
-	case cwpick.Free(&l.view, rank, ranks, r.kept.crowding()) <= 0:
+	case r.free(&l.view, r.front.Clock.Now()) <= 0:
 		r.seen.full++
 	default:
-		if l.time > goodTime {
+		if !r.turn.Good(l.time) {
 			r.seen.slow++
 		}
 
@@ -311,71 +251,3 @@
 	l.time = cwpick.Time(&l.view, crowd)
 	l.cost = cwpick.Cost(&l.view, crowd, r.front.Domain)
 }
-
-// lookAt makes one health check, over a connection that is then held.
-func (r *request) lookAt(v cwbackend.View) *looked {
-	b := v.Server.Backend()
-	l := &looked{view: v}
-
-	ctx, cancel := context.WithTimeout(context.Background(), endTime)
-	defer cancel()
-
-	reply, err := r.ask(ctx, l, b, false)
-	if err != nil && r.forgotten(ctx, l, err) {
-		l.release()
-
-		reply, err = r.ask(ctx, l, b, true)
-	}
-
-	if err == nil && reply.Instance != "" && reply.Instance != b.Instance {
-		err = errOtherInstance
-	}
-
-	if err != nil {
-		r.lookFailed(v.Server, b.Instance, err)
-
-		return l
-	}
-
-	v.Server.SetReport(reply.Report)
-	l.view.Report = reply.Report
-	r.rate(l)
-
-	l.ok = true
-
-	if reply.Status != fasthttp.StatusOK {
-		l.cost += illCost
-	}
-
-	return l
-}
-
-// ask makes one health check over an idle connection, or over a new one where
-// fresh is set.
-func (r *request) ask(ctx context.Context, l *looked, b carobward.Backend, fresh bool) (*carobward.Reply, error) {
-	f := r.front
-	until := f.Clock.Now().Add(endTime)
-
-	held, err := f.Link.Hold(ctx, b.Address, until, fresh)
-	l.held = held
-
-	if err != nil {
-		return nil, err
-	}
-
-	return held.Exchange(ctx, &carobward.Call{
-		Method: fasthttp.MethodGet, URI: r.routes.Service(r.service).HealthPath, Host: string(b.Address), Look: true,
-		Deadline: until, MaxReply: carobward.Megabyte,
-	})
-}
-
-// forgotten tells whether a health check failed for its connection alone, which
-// the server or the path to it had forgotten while it was idle, and may be made
-// once more: it has cost a look. A timeout leaves no time for that.
-func (r *request) forgotten(ctx context.Context, l *looked, err error) bool {
-	if !l.held.Used() || ctx.Err() != nil || cwframe.IsTimeout(err) {
-		return false
-	}
-
-	return r.kept.looks.AllowN(r.front.Clock.Now(), 1)
-}
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -9,6 +9,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwframe"
 	"carobward.example/carobward/internal/cwroutes"
+	"carobward.example/carobward/internal/cwturn"
 )
 
 // The causes of a request's failure here.
@@ -27,15 +28,8 @@
 	ErrDoubt    = errors.ConstError("the server refused in a way that does not say whether the request ran")
 )
 
-// The times to come back after.
-const (
-	// startAfter is when a newcomer probably has its configuration.
-	startAfter = 200 * time.Millisecond
-	// shedAfter is for a server's refusal, which says nothing of the others.
-	shedAfter = 80 * time.Millisecond
-	// fullAfter is about the time in which a server's slot is freed.
-	fullAfter = 250 * time.Millisecond
-)
+// startAfter is when a newcomer probably has its configuration.
+const startAfter = 200 * time.Millisecond
 
 // request is one caller's request on its way.
 type request struct {
@@ -48,11 +42,13 @@
 	left time.Duration
 	// returned tells that the caller has probably come back after a refusal.
 	returned bool
-	routes   *cwroutes.Table
-	route    *cwroutes.Route
-	service  carobward.Service
-	kept     *service
-	call     carobward.Call
+	// turn is what decides who gets a server first.
+	turn    cwturn.Turn
+	routes  *cwroutes.Table
+	route   *cwroutes.Route
+	service carobward.Service
+	kept    *service
+	call    carobward.Call
 
 	// begun tells that the request may have run at a server.
 	begun bool
@@ -113,18 +109,35 @@
 	r.left = left
 	r.service = r.route.Pick()
 	r.kept = f.service(r.service)
-	r.returned = ok && r.kept.isReturned(r.route.Name, left)
 	r.deadline = now.Add(r.route.Timeout)
 	if ok && left < r.route.Timeout {
 		r.deadline = now.Add(left)
 	}
 
+	r.setTurn(now, ok)
+
 	r.kept.window.Request(now)
 	r.call = r.newCall(ctx)
 
 	return r
 }
 
+// setTurn fills in what decides when the request gets a server. Known tells that
+// the caller said how long it still waits.
+func (r *request) setTurn(now time.Time, known bool) {
+	var age time.Duration
+
+	if known {
+		age = r.kept.age(r.route.Name, r.left)
+	}
+
+	r.returned = age > 0
+	r.turn = cwturn.Turn{
+		Rank: r.route.Priority, Arrived: now, Due: now.Add(r.route.Objective - age), Deadline: r.deadline,
+		Objective: r.route.Objective, Usual: r.usual(), Pace: r.kept.pace(),
+	}
+}
+
 // check refuses a request that is too large, or that a server could understand
 // differently.
 func (r *request) check(ctx *fasthttp.RequestCtx) error {
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -181,7 +181,6 @@
 func (r *request) note(ctx context.Context, s *sent) {
 	f := r.front
 	s.cancel()
-	s.looked.release()
 
 	end := f.Clock.Now()
 	outcome := s.outcome(ctx)
@@ -197,6 +196,10 @@
 		r.kept.learn(r.route.Objective, end.Sub(s.at), load.Slowness, cwpick.Crowded(load, view.SlotCount()))
 	}
 
+	if !r.handOver(s) {
+		s.looked.release()
+	}
+
 	f.logSend(r.id, s, outcome, end)
 }
 
--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -7,7 +7,9 @@
 	"golang.org/x/time/rate"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwcaller"
 	"carobward.example/carobward/internal/cwretry"
+	"carobward.example/carobward/internal/cwturn"
 )
 
 // service is what is kept of a service beyond one configuration.
@@ -17,6 +19,8 @@
 	window *cwretry.Window
 	looks  *rate.Limiter
 
+	line line
+
 	mutex sync.Mutex
 	// usual is the moving average of the time of an answer on a machine at its
 	// usual speed, by the objective of the route: routes with other objectives
@@ -25,26 +29,27 @@
 	// crowd is the moving average of how many times longer answers take at
 	// crowded servers.
 	crowd float64
-	// longest is the longest time that a caller of a route said it would wait.
-	longest map[carobward.RouteName]time.Duration
+	// speed is how much longer than usual servers take now.
+	speed cwturn.Pace
+	// waits is what the callers of each route said of how long they wait.
+	waits map[carobward.RouteName]*cwcaller.Waits
 }
 
-// returnedPart is the part of the longest wait of a route's callers below which a
-// caller has probably been refused before: it has used the rest.
-const returnedPart = 0.95
-
-// isReturned tells whether a caller that still waits for so long has probably
-// come back after a refusal. Where callers differ in how long they wait, those
-// with the longest wait are told apart only.
-func (s *service) isReturned(route carobward.RouteName, left time.Duration) bool {
+// age returns how long ago the first attempt of a caller probably was that still
+// waits for so long.
+func (s *service) age(route carobward.RouteName, left time.Duration) time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	if left > s.longest[route] {
-		s.longest[route] = left
+	w := s.waits[route]
+	if w == nil {
+		w = &cwcaller.Waits{}
+		s.waits[route] = w
 	}
 
-	return float64(left) < returnedPart*float64(s.longest[route])
+	w.Add(left)
+
+	return w.Age(left)
 }
 
 // The figures of what is learned from answers.
@@ -73,11 +78,11 @@
 		limit, burst := f.pace(name)
 		limits := f.limits.Load()
 		s = &service{
-			window:  cwretry.NewWindow(limits.ExtraShare*extraPart, limits.ExtraWindow, f.Clock.Now()),
-			looks:   rate.NewLimiter(limit, burst),
-			usual:   map[time.Duration]float64{},
-			longest: map[carobward.RouteName]time.Duration{},
-			crowd:   crowdFirst,
+			window: cwretry.NewWindow(limits.ExtraShare*extraPart, limits.ExtraWindow, f.Clock.Now()),
+			looks:  rate.NewLimiter(limit, burst),
+			usual:  map[time.Duration]float64{},
+			waits:  map[carobward.RouteName]*cwcaller.Waits{},
+			crowd:  crowdFirst,
 		}
 		f.services[name] = s
 	}
@@ -109,6 +114,22 @@
 	return s.crowd
 }
 
+// addPace takes how much longer than usual one server takes that was looked at.
+func (s *service) addPace(slowness float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.speed.Add(slowness)
+}
+
+// pace returns how much longer than usual servers take now.
+func (s *service) pace() float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return s.speed.Now()
+}
+
 // learn takes the time of one answer, without the slowness of the server's
 // machine when the request was sent.
 func (s *service) learn(objective, took time.Duration, slowness float64, crowded bool) {
--- a/internal/cwfront/service_test.go
+++ b/internal/cwfront/service_test.go
@@ -11,7 +11,6 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
 	"carobward.example/carobward/internal/cwmetric"
-	"carobward.example/carobward/internal/cwroutes"
 )
 
 // newFront returns a front that has a part of all requests, with ten servers.
@@ -133,64 +132,6 @@
 	}
 }
 
-// TestIsReturned wants callers that have used a part of their time to be told
-// from those that have just begun, on each route for itself.
-func TestIsReturned(t *testing.T) {
-	s := newFront(1).service("records")
-
-	for _, c := range []struct {
-		route carobward.RouteName
-		left  time.Duration
-		want  bool
-	}{
-		{"slow", 2 * time.Second, false},
-		{"slow", 1990 * time.Millisecond, false},
-		{"slow", 1500 * time.Millisecond, true},
-		{"fast", 1500 * time.Millisecond, false},
-		{"slow", 3 * time.Second, false},
-		{"slow", 2 * time.Second, true},
-	} {
-		if got := s.isReturned(c.route, c.left); got != c.want {
-			t.Errorf("%s, %s left: %v", c.route, c.left, got)
-		}
-	}
-}
-
-// TestSuits has which server that is not good is taken in the end: one that
-// answers in time, and a later one only for a caller that has come back.
-func TestSuits(t *testing.T) {
-	const (
-		objective = time.Second
-		usual     = 400 * time.Millisecond // usualFirst of the objective.
-	)
-
-	now := time.Now()
-
-	for name, c := range map[string]struct {
-		took     time.Duration
-		returned bool
-		want     bool
-	}{
-		"in time":               {700 * time.Millisecond, false, true},
-		"late":                  {1100 * time.Millisecond, false, false},
-		"late, come back":       {1100 * time.Millisecond, true, true},
-		"too late, come back":   {2100 * time.Millisecond, true, false},
-		"in time, though there": {700 * time.Millisecond, true, true},
-	} {
-		t.Run(name, func(t *testing.T) {
-			f := newFront(1)
-			r := &request{
-				front: f, kept: f.service("records"), arrived: now, deadline: now.Add(2 * time.Second), returned: c.returned,
-				route: &cwroutes.Route{Route: carobward.Route{Objective: objective}},
-			}
-
-			if got := r.suits(&looked{time: float64(c.took) / float64(usual)}, now.Add(100*time.Millisecond)); got != c.want {
-				t.Errorf("got %v", got)
-			}
-		})
-	}
-}
-
 // TestLeaves has what a request leaves of the bound on extra calls: a caller that
 // can come back after a refusal leaves most, one that has come back nothing, and
 // so does a request that failed otherwise.
--- a/internal/cwpick/pick.go
+++ b/internal/cwpick/pick.go
@@ -126,10 +126,11 @@
 }
 
 // Free returns how many more requests of a rank, out of so many ranks, a
-// server takes, below zero where it has more already. Crowd is how many times
-// longer requests take at a crowded server. The most urgent ones may queue for a
-// while, the least urgent ones leave a slot free for others.
-func Free(v *cwbackend.View, rank, ranks int, crowd float64) int {
+// server takes, below zero where it has more already. The most urgent ones may
+// queue for a while, the least urgent ones leave a slot free for others. Spared
+// slots are left to others beside that, if the server has more. Crowd is how many
+// times longer requests take at a crowded server.
+func Free(v *cwbackend.View, rank, ranks, spared int, crowd float64) int {
 	r := &v.Report
 	slots := v.SlotCount()
 	useful := usefulSlots(slots, crowd)
@@ -143,7 +144,7 @@
 		most = max(1, min(useful, slots-1))
 	}
 
-	return most - r.Running - r.Queued
+	return max(1, most-spared) - r.Running - r.Queued
 }
 
 // usefulSlots returns how many of a server's slots add to its throughput:
--- a/internal/cwpick/pick_bench_test.go
+++ b/internal/cwpick/pick_bench_test.go
@@ -38,7 +38,7 @@
 		best := 0.0
 
 		for _, v := range Draw(views, looks, "a", nil) {
-			if Free(&v, 1, 3, 1.3) > 0 {
+			if Free(&v, 1, 3, 0, 1.3) > 0 {
 				best = max(best, Cost(&v, 1.3, "a"))
 			}
 		}
--- a/internal/cwpick/pick_test.go
+++ b/internal/cwpick/pick_test.go
@@ -55,22 +55,26 @@
 		running, rank, ranks int
 		room                 bool
 		crowd                float64
+		spared               int
 	}{
-		"the least urgent leaves a slot": {3, 2, 3, false, 1},
-		"and takes the others":           {2, 2, 3, true, 1},
-		"the next takes all slots":       {3, 1, 3, true, 1},
-		"and no more":                    {4, 1, 3, false, 1},
-		"the most urgent may queue":      {5, 0, 3, true, 1},
-		"for a while":                    {6, 0, 3, false, 1},
-		"one kind of work alone":         {3, 0, 1, true, 1},
-		"does not queue":                 {4, 0, 1, false, 1},
-		"where crowding costs more":      {3, 1, 3, false, 1.6},
-		"than the last slot brings":      {2, 1, 3, true, 1.6},
-		"and where it costs less":        {3, 1, 3, true, 1.2},
+		"the least urgent leaves a slot": {3, 2, 3, false, 1, 0},
+		"and takes the others":           {2, 2, 3, true, 1, 0},
+		"the next takes all slots":       {3, 1, 3, true, 1, 0},
+		"and no more":                    {4, 1, 3, false, 1, 0},
+		"the most urgent may queue":      {5, 0, 3, true, 1, 0},
+		"for a while":                    {6, 0, 3, false, 1, 0},
+		"one kind of work alone":         {3, 0, 1, true, 1, 0},
+		"does not queue":                 {4, 0, 1, false, 1, 0},
+		"where crowding costs more":      {3, 1, 3, false, 1.6, 0},
+		"than the last slot brings":      {2, 1, 3, true, 1.6, 0},
+		"and where it costs less":        {3, 1, 3, true, 1.2, 0},
+		"a slot is spared":               {3, 0, 1, false, 1, 1},
+		"and the others are not":         {2, 0, 1, true, 1, 1},
+		"one slot at least is used":      {0, 0, 1, true, 1, 9},
 	} {
 		t.Run(name, func(t *testing.T) {
 			v := view(c.running, 0, 1)
-			if got := Free(&v, c.rank, c.ranks, c.crowd) > 0; got != c.room {
+			if got := Free(&v, c.rank, c.ranks, c.spared, c.crowd) > 0; got != c.room {
 				t.Errorf("room: %v", got)
 			}
 		})
--- /dev/null
+++ b/internal/cwturn/pace.go
@@ -0,0 +1,47 @@
+package cwturn
+
+import "slices"
+
+// The figures of a pace.
+const (
+	// paceLooks is how many looks at servers are remembered: a second or two of
+	// one entry VM's.
+	paceLooks = 32
+	// paceLeast is how many are needed to tell a pace.
+	paceLeast = 8
+	// paceQuantile is the part of servers that are faster. A few fast ones among
+	// many slow ones are worth waiting for: a look at four finds one in two of
+	// three times where a quarter are fast.
+	paceQuantile = 0.25
+)
+
+// Pace is how much longer than usual servers take now, learned from looks at
+// them. Without it requests would wait for a fast server, and be refused in the
+// end, while all servers are slow. It is not safe for use by several goroutines.
+type Pace struct {
+	list []float64
+	next int
+	pace float64
+}
+
+// Add takes how many times longer than usual one server takes.
+func (p *Pace) Add(slowness float64) {
+	if len(p.list) < paceLooks {
+		p.list = append(p.list, slowness)
+	} else {
+		p.list[p.next] = slowness
+	}
+
+	p.next = (p.next + 1) % paceLooks
+
+	if len(p.list) < paceLeast {
+		return
+	}
+
+	sorted := slices.Clone(p.list)
+	slices.Sort(sorted)
+	p.pace = sorted[int(paceQuantile*float64(len(sorted)))]
+}
+
+// Now returns the pace, 1 where none is known.
+func (p *Pace) Now() float64 { return max(1, p.pace) }
