--- a/internal/cwcaller/waits.go
+++ b/internal/cwattempt/waits.go
@@ -1,7 +1,7 @@
-// Package cwcaller tells callers that have just begun from those that come back
+// Package cwattempt tells callers that have just begun from those that come back
 // after a refusal or a lost connection. Nothing on a request says so; but callers
 // say how long they still wait, and one that comes back has used a part of that.
-package cwcaller
+package cwattempt
 
 import (
 	"slices"
--- a/internal/cwcaller/waits_test.go
+++ b/internal/cwattempt/waits_test.go
@@ -1,4 +1,4 @@
-package cwcaller
+package cwattempt
 
 import (
 	"math/rand/v2"
--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -7,7 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwcaller"
+	"carobward.example/carobward/internal/cwattempt"
 	"carobward.example/carobward/internal/cwpick"
 	"carobward.example/carobward/internal/cwretry"
 	"carobward.example/carobward/internal/cwturn"
@@ -28,7 +28,7 @@
 	// speed is how much longer than usual servers take now.
 	speed cwturn.Pace
 	// waits is what the callers of each route said of how long they wait.
-	waits map[carobward.RouteName]*cwcaller.Waits
+	waits map[carobward.RouteName]*cwattempt.Waits
 }
 
 // age returns how long ago the first attempt of a caller probably was that still
@@ -39,7 +39,7 @@
 
 	w := s.waits[route]
 	if w == nil {
-		w = &cwcaller.Waits{}
+		w = &cwattempt.Waits{}
 		s.waits[route] = w
 	}
 
@@ -61,7 +61,7 @@
 			times:  cwpick.NewTimes(),
 			window: cwretry.NewWindow(limits.ExtraShare*extraPart, limits.ExtraWindow, f.Clock.Now()),
 			looks:  rate.NewLimiter(limit, burst),
-			waits:  map[carobward.RouteName]*cwcaller.Waits{},
+			waits:  map[carobward.RouteName]*cwattempt.Waits{},
 		}
 		f.services[name] = s
 	}
--- a/internal/lab/cwbench/worst_vm.go
+++ b/internal/lab/cwbench/worst_vm.go
@@ -8,8 +8,8 @@
 	"golang.org/x/time/rate"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwattempt"
 	"carobward.example/carobward/internal/cwbackend"
-	"carobward.example/carobward/internal/cwcaller"
 	"carobward.example/carobward/internal/cwpick"
 	"carobward.example/carobward/internal/cwturn"
 )
@@ -39,7 +39,7 @@
 	servers map[*cwbackend.Server]*worstServer
 	line    cwturn.Line[*worstRequest]
 	pace    cwturn.Pace
-	waits   cwcaller.Waits
+	waits   cwattempt.Waits
 	longest time.Duration
 	times   *cwpick.Times
 	looks   *rate.Limiter
