While there may be room each request looks at once; replies stay small

Cause 1, found by TestDownload beside load (503, no server has room, with one idle server): only the first in line looked, also while there was room, so that an entry VM carried one request for each look, some 300 a second. Now the others wait only once a look for one before them was in vain.

Cause 2, found by TestRecordCost: the body and length of a passed-on reply made each kept outcome 32 bytes larger than is accounted.

--- a/internal/cwfront/pass.go
+++ b/internal/cwfront/pass.go
@@ -34,7 +34,7 @@
 	f.flight.Add(1)
 	f.counts.Add(countPassed, 1)
 
-	return &passing{front: f, id: r.id, server: r.passed, body: r.reply.Stream, length: r.reply.Length}
+	return &passing{front: f, id: r.id, server: r.passed, body: r.reply.Stream, length: r.reply.Stream.Length}
 }
 
 // Read implements io.Reader.
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -211,7 +211,7 @@
 	f.Dialect.Answer(r.id, resp.Header.Set)
 
 	if r.reply.Stream != nil {
-		resp.SetBodyStream(f.pass(r), r.reply.Length)
+		resp.SetBodyStream(f.pass(r), r.reply.Stream.Length)
 	} else {
 		resp.SetBodyRaw(r.reply.Body)
 	}
--- a/internal/cwfront/wait.go
+++ b/internal/cwfront/wait.go
@@ -53,6 +53,14 @@
 	return l.queue.Looks(w, now)
 }
 
+// vain notes that servers were looked at for a waiter, and none had room.
+func (l *line) vain(w *waiter) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	w.request.turn.Vain = true
+}
+
 // leave takes a waiter out. What it was offered and did not take goes to another,
 // and the next in the line looks at once: where there was room for one there may be
 // more.
@@ -123,6 +131,8 @@
 			if best != nil || err != nil {
 				return best, err
 			}
+
+			r.kept.line.vain(w)
 		}
 
 		if ctx.Err() != nil {
--- a/internal/cwlink/hold.go
+++ b/internal/cwlink/hold.go
@@ -95,11 +95,11 @@
 
 // passes returns the body that a reply passes on as it comes, if it does.
 func passes(r *carobward.Reply) (*stream, bool) {
-	if r == nil {
+	if r == nil || r.Stream == nil {
 		return nil, false
 	}
 
-	s, ok := r.Stream.(*stream)
+	s, ok := r.Stream.ReadCloser.(*stream)
 
 	return s, ok
 }
--- a/internal/cwlink/reply.go
+++ b/internal/cwlink/reply.go
@@ -77,8 +77,7 @@
 			return nil, false, ErrLarge
 		}
 
-		reply.Length = length
-		reply.Stream = &stream{left: length}
+		reply.Stream = &carobward.Stream{ReadCloser: &stream{left: length}, Length: length}
 
 		return reply, !resp.ConnectionClose(), nil
 	}
--- a/internal/cwturn/line_test.go
+++ b/internal/cwturn/line_test.go
@@ -17,7 +17,7 @@
 func (n *named) Turn() *Turn { return n.turn }
 
 // TestLine wants servers to go to waiting requests in order, past those that may
-// not have them, and only the first to look at servers itself.
+// not have them, and only the first to look at servers itself once that was in vain.
 func TestLine(t *testing.T) {
 	var l Line[*named]
 
@@ -28,6 +28,14 @@
 		l.Join(w)
 	}
 
+	for _, w := range all {
+		if !l.Looks(w, begin) {
+			t.Errorf("%s does not look while there may be room", w.name)
+		}
+	}
+
+	all[2].turn.Vain = true
+
 	for _, w := range all {
 		if got := l.Looks(w, begin); got != (w.name == "urgent") {
 			t.Errorf("%s looks: %v", w.name, got)
--- a/internal/cwturn/turn.go
+++ b/internal/cwturn/turn.go
@@ -50,6 +50,8 @@
 	// than that servers take now.
 	Usual time.Duration
 	Pace  float64
+	// Vain tells that servers were looked at for it, and none had room.
+	Vain bool
 }
 
 // expected returns how long a server takes that is as good as there are.
--- a/internal/lab/cwbench/worst_vm.go
+++ b/internal/lab/cwbench/worst_vm.go
@@ -149,7 +149,7 @@
 	case w.way.Alone || w.way.Restless || v.line.Looks(r, w.now()):
 		v.look(r)
 	default:
-		v.park(r)
+		v.park(r, false)
 	}
 }
 
@@ -246,7 +246,7 @@
 		v.line.Leave(r)
 		w.refuse(r, after)
 	default:
-		v.park(r)
+		v.park(r, true)
 	}
 }
 
@@ -281,10 +281,12 @@
 	return false
 }
 
-// park lets a request wait until it is offered a server or the pause is over.
-func (v *worstVM) park(r *worstRequest) {
+// park lets a request wait until it is offered a server or the pause is over. Looked
+// tells that a look for it was in vain.
+func (v *worstVM) park(r *worstRequest, looked bool) {
 	r.parked++
 	r.waits = true
+	r.turn.Vain = r.turn.Vain || looked
 	parked, pause := r.parked, r.turn.Pause()
 
 	switch {
--- a/server.go
+++ b/server.go
@@ -67,10 +67,8 @@
 	Header Header
 	// Body holds the whole body, unless it is passed on as it comes.
 	Body []byte
-	// Stream has a body that is passed on as it comes, of Length bytes; nil where
-	// Body holds it. It must be closed, and its end before Length is an error.
-	Stream io.ReadCloser
-	Length int
+	// Stream is a body that is passed on as it comes; nil where Body holds it.
+	Stream *Stream
 	// Report is the load report that came along; At is zero if none did.
 	Report Report
 	// Shed tells that the server refused the call before it began.
@@ -82,6 +80,15 @@
 	Keep time.Duration
 }
 
+// Stream is a reply's body that is passed on as it comes. It must be closed. An end
+// before its length is an error.
+type Stream struct {
+	io.ReadCloser
+
+	// Length is the body's length in bytes.
+	Length int
+}
+
 // ErrOther is the error of a Dialect for a reply that belongs to another call.
 // The reply to this call may still follow it.
 const ErrOther = errors.ConstError("the reply is to another request")
