The pace of servers counts what crowds one alone

Cause, found on a site of our own with servers of one slot: each request takes its server above the knee, 1.7 to 1.8 times the usual time, which is above what counts as good, and late requests never take a server that is not good. Ruled out: the spared slot, which one-slot servers do not have to give.

Change: the pace is how long a request takes at a server without others (slowness, crowding by one alone, warm-up), in place of its machine's slowness.

--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -214,7 +214,7 @@
 // weigh returns the better one of a server and the best so far, if it has room.
 func (r *request) weigh(best, l *looked) *looked {
 	if l.ok {
-		r.kept.addPace(l.view.Report.Slowness)
+		r.kept.addPace(cwpick.Alone(&l.view, r.kept.crowding()))
 	}
 
 	switch {
--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -85,12 +85,12 @@
 	return s.times.Crowding()
 }
 
-// addPace takes how much longer than usual one server takes that was looked at.
-func (s *service) addPace(slowness float64) {
+// addPace takes how long one server takes that was looked at, see cwturn.Pace.
+func (s *service) addPace(alone float64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	s.speed.Add(slowness)
+	s.speed.Add(alone)
 }
 
 // pace returns how much longer than usual servers take now.
--- a/internal/cwpick/pick.go
+++ b/internal/cwpick/pick.go
@@ -59,6 +59,15 @@
 	return out
 }
 
+// Alone returns how long a request would take at a server that had no other, in usual
+// times. A server of few slots may be crowded by one.
+func Alone(v *cwbackend.View, crowd float64) float64 {
+	empty := *v
+	empty.Report.Running, empty.Report.Queued = 0, 0
+
+	return Time(&empty, crowd)
+}
+
 // Cost returns what speaks against a server: the time that a request would
 // take there, in usual times, and what makes another one better all the same.
 func Cost(v *cwbackend.View, crowd float64, home carobward.Domain) float64 {
--- a/internal/cwpick/pick_test.go
+++ b/internal/cwpick/pick_test.go
@@ -81,6 +81,35 @@
 	}
 }
 
+// TestAlone wants the time at a server without other requests: those that it has
+// count for nothing, its speed and a crowding by one alone do.
+func TestAlone(t *testing.T) {
+	const crowd = 1.8
+
+	for name, c := range map[string]struct {
+		slots, running, queued int
+		slowness, want         float64
+	}{
+		"one of four slots":  {4, 4, 3, 1, 1},
+		"a slow machine":     {4, 0, 0, 5, 5},
+		"its only slot":      {1, 1, 2, 1, crowd},
+		"its only, and slow": {1, 0, 0, 2, 2 * crowd},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := view(c.running, c.queued, c.slowness)
+			v.Report.Slots = c.slots
+
+			if got := Alone(&v, crowd); got != c.want {
+				t.Errorf("%.2f usual times, want %.2f", got, c.want)
+			}
+
+			if v.Report.Running != c.running || v.Report.Queued != c.queued {
+				t.Error("the view has changed")
+			}
+		})
+	}
+}
+
 // TestDraw checks who is looked at.
 func TestDraw(t *testing.T) {
 	near, far, blocked, cold := view(0, 0, 1), view(0, 0, 1), view(0, 0, 1), view(0, 0, 1)
--- a/internal/cwturn/pace.go
+++ b/internal/cwturn/pace.go
@@ -25,12 +25,12 @@
 	pace float64
 }
 
-// Add takes how many times longer than usual one server takes.
-func (p *Pace) Add(slowness float64) {
+// Add takes how long one server takes that has no other request, in usual times.
+func (p *Pace) Add(alone float64) {
 	if len(p.list) < paceLooks {
-		p.list = append(p.list, slowness)
+		p.list = append(p.list, alone)
 	} else {
-		p.list[p.next] = slowness
+		p.list[p.next] = alone
 	}
 
 	p.next = (p.next + 1) % paceLooks
--- a/internal/lab/cwbench/worst.go
+++ b/internal/lab/cwbench/worst.go
@@ -109,7 +109,10 @@
 	dark := burst(pattern("dark", "All entry VMs without power for 0.9 s, and all callers back at once."), 1.6)
 	dark.Dark = Stretch{From: from + time.Second, To: from + 1900*time.Millisecond}
 
-	return []Pattern{calm, one, two, slow, all, gone, shed, dark}
+	single := burst(pattern("single", "Servers of one slot, each crowded by one request, at a higher load."), 1.5)
+	single.Slots, single.Rate, single.KneeFactor = 1, 30, 1.9
+
+	return []Pattern{calm, one, two, slow, all, gone, shed, dark, single}
 }
 
 // FindPattern returns a pattern by its name.
--- a/internal/lab/cwbench/worst_test.go
+++ b/internal/lab/cwbench/worst_test.go
@@ -74,6 +74,7 @@
 		"gone":   {0.08, 0.82},
 		"shed":   {-0.04, 0.93},
 		"dark":   {0.08, 0.85},
+		"single": {0.15, 0.7},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/lab/cwbench/worst_vm.go
+++ b/internal/lab/cwbench/worst_vm.go
@@ -190,7 +190,7 @@
 		} else if looks {
 			view.Report = s.report()
 			view.Server.SetReport(view.Report)
-			v.pace.Add(view.Report.Slowness)
+			v.pace.Add(cwpick.Alone(&view, v.times.Crowding()))
 
 			if v.run.way.Central { // It knows what is on its way.
 				view.Report = view.Expected()
