--- a/internal/lab/cwbench/worst_vm.go
+++ b/internal/lab/cwbench/worst_vm.go
@@ -148,6 +148,9 @@
 		w.finish(r, false, false)
 	case w.way.Alone || w.way.Restless || v.line.Looks(r, w.now()):
 		v.look(r)
+	case r.turn.Over(w.now()):
+		v.line.Leave(r)
+		w.refuse(r, r.turn.Return())
 	default:
 		v.park(r, false)
 	}
