--- a/internal/lab/cwbench/worst.go
+++ b/internal/lab/cwbench/worst.go
@@ -193,27 +193,3 @@
 		{Name: "paceless", Paceless: true}, {Name: nameCeiling, Central: true},
 	}
 }
-
-// WorstResult is what became of the requests of one pattern under one way.
-type WorstResult struct {
-	Pattern, Way string
-	// Calls counts the requests that came during the trouble or within a second
-	// after it, or all where there is none. Each ends InTime, Late, Refused for good
-	// or Failed; Back counts those that were refused once.
-	Calls, InTime, Late, Refused, Failed, Back int
-	// Fresh counts those that came while entry VMs ran, FreshInTime those of them
-	// that were answered in time.
-	Fresh, FreshInTime int
-	// P99 is the time of the slowest answer but one in a hundred.
-	P99 time.Duration
-	// Series holds the whole run in steps of worstStep.
-	Series []WorstStep
-
-	took []time.Duration
-}
-
-// WorstStep counts the requests that came in one step of a run by their end.
-type WorstStep struct{ InTime, Late, Refused int }
-
-// worstStep is the length of one step of a series.
-const worstStep = 250 * time.Millisecond
