--- a/feed.go
+++ b/feed.go
@@ -62,6 +62,9 @@
 type Feed interface {
 	// List returns all keys.
 	List(ctx context.Context) (Changes, error)
+	// Read returns one key, which may be seconds old: such a read is nearly free.
+	// A key that does not exist is Gone.
+	Read(ctx context.Context, key Key) (Item, error)
 	// Watch returns the changes after an index as soon as there are any, or
 	// none after the wait. It returns ErrHistory, ErrStoreRefused or
 	// ErrStoreDown.
--- a/internal/cwfollow/duty.go
+++ b/internal/cwfollow/duty.go
@@ -1,8 +1,6 @@
 package cwfollow
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"carobward.example/carobward"
@@ -32,9 +30,9 @@
 )
 
 // backOff returns the pause after a failed call of an entry VM that the store
-// does not serve. Back is its own pause, away has the number of its live peers
-// that the store does not serve either, draw is a random number from 0 to 1. All
-// lose the store at the same moment, so that pauses of one length would leave
+// does not serve. Back is its own pause, away has the number of other live entry
+// VMs that the store does not serve either, draw is a random number from 0 to 1.
+// All lose the store at the same moment, so that pauses of one length would leave
 // nobody to notice its return until all of them are over.
 func backOff(back time.Duration, away int, draw float64) time.Duration {
 	const mean = 0.5
@@ -42,83 +40,82 @@
 	return max(back, time.Duration(draw/mean*float64(away+1)*float64(outagePace)))
 }
 
-// countAway returns how many peers the store does not serve.
-func countAway(peers []cwmesh.Peer) int {
+// fleet is what the order of who asks the store goes by.
+type fleet struct {
+	self cwmesh.Node
+	// away tells that the store does not serve this entry VM.
+	away bool
+	// peers are those of its failure domain, domains the other failure domains.
+	peers   []cwmesh.Peer
+	domains []cwmesh.Summary
+}
+
+// countAway returns how many others the store does not serve.
+func (f *fleet) countAway() int {
 	away := 0
 
-	for i := range peers {
-		if peers[i].Away && peers[i].State != cwmesh.Leaving {
+	for i := range f.peers {
+		if f.peers[i].Away && f.peers[i].State != cwmesh.Leaving {
 			away++
 		}
 	}
 
+	for i := range f.domains {
+		away += f.domains[i].Away
+	}
+
 	return away
 }
 
-// order returns the entry VMs that may watch, the first of each failure
-// domain before the second of any.
-func order(self cwmesh.Node, away bool, peers []cwmesh.Peer) []carobward.VMID {
-	byDomain := map[carobward.Domain][]ranked{}
+// outside is the place of an entry VM that does not ask before others do.
+const outside = -1
 
-	if !away {
-		own := cwmesh.Peer{Node: self}
-		byDomain[self.Domain] = append(byDomain[self.Domain], ranked{self.ID, own.Rank()})
+// place returns the place of this entry VM in the order of who asks the store: the
+// first of each failure domain comes before the second of any. It is outside where
+// the store does not serve it.
+func (f *fleet) place() int {
+	if f.away {
+		return outside
 	}
 
-	for i := range peers {
-		p := &peers[i]
-		if p.State != cwmesh.Leaving && !p.Away && !p.Heard.IsZero() {
-			byDomain[p.Domain] = append(byDomain[p.Domain], ranked{p.ID, p.Rank()})
-		}
-	}
-
-	domains := make([]carobward.Domain, 0, len(byDomain))
+	own := cwmesh.Peer{Node: f.self}
+	turn := 0
 
-	for d, list := range byDomain {
-		domains = append(domains, d)
-		slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	for i := range f.peers {
+		p := &f.peers[i]
+		if p.State != cwmesh.Leaving && !p.Away && !p.Heard.IsZero() && p.Rank() < own.Rank() {
+			turn++
+		}
 	}
 
-	slices.SortFunc(domains, func(a, b carobward.Domain) int {
-		return cmp.Compare(cwrank.Weight(string(a), ""), cwrank.Weight(string(b), ""))
-	})
+	count, before := 1, 0
 
-	return interleave(domains, byDomain)
-}
-
-// ranked is an entry VM with its rank in the order.
-type ranked struct {
-	id   carobward.VMID
-	rank uint64
-}
-
-func interleave(domains []carobward.Domain, byDomain map[carobward.Domain][]ranked) []carobward.VMID {
-	var out []carobward.VMID
-
-	for turn := 0; ; turn++ {
-		before := len(out)
-
-		for _, d := range domains {
-			if turn < len(byDomain[d]) {
-				out = append(out, byDomain[d][turn].id)
-			}
+	for i := range f.domains {
+		d := &f.domains[i]
+		if d.Alive <= d.Away {
+			continue
 		}
 
-		if len(out) == before {
-			return out
+		count++
+
+		if domainRank(d.Domain) < domainRank(f.self.Domain) {
+			before++
 		}
 	}
+
+	return turn*count + before
 }
 
+func domainRank(d carobward.Domain) uint64 { return cwrank.Weight(string(d), "") }
+
 // mustAsk tells whether the entry VM at a place of the order asks the store
-// now, by the age of the newest word from it. A place below zero is not in the
-// order.
+// now, by the age of the newest word from it.
 func mustAsk(place int, age time.Duration) bool {
-	if place >= 0 && place < watchers {
+	if place != outside && place < watchers {
 		return true
 	}
 
-	if place < 0 {
+	if place == outside {
 		place = turnsMost
 	}
 
--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -52,9 +51,10 @@
 	Log    logr.Logger
 	// Changed is called with the changes that came from the store.
 	Changed func([]carobward.Item)
-	// Patience is how long after the start an entry VM without a copy waits for
-	// its peers' before it asks the store.
-	Patience time.Duration
+	// First tells that the whole fleet starts for the first time, Seed that this
+	// entry VM is one that the others begin with.
+	First bool
+	Seed  bool
 }
 
 // Follower asks the store.
@@ -72,6 +72,9 @@
 	tried   time.Time
 	// draw is the random part of the pause after that.
 	draw float64
+	// patience is how long after the start an entry VM without a copy waits for
+	// its peers' before it asks the store.
+	patience time.Duration
 	// began is when the Follower was made, wrote when it last wrote the list of
 	// entry VMs.
 	began time.Time
@@ -89,6 +92,8 @@
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.begin(ctx)
+
 	for ctx.Err() == nil {
 		if !f.due() {
 			pause(ctx, idleTime)
@@ -111,12 +116,17 @@
 	}
 }
 
+// fleet returns what is known of who may ask the store.
+func (f *Follower) fleet(now time.Time) *fleet {
+	return &fleet{self: f.Table.Self(), away: f.back > 0, peers: f.Table.Live(now), domains: f.Table.Domains(now)}
+}
+
 // due tells whether this entry VM asks the store now.
 func (f *Follower) due() bool {
 	now := f.Clock.Now()
-	peers := f.Table.Live(now)
+	known := f.fleet(now)
 
-	if f.back > 0 && now.Sub(f.tried) < backOff(f.back, countAway(peers), f.draw) {
+	if f.back > 0 && now.Sub(f.tried) < backOff(f.back, known.countAway(), f.draw) {
 		return false
 	}
 
@@ -124,15 +134,11 @@
 		return true
 	}
 
-	if f.Mirror.State().Index == 0 && now.Sub(f.began) < f.Patience {
+	if f.Mirror.State().Index == 0 && now.Sub(f.began) < f.patience {
 		return false
 	}
 
-	self := f.Table.Self()
-	list := order(self, f.back > 0, peers)
-	age := now.Sub(f.Mesh.Fresh())
-
-	return mustAsk(slices.Index(list, self.ID), age)
+	return mustAsk(known.place(), now.Sub(f.Mesh.Fresh()))
 }
 
 // step makes one call and takes its outcome.
@@ -199,12 +205,17 @@
 	f.regained(now)
 
 	hold := !f.hold.IsZero()
-	fresh := f.Mirror.Apply(c, hold)
+	changed := f.Mirror.Take(c, hold, f.Changed)
 	f.cursor = max(f.cursor, c.Index)
 	f.list = false
 
 	f.Mesh.SetFresh(now)
-	f.Mesh.Tell()
+
+	if hold {
+		f.Mesh.TellFleet(nil)
+	} else {
+		f.Mesh.TellFleet(&c)
+	}
 
 	if len(c.Items) == 0 {
 		f.writeFleet(ctx, now)
@@ -212,18 +223,14 @@
 		return
 	}
 
-	f.Log.Info("Took changes from the store.", "index", c.Index, "whole", c.Whole, "keys", len(c.Items), "changed", len(fresh), "held", hold)
-	f.Changed(fresh)
+	f.Log.Info("Took changes from the store.", "index", c.Index, "whole", c.Whole, "keys", len(c.Items), "changed", changed, "held", hold)
 	pause(ctx, gatherTime)
 }
 
 // writeFleet writes the list of entry VMs to the store if it lacks one that
 // lives. A newcomer whose seeds are all gone finds the others by it.
 func (f *Follower) writeFleet(ctx context.Context, now time.Time) {
-	self := f.Table.Self()
-	list := order(self, false, f.Table.Live(now))
-
-	if list[0] != self.ID || now.Sub(f.wrote) < writeTime || now.Sub(f.began) < writeTime {
+	if f.fleet(now).place() != 0 || now.Sub(f.wrote) < writeTime || now.Sub(f.began) < writeTime {
 		return
 	}
 
@@ -232,12 +239,13 @@
 		f.Log.Error(err, "The list of entry VMs can't be read, it is written anew.")
 	}
 
-	if !f.Table.Lacks(known, now) {
+	list := f.Table.Fleet(now, f.Mesh.State())
+	if !cwmesh.Lacks(known, list) {
 		return
 	}
 
 	f.wrote = now
-	raw, err := f.Table.EncodeFleet(now)
+	raw, err := cwmesh.EncodeFleet(list)
 
 	if err == nil {
 		err = f.Feed.Write(ctx, carobward.KeyFleet, raw)
@@ -249,7 +257,7 @@
 		return
 	}
 
-	f.Log.Info("Wrote the list of entry VMs.", "others", len(list)-1)
+	f.Log.Info("Wrote the list of entry VMs.", "domains", len(list), "bytes", len(raw))
 }
 
 // regained notes that the store answers. After an outage its list may lack
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -100,20 +100,6 @@
 	Log     logr.Logger
 }
 
-// firstTime is how long the first start of the whole fleet leaves to one entry VM
-// to ask the store for all. Callers come seconds later.
-const firstTime = 1200 * time.Millisecond
-
-// patience returns how long this entry VM waits for its peers' copy. Seeds do
-// not wait, so that the others find one that has it.
-func (o *Options) patience() time.Duration {
-	if !o.First || slices.Contains(o.Seeds, o.Self.Peers) {
-		return 0
-	}
-
-	return firstTime
-}
-
 // Gateway is one entry VM.
 type Gateway struct {
 	Options
@@ -168,7 +154,7 @@
 
 	g.follow = cwfollow.New(cwfollow.Options{
 		Feed: o.Adapter.Feed, Mirror: g.mirror, Mesh: g.mesh, Table: g.table, Clock: o.Clock, Log: o.Log, Changed: g.changed,
-		Patience: o.patience(),
+		First: o.First, Seed: slices.Contains(o.Seeds, o.Self.Peers),
 	})
 
 	g.gauges()
@@ -211,18 +197,6 @@
 
 func (g *Gateway) isReady() bool { return g.mesh.State() == cwmesh.Ready }
 
-func (g *Gateway) readyPeers() []cwmesh.Peer {
-	var list []cwmesh.Peer
-
-	for _, p := range g.table.Live(g.Clock.Now()) {
-		if p.State == cwmesh.Ready {
-			list = append(list, p)
-		}
-	}
-
-	return list
-}
-
 // stop lets the callers go: the entry VM leaves all answers, serves those that
 // still come by an older one, and ends once none is left or the grace is over.
 func (g *Gateway) stop(listeners []net.Listener) {
--- a/internal/cwgateway/state.go
+++ b/internal/cwgateway/state.go
@@ -1,6 +1,7 @@
 package cwgateway
 
 import (
+	"math/rand/v2"
 	"slices"
 
 	"carobward.example/carobward"
@@ -65,7 +66,7 @@
 		return
 	}
 
-	g.table.Told(list)
+	g.table.Told(list, g.Clock.Now())
 	g.mesh.Tell()
 }
 
@@ -119,28 +120,51 @@
 // addresses returns the addresses that a caller should use: those of the entry
 // VMs that take callers, of its own failure domain where there are enough.
 func (g *Gateway) addresses(domain carobward.Domain) []carobward.Address {
-	var near, all []carobward.Address
+	if domain != g.Self.Domain {
+		if list := g.contacts(domain); len(list) >= nearLeast {
+			return list
+		}
+	}
 
-	add := func(d carobward.Domain, a carobward.Address) {
-		all = append(all, a)
+	list := g.near()
 
-		if d == domain {
-			near = append(near, a)
+	if len(list) < nearLeast || domain != g.Self.Domain {
+		for _, s := range g.table.Domains(g.Clock.Now()) {
+			list = append(list, g.contacts(s.Domain)...)
 		}
 	}
 
+	return slices.Clip(list[:min(len(list), addressesMost)])
+}
+
+// near returns the addresses of the entry VMs of this failure domain that take
+// callers, drawn at random where there are more than a caller takes.
+func (g *Gateway) near() []carobward.Address {
+	var list []carobward.Address
+
 	if g.isReady() {
-		self := g.table.Self()
-		add(self.Domain, self.Callers)
+		list = append(list, g.Self.Callers)
 	}
 
-	for _, p := range g.readyPeers() {
-		add(p.Domain, p.Callers)
+	for _, p := range g.table.Live(g.Clock.Now()) {
+		if p.State == cwmesh.Ready {
+			list = append(list, p.Callers)
+		}
+	}
+
+	if len(list) > addressesMost {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	}
 
-	if len(near) >= nearLeast {
-		all = near
+	return list
+}
+
+// contacts returns the addresses of some entry VMs of another failure domain.
+func (g *Gateway) contacts(domain carobward.Domain) []carobward.Address {
+	var list []carobward.Address
+	for _, n := range g.table.Contacts(domain, addressesMost, g.Clock.Now()) {
+		list = append(list, n.Callers)
 	}
 
-	return slices.Clip(all[:min(len(all), addressesMost)])
+	return list
 }
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -34,7 +34,7 @@
 	var list []carobward.VMID
 
 	for _, p := range g.table.Live(now) {
-		if p.State != cwmesh.Leaving && p.Domain == g.Self.Domain {
+		if p.State != cwmesh.Leaving {
 			list = append(list, p.ID)
 		}
 	}
@@ -70,6 +70,10 @@
 		all += 1 + float64(p.Rate)
 	}
 
+	for _, s := range g.table.Domains(now) {
+		all += float64(s.Alive + s.Rate)
+	}
+
 	return own / all
 }
 
@@ -78,6 +82,7 @@
 	g.metrics.Gauge("gateway", "flight", func() int64 { return int64(g.front.Flight()) })
 	g.metrics.Gauge("gateway", "servers", func() int64 { return int64(g.servers.Count()) })
 	g.metrics.Gauge("gateway", "peers", func() int64 { return int64(len(g.table.Live(g.Clock.Now()))) })
+	g.metrics.Gauge("gateway", "fleet", func() int64 { return int64(g.table.Size(g.Clock.Now())) })
 	g.metrics.Gauge("gateway", "fresh", func() int64 { return g.Clock.Now().Sub(g.mesh.Fresh()).Milliseconds() })
 	g.metrics.Gauge("gateway", "dropped", g.Dropped)
 	g.metrics.Gauge("gateway", "calls", g.Calls)
--- a/internal/cwmesh/fetch.go
+++ b/internal/cwmesh/fetch.go
@@ -4,10 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net/rpc"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
 	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwmirror"
@@ -39,6 +41,10 @@
 	// linkBurst is for how long of the link's time changes may be handed out at
 	// once: those who wait longer are better served by others.
 	linkBurst = 100 * time.Millisecond
+	// farPatience is how long an entry VM that lacks changes waits for those of its
+	// own failure domain before it fetches from another one: bytes between them
+	// are paid for, and each has entry VMs that were told to pass changes on.
+	farPatience = 700 * time.Millisecond
 	// wholeFree is the size of all keys up to which a peer that is behind gets
 	// them in place of changes that are not known: some ten packets. Beyond that
 	// one call of the store is cheaper than hundreds of kilobytes from a peer.
@@ -213,22 +219,18 @@
 		return err
 	}
 
-	c := carobward.Changes{
-		After: own.Index, Index: carobward.StoreIndex(reply.GetIndex()), Whole: reply.GetWhole(),
-		Gap: carobward.Gap{From: carobward.StoreIndex(reply.GetGapFrom()), To: carobward.StoreIndex(reply.GetGapTo())},
-	}
-	for _, e := range reply.GetEntries() {
-		c.Items = append(c.Items, carobward.Item{
-			Key: carobward.Key(e.GetKey()), Value: e.GetValue(), Index: carobward.StoreIndex(e.GetIndex()), Gone: e.GetGone(),
-		})
+	c, err := decodeChanges(reply, own.Index)
+	if err != nil {
+		return err
 	}
 
-	fresh := m.Mirror.Apply(c, false)
-	m.Log.Info("Took changes from a peer.", "from", string(from), "after", own.Index, "index", c.Index, "whole", c.Whole, "changed", len(fresh))
+	changed := m.Mirror.Take(c, false, m.Changed)
+	m.Log.Info("Took changes from a peer.", "from", string(from), "after", own.Index, "index", c.Index, "whole", c.Whole, "changed", changed)
 
 	m.SetFresh(decodeFresh(reply.GetFresh(), sent))
-	m.Changed(fresh)
+	m.setPush(&c)
 	m.spread(&c)
+	m.passOn()
 
 	return nil
 }
@@ -239,7 +241,7 @@
 	now := m.Clock.Now()
 
 	if all := int(c.Size()) * len(m.Table.Live(now)); all > burstBytes(linkLeast) {
-		m.tell(m.Table.some(now, spreadPeers))
+		m.tell(m.Table.some(now, spreadPeers), m.beat(now))
 	}
 }
 
@@ -254,6 +256,14 @@
 	mesh *Mesh
 	// bytes bounds what is sent to peers, by the speed of the link.
 	bytes *rate.Limiter
+
+	mutex sync.Mutex
+	// last is the last reply, for others that ask for the same.
+	last struct {
+		after carobward.StoreIndex
+		state cwmirror.State
+		reply *cwwire.ChangesReply
+	}
 }
 
 // NewAnswers returns the service of a mesh.
@@ -270,26 +280,48 @@
 // may be handed out at once takes all of that. A peer that has no copy gets all
 // keys.
 func (a *Answers) Changes(in *cwwire.ChangesRequest, out *cwwire.ChangesReply) error {
-	m := a.mesh
-	now := m.Clock.Now()
-	c := m.Mirror.Since(carobward.StoreIndex(in.GetAfter()))
+	now := a.mesh.Clock.Now()
 
-	if c.Whole && in.GetAfter() > 0 && c.Size() > wholeFree {
-		return errGap
+	reply, err := a.reply(carobward.StoreIndex(in.GetAfter()))
+	if err != nil {
+		return err
 	}
 
-	if !a.bytes.AllowN(now, min(int(c.Size()), a.bytes.Burst())) {
+	if !a.bytes.AllowN(now, min(proto.Size(reply), a.bytes.Burst())) {
 		return errBusy
 	}
 
-	out.Fresh = encodeFresh(m.Fresh(), now)
-	out.Index, out.Whole = uint64(c.Index), c.Whole
-	out.GapFrom, out.GapTo = uint64(c.Gap.From), uint64(c.Gap.To)
+	out.Entries, out.Packed = reply.GetEntries(), reply.GetPacked()
+	out.Index, out.Whole = reply.GetIndex(), reply.GetWhole()
+	out.GapFrom, out.GapTo = reply.GetGapFrom(), reply.GetGapTo()
+	out.Fresh = encodeFresh(a.mesh.Fresh(), now)
 
-	for i := range c.Items {
-		it := &c.Items[i]
-		out.Entries = append(out.Entries, &cwwire.Entry{Key: string(it.Key), Value: it.Value, Index: uint64(it.Index), Gone: it.Gone})
+	return nil
+}
+
+// reply returns the changes after an index as they are sent. A reply is kept for
+// the next one that asks for the same, as all newcomers do: to pack 809 servers
+// takes some milliseconds of a whole core.
+func (a *Answers) reply(after carobward.StoreIndex) (*cwwire.ChangesReply, error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+
+	state := a.mesh.Mirror.State()
+	if a.last.reply != nil && a.last.after == after && a.last.state == state {
+		return a.last.reply, nil
 	}
 
-	return nil
+	c := a.mesh.Mirror.Since(after)
+	if c.Whole && after > 0 && c.Size() > wholeFree {
+		return nil, errGap
+	}
+
+	reply, err := encodeChanges(&c)
+	if err != nil {
+		return nil, err
+	}
+
+	a.last.after, a.last.state, a.last.reply = after, state, reply
+
+	return reply, nil
 }
--- a/internal/cwmesh/fleet.go
+++ b/internal/cwmesh/fleet.go
@@ -1,6 +1,7 @@
 package cwmesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -9,13 +10,21 @@
 	"carobward.example/carobward/internal/cwwire"
 )
 
-// EncodeFleet returns the list of entry VMs for the store: this one and those
-// that were heard lately.
-func (t *Table) EncodeFleet(now time.Time) ([]byte, error) {
-	f := &cwwire.Fleet{Nodes: []*cwwire.Node{wireNode(t.self)}}
+// Fleet returns the failure domains for the store: the own one and those that are
+// alive.
+func (t *Table) Fleet(now time.Time, state State) []Summary {
+	return append(t.Domains(now), t.Summary(now, state, false, 0))
+}
+
+// EncodeFleet returns failure domains as they lie in the store.
+func EncodeFleet(list []Summary) ([]byte, error) {
+	f := &cwwire.Fleet{}
 
-	for _, p := range t.Live(now) {
-		f.Nodes = append(f.Nodes, wireNode(p.Node))
+	for i := range list {
+		d := wireSummary(&list[i], list[i].Made)
+		// What changes often and helps no newcomer is left out.
+		d.Rate, d.Away = 0, 0
+		f.Domains = append(f.Domains, d)
 	}
 
 	raw, err := proto.Marshal(f)
@@ -23,46 +32,68 @@
 	return raw, errors.Annotate(err, "mesh: fleet")
 }
 
-// DecodeFleet reads a list of entry VMs from the store.
-func DecodeFleet(raw []byte) ([]Node, error) {
+// DecodeFleet reads the failure domains from the store.
+func DecodeFleet(raw []byte) ([]Summary, error) {
 	f := &cwwire.Fleet{}
 	if err := proto.Unmarshal(raw, f); err != nil {
 		return nil, errors.Annotate(err, "mesh: fleet")
 	}
 
-	var list []Node
-	for _, n := range f.GetNodes() {
-		list = append(list, node(n))
+	var list []Summary
+	for _, d := range f.GetDomains() {
+		list = append(list, summary(d, time.Time{}))
 	}
 
 	return list, nil
 }
 
-// Told takes entry VMs that the store names. They get a heartbeat, and are alive
-// once they answer.
-func (t *Table) Told(list []Node) {
-	for _, n := range list {
-		t.told(n)
+// Told takes failure domains that the store names. Their entry VMs get a
+// heartbeat, and are alive once they answer. Their number counts for budgets from
+// now on, before they are heard: without that each of many newcomers would spend
+// as if it were alone.
+func (t *Table) Told(list []Summary, now time.Time) {
+	size := 0
+
+	for i := range list {
+		size += list[i].Size
+
+		for _, n := range list[i].Nodes {
+			t.told(n)
+		}
 	}
-}
 
-// Lacks tells whether an entry VM that was heard lately, or this one, is not on
-// a list.
-func (t *Table) Lacks(list []Node, now time.Time) bool {
-	on := make(map[Node]bool, len(list))
-	for _, n := range list {
-		on[n] = true
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	if size > t.size {
+		t.size, t.sized = size, now
 	}
+}
+
+// Lacks tells whether a list from the store is of little use to newcomers any
+// more: a failure domain that is alive is not on it, none of those that it names
+// there is known to live, or the fleet has grown by more than a quarter.
+func Lacks(list, fleet []Summary) bool {
+	const grown = 1.25
 
-	if !on[t.self] {
-		return true
+	was, is := 0, 0
+	for i := range list {
+		was += list[i].Size
 	}
 
-	for _, p := range t.Live(now) {
-		if p.State != Leaving && !on[p.Node] {
+	for i := range fleet {
+		is += fleet[i].Size
+
+		if len(fleet[i].Nodes) > 0 && !slices.ContainsFunc(list, fleet[i].sharesNode) {
 			return true
 		}
 	}
 
-	return false
+	return float64(is) > grown*float64(was)
+}
+
+// sharesNode tells whether two summaries of a failure domain name one entry VM
+// both.
+func (s *Summary) sharesNode(o Summary) bool {
+	return slices.ContainsFunc(s.Nodes, func(n Node) bool { return slices.Contains(o.Nodes, n) })
 }
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -29,8 +29,12 @@
 	// othersMost is how many peers a datagram tells of: some 80 bytes each,
 	// within one packet.
 	othersMost = 14
-	// datagramMost is the largest datagram in bytes.
-	datagramMost = 4096
+	// newTime is for how long after its start an entry VM asks each one that it
+	// meets who else there is.
+	newTime = 3 * time.Second
+	// datagramMost is the largest datagram in bytes: Nodes of a failure domain and
+	// summaries of a dozen.
+	datagramMost = 16384
 )
 
 // Service is the name of the peers' service for net/rpc.
@@ -61,9 +65,14 @@
 	state   atomic.Uint32
 	away    atomic.Bool
 	rate    atomic.Int64
-	wake    chan struct{}
-	offers  chan offer
-	work    conc.WaitGroup
+	// far tells that the next word goes to the other failure domains, too, and
+	// relay that what was last heard from one is yet to be passed on.
+	far    atomic.Bool
+	relay  atomic.Bool
+	began  time.Time
+	wake   chan struct{}
+	offers chan offer
+	work   conc.WaitGroup
 
 	mutex sync.Mutex
 	// fresh is when the copy was last known to be the newest, and word when the
@@ -72,6 +81,7 @@
 	word  time.Time
 	// lack is when peers were ahead that could not bring the copy up to date.
 	lack time.Time
+	push push
 	// seeded has the seeds that have not answered yet.
 	seeded map[carobward.Address]bool
 }
@@ -81,7 +91,7 @@
 	o.Log = o.Log.WithName("mesh")
 	m := &Mesh{
 		Options: o, boot: rand.Uint64(), conn: conn, clients: cwpeer.NewClients(o.Key),
-		wake: make(chan struct{}, 1), offers: make(chan offer, 1), seeded: map[carobward.Address]bool{},
+		began: o.Clock.Now(), wake: make(chan struct{}, 1), offers: make(chan offer, 1), seeded: map[carobward.Address]bool{},
 	}
 
 	m.AddSeeds(o.Seeds)
@@ -131,7 +141,15 @@
 // heartbeat on.
 func (m *Mesh) SetRate(perSecond int) { m.rate.Store(int64(perSecond)) }
 
-// Tell sends a heartbeat to all now.
+// TellFleet sends a heartbeat to all entry VMs now, with the changes that were
+// taken if there are any and they are small.
+func (m *Mesh) TellFleet(c *carobward.Changes) {
+	m.setPush(c)
+	m.far.Store(true)
+	m.Tell()
+}
+
+// Tell sends a heartbeat to all of the failure domain now.
 func (m *Mesh) Tell() {
 	select {
 	case m.wake <- struct{}{}:
@@ -217,22 +235,27 @@
 			continue
 		}
 
-		raw, err := m.Key.Open(buffer[:n], from)
-		if err != nil {
-			m.Log.V(1).Info("A datagram was refused.", "from", from.String(), "cause", err.Error())
+		m.datagram(buffer[:n], from)
+	}
+}
 
-			continue
-		}
+// datagram handles one datagram. What is not a heartbeat is passed over.
+func (m *Mesh) datagram(sealed []byte, from net.Addr) {
+	raw, err := m.Key.Open(sealed, from)
+	if err != nil {
+		m.Log.V(1).Info("A datagram was refused.", "from", from.String(), "cause", err.Error())
 
-		beat := &cwwire.Beat{}
-		if err := proto.Unmarshal(raw, beat); err != nil {
-			m.Log.V(1).Info("A datagram is malformed.", "from", from.String(), "cause", err.Error())
+		return
+	}
 
-			continue
-		}
+	beat := &cwwire.Beat{}
+	if err := proto.Unmarshal(raw, beat); err != nil {
+		m.Log.V(1).Info("A datagram is malformed.", "from", from.String(), "cause", err.Error())
 
-		m.take(beat, from)
+		return
 	}
+
+	m.take(beat, from)
 }
 
 // take handles one heartbeat.
@@ -253,24 +276,71 @@
 		m.unseed(p.Peers)
 	}
 
-	known := m.Table.heard(p)
+	known := true
 
-	for _, o := range b.GetOthers() {
-		m.Table.told(node(o))
+	if near := p.Domain == "" || p.Domain == m.Table.Self().Domain; near {
+		known = m.Table.heard(p)
+	} else {
+		m.Table.met(p.Node)
 	}
 
+	m.takeNames(b, p.Domain, now)
+
 	if !known || b.GetAsk() || b.GetList() {
-		m.reply(from, !known, b.GetList())
+		m.reply(from, b, !known)
+	}
+
+	m.takePush(b)
+	m.takeCopy(b, &p, from, now)
+}
+
+// takeNames takes the entry VMs and failure domains that a heartbeat names.
+func (m *Mesh) takeNames(b *cwwire.Beat, from carobward.Domain, now time.Time) {
+	outside := from != "" && from != m.Table.Self().Domain
+	for _, d := range b.GetDomains() {
+		m.Table.learn(summary(d, now), outside)
 	}
 
+	for _, o := range b.GetOthers() {
+		if n := node(o); m.Table.told(n) {
+			m.greet(n)
+		}
+	}
+}
+
+// takeCopy takes how far a peer's copy is: what a peer knew to be the newest is
+// what this entry VM has as well, or else it lacks changes.
+func (m *Mesh) takeCopy(b *cwwire.Beat, p *Peer, from net.Addr, now time.Time) {
 	fresh := decodeFresh(b.GetFresh(), now)
 	m.heard(fresh)
 
-	if own := m.Mirror.State(); own.Behind(p.Copy) {
+	far := p.Domain != "" && p.Domain != m.Table.Self().Domain
+	behind := m.Mirror.State().Behind(p.Copy)
+
+	if b.GetRelay() {
+		m.relay.Store(true)
+	}
+
+	switch {
+	case behind && (!far || b.GetRelay() || m.waits(now)):
 		m.offer(offer{from: carobward.Address(from.String()), id: p.ID, state: p.Copy})
-	} else {
-		// What a peer knew to be the newest is what we have as well.
+	case behind:
+	default:
 		m.SetFresh(fresh)
+		m.passOn()
+	}
+}
+
+// waits tells whether this entry VM has lacked changes for so long that it takes
+// them from other failure domains, too.
+func (m *Mesh) waits(now time.Time) bool {
+	return now.Sub(m.Fresh()) > farPatience && now.Sub(m.began) > farPatience
+}
+
+// passOn tells the failure domain what another one told this entry VM.
+func (m *Mesh) passOn() {
+	if m.relay.Swap(false) {
+		m.Tell()
 	}
 }
 
@@ -285,6 +355,15 @@
 	return &cwwire.Node{Id: string(n.ID), Domain: string(n.Domain), Callers: string(n.Callers), Peers: string(n.Peers)}
 }
 
+func wireNodes(list []Node) []*cwwire.Node {
+	var out []*cwwire.Node
+	for _, n := range list {
+		out = append(out, wireNode(n))
+	}
+
+	return out
+}
+
 func (m *Mesh) unseed(a carobward.Address) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- /dev/null
+++ b/internal/cwmesh/push.go
@@ -0,0 +1,150 @@
+package cwmesh
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/klauspost/compress/s2"
+	"google.golang.org/protobuf/proto"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwwire"
+)
+
+// The figures of sending changes.
+const (
+	// pushMost is the size of changes, as they are sent, that go with heartbeats,
+	// so that nobody has to fetch them: a heartbeat stays within one packet. A
+	// change of one server is some 300 bytes.
+	pushMost = 1000
+	// pushTime is for how long heartbeats carry changes: the first heartbeats
+	// after them, and those of the entry VMs that pass them on.
+	pushTime = 100 * time.Millisecond
+	// packLeast is the size in bytes from which entries are compressed, to a third
+	// or less. Below that a packet is needed in any case.
+	packLeast = 1000
+)
+
+// push is the newest changes, for those whose copy ends where they begin.
+type push struct {
+	after   carobward.StoreIndex
+	changes *cwwire.ChangesReply
+	at      time.Time
+}
+
+// setPush lets heartbeats carry changes if they are small.
+func (m *Mesh) setPush(c *carobward.Changes) {
+	if c == nil || c.Whole || len(c.Items) == 0 || !c.Gap.IsEmpty() {
+		return
+	}
+
+	reply, err := encodeChanges(c)
+	if err != nil {
+		m.Log.Error(err, "Changes can't be encoded, peers fetch them.")
+
+		return
+	}
+
+	if proto.Size(reply) > pushMost {
+		return
+	}
+
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	m.push = push{after: c.After, changes: reply, at: m.Clock.Now()}
+}
+
+// pushed returns the changes that a heartbeat carries, and the index after which
+// they are.
+func (m *Mesh) pushed(now time.Time) (*cwwire.ChangesReply, uint64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	if m.push.changes == nil || now.Sub(m.push.at) >= pushTime {
+		m.push = push{}
+
+		return nil, 0
+	}
+
+	return m.push.changes, uint64(m.push.after)
+}
+
+// takePush takes the changes of a heartbeat where they follow this copy.
+func (m *Mesh) takePush(in *cwwire.Beat) {
+	if in.GetChanges() == nil {
+		return
+	}
+
+	after := carobward.StoreIndex(in.GetChangesAfter())
+	if s := m.Mirror.State(); s.Index != after {
+		return
+	}
+
+	c, err := decodeChanges(in.GetChanges(), after)
+	if err != nil {
+		m.Log.Info("The changes of a heartbeat are malformed.", "vm", in.GetId(), "cause", err.Error())
+
+		return
+	}
+
+	changed := m.Mirror.Take(c, false, m.Changed)
+	m.Log.Info("Took changes of a heartbeat.", "vm", in.GetId(), "after", c.After, "index", c.Index, "changed", changed)
+	m.setPush(&c)
+}
+
+// encodeChanges returns changes as they are sent.
+func encodeChanges(c *carobward.Changes) (*cwwire.ChangesReply, error) {
+	out := &cwwire.ChangesReply{
+		Index: uint64(c.Index), Whole: c.Whole, GapFrom: uint64(c.Gap.From), GapTo: uint64(c.Gap.To),
+	}
+
+	for i := range c.Items {
+		it := &c.Items[i]
+		out.Entries = append(out.Entries, &cwwire.Entry{Key: string(it.Key), Value: it.Value, Index: uint64(it.Index), Gone: it.Gone})
+	}
+
+	if c.Size() < packLeast {
+		return out, nil
+	}
+
+	raw, err := proto.Marshal(&cwwire.Entries{Entries: out.Entries})
+	if err != nil {
+		return nil, errors.Annotate(err, "mesh: entries")
+	}
+
+	out.Entries, out.Packed = nil, s2.Encode(nil, raw)
+
+	return out, nil
+}
+
+// decodeChanges reads changes after an index.
+func decodeChanges(in *cwwire.ChangesReply, after carobward.StoreIndex) (carobward.Changes, error) {
+	c := carobward.Changes{
+		After: after, Index: carobward.StoreIndex(in.GetIndex()), Whole: in.GetWhole(),
+		Gap: carobward.Gap{From: carobward.StoreIndex(in.GetGapFrom()), To: carobward.StoreIndex(in.GetGapTo())},
+	}
+	entries := in.GetEntries()
+
+	if len(in.GetPacked()) > 0 {
+		raw, err := s2.Decode(nil, in.GetPacked())
+		if err != nil {
+			return c, errors.Annotate(err, "mesh: packed entries")
+		}
+
+		all := &cwwire.Entries{}
+		if err := proto.Unmarshal(raw, all); err != nil {
+			return c, errors.Annotate(err, "mesh: entries")
+		}
+
+		entries = all.GetEntries()
+	}
+
+	for _, e := range entries {
+		c.Items = append(c.Items, carobward.Item{
+			Key: carobward.Key(e.GetKey()), Value: e.GetValue(), Index: carobward.StoreIndex(e.GetIndex()), Gone: e.GetGone(),
+		})
+	}
+
+	return c, nil
+}
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -11,8 +12,8 @@
 	"carobward.example/carobward/internal/cwwire"
 )
 
-// send sends heartbeats: to all each beatTime and when told to, and to seeds
-// that have not answered more often.
+// send sends heartbeats: to all of the failure domain each beatTime and when told
+// to, and to seeds that have not answered more often.
 func (m *Mesh) send(ctx context.Context) {
 	beat, seed := time.NewTicker(beatTime), time.NewTicker(seedTime)
 	defer beat.Stop()
@@ -26,19 +27,80 @@
 			return
 		case <-beat.C:
 			round++
-			m.tell(m.Table.turn(m.Clock.Now(), round))
+			m.turn(round)
 		case <-m.wake:
-			m.tell(m.Table.sendable(m.Clock.Now()))
+			m.tellAll()
 		case <-seed.C:
 			m.tellSeeds()
 		}
 	}
 }
 
-// tell sends a heartbeat to some peers.
-func (m *Mesh) tell(peers []Peer) {
+// turn sends the heartbeats of a round: to each peer, with what came from other
+// failure domains; to one of them with a question who there is, so that peers
+// which don't know each other come to; and to the other failure domains where it
+// is this entry VM's turn.
+func (m *Mesh) turn(round int) {
 	now := m.Clock.Now()
-	raw := m.encode(m.beat(now))
+	b := m.beat(now)
+	b.Domains = wireSummaries(m.Table.takeNews(), now)
+	m.tell(m.Table.sendable(now), b)
+
+	ask := m.introduce(now)
+	ask.Ask, ask.List = true, true
+
+	for _, p := range m.Table.some(now, 1) {
+		m.write(m.encode(ask), p.Peers)
+	}
+
+	if m.Table.tellsDomains(now, round) {
+		m.tellDomains(now, 1, false)
+	}
+}
+
+// tellAll sends a heartbeat to each peer and, where all entry VMs must know at
+// once, to some of each other failure domain that pass it on.
+func (m *Mesh) tellAll() {
+	now := m.Clock.Now()
+	m.tell(m.Table.sendable(now), m.beat(now))
+
+	if m.far.Swap(false) {
+		m.tellDomains(now, relays, true)
+	}
+}
+
+// tellDomains sends the summary of this failure domain to some entry VMs of each
+// other one. Relay asks them to pass on how fresh the copy is.
+func (m *Mesh) tellDomains(now time.Time, some int, relay bool) {
+	b := m.introduce(now)
+	b.Relay = relay
+	own := m.summary(now)
+	list := []Summary{own}
+
+	// One of the others goes along, so that those find each other that no seed
+	// has told of each other.
+	if others := m.Table.known(); len(others) > 0 {
+		list = append(list, others[rand.IntN(len(others))])
+	}
+
+	b.Domains = wireSummaries(list, now)
+	raw := m.encode(b)
+
+	for _, d := range m.Table.domainNames() {
+		for _, n := range m.Table.Contacts(d, some, now) {
+			m.write(raw, n.Peers)
+		}
+	}
+}
+
+// summary returns what others are told of this failure domain.
+func (m *Mesh) summary(now time.Time) Summary {
+	return m.Table.Summary(now, m.State(), m.away.Load(), int(m.rate.Load()))
+}
+
+// tell sends a heartbeat to some peers.
+func (m *Mesh) tell(peers []Peer, b *cwwire.Beat) {
+	raw := m.encode(b)
 
 	for i := range peers {
 		p := &peers[i]
@@ -49,13 +111,20 @@
 			continue
 		}
 
-		// It has never been heard, so it may not know this entry VM.
-		b := m.introduce(now)
-		b.Ask = true
-		m.write(m.encode(b), p.Peers)
+		m.greet(p.Node)
 	}
 }
 
+// greet sends a heartbeat to an entry VM that has never been heard, so that it
+// may not know this one. While this entry VM is new it asks who else there is, so
+// that all know each other within some round trips.
+func (m *Mesh) greet(n Node) {
+	now := m.Clock.Now()
+	b := m.introduce(now)
+	b.Ask, b.List = true, now.Sub(m.began) < newTime
+	m.write(m.encode(b), n.Peers)
+}
+
 // unknown tells that a peer was told of but never heard.
 func (p *Peer) unknown() bool { return p.Boot == 0 }
 
@@ -82,45 +151,34 @@
 	}
 }
 
-// reply answers a peer that is not known here, or that asks who there is.
-func (m *Mesh) reply(to net.Addr, ask, others bool) {
+// reply answers an entry VM that is not known here, or that asks who there is.
+func (m *Mesh) reply(to net.Addr, in *cwwire.Beat, ask bool) {
 	now := m.Clock.Now()
 	b := m.introduce(now)
 	b.Ask = ask
 
-	if !others {
-		m.write(m.encode(b), carobward.Address(to.String()))
+	if in.GetList() {
+		asker := node(in.GetNode())
+		own := m.summary(now)
 
-		return
+		b.Others = wireNodes(m.Table.othersOf(asker.Domain, asker.ID, now))
+		b.Domains = wireSummaries(append(m.Table.known(), own), now)
 	}
 
-	list := m.Table.Live(now)
-
-	for {
-		n := min(othersMost, len(list))
-		b.Others = nil
-
-		for i := range list[:n] {
-			b.Others = append(b.Others, wireNode(list[i].Node))
-		}
-
-		m.write(m.encode(b), carobward.Address(to.String()))
-
-		if list = list[n:]; len(list) == 0 {
-			return
-		}
-	}
+	m.write(m.encode(b), carobward.Address(to.String()))
 }
 
 // beat returns the heartbeat of this moment.
 func (m *Mesh) beat(now time.Time) *cwwire.Beat {
 	s := m.Mirror.State()
-
-	return &cwwire.Beat{
+	b := &cwwire.Beat{
 		Id: string(m.Table.Self().ID), Boot: m.boot, State: uint32(m.State()),
 		Index: uint64(s.Index), Top: uint64(s.Top), Fresh: encodeFresh(m.Fresh(), now), Away: m.away.Load(),
 		Rate: uint32(m.rate.Load()),
 	}
+	b.Changes, b.ChangesAfter = m.pushed(now)
+
+	return b
 }
 
 // introduce returns the heartbeat of this moment for who may not know this entry
--- /dev/null
+++ b/internal/cwmesh/sim_test.go
@@ -0,0 +1,405 @@
+package cwmesh
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmirror"
+	"carobward.example/carobward/internal/cwpeer"
+)
+
+// The simulated fleet's network.
+const (
+	simStep    = 5 * time.Millisecond
+	simDelay   = time.Millisecond
+	simSpread  = 300 * time.Millisecond
+	simLook    = 100 * time.Millisecond
+	simDomains = 5
+	simSeeds   = 3
+)
+
+// sim is a fleet of meshes over a network in memory with a clock of its own.
+type sim struct {
+	now     time.Time
+	rnd     *rand.Rand
+	vms     []*simVM
+	byPeers map[carobward.Address]*simVM
+	queue   []simPacket
+	loss    float64
+	cut     carobward.Domain // Nothing passes between it and the others.
+	packets int
+	far     int
+}
+
+// simVM is one entry VM of a sim.
+type simVM struct {
+	sim   *sim
+	node  Node
+	mesh  *Mesh
+	alive bool
+	// starts is when it starts, next when its next heartbeats are due.
+	starts time.Time
+	next   time.Time
+	seeded time.Time
+	round  int
+}
+
+type simPacket struct {
+	at       time.Time
+	from, to carobward.Address
+	raw      []byte
+}
+
+// Now is the clock of all meshes.
+func (s *sim) Now() time.Time { return s.now }
+
+// simConn is the socket of one entry VM.
+type simConn struct {
+	net.PacketConn
+
+	vm *simVM
+}
+
+// WriteTo sends a datagram into the simulated network.
+func (c simConn) WriteTo(raw []byte, to net.Addr) (int, error) {
+	c.vm.sim.send(c.vm, raw, carobward.Address(to.String()))
+
+	return len(raw), nil
+}
+
+// Close has nothing to close.
+func (simConn) Close() error { return nil }
+
+func newSim(seed uint64, count int) *sim {
+	s := &sim{now: time.Date(2100, time.January, 1, 0, 0, 0, 0, time.UTC), rnd: rand.New(rand.NewPCG(seed, 1)), byPeers: map[carobward.Address]*simVM{}}
+
+	for i := range count {
+		address := carobward.Address(fmt.Sprintf("10.%d.%d.%d:7000", i%simDomains, i/250, i%250))
+		s.vms = append(s.vms, &simVM{sim: s, node: Node{
+			ID: carobward.VMID(fmt.Sprintf("front-%d", i)), Domain: carobward.Domain(fmt.Sprintf("hall-%d", i%simDomains)),
+			Callers: address, Peers: address,
+		}})
+		s.byPeers[address] = s.vms[i]
+	}
+
+	s.startAll()
+
+	return s
+}
+
+// startAll lets all that do not run start within simSpread.
+func (s *sim) startAll() {
+	for _, v := range s.vms {
+		if !v.alive {
+			v.starts = s.now.Add(time.Duration(s.rnd.Int64N(int64(simSpread))))
+		}
+	}
+}
+
+// stop ends an entry VM without a word.
+func (v *simVM) stop() { v.alive, v.starts = false, time.Time{} }
+
+func (v *simVM) start() {
+	s := v.sim
+
+	var seeds []carobward.Address
+	for _, other := range s.vms[:simSeeds] {
+		seeds = append(seeds, other.node.Peers)
+	}
+
+	v.mesh = New(Options{
+		Table: NewTable(v.node), Mirror: cwmirror.New(), Seeds: seeds, Key: cwpeer.Key("a key of the simulated fleet"), Clock: s, Log: logr.Discard(),
+		Changed: func([]carobward.Item) {},
+	}, simConn{vm: v})
+	v.mesh.state.Store(uint32(Ready))
+	v.alive, v.starts = true, time.Time{}
+	v.next = s.now.Add(time.Duration(s.rnd.Int64N(int64(beatTime))))
+	v.seeded = s.now
+}
+
+func (s *sim) send(from *simVM, raw []byte, to carobward.Address) {
+	if s.rnd.Float64() < s.loss {
+		return
+	}
+
+	s.packets++
+	s.queue = append(s.queue, simPacket{at: s.now.Add(simDelay), from: from.node.Peers, to: to, raw: slices.Clone(raw)})
+}
+
+// run lets time pass.
+func (s *sim) run(d time.Duration, check func()) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(simStep)
+
+		for _, v := range s.vms {
+			v.tick()
+		}
+
+		s.deliver()
+
+		if check != nil {
+			check()
+		}
+	}
+}
+
+func (v *simVM) tick() {
+	s := v.sim
+	if !v.alive && !v.starts.IsZero() && !s.now.Before(v.starts) {
+		v.start()
+	}
+
+	if !v.alive {
+		return
+	}
+
+	if !s.now.Before(v.seeded) {
+		v.seeded = s.now.Add(seedTime)
+		v.mesh.tellSeeds()
+	}
+
+	if !s.now.Before(v.next) {
+		v.next = v.next.Add(beatTime)
+		v.round++
+		v.mesh.turn(v.round)
+	}
+
+	select {
+	case <-v.mesh.wake:
+		v.mesh.tellAll()
+	default:
+	}
+}
+
+// deliver hands out what has arrived, in the order in which it was sent.
+func (s *sim) deliver() {
+	for len(s.queue) > 0 && !s.queue[0].at.After(s.now) {
+		p := s.queue[0]
+		s.queue = s.queue[1:]
+		from, to := s.byPeers[p.from], s.byPeers[p.to]
+		apart := from.node.Domain != to.node.Domain
+
+		if apart {
+			s.far++
+		}
+
+		cut := apart && (from.node.Domain == s.cut || to.node.Domain == s.cut)
+		if to.alive && !cut {
+			to.mesh.datagram(p.raw, net.UDPAddrFromAddrPort(netip.MustParseAddrPort(string(p.from))))
+		}
+	}
+}
+
+// wrong describes the first entry VM that does not know the fleet as it is.
+func (s *sim) wrong() string {
+	alive := map[carobward.Domain]int{}
+	all := 0
+
+	for _, v := range s.vms {
+		if !v.starts.IsZero() {
+			return fmt.Sprintf("%s has yet to start", v.node.ID)
+		}
+
+		if v.alive {
+			alive[v.node.Domain]++
+			all++
+		}
+	}
+
+	for _, v := range s.vms {
+		if !v.alive {
+			continue
+		}
+
+		t := v.mesh.Table
+		if got := 1 + len(t.Live(s.now)); got != alive[v.node.Domain] {
+			return fmt.Sprintf("%s knows %d of %d in its own failure domain", v.node.ID, got, alive[v.node.Domain])
+		}
+
+		known := map[carobward.Domain]int{}
+		for _, d := range t.Domains(s.now) {
+			known[d.Domain] = d.Alive
+		}
+
+		for d, n := range alive {
+			if d != v.node.Domain && known[d] != n {
+				return fmt.Sprintf("%s knows %d of %d in %s", v.node.ID, known[d], n, d)
+			}
+		}
+
+		if size := t.Size(s.now); size < all {
+			return fmt.Sprintf("%s shares budgets by %d, %d live", v.node.ID, size, all)
+		}
+	}
+
+	return ""
+}
+
+// The bounds of what is known, which the fleets below keep.
+const (
+	// simForms is how long a fleet that starts takes until all know all.
+	simForms = 3 * time.Second
+	// simDeath is how long a death takes to be known everywhere: two heartbeats and
+	// a half, two on the way out and in, and as much again for what was lost.
+	simDeath = liveTime + 4*beatTime
+)
+
+// TestFleet plays fleets through what they meet, and wants each entry VM to know
+// its failure domain, the others' numbers and a size for budgets that is not too
+// small, within the bounds.
+func TestFleet(t *testing.T) {
+	for name, c := range map[string]struct {
+		vms  int
+		loss float64
+		play func(*sim)
+		know time.Duration
+	}{
+		"it forms":      {100, 0, nil, simForms},
+		"a large one":   {300, 0, nil, simForms},
+		"one a domain":  {5, 0, nil, simForms},
+		"packets lost":  {100, 0.03, nil, 2 * simForms},
+		"one dies":      {100, 0, func(s *sim) { s.vms[50].stop() }, simDeath},
+		"the seeds die": {100, 0, func(s *sim) { s.stopSome(func(i int) bool { return i < simSeeds }) }, simDeath},
+		"half die":      {100, 0, func(s *sim) { s.stopSome(func(i int) bool { return i%2 == 0 }) }, simDeath},
+		"half return": {100, 0, func(s *sim) {
+			s.stopSome(func(i int) bool { return i%2 == 0 })
+			s.run(2*time.Second, nil)
+			s.startAll()
+		}, simDeath},
+		"all start anew": {100, 0, func(s *sim) { s.stopSome(func(int) bool { return true }); s.run(time.Second, nil); s.startAll() }, simForms},
+		"a domain dies": {100, 0, func(s *sim) {
+			s.stopSome(func(i int) bool { return i%simDomains == 1 })
+		}, domainTime},
+		"a domain is cut off": {100, 0, func(s *sim) {
+			s.cut = "hall-1"
+			s.run(2*domainTime, nil)
+			s.cut = ""
+		}, simDeath},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(1, c.vms)
+			s.loss = c.loss
+
+			if c.play != nil {
+				s.run(2*simForms, nil)
+				c.play(s)
+			}
+
+			wrong := s.wrong()
+			for until := s.now.Add(c.know); wrong != "" && s.now.Before(until); wrong = s.wrong() {
+				s.run(simLook, nil)
+			}
+
+			if wrong != "" {
+				t.Error(wrong)
+			}
+		})
+	}
+}
+
+func (s *sim) stopSome(which func(i int) bool) {
+	for i, v := range s.vms {
+		if which(i) {
+			v.stop()
+		}
+	}
+}
+
+// TestFleetAlive wants no entry VM that lives to be taken for dead in its failure
+// domain while packets are lost, beyond the time of a few heartbeats.
+func TestFleetAlive(t *testing.T) {
+	s := newSim(2, 60)
+	s.run(2*simForms, nil)
+
+	s.loss = 0.03
+	missed := map[carobward.VMID]time.Time{}
+
+	s.run(20*time.Second, func() {
+		for _, v := range s.vms {
+			if 1+len(v.mesh.Table.Live(s.now)) == len(s.vms)/simDomains {
+				delete(missed, v.node.ID)
+			} else if at, ok := missed[v.node.ID]; !ok {
+				missed[v.node.ID] = s.now
+			} else if s.now.Sub(at) > 2*beatTime {
+				t.Fatalf("%s has taken one that lives for dead for %s", v.node.ID, s.now.Sub(at))
+			}
+		}
+	})
+}
+
+// TestFleetWord wants the word of the store from one entry VM to reach all others
+// at once, with packets lost, too, and few packets between failure domains.
+func TestFleetWord(t *testing.T) {
+	for name, loss := range map[string]float64{"calm": 0, "packets lost": 0.03} {
+		t.Run(name, func(t *testing.T) {
+			const (
+				soon  = 4 * simStep
+				words = 20
+			)
+
+			s := newSim(3, 100)
+			s.run(2*simForms, nil)
+
+			s.loss = loss
+			late := 0
+
+			for range words {
+				teller := s.vms[s.rnd.IntN(len(s.vms))]
+				said := s.now
+				teller.mesh.SetFresh(said)
+				teller.mesh.TellFleet(nil)
+				s.run(soon, nil)
+
+				for _, v := range s.vms {
+					// Ages travel in whole milliseconds.
+					if v.mesh.Word().Before(said.Add(-simStep)) {
+						late++
+					}
+				}
+
+				s.run(time.Second, nil)
+			}
+
+			// Each entry VM may miss one datagram; a failure domain only two.
+			if most := int(2 * loss * words * float64(len(s.vms))); late > most {
+				t.Errorf("%d of %d did not hear at once, %d may", late, words*len(s.vms), most)
+			}
+		})
+	}
+}
+
+// TestFleetPackets wants what an entry VM sends between failure domains not to
+// grow with the fleet, and what it sends in all to follow its failure domain.
+func TestFleetPackets(t *testing.T) {
+	const seconds = 3
+
+	for _, count := range []int{50, 150} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			s := newSim(4, count)
+			s.run(2*simForms, nil)
+
+			s.packets, s.far = 0, 0
+			s.run(seconds*time.Second, nil)
+
+			each := float64(s.packets) / float64(count) / seconds
+			far := float64(s.far) / seconds
+
+			if most := float64(count/simDomains + 4); each > most {
+				t.Errorf("%.1f datagrams a second and VM, of %.1f", each, most)
+			}
+
+			// tellersMost from each failure domain to each other one.
+			if most := 1.2 * tellersMost * simDomains * (simDomains - 1); far > most {
+				t.Errorf("%.0f datagrams a second between failure domains, of %.0f", far, most)
+			}
+		})
+	}
+}
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -1,7 +1,8 @@
 // Package cwmesh keeps what an entry VM knows of the others. Each sends a
-// small heartbeat to all; it tells that the VM lives, whether it takes callers
-// and how far its copy of the platform's store is. Who is behind fetches the
-// changes from who is ahead.
+// small heartbeat to all of its failure domain; it tells that the VM lives,
+// whether it takes callers and how far its copy of the platform's store is. Of the
+// other failure domains each knows a summary. Who is behind fetches the changes
+// from who is ahead.
 package cwmesh
 
 import (
@@ -74,24 +75,22 @@
 	liveTime = 2500 * time.Millisecond
 	// liveStale is for how long a list of live peers is used again. Several parts
 	// take it at each tick; working it out each time was a third of the processor
-	// time of 145 entry VMs (BenchmarkLive and BenchmarkOrder, 40 times a second).
+	// time of 145 entry VMs (BenchmarkLive, 40 times a second).
 	liveStale = 100 * time.Millisecond
-	// farMost is how many peers of other failure domains get a heartbeat at each
-	// turn; where there are more, they get it by turns and are alive for as
-	// many turns longer. All get what must be known at once.
-	farMost = 12
 	// keepTime is how long a peer that is not heard is still sent heartbeats
 	// to, and counts for the sharing of budgets: it may be cut off from this
 	// entry VM alone and serve callers.
 	keepTime = 30 * time.Second
 )
 
-// Table has the entry VMs. It is safe for use by several goroutines.
+// Table has the entry VMs of the own failure domain and summaries of the others.
+// It is safe for use by several goroutines.
 type Table struct {
 	self Node
 
-	mutex sync.RWMutex
-	peers map[carobward.VMID]*Peer
+	mutex  sync.RWMutex
+	peers  map[carobward.VMID]*Peer
+	others map[carobward.Domain]*other
 	// live has the peers that were alive at a moment. It is not changed once it
 	// is there.
 	live   []Peer
@@ -103,14 +102,14 @@
 
 // NewTable returns a table that has this entry VM only.
 func NewTable(self Node) *Table {
-	return &Table{self: self, peers: map[carobward.VMID]*Peer{}, size: 1}
+	return &Table{self: self, peers: map[carobward.VMID]*Peer{}, others: map[carobward.Domain]*other{}, size: 1}
 }
 
 // Self returns this entry VM.
 func (t *Table) Self() Node { return t.self }
 
-// heard takes a heartbeat of a peer whose Node is known or comes with it. It
-// returns false if the Node is not known.
+// heard takes a heartbeat of a peer of this failure domain whose Node is known or
+// comes with it. It returns false if the Node is not known.
 func (t *Table) heard(p Peer) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -137,17 +136,27 @@
 }
 
 // told takes the Node of an entry VM that a peer has heard. It is not alive
-// for this one until it is heard here.
-func (t *Table) told(n Node) {
+// for this one until it is heard here. It tells whether that is news.
+func (t *Table) told(n Node) bool {
+	if n.Domain != t.self.Domain {
+		t.met(n)
+
+		return false
+	}
+
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 
-	if n.ID != t.self.ID && t.peers[n.ID] == nil {
-		t.peers[n.ID] = &Peer{Node: n, Heard: time.Time{}}
+	if n.ID == t.self.ID || t.peers[n.ID] != nil {
+		return false
 	}
+
+	t.peers[n.ID] = &Peer{Node: n, Heard: time.Time{}}
+
+	return true
 }
 
-// Live returns the peers that were heard lately, in the order of their names.
+// Live returns the peers of this failure domain that were heard lately, in the order of their names.
 // The list is shared and must not be changed. What it says of a peer beside its
 // Node and State may be liveStale old.
 func (t *Table) Live(now time.Time) []Peer {
@@ -163,50 +172,7 @@
 
 // listLive returns the peers that were heard lately; the mutex is held.
 func (t *Table) listLive(now time.Time) []Peer {
-	far := liveTime * time.Duration(t.turns())
-
-	return t.filter(func(p *Peer) bool {
-		if p.Domain == t.self.Domain {
-			return now.Sub(p.Heard) < liveTime
-		}
-
-		return now.Sub(p.Heard) < far
-	})
-}
-
-// turns returns the number of turns in which all peers of other failure domains
-// get a heartbeat; the mutex is held.
-func (t *Table) turns() int {
-	far := 0
-
-	for _, p := range t.peers {
-		if p.Domain != t.self.Domain {
-			far++
-		}
-	}
-
-	return max(1, (far+farMost-1)/farMost)
-}
-
-// turn returns the peers that get a heartbeat in a round.
-func (t *Table) turn(now time.Time, round int) []Peer {
-	all := t.sendable(now)
-
-	t.mutex.RLock()
-	turns := t.turns()
-	t.mutex.RUnlock()
-
-	slices.SortFunc(all, byID)
-
-	list := all[:0]
-
-	for i := range all {
-		if all[i].Domain == t.self.Domain || (i+round)%turns == 0 {
-			list = append(list, all[i])
-		}
-	}
-
-	return list
+	return t.filter(func(p *Peer) bool { return now.Sub(p.Heard) < liveTime })
 }
 
 func byID(a, b Peer) int { return cmp.Compare(a.ID, b.ID) }
@@ -214,7 +180,7 @@
 // some returns up to n live peers of our failure domain, drawn at random.
 func (t *Table) some(now time.Time, n int) []Peer {
 	t.mutex.RLock()
-	list := t.filter(func(p *Peer) bool { return p.Domain == t.self.Domain && now.Sub(p.Heard) < liveTime && !p.unknown() })
+	list := t.filter(func(p *Peer) bool { return now.Sub(p.Heard) < liveTime && !p.unknown() })
 	t.mutex.RUnlock()
 
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
@@ -223,25 +189,17 @@
 }
 
 // ahead returns the live peers of our failure domain whose copy has what ours
-// lacks, or such peers of others where there is none.
+// lacks.
 func (t *Table) ahead(own cwmirror.State, now time.Time) []Peer {
-	var near, far []Peer
+	var list []Peer
 
 	for _, p := range t.Live(now) {
-		switch {
-		case p.unknown() || !own.Behind(p.Copy):
-		case p.Domain == t.self.Domain:
-			near = append(near, p)
-		default:
-			far = append(far, p)
+		if !p.unknown() && own.Behind(p.Copy) {
+			list = append(list, p)
 		}
 	}
 
-	if len(near) > 0 {
-		return near
-	}
-
-	return far
+	return list
 }
 
 // filter returns the peers that are wanted, in the order of their names; the
@@ -285,13 +243,35 @@
 	return list
 }
 
+// nearSize returns the number of entry VMs of this failure domain lately.
+func (t *Table) nearSize(now time.Time) int {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	n := 1
+
+	for _, p := range t.peers {
+		if now.Sub(p.Heard) < keepTime {
+			n++
+		}
+	}
+
+	return n
+}
+
 // Size returns the number of entry VMs that a budget is shared by: the most
 // seen lately, since one that is out of sight may still spend.
 func (t *Table) Size(now time.Time) int {
+	n := t.nearSize(now)
+
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 
-	n := 1 + len(t.filter(func(p *Peer) bool { return now.Sub(p.Heard) < keepTime }))
+	for _, o := range t.others {
+		if now.Sub(o.Made) < keepTime {
+			n += o.Size
+		}
+	}
 
 	if n >= t.size || now.Sub(t.sized) > keepTime {
 		t.size, t.sized = n, now
--- a/internal/cwmirror/mirror.go
+++ b/internal/cwmirror/mirror.go
@@ -35,6 +35,9 @@
 
 // Mirror is the copy. Each key only moves forward.
 type Mirror struct {
+	// order keeps those who follow the copy in the order of its changes.
+	order sync.Mutex
+
 	mutex sync.Mutex
 	items map[carobward.Key]carobward.Item
 	gone  int
@@ -64,6 +67,19 @@
 	return m.items[key].Value
 }
 
+// Take takes changes as Apply does and hands those that were new on. They are
+// handed on in the order in which they were taken: without that an older entry of
+// a server could replace a newer one that came from elsewhere at the same moment.
+func (m *Mirror) Take(c carobward.Changes, hold bool, changed func([]carobward.Item)) int {
+	m.order.Lock()
+	defer m.order.Unlock()
+
+	fresh := m.Apply(c, hold)
+	changed(fresh)
+
+	return len(fresh)
+}
+
 // Apply takes changes and returns those that were new. Hold keeps keys that
 // were removed, and with them Index, for a time in which removals by the store
 // prove nothing.
--- a/internal/cwmirror/mirror_test.go
+++ b/internal/cwmirror/mirror_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -123,3 +125,43 @@
 		})
 	}
 }
+
+// TestTakeOrder takes a newer item of a key while an older one is still being
+// handed on, as from the store and from a peer, and wants those who follow to end
+// with the newer one.
+func TestTakeOrder(t *testing.T) {
+	m := New()
+
+	var (
+		last  carobward.StoreIndex
+		group sync.WaitGroup
+	)
+
+	began, taken := make(chan struct{}), make(chan struct{})
+
+	group.Go(func() {
+		older := carobward.Changes{Index: 1, Items: []carobward.Item{{Key: "servers/i", Index: 1}}}
+		m.Take(older, false, func(items []carobward.Item) {
+			close(began)
+
+			select {
+			case <-taken:
+			case <-time.After(100 * time.Millisecond):
+			}
+
+			last = items[0].Index
+		})
+	})
+	group.Go(func() {
+		<-began
+
+		newer := carobward.Changes{Index: 2, Items: []carobward.Item{{Key: "servers/i", Index: 2}}}
+		m.Take(newer, false, func(items []carobward.Item) { last = items[0].Index })
+		close(taken)
+	})
+	group.Wait()
+
+	if last != 2 {
+		t.Errorf("those who follow have index %d", last)
+	}
+}
--- a/internal/cwstand/metadata.go
+++ b/internal/cwstand/metadata.go
@@ -173,6 +173,8 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	case faults.Status != 0:
 		ctx.SetStatusCode(faults.Status)
+	case string(ctx.Path()) == "/api/kv-key":
+		m.key(ctx)
 	case string(ctx.Path()) == "/api/kv-range":
 		m.list(ctx)
 	case string(ctx.Path()) == "/api/kv-watch":
@@ -203,6 +205,24 @@
 	}
 }
 
+func (m *Metadata) key(ctx *fasthttp.RequestCtx) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	it, ok := m.items[string(ctx.QueryArgs().Peek("key"))]
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+
+		return
+	}
+
+	writeJSON(ctx, struct {
+		metadataItem
+
+		Current uint64 `json:"current_rev"`
+	}{it, m.revision})
+}
+
 func (m *Metadata) list(ctx *fasthttp.RequestCtx) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
