--- a/internal/cwgateway/fleet_test.go
+++ b/internal/cwgateway/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -85,17 +86,26 @@
 	f.store.Put("op/config", cwstand.MetadataConfig(f.version, host, routes...))
 }
 
+// The ports that entry VMs of tests listen on: below those that a kernel gives to
+// connections, one of which would otherwise take a port between the moment at
+// which it was found free and the start of the entry VM.
+const (
+	portFirst = 10_000
+	portCount = 20_000
+)
+
 // free returns an address that is free for TCP and UDP.
 func free(t *testing.T) carobward.Address {
 	t.Helper()
 
 	for {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		address := fmt.Sprintf("127.0.0.1:%d", portFirst+rand.IntN(portCount))
+
+		ln, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
 
-		address := ln.Addr().String()
 		_ = ln.Close()
 
 		if c, err := net.ListenPacket("udp", address); err == nil {
@@ -106,11 +116,11 @@
 	}
 }
 
-// start starts an entry VM that knows the first one.
-func (f *fleet) start(t *testing.T, id string, change ...func(*cwgateway.Options)) *vm {
+// options returns those of an entry VM, with addresses of its own.
+func (f *fleet) options(t *testing.T, id string) cwgateway.Options {
 	t.Helper()
 
-	o := cwgateway.Options{
+	return cwgateway.Options{
 		Self:  cwmesh.Node{ID: carobward.VMID(id), Domain: "a", Callers: free(t), Peers: free(t)},
 		Ready: free(t), Lookup: free(t), Metrics: free(t),
 		Bounds: cwgateway.Bounds{
@@ -119,6 +129,13 @@
 		},
 		Adapter: platform.Adapter(f.address, func() {}), Dropped: func() int64 { return 0 }, Calls: func() int64 { return 0 }, Clock: carobward.SystemClock{}, Log: logr.Discard(),
 	}
+}
+
+// start starts an entry VM that knows the first one.
+func (f *fleet) start(t *testing.T, id string, change ...func(*cwgateway.Options)) *vm {
+	t.Helper()
+
+	o := f.options(t, id)
 
 	f.mutex.Lock()
 	if len(f.vms) > 0 {
--- a/internal/cwgateway/gateway_test.go
+++ b/internal/cwgateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +11,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwgateway"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
 	"carobward.example/carobward/platform"
@@ -229,3 +232,42 @@
 		t.Errorf("%d lost, ends %v", lost, ended)
 	}
 }
+
+// TestBusyAddress wants an entry VM whose address is in use to end with an error,
+// not to stay without serving anybody.
+func TestBusyAddress(t *testing.T) {
+	for name, busy := range map[string]func(*cwgateway.Options) carobward.Address{
+		"callers": func(o *cwgateway.Options) carobward.Address { return o.Self.Callers },
+		"lookup":  func(o *cwgateway.Options) carobward.Address { return o.Lookup },
+		"peers":   func(o *cwgateway.Options) carobward.Address { return o.Self.Peers },
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newFleet(t).options(t, "vm-1")
+
+			ln, err := net.Listen("tcp", string(busy(&o)))
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			defer func() { _ = ln.Close() }()
+
+			g, err := cwgateway.New(o)
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			ended := make(chan error, 1)
+
+			go func() { ended <- g.Run(nil) }()
+
+			select {
+			case err := <-ended:
+				if err == nil || !strings.Contains(err.Error(), name) {
+					t.Errorf("%v", err)
+				}
+			case <-time.After(cwtest.WaitMost):
+				t.Error("it does not end")
+			}
+		})
+	}
+}
--- a/internal/cwgateway/listen.go
+++ b/internal/cwgateway/listen.go
@@ -47,6 +47,14 @@
 
 	var all []net.Listener
 
+	end := func() {
+		peers.Close()
+
+		for _, ln := range all {
+			_ = ln.Close()
+		}
+	}
+
 	for _, p := range parts {
 		ln, err := net.Listen("tcp", string(p.address))
 		if err != nil && p.name == partMetrics {
@@ -57,6 +65,9 @@
 		}
 
 		if err != nil {
+			// Those that are open would keep the process, which serves nobody.
+			end()
+
 			return nil, errors.Annotate(err, p.name)
 		}
 
@@ -71,11 +82,7 @@
 
 	group.Go(func() {
 		<-ctx.Done()
-		peers.Close()
-
-		for _, ln := range all {
-			_ = ln.Close()
-		}
+		end()
 	})
 
 	return all, nil
--- a/internal/cwgateway/state.go
+++ b/internal/cwgateway/state.go
@@ -1,9 +1,6 @@
 package cwgateway
 
 import (
-	"math/rand/v2"
-	"slices"
-
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwmesh"
 	"carobward.example/carobward/internal/cwroutes"
@@ -116,55 +113,3 @@
 
 	return least
 }
-
-// addresses returns the addresses that a caller should use: those of the entry
-// VMs that take callers, of its own failure domain where there are enough.
-func (g *Gateway) addresses(domain carobward.Domain) []carobward.Address {
-	if domain != g.Self.Domain {
-		if list := g.contacts(domain); len(list) >= nearLeast {
-			return list
-		}
-	}
-
-	list := g.near()
-
-	if len(list) < nearLeast || domain != g.Self.Domain {
-		for _, s := range g.table.Domains(g.Clock.Now()) {
-			list = append(list, g.contacts(s.Domain)...)
-		}
-	}
-
-	return slices.Clip(list[:min(len(list), addressesMost)])
-}
-
-// near returns the addresses of the entry VMs of this failure domain that take
-// callers, drawn at random where there are more than a caller takes.
-func (g *Gateway) near() []carobward.Address {
-	var list []carobward.Address
-
-	if g.isReady() {
-		list = append(list, g.Self.Callers)
-	}
-
-	for _, p := range g.table.Live(g.Clock.Now()) {
-		if p.State == cwmesh.Ready {
-			list = append(list, p.Callers)
-		}
-	}
-
-	if len(list) > addressesMost {
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	}
-
-	return list
-}
-
-// contacts returns the addresses of some entry VMs of another failure domain.
-func (g *Gateway) contacts(domain carobward.Domain) []carobward.Address {
-	var list []carobward.Address
-	for _, n := range g.table.Contacts(domain, addressesMost, g.Clock.Now()) {
-		list = append(list, n.Callers)
-	}
-
-	return list
-}
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -26,6 +26,11 @@
 	beatTime = time.Second
 	// seedTime is the time between heartbeats to seeds that did not answer.
 	seedTime = 300 * time.Millisecond
+	// meetTime is the time between heartbeats of a new entry VM to peers that it was
+	// told of and that did not answer, greetsMost how many of them get one. Where all
+	// start again within tenths of a second, callers wait for that.
+	meetTime   = 100 * time.Millisecond
+	greetsMost = 8
 	// othersMost is how many peers a datagram tells of: some 80 bytes each,
 	// within one packet.
 	othersMost = 14
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -13,15 +13,15 @@
 )
 
 // send sends heartbeats: to all of the failure domain each beatTime and when told
-// to, and to seeds that have not answered more often.
+// to, and to those that have not answered yet more often.
 func (m *Mesh) send(ctx context.Context) {
-	beat, seed := time.NewTicker(beatTime), time.NewTicker(seedTime)
+	beat, meet := time.NewTicker(beatTime), time.NewTicker(meetTime)
 	defer beat.Stop()
-	defer seed.Stop()
+	defer meet.Stop()
 
 	m.tellSeeds()
 
-	for round := 0; ; {
+	for round, meets := 0, 0; ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -30,8 +30,23 @@
 			m.turn(round)
 		case <-m.wake:
 			m.tellAll()
-		case <-seed.C:
-			m.tellSeeds()
+		case <-meet.C:
+			meets++
+			m.meet(meets)
+		}
+	}
+}
+
+// meet sends a heartbeat to seeds, each seedTime, and to some peers that have not
+// answered yet. All entry VMs may be starting, those that are named among them.
+func (m *Mesh) meet(round int) {
+	if round%int(seedTime/meetTime) == 0 {
+		m.tellSeeds()
+	}
+
+	if now := m.Clock.Now(); now.Sub(m.began) < newTime {
+		for _, n := range m.Table.unmet(greetsMost) {
+			m.greet(n)
 		}
 	}
 }
--- a/internal/cwmesh/sim_test.go
+++ b/internal/cwmesh/sim_test.go
@@ -48,7 +48,8 @@
 	// starts is when it starts, next when its next heartbeats are due.
 	starts time.Time
 	next   time.Time
-	seeded time.Time
+	meets  time.Time
+	met    int
 	round  int
 }
 
@@ -122,7 +123,9 @@
 	v.mesh.state.Store(uint32(Ready))
 	v.alive, v.starts = true, time.Time{}
 	v.next = s.now.Add(time.Duration(s.rnd.Int64N(int64(beatTime))))
-	v.seeded = s.now
+	v.meets = s.now.Add(meetTime)
+	v.met = 0
+	v.mesh.tellSeeds()
 }
 
 func (s *sim) send(from *simVM, raw []byte, to carobward.Address) {
@@ -161,9 +164,10 @@
 		return
 	}
 
-	if !s.now.Before(v.seeded) {
-		v.seeded = s.now.Add(seedTime)
-		v.mesh.tellSeeds()
+	if !s.now.Before(v.meets) {
+		v.meets = s.now.Add(meetTime)
+		v.met++
+		v.mesh.meet(v.met)
 	}
 
 	if !s.now.Before(v.next) {
@@ -313,6 +317,44 @@
 	}
 }
 
+// TestFleetAgain starts a whole fleet anew, with seeds that come last and a list
+// of the fleet from the store. Who starts early must know one of those that are
+// named soon after that one runs, since it gets the copy of the store from there.
+func TestFleetAgain(t *testing.T) {
+	s := newSim(5, 100)
+	s.run(2*simForms, nil)
+	list := s.vms[0].mesh.Table.Fleet(s.now, Ready)
+
+	if len(list) != simDomains {
+		t.Fatalf("%d failure domains in the list", len(list))
+	}
+
+	s.stopSome(func(int) bool { return true })
+	s.startAll()
+
+	for _, v := range s.vms[:simSeeds] {
+		v.starts = s.now.Add(2 * simSpread)
+	}
+
+	told := map[*simVM]bool{}
+	s.run(simSpread, func() {
+		for _, v := range s.vms {
+			if v.alive && !told[v] {
+				told[v] = true
+				v.mesh.Table.Told(list, s.now)
+				v.mesh.Tell()
+			}
+		}
+	})
+	s.run(meetTime+4*simDelay, nil)
+
+	for _, v := range s.vms[simSeeds:] {
+		if len(v.mesh.Table.Live(s.now)) == 0 {
+			t.Errorf("%s knows nobody %s after the last start", v.node.ID, meetTime)
+		}
+	}
+}
+
 // TestFleetAlive wants no entry VM that lives to be taken for dead in its failure
 // domain while packets are lost, beyond the time of a few heartbeats.
 func TestFleetAlive(t *testing.T) {
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -188,6 +188,24 @@
 	return list[:min(n, len(list))]
 }
 
+// unmet returns up to n peers that were told of but never heard, drawn at random.
+func (t *Table) unmet(n int) []Node {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	var list []Node
+
+	for _, p := range t.peers {
+		if p.unknown() {
+			list = append(list, p.Node)
+		}
+	}
+
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+
+	return list[:min(n, len(list))]
+}
+
 // ahead returns the live peers of our failure domain whose copy has what ours
 // lacks.
 func (t *Table) ahead(own cwmirror.State, now time.Time) []Peer {
