--- a/internal/cwfollow/duty.go
+++ b/internal/cwfollow/duty.go
@@ -120,6 +120,7 @@
 	return turn*count + before
 }
 
+// domainRank returns the rendezvous weight of a failure domain.
 func domainRank(d carobward.Domain) uint64 { return cwrank.Weight(string(d), "") }
 
 // alive returns how many others there are.
--- a/internal/cwmesh/domain.go
+++ b/internal/cwmesh/domain.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"carobward.example/carobward"
-	"carobward.example/carobward/internal/cwwire"
 )
 
 // The figures of knowing other failure domains. An entry VM knows each one of its
@@ -300,32 +299,3 @@
 
 	return names
 }
-
-// summary reads a summary. One that was never put together has no time.
-func summary(d *cwwire.Domain, now time.Time) Summary {
-	s := Summary{
-		Domain: carobward.Domain(d.GetName()), Made: decodeFresh(d.GetAge(), now),
-		Alive: int(d.GetAlive()), Size: int(d.GetSize()), Away: int(d.GetAway()), Rate: int(d.GetRate()),
-	}
-	for _, n := range d.GetNodes() {
-		s.Nodes = append(s.Nodes, node(n))
-	}
-
-	return s
-}
-
-func wireSummary(s *Summary, now time.Time) *cwwire.Domain {
-	return &cwwire.Domain{
-		Name: string(s.Domain), Age: encodeFresh(s.Made, now),
-		Alive: uint32(s.Alive), Size: uint32(s.Size), Away: uint32(s.Away), Rate: uint32(s.Rate), Nodes: wireNodes(s.Nodes),
-	}
-}
-
-func wireSummaries(list []Summary, now time.Time) []*cwwire.Domain {
-	var out []*cwwire.Domain
-	for i := range list {
-		out = append(out, wireSummary(&list[i], now))
-	}
-
-	return out
-}
--- a/internal/lab/cwbench/worst.go
+++ b/internal/lab/cwbench/worst.go
@@ -51,7 +51,7 @@
 
 // hits tells whether a server at a place among so many has the trouble.
 func (s *Spell) hits(place, servers int, at time.Duration) bool {
-	return s.From <= at && at < s.To && float64(place) < s.Share*float64(servers)
+	return s.holds(at) && float64(place) < s.Share*float64(servers)
 }
 
 // The sizes of the users' lookup service.
--- a/internal/lab/cwbench/worst_vm.go
+++ b/internal/lab/cwbench/worst_vm.go
@@ -158,7 +158,7 @@
 	w := v.run
 	now := w.now()
 
-	if r.done || r.vm != v || !v.carried[r] || !w.has(v) {
+	if r.done || r.vm != v || !v.carried[r] || !slices.Contains(w.vms, v) {
 		return
 	}
 
@@ -181,16 +181,6 @@
 	}
 }
 
-func (w *worst) has(v *worstVM) bool {
-	for _, o := range w.vms {
-		if o == v {
-			return true
-		}
-	}
-
-	return false
-}
-
 // park lets a request wait until it is offered a server or the pause is over. Looked
 // tells that a look for it was in vain.
 func (v *worstVM) park(r *worstRequest, looked bool) {
@@ -234,7 +224,7 @@
 // ended gets the end of a send.
 func (v *worstVM) ended(q *worstSend, report carobward.Report) {
 	w, r := v.run, q.request
-	if !w.has(v) {
+	if !slices.Contains(w.vms, v) {
 		return
 	}
 
