--- a/internal/cwgateway/listen.go
+++ b/internal/cwgateway/listen.go
@@ -17,6 +17,13 @@
 // partMetrics names the listener without which an entry VM still serves.
 const partMetrics = "metrics"
 
+// part is one listener and what serves it.
+type part struct {
+	name    string
+	address carobward.Address
+	serve   func(net.Listener) error
+}
+
 // listen opens all listeners and serves them.
 func (g *Gateway) listen(ctx context.Context, group *conc.WaitGroup) ([]net.Listener, error) {
 	peers := cwpeer.NewServer(g.Key, g.Log)
@@ -24,20 +31,7 @@
 		return nil, err
 	}
 
-	small := func(h fasthttp.RequestHandler) func(net.Listener) error {
-		s := &fasthttp.Server{
-			Handler: h, ReadTimeout: listenTime, WriteTimeout: listenTime, ReduceMemoryUsage: true,
-			NoDefaultServerHeader: true, NoDefaultDate: true,
-		}
-
-		return s.Serve
-	}
-
-	parts := []struct {
-		name    string
-		address carobward.Address
-		serve   func(net.Listener) error
-	}{
+	parts := []part{
 		{"callers", g.Self.Callers, g.front.Server().Serve},
 		{"ready", g.Ready, small(g.serveReady)},
 		{"lookup", g.Lookup, small(g.serveLookup)},
@@ -45,33 +39,13 @@
 		{partMetrics, g.Metrics, small(g.serveMetrics)},
 	}
 
-	var all []net.Listener
-
-	end := func() {
-		peers.Close()
-
-		for _, ln := range all {
-			_ = ln.Close()
-		}
+	all, err := g.open(parts)
+	if err != nil {
+		return nil, err
 	}
 
-	for _, p := range parts {
-		ln, err := net.Listen("tcp", string(p.address))
-		if err != nil && p.name == partMetrics {
-			// Callers are served without metrics, too.
-			g.log.Error(err, "The metrics are not served.")
-
-			continue
-		}
-
-		if err != nil {
-			// Those that are open would keep the process, which serves nobody.
-			end()
-
-			return nil, errors.Annotate(err, p.name)
-		}
-
-		all = append(all, ln)
+	for i, ln := range all {
+		p := parts[i]
 
 		group.Go(func() {
 			if err := p.serve(ln); err != nil && ctx.Err() == nil {
@@ -82,12 +56,53 @@
 
 	group.Go(func() {
 		<-ctx.Done()
-		end()
+		peers.Close()
+		closeAll(all)
 	})
 
 	return all, nil
 }
 
+// open opens the listeners, in the order of the parts. None is left open if one
+// can't be: it would keep a process that serves nobody. Callers are served without
+// metrics, too, which come last.
+func (g *Gateway) open(parts []part) ([]net.Listener, error) {
+	var all []net.Listener
+
+	for _, p := range parts {
+		ln, err := net.Listen("tcp", string(p.address))
+
+		switch {
+		case err == nil:
+			all = append(all, ln)
+		case p.name == partMetrics:
+			g.log.Error(err, "The metrics are not served.")
+		default:
+			closeAll(all)
+
+			return nil, errors.Annotate(err, p.name)
+		}
+	}
+
+	return all, nil
+}
+
+func closeAll(all []net.Listener) {
+	for _, ln := range all {
+		_ = ln.Close()
+	}
+}
+
+// small returns what serves a listener for short questions.
+func small(h fasthttp.RequestHandler) func(net.Listener) error {
+	s := &fasthttp.Server{
+		Handler: h, ReadTimeout: listenTime, WriteTimeout: listenTime, ReduceMemoryUsage: true,
+		NoDefaultServerHeader: true, NoDefaultDate: true,
+	}
+
+	return s.Serve
+}
+
 func (g *Gateway) serveReady(ctx *fasthttp.RequestCtx) {
 	switch {
 	case string(ctx.Path()) != g.Adapter.ReadyPath:
