Mesh: one way to draw some of a list, one check for another failure domain

No change in what it does: five copies of shuffling and cutting, and three of the check where a heartbeat comes from. TestSome, TestFleet* and the linter pass.

--- a/internal/cwmesh/domain.go
+++ b/internal/cwmesh/domain.go
@@ -149,12 +149,11 @@
 func named(ready []Peer) []Node {
 	slices.SortFunc(ready, func(a, b Peer) int { return cmp.Or(boolCompare(a.Away, b.Away), cmp.Compare(a.Rank(), b.Rank())) })
 
-	rest := ready[min(firstNodes, len(ready)):]
-	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	first := min(firstNodes, len(ready))
 
 	var list []Node
-	for i := range ready[:min(firstNodes+otherNodes, len(ready))] {
-		list = append(list, ready[i].Node)
+	for _, p := range slices.Concat(ready[:first], draw(ready[first:], otherNodes)) {
+		list = append(list, p.Node)
 	}
 
 	return list
@@ -242,9 +241,7 @@
 		list = slices.Clone(o.contacts)
 	}
 
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-
-	return list[:min(n, len(list))]
+	return draw(list, n)
 }
 
 // othersOf returns entry VMs of a failure domain for a newcomer there.
@@ -261,12 +258,18 @@
 			list = slices.Clone(o.contacts)
 		}
 		t.mutex.RUnlock()
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	}
 
 	list = slices.DeleteFunc(list, func(n Node) bool { return n.ID == newcomer })
 
-	return list[:min(othersMost, len(list))]
+	return draw(list, othersMost)
+}
+
+// draw returns up to n of a list, drawn at random. It changes the list's order.
+func draw[T any](list []T, n int) []T {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+
+	return list[:min(n, len(list))]
 }
 
 // tellsDomains tells whether it is this entry VM's turn to send the summary of
--- a/internal/cwmesh/receive.go
+++ b/internal/cwmesh/receive.go
@@ -71,10 +71,10 @@
 
 	known := true
 
-	if near := p.Domain == "" || p.Domain == m.Table.Self().Domain; near {
-		known = m.Table.heard(p)
-	} else {
+	if m.isOutside(p.Domain) {
 		m.Table.met(p.Node)
+	} else {
+		known = m.Table.heard(p)
 	}
 
 	m.takeNames(b, p.Domain, now)
@@ -87,9 +87,15 @@
 	m.takeCopy(b, &p, from, now)
 }
 
+// isOutside tells whether a heartbeat came from another failure domain. Those of
+// peers that are known here name none.
+func (m *Mesh) isOutside(d carobward.Domain) bool {
+	return d != "" && d != m.Table.Self().Domain
+}
+
 // takeNames takes the entry VMs and failure domains that a heartbeat names.
 func (m *Mesh) takeNames(b *cwwire.Beat, from carobward.Domain, now time.Time) {
-	outside := from != "" && from != m.Table.Self().Domain
+	outside := m.isOutside(from)
 	for _, d := range b.GetDomains() {
 		m.Table.learn(summary(d, now), outside)
 	}
@@ -107,7 +113,7 @@
 	fresh := decodeFresh(b.GetFresh(), now)
 	m.heard(fresh)
 
-	far := p.Domain != "" && p.Domain != m.Table.Self().Domain
+	far := m.isOutside(p.Domain)
 	behind := m.Mirror.State().Behind(p.Copy)
 
 	if b.GetRelay() {
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -7,7 +7,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -183,9 +182,7 @@
 	list := t.filter(func(p *Peer) bool { return now.Sub(p.Heard) < liveTime && !p.unknown() })
 	t.mutex.RUnlock()
 
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-
-	return list[:min(n, len(list))]
+	return draw(list, n)
 }
 
 // unmet returns up to n peers that were told of but never heard, drawn at random.
@@ -201,9 +198,7 @@
 		}
 	}
 
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-
-	return list[:min(n, len(list))]
+	return draw(list, n)
 }
 
 // ahead returns the live peers of our failure domain whose copy has what ours
