Tests of the gateway give out no address twice

Cause: TestChange failed once; its log has a listener that could not be opened, at an address that free had drawn for two. Addresses given out are remembered.

--- a/internal/cwgateway/fleet_test.go
+++ b/internal/cwgateway/fleet_test.go
@@ -94,12 +94,18 @@
 	portCount = 20_000
 )
 
+// ports has the addresses that were given out.
+var ports sync.Map
+
 // free returns an address that is free for TCP and UDP.
 func free(t *testing.T) carobward.Address {
 	t.Helper()
 
 	for {
 		address := fmt.Sprintf("127.0.0.1:%d", portFirst+rand.IntN(portCount))
+		if _, drawn := ports.LoadOrStore(address, true); drawn {
+			continue // Another entry VM of these tests may be about to listen there.
+		}
 
 		ln, err := net.Listen("tcp", address)
 		if err != nil {
