Refused requests use the whole bound on extra calls, evenly

Cause: while all servers of a service refuse half of what they are sent, requests were refused for good though nine tenths of the bound on extra calls were unused. Three quarters of it were kept for callers that have come back. Since callers' ages are told by quantiles, the reserve was left over in the seconds that need it.

Ruled out: the parts of the bound by entry VM being too small (11 at 472 entry VMs, of which 3 were used); max_attempts (2; most requests were sent once).

Change: cwretry has the claims on the bound as a pure decision. A refused request uses a part at once, and the rest as fast as requests earn it (Window.Take with a paced claim), so that 8.5 s of trouble find extra calls in each second; one that has no other way to end well uses the whole, a second send for an overdue answer a quarter, as before.

--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -11,6 +11,7 @@
 	"carobward.example/carobward/internal/cwbackend"
 	"carobward.example/carobward/internal/cwframe"
 	"carobward.example/carobward/internal/cwlink"
+	"carobward.example/carobward/internal/cwretry"
 )
 
 // illCost is the cost of a server whose health check fails. Health may be
@@ -128,22 +129,6 @@
 // usual times of an answer.
 const leastLeft = 0.5
 
-// firstLeaves is the part of the bound on extra calls that a refused request
-// leaves to those that have come back: its caller can do so itself, which costs
-// no extra call, and has another try then. A second send for an overdue answer
-// leaves as much, since the first may still be answered.
-const firstLeaves = 0.75
-
-// leaves returns the part of the bound on extra calls that must be left after
-// another send of this request.
-func (r *request) leaves() float64 {
-	if r.returned || carobward.VerdictOf(r.err) != carobward.NotRun {
-		return 0
-	}
-
-	return firstLeaves
-}
-
 // again tells whether the request goes to another server.
 func (r *request) again(ctx context.Context) bool {
 	f := r.front
@@ -159,7 +144,7 @@
 		return false
 	}
 
-	if !r.takeExtra(now, r.leaves()) {
+	if !r.takeExtra(now, cwretry.ClaimOf(carobward.VerdictOf(r.err), r.returned)) {
 		return false
 	}
 
@@ -168,11 +153,11 @@
 	return true
 }
 
-// takeExtra spends one call beyond the first of a request if a part of the bound
-// is left after it, and counts it as denied else.
-func (r *request) takeExtra(now time.Time, leaves float64) bool {
+// takeExtra spends one call beyond the first of a request if there is one left for
+// the claim, and counts it as denied else.
+func (r *request) takeExtra(now time.Time, c cwretry.Claim) bool {
 	f := r.front
-	ok := r.kept.window.TakeLeaving(now, f.slack(), leaves)
+	ok := r.kept.window.Take(now, f.slack(), c)
 
 	if !ok {
 		f.counts.Add(countDenied, 1)
--- a/internal/cwfront/hedge.go
+++ b/internal/cwfront/hedge.go
@@ -7,6 +7,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
+	"carobward.example/carobward/internal/cwretry"
 )
 
 // The figures of second sends while the first is out.
@@ -117,5 +118,5 @@
 		return b, false
 	}
 
-	return b, r.takeExtra(now, firstLeaves)
+	return b, r.takeExtra(now, cwretry.Overdue)
 }
--- a/internal/cwretry/window.go
+++ b/internal/cwretry/window.go
@@ -20,8 +20,14 @@
 	turn     int64
 	requests [slices + 1]int
 	extras   [slices + 1]int
+	// earned is what the newest requests add to the bound, up to earnedMost.
+	earned float64
 }
 
+// earnedMost is how many extra calls paced claims may save up: one in use, and one
+// for two requests that are refused at the same moment.
+const earnedMost = 2
+
 // NewWindow returns a window: in each span extra calls may be up to share of
 // the requests, and a number on top that Take is told.
 func NewWindow(share float64, span time.Duration, now time.Time) *Window {
@@ -43,14 +49,12 @@
 
 	w.move(now)
 	w.requests[w.turn%(slices+1)]++
+	w.earned = min(earnedMost, w.earned+w.share)
 }
 
-// Take spends one extra call if there is one left. Slack is how many may be
-// made whatever the number of requests.
-func (w *Window) Take(now time.Time, slack float64) bool { return w.TakeLeaving(now, slack, 0) }
-
-// TakeLeaving spends one extra call if a part of the bound is left after it.
-func (w *Window) TakeLeaving(now time.Time, slack, part float64) bool {
+// Take spends one extra call if there is one left for the claim. Slack is how many
+// may be made whatever the number of requests.
+func (w *Window) Take(now time.Time, slack float64, c Claim) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 
@@ -62,11 +66,16 @@
 		extras += w.extras[i]
 	}
 
-	if float64(extras+1) > (1-part)*(w.share*float64(requests)+slack) {
+	bound := w.share*float64(requests) + slack
+	next := float64(extras + 1)
+	paced := c.Paced && w.earned >= 1
+
+	if next > bound || next > c.Part*bound && !paced {
 		return false
 	}
 
 	w.extras[w.turn%(slices+1)]++
+	w.earned = max(0, w.earned-1)
 
 	return true
 }
