The first list of servers is one line in the log

Change: one line with the number; servers that leave, and each later change, have their own as before. TestFirstListOnce, seen failing (40 lines for 40 servers).

--- a/internal/cwgateway/know_test.go
+++ b/internal/cwgateway/know_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/go-logr/logr/funcr"
+
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwgateway"
 	"carobward.example/carobward/internal/cwstand"
@@ -55,6 +57,40 @@
 	}
 }
 
+// TestFirstListOnce wants the first list of servers to be one line in the log, and
+// each change after it one.
+func TestFirstListOnce(t *testing.T) {
+	const servers = 40
+
+	f := newFleet(t)
+	for i := range servers {
+		f.register("records", fmt.Sprint("i-", i), "127.0.0.1:9", "ready")
+	}
+
+	f.configure(safe("records"))
+
+	var lists, entries atomic.Int64
+
+	v := f.start(t, "vm-1", func(o *cwgateway.Options) {
+		o.Log = funcr.New(func(_, line string) {
+			switch {
+			case strings.Contains(line, `"msg"="The first list of servers." "servers"=40`):
+				lists.Add(1)
+			case strings.Contains(line, `"msg"="A server's entry."`):
+				entries.Add(1)
+			}
+		}, funcr.Options{})
+	})
+	v.waitReady(t)
+
+	if l, e := lists.Load(), entries.Load(); l != 1 || e != 0 {
+		t.Errorf("%d lines for the list, %d for entries of it", l, e)
+	}
+
+	f.register("records", "i-new", "127.0.0.1:9", "ready")
+	cwtest.Wait(t, "the new server's line", func() bool { return entries.Load() == 1 })
+}
+
 // TestFewCalls wants most entry VMs to leave the store alone.
 func TestFewCalls(t *testing.T) {
 	const (
--- a/internal/cwgateway/state.go
+++ b/internal/cwgateway/state.go
@@ -13,6 +13,7 @@
 	defer g.mutex.Unlock()
 
 	now := g.Clock.Now()
+	first := g.servers.Count() == 0
 
 	var (
 		list []carobward.Backend
@@ -33,19 +34,16 @@
 			gone = append(gone, instance)
 			g.log.Info("A server is gone.", "server", instance, "index", it.Index)
 		default:
-			b, err := g.Adapter.Backend(it.Key, it.Value)
-			if err != nil {
-				g.log.Error(err, "An entry of a server can't be read, its last one stands.", "index", it.Index)
-
-				continue
+			if b, ok := g.entry(it, first); ok {
+				list = append(list, b)
 			}
-
-			list = append(list, b)
-			g.log.Info("A server's entry.", "server", b.Instance, "address", b.Address, "service", b.Service,
-				"leaving", b.Leaving, "warmup", b.Warmup.String(), "index", it.Index)
 		}
 	}
 
+	if first && len(list) > 0 {
+		g.log.Info("The first list of servers.", "servers", len(list))
+	}
+
 	if len(list)+len(gone) > 0 {
 		g.servers.Put(list, gone, now)
 		g.link.Retain(g.servers.VMs())
@@ -54,6 +52,25 @@
 	g.ready()
 }
 
+// entry reads a server's entry and tells whether it can be used. Of the first list
+// only servers that leave are logged: a line for each would be a thousand at the
+// start of each of hundreds of small entry VMs.
+func (g *Gateway) entry(it *carobward.Item, first bool) (carobward.Backend, bool) {
+	b, err := g.Adapter.Backend(it.Key, it.Value)
+	if err != nil {
+		g.log.Error(err, "An entry of a server can't be read, its last one stands.", "index", it.Index)
+
+		return b, false
+	}
+
+	if !first || b.Leaving {
+		g.log.Info("A server's entry.", "server", b.Instance, "address", b.Address, "service", b.Service,
+			"leaving", b.Leaving, "warmup", b.Warmup.String(), "index", it.Index)
+	}
+
+	return b, true
+}
+
 // told takes the list of entry VMs that the store has.
 func (g *Gateway) told(it *carobward.Item) {
 	list, err := cwmesh.DecodeFleet(it.Value)
