--- a/internal/lab/cwbench/run_test.go
+++ b/internal/lab/cwbench/run_test.go
@@ -133,7 +133,7 @@
 func TestArrivalsAreOpenLoop(t *testing.T) {
 	s := quiet(4, 4, 0.3)
 	s.Length = 5 * time.Second
-	s = s.fault(Fault{Kind: FaultStall, Servers: 4, From: 3 * time.Second, To: 4 * time.Second, Factor: math.Inf(1)})
+	s = s.fault(Fault{Kind: FaultStall, Servers: 4, Stretch: Stretch{From: 3 * time.Second, To: 4 * time.Second}, Factor: math.Inf(1)})
 	r := results(t, s, Baselines()[3:], 1)[0]
 
 	slow := 0
@@ -199,18 +199,22 @@
 		ok     func(r *Result) bool
 	}{
 		"draining servers shed": {
-			func(s Scenario) Scenario { return s.fault(Fault{Kind: FaultDrain, Servers: 1, To: s.end()}) },
+			func(s Scenario) Scenario {
+				return s.fault(Fault{Kind: FaultDrain, Servers: 1, Stretch: Stretch{To: s.end()}})
+			},
 			func(r *Result) bool { return r.Servers.Shed > 0 && r.Answered == r.Calls },
 		},
 		"failing servers fail": {
-			func(s Scenario) Scenario { return s.fault(Fault{Kind: FaultFail, Servers: 9, To: cwstand.Forever}) },
+			func(s Scenario) Scenario {
+				return s.fault(Fault{Kind: FaultFail, Servers: 9, Stretch: Stretch{To: cwstand.Forever}})
+			},
 			func(r *Result) bool { return r.Servers.Began == 0 && r.Failed == r.Calls && r.Attempts == 3*r.Total },
 		},
 		"run-once work is not repeated": {
 			func(s Scenario) Scenario {
 				s.Once = 1
 
-				return s.fault(Fault{Kind: FaultFail, Servers: 9, To: cwstand.Forever})
+				return s.fault(Fault{Kind: FaultFail, Servers: 9, Stretch: Stretch{To: cwstand.Forever}})
 			},
 			func(r *Result) bool { return r.Attempts == r.Total && r.Failed == r.Calls },
 		},
--- a/internal/lab/cwbench/scenario.go
+++ b/internal/lab/cwbench/scenario.go
@@ -61,10 +61,24 @@
 // Stretch is a stretch of time.
 type Stretch struct{ From, To time.Duration }
 
+// holds tells whether a time is in the stretch.
+func (s Stretch) holds(at time.Duration) bool { return s.From <= at && at < s.To }
+
 // Surge sets another load for a while.
 type Surge struct {
-	From, To time.Duration
-	Load     float64
+	Stretch
+	Load float64
+}
+
+// loadOf returns the load of the first surge that holds at a time, or the usual one.
+func loadOf(surges []Surge, at time.Duration, usual float64) float64 {
+	for _, s := range surges {
+		if s.holds(at) {
+			return s.Load
+		}
+	}
+
+	return usual
 }
 
 // FaultKind is what goes wrong.
@@ -85,10 +99,11 @@
 // Fault happens to some servers: in an order that the seed draws, as many as
 // Servers says from First on.
 type Fault struct {
-	Kind     FaultKind
-	First    int
-	Servers  int
-	From, To time.Duration
+	Stretch
+
+	Kind    FaultKind
+	First   int
+	Servers int
 	// Factor is how many times slower a slow server is.
 	Factor float64
 }
@@ -96,8 +111,6 @@
 // hits tells whether the fault happens to the server at a place in the order.
 func (f *Fault) hits(place int) bool { return f.First <= place && place < f.First+f.Servers }
 
-func (f *Fault) holds(at time.Duration) bool { return f.From <= at && at < f.To }
-
 // The sizes that both deployments share.
 const (
 	defaultConns   = 250
@@ -197,12 +210,4 @@
 func (s *Scenario) end() time.Duration { return s.Warm + s.Length }
 
 // loadAt is the load at a time.
-func (s *Scenario) loadAt(at time.Duration) float64 {
-	for _, g := range s.Surges {
-		if g.From <= at && at < g.To {
-			return g.Load
-		}
-	}
-
-	return s.Load
-}
+func (s *Scenario) loadAt(at time.Duration) float64 { return loadOf(s.Surges, at, s.Load) }
--- a/internal/lab/cwbench/suite.go
+++ b/internal/lab/cwbench/suite.go
@@ -127,7 +127,7 @@
 
 	for from := time.Duration(0); from < s.end(); from += stragglerTime {
 		first := turn * fewServers % s.Servers
-		s = s.fault(Fault{Kind: FaultSlow, First: first, Servers: fewServers, From: from, To: from + stragglerTime, Factor: stragglerSlow})
+		s = s.fault(Fault{Kind: FaultSlow, First: first, Servers: fewServers, Stretch: Stretch{From: from, To: from + stragglerTime}, Factor: stragglerSlow})
 		turn++
 	}
 
@@ -153,7 +153,7 @@
 	base := Atlas().at(lowLoad)
 	from, to := base.Warm+base.Length/4, base.Warm+base.Length/2
 	fault := func(k FaultKind, factor float64) Scenario {
-		return base.fault(Fault{Kind: k, Servers: fewServers, From: from, To: to, Factor: factor}).named(string(k))
+		return base.fault(Fault{Kind: k, Servers: fewServers, Stretch: Stretch{From: from, To: to}, Factor: factor}).named(string(k))
 	}
 
 	cold := fault(FaultSlow, coldSlow)
@@ -176,7 +176,7 @@
 // overload is 120 % of all slots for five seconds, a tenth of it run-once.
 func overload() Scenario {
 	s := troubled("overload", 5*time.Second)
-	s.Surges = []Surge{{From: s.Trouble.From, To: s.Trouble.To, Load: overLoad}}
+	s.Surges = []Surge{{Stretch: s.Trouble, Load: overLoad}}
 
 	return s
 }
@@ -185,7 +185,7 @@
 func stall() Scenario {
 	s := troubled("stall", time.Second)
 
-	return s.fault(Fault{Kind: FaultStall, Servers: s.Servers, From: s.Trouble.From, To: s.Trouble.To, Factor: math.Inf(1)})
+	return s.fault(Fault{Kind: FaultStall, Servers: s.Servers, Stretch: s.Trouble, Factor: math.Inf(1)})
 }
 
 // troubled has run-once work and servers that let calls wait on all of their
--- a/internal/lab/cwbench/worst.go
+++ b/internal/lab/cwbench/worst.go
@@ -86,7 +86,7 @@
 
 	trouble := Stretch{From: from, To: to}
 	burst := func(p Pattern, factor float64) Pattern {
-		p.Surges = []Surge{{From: from, To: to, Load: factor}}
+		p.Surges = []Surge{{Stretch: trouble, Load: factor}}
 
 		return p
 	}
@@ -94,7 +94,7 @@
 	calm := pattern("calm", "Half of what the servers carry.")
 	one := burst(pattern("burst", "More than the servers carry, for three seconds."), 2.1)
 	two := burst(pattern("bursts", "The same, with a second burst on top of the first."), 2.1)
-	two.Surges = append([]Surge{{From: from + time.Second, To: from + 2*time.Second, Load: 3}}, two.Surges...)
+	two.Surges = append([]Surge{{Stretch: Stretch{From: from + time.Second, To: from + 2*time.Second}, Load: 3}}, two.Surges...)
 
 	slow := burst(pattern("slow", "A third of the servers five times slower, at a higher load."), 1.5)
 	slow.Slow = Spell{Stretch: trouble, Share: 1.0 / 3, Factor: 5}
@@ -146,15 +146,7 @@
 }
 
 // factor is the load at a time as a factor of the rate.
-func (p *Pattern) factor(at time.Duration) float64 {
-	for _, s := range p.Surges {
-		if s.From <= at && at < s.To {
-			return s.Load
-		}
-	}
-
-	return 1
-}
+func (p *Pattern) factor(at time.Duration) float64 { return loadOf(p.Surges, at, 1) }
 
 // Validate names what is wrong.
 func (p *Pattern) Validate() error {
--- a/internal/lab/cwbench/worst_run.go
+++ b/internal/lab/cwbench/worst_run.go
@@ -167,8 +167,6 @@
 	return v
 }
 
-func (s Stretch) holds(at time.Duration) bool { return s.From <= at && at < s.To }
-
 // darken loses all that entry VMs know and carry.
 func (w *worst) darken() {
 	for i, old := range w.vms {
