The next in the order ask a silent store one after the other

Cause: an entry VM without the store's word asks by itself after 0.95 s and 0.08 s for each that comes before it, but for eight places at most: all further ones asked at the same moment, 1.59 s after the last word.

Ruled out: entry VMs that start (20 listings, as intended); gaps of copies (no fetch was refused for one).

Change: those after the eighth place ask 5 ms apart, up to 0.6 s: the first answer reaches all in some 100 ms. The row of TestMustAsk by which place 500 has to ask after 1.7 s wanted just this herd; in its place the 18th of a small fleet asks by then, the 100th of a large one does not, and the last one does after 2.2 s (a change has to be in force within three there). TestStaleHerd, seen failing: 471 of 472 ask.

--- a/internal/cwfollow/duty.go
+++ b/internal/cwfollow/duty.go
@@ -23,6 +23,12 @@
 	// the others hear of it.
 	turnTime  = 80 * time.Millisecond
 	turnsMost = 8
+	// nextTime is the same for those that come after these, up to nextMost in all.
+	// The store's first answer reaches all within some 100 ms, so that some twenty
+	// ask, where all of a large fleet did at once. With nextMost the last one asks
+	// after 2.2 s, and a change has to be in force there within three.
+	nextTime = 5 * time.Millisecond
+	nextMost = 600 * time.Millisecond
 	// triedMost is how many that the store does not serve make it likely that it
 	// serves nobody. The rest of a large fleet would not be answered either; they
 	// wait until the word is old and ask restTime apart then, in place of 472 at
@@ -147,5 +153,8 @@
 		place = turnsMost
 	}
 
-	return age > staleTime+time.Duration(min(place, turnsMost))*turnTime
+	turns := time.Duration(min(place, turnsMost)) * turnTime
+	next := min(nextMost, time.Duration(max(0, place-turnsMost))*nextTime)
+
+	return age > staleTime+turns+next
 }
