--- a/internal/cwmember/member.go
+++ b/internal/cwmember/member.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwrank"
 	"carobward.example/carobward/internal/cwwire"
 )
 
@@ -41,21 +42,10 @@
 		cmp.Compare(v.incarnation, w.incarnation),
 		cmp.Compare(v.rank, w.rank),
 		cmp.Compare(v.sequence, w.sequence),
-		compareBool(v.suspect, w.suspect),
+		cwrank.CompareBool(v.suspect, w.suspect),
 	)
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // member is what is known of one VM.
 type member struct {
 	version
--- a/internal/cwmesh/domain.go
+++ b/internal/cwmesh/domain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwrank"
 )
 
 // The figures of knowing other failure domains. An entry VM knows each one of its
@@ -147,7 +148,9 @@
 // named returns the entry VMs of a summary: the first by rank that the store
 // serves, and some others.
 func named(ready []Peer) []Node {
-	slices.SortFunc(ready, func(a, b Peer) int { return cmp.Or(boolCompare(a.Away, b.Away), cmp.Compare(a.Rank(), b.Rank())) })
+	slices.SortFunc(ready, func(a, b Peer) int {
+		return cmp.Or(cwrank.CompareBool(a.Away, b.Away), cmp.Compare(a.Rank(), b.Rank()))
+	})
 
 	first := min(firstNodes, len(ready))
 
@@ -159,17 +162,6 @@
 	return list
 }
 
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // Domains returns the summaries of the other failure domains that are alive, in
 // the order of their names.
 func (t *Table) Domains(now time.Time) []Summary {
--- /dev/null
+++ b/internal/cwrank/compare.go
@@ -0,0 +1,13 @@
+package cwrank
+
+// CompareBool orders false before true, as cmp.Compare does numbers.
+func CompareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/internal/cwrank/compare_test.go
@@ -0,0 +1,20 @@
+package cwrank_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobward.example/carobward/internal/cwrank"
+)
+
+// TestCompareBool sorts by it.
+func TestCompareBool(t *testing.T) {
+	got := []bool{true, false, true, false}
+	slices.SortFunc(got, cwrank.CompareBool)
+
+	if diff := cmp.Diff([]bool{false, false, true, true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
