--- a/internal/cwfront/wait.go
+++ b/internal/cwfront/wait.go
@@ -190,7 +190,7 @@
 // handOver gives the slot of a send that was answered to a waiter, with the
 // connection, and tells whether one took it. Its server said with the answer how it
 // is, so that no look is needed: under overload looks are few, and a slot would be
-// idle until one finds it. With few entry VMs 0.75 are in time in bursts, 0.71
+// idle until one finds it. With few entry VMs 0.81 are in time in bursts, 0.77
 // without this (carobward bench worst, pattern bursts, 4 VMs, twelve seeds).
 func (r *request) handOver(s *sent) bool {
 	f := r.front
--- a/internal/cwpick/times.go
+++ b/internal/cwpick/times.go
@@ -11,7 +11,7 @@
 	usualShare = 0.05
 	// crowdShare is the least weight of one answer of a crowded server. They are
 	// few, and a burst is over in seconds, so that the first ones weigh more: with 60
-	// entry VMs 0.74 of the requests are in time in bursts, 0.68 with 0.1 for each
+	// entry VMs 0.73 of the requests are in time in bursts, 0.68 with 0.1 for each
 	// (carobward bench worst --pattern bursts --vms 60 --seeds 12).
 	crowdShare = 0.1
 	// crowdFirst is how many times longer answers take at crowded servers
--- a/internal/cwturn/line.go
+++ b/internal/cwturn/line.go
@@ -49,7 +49,7 @@
 // While there is none, the others wait for what the first one finds and for slots that
 // are freed. Each
 // looking for itself, waiting requests use up the looks of all, and several take the
-// same slot: 0.75 in time in bursts, 0.78 with this (carobward bench worst, pattern
+// same slot: 0.76 in time in bursts, 0.78 with this (carobward bench worst, pattern
 // bursts, twelve seeds).
 func (l *Line[W]) Looks(w W, now time.Time) bool {
 	for _, o := range l.list {
--- a/internal/cwturn/turn.go
+++ b/internal/cwturn/turn.go
@@ -82,7 +82,7 @@
 // Spares returns how many slots of a server a request leaves to others. Under
 // overload slots held for late answers are what the timely ones lack: of those that
 // come while all others are back from a loss of power 0.81 are in time without
-// this, 0.87 with it (carobward bench worst, pattern dark, twelve seeds).
+// this, 0.88 with it (carobward bench worst, pattern dark, twelve seeds).
 func (t *Turn) Spares(now time.Time) int {
 	if t.Timely(now) {
 		return 0
