--- a/internal/cwpick/pick.go
+++ b/internal/cwpick/pick.go
@@ -165,12 +165,12 @@
 	shuffle(random, near)
 	shuffle(random, far)
 
-	abroad := 0
+	farFirst := 0
 	if round > 0 {
-		abroad = min(len(far), n/2)
+		farFirst = min(len(far), n/2)
 	}
 
-	good := slices.Concat(far[:abroad], idle, near, far[abroad:])
+	good := slices.Concat(far[:farFirst], idle, near, far[farFirst:])
 	if len(good) > 0 {
 		return good[:min(n, len(good))]
 	}
--- a/internal/cwretry/window.go
+++ b/internal/cwretry/window.go
@@ -24,8 +24,8 @@
 	earned float64
 }
 
-// earnedMost is how many extra calls paced claims may save up: one in use, and one
-// for two requests that are refused at the same moment.
+// earnedMost is how many extra calls paced claims may save up, for two requests that
+// are refused at the same moment.
 const earnedMost = 2
 
 // NewWindow returns a window: in each span extra calls may be up to share of
--- a/internal/cwturn/line.go
+++ b/internal/cwturn/line.go
@@ -47,10 +47,9 @@
 // Looks tells whether a request looks at servers itself: there is none before it for
 // which that was in vain. While there is room each looks at once, however many come.
 // While there is none, the others wait for what the first one finds and for slots that
-// are freed. Each
-// looking for itself, waiting requests use up the looks of all, and several take the
-// same slot: 0.76 in time in bursts, 0.78 with this (carobward bench worst, pattern
-// bursts, twelve seeds).
+// are freed. Each looking for itself, waiting requests use up the looks of all, and
+// several take the same slot: 0.76 in time in bursts, 0.78 with this (carobward bench
+// worst, pattern bursts, twelve seeds).
 func (l *Line[W]) Looks(w W, now time.Time) bool {
 	for _, o := range l.list {
 		if o != w && o.Turn().Vain && o.Turn().Before(w.Turn(), now) {
