While removals are held back the store is asked with a wait

Cause: after an outage an entry VM holds removals back for 2.2 s and asks the store again after each answer. One that does not watch asks without a wait, which was brought in so that who takes over has an answer at once: it called as fast as the store answered.

Change: a watch waits 0.6 s or for what is left of the hold. TestHoldCalls, seen failing: 58,713 calls; it allows 16.

--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -184,12 +184,22 @@
 	f.took(ctx, c)
 }
 
+// wait returns how long a watch waits for changes. While removals are held back one
+// call follows the other: without a wait they would be as many as the store answers.
+func (f *Follower) wait(now time.Time) time.Duration {
+	switch {
+	case !f.hold.IsZero():
+		return min(watchTime, max(0, f.hold.Sub(now)))
+	case f.watches:
+		return watchTime
+	default:
+		return 0
+	}
+}
+
 // ask lists all keys, or watches for changes.
 func (f *Follower) ask(ctx context.Context) (carobward.Changes, error) {
-	wait := time.Duration(0)
-	if f.watches {
-		wait = watchTime
-	}
+	wait := f.wait(f.Clock.Now())
 
 	late := time.AfterFunc(wait+lateTime, func() { f.setAway(true) })
 	defer late.Stop()
--- a/internal/cwgateway/know_test.go
+++ b/internal/cwgateway/know_test.go
@@ -148,6 +148,47 @@
 	}
 }
 
+// TestHoldCalls wants few calls while removals are held back after an outage: each
+// one waits for changes. Without that an entry VM calls as fast as the store answers,
+// hundreds of times in two seconds.
+func TestHoldCalls(t *testing.T) {
+	// enough is the number of calls in the time of holding back, with those of a
+	// listing at its end.
+	const enough = 16
+
+	f := newFleet(t)
+	f.upstream(t, "records", "i-1")
+	f.configure(safe("records"))
+
+	var held, listed atomic.Bool
+
+	v := f.start(t, "vm-1", func(o *cwgateway.Options) {
+		o.Log = funcr.New(func(_, line string) {
+			switch {
+			case strings.Contains(line, `"msg"="The store is back."`) && strings.Contains(line, `"hold"=true`):
+				held.Store(true)
+			case strings.Contains(line, `"msg"="Took changes from the store."`) && strings.Contains(line, `"whole"=true`):
+				listed.Store(held.Load())
+			}
+		}, funcr.Options{})
+	})
+	v.waitReady(t)
+
+	f.store.SetFaults(cwstand.MetadataFaults{Status: http.StatusServiceUnavailable})
+
+	before := f.store.Calls()
+	cwtest.Wait(t, "calls that fail for longer than an outage", func() bool { return f.store.Calls() >= before+8 })
+	f.store.SetFaults(cwstand.MetadataFaults{})
+	cwtest.Wait(t, "the store is back", held.Load)
+
+	before = f.store.Calls()
+	cwtest.Wait(t, "a listing", listed.Load)
+
+	if n := f.store.Calls() - before; n > enough {
+		t.Errorf("%d calls while removals are held back", n)
+	}
+}
+
 // TestStoreAway wants entry VMs to go on without the store, to take part of
 // one that the store does not serve, and a newcomer to start from its peers.
 func TestStoreAway(t *testing.T) {
