--- a/internal/lab/cwbench/worst_result.go
+++ b/internal/lab/cwbench/worst_result.go
@@ -33,7 +33,7 @@
 	all := []Stretch{p.Slow.Stretch, p.Gone.Stretch, p.Shed.Stretch, p.Dark, p.Lean.Stretch}
 
 	for _, s := range p.Surges {
-		all = append(all, Stretch{From: s.From, To: s.To})
+		all = append(all, s.Stretch)
 	}
 
 	troubled := false
