Sight: what became of a server under which a request broke off, and which request it was

Cause: the logs can't tell which sends carry the same request, since each attempt has an id of its own, nor an end of a process from a connection that was reset.

Change: after a send without a whole answer the server's address is asked once more, and one line has its state and the request's print: digests of method, host, path and query, of the body, and of the caller. Nothing is decided by it.

--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -37,6 +37,8 @@
 	front   *Front
 	id      carobward.RequestID
 	arrived time.Time
+	// ip is the caller's IP number.
+	ip string
 	// deadline is when the final answer is due.
 	deadline time.Time
 	// left is how long the caller said that it still waits, or zero.
@@ -83,7 +85,7 @@
 func (f *Front) request(ctx *fasthttp.RequestCtx, now time.Time) *request {
 	h := &ctx.Request.Header
 	field := func(name string) string { return string(h.Peek(name)) }
-	r := &request{front: f, arrived: now, id: f.Dialect.ID(field), routes: f.routes.Load()}
+	r := &request{front: f, arrived: now, ip: ctx.RemoteIP().String(), id: f.Dialect.ID(field), routes: f.routes.Load()}
 
 	if r.routes == nil {
 		r.err = carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, startAfter, ErrStarting)
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -218,6 +218,10 @@
 		s.looked.release()
 	}
 
+	if s.crashed(ctx) {
+		f.work.Go(func() { r.examine(s) })
+	}
+
 	f.logSend(r.id, s, outcome, end)
 }
 
--- /dev/null
+++ b/internal/cwquarantine/print_test.go
@@ -0,0 +1,72 @@
+package cwquarantine_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwquarantine"
+)
+
+// TestPrint has two requests against whether they are the same one.
+func TestPrint(t *testing.T) {
+	call := func(change func(c *carobward.Call)) *carobward.Call {
+		c := &carobward.Call{
+			ID: "one", Method: "POST", Host: "club.example", URI: "/fees/17?x=1", Body: []byte("launch"),
+			Header: carobward.Header{{Name: "Cookie", Value: "a"}, {Name: "Date", Value: "today"}},
+		}
+		change(c)
+
+		return c
+	}
+	first := cwquarantine.PrintOf(call(func(*carobward.Call) {}), "10.0.0.1")
+
+	for name, c := range map[string]struct {
+		call *carobward.Call
+		ip   string
+		same bool
+	}{
+		"another attempt":      {call(func(c *carobward.Call) { c.ID = "two" }), "10.0.0.1", true},
+		"another header field": {call(func(c *carobward.Call) { c.Header[1].Value = "tomorrow" }), "10.0.0.1", true},
+		"another method":       {call(func(c *carobward.Call) { c.Method = "PUT" }), "10.0.0.1", false},
+		"another host":         {call(func(c *carobward.Call) { c.Host = "other.example" }), "10.0.0.1", false},
+		"another query":        {call(func(c *carobward.Call) { c.URI = "/fees/17?x=2" }), "10.0.0.1", false},
+		"another body":         {call(func(c *carobward.Call) { c.Body = []byte("landing") }), "10.0.0.1", false},
+		"a body that moved":    {call(func(c *carobward.Call) { c.URI, c.Body = "/fees/17?x=1launch", nil }), "10.0.0.1", false},
+		"another IP number":    {call(func(*carobward.Call) {}), "10.0.0.2", false},
+		"another cookie":       {call(func(c *carobward.Call) { c.Header[0].Value = "b" }), "10.0.0.1", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := cwquarantine.PrintOf(c.call, c.ip)
+			if same := got == first; same != c.same {
+				t.Errorf("%s and %s", got, first)
+			}
+
+			back, err := cwquarantine.ParsePrint(got.String())
+			if diff := cmp.Diff(got, back); diff != "" || err != nil {
+				t.Error(diff, err)
+			}
+		})
+	}
+}
+
+// TestParsePrint wants what is no print to be refused.
+func TestParsePrint(t *testing.T) {
+	part := strings.Repeat("0", 16)
+
+	for name, text := range map[string]string{
+		"empty":       "",
+		"two parts":   part + "-" + part,
+		"four parts":  part + "-" + part + "-" + part + "-" + part,
+		"too long":    part + "-" + part + "-" + part + "00",
+		"other signs": part + "-" + part + "-" + strings.Repeat("x", 16),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if p, err := cwquarantine.ParsePrint(text); err == nil {
+				t.Errorf("%q is %s", text, p)
+			}
+		})
+	}
+}
