--- a/internal/cwstand/acceptor.go
+++ b/internal/cwstand/acceptor.go
@@ -75,6 +75,31 @@
 // Address is where connections are taken.
 func (a *acceptor) Address() carobward.Address { return carobward.Address(a.ln.Addr().String()) }
 
+// reset closes the listener and resets all connections. It tells whether that is
+// news.
+func (a *acceptor) reset() bool {
+	_ = a.ln.Close()
+
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+
+	if a.closed {
+		return false
+	}
+
+	a.closed = true
+
+	for c := range a.open {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+
+		_ = c.Close()
+	}
+
+	return true
+}
+
 // Close closes the listener and all connections and waits for their ends. It
 // may be called again.
 func (a *acceptor) Close() {
--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -74,7 +74,10 @@
 	looks int
 	// broken counts the requests whose caller left before the answer.
 	broken int
-	stop   chan struct{}
+	// kills tells whether a request ends the server, ended is called then.
+	kills func(Run) bool
+	ended func()
+	stop  chan struct{}
 }
 
 // NewUpstream returns a server that serves on the listener until Close.
@@ -117,6 +120,15 @@
 	u.ill = ill
 }
 
+// SetKills sets which requests end the server: once one of them has been worked on,
+// all connections are reset, nothing listens any more, and ended is called.
+func (u *Upstream) SetKills(kills func(Run) bool, ended func()) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	u.kills, u.ended = kills, ended
+}
+
 // SetClosing sets whether it ends the connection of each health check.
 func (u *Upstream) SetClosing(closing bool) {
 	u.mutex.Lock()
@@ -190,20 +202,41 @@
 		return say(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	}
 
-	u.mutex.Lock()
-	u.runs = append(u.runs, Run{
+	run := Run{
 		ID: head("Request-Id"), Method: string(req.Header.Method()), URI: string(req.Header.RequestURI()),
 		Body: string(req.Body()), Left: head("Deadline-Ms"),
-	})
+	}
+
+	u.mutex.Lock()
+	u.runs = append(u.runs, run)
+	kills := u.kills
 	u.mutex.Unlock()
 
 	if !u.wait(c, r, work) {
 		return false
 	}
 
+	if kills != nil && kills(run) {
+		u.crash()
+
+		return false
+	}
+
 	return u.end(c, way, head("Request-Id"), load)
 }
 
+// crash ends the server as the end of its process does.
+func (u *Upstream) crash() {
+	u.mutex.Lock()
+	ended := u.ended
+	u.mutex.Unlock()
+
+	// Whoever waits for the end of all connections can't be one of them.
+	if u.reset() {
+		go ended()
+	}
+}
+
 // look answers a health check.
 func (u *Upstream) look(c net.Conn) bool {
 	u.mutex.Lock()
