--- a/feed.go
+++ b/feed.go
@@ -69,9 +69,19 @@
 	// none after the wait. It returns ErrHistory, ErrStoreRefused or
 	// ErrStoreDown.
 	Watch(ctx context.Context, after StoreIndex, wait time.Duration) (Changes, error)
-	// Write writes a key of ours. It returns ErrStoreRefused if nothing was
-	// written, and ErrStoreUnknown where that is not known.
-	Write(ctx context.Context, key Key, value []byte) error
+	// Write changes keys of ours. It returns ErrConflict or ErrStoreRefused if
+	// nothing was written, and ErrStoreUnknown where that is not known.
+	Write(ctx context.Context, b Batch) error
+}
+
+// Batch is a change of several keys that takes effect as a whole, or not at all.
+type Batch struct {
+	// Absent are keys that must not exist, or else it is an ErrConflict.
+	Absent []Key
+	// Writes are keys with their new values.
+	Writes []Item
+	// Deletes are keys that are removed. They need not exist.
+	Deletes []Key
 }
 
 // KeyFleet has the list of entry VMs. Its value is ours.
--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -71,6 +72,8 @@
 	// asks since it has heard no word for too long wants an answer at once: while
 	// it waits the next ones would ask, too.
 	watches bool
+	// leads tells that it comes first in the order.
+	leads atomic.Bool
 	// back is the present pause after a failure, 0 while the store answers.
 	back time.Duration
 	// failing is when the calls began to fail, tried when the last one failed.
@@ -100,6 +103,9 @@
 	return &Follower{Options: o, began: o.Clock.Now()}
 }
 
+// Leads tells whether this entry VM comes first in the order of who asks the store.
+func (f *Follower) Leads() bool { return f.leads.Load() }
+
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.begin(ctx)
@@ -150,6 +156,7 @@
 
 	place, age := known.place(), now.Sub(f.Mesh.Fresh())
 	f.watches = place != outside && place < watchers
+	f.leads.Store(place == 0)
 
 	return mustAsk(place, age) && !f.rests(known, now, age)
 }
@@ -261,7 +268,7 @@
 	raw, err := cwmesh.EncodeFleet(list)
 
 	if err == nil {
-		err = f.Feed.Write(ctx, carobward.KeyFleet, raw)
+		err = f.Feed.Write(ctx, carobward.Batch{Writes: []carobward.Item{{Key: carobward.KeyFleet, Value: raw}}})
 	}
 
 	if err != nil {
--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -43,6 +43,15 @@
 // carry sends the request until it has an answer or its final failure. Ctx
 // ends when the caller has gone.
 func (r *request) carry(ctx context.Context) {
+	defer r.end()
+
+	// What is known to be refused need not wait for a server.
+	if err := r.quarantined(false); err != nil {
+		r.giveUp(err)
+
+		return
+	}
+
 	tried := map[*cwbackend.Server]bool{}
 
 	for {
@@ -62,6 +71,13 @@
 			continue
 		}
 
+		if err := r.quarantined(true); err != nil {
+			l.release()
+			r.giveUp(err)
+
+			return
+		}
+
 		r.finish(r.await(ctx, l, b, tried))
 
 		if !r.again(ctx) {
@@ -135,7 +151,7 @@
 	failed := r.err != nil || r.reply.Status >= fasthttp.StatusInternalServerError
 	repeatable := r.route.Idempotent || r.err != nil && carobward.VerdictOf(r.err) == carobward.NotRun
 
-	if !failed || !repeatable || r.sends >= r.route.Attempts || ctx.Err() != nil {
+	if !failed || !repeatable || r.sends >= r.route.Attempts || ctx.Err() != nil || !r.mayResend() {
 		return false
 	}
 
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -22,6 +22,7 @@
 	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwmetric"
 	"carobward.example/carobward/internal/cwpick"
+	"carobward.example/carobward/internal/cwquarantine"
 	"carobward.example/carobward/internal/cwroutes"
 )
 
@@ -31,9 +32,11 @@
 	Domain  carobward.Domain
 	Servers *cwbackend.Table
 	Link    *cwlink.Link
-	Clock   carobward.Clock
-	Metrics *cwmetric.Set
-	Log     logr.Logger
+	// Quarantine has the requests that are not sent since servers ended under them.
+	Quarantine *cwquarantine.Keeper
+	Clock      carobward.Clock
+	Metrics    *cwmetric.Set
+	Log        logr.Logger
 	// Limits are the limits at the start, see SetLimits.
 	Limits Limits
 	// Fleet returns the number of entry VMs that share those bounds.
@@ -122,15 +125,16 @@
 
 // The names of this part's metrics.
 const (
-	part        = "front"
-	countLooks  = "looks"
-	countSends  = "sends"
-	countAgain  = "again"
-	countDenied = "denied"
-	countHedges = "hedges"
-	countHanded = "handed"
-	countPassed = "passed"
-	countBroken = "broken"
+	part             = "front"
+	countLooks       = "looks"
+	countSends       = "sends"
+	countAgain       = "again"
+	countDenied      = "denied"
+	countHedges      = "hedges"
+	countHanded      = "handed"
+	countPassed      = "passed"
+	countBroken      = "broken"
+	countQuarantined = "quarantined"
 )
 
 // Server returns the HTTP server of the callers' listener.
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -15,18 +15,19 @@
 
 // The causes of a request's failure here.
 const (
-	ErrStarting = errors.ConstError("this entry VM has no configuration yet")
-	ErrNoRoute  = errors.ConstError("no route has this host and path")
-	ErrFrame    = errors.ConstError("the request's header could be understood in two ways")
-	ErrBody     = errors.ConstError("the request's body is larger than the operator allows")
-	ErrID       = errors.ConstError("the request has no id")
-	ErrFull     = errors.ConstError("no server has room now")
-	ErrShed     = errors.ConstError("the server refused it, and no further send is allowed")
-	ErrNone     = errors.ConstError("no server of the service is known")
-	ErrGone     = errors.ConstError("the caller has gone")
-	ErrLate     = errors.ConstError("the time was over")
-	ErrBegun    = errors.ConstError("a server refused it, but an earlier send may have run")
-	ErrDoubt    = errors.ConstError("the server refused in a way that does not say whether the request ran")
+	ErrStarting    = errors.ConstError("this entry VM has no configuration yet")
+	ErrNoRoute     = errors.ConstError("no route has this host and path")
+	ErrFrame       = errors.ConstError("the request's header could be understood in two ways")
+	ErrBody        = errors.ConstError("the request's body is larger than the operator allows")
+	ErrID          = errors.ConstError("the request has no id")
+	ErrFull        = errors.ConstError("no server has room now")
+	ErrShed        = errors.ConstError("the server refused it, and no further send is allowed")
+	ErrNone        = errors.ConstError("no server of the service is known")
+	ErrGone        = errors.ConstError("the caller has gone")
+	ErrLate        = errors.ConstError("the time was over")
+	ErrBegun       = errors.ConstError("a server refused it, but an earlier send may have run")
+	ErrQuarantined = errors.ConstError("servers ended under this request, it is not sent again for now")
+	ErrDoubt       = errors.ConstError("the server refused in a way that does not say whether the request ran")
 )
 
 // startAfter is when a newcomer probably has its configuration.
@@ -55,6 +56,10 @@
 
 	// begun tells that the request may have run at a server.
 	begun bool
+	// over is closed once the request has ended, trial tells that it is the one send
+	// of a quarantined request.
+	over  chan struct{}
+	trial bool
 	// sends counts the servers that the request was handed to, looks the
 	// health checks made for it.
 	sends int
@@ -123,6 +128,7 @@
 
 	r.kept.window.Request(now)
 	r.call = r.newCall(ctx)
+	r.over = make(chan struct{})
 
 	return r
 }
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -24,6 +24,7 @@
 	"carobward.example/carobward/internal/cwmetric"
 	"carobward.example/carobward/internal/cwmirror"
 	"carobward.example/carobward/internal/cwpeer"
+	"carobward.example/carobward/internal/cwquarantine"
 )
 
 // The figures of an entry VM.
@@ -113,6 +114,9 @@
 	front   *cwfront.Front
 	mesh    *cwmesh.Mesh
 	follow  *cwfollow.Follower
+	// suspects has the requests under which servers ended, keeper shares them.
+	suspects *cwquarantine.Table
+	keeper   *cwquarantine.Keeper
 
 	bounds atomic.Pointer[Bounds]
 
@@ -134,8 +138,15 @@
 		Conns: connsFirst, Keep: connIdle, KeepMost: connIdleMost, Dial: dialTime, Header: headerBytes, Dialect: o.Adapter.Servers,
 	}, o.Clock)
 
+	g.suspects = cwquarantine.NewTable()
+	g.keeper = cwquarantine.New(cwquarantine.Options{
+		VM: o.Self.ID, Table: g.suspects, Feed: o.Adapter.Feed, Clock: o.Clock, Log: o.Log,
+		Word:  func() time.Time { return g.mesh.Word() },
+		Leads: func() bool { return g.follow.Leads() },
+	})
+
 	g.front = cwfront.New(cwfront.Options{
-		Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Servers: g.servers, Link: g.link, Clock: o.Clock,
+		Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Servers: g.servers, Link: g.link, Quarantine: g.keeper, Clock: o.Clock,
 		Metrics: g.metrics, Log: o.Log, Limits: o.Limits,
 		Fleet: func() int { return g.table.Size(o.Clock.Now()) },
 		Part:  func() float64 { return g.part(o.Clock.Now()) },
@@ -178,6 +189,7 @@
 
 	group.Go(func() { g.mesh.Run(ctx) })
 	group.Go(func() { g.follow.Run(ctx) })
+	group.Go(func() { g.keeper.Run(ctx) })
 	group.Go(func() { g.tick(ctx) })
 	g.log.Info("Started.", "vm", g.Self.ID, "domain", g.Self.Domain, "callers", g.Self.Callers, "seeds", g.Seeds)
 
--- a/internal/cwgateway/listen.go
+++ b/internal/cwgateway/listen.go
@@ -36,7 +36,7 @@
 		{"ready", g.Ready, small(g.serveReady)},
 		{"lookup", g.Lookup, small(g.serveLookup)},
 		{"peers", g.Self.Peers, peers.Serve},
-		{partMetrics, g.Metrics, small(g.serveMetrics)},
+		{partMetrics, g.Metrics, small(g.serveOperators)},
 	}
 
 	all, err := g.open(parts)
@@ -150,8 +150,3 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
 }
-
-func (g *Gateway) serveMetrics(ctx *fasthttp.RequestCtx) {
-	ctx.SetContentType("application/json")
-	ctx.SetBodyString(g.metrics.String())
-}
--- /dev/null
+++ b/internal/cwgateway/operators.go
@@ -0,0 +1,118 @@
+package cwgateway
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwquarantine"
+)
+
+// pathQuarantine has the requests under which servers ended. DELETE of one of them by
+// its print ends its quarantine.
+const pathQuarantine = "/quarantine"
+
+// serveOperators answers the operators: the metrics, by any path but one.
+func (g *Gateway) serveOperators(ctx *fasthttp.RequestCtx) {
+	text, isPrint := strings.CutPrefix(string(ctx.Path()), pathQuarantine+"/")
+
+	switch {
+	case isPrint && ctx.IsDelete():
+		g.lift(ctx, text)
+	case string(ctx.Path()) == pathQuarantine && ctx.IsGet():
+		g.listQuarantine(ctx)
+	case isPrint, string(ctx.Path()) == pathQuarantine:
+		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
+	default:
+		ctx.SetContentType("application/json")
+		ctx.SetBodyString(g.metrics.String())
+	}
+}
+
+// suspect is one request under which servers ended, as operators see it.
+type suspect struct {
+	// Print names the request, and Request says what it is.
+	Print   string              `json:"print"`
+	Request string              `json:"request"`
+	Caller  string              `json:"caller"`
+	Route   carobward.RouteName `json:"route"`
+	Service carobward.Service   `json:"service"`
+	// Held tells that it is not sent, Wait for how long at least.
+	Held bool   `json:"held"`
+	Wait string `json:"wait,omitempty"`
+	// Trials is how often it was sent all the same to find out whether servers bear
+	// it now.
+	Trials int     `json:"trials"`
+	Ends   []ended `json:"ends"`
+}
+
+// ended is the end of one server under a request.
+type ended struct {
+	Server carobward.Instance `json:"server"`
+	At     time.Time          `json:"at"`
+	VM     carobward.VMID     `json:"vm"`
+}
+
+func (g *Gateway) listQuarantine(ctx *fasthttp.RequestCtx) {
+	list := []suspect{}
+
+	for _, e := range g.suspects.List(g.Clock.Now()) {
+		list = append(list, suspectOf(&e))
+	}
+
+	raw, err := json.Marshal(list)
+	if err != nil {
+		g.log.Error(err, "The quarantine could not be encoded.")
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+
+		return
+	}
+
+	ctx.SetContentType("application/json")
+	ctx.SetBody(raw)
+}
+
+func suspectOf(e *cwquarantine.Entry) suspect {
+	last := &e.Crashes[len(e.Crashes)-1]
+	s := suspect{
+		Print: e.Print.String(), Request: last.Request, Caller: last.Caller, Route: last.Route, Service: last.Service,
+		Held: e.Held, Trials: e.Trials,
+	}
+
+	if e.Held {
+		s.Wait = e.Wait.Round(time.Second).String()
+	}
+
+	for i := range e.Crashes {
+		c := &e.Crashes[i]
+		s.Ends = append(s.Ends, ended{c.Server, c.At, c.VM})
+	}
+
+	return s
+}
+
+// lift ends the quarantine of a request everywhere. It is answered once the store has
+// it.
+func (g *Gateway) lift(ctx *fasthttp.RequestCtx, text string) {
+	p, err := cwquarantine.ParsePrint(text)
+	if err == nil {
+		err = g.keeper.Lift(p)
+	} else {
+		ctx.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
+
+		return
+	}
+
+	switch {
+	case err == nil:
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+	case errors.Is(err, cwquarantine.ErrNoSuch):
+		ctx.Error(err.Error()+"\n", fasthttp.StatusNotFound)
+	default:
+		ctx.Error("it is lifted on this entry VM, the others are told once the store answers: "+err.Error()+"\n", fasthttp.StatusAccepted)
+	}
+}
--- a/internal/cwgateway/state.go
+++ b/internal/cwgateway/state.go
@@ -40,6 +40,8 @@
 		}
 	}
 
+	g.keeper.Took(items)
+
 	if first && len(list) > 0 {
 		g.log.Info("The first list of servers.", "servers", len(list))
 	}
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -86,6 +86,18 @@
 	g.metrics.Gauge("gateway", "fresh", func() int64 { return g.Clock.Now().Sub(g.mesh.Fresh()).Milliseconds() })
 	g.metrics.Gauge("gateway", "dropped", g.Dropped)
 	g.metrics.Gauge("gateway", "calls", g.Calls)
+	g.metrics.Gauge("quarantine", "held", func() int64 {
+		held, _ := g.suspects.Counts(g.Clock.Now())
+
+		return int64(held)
+	})
+	g.metrics.Gauge("quarantine", "ends", func() int64 {
+		_, ends := g.suspects.Counts(g.Clock.Now())
+
+		return int64(ends)
+	})
+	g.metrics.Gauge("quarantine", "waiting", func() int64 { return int64(g.keeper.Waiting()) })
+	g.metrics.Gauge("quarantine", "dropped", g.keeper.Dropped)
 	g.metrics.Gauge("gateway", "version", func() int64 {
 		if t := g.front.Routes(); t != nil {
 			return int64(t.Version)
--- a/internal/cwstand/metadata.go
+++ b/internal/cwstand/metadata.go
@@ -74,6 +74,11 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
+	return m.put(key, value)
+}
+
+// put writes a key; the mutex is held.
+func (m *Metadata) put(key string, value []byte) uint64 {
 	m.revision++
 	old, ok := m.items[key]
 	it := metadataItem{Key: key, Value: value, Revision: m.revision, Created: m.revision}
@@ -93,6 +98,11 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
+	m.remove(key)
+}
+
+// remove removes a key; the mutex is held.
+func (m *Metadata) remove(key string) {
 	m.revision++
 	delete(m.items, key)
 	m.add(metadataItem{Key: key, Revision: m.revision, Tombstone: true})
@@ -105,6 +115,29 @@
 	m.changed = make(chan struct{})
 }
 
+// Keys returns the keys with a prefix, sorted.
+func (m *Metadata) Keys(prefix string) []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	return m.keys(prefix, "")
+}
+
+// keys returns the keys with a prefix that come after one; the mutex is held.
+func (m *Metadata) keys(prefix, after string) []string {
+	var keys []string
+
+	for key := range m.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+
+	slices.Sort(keys)
+
+	return keys
+}
+
 // Has tells whether there is a key.
 func (m *Metadata) Has(key string) bool {
 	m.mutex.Lock()
@@ -227,17 +260,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	prefix, after := string(ctx.QueryArgs().Peek("prefix")), string(ctx.QueryArgs().Peek("after"))
-
-	var keys []string
-
-	for key := range m.items {
-		if strings.HasPrefix(key, prefix) && key > after {
-			keys = append(keys, key)
-		}
-	}
-
-	slices.Sort(keys)
+	keys := m.keys(string(ctx.QueryArgs().Peek("prefix")), string(ctx.QueryArgs().Peek("after")))
 
 	more := len(keys) > m.page
 	items := []metadataItem{}
@@ -281,27 +304,50 @@
 	}
 }
 
-// write takes a transaction without conditions.
-func (m *Metadata) write(ctx *fasthttp.RequestCtx) {
-	var t struct {
-		Writes []struct {
-			Key   string `json:"key"`
-			Value []byte `json:"value"`
-		} `json:"writes"`
-	}
+// transaction is a change of several keys under conditions.
+type transaction struct {
+	Expect []struct {
+		Key      string `json:"key"`
+		Revision uint64 `json:"revision"`
+	} `json:"expect"`
+	Writes []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+	} `json:"writes"`
+	Deletes []string `json:"deletes"`
+}
 
+// write takes a transaction.
+func (m *Metadata) write(ctx *fasthttp.RequestCtx) {
+	var t transaction
 	if err := json.Unmarshal(ctx.PostBody(), &t); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 
 		return
 	}
 
-	revision := uint64(0)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	for _, e := range t.Expect {
+		if m.items[e.Key].Revision != e.Revision {
+			ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
+
+			return
+		}
+	}
+
 	for _, w := range t.Writes {
-		revision = m.Put(w.Key, w.Value)
+		m.put(w.Key, w.Value)
+	}
+
+	for _, key := range t.Deletes {
+		if _, ok := m.items[key]; ok {
+			m.remove(key)
+		}
 	}
 
-	writeJSON(ctx, map[string]any{"revision": revision})
+	writeJSON(ctx, map[string]any{"revision": m.revision})
 }
 
 // since returns the changes after a revision, and whether they are lost.
