--- a/internal/cwgateway/operators.go
+++ b/internal/cwgateway/operators.go
@@ -46,8 +46,8 @@
 	Wait string `json:"wait,omitempty"`
 	// Trials is how often it was sent all the same to find out whether servers bear
 	// it now.
-	Trials int     `json:"trials"`
-	Ends   []ended `json:"ends"`
+	Trials  int     `json:"trials"`
+	Crashes []ended `json:"crashes"`
 }
 
 // ended is the end of one server under a request.
@@ -89,7 +89,7 @@
 
 	for i := range e.Crashes {
 		c := &e.Crashes[i]
-		s.Ends = append(s.Ends, ended{c.Server, c.At, c.VM})
+		s.Crashes = append(s.Crashes, ended{c.Server, c.At, c.VM})
 	}
 
 	return s
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -91,10 +91,10 @@
 
 		return int64(held)
 	})
-	g.metrics.Gauge("quarantine", "ends", func() int64 {
-		_, ends := g.suspects.Counts(g.Clock.Now())
+	g.metrics.Gauge("quarantine", "crashes", func() int64 {
+		_, crashes := g.suspects.Counts(g.Clock.Now())
 
-		return int64(ends)
+		return int64(crashes)
 	})
 	g.metrics.Gauge("quarantine", "waiting", func() int64 { return int64(g.keeper.Waiting()) })
 	g.metrics.Gauge("quarantine", "dropped", g.keeper.Dropped)
--- a/internal/cwquarantine/keeper.go
+++ b/internal/cwquarantine/keeper.go
@@ -45,7 +45,7 @@
 	Leads func() bool
 }
 
-// Keeper shares the ends that this entry VM sees with all others, through the store.
+// Keeper shares the crashes that this entry VM sees with all others, through the store.
 type Keeper struct {
 	Options
 
@@ -76,7 +76,7 @@
 	}
 
 	for _, p := range change.Held {
-		k.Log.Info("A request is quarantined.", "print", p.String(), "ends", k.Table.Crashes(p, k.Clock.Now()))
+		k.Log.Info("A request is quarantined.", "print", p.String(), "crashes", k.Table.Crashes(p, k.Clock.Now()))
 	}
 
 	for _, p := range change.Freed {
@@ -97,11 +97,11 @@
 	return k.Table.Crashes(c.Print, now) > 1
 }
 
-// Share tells the other entry VMs of an end.
+// Share tells the other entry VMs of a crash.
 func (k *Keeper) Share(c Crash) {
 	raw, err := c.encode()
 	if err != nil {
-		k.Log.Error(err, "An end can't be encoded and is not shared.", "print", c.Print.String())
+		k.Log.Error(err, "A crash can't be encoded and is not shared.", "print", c.Print.String())
 
 		return
 	}
@@ -116,11 +116,11 @@
 		return
 	}
 
-	k.Log.Info("A request under which servers ended was answered.", "print", p.String(), "ends", len(keys))
+	k.Log.Info("A request under which servers ended was answered.", "print", p.String(), "crashes", len(keys))
 	k.remove(keys)
 }
 
-// remove clears keys from the store. An end that was not shared yet never is.
+// remove clears keys from the store. A crash that was not shared yet never is.
 func (k *Keeper) remove(keys []carobward.Key) {
 	gone := map[carobward.Key][]byte{}
 
@@ -285,7 +285,7 @@
 const ErrNoSuch = errors.ConstError("quarantine: no server ended under this request")
 
 // Lift ends the quarantine of a request for all entry VMs, and returns once the store
-// has it. The ends under it count no more.
+// has it. The crashes under it count no more.
 func (k *Keeper) Lift(p Print) error {
 	keys := k.Table.Lift(p)
 	if len(keys) == 0 {
--- /dev/null
+++ b/internal/cwquarantine/list.go
@@ -0,0 +1,76 @@
+package cwquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Entry is one request under which servers ended, for operators.
+type Entry struct {
+	Print Print
+	// Crashes are the crashes, the newest last.
+	Crashes []Crash
+	// Trials is how many were made.
+	Trials int
+
+	Decision
+}
+
+// List returns all requests under which servers ended, those that are quarantined
+// first.
+func (t *Table) List(now time.Time) []Entry {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	var all []Entry
+
+	for _, s := range t.contents {
+		trials := 0
+
+		for _, at := range s.trials {
+			if !at.IsZero() {
+				trials++
+			}
+		}
+
+		for caller, list := range s.callers {
+			e := Entry{Trials: trials, Decision: s.decide(caller, wall(now))}
+
+			for _, c := range list {
+				e.Print = c.Print
+				e.Crashes = append(e.Crashes, c)
+			}
+
+			slices.SortFunc(e.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+			all = append(all, e)
+		}
+	}
+
+	slices.SortFunc(all, func(a, b Entry) int {
+		if a.Held != b.Held {
+			if a.Held {
+				return -1
+			}
+
+			return 1
+		}
+
+		return cmp.Compare(a.Print.String(), b.Print.String())
+	})
+
+	return all
+}
+
+// Counts returns how many requests are quarantined, and how many crashes are remembered.
+func (t *Table) Counts(now time.Time) (held, crashes int) {
+	for _, e := range t.List(now) {
+		if e.Held {
+			held++
+		}
+
+		crashes += len(e.Crashes)
+	}
+
+	return held, crashes
+}
