--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -6,12 +6,15 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
@@ -135,6 +138,7 @@
 	countPassed      = "passed"
 	countBroken      = "broken"
 	countQuarantined = "quarantined"
+	countFaults      = "faults"
 )
 
 // Server returns the HTTP server of the callers' listener.
@@ -225,11 +229,17 @@
 	return extraPart * float64(f.limits.Load().ExtraLeast) / float64(max(1, f.Fleet()))
 }
 
-// handle serves one request.
+// handle serves one request. A fault in it costs this request only: one that ends the
+// process would end each entry VM to which its caller comes back.
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
 	f.flight.Add(1)
 	f.total.Add(1)
 	defer f.flight.Add(-1)
+	defer func() {
+		if cause := recover(); cause != nil {
+			f.panicked(ctx, cause)
+		}
+	}()
 
 	now := f.Clock.Now()
 	r := f.request(ctx, now)
@@ -247,6 +257,19 @@
 	}
 }
 
+// ErrFault is the cause told to a caller whose request met a fault of ours.
+const ErrFault = errors.ConstError("a fault of the entry VM, the request may have run")
+
+// panicked answers a request whose handling failed. It may have been sent.
+func (f *Front) panicked(ctx *fasthttp.RequestCtx, cause any) {
+	id := f.Dialect.ID(func(name string) string { return string(ctx.Request.Header.Peek(name)) })
+	f.counts.Add(countFaults, 1)
+	f.Log.Error(ErrFault, "A request met a fault.", "id", id, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	ctx.Response.Reset()
+	f.writeFailure(&ctx.Response, &request{front: f, id: id, err: carobward.NewFailure(carobward.Unknown, fasthttp.StatusBadGateway, 0, ErrFault)})
+	ctx.SetConnectionClose()
+}
+
 // unreadable answers a request that could not be read. Nothing of it was sent.
 func (f *Front) unreadable(ctx *fasthttp.RequestCtx, err error) {
 	f.Log.Info("A request could not be read.", "from", addr(ctx.RemoteAddr()), "cause", err.Error())
--- a/internal/cwgateway/poison_test.go
+++ b/internal/cwgateway/poison_test.go
@@ -45,7 +45,6 @@
 // another run.
 type crashing struct {
 	fleet   *fleet
-	test    *testing.T
 	isFatal func(cwstand.Run) bool
 
 	mutex  sync.Mutex
@@ -127,25 +126,34 @@
 // isPoison tells whether a request ends the server that runs it.
 func isPoison(r cwstand.Run) bool { return strings.HasSuffix(r.URI, poison) || r.Body == poison }
 
-// askAll sends a request to one entry VM after the other until all have refused it one
-// after the other, or up to a number of times. It returns the last refusal.
-func askAll(all []*vm, name, method, path, body string, most int) (refusal answer, ok bool) {
+// askAll sends a request to one entry VM after the other, each of which knows by then
+// what the others wrote, until all have refused it one after the other, or up to a number of
+// times. It tells whether all have.
+func (c *crashing) askAll(t *testing.T, all []*vm, method, path, body string, most int) bool {
+	t.Helper()
+
 	for i, refused := 0, 0; i < most; i++ {
-		got := all[i%len(all)].ask(method, path, fmt.Sprint(name, i), body)
+		v := all[i%len(all)]
+		revision := c.fleet.store.Revision()
+		cwtest.Wait(t, "the store's changes", func() bool { return v.gauge(t, "index") >= int(revision) })
 
-		if got.status != http.StatusServiceUnavailable {
+		got := v.ask(method, path, fmt.Sprint("first", i), body)
+		if !got.isQuarantined() {
 			refused = 0
 
 			continue
 		}
 
-		refusal, refused = got, refused+1
-		if refused == len(all) {
-			return refusal, true
+		if got.header.Get("Retry-After") == "" {
+			t.Errorf("a refusal does not say when to come back: %+v", got)
+		}
+
+		if refused++; refused == len(all) {
+			return true
 		}
 	}
 
-	return refusal, false
+	return false
 }
 
 // TestPoison wants a request that ends each server that runs it to be refused by all
@@ -179,21 +187,22 @@
 				v.waitReady(t)
 			}
 
-			refusal, _ := askAll(all, "first", c.method, c.path, c.body, rounds)
+			if !servers.askAll(t, all, c.method, c.path, c.body, rounds) {
+				t.Error("not all entry VMs refuse it")
+			}
+
 			before := servers.count()
 
 			for i := range more {
 				all[i%len(all)].ask(c.method, c.path, fmt.Sprint("more", i), c.body)
 			}
 
+			t.Logf("%d servers had ended before all refused, %d after", before, servers.count()-before)
+
 			if n := servers.count() - before; n > sendsMost {
 				t.Errorf("%d servers had ended, and the request ended %d more", before, n)
 			}
 
-			if refusal.header.Get("Retry-After") == "" {
-				t.Errorf("no refusal that says when to come back: %+v", refusal)
-			}
-
 			for i, v := range all {
 				if got := v.ask(c.method, c.path+"x", fmt.Sprint("other", i), c.body+"x"); got.status != http.StatusOK {
 					t.Errorf("another request: %+v", got)
--- a/internal/cwmesh/domain.go
+++ b/internal/cwmesh/domain.go
@@ -210,7 +210,8 @@
 	for i := range list {
 		if s := &list[i]; len(s.Nodes) == 0 {
 			contacts := t.others[s.Domain].contacts
-			s.Nodes = contacts[max(0, len(contacts)-otherNodes):]
+			// The list itself changes with each entry VM that speaks.
+			s.Nodes = slices.Clone(contacts[max(0, len(contacts)-otherNodes):])
 		}
 	}
 
--- a/internal/cwmesh/table_test.go
+++ b/internal/cwmesh/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -200,3 +201,25 @@
 		table.Live(now)
 	}
 }
+
+// TestKnownStays wants what an entry VM is about to tell of another failure domain to
+// stay as it is while further entry VMs of it speak.
+func TestKnownStays(t *testing.T) {
+	table := NewTable(Node{ID: "vm-1", Domain: "a"})
+	vm := func(n int) Node { return Node{ID: carobward.VMID(fmt.Sprint("far-", n)), Domain: "b"} }
+
+	for n := range contactsMost {
+		table.met(vm(n))
+	}
+
+	before := table.known()[0].Nodes
+	want := slices.Clone(before)
+
+	for n := range otherNodes {
+		table.met(vm(contactsMost - 1 - n))
+	}
+
+	if diff := cmp.Diff(want, before); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/cwstand/metadata.go
+++ b/internal/cwstand/metadata.go
@@ -115,6 +115,14 @@
 	m.changed = make(chan struct{})
 }
 
+// Revision returns the revision of the last change.
+func (m *Metadata) Revision() uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	return m.revision
+}
+
 // Keys returns the keys with a prefix, sorted.
 func (m *Metadata) Keys(prefix string) []string {
 	m.mutex.Lock()
