Entries of servers are read whole or not at all; a process is known by its start

A server that starts again under its id counted as the process before: blocks, load, requests in flight and connections.

Instance and start name a process: a newer one begins anew, what is in flight at the one before is broken off and judged as at a crash, idle connections are closed; an older start never replaces a newer one.

--- a/ids.go
+++ b/ids.go
@@ -37,6 +37,11 @@
 // Instance names one run of a server; a restart has another one.
 type Instance string
 
+// Start tells one process of a server from the next under the same Instance: the time
+// of its start in milliseconds since the Unix epoch, by its own clock. Zero: the list
+// does not say.
+type Start int64
+
 // Version numbers the operators' configurations on the platform. It rises, in
 // uneven steps.
 type Version uint64
--- a/internal/cwbackend/backend_test.go
+++ b/internal/cwbackend/backend_test.go
@@ -46,7 +46,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newServer(backend(1, "a"), start)
 			for _, o := range c.outcomes {
-				s.End(s.Begin(start), start, o)
+				s.End(s.Begin(start, func() {}), start, o)
 			}
 
 			got := time.Duration(0)
@@ -65,11 +65,11 @@
 func TestBlockedAgain(t *testing.T) {
 	s := newServer(backend(1, "a"), start)
 	for _, o := range []Outcome{Broken, Broken, Broken, Answered} {
-		s.End(s.Begin(start), start, o)
+		s.End(s.Begin(start, func() {}), start, o)
 	}
 
 	later := start.Add(time.Minute)
-	s.End(s.Begin(later), later, Broken)
+	s.End(s.Begin(later, func() {}), later, Broken)
 
 	if !s.View(later, usual).Blocked || s.View(later.Add(blockFirst), usual).Blocked {
 		t.Error("the failures before the answer still count")
@@ -79,7 +79,7 @@
 // TestLooked wants a good health check not to excuse failed requests.
 func TestLooked(t *testing.T) {
 	s := newServer(backend(1, "a"), start)
-	s.End(s.Begin(start), start, Broken)
+	s.End(s.Begin(start, func() {}), start, Broken)
 	s.Looked(start, Answered)
 
 	if !s.View(start, usual).Blocked {
@@ -96,7 +96,7 @@
 
 func TestOverdue(t *testing.T) {
 	s := newServer(backend(1, "a"), start)
-	number := s.Begin(start)
+	number := s.Begin(start, func() {})
 
 	if s.View(start.Add(3*usual), usual).Overdue || !s.View(start.Add(5*usual), usual).Overdue {
 		t.Error("overdue after the wrong time")
@@ -115,14 +115,14 @@
 	table.Put([]carobward.Backend{backend(1, "a")}, nil, start)
 
 	old := table.Views("records", start, usual)[0].Server
-	old.End(old.Begin(start), start, Broken)
+	old.End(old.Begin(start, func() {}), start, Broken)
 
 	next := backend(2, "a")
 	next.Address = backend(1, "a").Address
 	table.Put([]carobward.Backend{next}, []carobward.Instance{"i-1"}, start)
 
 	views := table.Views("records", start, usual)
-	if len(views) != 1 || views[0].Blocked || views[0].Server == old || table.Has("i-1") || !table.Has("i-2") {
+	if len(views) != 1 || views[0].Blocked || views[0].Server == old || table.Has(carobward.Backend{Instance: "i-1"}) || !table.Has(carobward.Backend{Instance: "i-2"}) {
 		t.Errorf("%d servers, blocked %v", len(views), views[0].Blocked)
 	}
 }
@@ -136,7 +136,7 @@
 	b.Leaving = true
 	table.Put([]carobward.Backend{b}, nil, start)
 
-	if len(table.Views("records", start, usual)) != 0 || table.Has(b.Instance) || table.Count() != 1 {
+	if len(table.Views("records", start, usual)) != 0 || table.Has(b) || table.Count() != 1 {
 		t.Error("a leaving server may get work")
 	}
 }
@@ -209,3 +209,54 @@
 		t.Errorf("%d times a server became known, more than once a server", moved)
 	}
 }
+
+// TestStartedAgain has entries of a server in the order in which they come against which
+// process the table has in the end, and whether what is known and in flight goes.
+func TestStartedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		starts []carobward.Start
+		want   carobward.Start
+		again  int
+		fresh  bool
+	}{
+		"the same process":           {[]carobward.Start{5, 5}, 5, 0, false},
+		"another one":                {[]carobward.Start{5, 7}, 7, 1, true},
+		"a late word of the old one": {[]carobward.Start{5, 7, 5}, 7, 1, true},
+		"two more":                   {[]carobward.Start{5, 7, 9}, 9, 2, true},
+		"none says its start":        {[]carobward.Start{0, 0}, 0, 0, false},
+		"the first that says it":     {[]carobward.Start{0, 5}, 5, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New(VM{ID: "vm-1", Domain: "a"})
+			b := backend(1, "a")
+			broken, again := 0, 0
+
+			for i, process := range c.starts {
+				b.Start = process
+				again += len(table.Put([]carobward.Backend{b}, nil, start))
+
+				if i == 0 {
+					s := table.Views("records", start, usual)[0].Server
+					s.Begin(start, func() { broken++ })
+					s.End(s.Begin(start, func() {}), start, Broken)
+				}
+			}
+
+			view := table.Views("records", start, usual)[0]
+			if got := view.Server.Backend().Start; got != c.want || again != c.again {
+				t.Errorf("process %d, started again %d times", got, again)
+			}
+
+			if fresh := !view.Blocked && view.Own == 0 && broken == 1; fresh != c.fresh {
+				t.Errorf("blocked %v, %d in flight, %d broken off", view.Blocked, view.Own, broken)
+			}
+
+			old := b
+			old.Start = c.starts[0]
+
+			if table.HasNewer(old) != c.fresh || table.Has(old) == c.fresh {
+				t.Errorf("has newer %v, has %v", table.HasNewer(old), table.Has(old))
+			}
+		})
+	}
+}
--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -64,13 +64,31 @@
 	failures int
 	trouble  float64
 	blocked  time.Time
-	// out has the start of each of our requests at the server.
-	out map[int64]time.Time
+	// out has each of our requests at the server.
+	out map[int64]flight
 	seq int64
 }
 
+// flight is one of our requests at a server.
+type flight struct {
+	began time.Time
+	// cancel breaks it off.
+	cancel func()
+}
+
 func newServer(b carobward.Backend, now time.Time) *Server {
-	return &Server{backend: b, warm: now.Add(b.Warmup), out: map[int64]time.Time{}}
+	return &Server{backend: b, warm: now.Add(b.Warmup), out: map[int64]flight{}}
+}
+
+// end breaks off what is in flight: the process has ended. Behind a cut nothing else
+// would show it before the time of each request is over.
+func (s *Server) end() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	for _, f := range s.out {
+		f.cancel()
+	}
 }
 
 // Backend returns the server as the platform's list shows it.
@@ -100,14 +118,14 @@
 	}
 }
 
-// Begin notes a request that is sent. End must be called once with what it
-// returns.
-func (s *Server) Begin(now time.Time) int64 {
+// Begin notes a request that is sent. Cancel is called if the process ends. End must
+// be called once with what it returns.
+func (s *Server) Begin(now time.Time, cancel func()) int64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
 	s.seq++
-	s.out[s.seq] = now
+	s.out[s.seq] = flight{now, cancel}
 
 	return s.seq
 }
@@ -212,8 +230,8 @@
 		Slots: max(1, s.backend.Slots), Own: len(s.out), Trouble: s.trouble, Domain: s.backend.Domain, Address: s.backend.Address, Report: s.report,
 	}
 
-	for _, began := range s.out {
-		if now.Sub(began) > overdueFactor*usual {
+	for _, f := range s.out {
+		if now.Sub(f.began) > overdueFactor*usual {
 			v.Overdue = true
 		}
 	}
--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -4,6 +4,7 @@
 package cwbackend
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -53,17 +54,34 @@
 	return &Table{self: self, byInstance: map[carobward.Instance]*Server{}, shares: newShares(self.ID), alone: true}
 }
 
-// Put takes new and changed entries, and the instances that are gone.
-func (t *Table) Put(list []carobward.Backend, gone []carobward.Instance, now time.Time) {
+// Put takes new and changed entries, and the instances that are gone. It returns the
+// servers that started again under their instance, as they were before.
+func (t *Table) Put(list []carobward.Backend, gone []carobward.Instance, now time.Time) []carobward.Backend {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 
+	var ended []carobward.Backend
+
 	for _, b := range list {
-		if s := t.byInstance[b.Instance]; s != nil {
-			s.update(b, now)
-		} else {
+		s := t.byInstance[b.Instance]
+		if s == nil {
 			t.byInstance[b.Instance] = newServer(b, now)
 			t.shares.add(b.Instance)
+
+			continue
+		}
+
+		switch old := s.Backend(); compareStart(b, old) {
+		case older:
+			// A late word of a process that has ended.
+		case same:
+			s.update(b, now)
+		case newer:
+			// Nothing that was known of the process before holds for this one.
+			t.byInstance[b.Instance] = newServer(b, now)
+			ended = append(ended, old)
+
+			s.end()
 		}
 	}
 
@@ -73,6 +91,25 @@
 	}
 
 	t.arrange()
+
+	return ended
+}
+
+// The order of two entries of an instance by the start of their processes.
+const (
+	older = iota - 1
+	same
+	newer
+)
+
+// compareStart tells whether an entry is of the same process as another one. An entry
+// that does not say when its process started is of the same.
+func compareStart(b, than carobward.Backend) int {
+	if b.Start == 0 || than.Start == 0 {
+		return same
+	}
+
+	return cmp.Compare(b.Start, than.Start)
 }
 
 // SetNeighbours tells which other entry VMs of the failure domain share the
@@ -205,13 +242,39 @@
 	return views
 }
 
-// Has tells whether a server is still in the table and not leaving.
-func (t *Table) Has(i carobward.Instance) bool {
+// Has tells whether a server is still in the table as the same process, and not
+// leaving.
+func (t *Table) Has(b carobward.Backend) bool {
+	now, ok := t.present(b.Instance)
+
+	return ok && !now.Leaving && compareStart(now, b) == same
+}
+
+// HasNewer tells whether a server has started again since.
+func (t *Table) HasNewer(b carobward.Backend) bool {
+	now, ok := t.present(b.Instance)
+
+	return ok && compareStart(now, b) == newer
+}
+
+// Start returns the start of a server's process as the table has it, or 0.
+func (t *Table) Start(i carobward.Instance) carobward.Start {
+	now, _ := t.present(i)
+
+	return now.Start
+}
+
+// present returns a server as the table has it.
+func (t *Table) present(i carobward.Instance) (carobward.Backend, bool) {
 	t.mutex.RLock()
 	s := t.byInstance[i]
 	t.mutex.RUnlock()
 
-	return s != nil && !s.Backend().Leaving
+	if s == nil {
+		return carobward.Backend{}, false
+	}
+
+	return s.Backend(), true
 }
 
 // VMs returns all servers as lines of a VM list.
--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -65,7 +65,7 @@
 		b := l.view.Server.Backend()
 		tried[l.view.Server] = true
 
-		if !r.front.Servers.Has(b.Instance) { // It left while we looked.
+		if !r.front.Servers.Has(b) { // It left while we looked.
 			l.release()
 
 			continue
--- a/internal/cwfront/crash.go
+++ b/internal/cwfront/crash.go
@@ -70,7 +70,7 @@
 func (r *request) blame(s *sent, print cwquarantine.Print) {
 	q := r.front.Quarantine
 	c := cwquarantine.Crash{
-		Print: print, Server: s.backend.Instance, At: r.front.Clock.Now(), VM: q.VM,
+		Print: print, Server: s.backend.Instance, Start: s.backend.Start, At: r.front.Clock.Now(), VM: q.VM,
 		Service: r.service, Route: r.route.Name, Request: cwquarantine.RequestOf(&r.call), Caller: r.ip,
 	}
 
@@ -145,7 +145,10 @@
 
 // lifeOf returns what has become of a server.
 func (r *request) lifeOf(b carobward.Backend) life {
-	if !r.front.Servers.Has(b.Instance) {
+	switch t := r.front.Servers; {
+	case t.HasNewer(b):
+		return lifeEnded
+	case !t.Has(b):
 		return lifeStopped
 	}
 
--- a/internal/cwfront/hedge.go
+++ b/internal/cwfront/hedge.go
@@ -114,7 +114,7 @@
 	b := l.view.Server.Backend()
 	now := f.Clock.Now()
 
-	if !f.Servers.Has(b.Instance) || r.turn.Deadline.Sub(now) < time.Duration(l.time*float64(r.usual())) {
+	if !f.Servers.Has(b) || r.turn.Deadline.Sub(now) < time.Duration(l.time*float64(r.usual())) {
 		return b, false
 	}
 
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -67,8 +67,8 @@
 
 	r.server = b.Instance
 	s := &sent{looked: l, backend: b, at: f.Clock.Now()}
-	s.number = l.view.Server.Begin(s.at)
 	work, s.cancel = context.WithCancel(work)
+	s.number = l.view.Server.Begin(s.at, s.cancel)
 
 	call := r.call
 	call.Instance = b.Instance
--- a/internal/cwfront/wait.go
+++ b/internal/cwfront/wait.go
@@ -196,7 +196,7 @@
 	f := r.front
 	server := s.looked.view.Server
 
-	if s.reply == nil || s.reply.Report.At.IsZero() || !s.looked.held.Whole() || !f.Servers.Has(s.backend.Instance) {
+	if s.reply == nil || s.reply.Report.At.IsZero() || !s.looked.held.Whole() || !f.Servers.Has(s.backend) {
 		return false
 	}
 
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -121,6 +121,8 @@
 	bounds atomic.Pointer[Bounds]
 
 	mutex sync.Mutex
+	// unusable has the servers whose entry can't be used.
+	unusable map[carobward.Instance]bool
 	// rate is this entry VM's requests a second, and counted the requests at
 	// the last tick; only the tick writes them.
 	rate    atomic.Uint64
@@ -130,7 +132,7 @@
 // New returns an entry VM whose parts do not run yet.
 func New(o Options) (*Gateway, error) {
 	g := &Gateway{
-		Options: o, log: o.Log.WithName("gateway"), metrics: cwmetric.New(),
+		Options: o, log: o.Log.WithName("gateway"), unusable: map[carobward.Instance]bool{}, metrics: cwmetric.New(),
 		table: cwmesh.NewTable(o.Self), mirror: cwmirror.New(), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain}),
 	}
 
--- a/internal/cwgateway/poison_test.go
+++ b/internal/cwgateway/poison_test.go
@@ -134,8 +134,7 @@
 
 	for i, refused := 0, 0; i < most; i++ {
 		v := all[i%len(all)]
-		revision := c.fleet.store.Revision()
-		cwtest.Wait(t, "the store's changes", func() bool { return v.gauge(t, "index") >= int(revision) })
+		c.fleet.waitCopy(t, v)
 
 		got := v.ask(method, path, fmt.Sprint("first", i), body)
 		if !got.isQuarantined() {
--- a/internal/cwgateway/quarantine_test.go
+++ b/internal/cwgateway/quarantine_test.go
@@ -151,18 +151,31 @@
 }
 
 // gauge returns a metric of the gateway.
-func (v *vm) gauge(t *testing.T, name string) int {
+func (v *vm) gauge(t *testing.T, name string) int { return v.metric(t, "gateway", name) }
+
+// metric returns a metric of a part.
+func (v *vm) metric(t *testing.T, part, name string) int {
 	t.Helper()
 
-	var all struct {
-		Gateway map[string]int `json:"gateway"`
+	var all map[string]json.RawMessage
+	if err := json.Unmarshal([]byte(get(v.options.Metrics, "/metrics").body), &all); err != nil {
+		t.Fatal(err)
 	}
 
-	if err := json.Unmarshal([]byte(get(v.options.Metrics, "/metrics").body), &all); err != nil {
+	var of map[string]int
+	if err := json.Unmarshal(all[part], &of); err != nil {
 		t.Fatal(err)
 	}
 
-	return all.Gateway[name]
+	return of[name]
+}
+
+// waitCopy waits until an entry VM has what the store has now.
+func (f *fleet) waitCopy(t *testing.T, v *vm) {
+	t.Helper()
+
+	revision := f.store.Revision()
+	cwtest.Wait(t, "the store's changes", func() bool { return v.gauge(t, "index") >= int(revision) })
 }
 
 // TestQuarantineKnown wants the quarantine to be known to entry VMs that come later,
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -84,6 +84,12 @@
 	g.metrics.Gauge("gateway", "peers", func() int64 { return int64(len(g.table.Live(g.Clock.Now()))) })
 	g.metrics.Gauge("gateway", "fleet", func() int64 { return int64(g.table.Size(g.Clock.Now())) })
 	g.metrics.Gauge("gateway", "fresh", func() int64 { return g.Clock.Now().Sub(g.mesh.Fresh()).Milliseconds() })
+	g.metrics.Gauge("gateway", "unusable", func() int64 {
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+
+		return int64(len(g.unusable))
+	})
 	g.metrics.Gauge("gateway", "index", func() int64 { return int64(g.mirror.State().Index) })
 	g.metrics.Gauge("gateway", "dropped", g.Dropped)
 	g.metrics.Gauge("gateway", "calls", g.Calls)
--- a/internal/cwlink/link.go
+++ b/internal/cwlink/link.go
@@ -118,6 +118,18 @@
 	}
 }
 
+// Drop closes the connections to a server that has started again: the idle ones now,
+// those in use when they are given back.
+func (l *Link) Drop(at carobward.Address) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if p := l.pools[at]; p != nil {
+		p.close()
+		delete(l.pools, at)
+	}
+}
+
 // Close closes all idle connections and refuses new calls. Calls in flight
 // go on, and their connections are closed after them.
 func (l *Link) Close() {
--- a/internal/cwmetric/table.go
+++ b/internal/cwmetric/table.go
@@ -84,6 +84,7 @@
 	{"gateway/servers", "servers", "Backend servers known now."},
 	{"gateway/peers", unitVMs, "Other entry VMs that answer now."},
 	{"gateway/fresh", "milliseconds", "For how long it has not been known whether the copy of the store is the newest: below a second as a rule."},
+	{"gateway/unusable", "servers", "Entries in the list of servers that can't be used now; the log has each with its field. Above zero: somebody else writes there."},
 	{"gateway/index", "", "The index of the store up to which the copy is complete; the same on all entry VMs within a second."},
 	{"gateway/version", "", "The version of the configuration in force."},
 	{"gateway/dropped", "lines", "Log lines dropped since the buffer was full."},
--- a/internal/cwquarantine/record.go
+++ b/internal/cwquarantine/record.go
@@ -1,7 +1,6 @@
 package cwquarantine
 
 import (
-	"crypto/sha256"
 	"strconv"
 	"strings"
 	"time"
@@ -27,6 +26,8 @@
 type Crash struct {
 	Print  Print
 	Server carobward.Instance
+	// Start tells which process of the server it was.
+	Start carobward.Start
 	// At is when it was seen, by the clock of the entry VM that saw it.
 	At      time.Time
 	VM      carobward.VMID
@@ -46,7 +47,9 @@
 }
 
 // server is the digest of the run of a server that ended.
-func (c *Crash) server() Digest { return sum(sha256.Sum256([]byte(c.Server))) }
+func (c *Crash) server() Digest {
+	return digest(string(c.Server), strconv.FormatInt(int64(c.Start), 10))
+}
 
 // key returns the key of a crash.
 func (c *Crash) key() carobward.Key {
@@ -55,7 +58,7 @@
 
 func (c *Crash) encode() ([]byte, error) {
 	return proto.Marshal(&cwwire.Crash{
-		Server: string(c.Server), At: c.At.UnixMilli(), Vm: string(c.VM), Service: string(c.Service),
+		Server: string(c.Server), Start: int64(c.Start), At: c.At.UnixMilli(), Vm: string(c.VM), Service: string(c.Service),
 		Route: string(c.Route), Line: c.Request, Caller: c.Caller,
 	})
 }
@@ -75,7 +78,7 @@
 	}
 
 	c := Crash{
-		Print: p, Server: carobward.Instance(w.GetServer()), At: time.UnixMilli(w.GetAt()), VM: carobward.VMID(w.GetVm()),
+		Print: p, Server: carobward.Instance(w.GetServer()), Start: carobward.Start(w.GetStart()), At: time.UnixMilli(w.GetAt()), VM: carobward.VMID(w.GetVm()),
 		Service: carobward.Service(w.GetService()), Route: carobward.RouteName(w.GetRoute()), Request: w.GetLine(), Caller: w.GetCaller(),
 	}
 
--- a/internal/cwstand/metadata.go
+++ b/internal/cwstand/metadata.go
@@ -396,6 +396,24 @@
 	return raw
 }
 
+// MetadataStart returns the value of a server's entry with the start of its process, in
+// milliseconds since the Unix epoch.
+func MetadataStart(entry []byte, start int64) []byte {
+	all := map[string]any{}
+	if err := json.Unmarshal(entry, &all); err != nil {
+		return nil
+	}
+
+	all["born"] = start
+
+	raw, err := json.Marshal(all)
+	if err != nil {
+		return nil
+	}
+
+	return raw
+}
+
 // MetadataRoute is one route of a configuration. What is left out gets a usual
 // value.
 type MetadataRoute map[string]any
--- a/internal/lab/cwbench/worst_vm.go
+++ b/internal/lab/cwbench/worst_vm.go
@@ -230,7 +230,7 @@
 	r.sends++
 	r.tried[c.view.Server] = true
 	q := &worstSend{request: r, server: v.servers[c.view.Server], at: w.now(), report: c.view.Report}
-	q.number = c.view.Server.Begin(q.at)
+	q.number = c.view.Server.Begin(q.at, func() {})
 
 	w.timeline.after(worstWay, func() { q.server.take(q) })
 	w.timeline.after(r.until.Sub(w.now()), func() { w.finish(r, false, false) })
--- a/routing.go
+++ b/routing.go
@@ -67,6 +67,7 @@
 // Backend is a backend server as the platform's list shows it.
 type Backend struct {
 	Instance Instance
+	Start    Start
 	Address  Address
 	Service  Service
 	Domain   Domain
