A suspended VM's copy of the store counts as older by that time

Cause: ages go by a clock that stands still while a VM is suspended. After it the copy counted as fresh, here and in what peers were told, and idle connections as open.

Others stay, with their reason beside them.

Seen failing without it: TestSuspended waits in vain for the age of the copy.

--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -27,6 +27,7 @@
 	"carobward.example/carobward/internal/cwgateway"
 	"carobward.example/carobward/internal/cwlog"
 	"carobward.example/carobward/internal/cwmesh"
+	"carobward.example/carobward/internal/cwsuspend"
 	"carobward.example/carobward/platform"
 )
 
@@ -105,17 +106,18 @@
 	var calls atomic.Int64
 
 	return cwgateway.Options{
-		Self:    cwmesh.Node{ID: s.VM, Domain: s.Domain, Callers: s.Callers, Peers: s.Peers},
-		Ready:   s.Ready,
-		Lookup:  s.Lookup,
-		Metrics: carobward.Address(net.JoinHostPort(host, metricsPort)),
-		Bounds:  bounds(s),
-		Key:     key[:],
-		Link:    s.Link,
-		First:   s.First,
-		Adapter: platform.Adapter(s.Store, func() { calls.Add(1) }),
-		Calls:   calls.Load,
-		Clock:   carobward.SystemClock{},
-		Log:     log,
+		Self:      cwmesh.Node{ID: s.VM, Domain: s.Domain, Callers: s.Callers, Peers: s.Peers},
+		Ready:     s.Ready,
+		Lookup:    s.Lookup,
+		Metrics:   carobward.Address(net.JoinHostPort(host, metricsPort)),
+		Bounds:    bounds(s),
+		Key:       key[:],
+		Link:      s.Link,
+		First:     s.First,
+		Adapter:   platform.Adapter(s.Store, func() { calls.Add(1) }),
+		Calls:     calls.Load,
+		Clock:     carobward.SystemClock{},
+		Suspended: cwsuspend.New().Passed,
+		Log:       log,
 	}
 }
--- a/internal/cwgateway/fleet_test.go
+++ b/internal/cwgateway/fleet_test.go
@@ -133,7 +133,8 @@
 			Grace: 400 * time.Millisecond, AnswerMost: 5 * time.Second,
 			Limits: cwfront.Limits{ExtraShare: 0.2, ExtraWindow: 10 * time.Second, ExtraLeast: 64, Looks: 60},
 		},
-		Adapter: platform.Adapter(f.address, func() {}), Dropped: func() int64 { return 0 }, Calls: func() int64 { return 0 }, Clock: carobward.SystemClock{}, Log: logr.Discard(),
+		Adapter: platform.Adapter(f.address, func() {}), Dropped: func() int64 { return 0 }, Calls: func() int64 { return 0 }, Clock: carobward.SystemClock{},
+		Suspended: func() time.Duration { return 0 }, Log: logr.Discard(),
 	}
 }
 
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -98,7 +98,10 @@
 	Dropped func() int64
 	Calls   func() int64
 	Clock   carobward.Clock
-	Log     logr.Logger
+	// Suspended returns for how long the VM was suspended since the last call, which
+	// Clock does not count.
+	Suspended func() time.Duration
+	Log       logr.Logger
 }
 
 // Gateway is one entry VM.
--- a/internal/cwgateway/know_test.go
+++ b/internal/cwgateway/know_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr/funcr"
 
@@ -397,3 +398,27 @@
 		t.Errorf("%+v, %d runs", got, len(other.Runs()))
 	}
 }
+
+// TestSuspended lets an entry VM be suspended while the store tells it nothing, and wants
+// its copy to count as older by that time, so that it asks as soon as it can.
+func TestSuspended(t *testing.T) {
+	const away = time.Hour
+
+	f := newFleet(t)
+	f.upstream(t, "records", "i-1")
+	f.configure(safe("records"))
+
+	var slept atomic.Int64
+
+	v := f.start(t, "vm-1", func(o *cwgateway.Options) {
+		o.Suspended = func() time.Duration { return time.Duration(slept.Swap(0)) }
+	})
+	v.waitReady(t)
+
+	f.store.SetFaults(cwstand.MetadataFaults{Silent: true})
+	slept.Store(int64(away))
+	cwtest.Wait(t, "the age", func() bool { return v.gauge(t, "fresh") >= int(away.Milliseconds()) })
+
+	f.store.SetFaults(cwstand.MetadataFaults{})
+	cwtest.Wait(t, "a fresh copy", func() bool { return v.gauge(t, "fresh") < int(away.Milliseconds())/2 })
+}
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -21,6 +21,10 @@
 		case <-t.C:
 		}
 
+		if by := g.Suspended(); by > 0 {
+			g.wake(by)
+		}
+
 		now := g.Clock.Now()
 		g.front.Tick(now)
 		g.link.Tick(now)
@@ -29,6 +33,16 @@
 	}
 }
 
+// wake has the ages that the VM's clock did not count while it was suspended counted: of
+// the copy of the store, so that it is asked at once, and of idle connections. Others are
+// left: what is known of load is asked before each send, blocks only last longer, and who
+// sent the requests in flight has left or will.
+func (g *Gateway) wake(by time.Duration) {
+	g.log.Info("The VM was suspended.", "by", by.String(), "flight", g.front.Flight())
+	g.mesh.Suspended(by)
+	g.link.Suspended(by)
+}
+
 // share tells the tables which entry VMs share the servers.
 func (g *Gateway) share(now time.Time) {
 	var list []carobward.VMID
--- a/internal/cwlink/link.go
+++ b/internal/cwlink/link.go
@@ -118,6 +118,17 @@
 	}
 }
 
+// Suspended counts a time that the clock did not towards the idle time of connections:
+// servers may have closed them meanwhile.
+func (l *Link) Suspended(by time.Duration) {
+	l.mutex.RLock()
+	defer l.mutex.RUnlock()
+
+	for _, p := range l.pools {
+		p.age(by)
+	}
+}
+
 // Drop closes the connections to a server that has started again: the idle ones now,
 // those in use when they are given back.
 func (l *Link) Drop(at carobward.Address) {
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -153,6 +153,16 @@
 	p.trim(most)
 }
 
+// age makes the idle connections idle for longer.
+func (p *pool) age(by time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	for _, c := range p.idle {
+		c.used = c.used.Add(-by)
+	}
+}
+
 // retire closes the connections that have been idle since before a time.
 func (p *pool) retire(before time.Time) {
 	p.mutex.Lock()
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// Suspended sets back the times at which the copy was known to be the newest and the
+// store answered, after a time that the VM's clock did not count. Without it this entry
+// VM would take its copy for fresh, and tell peers so. What is known of peers stays: that
+// they went on is likely, and without them this entry VM would count as alone.
+func (m *Mesh) Suspended(by time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	m.fresh = setBack(m.fresh, by)
+	m.word = setBack(m.word, by)
+}
+
+func setBack(t time.Time, by time.Duration) time.Time {
+	if t.IsZero() {
+		return t
+	}
+
+	return t.Add(-by)
+}
+
 // Word returns when the store last answered anybody, as far as was heard, or
 // the zero time. It may be newer than Fresh: this entry VM may be behind.
 func (m *Mesh) Word() time.Time {
--- /dev/null
+++ b/internal/cwsuspend/meter.go
@@ -0,0 +1,63 @@
+// Package cwsuspend tells for how long the VM was suspended. The clock by which timers
+// run and ages are measured stands still meanwhile, while all others went on.
+package cwsuspend
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// leastTime is the shortest suspension that counts. The two clocks are read one after
+// the other, some microseconds apart, or a turn of the processor where it is busy.
+const leastTime = 200 * time.Millisecond
+
+// Meter compares a clock that counts suspended time with one that does not.
+type Meter struct {
+	boot, steady func() time.Duration
+	ahead        time.Duration
+}
+
+// New returns a meter of the machine's clocks.
+func New() *Meter {
+	return newMeter(func() time.Duration { return read(unix.CLOCK_BOOTTIME) }, func() time.Duration { return read(unix.CLOCK_MONOTONIC) })
+}
+
+func newMeter(boot, steady func() time.Duration) *Meter {
+	m := &Meter{boot: boot, steady: steady}
+	m.ahead = m.read()
+
+	return m
+}
+
+// read returns by how much the clock that counts suspended time is ahead.
+func (m *Meter) read() time.Duration {
+	steady := m.steady()
+
+	return m.boot() - steady
+}
+
+// Passed returns for how long the VM was suspended since the last call.
+func (m *Meter) Passed() time.Duration {
+	ahead := m.read()
+	passed := ahead - m.ahead
+
+	if passed < leastTime {
+		return 0
+	}
+
+	m.ahead = ahead
+
+	return passed
+}
+
+// read returns a clock of the machine, or zero where it has none: then no suspension is
+// seen.
+func read(clock int32) time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(clock, &t); err != nil {
+		return 0
+	}
+
+	return time.Duration(t.Nano())
+}
