Quarantine: bounds on asking for trials, what is answered while it is shared; soak

Read as a newcomer and mended: a trial was asked for with each request while the store refused it (TestNoCalls); a crash whose request was answered while the record was on its way stayed in the store (TestShared, seen failing without the mark); an operator's lift left the crashes of other callers; digests were worked out for each request also while no server had ended.

The soak has three more steps: entries of another writer, servers that start again under their instance, and a request that ends servers, which all entry VMs refuse in the end. Servers there are processes that follow each other, each with its runs counted.

TestTrial waits for a word of the store after its clock jumps: to each entry VM the store has been silent for that time, and it asks for no trial before it hears of it.

--- a/internal/cwgateway/quarantine_test.go
+++ b/internal/cwgateway/quarantine_test.go
@@ -253,8 +253,10 @@
 	askTogether := func(name string) {
 		clock.by.Add(int64(trialAfter))
 
+		// To each of them the store has been silent for that time.
 		for _, v := range all {
 			v.waitReady(t)
+			cwtest.Wait(t, "a word of the store", func() bool { return v.gauge(t, "fresh") < 1500 })
 		}
 
 		var group sync.WaitGroup
--- /dev/null
+++ b/internal/cwquarantine/keeper_test.go
@@ -0,0 +1,211 @@
+package cwquarantine
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"carobward.example/carobward"
+)
+
+// shelf is a store's part for writes, with a pause in each call that a test ends.
+type shelf struct {
+	carobward.Feed
+
+	mutex sync.Mutex
+	keys  map[carobward.Key]bool
+	calls int
+	err   error
+	begun chan struct{}
+	goOn  chan struct{}
+}
+
+func newShelf() *shelf {
+	return &shelf{keys: map[carobward.Key]bool{}, begun: make(chan struct{}, 1), goOn: make(chan struct{}, 1)}
+}
+
+func (s *shelf) Write(_ context.Context, b carobward.Batch) error {
+	s.begun <- struct{}{}
+	<-s.goOn
+
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.calls++
+
+	if s.err != nil {
+		return s.err
+	}
+
+	for _, key := range b.Absent {
+		if s.keys[key] {
+			return carobward.ErrConflict
+		}
+	}
+
+	for i := range b.Writes {
+		s.keys[b.Writes[i].Key] = true
+	}
+
+	for _, key := range b.Deletes {
+		delete(s.keys, key)
+	}
+
+	return nil
+}
+
+// let lets the next call go on.
+func (s *shelf) let() {
+	<-s.begun
+	s.goOn <- struct{}{}
+}
+
+// still is a clock that stands still.
+type still struct{}
+
+func (still) Now() time.Time { return start }
+
+// newKeeper returns a keeper of an entry VM that last heard of the store so long ago.
+func newKeeper(s *shelf, word time.Duration) *Keeper {
+	return New(Options{
+		VM: "vm-1", Table: NewTable(), Feed: s, Clock: still{}, Log: logr.Discard(),
+		Word:  func() time.Time { return start.Add(-word) },
+		Leads: func() bool { return false },
+	})
+}
+
+// TestShared has what becomes of a crash while it is on its way to the store against
+// what the store has in the end.
+func TestShared(t *testing.T) {
+	c := seen{"a", "1", 0}.crash()
+
+	for name, test := range map[string]struct {
+		// during is done during the call that shares it.
+		during func(k *Keeper)
+		err    error
+		want   map[carobward.Key]bool
+	}{
+		"shared":                      {func(*Keeper) {}, nil, map[carobward.Key]bool{c.key(): true}},
+		"answered while it is shared": {func(k *Keeper) { k.Answered(c.Print) }, nil, map[carobward.Key]bool{}},
+		"shared again meanwhile":      {func(k *Keeper) { k.Share(c) }, nil, map[carobward.Key]bool{c.key(): true}},
+		"refused at first":            {func(*Keeper) {}, carobward.ErrStoreRefused, map[carobward.Key]bool{c.key(): true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newShelf()
+			s.err = test.err
+			k := newKeeper(s, 0)
+
+			k.Ended(c)
+			k.Share(c)
+
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+
+			go func() {
+				defer close(done)
+
+				for k.Waiting() > 0 {
+					k.write(ctx)
+				}
+			}()
+
+			<-s.begun
+			test.during(k)
+			s.goOn <- struct{}{}
+
+			for ended := false; !ended; {
+				select {
+				case <-done:
+					ended = true
+				case <-s.begun:
+					s.mutex.Lock()
+					s.err = nil
+					s.mutex.Unlock()
+					s.goOn <- struct{}{}
+				}
+			}
+
+			cancel()
+
+			if diff := cmp.Diff(test.want, s.keys); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestAnsweredFirst wants a crash that was not shared yet never to be.
+func TestAnsweredFirst(t *testing.T) {
+	k := newKeeper(newShelf(), 0)
+	c := seen{"a", "1", 0}.crash()
+
+	k.Ended(c)
+	k.Share(c)
+	k.Answered(c.Print)
+
+	if n := k.Waiting(); n > 0 {
+		t.Errorf("%d changes wait for the store", n)
+	}
+}
+
+// TestNoCalls wants nothing of a store that serves nobody, and few calls of one that
+// refuses this entry VM.
+func TestNoCalls(t *testing.T) {
+	const asks = 50
+
+	for name, c := range map[string]struct {
+		word  time.Duration
+		err   error
+		calls int
+	}{
+		"serves nobody": {servedTime, nil, 0},
+		"refuses":       {0, carobward.ErrStoreRefused, 1},
+		"has it":        {0, carobward.ErrConflict, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newShelf()
+			s.err = c.err
+			k := newKeeper(s, c.word)
+
+			go func() {
+				for range c.calls {
+					s.let()
+				}
+			}()
+
+			for range asks {
+				if k.Try(printBy("a"), 1) {
+					t.Error("a trial was granted")
+				}
+			}
+
+			if s.calls != c.calls {
+				t.Errorf("%d calls", s.calls)
+			}
+
+			k.Share(seen{"a", "1", 0}.crash())
+
+			if waits := k.waits(); waits != (c.word < servedTime) {
+				t.Errorf("it would call: %v", waits)
+			}
+		})
+	}
+}
+
+// TestPending wants what waits for the store to be bounded.
+func TestPending(t *testing.T) {
+	k := newKeeper(newShelf(), 0)
+
+	for n := range 2 * pendingMost {
+		c := seen{"a", string(rune('a' + n)), 0}.crash()
+		k.Share(c)
+	}
+
+	if k.Waiting() != pendingMost || k.Dropped() != pendingMost {
+		t.Errorf("%d wait, %d dropped", k.Waiting(), k.Dropped())
+	}
+}
--- a/internal/cwquarantine/print.go
+++ b/internal/cwquarantine/print.go
@@ -43,13 +43,13 @@
 
 func (p Print) content() content { return content{p.Line, p.Body} }
 
-// LineOf returns the first part of a request's print, which costs little.
-func LineOf(c *carobward.Call) Digest { return digest(c.Method, c.Host, c.URI) }
+// lineOf returns the first part of a request's print, which costs little.
+func lineOf(c *carobward.Call) Digest { return digest(c.Method, c.Host, c.URI) }
 
 // PrintOf returns the print of a request that came from an IP number.
 func PrintOf(c *carobward.Call, ip string) Print {
 	return Print{
-		Line:   LineOf(c),
+		Line:   lineOf(c),
 		Body:   sum(sha256.Sum256(c.Body)),
 		Caller: digest(ip, c.Header.Get(fasthttp.HeaderAuthorization), c.Header.Get(fasthttp.HeaderCookie)),
 	}
--- a/internal/cwquarantine/table.go
+++ b/internal/cwquarantine/table.go
@@ -19,7 +19,7 @@
 	lines map[Digest]int
 	// records counts the crashes.
 	records int
-	// empty tells that there are none, so that requests need not be looked up.
+	// full tells that there are any, so that requests have to be looked up.
 	full atomic.Bool
 }
 
@@ -28,12 +28,15 @@
 	return &Table{contents: map[content]*suspect{}, lines: map[Digest]int{}}
 }
 
-// Watches tells whether a request with this first part of the print ended a server.
-func (t *Table) Watches(line Digest) bool {
+// Watches tells whether a server ended under a request with this method, host, path and
+// query. It costs nothing while no server has ended.
+func (t *Table) Watches(c *carobward.Call) bool {
 	if !t.full.Load() {
 		return false
 	}
 
+	line := lineOf(c)
+
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
 
@@ -79,7 +82,7 @@
 // add notes a crash; the mutex is held. A time that another clock has in the future
 // counts as now: it would last for longer than it may.
 func (t *Table) add(c Crash, now time.Time) bool {
-	if c.At.After(now) {
+	if c.At = wall(c.At); c.At.After(now) {
 		c.At = now
 	}
 
@@ -271,10 +274,10 @@
 	return t.forget(p.content(), func(caller Digest, crashes int) bool { return caller == p.Caller || crashes < crashesMost })
 }
 
-// Lift forgets the crashes under a request of one caller, and returns the keys that
+// Lift forgets the crashes under a request of all callers, and returns the keys that
 // are to go from the store.
 func (t *Table) Lift(p Print) []carobward.Key {
-	return t.forget(p.content(), func(caller Digest, _ int) bool { return caller == p.Caller })
+	return t.forget(p.content(), func(Digest, int) bool { return true })
 }
 
 // forget removes the crashes under a request of the callers that goes names, and the
--- a/internal/cwquarantine/table_test.go
+++ b/internal/cwquarantine/table_test.go
@@ -18,9 +18,10 @@
 	at             time.Duration
 }
 
-func printBy(caller string) Print {
-	return PrintOf(&carobward.Call{Method: "GET", Host: "club.example", URI: "/sheets/17"}, caller)
-}
+// sheet is a request.
+var sheet = carobward.Call{Method: "GET", Host: "club.example", URI: "/sheets/17"}
+
+func printBy(caller string) Print { return PrintOf(&sheet, caller) }
 
 func (s seen) crash() Crash {
 	return Crash{Print: printBy(s.caller), Server: carobward.Instance(s.server), At: start.Add(s.at), VM: "vm-1", Request: "GET club.example/sheets/17"}
@@ -160,7 +161,7 @@
 		items[i].Value, items[i].Gone = nil, true
 	}
 
-	if change := table.Put(items, start); len(change.Freed) != 1 || table.Watches(printBy("a").Line) {
+	if change := table.Put(items, start); len(change.Freed) != 1 || table.Watches(&sheet) {
 		t.Errorf("after the removal: %+v", change)
 	}
 }
--- /dev/null
+++ b/internal/cwquarantine/write.go
@@ -0,0 +1,179 @@
+package cwquarantine
+
+import (
+	"context"
+	"time"
+
+	"carobward.example/carobward"
+)
+
+// remove clears keys from the store. A crash that was not shared yet never is.
+func (k *Keeper) remove(keys []carobward.Key) {
+	gone := map[carobward.Key][]byte{}
+
+	k.mutex.Lock()
+	for _, key := range keys {
+		if value, waits := k.pending[key]; waits && value != nil && !k.sending {
+			delete(k.pending, key)
+		} else {
+			gone[key] = nil
+		}
+	}
+	k.mutex.Unlock()
+
+	k.put(gone)
+}
+
+// put has changes written by Run.
+func (k *Keeper) put(changes map[carobward.Key][]byte) {
+	k.mutex.Lock()
+	for key, value := range changes {
+		if len(k.pending) < pendingMost {
+			k.pending[key] = value
+		} else {
+			k.dropped++
+		}
+	}
+	k.mutex.Unlock()
+
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes what is to be shared until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if k.waits() {
+			pause(ctx, gatherTime)
+			k.write(ctx)
+
+			continue
+		}
+
+		select {
+		case <-ctx.Done():
+		case <-k.wake:
+		case <-time.After(idleTime):
+			k.clean(k.Clock.Now())
+		}
+	}
+}
+
+// waits tells whether there are changes to write and a store that may take them. Calls
+// to one that is away are paid for, too; another entry VM asks it for all.
+func (k *Keeper) waits() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	return len(k.pending) > 0 && k.Clock.Now().Sub(k.Word()) < servedTime
+}
+
+// write writes some of the changes in one call.
+func (k *Keeper) write(ctx context.Context) {
+	batch := k.batch()
+	err := k.Feed.Write(ctx, batch)
+	k.sent()
+
+	if err == nil {
+		k.wrote(batch)
+		k.back = 0
+
+		return
+	}
+
+	k.back = min(backMost, max(backFirst, 2*k.back))
+	k.Log.Info("Records could not be written.", "keys", len(batch.Writes)+len(batch.Deletes), "again", k.back.String(), "cause", err.Error())
+	pause(ctx, k.back)
+}
+
+// batch returns the changes of one call.
+func (k *Keeper) batch() carobward.Batch {
+	var b carobward.Batch
+
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	k.sending = true
+
+	for key, value := range k.pending {
+		switch {
+		case len(b.Writes)+len(b.Deletes) == batchMost:
+			return b
+		case value == nil:
+			b.Deletes = append(b.Deletes, key)
+		default:
+			b.Writes = append(b.Writes, carobward.Item{Key: key, Value: value})
+		}
+	}
+
+	return b
+}
+
+// sent notes that a call has ended.
+func (k *Keeper) sent() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	k.sending = false
+}
+
+// wrote notes that changes were written, unless others of a key came meanwhile.
+func (k *Keeper) wrote(b carobward.Batch) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	for i := range b.Writes {
+		if k.pending[b.Writes[i].Key] != nil {
+			delete(k.pending, b.Writes[i].Key)
+		}
+	}
+
+	for _, key := range b.Deletes {
+		if value, ok := k.pending[key]; ok && value == nil {
+			delete(k.pending, key)
+		}
+	}
+}
+
+// clean clears outdated records away, on one entry VM for all.
+func (k *Keeper) clean(now time.Time) {
+	if now.Sub(k.cleaned) < cleanTime || !k.Leads() {
+		return
+	}
+
+	k.cleaned = now
+
+	if keys := k.Table.Outdated(now, batchMost); len(keys) > 0 {
+		k.Log.Info("Outdated records are cleared away.", "keys", len(keys))
+		k.remove(keys)
+	}
+}
+
+// Waiting returns how many changes wait for the store.
+func (k *Keeper) Waiting() int {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	return len(k.pending)
+}
+
+// Dropped returns how many changes were dropped since too many waited.
+func (k *Keeper) Dropped() int64 {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	return k.dropped
+}
+
+// pause waits for a time or for the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -78,6 +78,7 @@
 	kills func(Run) bool
 	ended func()
 	stop  chan struct{}
+	once  sync.Once
 }
 
 // NewUpstream returns a server that serves on the listener until Close.
@@ -161,9 +162,9 @@
 	return u.broken
 }
 
-// Close ends it.
+// Close ends it. It may be called again.
 func (u *Upstream) Close() {
-	close(u.stop)
+	u.once.Do(func() { close(u.stop) })
 	u.acceptor.Close()
 }
 
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -11,14 +10,11 @@
 
 	"github.com/valyala/fasthttp"
 
-	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwsite"
 )
 
 const host = "club.example"
 
-func serverName(i int) carobward.Instance { return carobward.Instance(fmt.Sprintf("i-%d", i)) }
-
 // result is what a caller saw of one request.
 type result struct {
 	id     string
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -6,14 +6,18 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwsite"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
@@ -34,6 +38,12 @@
 	callers = 6
 	network = 42
 	grace   = "2s"
+	// workTime is how long a request takes, downTime for how long a server is down whose
+	// process a request ended.
+	workTime = 2 * time.Millisecond
+	downTime = 100 * time.Millisecond
+	// poison is the path of requests that end the process which runs them.
+	poison = "/charge/poison"
 )
 
 // TestSoak runs the seeds one after the other.
@@ -60,14 +70,62 @@
 	servers []*server
 	version int
 	history *history
+	// crashes counts the processes that a request ended.
+	crashes atomic.Int64
 }
 
 // server is a backend server behind a proxy.
 type server struct {
-	*cwstand.Upstream
-
 	instance string
-	proxy    *cwstand.Proxy
+	address  carobward.Address
+
+	mutex sync.Mutex
+	// up is the process that runs, ended are those before it.
+	up    *cwstand.Upstream
+	ended []*cwstand.Upstream
+	proxy *cwstand.Proxy
+	// start is that of the process, in milliseconds since the Unix epoch.
+	start  int64
+	closed bool
+}
+
+// Proxy returns the proxy before the server.
+func (s *server) Proxy() *cwstand.Proxy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return s.proxy
+}
+
+// Set tells the process how it treats requests.
+func (s *server) Set(way cwstand.UpstreamWay) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.up.Set(way, workTime)
+}
+
+// Runs returns the requests that all processes ran.
+func (s *server) Runs() []cwstand.Run {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	runs := s.up.Runs()
+	for _, u := range s.ended {
+		runs = append(runs, u.Runs()...)
+	}
+
+	return runs
+}
+
+// Close ends the server.
+func (s *server) Close() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.closed = true
+	s.up.Close()
+	s.proxy.Close()
 }
 
 func run(t *testing.T, seed uint64) {
@@ -108,19 +166,78 @@
 func (w *world) addServer(t *testing.T, i int) {
 	t.Helper()
 
-	s := &server{instance: fmt.Sprintf("i-%d", i), Upstream: cwstand.NewUpstream(cwtest.Listen(t), serverName(i))}
-	s.proxy = cwstand.NewProxy(cwtest.Listen(t), s.Address())
-	s.Set(cwstand.UpstreamServes, 2*time.Millisecond)
+	s := &server{instance: fmt.Sprintf("i-%d", i), start: time.Now().UnixMilli()}
+	ln := cwtest.Listen(t)
+	s.address = carobward.Address(ln.Addr().String())
+	w.begin(s, cwtest.Listen(t), ln)
 	t.Cleanup(s.Close)
-	t.Cleanup(s.proxy.Close)
 	w.servers = append(w.servers, s)
 	w.register(s, "ready")
 }
 
+// begin starts the next process of a server, behind a proxy that listens at its address.
+func (w *world) begin(s *server, own, listener net.Listener) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	if s.closed {
+		_, _ = own.Close(), listener.Close()
+
+		return
+	}
+
+	if s.up != nil {
+		s.ended = append(s.ended, s.up)
+	}
+
+	s.up = cwstand.NewUpstream(own, carobward.Instance(s.instance))
+	s.up.Set(cwstand.UpstreamServes, workTime)
+	s.up.SetKills(isPoison, func() { w.crashed(s) })
+	s.proxy = cwstand.NewProxy(listener, s.up.Address())
+}
+
+// crashed starts a server again, under the same instance, whose process a request ended.
+func (w *world) crashed(s *server) {
+	w.crashes.Add(1)
+
+	s.mutex.Lock()
+	s.proxy.Close()
+	s.up.Close()
+	s.start++
+	s.mutex.Unlock()
+
+	<-time.After(downTime)
+
+	own, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return
+	}
+
+	for {
+		if ln, err := net.Listen("tcp", string(s.address)); err == nil {
+			w.begin(s, own, ln)
+			w.register(s, "ready")
+
+			return
+		}
+	}
+}
+
+// isPoison tells whether a request ends the process that runs it.
+func isPoison(r cwstand.Run) bool { return r.URI == poison }
+
 func (w *world) register(s *server, state string) {
-	w.Store.Put("servers/"+s.instance, cwstand.MetadataServer("records", s.proxy.Address(), "zone-1", state))
+	entry := cwstand.MetadataServer("records", s.address, "zone-1", state)
+
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	w.Store.Put("servers/"+s.instance, cwstand.MetadataStart(entry, s.start))
 }
 
+// spoiled are entries of another writer.
+var spoiled = []string{"", "{}", "\x00", `{"address":"127.0.0.1:9","info":{"service":"records","zone":"a","slots":"4"}}`}
+
 // configure writes the next configuration, with a route of its own by which it
 // can be told from others.
 func (w *world) configure() {
@@ -142,15 +259,15 @@
 		cwstand.ProxyPasses, cwstand.ProxyDelays, cwstand.ProxyLosesRequests, cwstand.ProxyLosesReplies, cwstand.ProxyResets,
 	}
 
-	switch w.random.IntN(12) {
+	switch w.random.IntN(15) {
 	case 0:
 		w.configure()
 	case 1:
 		w.StoreProxy.Set(faults[w.random.IntN(len(faults))])
 	case 2, 3:
-		s.proxy.Set(faults[w.random.IntN(len(faults))])
+		s.Proxy().Set(faults[w.random.IntN(len(faults))])
 	case 4, 5:
-		s.Set(cwstand.UpstreamWay(w.random.IntN(int(cwstand.UpstreamUnframed)+1)), 2*time.Millisecond)
+		s.Set(cwstand.UpstreamWay(w.random.IntN(int(cwstand.UpstreamUnframed) + 1)))
 	case 6:
 		w.register(s, []string{"ready", "draining"}[w.random.IntN(2)])
 	case 7:
@@ -160,9 +277,13 @@
 	case 9:
 		w.pause(t, v)
 	case 10:
-		s.proxy.Silence()
+		s.Proxy().Silence()
 	case 11:
 		w.StoreProxy.Silence()
+	case 12:
+		w.Store.Put("servers/"+s.instance, []byte(spoiled[w.random.IntN(len(spoiled))]))
+	case 13, 14:
+		w.history.add(send(v, http.MethodPost, poison, newID()))
 	}
 
 	<-time.After(time.Duration(50+w.random.IntN(300)) * time.Millisecond)
@@ -202,8 +323,8 @@
 	w.StoreProxy.Set(cwstand.ProxyPasses)
 
 	for _, s := range w.servers {
-		s.proxy.Set(cwstand.ProxyPasses)
-		s.Set(cwstand.UpstreamServes, 2*time.Millisecond)
+		s.Proxy().Set(cwstand.ProxyPasses)
+		s.Set(cwstand.UpstreamServes)
 		w.register(s, "ready")
 	}
 
@@ -216,9 +337,41 @@
 		})
 	}
 
+	w.poisoned(t)
+
 	for _, v := range w.All {
 		if text := v.Process().Output(); strings.Contains(text, "panic:") || strings.Contains(text, "DATA RACE") {
 			t.Errorf("%s: %s", v.ID, text)
 		}
 	}
 }
+
+// poisoned sends the request that ends servers to each entry VM again and again, and
+// wants it to be refused in the end: after the third end no more than three sends reach
+// servers, but for those until all know, who have no fault left by now.
+func (w *world) poisoned(t *testing.T) {
+	t.Helper()
+
+	const (
+		tries = 40
+		most  = 3
+	)
+
+	for _, v := range w.All {
+		cwtest.Wait(t, v.ID+" refuses the request that ends servers", func() bool {
+			return send(v, http.MethodPost, poison, newID()).status == http.StatusServiceUnavailable
+		})
+	}
+
+	before := w.crashes.Load()
+
+	for i := range tries {
+		w.history.add(send(w.All[i%vms], http.MethodPost, poison, newID()))
+	}
+
+	if n := w.crashes.Load() - before; n > most {
+		t.Errorf("%d servers had ended under a request, and it ended %d more", before, n)
+	}
+
+	t.Logf("%d servers ended under a request, %d of them once it was refused", w.crashes.Load(), w.crashes.Load()-before)
+}
