Each caller whose own crashes hold a request has a trial of its own, after 3 s

Change: trials are counted for the caller whose crashes hold the request, or for all where all callers together gave cause. The first one comes 3 s after the last crash in place of 5. A request has two trials as before.

TestDecide has the case; the expected waits follow the first trial's time.

--- a/cmd/carobward/bench.go
+++ b/cmd/carobward/bench.go
@@ -49,6 +49,7 @@
 		{"leave", "Print how soon a leaving server gets no more work.", usageBenchLeave, &benchLeaveCommand{}},
 		{"members", "Measure membership against the fleet's size.", usageBenchMembers, &benchMembersCommand{}},
 		{"once", "Count runs of work that must not repeat, through faults.", usageBenchOnce, &benchOnceCommand{}},
+		{"poison", "Replay requests that end servers.", usageBenchPoison, &benchPoisonCommand{}},
 		{"worst", "Replay loads at their worst.", usageBenchWorst, &benchWorstCommand{}},
 		{"scripts", "Count the faults against servers that misbehave.", usageBenchScripts, &benchScriptsCommand{}},
 	} {
--- a/internal/cwfront/quarantine.go
+++ b/internal/cwfront/quarantine.go
@@ -66,9 +66,9 @@
 	d := q.Table.Decide(p, r.front.Clock.Now())
 
 	switch {
-	case !d.Held, d.Trial > 0 && !send:
+	case !d.Held, d.Trial.Number > 0 && !send:
 		return nil
-	case d.Trial > 0 && q.Try(p, d.Trial):
+	case d.Trial.Number > 0 && q.Try(d.Trial):
 		r.trial = true
 
 		return nil
--- a/internal/cwquarantine/keeper_test.go
+++ b/internal/cwquarantine/keeper_test.go
@@ -178,7 +178,7 @@
 			}()
 
 			for range asks {
-				if k.Try(printBy("a"), 1) {
+				if k.Try(Trial{Print: printBy("a"), Number: 1}) {
 					t.Error("a trial was granted")
 				}
 			}
--- a/internal/cwquarantine/list.go
+++ b/internal/cwquarantine/list.go
@@ -25,20 +25,12 @@
 
 	var all []Entry
 
-	for _, s := range t.contents {
-		trials := 0
-
-		for _, at := range s.trials {
-			if !at.IsZero() {
-				trials++
-			}
-		}
-
+	for key, s := range t.contents {
 		for caller, list := range s.callers {
-			e := Entry{Trials: trials, Decision: s.decide(caller, wall(now))}
+			e := Entry{Print: Print{key.line, key.body, caller}, Trials: len(s.trialKeys(key, caller)) + len(s.trialKeys(key, Digest{}))}
+			e.Decision = s.decide(e.Print, wall(now))
 
 			for _, c := range list {
-				e.Print = c.Print
 				e.Crashes = append(e.Crashes, c)
 			}
 
--- a/internal/cwquarantine/record.go
+++ b/internal/cwquarantine/record.go
@@ -92,6 +92,7 @@
 // Trial is one send of a quarantined request that finds out whether servers bear it
 // now. There are few, so that each has a number.
 type Trial struct {
+	// Print has no caller where the trial is for all of them.
 	Print Print
 	// Number counts from 1.
 	Number int
@@ -99,24 +100,20 @@
 	VM     carobward.VMID
 }
 
-// key returns the key of a trial, the same for all callers of a request.
+// key returns the key of a trial.
 func (t *Trial) key() carobward.Key {
-	return trialKey(t.Print.content(), t.Number)
-}
-
-func trialKey(c content, number int) carobward.Key {
-	return carobward.Key(prefixTrial + c.line.String() + separator + c.body.String() + "/" + strconv.Itoa(number))
+	return carobward.Key(prefixTrial + t.Print.String() + "/" + strconv.Itoa(t.Number))
 }
 
 func (t *Trial) encode() ([]byte, error) {
 	return proto.Marshal(&cwwire.Trial{At: t.At.UnixMilli(), Vm: string(t.VM)})
 }
 
-// decodeTrial reads what the store has of a trial. Its print has no caller.
+// decodeTrial reads what the store has of a trial.
 func decodeTrial(key carobward.Key, value []byte) (Trial, error) {
 	text, number, _ := strings.Cut(strings.TrimPrefix(string(key), prefixTrial), "/")
 
-	p, err := ParsePrint(text + separator + Digest{}.String())
+	p, err := ParsePrint(text)
 	if err != nil {
 		return Trial{}, err
 	}
--- a/internal/cwquarantine/suspect.go
+++ b/internal/cwquarantine/suspect.go
@@ -23,8 +23,10 @@
 	// trialFirst is how long after the last crash a quarantined request is sent once,
 	// in the whole fleet: an innocent one is answered, and is served from then on.
 	// trialNext is how long after that it is sent once more. A crash of the server
-	// costs the requests beside it, so there are trialsMost in all.
-	trialFirst = 5 * time.Second
+	// costs the requests beside it, so there are trialsMost in all. Each caller whose
+	// own crashes hold a request has its own: all servers of a service may have ended
+	// at once, under requests that several callers had in flight at three of them.
+	trialFirst = 3 * time.Second
 	trialNext  = 30 * time.Second
 	trialsMost = 2
 	// keepTime is how long a crash is remembered. An operator who is called has seen
@@ -45,54 +47,33 @@
 	// Held tells that it is not sent. It may come back after Wait.
 	Held bool
 	Wait time.Duration
-	// Trial is the number of the trial by which it may be sent all the same, once;
-	// 0: none.
-	Trial int
+	// Trial is the one by which it may be sent all the same, once; its number is 0
+	// where there is none.
+	Trial Trial
 }
 
 // suspect is a request under which servers ended, of whichever caller.
 type suspect struct {
 	// callers has the crashes by caller and by server.
 	callers map[Digest]map[Digest]Crash
-	// trials has when each trial was made.
-	trials [trialsMost]time.Time
+	// trials has when each trial was made, by caller; those for all callers together
+	// have none.
+	trials map[Digest][trialsMost]time.Time
+}
+
+func newSuspect() *suspect {
+	return &suspect{callers: map[Digest]map[Digest]Crash{}, trials: map[Digest][trialsMost]time.Time{}}
 }
 
 // wall returns a time by its wall clock alone: what the store has comes from other
 // clocks, and the steady one stands still while a VM is suspended.
 func wall(now time.Time) time.Time { return now.Round(0) }
 
-func (s *suspect) decide(caller Digest, now time.Time) Decision {
-	last, held := s.heldSince(caller, now)
-	if !held {
-		return Decision{}
-	}
-
-	for n, at := range s.trials {
-		due := last.Add(trialFirst)
-		if n > 0 {
-			due = s.trials[n-1].Add(trialNext)
-		}
-
-		switch {
-		case !at.IsZero():
-			continue
-		case now.Before(due):
-			return Decision{Held: true, Wait: due.Sub(now)}
-		default:
-			return Decision{Trial: n + 1, Held: true, Wait: trialNext}
-		}
-	}
-
-	return Decision{Held: true, Wait: last.Add(keepTime).Sub(now)}
-}
-
-// heldSince tells whether the request is quarantined for a caller, and returns the
-// time of the last crash that counts.
-func (s *suspect) heldSince(caller Digest, now time.Time) (time.Time, bool) {
-	own, last := count(s.callers[caller], now)
+// decide returns what happens to a request.
+func (s *suspect) decide(p Print, now time.Time) Decision {
+	own, last := count(s.callers[p.Caller], now)
 	if own >= crashesMost {
-		return last, true
+		return s.hold(p, last, now)
 	}
 
 	callers := 0
@@ -104,8 +85,33 @@
 	}
 
 	shared, last := count(s.all(), now)
+	if callers < 2 || shared < sharedMost {
+		return Decision{}
+	}
+
+	p.Caller = Digest{}
+
+	return s.hold(p, last, now)
+}
+
+// hold returns what happens to a request that is quarantined for a caller, or for all of
+// them where the print has none, since the last crash that counts.
+func (s *suspect) hold(p Print, last, now time.Time) Decision {
+	trials := s.trials[p.Caller]
+	due := last.Add(trialFirst)
+
+	for n, at := range trials {
+		switch {
+		case !at.IsZero():
+			due = at.Add(trialNext)
+		case now.Before(due):
+			return Decision{Held: true, Wait: due.Sub(now)}
+		default:
+			return Decision{Held: true, Wait: trialNext, Trial: Trial{Print: p, Number: n + 1}}
+		}
+	}
 
-	return last, callers > 1 && shared >= sharedMost
+	return Decision{Held: true, Wait: last.Add(keepTime).Sub(now)}
 }
 
 // all returns the crashes under the request by server, of whichever caller.
@@ -149,15 +155,26 @@
 	return n, last
 }
 
-// trialKeys returns the keys of the trials that were made.
-func (s *suspect) trialKeys(key content) []carobward.Key {
+// trialKeys returns the keys of the trials that were made for a caller.
+func (s *suspect) trialKeys(key content, caller Digest) []carobward.Key {
 	var keys []carobward.Key
 
-	for n, at := range s.trials {
+	for n, at := range s.trials[caller] {
 		if !at.IsZero() {
-			keys = append(keys, trialKey(key, n+1))
+			t := Trial{Print: Print{key.line, key.body, caller}, Number: n + 1}
+			keys = append(keys, t.key())
 		}
 	}
 
 	return keys
 }
+
+// allTrialKeys returns the keys of all trials that were made.
+func (s *suspect) allTrialKeys(key content) []carobward.Key {
+	var keys []carobward.Key
+	for caller := range s.trials {
+		keys = append(keys, s.trialKeys(key, caller)...)
+	}
+
+	return keys
+}
--- a/internal/cwquarantine/table.go
+++ b/internal/cwquarantine/table.go
@@ -53,7 +53,7 @@
 		return Decision{}
 	}
 
-	return s.decide(p.Caller, wall(now))
+	return s.decide(p, wall(now))
 }
 
 // Crashes returns how many servers ended under a request of this caller.
@@ -90,7 +90,7 @@
 	s := t.contents[key]
 
 	if s == nil {
-		s = &suspect{callers: map[Digest]map[Digest]Crash{}}
+		s = newSuspect()
 	}
 
 	list := s.callers[c.Print.Caller]
@@ -190,7 +190,7 @@
 func (t *Table) isHeld(p Print, now time.Time) bool {
 	s := t.contents[p.content()]
 
-	return s != nil && s.decide(p.Caller, now).Held
+	return s != nil && s.decide(p, now).Held
 }
 
 // removeKey forgets the crash that a key stands for; the mutex is held.
@@ -263,7 +263,9 @@
 	defer t.mutex.Unlock()
 
 	if s := t.contents[trial.Print.content()]; s != nil {
-		s.trials[trial.Number-1] = trial.At
+		all := s.trials[trial.Print.Caller]
+		all[trial.Number-1] = trial.At
+		s.trials[trial.Print.Caller] = all
 	}
 }
 
@@ -298,6 +300,9 @@
 			continue
 		}
 
+		keys = append(keys, s.trialKeys(key, caller)...)
+		delete(s.trials, caller)
+
 		for server, c := range list {
 			keys = append(keys, c.key())
 			t.remove(c.Print, server)
@@ -305,7 +310,7 @@
 	}
 
 	if len(s.callers) == 0 {
-		keys = append(keys, s.trialKeys(key)...)
+		keys = append(keys, s.allTrialKeys(key)...)
 	}
 
 	return keys
@@ -330,7 +335,7 @@
 
 		// Once the last crash has gone nobody knows of the trials.
 		if n, _ := count(all, now); n == 0 {
-			keys = append(keys, s.trialKeys(key)...)
+			keys = append(keys, s.allTrialKeys(key)...)
 		}
 
 		for _, c := range all {
--- a/internal/cwquarantine/table_test.go
+++ b/internal/cwquarantine/table_test.go
@@ -32,6 +32,9 @@
 	const second = time.Second
 
 	three := []seen{{"a", "1", 0}, {"a", "2", 0}, {"a", "3", second}}
+	two := append([]seen{{"b", "1", 0}, {"b", "2", 0}, {"b", "3", second}}, three...)
+	forAll := printBy("a")
+	forAll.Caller = Digest{}
 	shared := []seen{{"a", "1", 0}, {"a", "2", 0}, {"b", "3", 0}, {"b", "4", 0}, {"c", "5", second}}
 
 	for name, c := range map[string]struct {
@@ -44,19 +47,21 @@
 		"none":                     {nil, nil, 0, "a", Decision{}},
 		"two servers":              {three[:2], nil, 0, "a", Decision{}},
 		"the same server thrice":   {[]seen{three[0], three[0], three[0]}, nil, 0, "a", Decision{}},
-		"three servers":            {three, nil, 2 * second, "a", Decision{Held: true, Wait: 4 * second}},
+		"three servers":            {three, nil, 2 * second, "a", Decision{Held: true, Wait: 2 * second}},
 		"of another caller":        {three, nil, 2 * second, "b", Decision{}},
-		"time for a trial":         {three, nil, 6 * second, "a", Decision{Held: true, Trial: 1, Wait: trialNext}},
+		"time for a trial":         {three, nil, 6 * second, "a", Decision{Held: true, Trial: Trial{Print: printBy("a"), Number: 1}, Wait: trialNext}},
 		"after a trial":            {three, []time.Duration{6 * second}, 16 * second, "a", Decision{Held: true, Wait: 20 * second}},
-		"time for another trial":   {three, []time.Duration{6 * second}, 36 * second, "a", Decision{Held: true, Trial: 2, Wait: trialNext}},
+		"time for another trial":   {three, []time.Duration{6 * second}, 36 * second, "a", Decision{Held: true, Trial: Trial{Print: printBy("a"), Number: 2}, Wait: trialNext}},
+		"after another's trial":    {two, []time.Duration{6 * second}, 7 * second, "b", Decision{Held: true, Trial: Trial{Print: printBy("b"), Number: 1}, Wait: trialNext}},
 		"after the last trial":     {three, []time.Duration{6 * second, 36 * second}, 61 * second, "a", Decision{Held: true, Wait: keepTime - 60*second}},
 		"long after":               {three, []time.Duration{6 * second, 36 * second}, keepTime + second, "a", Decision{}},
 		"one too long ago":         {three, nil, keepTime, "a", Decision{}},
 		"four of several callers":  {shared[:4], nil, 0, "a", Decision{}},
-		"five of several callers":  {shared, nil, 2 * second, "a", Decision{Held: true, Wait: 4 * second}},
-		"five and another caller":  {shared, nil, 2 * second, "d", Decision{Held: true, Wait: 4 * second}},
+		"five of several callers":  {shared, nil, 2 * second, "a", Decision{Held: true, Wait: 2 * second}},
+		"time for all callers":     {shared, nil, 6 * second, "d", Decision{Held: true, Trial: Trial{Print: forAll, Number: 1}, Wait: trialNext}},
+		"five and another caller":  {shared, nil, 2 * second, "d", Decision{Held: true, Wait: 2 * second}},
 		"one server, five callers": {[]seen{{"a", "1", 0}, {"b", "1", 0}, {"c", "1", 0}, {"d", "1", 0}, {"e", "1", 0}}, nil, 0, "a", Decision{}},
-		"a clock that is ahead":    {[]seen{three[0], three[1], {"a", "3", 24 * time.Hour}}, nil, 2 * second, "a", Decision{Held: true, Wait: 5 * second}},
+		"a clock that is ahead":    {[]seen{three[0], three[1], {"a", "3", 24 * time.Hour}}, nil, 2 * second, "a", Decision{Held: true, Wait: 3 * second}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			table := NewTable()
@@ -225,7 +230,7 @@
 	}
 
 	f.Add(string(c.key()), raw)
-	f.Add(string(trialKey(printBy("a").content(), 1)), raw)
+	f.Add(string((&Trial{Print: printBy("a"), Number: 1}).key()), raw)
 	f.Add(prefixCrash, []byte("{}"))
 	f.Add(prefixTrial+"/9", []byte{})
 
--- a/internal/cwquarantine/trial.go
+++ b/internal/cwquarantine/trial.go
@@ -10,12 +10,12 @@
 )
 
 // Try asks for the one send of a trial, which one entry VM of all gets.
-func (k *Keeper) Try(p Print, number int) bool {
+func (k *Keeper) Try(t Trial) bool {
 	if !k.mayTry(k.Clock.Now()) {
 		return false
 	}
 
-	t := Trial{Print: p, Number: number, At: k.Clock.Now(), VM: k.VM}
+	t.At, t.VM = k.Clock.Now(), k.VM
 
 	raw, err := t.encode()
 	if err == nil {
@@ -36,7 +36,7 @@
 		cause = err.Error()
 	}
 
-	k.Log.Info("Asked for a trial of a quarantined request.", "print", p.String(), "number", number, "granted", err == nil, "cause", cause)
+	k.Log.Info("Asked for a trial of a quarantined request.", "print", t.Print.String(), "number", t.Number, "granted", err == nil, "cause", cause)
 
 	return err == nil
 }
