--- a/internal/cwquarantine/keeper_test.go
+++ b/internal/cwquarantine/keeper_test.go
@@ -12,8 +12,8 @@
 	"carobward.example/carobward"
 )
 
-// shelf is a store's part for writes, with a pause in each call that a test ends.
-type shelf struct {
+// fakeFeed takes writes, with a pause in each call that a test ends.
+type fakeFeed struct {
 	carobward.Feed
 
 	mutex sync.Mutex
@@ -24,11 +24,11 @@
 	goOn  chan struct{}
 }
 
-func newShelf() *shelf {
-	return &shelf{keys: map[carobward.Key]bool{}, begun: make(chan struct{}, 1), goOn: make(chan struct{}, 1)}
+func newFakeFeed() *fakeFeed {
+	return &fakeFeed{keys: map[carobward.Key]bool{}, begun: make(chan struct{}, 1), goOn: make(chan struct{}, 1)}
 }
 
-func (s *shelf) Write(_ context.Context, b carobward.Batch) error {
+func (s *fakeFeed) Write(_ context.Context, b carobward.Batch) error {
 	s.begun <- struct{}{}
 	<-s.goOn
 
@@ -59,7 +59,7 @@
 }
 
 // let lets the next call go on.
-func (s *shelf) let() {
+func (s *fakeFeed) let() {
 	<-s.begun
 	s.goOn <- struct{}{}
 }
@@ -70,7 +70,7 @@
 func (still) Now() time.Time { return start }
 
 // newKeeper returns a keeper of an entry VM that last heard of the store so long ago.
-func newKeeper(s *shelf, word time.Duration) *Keeper {
+func newKeeper(s *fakeFeed, word time.Duration) *Keeper {
 	return New(Options{
 		VM: "vm-1", Table: NewTable(), Feed: s, Clock: still{}, Log: logr.Discard(),
 		Word:  func() time.Time { return start.Add(-word) },
@@ -95,7 +95,7 @@
 		"refused at first":            {func(*Keeper) {}, carobward.ErrStoreRefused, map[carobward.Key]bool{c.key(): true}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newShelf()
+			s := newFakeFeed()
 			s.err = test.err
 			k := newKeeper(s, 0)
 
@@ -140,7 +140,7 @@
 
 // TestAnsweredFirst wants a crash that was not shared yet never to be.
 func TestAnsweredFirst(t *testing.T) {
-	k := newKeeper(newShelf(), 0)
+	k := newKeeper(newFakeFeed(), 0)
 	c := seen{"a", "1", 0}.crash()
 
 	k.Ended(c)
@@ -167,7 +167,7 @@
 		"has it":        {0, carobward.ErrConflict, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newShelf()
+			s := newFakeFeed()
 			s.err = c.err
 			k := newKeeper(s, c.word)
 
@@ -198,7 +198,7 @@
 
 // TestPending wants what waits for the store to be bounded.
 func TestPending(t *testing.T) {
-	k := newKeeper(newShelf(), 0)
+	k := newKeeper(newFakeFeed(), 0)
 
 	for n := range 2 * pendingMost {
 		c := seen{"a", string(rune('a' + n)), 0}.crash()
--- /dev/null
+++ b/internal/cwstand/metadata_value.go
@@ -0,0 +1,79 @@
+package cwstand
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strconv"
+
+	"carobward.example/carobward"
+)
+
+// MetadataServer returns the value of a server's entry.
+func MetadataServer(service carobward.Service, address carobward.Address, domain carobward.Domain, state string) []byte {
+	raw, err := json.Marshal(map[string]any{
+		"address": address,
+		"info":    map[string]any{"service": service, "version": "v1", "zone": domain, "slots": upstreamSlots},
+		"status":  map[string]any{"state": state, "seq": 1, "warmup_left": "0ms"},
+	})
+	if err != nil {
+		return nil
+	}
+
+	return raw
+}
+
+// MetadataStart returns the value of a server's entry with the start of its process, in
+// milliseconds since the Unix epoch.
+func MetadataStart(entry []byte, start int64) []byte {
+	all := map[string]any{}
+	if err := json.Unmarshal(entry, &all); err != nil {
+		return nil
+	}
+
+	all["born"] = start
+
+	raw, err := json.Marshal(all)
+	if err != nil {
+		return nil
+	}
+
+	return raw
+}
+
+// MetadataRoute is one route of a configuration. What is left out gets a usual
+// value.
+type MetadataRoute map[string]any
+
+// MetadataConfig returns the value of a configuration with one host, for which
+// every named service exists.
+func MetadataConfig(version int, host string, routes ...MetadataRoute) []byte {
+	services := map[any]bool{}
+	paths := []MetadataRoute{}
+
+	for i, r := range routes {
+		one := MetadataRoute{
+			"name": "r-" + strconv.Itoa(i), "timeout": "2s", "target_latency": "500ms", "priority": i, "max_attempts": 2,
+		}
+		maps.Copy(one, r)
+		paths = append(paths, one)
+		services[one["service"]] = true
+	}
+
+	list := []any{}
+	for name := range services {
+		list = append(list, map[string]any{"name": name, "health_path": "/health", "max_conns": 200})
+	}
+
+	raw, err := json.Marshal(map[string]any{
+		"version":  fmt.Sprintf("%08x", version),
+		"services": list,
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout": "3s", "idle_timeout": "15s"},
+		"hosts":    []any{map[string]any{"host": host, "paths": paths}},
+	})
+	if err != nil {
+		return nil
+	}
+
+	return raw
+}
