Evacuation: a failure domain that operators empty gets nothing more

Cause: op/evacuate/ came with the copy of the store and was read nowhere. Ruled out: a list of its own beside the copy of the store. The copy is already handed between entry VMs, survives gaps and restarts, and comes with the list of servers. Change: the adapter tells the failure domain by the key alone (the value may be unreadable), the table of servers leaves such servers out of what an entry VM knows, of each last check before a send, of second sends, hand-overs and looks; an entry VM whose own failure domain has no server left knows twelve of the others in place of four. All evacuated: refused at once, not run, with a time to come back.

--- a/internal/cwbackend/share_test.go
+++ b/internal/cwbackend/share_test.go
@@ -173,3 +173,49 @@
 		})
 	}
 }
+
+// TestEvacuatedBalance wants the entry VMs of an evacuated failure domain to know as many
+// servers elsewhere as they did at home, with no server there known to many more than
+// another, and none of them to know an evacuated server.
+func TestEvacuatedBalance(t *testing.T) {
+	for _, size := range fleetSizes[1:] {
+		t.Run(fmt.Sprint(size.vms), func(t *testing.T) {
+			neighbours, list := fleetOf(size)
+			all := slices.Concat(neighbours, []carobward.VMID{"front-hall-0"})
+			knownBy := map[carobward.Instance]int{}
+
+			for n, id := range all {
+				table := New(VM{ID: id, Domain: "d0"})
+				table.SetNeighbours(slices.Concat(all[:n], all[n+1:]))
+				table.Put(list, nil, start)
+				table.SetEvacuated("d0", true)
+
+				views := table.Views("records", start, usual)
+				if len(views) != knownNear+knownFar {
+					t.Errorf("%s knows %d servers", id, len(views))
+				}
+
+				for _, v := range views {
+					knownBy[v.Server.Backend().Instance]++
+
+					if v.Domain == "d0" || !table.Has(v.Server.Backend()) {
+						t.Errorf("%s may send to %s of %s", id, v.Server.Backend().Instance, v.Domain)
+					}
+				}
+
+				if table.CountOf("records") != size.servers-size.servers/fleetDomains-1 || table.Emptied("records") {
+					t.Errorf("%d servers may get requests", table.CountOf("records"))
+				}
+			}
+
+			most := 0
+			for _, n := range knownBy {
+				most = max(most, n)
+			}
+
+			if mean := len(all) * (knownNear + knownFar) / len(knownBy); most > 4*mean+4 {
+				t.Errorf("a server is known to %d, in the mean to %d", most, mean)
+			}
+		})
+	}
+}
--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -44,14 +44,21 @@
 	alone bool
 	// mine has the servers of each service that this entry VM sends to.
 	mine map[carobward.Service][]*Server
-	// counts has the number of all servers of each service.
-	counts map[carobward.Service]int
+	// evacuated has the failure domains whose servers get nothing.
+	evacuated map[carobward.Domain]bool
+	// counts has the number of the servers of each service that may get requests,
+	// emptied of those in evacuated failure domains.
+	counts  map[carobward.Service]int
+	emptied map[carobward.Service]int
 }
 
 // New returns an empty table for an entry VM, which sends to all servers before
 // SetNeighbours is called.
 func New(self VM) *Table {
-	return &Table{self: self, byInstance: map[carobward.Instance]*Server{}, shares: newShares(self.ID), alone: true}
+	return &Table{
+		self: self, byInstance: map[carobward.Instance]*Server{}, shares: newShares(self.ID), alone: true,
+		evacuated: map[carobward.Domain]bool{},
+	}
 }
 
 // Put takes new and changed entries, and the instances that are gone. It returns the
@@ -124,6 +131,41 @@
 	}
 }
 
+// SetEvacuated tells whether the operators evacuate a failure domain. Its servers get
+// nothing then: no request, no second one, no look. What is under way there ends as it
+// would. It returns how many servers that concerns.
+func (t *Table) SetEvacuated(d carobward.Domain, evacuated bool) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	if evacuated {
+		t.evacuated[d] = true
+	} else {
+		delete(t.evacuated, d)
+	}
+
+	t.arrange()
+
+	count := 0
+
+	for _, s := range t.byInstance {
+		if s.Backend().Domain == d {
+			count++
+		}
+	}
+
+	return count
+}
+
+// Emptied tells whether a service has servers, all of them in evacuated failure
+// domains.
+func (t *Table) Emptied(service carobward.Service) bool {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	return t.counts[service] == 0 && t.emptied[service] > 0
+}
+
 // candidate is a server that this entry VM may send to.
 type candidate struct {
 	*place
@@ -134,10 +176,17 @@
 // arrange sorts the servers by service and picks ours; the mutex is held.
 func (t *Table) arrange() {
 	near, far := map[carobward.Service][]candidate{}, map[carobward.Service][]candidate{}
-	t.counts = map[carobward.Service]int{}
+	t.counts, t.emptied = map[carobward.Service]int{}, map[carobward.Service]int{}
 
 	for i, s := range t.byInstance {
 		b := s.Backend()
+
+		if t.evacuated[b.Domain] {
+			t.emptied[b.Service]++
+
+			continue
+		}
+
 		t.counts[b.Service]++
 
 		if b.Domain == t.self.Domain {
@@ -154,10 +203,22 @@
 	}
 
 	for service, list := range far {
-		t.mine[service] = append(t.mine[service], t.pickFar(list)...)
+		t.mine[service] = append(t.mine[service], t.pickFar(list, t.farCount(len(near[service])))...)
 	}
 }
 
+// farCount returns how many servers of other failure domains this entry VM knows
+// beside so many near ones. Where its own failure domain has none (it may be
+// evacuated), the others take the place of those: by knownFar alone the requests of
+// two other failure domains would crowd on a few servers each.
+func (t *Table) farCount(near int) int {
+	if near == 0 {
+		return knownNear + knownFar
+	}
+
+	return knownFar
+}
+
 // pickNear returns the servers of the own failure domain that this entry VM sends
 // to. Each server is known to the same number of the entry VMs there, so that no
 // server is left out, and a change of either side moves few. That number is
@@ -189,14 +250,14 @@
 
 // pickFar returns the servers of the other failure domains that this entry VM
 // sends to: those that it is the first for of its own.
-func (t *Table) pickFar(list []candidate) []*Server {
-	if t.alone || len(list) <= knownFar {
+func (t *Table) pickFar(list []candidate, most int) []*Server {
+	if t.alone || len(list) <= most {
 		return servers(list)
 	}
 
-	toFront(list, knownFar)
+	toFront(list, most)
 
-	return servers(list[:knownFar])
+	return servers(list[:most])
 }
 
 // toFront brings those few of a list to its front that this entry VM comes first
@@ -242,12 +303,19 @@
 	return views
 }
 
-// Has tells whether a server is still in the table as the same process, and not
-// leaving.
+// Has tells whether a server is still in the table as the same process, and neither
+// leaving nor in an evacuated failure domain: whether it may get a request now.
 func (t *Table) Has(b carobward.Backend) bool {
 	now, ok := t.present(b.Instance)
 
-	return ok && !now.Leaving && compareStart(now, b) == same
+	return ok && !now.Leaving && compareStart(now, b) == same && !t.isEvacuated(now.Domain)
+}
+
+func (t *Table) isEvacuated(d carobward.Domain) bool {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	return t.evacuated[d]
 }
 
 // HasNewer tells whether a server has started again since.
@@ -292,7 +360,8 @@
 	return list
 }
 
-// CountOf returns the number of servers of a service.
+// CountOf returns the number of servers of a service that are not in evacuated failure
+// domains.
 func (t *Table) CountOf(service carobward.Service) int {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -23,6 +23,7 @@
 	ErrFull        = errors.ConstError("no server has room now")
 	ErrShed        = errors.ConstError("the server refused it, and no further send is allowed")
 	ErrNone        = errors.ConstError("no server of the service is known")
+	ErrEvacuated   = errors.ConstError("all servers of the service are in failure domains that the operators have evacuated")
 	ErrGone        = errors.ConstError("the caller has gone")
 	ErrLate        = errors.ConstError("the time was over")
 	ErrBegun       = errors.ConstError("a server refused it, but an earlier send may have run")
--- a/internal/cwfront/wait.go
+++ b/internal/cwfront/wait.go
@@ -181,12 +181,21 @@
 	best.release()
 
 	if !known && ctx.Err() == nil {
-		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, r.turn.Return(), ErrNone)
+		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, r.turn.Return(), r.noneCause())
 	}
 
 	return nil, nil
 }
 
+// noneCause returns why there is no server at all for a request.
+func (r *request) noneCause() error {
+	if r.front.Servers.Emptied(r.service) {
+		return ErrEvacuated
+	}
+
+	return ErrNone
+}
+
 // handOver gives the slot of a send that was answered to a waiter, with the
 // connection, and tells whether one took it. Its server said with the answer how it
 // is, so that no look is needed: under overload looks are few, and a slot would be
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -74,6 +74,8 @@
 
 	IsRouting func(carobward.Key) bool
 	IsBackend func(carobward.Key) bool
+	// Evacuated returns the failure domain that is evacuated while a key exists.
+	Evacuated func(carobward.Key) (carobward.Domain, bool)
 	Instance  func(carobward.Key) carobward.Instance
 	Routing   func([]byte) (*carobward.Routing, error)
 	Backend   func(carobward.Key, []byte) (carobward.Backend, error)
@@ -126,6 +128,8 @@
 	mutex sync.Mutex
 	// unusable has the servers whose entry can't be used.
 	unusable map[carobward.Instance]bool
+	// evacuated has the failure domains that the operators evacuate.
+	evacuated map[carobward.Domain]evacuated
 	// rate is this entry VM's requests a second, and counted the requests at
 	// the last tick; only the tick writes them.
 	rate    atomic.Uint64
@@ -135,7 +139,7 @@
 // New returns an entry VM whose parts do not run yet.
 func New(o Options) (*Gateway, error) {
 	g := &Gateway{
-		Options: o, log: o.Log.WithName("gateway"), unusable: map[carobward.Instance]bool{}, metrics: cwmetric.New(),
+		Options: o, log: o.Log.WithName("gateway"), unusable: map[carobward.Instance]bool{}, evacuated: map[carobward.Domain]evacuated{}, metrics: cwmetric.New(),
 		table: cwmesh.NewTable(o.Self), mirror: cwmirror.New(), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain}),
 	}
 
--- a/internal/cwgateway/operators.go
+++ b/internal/cwgateway/operators.go
@@ -16,7 +16,10 @@
 // its print ends its quarantine.
 const pathQuarantine = "/quarantine"
 
-// serveOperators answers the operators: the metrics, by any path but one.
+// pathStatus has what this entry VM believes now.
+const pathStatus = "/status"
+
+// serveOperators answers the operators: the metrics, by any path but these.
 func (g *Gateway) serveOperators(ctx *fasthttp.RequestCtx) {
 	text, isPrint := strings.CutPrefix(string(ctx.Path()), pathQuarantine+"/")
 
@@ -25,7 +28,9 @@
 		g.lift(ctx, text)
 	case string(ctx.Path()) == pathQuarantine && ctx.IsGet():
 		g.listQuarantine(ctx)
-	case isPrint, string(ctx.Path()) == pathQuarantine:
+	case string(ctx.Path()) == pathStatus && ctx.IsGet():
+		g.writeStatus(ctx)
+	case isPrint, string(ctx.Path()) == pathQuarantine, string(ctx.Path()) == pathStatus:
 		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
 	default:
 		ctx.SetContentType("application/json")
@@ -64,9 +69,14 @@
 		list = append(list, suspectOf(&e))
 	}
 
-	raw, err := json.Marshal(list)
+	g.writeOperators(ctx, list)
+}
+
+// writeOperators writes what operators asked for.
+func (g *Gateway) writeOperators(ctx *fasthttp.RequestCtx, what any) {
+	raw, err := json.Marshal(what)
 	if err != nil {
-		g.log.Error(err, "The quarantine could not be encoded.")
+		g.log.Error(err, "An answer to the operators could not be encoded.", "path", string(ctx.Path()))
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 
 		return
@@ -76,6 +86,38 @@
 	ctx.SetBody(raw)
 }
 
+// status is what one entry VM believes now.
+type status struct {
+	VM     carobward.VMID   `json:"vm"`
+	Domain carobward.Domain `json:"domain"`
+	Ready  bool             `json:"ready"`
+	// Version is the configuration in force, 0 before there is one.
+	Version carobward.Version `json:"version"`
+	// Index is how far its copy of the store is, Age how old the store's last word is.
+	Index carobward.StoreIndex `json:"index"`
+	Age   string               `json:"age"`
+	// Servers is the number of servers, Fleet that of the entry VMs that share bounds.
+	Servers int `json:"servers"`
+	Fleet   int `json:"fleet"`
+	// Evacuated has the failure domains whose servers get nothing.
+	Evacuated []evacuation `json:"evacuated"`
+}
+
+func (g *Gateway) writeStatus(ctx *fasthttp.RequestCtx) {
+	now := g.Clock.Now()
+	s := status{
+		VM: g.Self.ID, Domain: g.Self.Domain, Ready: g.isReady(), Index: g.mirror.State().Index,
+		Age:     now.Sub(g.mesh.Fresh()).Round(time.Millisecond).String(),
+		Servers: g.servers.Count(), Fleet: g.table.Size(now), Evacuated: g.evacuations(),
+	}
+
+	if t := g.front.Routes(); t != nil {
+		s.Version = t.Version
+	}
+
+	g.writeOperators(ctx, s)
+}
+
 func suspectOf(e *cwquarantine.Entry) suspect {
 	last := &e.Crashes[len(e.Crashes)-1]
 	s := suspect{
--- a/internal/cwgateway/state.go
+++ b/internal/cwgateway/state.go
@@ -31,6 +31,9 @@
 			g.told(it)
 		case g.Adapter.IsBackend(it.Key):
 			g.read(it, first, &change)
+		default:
+			// It counts before the servers of the same change get their first request.
+			g.evacuate(it, now)
 		}
 	}
 
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -104,6 +104,7 @@
 
 		return int64(len(g.unusable))
 	})
+	g.metrics.Gauge("gateway", "evacuated", func() int64 { return int64(len(g.evacuations())) })
 	g.metrics.Gauge("gateway", "index", func() int64 { return int64(g.mirror.State().Index) })
 	g.metrics.Gauge("gateway", "dropped", g.Dropped)
 	g.metrics.Gauge("gateway", "calls", g.Calls)
