Cold servers: what they bear in a second is divided among the first entry VMs by hash

Cause: warmup and warmup_per_s were read nowhere. A server that is cold without a start, which its health answers alone tell, got all that came: TestCold without the change 60 requests in a second where 15 are allowed. Ways (TestColdWays, 42 entry VMs, 5 servers, most in a second, 15.2 allowed): the first by hash 13, mean 12.0; a part for each by their number, rounded up, 42; room by the server's reports alone 84. Ruled out: a rate by the number of entry VMs rounded down (nothing at all, 12 / 126 a second), slots of time drawn for each (needs clocks in common). Change: warmup_per_s x warmup_overshoot + warmup_slack, four fifths of it, divided by rendezvous hash over the entry VMs of the server's failure domain that were alive within 30 s; one request each in 1.05 s, more where they are fewer. Who knows under three quarters of them, or started within 1 s, sends none. Warmup-Ms of health answers goes before older entries. How much longer cold servers take is learned in place of a fixed 2. Tests: TestColdHistory (entry VMs that join, die and are cut at random, 1 to 95 in a failure domain: at most 14 in a second, 15.2 allowed; without the part that must be known 19), TestColdWays, TestColdView, TestCold.

--- a/cmd/cwgateway/settings.go
+++ b/cmd/cwgateway/settings.go
@@ -111,7 +111,7 @@
 	b := &s.Bounds
 
 	return cwgateway.Bounds{
-		Grace: b.Grace, AnswerMost: b.AnswerMost, Seeds: s.Seeds,
+		Grace: b.Grace, AnswerMost: b.AnswerMost, Seeds: s.Seeds, ColdOvershoot: b.ColdOvershoot, ColdSlack: b.ColdSlack,
 		Limits: cwfront.Limits{ExtraShare: b.ExtraShare, ExtraWindow: b.ExtraWindow, ExtraLeast: b.ExtraLeast, Looks: b.Looks},
 	}
 }
--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -57,8 +57,11 @@
 type Server struct {
 	mutex   sync.Mutex
 	backend carobward.Backend
-	warm    time.Time
-	report  carobward.Report
+	// warm is until when it is cold.
+	warm time.Time
+	// coldSends are our requests to it in the last window in which it was cold.
+	coldSends []time.Time
+	report    carobward.Report
 	// failures counts the failures in a row, trouble is the moving share of
 	// requests that failed.
 	failures int
@@ -105,7 +108,11 @@
 	defer s.mutex.Unlock()
 
 	s.backend = b
-	s.warm = now.Add(b.Warmup)
+
+	// The entry may be older than the server's own word that it is cold again.
+	if warm := now.Add(b.Warmup); warm.After(s.warm) {
+		s.warm = warm
+	}
 }
 
 // SetReport takes what the server said of its load.
@@ -181,8 +188,10 @@
 	Leaving bool
 	// Blocked tells that it failed lately.
 	Blocked bool
-	// Warming tells that it has just started and is slow.
+	// Warming tells that it is cold, and slow for that.
 	Warming bool
+	// Barred tells that it is cold and gets no request of this entry VM now.
+	Barred bool
 	// Slots is how many requests it runs at once.
 	Slots int
 	// Own is how many of our requests it has.
--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -44,6 +44,9 @@
 	alone bool
 	// mine has the servers of each service that this entry VM sends to.
 	mine map[carobward.Service][]*Server
+	// cold has what cold servers of each service bear, sharers who divides that.
+	cold    map[carobward.Service]ColdBound
+	sharers sharers
 	// evacuated has the failure domains whose servers get nothing.
 	evacuated map[carobward.Domain]bool
 	// counts has the number of the servers of each service that may get requests,
@@ -289,13 +292,13 @@
 // sends to and that are not leaving. Usual is the usual time of a request.
 func (t *Table) Views(service carobward.Service, now time.Time, usual time.Duration) []View {
 	t.mutex.RLock()
-	list := t.mine[service]
-	t.mutex.RUnlock()
+	defer t.mutex.RUnlock()
 
+	list := t.mine[service]
 	views := make([]View, 0, len(list))
 
 	for _, s := range list {
-		if v := s.View(now, usual); !v.Leaving {
+		if v := t.view(s, now, usual); !v.Leaving {
 			views = append(views, v)
 		}
 	}
--- a/internal/cwfront/ask.go
+++ b/internal/cwfront/ask.go
@@ -36,6 +36,16 @@
 	}
 
 	v.Server.SetReport(reply.Report)
+
+	if reply.SaysWarmup {
+		// It may be cold again without a start, which its entry tells later.
+		now := r.front.Clock.Now()
+		v.Server.SetWarmup(reply.Warmup, now)
+
+		fresh := r.front.Servers.View(v.Server, now, r.usual())
+		l.view.Warming, l.view.Barred = fresh.Warming, fresh.Barred
+	}
+
 	l.view.Report = reply.Report
 	r.rate(l)
 
--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -78,6 +78,12 @@
 			return
 		}
 
+		if !r.front.Servers.Admit(l.view.Server, r.front.Clock.Now()) { // It is cold, and got its share.
+			l.release()
+
+			continue
+		}
+
 		r.finish(r.await(ctx, l, b, tried))
 
 		if !r.again(ctx) {
--- a/internal/cwfront/hedge.go
+++ b/internal/cwfront/hedge.go
@@ -118,5 +118,5 @@
 		return b, false
 	}
 
-	return b, r.takeExtra(now, cwretry.Overdue)
+	return b, r.takeExtra(now, cwretry.Overdue) && f.Servers.Admit(l.view.Server, now)
 }
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -208,7 +208,7 @@
 // weigh returns the better one of a server and the best so far, if it has room.
 func (r *request) weigh(best, l *looked) *looked {
 	if l.ok {
-		r.kept.addPace(cwpick.Alone(&l.view, r.kept.crowding()))
+		r.kept.addPace(cwpick.Alone(&l.view, r.kept.factors()))
 	}
 
 	switch {
@@ -231,7 +231,7 @@
 
 // rate sets the time and the cost of a server.
 func (r *request) rate(l *looked) {
-	crowd := r.kept.crowding()
-	l.time = cwpick.Time(&l.view, crowd)
-	l.cost = cwpick.Cost(&l.view, crowd, r.front.Domain)
+	factors := r.kept.factors()
+	l.time = cwpick.Time(&l.view, factors)
+	l.cost = cwpick.Cost(&l.view, factors, r.front.Domain)
 }
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -207,7 +207,7 @@
 
 	if outcome == cwbackend.Answered {
 		load := &view.Report
-		r.kept.learn(r.route.Objective, end.Sub(s.at), load.Slowness, cwpick.Crowded(load, view.SlotCount()))
+		r.kept.learn(r.route.Objective, end.Sub(s.at), load.Slowness, cwpick.Crowded(load, view.SlotCount()), view.Warming)
 	}
 
 	if s.overtaken {
--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -85,6 +85,14 @@
 	return s.times.Crowding()
 }
 
+// factors returns how many times longer answers take at slowed servers.
+func (s *service) factors() cwpick.Factors {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return s.times.Factors()
+}
+
 // addPace takes how long one server takes that was looked at, see cwturn.Pace.
 func (s *service) addPace(alone float64) {
 	s.mutex.Lock()
@@ -102,9 +110,9 @@
 }
 
 // learn takes the time of one answer, see cwpick.Times.
-func (s *service) learn(objective, took time.Duration, slowness float64, crowded bool) {
+func (s *service) learn(objective, took time.Duration, slowness float64, crowded, cold bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	s.times.Learn(objective, took, slowness, crowded)
+	s.times.Learn(objective, took, slowness, crowded, cold)
 }
--- a/internal/cwfront/service_test.go
+++ b/internal/cwfront/service_test.go
@@ -75,10 +75,10 @@
 	s := newFront(1).service("records")
 
 	for range 400 {
-		s.learn(fast, usual, 1, false)
-		s.learn(fast, 5*usual, 5, false)
-		s.learn(fast, 2*usual, 1, true)
-		s.learn(slow, 3*usual, 0, false)
+		s.learn(fast, usual, 1, false, false)
+		s.learn(fast, 5*usual, 5, false, false)
+		s.learn(fast, 2*usual, 1, true, false)
+		s.learn(slow, 3*usual, 0, false, false)
 	}
 
 	near := func(a, b time.Duration) bool { return math.Abs(float64(a-b)) < 0.02*float64(b) }
--- a/internal/cwfront/wait.go
+++ b/internal/cwfront/wait.go
@@ -210,7 +210,7 @@
 	}
 
 	now := f.Clock.Now()
-	o := &looked{view: server.View(now, r.usual()), held: s.looked.held, ok: true}
+	o := &looked{view: f.Servers.View(server, now, r.usual()), held: s.looked.held, ok: true}
 
 	if o.view.Blocked {
 		return false
--- a/internal/cwgateway/bounds.go
+++ b/internal/cwgateway/bounds.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwbackend"
 	"carobward.example/carobward/internal/cwfront"
 )
 
@@ -16,6 +17,10 @@
 	// to use.
 	AnswerMost time.Duration
 	Limits     cwfront.Limits
+	// ColdOvershoot times what a cold server tolerates in a second, and ColdSlack more,
+	// is the most requests that it may get in any second.
+	ColdOvershoot float64
+	ColdSlack     float64
 	// Seeds are the addresses of entry VMs to begin with.
 	Seeds []carobward.Address
 }
@@ -34,7 +39,26 @@
 
 	g.bounds.Store(&b)
 	g.front.SetLimits(b.Limits)
+	g.setColdBounds()
 	g.mesh.AddSeeds(b.Seeds)
 	g.log.Info("New bounds are in force.", "grace", b.Grace.String(), "answer", b.AnswerMost.String(),
-		"share", b.Limits.ExtraShare, "least", b.Limits.ExtraLeast, "looks", b.Limits.Looks, "seeds", b.Seeds)
+		"share", b.Limits.ExtraShare, "least", b.Limits.ExtraLeast, "looks", b.Limits.Looks, "overshoot", b.ColdOvershoot, "slack", b.ColdSlack, "seeds", b.Seeds)
+}
+
+// setColdBounds tells the table of servers what cold ones bear, by the configuration and
+// the bounds in force.
+func (g *Gateway) setColdBounds() {
+	t := g.front.Routes()
+	if t == nil {
+		return
+	}
+
+	b := g.bounds.Load()
+	cold := map[carobward.Service]cwbackend.ColdBound{}
+
+	for name, s := range t.Services() {
+		cold[name] = cwbackend.ColdBound{Rate: s.WarmupRate, Overshoot: b.ColdOvershoot, Slack: b.ColdSlack}
+	}
+
+	g.servers.SetColdBounds(cold)
 }
--- a/internal/cwgateway/fleet_test.go
+++ b/internal/cwgateway/fleet_test.go
@@ -130,7 +130,7 @@
 		Self:  cwmesh.Node{ID: carobward.VMID(id), Domain: "a", Callers: free(t), Peers: free(t)},
 		Ready: free(t), Lookup: free(t), Metrics: free(t),
 		Bounds: cwgateway.Bounds{
-			Grace: 400 * time.Millisecond, AnswerMost: 5 * time.Second,
+			Grace: 400 * time.Millisecond, AnswerMost: 5 * time.Second, ColdOvershoot: 1.5, ColdSlack: 8,
 			Limits: cwfront.Limits{ExtraShare: 0.2, ExtraWindow: 10 * time.Second, ExtraLeast: 64, Looks: 60},
 		},
 		Adapter: platform.Adapter(f.address, func() {}), Dropped: func() int64 { return 0 }, Calls: func() int64 { return 0 }, Clock: carobward.SystemClock{},
--- a/internal/cwgateway/state.go
+++ b/internal/cwgateway/state.go
@@ -179,6 +179,7 @@
 
 	g.front.SetRoutes(cwroutes.New(r))
 	g.link.SetConns(leastConns(r))
+	g.setColdBounds()
 	g.log.Info("A configuration is in force.", "version", r.Version, "index", it.Index)
 }
 
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -54,6 +54,9 @@
 	}
 
 	g.servers.SetNeighbours(list)
+
+	lately, size := g.table.Lately(now)
+	g.servers.SetSharers(lately, size, now)
 	g.link.SetFleet(g.table.Size(now), now)
 }
 
@@ -97,6 +100,7 @@
 	g.metrics.Gauge("gateway", "servers", func() int64 { return int64(g.servers.Count()) })
 	g.metrics.Gauge("gateway", "peers", func() int64 { return int64(len(g.table.Live(g.Clock.Now()))) })
 	g.metrics.Gauge("gateway", "fleet", func() int64 { return int64(g.table.Size(g.Clock.Now())) })
+	g.metrics.Gauge("gateway", "sharers", func() int64 { return int64(g.servers.Sharers()) })
 	g.metrics.Gauge("gateway", "fresh", func() int64 { return g.Clock.Now().Sub(g.mesh.Fresh()).Milliseconds() })
 	g.metrics.Gauge("gateway", "unusable", func() int64 {
 		g.mutex.Lock()
--- a/internal/cwmesh/fleet.go
+++ b/internal/cwmesh/fleet.go
@@ -52,11 +52,15 @@
 // now on, before they are heard: without that each of many newcomers would spend
 // as if it were alone.
 func (t *Table) Told(list []Summary, now time.Time) {
-	size := 0
+	size, near := 0, 0
 
 	for i := range list {
 		size += list[i].Size
 
+		if list[i].Domain == t.self.Domain {
+			near = list[i].Size
+		}
+
 		for _, n := range list[i].Nodes {
 			t.told(n)
 		}
@@ -68,6 +72,10 @@
 	if size > t.size {
 		t.size, t.sized = size, now
 	}
+
+	if near > t.near {
+		t.near, t.nearAt = near, now
+	}
 }
 
 // Lacks tells whether a list from the store is of little use to newcomers any
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -97,6 +97,9 @@
 	// size is the largest number of entry VMs seen lately, and sized when.
 	size  int
 	sized time.Time
+	// near is the same of this failure domain, and nearAt when it was seen.
+	near   int
+	nearAt time.Time
 }
 
 // NewTable returns a table that has this entry VM only.
@@ -272,6 +275,28 @@
 	return n
 }
 
+// Lately returns the other entry VMs of this failure domain that were heard or told of
+// lately, one of which may be out of sight and still serve, and the largest number of all
+// lately with this one, by what the store or others say of it.
+func (t *Table) Lately(now time.Time) ([]carobward.VMID, int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	list := make([]carobward.VMID, 0, len(t.peers))
+
+	for id, p := range t.peers {
+		if p.Heard.IsZero() || now.Sub(p.Heard) < keepTime {
+			list = append(list, id)
+		}
+	}
+
+	if n := 1 + len(list); n >= t.near || now.Sub(t.nearAt) > keepTime {
+		t.near, t.nearAt = n, now
+	}
+
+	return list, t.near
+}
+
 // Size returns the number of entry VMs that a budget is shared by: the most
 // seen lately, since one that is out of sight may still spend.
 func (t *Table) Size(now time.Time) int {
--- a/internal/cwpick/pick.go
+++ b/internal/cwpick/pick.go
@@ -16,8 +16,6 @@
 	// kneeShare is the part of the slots in use above which some servers slow
 	// down. By how much is learned.
 	kneeShare = 0.8
-	// warmFactor is how much longer a server takes that has just started.
-	warmFactor = 2
 	// awayCost is the cost of another failure domain, in usual times: less for
 	// the way than for the bytes, which are paid for.
 	awayCost = 0.3
@@ -37,19 +35,18 @@
 }
 
 // Time returns how long a request would take at a server, in usual times.
-// Crowd is how many times longer requests take at a crowded server.
-func Time(v *cwbackend.View, crowd float64) float64 {
+func Time(v *cwbackend.View, f Factors) float64 {
 	r := &v.Report
 	slots := v.SlotCount()
 	// A request keeps the pace that its server's machine has when it begins.
 	out := max(1, r.Slowness)
 
 	if Crowded(r, slots) {
-		out *= crowd
+		out *= f.Crowd
 	}
 
 	if v.Warming {
-		out *= warmFactor
+		out *= f.Cold
 	}
 
 	// Each request ahead beyond the free slots waits for one to be freed.
@@ -62,17 +59,17 @@
 
 // Alone returns how long a request would take at a server that had no other, in usual
 // times. A server of few slots may be crowded by one.
-func Alone(v *cwbackend.View, crowd float64) float64 {
+func Alone(v *cwbackend.View, f Factors) float64 {
 	empty := *v
 	empty.Report.Running, empty.Report.Queued = 0, 0
 
-	return Time(&empty, crowd)
+	return Time(&empty, f)
 }
 
 // Cost returns what speaks against a server: the time that a request would
 // take there, in usual times, and what makes another one better all the same.
-func Cost(v *cwbackend.View, crowd float64, home carobward.Domain) float64 {
-	cost := Time(v, crowd)
+func Cost(v *cwbackend.View, f Factors, home carobward.Domain) float64 {
+	cost := Time(v, f)
 	cost += fillCost * float64(v.Report.Running) / float64(v.SlotCount())
 	cost += troubleCost * v.Trouble
 
@@ -149,7 +146,7 @@
 		v := &views[i]
 
 		switch {
-		case seen[v.Server]:
+		case seen[v.Server], v.Barred:
 		case v.Blocked:
 			blocked = append(blocked, *v)
 		case v.Domain != home:
@@ -190,6 +187,10 @@
 // slots are left to others beside that, if the server has more. Crowd is how many
 // times longer requests take at a crowded server.
 func Free(v *cwbackend.View, rank, ranks, spared int, crowd float64) int {
+	if v.Barred {
+		return 0
+	}
+
 	r := &v.Report
 	slots := v.SlotCount()
 	useful := usefulSlots(slots, crowd)
--- a/internal/cwpick/pick_bench_test.go
+++ b/internal/cwpick/pick_bench_test.go
@@ -39,7 +39,7 @@
 
 		for _, v := range Draw(Global{}, views, looks, "a", nil, 0) {
 			if Free(&v, 1, 3, 0, 1.3) > 0 {
-				best = max(best, Cost(&v, 1.3, "a"))
+				best = max(best, Cost(&v, Factors{Crowd: 1.3, Cold: 2}, "a"))
 			}
 		}
 	}
--- a/internal/cwpick/pick_test.go
+++ b/internal/cwpick/pick_test.go
@@ -22,7 +22,7 @@
 
 // TestCost has pairs of which the first must be preferred.
 func TestCost(t *testing.T) {
-	const crowd = 1.5
+	factors := Factors{Crowd: 1.5, Cold: 2}
 
 	with := func(v cwbackend.View, change func(*cwbackend.View)) cwbackend.View {
 		change(&v)
@@ -44,7 +44,7 @@
 		"one without a report to a bad": {cwbackend.View{Slots: 4, Domain: home}, view(3, 0, 1)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if good, bad := Cost(&c.good, crowd, home), Cost(&c.bad, crowd, home); good >= bad {
+			if good, bad := Cost(&c.good, factors, home), Cost(&c.bad, factors, home); good >= bad {
 				t.Errorf("costs %.2f and %.2f", good, bad)
 			}
 		})
@@ -101,7 +101,7 @@
 			v := view(c.running, c.queued, c.slowness)
 			v.Report.Slots = c.slots
 
-			if got := Alone(&v, crowd); got != c.want {
+			if got := Alone(&v, Factors{Crowd: crowd}); got != c.want {
 				t.Errorf("%.2f usual times, want %.2f", got, c.want)
 			}
 
--- a/internal/cwpick/times.go
+++ b/internal/cwpick/times.go
@@ -15,26 +15,48 @@
 	// (carobward bench worst --pattern bursts --vms 60 --seeds 12).
 	crowdShare = 0.1
 	// crowdFirst is how many times longer answers take at crowded servers
-	// where it is not known, and crowdMost bounds what is learned.
+	// where it is not known, coldFirst at cold ones, and factorMost bounds what is
+	// learned.
 	crowdFirst = 1.3
-	crowdMost  = 4
+	coldFirst  = 2
+	factorMost = 4
 )
 
+// Factors are how many times longer answers take where something slows a server down,
+// beside the slowness of its machine.
+type Factors struct {
+	// Crowd is for servers above the part of their slots at which some slow down, Cold
+	// for those that have just started.
+	Crowd, Cold float64
+}
+
+// factor is a moving average of how many times longer answers take, and how many it is
+// of.
+type factor struct {
+	mean    float64
+	answers int
+}
+
+// learn takes how many times longer one answer took.
+func (f *factor) learn(times float64) {
+	f.answers++
+	f.mean += max(crowdShare, 1/float64(1+f.answers)) * (min(factorMost, max(1, times)) - f.mean)
+}
+
 // Times is what the answers of one service tell of how long its servers take. It
 // is not safe for use by several goroutines.
 type Times struct {
 	// usual is the moving average of the time of an answer on a machine at its
 	// usual speed, by the objective of the route: routes with other objectives
 	// ask for other work.
-	usual map[time.Duration]float64
-	// crowd is the moving average of how many times longer answers take at
-	// crowded servers, and answers how many that were.
-	crowd   float64
-	answers int
+	usual       map[time.Duration]float64
+	crowd, cold factor
 }
 
 // NewTimes returns what is assumed where nothing is known.
-func NewTimes() *Times { return &Times{usual: map[time.Duration]float64{}, crowd: crowdFirst} }
+func NewTimes() *Times {
+	return &Times{usual: map[time.Duration]float64{}, crowd: factor{mean: crowdFirst}, cold: factor{mean: coldFirst}}
+}
 
 // Usual returns the usual time of an answer on routes with an objective.
 func (t *Times) Usual(objective time.Duration) time.Duration {
@@ -46,20 +68,25 @@
 }
 
 // Crowding returns how many times longer answers take at crowded servers.
-func (t *Times) Crowding() float64 { return t.crowd }
+func (t *Times) Crowding() float64 { return t.crowd.mean }
+
+// Factors returns how many times longer answers take at slowed servers.
+func (t *Times) Factors() Factors { return Factors{Crowd: t.crowd.mean, Cold: t.cold.mean} }
 
 // Learn takes the time of one answer, with the slowness of the server's machine
-// when the request was sent, and whether the server was crowded then.
-func (t *Times) Learn(objective, took time.Duration, slowness float64, crowded bool) {
+// when the request was sent, and whether the server was crowded or cold then. One that
+// was both tells nothing of either.
+func (t *Times) Learn(objective, took time.Duration, slowness float64, crowded, cold bool) {
 	usual := float64(t.Usual(objective))
 	own := float64(took) / max(1, slowness)
 
-	if crowded {
-		t.answers++
-		t.crowd += max(crowdShare, 1/float64(1+t.answers)) * (min(crowdMost, max(1, own/usual)) - t.crowd)
-
-		return
+	switch {
+	case crowded && cold:
+	case crowded:
+		t.crowd.learn(own / usual)
+	case cold:
+		t.cold.learn(own / usual)
+	default:
+		t.usual[objective] = usual + usualShare*(own-usual)
 	}
-
-	t.usual[objective] = usual + usualShare*(own-usual)
 }
--- a/internal/cwroutes/table.go
+++ b/internal/cwroutes/table.go
@@ -111,6 +111,9 @@
 // Service returns what the operator says of a service.
 func (t *Table) Service(s carobward.Service) carobward.ServiceSpec { return t.services[s] }
 
+// Services returns what the operator says of each service. It must not be changed.
+func (t *Table) Services() map[carobward.Service]carobward.ServiceSpec { return t.services }
+
 // Find returns the route with the longest prefix of a path, or nil. The path
 // may be followed by a query.
 func (t *Table) Find(host, path string) *Route {
--- a/internal/cwstand/metadata_value.go
+++ b/internal/cwstand/metadata_value.go
@@ -41,6 +41,10 @@
 	return raw
 }
 
+// warmupRate is the requests a second that a cold server tolerates, as in the users'
+// deployments.
+const warmupRate = 4.8
+
 // MetadataRoute is one route of a configuration. What is left out gets a usual
 // value.
 type MetadataRoute map[string]any
@@ -62,7 +66,7 @@
 
 	list := []any{}
 	for name := range services {
-		list = append(list, map[string]any{"name": name, "health_path": "/health", "max_conns": 200})
+		list = append(list, map[string]any{"name": name, "health_path": "/health", "max_conns": 200, "warmup": "3s", "warmup_per_s": warmupRate})
 	}
 
 	raw, err := json.Marshal(map[string]any{
--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -66,6 +66,8 @@
 	work  time.Duration
 	load  string
 	ill   bool
+	// warm is until when it says that it is cold, zero: it says nothing.
+	warm time.Time
 	// closing ends the connection of each health check.
 	closing bool
 	// body is what answers have.
@@ -130,6 +132,15 @@
 	u.kills, u.ended = kills, ended
 }
 
+// SetCold has its health check say for a time that it is cold, and from then on that it
+// is not.
+func (u *Upstream) SetCold(left time.Duration) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	u.warm = time.Now().Add(left)
+}
+
 // SetClosing sets whether it ends the connection of each health check.
 func (u *Upstream) SetClosing(closing bool) {
 	u.mutex.Lock()
@@ -242,7 +253,7 @@
 func (u *Upstream) look(c net.Conn) bool {
 	u.mutex.Lock()
 	u.looks++
-	load, ill, closing := u.load, u.ill, u.closing
+	load, ill, closing, warm := u.load, u.ill, u.closing, u.warm
 	u.mutex.Unlock()
 
 	status := "200 OK"
@@ -255,8 +266,13 @@
 		connection = "close"
 	}
 
-	good := say(c, "HTTP/1.1 %s\r\nConnection: %s\r\nInstance-Id: %s\r\nUpstream-Load: %s\r\nContent-Length: 0\r\n\r\n",
-		status, connection, u.instance, load)
+	cold := ""
+	if !warm.IsZero() {
+		cold = fmt.Sprintf("Warmup-Ms: %d\r\n", max(0, time.Until(warm).Milliseconds()))
+	}
+
+	good := say(c, "HTTP/1.1 %s\r\nConnection: %s\r\nInstance-Id: %s\r\nUpstream-Load: %s\r\n%sContent-Length: 0\r\n\r\n",
+		status, connection, u.instance, load, cold)
 
 	return good && !closing
 }
--- a/internal/lab/cwbench/worst_choice.go
+++ b/internal/lab/cwbench/worst_choice.go
@@ -94,7 +94,7 @@
 		} else if looks {
 			view.Report = s.report()
 			view.Server.SetReport(view.Report)
-			v.pace.Add(cwpick.Alone(&view, v.times.Crowding()))
+			v.pace.Add(cwpick.Alone(&view, v.times.Factors()))
 
 			if v.run.way.Central { // It knows what is on its way.
 				view.Report = view.Expected()
@@ -113,7 +113,7 @@
 
 func (v *worstVM) rate(view cwbackend.View) *worstChoice {
 	return &worstChoice{
-		view: view, time: cwpick.Time(&view, v.times.Crowding()), cost: cwpick.Cost(&view, v.times.Crowding(), v.domain),
+		view: view, time: cwpick.Time(&view, v.times.Factors()), cost: cwpick.Cost(&view, v.times.Factors(), v.domain),
 	}
 }
 
--- a/internal/lab/cwbench/worst_vm.go
+++ b/internal/lab/cwbench/worst_vm.go
@@ -267,7 +267,7 @@
 
 	server.End(q.number, w.now(), cwbackend.Answered)
 	server.SetReport(report)
-	v.times.Learn(w.pattern.Objective, w.now().Sub(q.at), q.report.Slowness, cwpick.Crowded(&q.report, w.pattern.Slots))
+	v.times.Learn(w.pattern.Objective, w.now().Sub(q.at), q.report.Slowness, cwpick.Crowded(&q.report, w.pattern.Slots), false)
 	w.finish(r, true, false)
 
 	if !w.way.Forgetful && !w.way.Alone && !w.way.Blind {
--- a/routing.go
+++ b/routing.go
@@ -26,6 +26,10 @@
 	HealthPath string
 	// Conns is how many connections one server takes from all entry VMs.
 	Conns int
+	// Warmup is how long a server is cold after its start, WarmupRate how many requests
+	// a second it tolerates while it is; 0 where there is no bound.
+	Warmup     time.Duration
+	WarmupRate float64
 }
 
 // Limits bound what a caller may send, and how long it may take.
--- a/server.go
+++ b/server.go
@@ -75,6 +75,10 @@
 	Shed bool
 	// Instance is the run of the server that replied, where it says so.
 	Instance Instance
+	// Warmup is how much longer the server is cold, where SaysWarmup tells that it
+	// said so.
+	Warmup     time.Duration
+	SaysWarmup bool
 	// Keep is how long the server keeps an idle connection open; 0 where it
 	// does not say.
 	Keep time.Duration
