Directory: callers are named entry VMs of other failure domains by a recent summary only

Cause: where a failure domain's summary was older than 6.5 s callers were named those that had ever spoken, for ever, and up to 6.5 s one that the last summary named; named may be who was alive within contact + 3 s, 6 s here. Ruled out: forgetting contacts (heartbeats go to them, a failure domain that comes back is found by them). Change: Table.Callable names those of a summary younger than 3 s; deaths within a failure domain are known there after 2.6 s. Summaries come by way of a third failure domain, too, so that two that lose each other name each other's on.

--- a/internal/cwmesh/domain.go
+++ b/internal/cwmesh/domain.go
@@ -22,6 +22,10 @@
 	// domainTime is how long after its last summary a failure domain counts as
 	// alive: liveTime, the way through two heartbeats, and two lost summaries.
 	domainTime = 6500 * time.Millisecond
+	// nameTime is how old a summary may be whose entry VMs are named to callers. One
+	// that died counts as alive in its own failure domain for liveTime; both together
+	// stay below the 6 s after which callers must not be sent to it.
+	nameTime = 3 * time.Second
 	// firstNodes and otherNodes are how many entry VMs a summary names: the first
 	// by rank, which ask the store before others, and some drawn at random.
 	firstNodes = 2
@@ -237,6 +241,21 @@
 	return draw(list, n)
 }
 
+// Callable returns the entry VMs of another failure domain that take callers, as far as
+// that is known for sure: those that a recent summary names. It may have come by way of a
+// third failure domain where the two have lost each other.
+func (t *Table) Callable(d carobward.Domain, now time.Time) []Node {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	o := t.others[d]
+	if o == nil || now.Sub(o.Made) >= nameTime {
+		return nil
+	}
+
+	return slices.Clone(o.Nodes)
+}
+
 // othersOf returns entry VMs of a failure domain for a newcomer there.
 func (t *Table) othersOf(d carobward.Domain, newcomer carobward.VMID, now time.Time) []Node {
 	var list []Node
--- a/internal/cwmesh/table_test.go
+++ b/internal/cwmesh/table_test.go
@@ -223,3 +223,45 @@
 		t.Error(diff)
 	}
 }
+
+// TestCallable wants callers to be named the entry VMs of another failure domain while a
+// recent summary names them, also one that came by way of a third, and nobody there once
+// all of it may be gone.
+func TestCallable(t *testing.T) {
+	now := time.Now()
+	later := now.Add
+
+	for name, c := range map[string]struct {
+		// last is when the last summary was made, direct whether it came from there.
+		last   time.Duration
+		direct bool
+		at     time.Duration
+		want   int
+	}{
+		"heard":                 {0, true, time.Second, 3},
+		"by way of a third":     {4 * time.Second, false, 5 * time.Second, 3},
+		"not heard since 3 s":   {0, true, 3 * time.Second, 0},
+		"all gone for long":     {0, true, time.Minute, 0},
+		"a third knows no more": {0, false, 4 * time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(3, now)
+			s := Summary{Domain: "b", Made: later(c.last), Alive: 3, Size: 3}
+
+			for i := range 3 {
+				s.Nodes = append(s.Nodes, testNode(3*i+1, "b"))
+			}
+
+			table.learn(s, c.direct)
+			table.met(testNode(1, "b")) // One of them spoke to us once.
+
+			if got := len(table.Callable("b", later(c.at))); got != c.want {
+				t.Errorf("%d entry VMs, want %d", got, c.want)
+			}
+		})
+	}
+
+	if got := len(newTable(3, now).Callable("d", now)); got != 0 {
+		t.Errorf("%d entry VMs of a failure domain that is not known", got)
+	}
+}
