Homes: requests and callers stay in the regions that a route allows

Cause: allowed_regions was not read; with servers in two regions a request went to either. Change: settings map failure domains to regions; a request with homes is sent to servers there only, one without stays in the entry VM's region while that has a server; an entry VM knows some servers of each region; the answer which addresses to use goes by failure domain, region, homes of the host, any. An entry VM passes no request on to another, so no body leaves it.

--- a/caller.go
+++ b/caller.go
@@ -26,6 +26,10 @@
 	// Domain returns the caller's failure domain, or "". Arg returns the value
 	// of an argument of the query.
 	Domain(arg func(name string) string) Domain
+	// Region returns the region of the caller, or "" where it does not say.
+	Region(arg func(name string) string) Region
+	// Host returns the host that the caller wants to ask.
+	Host(arg func(name string) string) string
 	// Answer encodes the addresses, and for how long they may be kept, as
 	// JSON.
 	Answer(list []Address, keep time.Duration) ([]byte, error)
--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -111,6 +111,7 @@
 		Lookup:    s.Lookup,
 		Metrics:   carobward.Address(net.JoinHostPort(host, metricsPort)),
 		Bounds:    bounds(s),
+		Regions:   s.Regions,
 		Key:       key[:],
 		Link:      s.Link,
 		First:     s.First,
--- a/ids.go
+++ b/ids.go
@@ -14,6 +14,9 @@
 // Domain names a failure domain.
 type Domain string
 
+// Region names a region: failure domains that are near each other.
+type Region string
+
 // Address is an IP number and a port, such as 127.0.0.1:8080.
 type Address string
 
--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -31,6 +31,8 @@
 type VM struct {
 	ID     carobward.VMID
 	Domain carobward.Domain
+	// Regions has the region of each failure domain.
+	Regions map[carobward.Domain]carobward.Region
 }
 
 // Table is the table of servers. It is safe for use by several goroutines.
@@ -178,7 +180,7 @@
 
 // arrange sorts the servers by service and picks ours; the mutex is held.
 func (t *Table) arrange() {
-	near, far := map[carobward.Service][]candidate{}, map[carobward.Service][]candidate{}
+	near, far := map[carobward.Service][]candidate{}, map[distance][]candidate{}
 	t.counts, t.emptied = map[carobward.Service]int{}, map[carobward.Service]int{}
 
 	for i, s := range t.byInstance {
@@ -195,7 +197,8 @@
 		if b.Domain == t.self.Domain {
 			near[b.Service] = append(near[b.Service], candidate{t.shares.places[i], s})
 		} else {
-			far[b.Service] = append(far[b.Service], candidate{t.shares.places[i], s})
+			at := distance{b.Service, t.self.Regions[b.Domain]}
+			far[at] = append(far[at], candidate{t.shares.places[i], s})
 		}
 	}
 
@@ -205,11 +208,18 @@
 		t.mine[service] = t.pickNear(list)
 	}
 
-	for service, list := range far {
-		t.mine[service] = append(t.mine[service], t.pickFar(list, t.farCount(len(near[service])))...)
+	for at, list := range far {
+		t.mine[at.service] = append(t.mine[at.service], t.pickFar(list, t.farCount(len(near[at.service])))...)
 	}
 }
 
+// distance are the servers of a service in a region that are not near. An entry VM knows
+// some in each region, since requests may have their homes in any.
+type distance struct {
+	service carobward.Service
+	region  carobward.Region
+}
+
 // farCount returns how many servers of other failure domains this entry VM knows
 // beside so many near ones. Where its own failure domain has none (it may be
 // evacuated), the others take the place of those: by knownFar alone the requests of
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -33,6 +33,8 @@
 type Options struct {
 	Dialect carobward.CallerDialect
 	Domain  carobward.Domain
+	// Regions has the region of each failure domain.
+	Regions map[carobward.Domain]carobward.Region
 	Servers *cwbackend.Table
 	Link    *cwlink.Link
 	// Quarantine has the requests that are not sent since servers ended under them.
@@ -176,6 +178,16 @@
 // Routes returns the configuration in force, or nil.
 func (f *Front) Routes() *cwroutes.Table { return f.routes.Load() }
 
+// Homes returns the regions that are homes of each route of a host that has some.
+func (f *Front) Homes(host string) []carobward.Region {
+	t := f.routes.Load()
+	if t == nil {
+		return nil
+	}
+
+	return t.Homes(host)
+}
+
 // Leave makes each answer from now on the last one of its connection.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -49,7 +49,7 @@
 func (r *request) chooseOnce(ctx context.Context, tried map[*cwbackend.Server]bool) (*looked, bool) {
 	f := r.front
 	now := f.Clock.Now()
-	views := f.Servers.Views(r.service, now, r.usual())
+	views := r.permitted(f.Servers.Views(r.service, now, r.usual()))
 
 	for i := range views {
 		views[i].Idle = f.Link.HasIdle(views[i].Address)
--- a/internal/cwfront/wait.go
+++ b/internal/cwfront/wait.go
@@ -99,7 +99,7 @@
 	w, ok := l.queue.First(now, func(w *waiter) bool {
 		r := w.request
 
-		return len(w.offer) == 0 && !w.tried[o.view.Server] && r.turn.Good(o.time) && r.free(&o.view, now) > 0
+		return len(w.offer) == 0 && !w.tried[o.view.Server] && r.isHome(o.view.Domain) && r.turn.Good(o.time) && r.free(&o.view, now) > 0
 	})
 	if ok {
 		w.offer <- o
--- a/internal/cwgateway/addresses.go
+++ b/internal/cwgateway/addresses.go
@@ -2,30 +2,74 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwmesh"
 )
 
-// addresses returns the addresses that a caller should use: those of the entry
-// VMs that take callers, of its own failure domain where there are enough.
-func (g *Gateway) addresses(domain carobward.Domain) []carobward.Address {
-	if domain != g.Self.Domain {
-		if list := g.contacts(domain); len(list) >= nearLeast {
-			return list
+// asker is a caller that asks which addresses to use for a host.
+type asker struct {
+	domain carobward.Domain
+	region carobward.Region
+	host   string
+}
+
+// The distances of entry VMs from a caller; the nearest that are enough are named.
+const (
+	inDomain = iota
+	inRegion
+	inHome
+	anywhere
+)
+
+// addresses returns the addresses that a caller should use, of the entry VMs that take
+// callers.
+func (g *Gateway) addresses(a asker) []carobward.Address {
+	if a.region == "" {
+		a.region = g.Regions[a.domain]
+	}
+
+	byDomain := map[carobward.Domain][]carobward.Address{g.Self.Domain: g.near()}
+	for _, s := range g.table.Domains(g.Clock.Now()) {
+		byDomain[s.Domain] = g.callable(s.Domain)
+	}
+
+	return drawn(nearest(a, byDomain, g.Regions, g.front.Homes(a.host)))
+}
+
+// nearest returns the addresses of the nearest failure domains that have enough: the
+// caller's own, or else those of its region; then of the regions to which the host's
+// requests may go, and of any as the last resort.
+func nearest(
+	a asker, byDomain map[carobward.Domain][]carobward.Address, regions map[carobward.Domain]carobward.Region, homes []carobward.Region,
+) []carobward.Address {
+	var byDistance [anywhere + 1][]carobward.Address
+
+	for d, list := range byDomain {
+		n := anywhere
+
+		switch region := regions[d]; {
+		case d == a.domain:
+			n = inDomain
+		case region == a.region:
+			n = inRegion
+		case slices.Contains(homes, region):
+			n = inHome
 		}
+
+		byDistance[n] = append(byDistance[n], list...)
 	}
 
-	list := g.near()
+	var list []carobward.Address
 
-	// Without enough near ones any will do.
-	if len(list) < nearLeast || domain != g.Self.Domain {
-		for _, s := range g.table.Domains(g.Clock.Now()) {
-			list = append(list, g.contacts(s.Domain)...)
+	for _, more := range byDistance {
+		if list = append(list, more...); len(list) >= nearLeast {
+			break
 		}
 	}
 
-	return drawn(list)
+	return list
 }
 
 // drawn returns as many addresses as a caller takes, drawn at random where there
@@ -58,10 +102,10 @@
 	return list
 }
 
-// contacts returns the addresses of some entry VMs of another failure domain.
-func (g *Gateway) contacts(domain carobward.Domain) []carobward.Address {
+// callable returns the addresses of some entry VMs of another failure domain.
+func (g *Gateway) callable(domain carobward.Domain) []carobward.Address {
 	var list []carobward.Address
-	for _, n := range g.table.Contacts(domain, addressesMost, g.Clock.Now()) {
+	for _, n := range g.table.Callable(domain, g.Clock.Now()) {
 		list = append(list, n.Callers)
 	}
 
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -89,6 +89,8 @@
 	Metrics carobward.Address
 	// Bounds are those at the start, see SetBounds.
 	Bounds
+	// Regions has the region of each failure domain.
+	Regions map[carobward.Domain]carobward.Region
 	// First tells that the whole fleet starts for the first time.
 	First bool
 	Key   cwpeer.Key
@@ -140,7 +142,7 @@
 func New(o Options) (*Gateway, error) {
 	g := &Gateway{
 		Options: o, log: o.Log.WithName("gateway"), unusable: map[carobward.Instance]bool{}, evacuated: map[carobward.Domain]evacuated{}, metrics: cwmetric.New(),
-		table: cwmesh.NewTable(o.Self), mirror: cwmirror.New(), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain}),
+		table: cwmesh.NewTable(o.Self), mirror: cwmirror.New(), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain, Regions: o.Regions}),
 	}
 
 	g.link = cwlink.New(cwlink.Options{
@@ -155,7 +157,7 @@
 	})
 
 	g.front = cwfront.New(cwfront.Options{
-		Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Servers: g.servers, Link: g.link, Quarantine: g.keeper, Clock: o.Clock,
+		Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Regions: o.Regions, Servers: g.servers, Link: g.link, Quarantine: g.keeper, Clock: o.Clock,
 		Metrics: g.metrics, Log: o.Log, Limits: o.Limits,
 		Fleet: func() int { return g.table.Size(o.Clock.Now()) },
 		Part:  func() float64 { return g.part(o.Clock.Now()) },
--- /dev/null
+++ b/internal/cwgateway/homes_test.go
@@ -0,0 +1,62 @@
+package cwgateway_test
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"testing"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwgateway"
+	"carobward.example/carobward/internal/cwstand"
+)
+
+// TestHomesRequests has two regions with a server and an entry VM each. A request must
+// reach no server outside its route's homes, from either entry VM, is refused where no
+// home has a server, and without homes stays in the entry VM's region.
+func TestHomesRequests(t *testing.T) {
+	regions := map[carobward.Domain]carobward.Region{"a": "north", "b": "south"}
+	with := func(r cwstand.MetadataRoute, homes ...string) cwstand.MetadataRoute {
+		r = maps.Clone(r)
+		r["allowed_regions"] = homes
+
+		return r
+	}
+
+	for name, c := range map[string]struct {
+		routes []cwstand.MetadataRoute
+		// want has the number of requests that each server gets of those at both entry
+		// VMs, in the order north, south.
+		want [2]int
+	}{
+		"no homes":   {[]cwstand.MetadataRoute{safe("fees"), unsafe()}, [2]int{12, 12}},
+		"one home":   {[]cwstand.MetadataRoute{with(safe("fees"), "south"), with(unsafe(), "south")}, [2]int{0, 24}},
+		"both are":   {[]cwstand.MetadataRoute{with(safe("fees"), "south"), with(unsafe(), "north")}, [2]int{12, 12}},
+		"neither is": {[]cwstand.MetadataRoute{with(safe("fees"), "east"), with(unsafe(), "east")}, [2]int{0, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			servers := []*cwstand.Upstream{f.upstream(t, "fees", "i-north"), f.upstream(t, "fees", "i-south")}
+			f.store.Put("servers/i-south", cwstand.MetadataServer("fees", servers[1].Address(), "b", "ready"))
+			f.configure(c.routes...)
+
+			for i, d := range []carobward.Domain{"a", "b"} {
+				v := f.start(t, fmt.Sprint("vm-", i), func(o *cwgateway.Options) { o.Self.Domain, o.Regions = d, regions })
+				v.waitReady(t)
+
+				for n := range 6 {
+					for method, path := range map[string]string{http.MethodGet: reading, http.MethodPost: charging} {
+						got := v.ask(method, path, fmt.Sprint(method, i, n), "")
+						if refused := got.status == http.StatusServiceUnavailable; refused != (c.want == [2]int{}) {
+							t.Errorf("%s: %+v", path, got)
+						}
+					}
+				}
+			}
+
+			if got := [2]int{len(servers[0].Runs()), len(servers[1].Runs())}; got != c.want {
+				t.Errorf("requests at servers %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/cwgateway/listen.go
+++ b/internal/cwgateway/listen.go
@@ -130,8 +130,9 @@
 		return
 	}
 
-	domain := g.Adapter.Lookup.Domain(func(name string) string { return string(ctx.QueryArgs().Peek(name)) })
-	list := g.addresses(domain)
+	arg := func(name string) string { return string(ctx.QueryArgs().Peek(name)) }
+	lookup := g.Adapter.Lookup
+	list := g.addresses(asker{lookup.Domain(arg), lookup.Region(arg), lookup.Host(arg)})
 
 	if len(list) == 0 {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/internal/cwroutes/table.go
+++ b/internal/cwroutes/table.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 
@@ -108,6 +109,30 @@
 	return 0, len(list)
 }
 
+// Homes returns the regions that are homes of each route of a host. Routes without homes
+// bind nothing.
+func (t *Table) Homes(host string) []carobward.Region {
+	var homes []carobward.Region
+
+	first := true
+
+	for _, r := range t.hosts[hostName(host)] {
+		if len(r.Homes) == 0 {
+			continue
+		}
+
+		if first {
+			homes, first = slices.Clone(r.Homes), false
+
+			continue
+		}
+
+		homes = slices.DeleteFunc(homes, func(h carobward.Region) bool { return !slices.Contains(r.Homes, h) })
+	}
+
+	return homes
+}
+
 // Service returns what the operator says of a service.
 func (t *Table) Service(s carobward.Service) carobward.ServiceSpec { return t.services[s] }
 
--- a/internal/cwroutes/table_test.go
+++ b/internal/cwroutes/table_test.go
@@ -1,6 +1,7 @@
 package cwroutes
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -110,3 +111,32 @@
 		})
 	}
 }
+
+// TestHomes has the homes of the routes of a host against those that all have.
+func TestHomes(t *testing.T) {
+	type homes = []carobward.Region
+
+	for name, c := range map[string]struct {
+		routes []homes
+		want   homes
+	}{
+		"no routes":             {nil, nil},
+		"no homes":              {[]homes{nil, nil}, nil},
+		"one route":             {[]homes{{"n", "s"}}, homes{"n", "s"}},
+		"what both have":        {[]homes{{"n", "s"}, {"s", "e"}}, homes{"s"}},
+		"one that binds none":   {[]homes{{"n"}, nil}, homes{"n"}},
+		"nothing that all have": {[]homes{{"n"}, {"s"}}, homes{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var routes []carobward.Route
+			for i, h := range c.routes {
+				routes = append(routes, carobward.Route{Prefix: fmt.Sprintf("/%d/", i), Homes: h})
+			}
+
+			got := New(&carobward.Routing{Hosts: map[string][]carobward.Route{"a.example": routes}}).Homes("A.example:80")
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/routing.go
+++ b/routing.go
@@ -59,6 +59,8 @@
 	Shares []Share
 	// Attempts is the most servers that one request is sent to.
 	Attempts int
+	// Homes are the regions that its requests may be sent to; none: any.
+	Homes []Region
 }
 
 // Share is a service's share of a route's requests.
