A cold server is known to as many entry VMs as may send to it

Cause: a server is known to some 6 entry VMs of its failure domain, while 12 may send one request a second to it: half of what it bears was not used. Ruled out: two requests a second for each of six (in a service of five servers a failure domain half of the entry VMs could send nowhere). Change: while entries say that a server is cold it is known to the first 12.

--- a/internal/cwbackend/cold.go
+++ b/internal/cwbackend/cold.go
@@ -43,8 +43,15 @@
 	Slack     float64
 }
 
-// most returns how many requests a cold server may get in one second by our division.
-func (b ColdBound) most() int { return max(1, int(coldPart*(b.Rate*b.Overshoot+b.Slack))) }
+// most returns how many requests a cold server may get in one second by our division, 0
+// where there is no bound.
+func (b ColdBound) most() int {
+	if b.Rate <= 0 {
+		return 0
+	}
+
+	return max(1, int(coldPart*(b.Rate*b.Overshoot+b.Slack)))
+}
 
 // sharers are the entry VMs that divide what cold servers bear.
 type sharers struct {
@@ -185,6 +192,13 @@
 	return len(s.coldSends) < most
 }
 
+func (s *Server) isCold(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return now.Before(s.warm)
+}
+
 // SetWarmup takes the server's own word on how much longer it is cold: newer than any
 // entry of the list.
 func (s *Server) SetWarmup(left time.Duration, now time.Time) {
--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -42,6 +42,8 @@
 	mutex      sync.RWMutex
 	byInstance map[carobward.Instance]*Server
 	shares     *shares
+	// now is when entries were last taken.
+	now time.Time
 	// alone tells that no other entry VM is known to share the servers yet.
 	alone bool
 	// mine has the servers of each service that this entry VM sends to.
@@ -102,6 +104,7 @@
 		t.shares.remove(i)
 	}
 
+	t.now = now
 	t.arrange()
 
 	return ended
@@ -205,7 +208,7 @@
 	t.mine = map[carobward.Service][]*Server{}
 
 	for service, list := range near {
-		t.mine[service] = t.pickNear(list)
+		t.mine[service] = t.pickNear(list, t.cold[service])
 	}
 
 	for at, list := range far {
@@ -235,8 +238,9 @@
 // pickNear returns the servers of the own failure domain that this entry VM sends
 // to. Each server is known to the same number of the entry VMs there, so that no
 // server is left out, and a change of either side moves few. That number is
-// knownBy, or more where it takes that for an entry VM to know so many servers.
-func (t *Table) pickNear(list []candidate) []*Server {
+// knownBy, or more where it takes that for an entry VM to know so many servers. A cold
+// server is known to as many as may send to it, so that what it bears can be used.
+func (t *Table) pickNear(list []candidate, cold ColdBound) []*Server {
 	if t.alone || len(list) <= knownNear {
 		return servers(list)
 	}
@@ -246,7 +250,7 @@
 	first := 0
 
 	for i := range list {
-		if list[i].before < each {
+		if before := list[i].before; before < each || before < cold.most() && list[i].server.isCold(t.now) {
 			list[i], list[first] = list[first], list[i]
 			first++
 		}
