Soak: evacuations and servers that turn cold

Failure domains are evacuated and taken back at random among the other faults, by keys with any value, servers turn cold without a start; once all is healed each failure domain is evacuated in turn, and its servers must get nothing from any entry VM. Servers are in three failure domains now, and the settings have the bounds on cold servers.

--- a/internal/cwsite/site.go
+++ b/internal/cwsite/site.go
@@ -110,6 +110,8 @@
 retry_window = "10s"
 retry_min_extra = 64
 probes_per_s = 60
+warmup_overshoot = 1.5
+warmup_slack = 8
 `, v.ID, n%3, g.net, portPeers, g.net, portPeers, v.Callers, v.Ready, at(portPeers), v.Lookup, g.StoreProxy.Address(), g.grace)
 
 	v.Settings = filepath.Join(t.TempDir(), v.ID+".toml")
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -36,6 +36,7 @@
 	vms     = 4
 	servers = 5
 	callers = 6
+	domains = 3
 	network = 42
 	grace   = "2s"
 	// workTime is how long a request takes, downTime for how long a server is down whose
@@ -78,6 +79,7 @@
 type server struct {
 	instance string
 	address  carobward.Address
+	domain   carobward.Domain
 
 	mutex sync.Mutex
 	// up is the process that runs, ended are those before it.
@@ -105,6 +107,14 @@
 	s.up.Set(way, workTime)
 }
 
+// SetCold has the process say that it is cold for a time.
+func (s *server) SetCold(left time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.up.SetCold(left)
+}
+
 // Runs returns the requests that all processes ran.
 func (s *server) Runs() []cwstand.Run {
 	s.mutex.Lock()
@@ -166,7 +176,7 @@
 func (w *world) addServer(t *testing.T, i int) {
 	t.Helper()
 
-	s := &server{instance: fmt.Sprintf("i-%d", i), start: time.Now().UnixMilli()}
+	s := &server{instance: fmt.Sprintf("i-%d", i), domain: domain(i), start: time.Now().UnixMilli()}
 	ln := cwtest.Listen(t)
 	s.address = carobward.Address(ln.Addr().String())
 	w.begin(s, cwtest.Listen(t), ln)
@@ -223,11 +233,17 @@
 	}
 }
 
+// domain returns the failure domain of a server.
+func domain(i int) carobward.Domain { return carobward.Domain(fmt.Sprintf("zone-%d", i%domains)) }
+
+// evacuationOf returns the key by which operators evacuate a failure domain.
+func evacuationOf(d carobward.Domain) string { return "op/evacuate/" + string(d) }
+
 // isPoison tells whether a request ends the process that runs it.
 func isPoison(r cwstand.Run) bool { return r.URI == poison }
 
 func (w *world) register(s *server, state string) {
-	entry := cwstand.MetadataServer("records", s.address, "zone-1", state)
+	entry := cwstand.MetadataServer("records", s.address, s.domain, state)
 
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -259,7 +275,9 @@
 		cwstand.ProxyPasses, cwstand.ProxyDelays, cwstand.ProxyLosesRequests, cwstand.ProxyLosesReplies, cwstand.ProxyResets,
 	}
 
-	switch w.random.IntN(15) {
+	evacuation := evacuationOf(domain(w.random.IntN(domains)))
+
+	switch w.random.IntN(19) {
 	case 0:
 		w.configure()
 	case 1:
@@ -284,6 +302,12 @@
 		w.Store.Put("servers/"+s.instance, []byte(spoiled[w.random.IntN(len(spoiled))]))
 	case 13, 14:
 		w.history.add(send(v, http.MethodPost, poison, newID()))
+	case 15:
+		w.Store.Put(evacuation, []byte(spoiled[w.random.IntN(len(spoiled))]))
+	case 16:
+		w.Store.Delete(evacuation)
+	case 17, 18:
+		s.SetCold(time.Duration(w.random.IntN(3000)) * time.Millisecond)
 	}
 
 	<-time.After(time.Duration(50+w.random.IntN(300)) * time.Millisecond)
@@ -328,6 +352,10 @@
 		w.register(s, "ready")
 	}
 
+	for i := range domains {
+		w.Store.Delete(evacuationOf(domain(i)))
+	}
+
 	w.configure()
 
 	for _, v := range w.All {
@@ -337,6 +365,7 @@
 		})
 	}
 
+	w.evacuated(t)
 	w.poisoned(t)
 
 	for _, v := range w.All {
@@ -346,6 +375,53 @@
 	}
 }
 
+// evacuated has one failure domain after the other evacuated and taken back, and wants
+// its servers to get nothing from each entry VM in between.
+func (w *world) evacuated(t *testing.T) {
+	t.Helper()
+
+	const requests = 12
+
+	for i := range domains {
+		d := domain(i)
+		w.Store.Put(evacuationOf(d), []byte("{}"))
+
+		ask := func(v *cwsite.Gateway) int {
+			before := w.runsIn(d)
+			for range requests {
+				w.history.add(send(v, http.MethodPost, "/charge/a", newID()))
+			}
+
+			return w.runsIn(d) - before
+		}
+
+		for _, v := range w.All {
+			cwtest.Wait(t, fmt.Sprintf("%s sends nothing to %s", v.ID, d), func() bool { return ask(v) == 0 })
+		}
+
+		for _, v := range w.All {
+			if n := ask(v); n > 0 {
+				t.Errorf("%s sent %d requests to %s, which is evacuated", v.ID, n, d)
+			}
+		}
+
+		w.Store.Delete(evacuationOf(d))
+	}
+}
+
+// runsIn returns how many requests the servers of a failure domain have run.
+func (w *world) runsIn(d carobward.Domain) int {
+	n := 0
+
+	for _, s := range w.servers {
+		if s.domain == d {
+			n += len(s.Runs())
+		}
+	}
+
+	return n
+}
+
 // poisoned sends the request that ends servers to each entry VM again and again, and
 // wants it to be refused in the end: after the third end no more than three sends reach
 // servers, but for those until all know, who have no fault left by now.
