--- a/internal/cwfollow/begin.go
+++ b/internal/cwfollow/begin.go
@@ -25,11 +25,6 @@
 	// after three or four steps of as many peers each. They wait up to twice as
 	// long, so that not all ask at once where none of the first is left.
 	againTime = time.Second
-	// soonTime is how long a part of the others wait for word of a peer that has a copy,
-	// before they list all keys, too. While the fleet runs a peer answers within a few
-	// milliseconds; after a loss of power of all the first may start some tenths of a
-	// second before any of those that list.
-	soonTime = 40 * time.Millisecond
 )
 
 // begin learns from the store how large the fleet is and some entry VMs in it, by
@@ -60,33 +55,7 @@
 	f.Table.Told(list, f.Clock.Now())
 	f.Mesh.Tell()
 	f.patience = patience(f.Table.Self(), f.Seed, list, rand.Float64())
-	f.soon = isSoon(list, rand.Float64())
-	f.Log.Info("The fleet as the store has it.", "domains", len(list), "wait", f.patience.String(), "soon", f.soon)
-}
-
-// isSoon draws whether an entry VM lists all keys soon where no peer has a copy: as many
-// do in the mean as each do by themselves in a fleet that is small.
-func isSoon(list []cwmesh.Summary, draw float64) bool {
-	size := 0
-	for i := range list {
-		size += list[i].Size
-	}
-
-	return draw*float64(size) < fleetSmall
-}
-
-// waits tells whether an entry VM without a copy leaves the store to others for now.
-func (f *Follower) waits(now time.Time) bool {
-	age := now.Sub(f.began)
-
-	switch {
-	case f.Mirror.State().Index != 0 || age >= f.patience:
-		return false
-	case f.soon && age >= soonTime:
-		return f.Table.AnyCopy(now)
-	default:
-		return true
-	}
+	f.Log.Info("The fleet as the store has it.", "domains", len(list), "wait", f.patience.String())
 }
 
 // patience returns how long an entry VM that starts again waits for the copy of a
--- a/internal/cwfollow/duty_test.go
+++ b/internal/cwfollow/duty_test.go
@@ -289,23 +289,3 @@
 		})
 	}
 }
-
-// TestSoon wants as many entry VMs of a large fleet to list all keys soon, in the mean, as
-// do in a small one, and all of a small one.
-func TestSoon(t *testing.T) {
-	const draws = 1000
-
-	for size, want := range map[int]float64{fleetSmall / 2: 1, fleetSmall: 1, 2 * fleetSmall: 0.5, 8 * fleetSmall: 0.125} {
-		soon := 0
-
-		for i := range draws {
-			if isSoon([]cwmesh.Summary{{Domain: "a", Size: size}}, float64(i)/draws) {
-				soon++
-			}
-		}
-
-		if got := float64(soon) / draws; got < want-0.01 || got > want+0.01 {
-			t.Errorf("%d entry VMs: %.3f list soon, want %.3f", size, got, want)
-		}
-	}
-}
--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -29,8 +29,6 @@
 	gatherTime = 100 * time.Millisecond
 	// idleTime is the time between looks at whether to ask.
 	idleTime = 50 * time.Millisecond
-	// emptyTime is the same before there is a copy: requests are refused until then.
-	emptyTime = 10 * time.Millisecond
 	// backFirst and backMost bound the pause after a failed call; it doubles.
 	// Calls to a store that is away are paid for, too.
 	backFirst = 150 * time.Millisecond
@@ -90,8 +88,6 @@
 	// patience is how long after the start an entry VM without a copy waits for
 	// its peers' before it asks the store.
 	patience time.Duration
-	// soon tells that it waits for soonTime only while no peer has a copy.
-	soon bool
 	// began is when the Follower was made, wrote when it last wrote the list of
 	// entry VMs.
 	began time.Time
@@ -116,7 +112,7 @@
 
 	for ctx.Err() == nil {
 		if !f.due() {
-			pause(ctx, f.idle())
+			pause(ctx, idleTime)
 
 			continue
 		}
@@ -125,15 +121,6 @@
 	}
 }
 
-// idle returns the time until the next look at whether to ask.
-func (f *Follower) idle() time.Duration {
-	if f.Mirror.State().Index == 0 {
-		return emptyTime
-	}
-
-	return idleTime
-}
-
 // pause waits for a time or for the end of the context.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -163,7 +150,7 @@
 		return true
 	}
 
-	if f.waits(now) {
+	if f.Mirror.State().Index == 0 && now.Sub(f.began) < f.patience {
 		return false
 	}
 
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -218,11 +218,6 @@
 	return list
 }
 
-// AnyCopy tells whether a live peer of our failure domain has a copy of the store.
-func (t *Table) AnyCopy(now time.Time) bool {
-	return slices.ContainsFunc(t.Live(now), func(p Peer) bool { return p.Copy.Index > 0 })
-}
-
 // filter returns the peers that are wanted, in the order of their names; the
 // mutex is held.
 func (t *Table) filter(want func(*Peer) bool) []Peer {
