--- a/internal/cwfront/hedge.go
+++ b/internal/cwfront/hedge.go
@@ -20,11 +20,6 @@
 	// hedgeReserve is how many usual times before the end of the objective the
 	// second send leaves, so that its answer is in time.
 	hedgeReserve = 1.3
-	// hedgePause is the time until a server is looked for again where none was good
-	// enough, in usual times: half of what waiting requests look at, which go first.
-	hedgePause = 0.5
-	// hedgePauseLeast bounds it for work that takes next to no time.
-	hedgePauseLeast = 10 * time.Millisecond
 )
 
 // hedge finds a server for the second send of a request whose answer is
@@ -78,14 +73,6 @@
 	return h.timer.C
 }
 
-// again makes the second send due once more a little later. While many servers are slow
-// or lose answers the first try rarely finds a good one, and the caller would wait for an
-// answer that does not come until its time is over.
-func (h *hedge) again() {
-	r := h.request
-	h.timer.Reset(max(hedgePauseLeast, time.Duration(hedgePause*float64(r.usual()))))
-}
-
 // choose looks for a server, which ready gives. It works on a copy of the
 // request, which may end meanwhile.
 func (h *hedge) choose() {
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -142,7 +142,6 @@
 				out = append(out, r.start(ctx, found.looked, b, ends))
 			} else {
 				found.looked.release()
-				h.again()
 			}
 		}
 	}
