--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -112,7 +112,7 @@
 
 	for ctx.Err() == nil {
 		if !f.due() {
-			pause(ctx, idleTime)
+			carobward.Pause(ctx, idleTime)
 
 			continue
 		}
@@ -121,17 +121,6 @@
 	}
 }
 
-// pause waits for a time or for the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // fleet returns what is known of who may ask the store.
 func (f *Follower) fleet(now time.Time) *fleet {
 	return &fleet{self: f.Table.Self(), away: f.back > 0, peers: f.Table.Live(now), domains: f.Table.Domains(now)}
@@ -244,7 +233,7 @@
 	}
 
 	f.Log.Info("Took changes from the store.", "index", c.Index, "whole", c.Whole, "keys", len(c.Items), "changed", changed, "held", hold)
-	pause(ctx, gatherTime)
+	carobward.Pause(ctx, gatherTime)
 }
 
 // writeFleet writes the list of entry VMs to the store if it lacks one that
--- a/internal/cwnode/stop.go
+++ b/internal/cwnode/stop.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwlookup"
 )
 
@@ -57,7 +58,7 @@
 
 	n.announce(serve)
 	n.data.Part()
-	pause(serve, cwlookup.Kept(n.settings.Keep.Std())+keepMargin)
+	carobward.Pause(serve, cwlookup.Kept(n.settings.Keep.Std())+keepMargin)
 	n.await(serve, partMost, func() bool { return n.data.GetOpenConnectionsCount() == 0 })
 	n.log.Info("No new connections are taken.", "running", n.carrier.Running())
 
@@ -102,17 +103,6 @@
 	defer cancel()
 
 	for ctx.Err() == nil && !ok() {
-		pause(ctx, stopPoll)
-	}
-}
-
-// pause waits for a time or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		carobward.Pause(ctx, stopPoll)
 	}
 }
--- a/internal/cwquarantine/write.go
+++ b/internal/cwquarantine/write.go
@@ -46,7 +46,7 @@
 func (k *Keeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if k.waits() {
-			pause(ctx, gatherTime)
+			carobward.Pause(ctx, gatherTime)
 			k.write(ctx)
 
 			continue
@@ -85,7 +85,7 @@
 
 	k.back = min(backMost, max(backFirst, 2*k.back))
 	k.Log.Info("Records could not be written.", "keys", len(batch.Writes)+len(batch.Deletes), "again", k.back.String(), "cause", err.Error())
-	pause(ctx, k.back)
+	carobward.Pause(ctx, k.back)
 }
 
 // batch returns the changes of one call.
@@ -166,14 +166,3 @@
 
 	return k.dropped
 }
-
-// pause waits for a time or for the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- /dev/null
+++ b/test/soak/evacuate_test.go
@@ -0,0 +1,64 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwsite"
+	"carobward.example/carobward/internal/cwtest"
+)
+
+// domain returns the failure domain of a server.
+func domain(i int) carobward.Domain { return carobward.Domain(fmt.Sprintf("zone-%d", i%domains)) }
+
+// evacuationOf returns the key by which operators evacuate a failure domain.
+func evacuationOf(d carobward.Domain) string { return "op/evacuate/" + string(d) }
+
+// evacuated has one failure domain after the other evacuated and taken back, and wants
+// its servers to get nothing from each entry VM in between.
+func (w *world) evacuated(t *testing.T) {
+	t.Helper()
+
+	const requests = 12
+
+	for i := range domains {
+		d := domain(i)
+		w.Store.Put(evacuationOf(d), []byte("{}"))
+
+		ask := func(v *cwsite.Gateway) int {
+			before := w.runsIn(d)
+			for range requests {
+				w.history.add(send(v, http.MethodPost, "/charge/a", newID()))
+			}
+
+			return w.runsIn(d) - before
+		}
+
+		for _, v := range w.All {
+			cwtest.Wait(t, fmt.Sprintf("%s sends nothing to %s", v.ID, d), func() bool { return ask(v) == 0 })
+		}
+
+		for _, v := range w.All {
+			if n := ask(v); n > 0 {
+				t.Errorf("%s sent %d requests to %s, which is evacuated", v.ID, n, d)
+			}
+		}
+
+		w.Store.Delete(evacuationOf(d))
+	}
+}
+
+// runsIn returns how many requests the servers of a failure domain have run.
+func (w *world) runsIn(d carobward.Domain) int {
+	n := 0
+
+	for _, s := range w.servers {
+		if s.domain == d {
+			n += len(s.Runs())
+		}
+	}
+
+	return n
+}
