Homes: no entry VM outside them is named while there is one inside; cold servers without an overshoot

Read in the change: where a caller's region has few entry VMs those of any region were named to it, also for a host whose requests have homes; a refusal for want of a server in a home said that no server is known; settings without warmup_overshoot made a cold server bear one request a second. Tests: TestAddressesRegion (a case that failed before), TestColdMost.

--- a/internal/cwbackend/cold.go
+++ b/internal/cwbackend/cold.go
@@ -50,7 +50,8 @@
 		return 0
 	}
 
-	return max(1, int(coldPart*(b.Rate*b.Overshoot+b.Slack)))
+	// Settings that do not name the overshoot mean none, and not that servers bear nothing.
+	return max(1, int(coldPart*(b.Rate*max(1, b.Overshoot)+b.Slack)))
 }
 
 // sharers are the entry VMs that divide what cold servers bear.
--- a/internal/cwbackend/cold_test.go
+++ b/internal/cwbackend/cold_test.go
@@ -318,3 +318,24 @@
 		})
 	}
 }
+
+// TestColdMost has what the operators say of cold servers against the requests in a second
+// that are divided.
+func TestColdMost(t *testing.T) {
+	for name, c := range map[string]struct {
+		bound ColdBound
+		want  int
+	}{
+		"no bound":            {ColdBound{Overshoot: 1.5, Slack: 8}, 0},
+		"the users' figures":  {coldBound, 12},
+		"no overshoot, slack": {ColdBound{Rate: 10}, 8},
+		"hardly any":          {ColdBound{Rate: 0.2, Overshoot: 1}, 1},
+		"many":                {ColdBound{Rate: 100, Overshoot: 2, Slack: 10}, 168},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := c.bound.most(); got != c.want {
+				t.Errorf("%d, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -24,6 +24,7 @@
 	ErrShed        = errors.ConstError("the server refused it, and no further send is allowed")
 	ErrNone        = errors.ConstError("no server of the service is known")
 	ErrEvacuated   = errors.ConstError("all servers of the service are in failure domains that the operators have evacuated")
+	ErrHomes       = errors.ConstError("no server of the service may be used in the regions to which the route's requests may go")
 	ErrGone        = errors.ConstError("the caller has gone")
 	ErrLate        = errors.ConstError("the time was over")
 	ErrBegun       = errors.ConstError("a server refused it, but an earlier send may have run")
--- a/internal/cwfront/wait.go
+++ b/internal/cwfront/wait.go
@@ -189,11 +189,14 @@
 
 // noneCause returns why there is no server at all for a request.
 func (r *request) noneCause() error {
-	if r.front.Servers.Emptied(r.service) {
+	switch {
+	case r.front.Servers.Emptied(r.service):
 		return ErrEvacuated
+	case len(r.route.Homes) > 0 && r.front.Servers.CountOf(r.service) > 0:
+		return ErrHomes
+	default:
+		return ErrNone
 	}
-
-	return ErrNone
 }
 
 // handOver gives the slot of a send that was answered to a waiter, with the
--- a/internal/cwgateway/addresses.go
+++ b/internal/cwgateway/addresses.go
@@ -63,10 +63,13 @@
 
 	var list []carobward.Address
 
-	for _, more := range byDistance {
-		if list = append(list, more...); len(list) >= nearLeast {
+	for n, more := range byDistance {
+		// Few entry VMs near by are better than any where requests must not go.
+		if len(list) >= nearLeast || n == anywhere && len(list) > 0 && len(homes) > 0 {
 			break
 		}
+
+		list = append(list, more...)
 	}
 
 	return list
--- a/internal/cwgateway/home_test.go
+++ b/internal/cwgateway/home_test.go
@@ -36,6 +36,16 @@
 			map[carobward.Domain]int{"n-1": 5, "n-2": 1, "s-1": 5, "s-2": 2},
 			map[carobward.Domain]int{"s-1": 5, "s-2": 2},
 		},
+		"few in the region and in homes": {
+			asker{"e-1", "e", "h"}, []carobward.Region{"s"},
+			map[carobward.Domain]int{"e-1": 1, "n-1": 5, "s-1": 1},
+			map[carobward.Domain]int{"e-1": 1, "s-1": 1},
+		},
+		"few in the region, no homes": {
+			asker{"e-1", "e", "h"}, nil,
+			map[carobward.Domain]int{"e-1": 1, "n-1": 5, "s-1": 1},
+			map[carobward.Domain]int{"e-1": 1, "n-1": 5, "s-1": 1},
+		},
 		"none in the region, no homes": {
 			asker{"e-1", "e", "h"}, nil,
 			map[carobward.Domain]int{"n-1": 2, "s-1": 5},
