--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -68,12 +68,17 @@
 	ill   bool
 	// warm is until when it says that it is cold, zero: it says nothing.
 	warm time.Time
+	// limits are what it says of the requests a second that it takes; none: it says
+	// nothing.
+	limits []string
 	// closing ends the connection of each health check.
 	closing bool
 	// body is what answers have.
-	body  string
-	runs  []Run
-	looks int
+	body string
+	runs []Run
+	// arrivals has when each of the runs began.
+	arrivals []time.Time
+	looks    int
 	// broken counts the requests whose caller left before the answer.
 	broken int
 	// kills tells whether a request ends the server, ended is called then.
@@ -141,6 +146,14 @@
 	u.warm = time.Now().Add(left)
 }
 
+// SetLimit has its answers to requests name a limit, several, or none.
+func (u *Upstream) SetLimit(limits ...string) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	u.limits = limits
+}
+
 // SetClosing sets whether it ends the connection of each health check.
 func (u *Upstream) SetClosing(closing bool) {
 	u.mutex.Lock()
@@ -157,6 +170,14 @@
 	return append([]Run(nil), u.runs...)
 }
 
+// Arrivals returns when each of the requests came that it ran.
+func (u *Upstream) Arrivals() []time.Time {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	return append([]time.Time(nil), u.arrivals...)
+}
+
 // Looks returns the number of health checks.
 func (u *Upstream) Looks() int {
 	u.mutex.Lock()
@@ -221,6 +242,7 @@
 
 	u.mutex.Lock()
 	u.runs = append(u.runs, run)
+	u.arrivals = append(u.arrivals, time.Now())
 	kills := u.kills
 	u.mutex.Unlock()
 
@@ -301,10 +323,14 @@
 // end writes the answer to a request that ran.
 func (u *Upstream) end(c net.Conn, way UpstreamWay, id, load string) bool {
 	u.mutex.Lock()
-	body := u.body
+	body, limits := u.body, u.limits
 	u.mutex.Unlock()
 
 	whole := fmt.Sprintf("Request-Id: %s\r\nResponse-Seal: s.%s\r\nUpstream-Load: %s\r\n", id, id, load)
+	for _, limit := range limits {
+		whole += "Server-Limit: " + limit + "\r\n"
+	}
+
 	good := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", whole, len(body), body)
 
 	switch way {
