A server's limit is divided among the entry VMs that know it

Callers saw nothing; servers in need that had named a limit of requests a second from all entry VMs got as many as before and could fail under it. Cause: nothing read what they said. Class: what a server says of itself in its replies, and a bound of all entry VMs, was not in the table of servers that decides who sends.

Ruled out: entry VMs that keep it each for itself (there was no such code); word that reaches the others late (only who was told counts).

Change: the division that cold servers have is the one mechanism for both (sharer.go): first entry VMs of the server's failure domain by rendezvous hash, each with a part in a window. A limit has four parts at least, in a window so long that their sum is 0.8 of it. Others send nothing while anybody says that the limit stands; words go with heartbeats of the failure domain, newcomers get all that stand, and who has heard nothing for 30 s asks the server again by one request. An unreadable word keeps the one before. Where no server may get a request in time, callers are refused at once with a time to come back. Operators see it in /status and a gauge.

Why it holds: an order over entry VMs bounds the sum whoever sends, without a clock in common; who knows too few others has no part.

--- a/internal/cwbackend/cold_test.go
+++ b/internal/cwbackend/cold_test.go
@@ -28,8 +28,9 @@
 
 // coldVM is one entry VM of a model fleet.
 type coldVM struct {
-	table *Table
-	id    carobward.VMID
+	table  *Table
+	id     carobward.VMID
+	domain carobward.Domain
 	// heard has when each other one was heard last.
 	heard map[carobward.VMID]time.Time
 	// alive tells that it runs, cut that it hears nobody and is heard by nobody.
@@ -37,8 +38,8 @@
 	started    time.Time
 }
 
-// coldFleet is the entry VMs of one failure domain and the cold servers there. The cut
-// ones reach servers, as those that lose each other only.
+// coldFleet is the entry VMs of one failure domain or two and the cold servers of the first
+// one. The cut ones reach servers, as those that lose each other only.
 type coldFleet struct {
 	rnd     *rand.Rand
 	vms     []*coldVM
@@ -73,17 +74,23 @@
 		f.servers = append(f.servers, b)
 	}
 
-	for i := range vms {
-		f.vms = append(f.vms, &coldVM{id: carobward.VMID(fmt.Sprintf("vm-%d", i))})
-		f.startVM(f.vms[i])
-	}
+	f.addVMs(vms, "d0")
 
 	return f
 }
 
+// addVMs starts entry VMs in a failure domain.
+func (f *coldFleet) addVMs(count int, d carobward.Domain) {
+	for i := range count {
+		v := &coldVM{id: carobward.VMID(fmt.Sprintf("vm-%s-%d", d, i)), domain: d}
+		f.vms = append(f.vms, v)
+		f.startVM(v)
+	}
+}
+
 // startVM starts an entry VM that knows nobody; the store tells it how many there are.
 func (f *coldFleet) startVM(v *coldVM) {
-	v.table = New(VM{ID: v.id, Domain: "d0"})
+	v.table = New(VM{ID: v.id, Domain: v.domain})
 	v.table.SetColdBounds(map[carobward.Service]ColdBound{"records": coldBound})
 	v.table.Put(f.servers, nil, f.now)
 
@@ -105,7 +112,7 @@
 		}
 
 		f.hear(v)
-		v.share(f)
+		v.share(f, f.now)
 	}
 
 	for _, n := range f.rnd.Perm(len(f.vms)) {
@@ -133,14 +140,14 @@
 // hear has an entry VM hear the others, each once in a second or so.
 func (f *coldFleet) hear(v *coldVM) {
 	for _, o := range f.vms {
-		if o != v && o.alive && !o.cut && !v.cut && f.rnd.Float64() < float64(coldStep)/float64(300*time.Millisecond) {
+		if o != v && o.domain == v.domain && o.alive && !o.cut && !v.cut && f.rnd.Float64() < float64(coldStep)/float64(300*time.Millisecond) {
 			v.heard[o.id] = f.now
 		}
 	}
 }
 
 // share tells the table what the entry VM knows of the others.
-func (v *coldVM) share(f *coldFleet) {
+func (v *coldVM) share(f *coldFleet, now time.Time) {
 	var live, lately []carobward.VMID
 
 	for id, at := range v.heard {
@@ -154,7 +161,7 @@
 	}
 
 	v.table.SetNeighbours(live)
-	v.table.SetSharers(lately, f.size, f.now)
+	v.table.SetSharers(lately, f.size, now)
 }
 
 // send has an entry VM send to each cold server that it may.
@@ -171,7 +178,7 @@
 func (f *coldFleet) may(v *coldVM, view View, b carobward.Backend) bool {
 	switch f.way {
 	case byCount:
-		return view.Server.admitCold(max(1, coldBound.most()/f.size), f.now)
+		return view.Server.admit(&allowances{{most: max(1, coldBound.most()/f.size), window: shareWindow}}, f.now)
 	case byReport:
 		// All that look within a few milliseconds see the same free slots.
 		list := slices.DeleteFunc(f.running[b.Instance], func(end time.Time) bool { return end.Before(f.now) })
--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -57,15 +57,17 @@
 type Server struct {
 	mutex   sync.Mutex
 	backend carobward.Backend
-	// known is since when the table has this process.
-	known time.Time
+	// follows is when it followed another process under its instance, zero if none was
+	// known.
+	follows time.Time
 	// limit is what it says of the requests that it takes.
 	limit limit
 	// warm is until when it is cold.
 	warm time.Time
-	// coldSends are our requests to it in the last window in which it was cold.
-	coldSends []time.Time
-	report    carobward.Report
+	// sends has when the last of our requests to it were sent: one, or as many as the
+	// bounds on it look back.
+	sends  []time.Time
+	report carobward.Report
 	// failures counts the failures in a row, trouble is the moving share of
 	// requests that failed.
 	failures int
@@ -84,7 +86,7 @@
 }
 
 func newServer(b carobward.Backend, now time.Time) *Server {
-	return &Server{backend: b, known: now, warm: now.Add(b.Warmup), out: map[int64]flight{}}
+	return &Server{backend: b, warm: now.Add(b.Warmup), out: map[int64]flight{}}
 }
 
 // end breaks off what is in flight: the process has ended. Behind a cut nothing else
@@ -198,8 +200,12 @@
 	Spare bool
 	// Warming tells that it is cold, and slow for that.
 	Warming bool
-	// Barred tells that it is cold and gets no request of this entry VM now.
+	// Limit is what it says of the requests a second that it takes from all entry VMs.
+	Limit carobward.Limit
+	// Barred tells that it gets no request of this entry VM before Open, since it is
+	// cold or names a limit.
 	Barred bool
+	Open   time.Time
 	// Slots is how many requests it runs at once.
 	Slots int
 	// Own is how many of our requests it has.
@@ -244,7 +250,7 @@
 
 	v := View{
 		Server: s, Leaving: s.backend.Leaving, Blocked: now.Before(s.blocked), Failing: s.failures > 0, Warming: now.Before(s.warm),
-		Slots: max(1, s.backend.Slots), Own: len(s.out), Trouble: s.trouble, Domain: s.backend.Domain, Address: s.backend.Address, Report: s.report,
+		Slots: max(1, s.backend.Slots), Own: len(s.out), Trouble: s.trouble, Domain: s.backend.Domain, Address: s.backend.Address, Report: s.report, Limit: s.limit.Limit,
 	}
 
 	for _, f := range s.out {
--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"sync"
 	"time"
 
@@ -48,9 +49,11 @@
 	alone bool
 	// mine has the servers of each service that this entry VM sends to.
 	mine map[carobward.Service]*known
-	// cold has what cold servers of each service bear, sharers who divides that.
+	// cold has what cold servers of each service bear, sharers who divides that and the
+	// limits that servers name, near the number of near servers of each service.
 	cold    map[carobward.Service]ColdBound
 	sharers sharers
+	near    map[carobward.Service]int
 	// evacuated has the failure domains whose servers get nothing.
 	evacuated map[carobward.Domain]bool
 	// counts has the number of the servers of each service that may get requests,
@@ -93,6 +96,7 @@
 		case newer:
 			// Nothing that was known of the process before holds for this one.
 			t.byInstance[b.Instance] = newServer(b, now)
+			t.byInstance[b.Instance].follows = now
 			ended = append(ended, old)
 
 			s.end()
@@ -205,9 +209,10 @@
 		}
 	}
 
-	t.mine = map[carobward.Service]*known{}
+	t.mine, t.near = map[carobward.Service]*known{}, map[carobward.Service]int{}
 
 	for service, list := range near {
+		t.near[service] = len(list)
 		t.mine[service] = &known{near: t.pickNear(list, t.cold[service])}
 	}
 
@@ -245,20 +250,27 @@
 	return knownFar
 }
 
+// knowers returns how many entry VMs of the failure domain know one of so many near
+// servers of a service, the first ones by hash.
+func (t *Table) knowers(servers int) int {
+	if t.alone || servers <= knownNear {
+		return math.MaxInt
+	}
+
+	return max(knownBy, (t.shares.count()*knownNear+servers-1)/servers)
+}
+
 // pickNear returns the servers of the own failure domain that this entry VM sends
 // to. Each server is known to the same number of the entry VMs there, so that no
 // server is left out, and a change of either side moves few. That number is
 // knownBy, or more where it takes that for an entry VM to know so many servers. A cold
 // server is known to as many as may send to it, so that what it bears can be used.
 func (t *Table) pickNear(list []candidate, cold ColdBound) []*Server {
-	if t.alone || len(list) <= knownNear {
+	each, first := t.knowers(len(list)), 0
+	if each == math.MaxInt {
 		return servers(list)
 	}
 
-	each := max(knownBy, (t.shares.count()*knownNear+len(list)-1)/len(list))
-
-	first := 0
-
 	for i := range list {
 		if before := list[i].before; before < each || before < cold.most() && list[i].server.isCold(t.now) {
 			list[i], list[first] = list[first], list[i]
@@ -355,6 +367,51 @@
 	return views
 }
 
+// View returns what is known of one server, see Views.
+func (t *Table) View(s *Server, now time.Time, usual time.Duration) View {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	return t.view(s, now, usual)
+}
+
+// view is View; the mutex is held.
+func (t *Table) view(s *Server, now time.Time, usual time.Duration) View {
+	v := s.View(now, usual)
+	if !v.Warming && !v.Limit.Named {
+		return v
+	}
+
+	b := s.Backend()
+	l := t.allowances(s, &b, now)
+
+	s.mutex.Lock()
+	v.Open = s.open(&l)
+	s.mutex.Unlock()
+
+	v.Barred = now.Before(v.Open)
+
+	return v
+}
+
+// Opens returns when the first of some servers may get a request, or the zero time where
+// one of them may get one now, or there is none.
+func Opens(views []View) time.Time {
+	var first time.Time
+
+	for i := range views {
+		if !views[i].Barred {
+			return time.Time{}
+		}
+
+		if i == 0 || views[i].Open.Before(first) {
+			first = views[i].Open
+		}
+	}
+
+	return first
+}
+
 // appendViews appends what is known of servers that are not leaving; the mutex is held.
 func (t *Table) appendViews(to []View, list []*Server, now time.Time, usual time.Duration) []View {
 	for _, s := range list {
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -50,6 +50,7 @@
 	f := r.front
 	now := f.Clock.Now()
 	views := r.permitted(f.Servers.Views(r.service, now, r.usual()))
+	r.opens = cwbackend.Opens(views)
 
 	for i := range views {
 		views[i].Idle = f.Link.HasIdle(views[i].Address)
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -24,6 +24,7 @@
 	ErrShed        = errors.ConstError("the server refused it, and no further send is allowed")
 	ErrNone        = errors.ConstError("no server of the service is known")
 	ErrEvacuated   = errors.ConstError("all servers of the service are in failure domains that the operators have evacuated")
+	ErrLimits      = errors.ConstError("no server may get a request now: those known are cold, or their limits are used up")
 	ErrHomes       = errors.ConstError("no server of the service may be used in the regions to which the route's requests may go")
 	ErrGone        = errors.ConstError("the caller has gone")
 	ErrLate        = errors.ConstError("the time was over")
@@ -67,6 +68,9 @@
 	sends int
 	looks int
 	seen  seen
+	// opens is when the first of the servers may get a request, where none of them may
+	// now for what it bears; else zero.
+	opens time.Time
 	// server is the last server that it was handed to.
 	server carobward.Instance
 
--- a/internal/cwfront/wait.go
+++ b/internal/cwfront/wait.go
@@ -184,6 +184,11 @@
 		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, r.turn.Return(), r.noneCause())
 	}
 
+	// What is known to be refused need not wait.
+	if !r.opens.IsZero() && r.turn.Over(r.opens) {
+		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, r.turn.ReturnAt(r.opens, now), ErrLimits)
+	}
+
 	return nil, nil
 }
 
--- a/internal/cwgateway/operators.go
+++ b/internal/cwgateway/operators.go
@@ -101,6 +101,8 @@
 	Fleet   int `json:"fleet"`
 	// Evacuated has the failure domains whose servers get nothing.
 	Evacuated []evacuation `json:"evacuated"`
+	// Limited has the servers that name how many requests a second they take.
+	Limited []limited `json:"limited"`
 }
 
 func (g *Gateway) writeStatus(ctx *fasthttp.RequestCtx) {
@@ -108,7 +110,7 @@
 	s := status{
 		VM: g.Self.ID, Domain: g.Self.Domain, Ready: g.isReady(), Index: g.mirror.State().Index,
 		Age:     now.Sub(g.mesh.Fresh()).Round(time.Millisecond).String(),
-		Servers: g.servers.Count(), Fleet: g.table.Size(now), Evacuated: g.evacuations(),
+		Servers: g.servers.Count(), Fleet: g.table.Size(now), Evacuated: g.evacuations(), Limited: g.limits(now),
 	}
 
 	if t := g.front.Routes(); t != nil {
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -34,13 +34,14 @@
 }
 
 // wake has the ages that the VM's clock did not count while it was suspended counted: of
-// the copy of the store, so that it is asked at once, and of idle connections. Others are
-// left: what is known of load is asked before each send, blocks only last longer, and who
+// the copy of the store, so that it is asked at once, of idle connections, and of what
+// servers said of limits. Others are left: what is known of load is asked before each send, blocks only last longer, and who
 // sent the requests in flight has left or will.
 func (g *Gateway) wake(by time.Duration) {
 	g.log.Info("The VM was suspended.", "by", by.String(), "flight", g.front.Flight())
 	g.mesh.Suspended(by)
 	g.link.Suspended(by)
+	g.servers.Suspended(by)
 }
 
 // share tells the tables which entry VMs share the servers.
@@ -108,6 +109,7 @@
 
 		return int64(len(g.unusable))
 	})
+	g.metrics.Gauge("gateway", "limited", func() int64 { return int64(len(g.servers.Limited(g.Clock.Now()))) })
 	g.metrics.Gauge("gateway", "evacuated", func() int64 { return int64(len(g.evacuations())) })
 	g.metrics.Gauge("gateway", "index", func() int64 { return int64(g.mirror.State().Index) })
 	g.metrics.Gauge("gateway", "dropped", g.Dropped)
--- a/internal/cwmesh/fetch_test.go
+++ b/internal/cwmesh/fetch_test.go
@@ -56,7 +56,7 @@
 
 	mirror.Apply(changes, false)
 
-	m := New(Options{Table: NewTable(Node{ID: "self"}), Mirror: mirror, Clock: clock, Log: logr.Discard(), Link: link}, conn)
+	m := New(Options{Table: NewTable(Node{ID: "self"}), Mirror: mirror, Clock: clock, Log: logr.Discard(), Link: link, Limits: noLimits}, conn)
 	answers := NewAnswers(m)
 
 	sent := 0
@@ -116,7 +116,7 @@
 
 			defer func() { _ = conn.Close() }()
 
-			m := New(Options{Table: NewTable(Node{ID: "self"}), Mirror: mirror, Clock: carobward.SystemClock{}, Log: logr.Discard()}, conn)
+			m := New(Options{Table: NewTable(Node{ID: "self"}), Mirror: mirror, Clock: carobward.SystemClock{}, Log: logr.Discard(), Limits: noLimits}, conn)
 			reply := &cwwire.ChangesReply{}
 
 			err = NewAnswers(m).Changes(&cwwire.ChangesRequest{After: uint64(c.after)}, reply)
@@ -208,3 +208,5 @@
 		t.Errorf("drew %q", got.id)
 	}
 }
+
+func noLimits(time.Time, bool) []carobward.LimitWord { return nil }
--- a/internal/cwmesh/receive.go
+++ b/internal/cwmesh/receive.go
@@ -83,6 +83,10 @@
 		m.reply(from, b, !known)
 	}
 
+	if list := b.GetLimits(); len(list) > 0 {
+		m.TakeLimits(limits(list, now), p.ID)
+	}
+
 	m.takePush(b)
 	m.takeCopy(b, &p, from, now)
 }
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -178,6 +178,7 @@
 
 		b.Others = wireNodes(m.Table.othersOf(asker.Domain, asker.ID, now))
 		b.Domains = wireSummaries(append(m.Table.known(), own), now)
+		b.Limits = wireLimits(draw(m.Limits(now, true), limitsMost), now)
 	}
 
 	m.write(m.encode(b), carobward.Address(to.String()))
@@ -192,6 +193,7 @@
 		Rate: uint32(m.rate.Load()),
 	}
 	b.Changes, b.ChangesAfter = m.pushed(now)
+	b.Limits = wireLimits(draw(m.Limits(now, false), limitsMost), now)
 
 	return b
 }
--- a/internal/cwmesh/wire.go
+++ b/internal/cwmesh/wire.go
@@ -1,6 +1,7 @@
 package cwmesh
 
 import (
+	"math"
 	"time"
 
 	"carobward.example/carobward"
@@ -74,3 +75,46 @@
 
 	return out
 }
+
+// limits reads what servers said of the requests that they take. A rate that can't be one
+// is a limit that can't be read.
+func limits(list []*cwwire.ServerLimit, now time.Time) []carobward.LimitWord {
+	out := make([]carobward.LimitWord, 0, len(list))
+
+	for _, l := range list {
+		rate := l.GetRate()
+		w := carobward.LimitWord{Server: carobward.Instance(l.GetServer()), Passed: l.GetPassed(), At: now.Add(-time.Duration(l.GetAge()) * time.Millisecond)}
+
+		if !l.GetLifted() {
+			w.Limit = carobward.Limit{Named: true}
+		}
+
+		if !l.GetLifted() && rate >= 0 && !math.IsInf(rate, 1) {
+			w.Limit.Readable, w.Limit.Rate = true, carobward.Rate(rate)
+		}
+
+		out = append(out, w)
+	}
+
+	return out
+}
+
+func wireLimits(list []carobward.LimitWord, now time.Time) []*cwwire.ServerLimit {
+	var out []*cwwire.ServerLimit
+
+	for i := range list {
+		w := &list[i]
+
+		rate := float64(w.Limit.Rate)
+		if !w.Limit.Readable {
+			rate = math.NaN()
+		}
+
+		out = append(out, &cwwire.ServerLimit{
+			Server: string(w.Server), Rate: rate, Lifted: !w.Limit.Named, Age: uint32(max(0, now.Sub(w.At).Milliseconds())),
+			Passed: w.Passed,
+		})
+	}
+
+	return out
+}
--- a/internal/cwturn/turn.go
+++ b/internal/cwturn/turn.go
@@ -127,6 +127,12 @@
 	return max(returnLeast, t.times(returnTime*max(1, t.Pace)))
 }
 
+// ReturnAt returns the same where it is known when the first server may get a request: not
+// before that, unless others that this entry VM does not know may have room sooner.
+func (t *Turn) ReturnAt(opens, now time.Time) time.Duration {
+	return min(max(returnLeast, opens.Sub(now)), t.Return())
+}
+
 // ReturnShed returns the same where a server refused.
 func (t *Turn) ReturnShed() time.Duration { return max(returnLeast, t.times(shedTime)) }
 
--- a/limit.go
+++ b/limit.go
@@ -19,6 +19,8 @@
 type LimitWord struct {
 	Server Instance
 	Limit  Limit
-	// At is when its reply came.
-	At time.Time
+	// At is when its reply came. Passed tells that it came to a third entry VM, so that the
+	// time is later by each way that the word took.
+	At     time.Time
+	Passed bool
 }
