Soak: servers that name limits; callers do not see them

Limits low, high, changing, of all servers at once, taken back and unreadable come among the other faults.

What a server says of its limit is for entry VMs, as its load is.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -115,6 +115,14 @@
 	s.up.SetCold(left)
 }
 
+// SetLimit has the process name limits of the requests a second that it takes, or none.
+func (s *server) SetLimit(limits ...string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.up.SetLimit(limits...)
+}
+
 // Runs returns the requests that all processes ran.
 func (s *server) Runs() []cwstand.Run {
 	s.mutex.Lock()
@@ -271,7 +279,7 @@
 
 	evacuation := evacuationOf(domain(w.random.IntN(domains)))
 
-	switch w.random.IntN(19) {
+	switch w.random.IntN(22) {
 	case 0:
 		w.configure()
 	case 1:
@@ -302,6 +310,12 @@
 		w.Store.Delete(evacuation)
 	case 17, 18:
 		s.SetCold(time.Duration(w.random.IntN(3000)) * time.Millisecond)
+	case 19, 20:
+		s.SetLimit(limits[w.random.IntN(len(limits))]...)
+	case 21:
+		for _, s := range w.servers {
+			s.SetLimit(limits[w.random.IntN(len(limits))]...)
+		}
 	}
 
 	<-time.After(time.Duration(50+w.random.IntN(300)) * time.Millisecond)
@@ -343,6 +357,7 @@
 	for _, s := range w.servers {
 		s.Proxy().Set(cwstand.ProxyPasses)
 		s.Set(cwstand.UpstreamServes)
+		s.SetLimit()
 		w.register(s, "ready")
 	}
 
@@ -359,6 +374,7 @@
 		})
 	}
 
+	w.limited(t)
 	w.evacuated(t)
 	w.poisoned(t)
 
