--- a/internal/cwquarantine/keeper_test.go
+++ b/internal/cwquarantine/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +21,8 @@
 	keys  map[carobward.Key]bool
 	calls int
 	err   error
+	// lost has the writes take effect while err is returned.
+	lost  bool
 	begun chan struct{}
 	goOn  chan struct{}
 }
@@ -37,7 +40,7 @@
 
 	s.calls++
 
-	if s.err != nil {
+	if s.err != nil && !s.lost {
 		return s.err
 	}
 
@@ -55,7 +58,15 @@
 		delete(s.keys, key)
 	}
 
-	return nil
+	return s.err
+}
+
+// keysNow returns how many keys there are.
+func (s *fakeFeed) keysNow() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return len(s.keys)
 }
 
 // let lets the next call go on.
@@ -138,6 +149,67 @@
 	}
 }
 
+// TestAnsweredAfter wants nothing to stay in the store of a crash whose request is answered
+// once the store has the record, whenever that is: while the reply is on its way, is taken,
+// or is lost. What stays would hold the request of others for hours.
+func TestAnsweredAfter(t *testing.T) {
+	for name, c := range map[string]struct {
+		err error
+		// rounds is how often it is tried to hit the moment.
+		rounds int
+	}{
+		"as the reply is taken":    {nil, 5000},
+		"after its reply was lost": {carobward.ErrStoreUnknown, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range c.rounds {
+				s := newFakeFeed()
+				s.err, s.lost = c.err, true
+				k := newKeeper(s, 0)
+				crash := seen{"a", "1", 0}.crash()
+
+				k.Ended(crash)
+				k.Share(crash)
+
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan struct{})
+
+				go func() {
+					defer close(done)
+
+					k.write(ctx)
+				}()
+
+				s.let()
+
+				for s.keysNow() == 0 {
+					runtime.Gosched()
+				}
+
+				if c.err != nil {
+					cancel()
+					<-done
+				}
+
+				k.Answered(crash.Print)
+				cancel()
+				<-done
+
+				s.err = nil
+
+				for k.Waiting() > 0 {
+					go s.let()
+					k.write(context.Background())
+				}
+
+				if n := s.keysNow(); n > 0 {
+					t.Fatalf("%d records stay", n)
+				}
+			}
+		})
+	}
+}
+
 // TestAnsweredFirst wants a crash that was not shared yet never to be.
 func TestAnsweredFirst(t *testing.T) {
 	k := newKeeper(newFakeFeed(), 0)
