A record that may be in the store is removed there

Callers whose request was answered were refused later, when it met the record of an end that its answer should have cleared; TestTrial waited in vain for an empty store. Ruled out: the clearing of outdated records, which comes each 10 s and only for old ones.

Each change remembers whether a call with it began; only one that never was on its way is forgotten without a call. One that replaces a waiting change needs no room.

--- a/internal/cwquarantine/keeper.go
+++ b/internal/cwquarantine/keeper.go
@@ -55,8 +55,8 @@
 	mutex sync.Mutex
 	// pending has the values to be written by key; nil removes a key.
 	pending map[carobward.Key][]byte
-	// sending tells that some of them are on their way to the store.
-	sending bool
+	// sent has the keys among them that the store may have: a call with them began.
+	sent    map[carobward.Key]bool
 	dropped int64
 	back    time.Duration
 	cleaned time.Time
@@ -68,7 +68,7 @@
 func New(o Options) *Keeper {
 	o.Log = o.Log.WithName("quarantine")
 
-	return &Keeper{Options: o, wake: make(chan struct{}, 1), pending: map[carobward.Key][]byte{}, cleaned: o.Clock.Now()}
+	return &Keeper{Options: o, wake: make(chan struct{}, 1), pending: map[carobward.Key][]byte{}, sent: map[carobward.Key]bool{}, cleaned: o.Clock.Now()}
 }
 
 // Took takes changes of the copy of the store.
--- a/internal/cwquarantine/write.go
+++ b/internal/cwquarantine/write.go
@@ -7,13 +7,14 @@
 	"carobward.example/carobward"
 )
 
-// remove clears keys from the store. A crash that was not shared yet never is.
+// remove clears keys from the store. A crash that was never on its way there never is;
+// after a call whose reply was lost, or is just being taken, the store may have it.
 func (k *Keeper) remove(keys []carobward.Key) {
 	gone := map[carobward.Key][]byte{}
 
 	k.mutex.Lock()
 	for _, key := range keys {
-		if value, waits := k.pending[key]; waits && value != nil && !k.sending {
+		if value, waits := k.pending[key]; waits && value != nil && !k.sent[key] {
 			delete(k.pending, key)
 		} else {
 			gone[key] = nil
@@ -28,7 +29,8 @@
 func (k *Keeper) put(changes map[carobward.Key][]byte) {
 	k.mutex.Lock()
 	for key, value := range changes {
-		if len(k.pending) < pendingMost {
+		// What replaces a change that waits needs no room: a removal must not be dropped.
+		if _, waits := k.pending[key]; waits || len(k.pending) < pendingMost {
 			k.pending[key] = value
 		} else {
 			k.dropped++
@@ -74,7 +76,6 @@
 func (k *Keeper) write(ctx context.Context) {
 	batch := k.batch()
 	err := k.Feed.Write(ctx, batch)
-	k.sent()
 
 	if err == nil {
 		k.wrote(batch)
@@ -95,15 +96,16 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 
-	k.sending = true
-
 	for key, value := range k.pending {
-		switch {
-		case len(b.Writes)+len(b.Deletes) == batchMost:
-			return b
-		case value == nil:
+		if len(b.Writes)+len(b.Deletes) == batchMost {
+			break
+		}
+
+		k.sent[key] = true
+
+		if value == nil {
 			b.Deletes = append(b.Deletes, key)
-		default:
+		} else {
 			b.Writes = append(b.Writes, carobward.Item{Key: key, Value: value})
 		}
 	}
@@ -111,32 +113,30 @@
 	return b
 }
 
-// sent notes that a call has ended.
-func (k *Keeper) sent() {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-
-	k.sending = false
-}
-
 // wrote notes that changes were written, unless others of a key came meanwhile.
 func (k *Keeper) wrote(b carobward.Batch) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 
 	for i := range b.Writes {
-		if k.pending[b.Writes[i].Key] != nil {
-			delete(k.pending, b.Writes[i].Key)
+		if key := b.Writes[i].Key; k.pending[key] != nil {
+			k.done(key)
 		}
 	}
 
 	for _, key := range b.Deletes {
 		if value, ok := k.pending[key]; ok && value == nil {
-			delete(k.pending, key)
+			k.done(key)
 		}
 	}
 }
 
+// done forgets a change that the store has; the mutex is held.
+func (k *Keeper) done(key carobward.Key) {
+	delete(k.pending, key)
+	delete(k.sent, key)
+}
+
 // clean clears outdated records away, on one entry VM for all.
 func (k *Keeper) clean(now time.Time) {
 	if now.Sub(k.cleaned) < cleanTime || !k.Leads() {
