--- a/internal/cwticket/budget.go
+++ b/internal/cwticket/budget.go
@@ -23,7 +23,7 @@
 // in bytes. BenchmarkRecord measures less.
 const (
 	recordCost  = 160
-	outcomeCost = 192
+	outcomeCost = 208
 	fieldCost   = 48
 )
 
