A trial that is granted after the answer is cleared away

TestTrial waited in vain for an empty store: carobward/trial/.../2 stayed. The log of a failing run: one entry VM's trial is answered and clears all keys at 48.319; another one, which had decided on its trial before, gets it granted at 48.370, since the key is gone, and writes it anew. Nobody has a crash that would lead to it, so that it stays for good, and the next time the request ends servers its second trial is refused by it. Its writer clears it away when it comes with the store's changes and no crash is remembered; by then all earlier changes have been taken.

TestTrialTooLate failed before. The stand-in removed a crashed server's entry in the moment of the crash, before the entry VM could ask whether it had ended (state=stopped, so no crash was counted: "the quarantine"); a server that crashes says nothing, its entry lapses 300 ms later now.

--- a/internal/cwgateway/poison_test.go
+++ b/internal/cwgateway/poison_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwgateway"
@@ -88,11 +89,17 @@
 	c.fleet.register("fees", p.instance(), p.address, "ready")
 }
 
+// ended starts the next process at a place. One that crashes says nothing, so that its
+// entry stays for a while.
 func (c *crashing) ended(p *place) {
+	const lapse = 300 * time.Millisecond
+
 	c.mutex.Lock()
 	c.crashes++
 	p.server.Close()
-	c.fleet.store.Delete("servers/" + p.instance())
+
+	entry := "servers/" + p.instance()
+	time.AfterFunc(lapse, func() { c.fleet.store.Delete(entry) })
 	c.mutex.Unlock()
 
 	for {
--- a/internal/cwquarantine/keeper.go
+++ b/internal/cwquarantine/keeper.go
@@ -88,11 +88,25 @@
 		k.Log.Info("A request is quarantined no more.", "print", p.String())
 	}
 
+	k.dropAlone(change.Alone)
+
 	for _, err := range change.Wrong {
 		k.Log.Error(err, "A record can't be read and is passed over.")
 	}
 }
 
+// dropAlone clears trials of this entry VM that were granted after an answer elsewhere had
+// cleared the crashes and all trials then known. One that stayed would be taken for the
+// trial of the same request when servers end under it again.
+func (k *Keeper) dropAlone(list []Trial) {
+	for i := range list {
+		if t := &list[i]; t.VM == k.VM {
+			k.Log.Info("A trial came after the answer and is cleared away.", "print", t.Print.String(), "number", t.Number)
+			k.remove([]carobward.Key{t.key()})
+		}
+	}
+}
+
 func (k *Keeper) logHeld(p Print) {
 	k.Log.Info("A request is quarantined.", "print", p.String(), "crashes", k.Table.Crashes(p, k.Clock.Now()))
 }
--- a/internal/cwquarantine/keeper_test.go
+++ b/internal/cwquarantine/keeper_test.go
@@ -281,3 +281,39 @@
 		t.Errorf("%d wait, %d dropped", k.Waiting(), k.Dropped())
 	}
 }
+
+// TestTrialTooLate wants an entry VM whose trial was granted after another one's answer had
+// cleared everything to clear its trial as well, since nobody else knows of it, and to leave
+// those of others, and those of requests that are remembered, alone.
+func TestTrialTooLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		vm         carobward.VMID
+		remembered bool
+		want       int
+	}{
+		"its own":                     {"vm-1", false, 1},
+		"another one's":               {"vm-2", false, 0},
+		"its own, still remembered":   {"vm-1", true, 0},
+		"another's, still remembered": {"vm-2", true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := newKeeper(newFakeFeed(), 0)
+			trial := Trial{Print: printBy("a"), Number: 2, At: start, VM: c.vm}
+
+			if c.remembered {
+				k.Ended(seen{"a", "1", 0}.crash())
+			}
+
+			raw, err := trial.encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			k.Took([]carobward.Item{{Key: trial.key(), Value: raw}})
+
+			if n := k.Waiting(); n != c.want {
+				t.Errorf("%d changes wait for the store", n)
+			}
+		})
+	}
+}
--- a/internal/cwquarantine/table.go
+++ b/internal/cwquarantine/table.go
@@ -133,6 +133,8 @@
 	Added []Crash
 	Held  []Print
 	Freed []Print
+	// Alone are trials of requests under which no server ended.
+	Alone []Trial
 	// Wrong has what could not be read.
 	Wrong []error
 }
@@ -254,19 +256,26 @@
 		return
 	}
 
-	t.Tried(trial)
+	if !t.Tried(trial) {
+		change.Alone = append(change.Alone, trial)
+	}
 }
 
-// Tried notes a trial.
-func (t *Table) Tried(trial Trial) {
+// Tried notes a trial, and tells whether servers ended under its request.
+func (t *Table) Tried(trial Trial) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 
-	if s := t.contents[trial.Print.content()]; s != nil {
-		all := s.trials[trial.Print.Caller]
-		all[trial.Number-1] = trial.At
-		s.trials[trial.Print.Caller] = all
+	s := t.contents[trial.Print.content()]
+	if s == nil {
+		return false
 	}
+
+	all := s.trials[trial.Print.Caller]
+	all[trial.Number-1] = trial.At
+	s.trials[trial.Print.Caller] = all
+
+	return true
 }
 
 // Answered forgets the crashes under a request that was answered: servers bear it. It
