Limits: what is not known stays unknown over a suspension; dead code goes

Setting back the times of words made the zero time a time, so that after a suspension an entry VM passed over the first word that peers had on a server (TestLimits, seen failing). The step back is one function in the root package now. Operators see limits in /status and gateway/limited.

Gone, called by nobody: NewServer of the first stack's servers, the ledger's Began, the stand-in's SetIll.

--- a/clock.go
+++ b/clock.go
@@ -28,3 +28,13 @@
 	case <-t.C:
 	}
 }
+
+// SetBack returns a time that a clock told before a while that the clock did not count. The
+// zero time, which is none, stays.
+func SetBack(t time.Time, by time.Duration) time.Time {
+	if t.IsZero() {
+		return t
+	}
+
+	return t.Add(-by)
+}
--- a/internal/cwbackend/limit.go
+++ b/internal/cwbackend/limit.go
@@ -257,10 +257,10 @@
 	defer s.mutex.Unlock()
 
 	for _, at := range []*time.Time{&s.follows, &s.limit.at, &s.limit.own, &s.limit.since} {
-		*at = at.Add(-by)
+		*at = carobward.SetBack(*at, by)
 	}
 
 	for i := range s.sends {
-		s.sends[i] = s.sends[i].Add(-by)
+		s.sends[i] = carobward.SetBack(s.sends[i], by)
 	}
 }
--- a/internal/cwbackend/limit_test.go
+++ b/internal/cwbackend/limit_test.go
@@ -531,7 +531,7 @@
 	table := New(VM{ID: "vm-1", Domain: "a"})
 
 	var list []carobward.Backend
-	for i := range 6 {
+	for i := range 7 {
 		list = append(list, backend(i, "a"))
 	}
 
@@ -572,6 +572,12 @@
 	if diff := cmp.Diff([]carobward.LimitWord(nil), table.Limits(start.Add(10*time.Second), false), cmpopts.EquateEmpty()); diff != "" {
 		t.Error(diff)
 	}
+
+	// Of a server that has never said anything it still knows nothing.
+	last := carobward.LimitWord{Server: list[6].Instance, Limit: rate(1), At: start, Passed: true}
+	if news := table.TakeLimits([]carobward.LimitWord{last}); len(news) != 1 {
+		t.Error("the first word on a server was passed over")
+	}
 }
 
 // TestPart wants the parts of all entry VMs to be the whole, whatever it is.
--- a/internal/cwgateway/limit_test.go
+++ b/internal/cwgateway/limit_test.go
@@ -183,17 +183,26 @@
 }
 
 // TestLimitLifted wants a server to get as much as others soon after it has stopped naming a
-// limit, from each entry VM of its failure domain.
+// limit, from each entry VM of its failure domain. Operators see the limit as long as it
+// stands.
 func TestLimitLifted(t *testing.T) {
 	l := newLimited(t)
 	u := l.servers[0]
 	cwtest.Wait(t, "load", func() bool { return len(u.Runs()) > 20 })
 	u.SetLimit("2")
 	<-time.After(limitFirst)
+
+	if got := get(l.vms[0].options.Metrics, "/status"); !strings.Contains(got.body, `"limited":[{"server":"i-0","service":"fees","rate":2,"readable":true`) {
+		t.Errorf("operators see %s", got.body)
+	}
+
 	u.SetLimit()
 
 	before := len(u.Runs())
 	cwtest.Wait(t, "use of the server", func() bool { return len(u.Runs()) > before+50 })
+	cwtest.Wait(t, "no limit on any near entry VM", func() bool {
+		return l.vms[0].gauge(t, "limited")+l.vms[2].gauge(t, "limited") == 0
+	})
 }
 
 // TestLimitAll wants requests to be refused at once where all servers name a limit that is
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -194,16 +194,8 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	m.fresh = setBack(m.fresh, by)
-	m.word = setBack(m.word, by)
-}
-
-func setBack(t time.Time, by time.Duration) time.Time {
-	if t.IsZero() {
-		return t
-	}
-
-	return t.Add(-by)
+	m.fresh = carobward.SetBack(m.fresh, by)
+	m.word = carobward.SetBack(m.word, by)
 }
 
 // Word returns when the store last answered anybody, as far as was heard, or
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -62,11 +62,6 @@
 	grown int64
 }
 
-// NewServer returns a server that belongs to no table, as tests need it.
-func NewServer(a carobward.Address, g *Group) *Server {
-	return &Server{Address: a, group: g}
-}
-
 // Report returns the last load report; At is zero if there was none.
 func (s *Server) Report() carobward.Report {
 	if r := s.report.Load(); r != nil {
--- a/internal/cwstand/server_count.go
+++ b/internal/cwstand/server_count.go
@@ -113,14 +113,6 @@
 	return l.began[work]
 }
 
-// Began returns how often the work of a request id began.
-func (l *Ledger) Began(id string) int {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-
-	return l.began[id]
-}
-
 // listener counts and bounds connections and makes each one slow to open.
 type listener struct {
 	net.Listener
--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -65,7 +65,6 @@
 	way   UpstreamWay
 	work  time.Duration
 	load  string
-	ill   bool
 	// warm is until when it says that it is cold, zero: it says nothing.
 	warm time.Time
 	// limits are what it says of the requests a second that it takes; none: it says
@@ -120,14 +119,6 @@
 	u.body = body
 }
 
-// SetIll sets whether its health check fails.
-func (u *Upstream) SetIll(ill bool) {
-	u.mutex.Lock()
-	defer u.mutex.Unlock()
-
-	u.ill = ill
-}
-
 // SetKills sets which requests end the server: once one of them has been worked on,
 // all connections are reset, nothing listens any more, and ended is called.
 func (u *Upstream) SetKills(kills func(Run) bool, ended func()) {
@@ -275,14 +266,9 @@
 func (u *Upstream) look(c net.Conn) bool {
 	u.mutex.Lock()
 	u.looks++
-	load, ill, closing, warm := u.load, u.ill, u.closing, u.warm
+	load, closing, warm := u.load, u.closing, u.warm
 	u.mutex.Unlock()
 
-	status := "200 OK"
-	if ill {
-		status = "503 Service Unavailable"
-	}
-
 	connection := "keep-alive"
 	if closing {
 		connection = "close"
@@ -293,8 +279,8 @@
 		cold = fmt.Sprintf("Warmup-Ms: %d\r\n", max(0, time.Until(warm).Milliseconds()))
 	}
 
-	good := say(c, "HTTP/1.1 %s\r\nConnection: %s\r\nInstance-Id: %s\r\nUpstream-Load: %s\r\n%sContent-Length: 0\r\n\r\n",
-		status, connection, u.instance, load, cold)
+	good := say(c, "HTTP/1.1 200 OK\r\nConnection: %s\r\nInstance-Id: %s\r\nUpstream-Load: %s\r\n%sContent-Length: 0\r\n\r\n",
+		connection, u.instance, load, cold)
 
 	return good && !closing
 }
