--- a/internal/cwbackend/limit_test.go
+++ b/internal/cwbackend/limit_test.go
@@ -643,6 +643,36 @@
 	}
 }
 
+// TestLimitStartedAgain wants a limit to go with the process that named it: the next one under
+// its instance has none until it names one, and words on the one before are passed over.
+func TestLimitStartedAgain(t *testing.T) {
+	table := New(VM{ID: "vm-1", Domain: "a"})
+	b := backend(1, "a")
+	b.Start = 1
+	table.Put([]carobward.Backend{b}, nil, start)
+
+	word := func(r carobward.Rate, after time.Duration) []carobward.LimitWord {
+		return []carobward.LimitWord{{Server: b.Instance, Limit: rate(r), At: start.Add(after)}}
+	}
+
+	table.TakeLimits(word(1, time.Second))
+
+	b.Start = 2
+	table.Put([]carobward.Backend{b}, nil, start.Add(3*time.Second))
+	table.TakeLimits(word(2, 2*time.Second))
+
+	if list := table.Limited(start.Add(4 * time.Second)); len(list) > 0 {
+		t.Errorf("%+v", list)
+	}
+
+	table.TakeLimits(word(3, 5*time.Second))
+
+	list := table.Limited(start.Add(6 * time.Second))
+	if len(list) != 1 || list[0].Limit != rate(3) {
+		t.Errorf("%+v", list)
+	}
+}
+
 // TestPart wants the parts of all entry VMs to be the whole, whatever it is.
 func TestPart(t *testing.T) {
 	for _, vms := range []int{1, 2, 5, 17, 95} {
