TestCallVerdict cancels a call only once it is held

The call that was to be held had not been sent when the answer beside it came and the test cancelled it, so that not-run was the truth. The test waits until the peer holds it, and wants the same verdicts.

--- a/internal/cwpeer/greet_test.go
+++ b/internal/cwpeer/greet_test.go
@@ -26,14 +26,17 @@
 
 const errFull = errors.ConstError("the echo is full")
 
-// echo answers with the id that it was asked with.
-type echo struct{ held chan struct{} }
+// echo answers with the id that it was asked with. One that is asked to hold says so and
+// answers once held is closed.
+type echo struct{ holds, held chan struct{} }
 
 func (e *echo) Ask(in *cwwire.Ask, out *cwwire.Members) error {
 	switch in.GetId() {
 	case "refuse":
 		return errFull
 	case "hold":
+		e.holds <- struct{}{}
+
 		<-e.held
 	}
 
@@ -45,13 +48,17 @@
 func serve(t *testing.T, key, address string) carobward.Address {
 	t.Helper()
 
+	return serveEcho(t, key, address, &echo{holds: make(chan struct{}, 1), held: make(chan struct{})})
+}
+
+func serveEcho(t *testing.T, key, address string, e *echo) carobward.Address {
+	t.Helper()
+
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
 
-	e := &echo{held: make(chan struct{})}
-
 	s := cwpeer.NewServer(cwpeer.Key(key), logr.Discard())
 	if err := s.Register("Echo", e); err != nil {
 		t.Fatal(err)
@@ -118,7 +125,8 @@
 // TestCallVerdict tells calls that were never sent from those that may have
 // arrived.
 func TestCallVerdict(t *testing.T) {
-	to := serve(t, "k", "127.0.0.1:0")
+	e := &echo{holds: make(chan struct{}, 1), held: make(chan struct{})}
+	to := serveEcho(t, "k", "127.0.0.1:0", e)
 	c := cwpeer.NewClients(cwpeer.Key("k"))
 
 	ctx, cancel := context.WithCancel(context.Background())
@@ -135,6 +143,9 @@
 
 		return err == nil && got == "b"
 	})
+
+	// A call that never arrived would be not-run, and rightly so.
+	<-e.holds
 	cancel()
 	group.Wait()
 	c.Close()
