Sites of tests claim a loopback network of their own

Both used the same fixed network. A site claims one by a listener that it holds until its end; two soaks and the test of the gateway's processes pass side by side.

--- a/internal/cwsite/site.go
+++ b/internal/cwsite/site.go
@@ -64,14 +64,41 @@
 	portReady
 	portPeers
 	portLookup
+	// portClaim is held by who uses a loopback network.
+	portClaim
 )
 
+// The loopback networks 127.NET.0.0 that sites may use.
+const (
+	netFirst = 60
+	netLast  = 250
+)
+
+// claim returns a loopback network that no other site uses, of this process or another one,
+// until the test ends.
+func claim(t testing.TB) int {
+	t.Helper()
+
+	for n := netFirst; n <= netLast; n++ {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.254:%d", n, portClaim))
+		if err == nil {
+			t.Cleanup(func() { _ = ln.Close() })
+
+			return n
+		}
+	}
+
+	t.Fatal("no loopback network is free")
+
+	return 0
+}
+
 // New builds the program and starts a store. Entry VMs are on the
-// loopback addresses 127.NET.0.1 and up.
-func New(t testing.TB, net int, grace string) *Site {
+// loopback addresses 127.NET.0.1 and up of a network of its own.
+func New(t testing.TB, grace string) *Site {
 	t.Helper()
 
-	g := &Site{Store: cwstand.NewMetadata(), program: cwtest.Build(t, "cmd/cwgateway"), net: net, grace: grace}
+	g := &Site{Store: cwstand.NewMetadata(), program: cwtest.Build(t, "cmd/cwgateway"), net: claim(t), grace: grace}
 	address := cwtest.Serve(t, g.Store.Serve, g.Store.Stop)
 	g.StoreProxy = cwstand.NewProxy(cwtest.Listen(t), address)
 	t.Cleanup(g.StoreProxy.Close)
--- a/test/gateway/process_test.go
+++ b/test/gateway/process_test.go
@@ -16,16 +16,15 @@
 )
 
 const (
-	host    = "club.example"
-	grace   = "1s"
-	network = 41
+	host  = "club.example"
+	grace = "1s"
 )
 
 // fleet starts entry VMs with one server.
 func fleet(t *testing.T, n int) (*cwsite.Site, *cwstand.Upstream) {
 	t.Helper()
 
-	g := cwsite.New(t, network, grace)
+	g := cwsite.New(t, grace)
 	u := cwstand.NewUpstream(cwtest.Listen(t), "i-1")
 	t.Cleanup(u.Close)
 	g.Store.Put("servers/i-1", cwstand.MetadataServer("records", u.Address(), "zone-1", "ready"))
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -37,7 +37,6 @@
 	servers = 5
 	callers = 6
 	domains = 3
-	network = 42
 	grace   = "2s"
 	// workTime is how long a request takes, downTime for how long a server is down whose
 	// process a request ended.
@@ -148,7 +147,7 @@
 
 func run(t *testing.T, seed uint64) {
 	w := &world{
-		Site:   cwsite.New(t, network, grace),
+		Site:   cwsite.New(t, grace),
 		random: rand.New(rand.NewPCG(seed, seed)), history: newHistory(),
 	}
 
