A failure that names no limit takes none back

Read in the change: each reply without the field took a limit back, a 500 or 504 of the server, too, which may leave it out; a server in need that fails now and then would get the usual load of all entry VMs for up to a second after each failure. Only good replies of the server take one back now. TestSpeaksOfLimit: two of its cases failed before.

--- a/internal/cwfront/limit.go
+++ b/internal/cwfront/limit.go
@@ -7,13 +7,13 @@
 	"carobward.example/carobward/internal/cwbackend"
 )
 
-// speaksOfLimit tells whether a reply says whether there is a limit. A refusal that names
-// none does not: it need not be the server's own word, and one that is full may leave out
-// all but that.
+// speaksOfLimit tells whether a reply says whether there is a limit. A refusal or a failure
+// that names none does not: it may leave out all but that, and each failure of a server in
+// need would let all entry VMs loose on it.
 func (s *sent) speaksOfLimit() bool {
 	other := s.reply.Instance != "" && s.reply.Instance != s.backend.Instance
 
-	return !other && s.reply.Status != fasthttp.StatusMisdirectedRequest && (s.reply.Limit.Named || !s.reply.Shed)
+	return !other && s.reply.Status != fasthttp.StatusMisdirectedRequest && (s.reply.Limit.Named || s.good())
 }
 
 // takeLimit takes what a server's reply says of its limit.
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -35,8 +35,8 @@
 
 // wake has the ages that the VM's clock did not count while it was suspended counted: of
 // the copy of the store, so that it is asked at once, of idle connections, and of what
-// servers said of limits. Others are left: what is known of load is asked before each send, blocks only last longer, and who
-// sent the requests in flight has left or will.
+// servers said of limits. Others are left: what is known of load is asked before each send,
+// blocks only last longer, and who sent the requests in flight has left or will.
 func (g *Gateway) wake(by time.Duration) {
 	g.log.Info("The VM was suspended.", "by", by.String(), "flight", g.front.Flight())
 	g.mesh.Suspended(by)
