The store's era is read, and logged with each answer

Nothing decides by it yet. The stand-in names its era, and can come back from a copy (Save, Restore): its revisions are given out again, and a watch after one that it lacks gets 410.

--- a/feed.go
+++ b/feed.go
@@ -34,6 +34,8 @@
 	// complete, unless Whole is set: all that changed after After, up to Index.
 	After StoreIndex
 	Index StoreIndex
+	// Era is that of the store, and of its indexes.
+	Era StoreEra
 	// Gap is a part of the history of which the sender itself knows no changes in
 	// between: who has these changes can't bring a copy up to date that is within
 	// it. It may go beyond Index where a list was taken in pages meanwhile.
--- a/ids.go
+++ b/ids.go
@@ -33,6 +33,11 @@
 // Revision numbers the accepted configurations, from 1 upwards.
 type Revision uint64
 
+// StoreEra counts the states that the store came back with, from 1 on: where it was
+// brought back from a copy, indexes of the era before are given out again. Zero: the
+// store names none.
+type StoreEra uint64
+
 // StoreIndex is the store's own counter of one key. Zero means that the key
 // does not exist.
 type StoreIndex uint64
--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -66,6 +66,8 @@
 
 	// cursor is the index after which the next watch begins.
 	cursor carobward.StoreIndex
+	// era is that of the store's last answer.
+	era carobward.StoreEra
 	// list asks for all keys in place of a watch.
 	list bool
 	// watches tells that this entry VM is one that watches the store. One that
@@ -214,6 +216,13 @@
 	f.regained(now)
 
 	hold := !f.hold.IsZero()
+	before := f.Mirror.State()
+
+	if c.Era != f.era || c.Index < before.Index {
+		f.Log.Info("The store's era or index went back or on.", "era", c.Era, "before", f.era, "index", c.Index, "copy", before.Index)
+		f.era = c.Era
+	}
+
 	changed := f.Mirror.Take(c, hold, f.Changed)
 	f.cursor = max(f.cursor, c.Index)
 	f.list = false
@@ -232,7 +241,7 @@
 		return
 	}
 
-	f.Log.Info("Took changes from the store.", "index", c.Index, "whole", c.Whole, "keys", len(c.Items), "changed", changed, "held", hold)
+	f.Log.Info("Took changes from the store.", "era", c.Era, "index", c.Index, "copy", before.Index, "whole", c.Whole, "keys", len(c.Items), "changed", changed, "held", hold)
 	carobward.Pause(ctx, gatherTime)
 }
 
--- a/internal/cwstand/metadata.go
+++ b/internal/cwstand/metadata.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -46,11 +47,14 @@
 	floor    uint64
 	items    map[string]metadataItem
 	log      []metadataItem
-	faults   MetadataFaults
-	changed  chan struct{}
-	calls    int
-	page     int
-	done     chan struct{}
+	// era counts how often the store came back from a copy; saved is the copy.
+	era     uint64
+	saved   metadataCopy
+	faults  MetadataFaults
+	changed chan struct{}
+	calls   int
+	page    int
+	done    chan struct{}
 }
 
 // pageItems is how many items the stand-in returns in one answer where it is
@@ -160,6 +164,39 @@
 	m.floor, m.log = m.revision, nil
 }
 
+// metadataCopy is the state of a store at a moment.
+type metadataCopy struct {
+	revision uint64
+	items    map[string]metadataItem
+}
+
+// Save takes the copy that Restore comes back with.
+func (m *Metadata) Save() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	m.saved = metadataCopy{m.revision, maps.Clone(m.items)}
+}
+
+// Restore brings the store back from the copy: what was written since is lost, and its
+// revisions are given out once more.
+func (m *Metadata) Restore() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	m.era++
+	m.revision, m.items = m.saved.revision, maps.Clone(m.saved.items)
+	m.floor = min(m.floor, m.revision)
+	m.log = slices.DeleteFunc(m.log, func(it metadataItem) bool { return it.Revision > m.revision })
+
+	if m.items == nil {
+		m.items = map[string]metadataItem{}
+	}
+
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // SetFaults switches faults on and off.
 func (m *Metadata) SetFaults(f MetadataFaults) {
 	m.mutex.Lock()
@@ -199,6 +236,8 @@
 	faults := m.faults
 	m.mutex.Unlock()
 
+	defer m.nameEra(ctx)
+
 	time.Sleep(faults.Wait)
 
 	switch {
@@ -223,6 +262,14 @@
 	}
 }
 
+// nameEra adds the era to an answer.
+func (m *Metadata) nameEra(ctx *fasthttp.RequestCtx) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+
+	ctx.Response.Header.Set("Store-Era", strconv.FormatUint(m.era, 10))
+}
+
 // silence waits until the store is no longer silent.
 func (m *Metadata) silence() {
 	for {
@@ -359,7 +406,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	if after < m.floor {
+	if after < m.floor || after > m.revision {
 		return nil, 0, true, nil
 	}
 
