The copy of the store has the store's era; what was acknowledged stays in force

What callers saw: after the store came back from a copy some seconds old, changes that operators were told are accepted were handled as an older version says, for 2.7 s (404 on a route that had been added, requests run by the old service), and a server that said it leaves was not known to.

Cause: the copy that entry VMs keep and hand to each other took the store's index for something that only rises. A store that came back gives indexes out again: each change up to the copies' index was passed over, for good, and a watch after it heard of nothing once the store had passed it. Ruled out, by the logs: history dropped between watch and list; removals held back.

Change, one mechanism (internal/cwmirror): - The state of a copy is era and index. Answers and peers' words of an earlier era are passed over; a later one begins with all keys, or, for copies at the state from which a peer came into it, with the few keys that changed (so that 472 entry VMs do not list 800 servers each). - What was in force and is lost, older or there again after its removal is kept in its place: a configuration until there is a newer one; a server's entry for 2.2 s, or while the store's is older by the server's own count; what was removed, and all else, for a minute. Kept items go to peers with the changes; a peer with an older configuration is behind, whatever its index is. - Removals after an outage are held back by the same means: the second cursor, the refused advance of the copy's index and the listing at the end are gone. - Our own keys that were lost are written again by the entry VM that comes first.

TestEra, TestEntry, TestLateEntry, TestEntryUnlikeOthers, TestKeptSpreads, TestEraModel (100,000 runs once; its first versions found two faults of this change: an era that begins with a copy of index 0 or without keys). TestHoldCalls waited for the listing at the end of holding back, which there is no more; it waits for the removal to come into force now, with the same bound on calls, and wants it not to before the store is back. TestApply and TestModel have their assertions; a copy's index is no longer held back with a removal, so that one row has the index of the change.

--- a/feed.go
+++ b/feed.go
@@ -26,6 +26,40 @@
 // IsEmpty tells whether no copy can be within the gap.
 func (g Gap) IsEmpty() bool { return g.To <= g.From+1 }
 
+// Rank orders what one writer wrote under a key, whatever the store's indexes say: a value
+// of a lower rank is an older one. A zero rank is not known and has no order.
+type Rank struct {
+	// Start is that of the writing process, Write counts or names its writes.
+	Start Start
+	Write uint64
+}
+
+// Before tells whether a value is known to be older than another one.
+func (r Rank) Before(other Rank) bool {
+	if r == (Rank{}) || other == (Rank{}) {
+		return false
+	}
+
+	if r.Start != other.Start {
+		return r.Start < other.Start
+	}
+
+	return r.Write < other.Write
+}
+
+// Kept is an item that the store acknowledged and that stays in force though the store now
+// lacks it, has it again after its removal, or has an older value.
+type Kept struct {
+	Item
+
+	Rank Rank
+	// For is for how much longer it stays at least, unless the store has a newer value.
+	For time.Duration
+}
+
+// Always is for how long what has no end is kept: some lifetimes of a VM.
+const Always = 10 * 365 * 24 * time.Hour
+
 // Changes are items that were written or removed.
 type Changes struct {
 	// Items holds the newest state of each changed key.
@@ -34,8 +68,11 @@
 	// complete, unless Whole is set: all that changed after After, up to Index.
 	After StoreIndex
 	Index StoreIndex
-	// Era is that of the store, and of its indexes.
-	Era StoreEra
+	// Era is that of the store and of Index. AfterEra is that of After where it is an
+	// earlier one: the changes lead from one era into another, and change a copy at After
+	// alone.
+	Era      StoreEra
+	AfterEra StoreEra
 	// Gap is a part of the history of which the sender itself knows no changes in
 	// between: who has these changes can't bring a copy up to date that is within
 	// it. It may go beyond Index where a list was taken in pages meanwhile.
@@ -43,6 +80,10 @@
 	// Whole tells that Items are all keys there are: what is not among them
 	// does not exist.
 	Whole bool
+	// Kept are items of the sender that stay in force beside Items.
+	Kept []Kept
+	// Hold is for how much longer removals by the store prove nothing.
+	Hold time.Duration
 }
 
 // Size returns the bytes of all keys and values.
@@ -86,8 +127,11 @@
 	Deletes []Key
 }
 
+// PrefixOwn begins all keys that entry VMs write.
+const PrefixOwn = "carobward/"
+
 // KeyFleet has the list of entry VMs. Its value is ours.
-const KeyFleet Key = "carobward/fleet"
+const KeyFleet Key = PrefixOwn + "fleet"
 
 // ErrStoreRefused is the error of a store that answers, but does not serve this
 // VM now.
--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwmesh"
@@ -39,9 +40,6 @@
 	// outageTime is how long calls have to fail before the store's list of
 	// servers may have lost entries of servers that live.
 	outageTime = 1500 * time.Millisecond
-	// returnTime is how long after the store's return such entries may be
-	// missing: about two seconds, and the way to us.
-	returnTime = 2200 * time.Millisecond
 )
 
 // Options are the parts that a Follower needs.
@@ -64,10 +62,6 @@
 type Follower struct {
 	Options
 
-	// cursor is the index after which the next watch begins.
-	cursor carobward.StoreIndex
-	// era is that of the store's last answer.
-	era carobward.StoreEra
 	// list asks for all keys in place of a watch.
 	list bool
 	// watches tells that this entry VM is one that watches the store. One that
@@ -94,8 +88,8 @@
 	// entry VMs.
 	began time.Time
 	wrote time.Time
-	// hold is until when removals are held back.
-	hold time.Time
+	// restored is when it last wrote what the store had lost of ours.
+	restored time.Time
 }
 
 // New returns a Follower.
@@ -137,7 +131,7 @@
 		return false
 	}
 
-	if !f.hold.IsZero() || f.Mesh.Lacks() {
+	if f.Mesh.Lacks() {
 		return true
 	}
 
@@ -154,20 +148,6 @@
 
 // step makes one call and takes its outcome.
 func (f *Follower) step(ctx context.Context) {
-	now := f.Clock.Now()
-
-	if !f.hold.IsZero() && now.After(f.hold) {
-		f.hold = time.Time{}
-		f.list = true
-	}
-
-	// Peers may have brought the copy further. While removals are held back, the
-	// copy's index is, too, and the changes since then are listed in the end.
-	f.cursor = max(f.cursor, f.Mirror.State().Index)
-	if f.hold.IsZero() {
-		f.cursor = f.Mirror.State().Index
-	}
-
 	c, err := f.ask(ctx)
 	if ctx.Err() != nil {
 		return
@@ -182,58 +162,60 @@
 	f.took(ctx, c)
 }
 
-// wait returns how long a watch waits for changes. While removals are held back one
-// call follows the other: without a wait they would be as many as the store answers.
-func (f *Follower) wait(now time.Time) time.Duration {
-	switch {
-	case !f.hold.IsZero():
-		return min(watchTime, max(0, f.hold.Sub(now)))
-	case f.watches:
+// wait returns how long a watch waits for changes.
+func (f *Follower) wait() time.Duration {
+	if f.watches {
 		return watchTime
-	default:
-		return 0
 	}
+
+	return 0
 }
 
 // ask lists all keys, or watches for changes.
 func (f *Follower) ask(ctx context.Context) (carobward.Changes, error) {
-	wait := f.wait(f.Clock.Now())
+	wait := f.wait()
 
 	late := time.AfterFunc(wait+lateTime, func() { f.setAway(true) })
 	defer late.Stop()
 
-	if f.list || f.cursor == 0 {
+	after := f.Mirror.State().Index
+	if f.list || after == 0 {
 		return f.Feed.List(ctx)
 	}
 
-	return f.Feed.Watch(ctx, f.cursor, wait)
+	return f.Feed.Watch(ctx, after, wait)
 }
 
 // took takes an answer of the store.
 func (f *Follower) took(ctx context.Context, c carobward.Changes) {
+	before := f.Mirror.State()
+
+	if c.Era != 0 && c.Era < before.Era {
+		f.failed(errors.Annotatef(errEra, "era %d, the copy's is %d", c.Era, before.Era))
+
+		return
+	}
+
 	now := f.Clock.Now()
 	f.answered = now
 	f.regained(now)
 
-	hold := !f.hold.IsZero()
-	before := f.Mirror.State()
+	if c.Era > before.Era && before.Index > 0 {
+		f.Log.Info("The store came back from a copy.", "era", c.Era, "index", c.Index, "before", before.Era, "copy", before.Index)
 
-	if c.Era != f.era || c.Index < before.Index {
-		f.Log.Info("The store's era or index went back or on.", "era", c.Era, "before", f.era, "index", c.Index, "copy", before.Index)
-		f.era = c.Era
+		if !c.Whole {
+			f.list = true // Changes after our index are none of the new history.
+
+			return
+		}
 	}
 
-	changed := f.Mirror.Take(c, hold, f.Changed)
-	f.cursor = max(f.cursor, c.Index)
+	changed := f.Mirror.Take(c, now, f.Changed)
 	f.list = false
 
 	f.Mesh.SetFresh(now)
-
-	if hold {
-		f.Mesh.TellFleet(nil)
-	} else {
-		f.Mesh.TellFleet(&c)
-	}
+	f.tell(c, before, now)
+	f.writeLost(ctx, now)
 
 	if len(c.Items) == 0 {
 		f.writeFleet(ctx, now)
@@ -241,39 +223,21 @@
 		return
 	}
 
-	f.Log.Info("Took changes from the store.", "era", c.Era, "index", c.Index, "copy", before.Index, "whole", c.Whole, "keys", len(c.Items), "changed", changed, "held", hold)
+	f.Log.Info("Took changes from the store.", "era", c.Era, "index", c.Index, "copy", before.Index, "whole", c.Whole,
+		"keys", len(c.Items), "changed", changed, "kept", len(f.Mirror.Kept(now)), "held", f.Mirror.Held(now).String())
 	carobward.Pause(ctx, gatherTime)
 }
 
-// writeFleet writes the list of entry VMs to the store if it lacks one that
-// lives. A newcomer whose seeds are all gone finds the others by it.
-func (f *Follower) writeFleet(ctx context.Context, now time.Time) {
-	if f.fleet(now).place() != 0 || now.Sub(f.wrote) < writeTime || now.Sub(f.began) < writeTime {
-		return
-	}
-
-	known, err := cwmesh.DecodeFleet(f.Mirror.Get(carobward.KeyFleet))
-	if err != nil {
-		f.Log.Error(err, "The list of entry VMs can't be read, it is written anew.")
-	}
-
-	list := f.Table.Fleet(now, f.Mesh.State())
-	if !cwmesh.Lacks(known, list) {
-		return
-	}
-
-	f.wrote = now
-	raw, err := cwmesh.EncodeFleet(list)
-
-	if err == nil {
-		err = f.Feed.Write(ctx, carobward.Batch{Writes: []carobward.Item{{Key: carobward.KeyFleet, Value: raw}}})
-	}
-
-	if err != nil {
-		f.Log.Info("The list of entry VMs could not be written.", "cause", err.Error())
+// errEra is the error of an answer of a store as it was before it came back from a copy.
+const errEra = errors.ConstError("follow: an answer of an earlier era of the store")
 
-		return
+// tell tells the fleet of an answer of the store: with the changes, or with the way into
+// another era.
+func (f *Follower) tell(c carobward.Changes, before cwmirror.State, now time.Time) {
+	if c.Era > before.Era && before.Index > 0 {
+		c = f.Mirror.Since(before, now)
 	}
 
-	f.Log.Info("Wrote the list of entry VMs.", "domains", len(list), "bytes", len(raw))
+	c.Kept, c.Hold = nil, f.Mirror.Held(now)
+	f.Mesh.TellFleet(&c)
 }
--- a/internal/cwfollow/outage.go
+++ b/internal/cwfollow/outage.go
@@ -40,7 +40,7 @@
 // failed notes a call that failed.
 func (f *Follower) failed(err error) {
 	if errors.Is(err, carobward.ErrHistory) {
-		f.Log.Info("The store no longer has the changes, listing all keys.", "after", f.cursor)
+		f.Log.Info("The store no longer has the changes, listing all keys.", "after", f.Mirror.State().Index)
 		f.list = true
 
 		return
@@ -48,7 +48,7 @@
 
 	if f.back == 0 {
 		f.failing = f.Clock.Now()
-		f.Log.Info("Lost the store.", "cause", err.Error(), "index", f.cursor)
+		f.Log.Info("Lost the store.", "cause", err.Error(), "index", f.Mirror.State().Index)
 	}
 
 	f.back = min(backMost, max(backFirst, 2*f.back))
@@ -72,8 +72,8 @@
 	f.back = 0
 
 	if away > outageTime && stale && f.Mirror.State().Index > 0 {
-		f.hold = now.Add(returnTime)
+		f.Mirror.Hold(now)
 	}
 
-	f.Log.Info("The store is back.", "away", away.String(), "hold", !f.hold.IsZero())
+	f.Log.Info("The store is back.", "away", away.String(), "hold", f.Mirror.Held(now) > 0)
 }
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -77,8 +77,10 @@
 	// Evacuated returns the failure domain that is evacuated while a key exists.
 	Evacuated func(carobward.Key) (carobward.Domain, bool)
 	Instance  func(carobward.Key) carobward.Instance
-	Routing   func([]byte) (*carobward.Routing, error)
-	Backend   func(carobward.Key, []byte) (carobward.Backend, error)
+	// Rank returns the rank of a value.
+	Rank    func(carobward.Key, []byte) carobward.Rank
+	Routing func([]byte) (*carobward.Routing, error)
+	Backend func(carobward.Key, []byte) (carobward.Backend, error)
 }
 
 // Options are what one entry VM is told.
@@ -142,7 +144,7 @@
 func New(o Options) (*Gateway, error) {
 	g := &Gateway{
 		Options: o, log: o.Log.WithName("gateway"), unusable: map[carobward.Instance]bool{}, evacuated: map[carobward.Domain]evacuated{}, metrics: cwmetric.New(),
-		table: cwmesh.NewTable(o.Self), mirror: cwmirror.New(), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain, Regions: o.Regions}),
+		table: cwmesh.NewTable(o.Self), mirror: newMirror(&o.Adapter), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain, Regions: o.Regions}),
 	}
 
 	g.link = cwlink.New(cwlink.Options{
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -26,6 +26,7 @@
 		}
 
 		now := g.Clock.Now()
+		g.mirror.Sweep(now, g.changed)
 		g.front.Tick(now)
 		g.link.Tick(now)
 		g.share(now)
@@ -112,6 +113,8 @@
 	g.metrics.Gauge("gateway", "limited", func() int64 { return int64(len(g.servers.Limited(g.Clock.Now()))) })
 	g.metrics.Gauge("gateway", "evacuated", func() int64 { return int64(len(g.evacuations())) })
 	g.metrics.Gauge("gateway", "index", func() int64 { return int64(g.mirror.State().Index) })
+	g.metrics.Gauge("gateway", "era", func() int64 { return int64(g.mirror.State().Era) })
+	g.metrics.Gauge("gateway", "kept", func() int64 { return int64(len(g.mirror.Kept(g.Clock.Now()))) })
 	g.metrics.Gauge("gateway", "dropped", g.Dropped)
 	g.metrics.Gauge("gateway", "calls", g.Calls)
 	g.metrics.Gauge("quarantine", "held", func() int64 {
--- a/internal/cwmesh/fetch.go
+++ b/internal/cwmesh/fetch.go
@@ -214,7 +214,7 @@
 	sent := m.Clock.Now()
 	reply := &cwwire.ChangesReply{}
 
-	err := m.clients.Call(limited, from, Service+".Changes", &cwwire.ChangesRequest{After: uint64(own.Index)}, reply)
+	err := m.clients.Call(limited, from, Service+".Changes", &cwwire.ChangesRequest{After: uint64(own.Index), Era: uint64(own.Era)}, reply)
 	if err != nil {
 		return err
 	}
@@ -224,8 +224,9 @@
 		return err
 	}
 
-	changed := m.Mirror.Take(c, false, m.Changed)
-	m.Log.Info("Took changes from a peer.", "from", string(from), "after", own.Index, "index", c.Index, "whole", c.Whole, "changed", changed)
+	changed := m.Mirror.Take(c, m.Clock.Now(), m.Changed)
+	m.Log.Info("Took changes from a peer.", "from", string(from), "after", own.Index, "era", c.Era, "index", c.Index,
+		"whole", c.Whole, "kept", len(c.Kept), "changed", changed)
 
 	m.SetFresh(decodeFresh(reply.GetFresh(), sent))
 	m.setPush(&c)
@@ -260,7 +261,7 @@
 	mutex sync.Mutex
 	// last is the last reply, for others that ask for the same.
 	last struct {
-		after carobward.StoreIndex
+		after cwmirror.State
 		state cwmirror.State
 		reply *cwwire.ChangesReply
 	}
@@ -282,7 +283,9 @@
 func (a *Answers) Changes(in *cwwire.ChangesRequest, out *cwwire.ChangesReply) error {
 	now := a.mesh.Clock.Now()
 
-	reply, err := a.reply(carobward.StoreIndex(in.GetAfter()))
+	after := cwmirror.State{Era: carobward.StoreEra(in.GetEra()), Index: carobward.StoreIndex(in.GetAfter())}
+
+	reply, err := a.reply(after, now)
 	if err != nil {
 		return err
 	}
@@ -294,15 +297,17 @@
 	out.Entries, out.Packed = reply.GetEntries(), reply.GetPacked()
 	out.Index, out.Whole = reply.GetIndex(), reply.GetWhole()
 	out.GapFrom, out.GapTo = reply.GetGapFrom(), reply.GetGapTo()
+	out.Era, out.AfterEra = reply.GetEra(), reply.GetAfterEra()
+	out.Hold, out.Kept = reply.GetHold(), reply.GetKept()
 	out.Fresh = encodeFresh(a.mesh.Fresh(), now)
 
 	return nil
 }
 
-// reply returns the changes after an index as they are sent. A reply is kept for
+// reply returns the changes after a state as they are sent. A reply is kept for
 // the next one that asks for the same, as all newcomers do: to pack 809 servers
 // takes some milliseconds of a whole core.
-func (a *Answers) reply(after carobward.StoreIndex) (*cwwire.ChangesReply, error) {
+func (a *Answers) reply(after cwmirror.State, now time.Time) (*cwwire.ChangesReply, error) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 
@@ -311,8 +316,8 @@
 		return a.last.reply, nil
 	}
 
-	c := a.mesh.Mirror.Since(after)
-	if c.Whole && after > 0 && c.Size() > wholeFree {
+	c := a.mesh.Mirror.Since(after, now)
+	if c.Whole && after.Index > 0 && c.Size() > wholeFree {
 		return nil, errGap
 	}
 
@@ -321,7 +326,9 @@
 		return nil, err
 	}
 
-	a.last.after, a.last.state, a.last.reply = after, state, reply
+	if len(c.Kept) == 0 && c.Hold == 0 { // These have times that are left.
+		a.last.after, a.last.state, a.last.reply = after, state, reply
+	}
 
 	return reply, nil
 }
--- a/internal/cwmesh/push.go
+++ b/internal/cwmesh/push.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmirror"
 	"carobward.example/carobward/internal/cwwire"
 )
 
@@ -27,14 +28,14 @@
 
 // push is the newest changes, for those whose copy ends where they begin.
 type push struct {
-	after   carobward.StoreIndex
+	after   cwmirror.State
 	changes *cwwire.ChangesReply
 	at      time.Time
 }
 
 // setPush lets heartbeats carry changes if they are small.
 func (m *Mesh) setPush(c *carobward.Changes) {
-	if c == nil || c.Whole || len(c.Items) == 0 || !c.Gap.IsEmpty() {
+	if c == nil || c.Whole || len(c.Items) == 0 && c.AfterEra == c.Era || !c.Gap.IsEmpty() {
 		return
 	}
 
@@ -52,22 +53,22 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	m.push = push{after: c.After, changes: reply, at: m.Clock.Now()}
+	m.push = push{after: cwmirror.State{Era: c.AfterEra, Index: c.After}, changes: reply, at: m.Clock.Now()}
 }
 
-// pushed returns the changes that a heartbeat carries, and the index after which
+// pushed returns the changes that a heartbeat carries, and the state after which
 // they are.
-func (m *Mesh) pushed(now time.Time) (*cwwire.ChangesReply, uint64) {
+func (m *Mesh) pushed(now time.Time) (*cwwire.ChangesReply, cwmirror.State) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
 	if m.push.changes == nil || now.Sub(m.push.at) >= pushTime {
 		m.push = push{}
 
-		return nil, 0
+		return nil, cwmirror.State{}
 	}
 
-	return m.push.changes, uint64(m.push.after)
+	return m.push.changes, m.push.after
 }
 
 // takePush takes the changes of a heartbeat where they follow this copy.
@@ -77,7 +78,7 @@
 	}
 
 	after := carobward.StoreIndex(in.GetChangesAfter())
-	if s := m.Mirror.State(); s.Index != after {
+	if s := m.Mirror.State(); s.Index != after || s.Era != carobward.StoreEra(in.GetChangesEra()) {
 		return
 	}
 
@@ -88,8 +89,8 @@
 		return
 	}
 
-	changed := m.Mirror.Take(c, false, m.Changed)
-	m.Log.Info("Took changes of a heartbeat.", "vm", in.GetId(), "after", c.After, "index", c.Index, "changed", changed)
+	changed := m.Mirror.Take(c, m.Clock.Now(), m.Changed)
+	m.Log.Info("Took changes of a heartbeat.", "vm", in.GetId(), "after", c.After, "era", c.Era, "index", c.Index, "changed", changed)
 	m.setPush(&c)
 }
 
@@ -97,11 +98,11 @@
 func encodeChanges(c *carobward.Changes) (*cwwire.ChangesReply, error) {
 	out := &cwwire.ChangesReply{
 		Index: uint64(c.Index), Whole: c.Whole, GapFrom: uint64(c.Gap.From), GapTo: uint64(c.Gap.To),
+		Era: uint64(c.Era), AfterEra: uint64(c.AfterEra), Hold: uint32(c.Hold.Milliseconds()), Kept: wireKept(c.Kept),
 	}
 
 	for i := range c.Items {
-		it := &c.Items[i]
-		out.Entries = append(out.Entries, &cwwire.Entry{Key: string(it.Key), Value: it.Value, Index: uint64(it.Index), Gone: it.Gone})
+		out.Entries = append(out.Entries, wireEntry(&c.Items[i]))
 	}
 
 	if c.Size() < packLeast {
@@ -123,6 +124,8 @@
 	c := carobward.Changes{
 		After: after, Index: carobward.StoreIndex(in.GetIndex()), Whole: in.GetWhole(),
 		Gap: carobward.Gap{From: carobward.StoreIndex(in.GetGapFrom()), To: carobward.StoreIndex(in.GetGapTo())},
+		Era: carobward.StoreEra(in.GetEra()), AfterEra: carobward.StoreEra(in.GetAfterEra()),
+		Hold: time.Duration(in.GetHold()) * time.Millisecond, Kept: keptItems(in.GetKept()),
 	}
 	entries := in.GetEntries()
 
@@ -141,9 +144,7 @@
 	}
 
 	for _, e := range entries {
-		c.Items = append(c.Items, carobward.Item{
-			Key: carobward.Key(e.GetKey()), Value: e.GetValue(), Index: carobward.StoreIndex(e.GetIndex()), Gone: e.GetGone(),
-		})
+		c.Items = append(c.Items, entry(e))
 	}
 
 	return c, nil
--- a/internal/cwmesh/receive.go
+++ b/internal/cwmesh/receive.go
@@ -60,7 +60,10 @@
 	now := m.Clock.Now()
 	p := Peer{
 		Boot: b.GetBoot(), State: State(b.GetState()), Away: b.GetAway(), Rate: int(b.GetRate()), Heard: now,
-		Copy: cwmirror.State{Index: carobward.StoreIndex(b.GetIndex()), Top: carobward.StoreIndex(b.GetTop())},
+		Copy: cwmirror.State{
+			Era: carobward.StoreEra(b.GetEra()), Index: carobward.StoreIndex(b.GetIndex()), Top: carobward.StoreIndex(b.GetTop()),
+			Version: carobward.Version(b.GetVersion()),
+		},
 	}
 	p.ID = carobward.VMID(b.GetId())
 
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -190,9 +190,11 @@
 	b := &cwwire.Beat{
 		Id: string(m.Table.Self().ID), Boot: m.boot, State: uint32(m.State()),
 		Index: uint64(s.Index), Top: uint64(s.Top), Fresh: encodeFresh(m.Fresh(), now), Away: m.away.Load(),
-		Rate: uint32(m.rate.Load()),
+		Rate: uint32(m.rate.Load()), Era: uint64(s.Era), Version: uint64(s.Version),
 	}
-	b.Changes, b.ChangesAfter = m.pushed(now)
+
+	changes, after := m.pushed(now)
+	b.Changes, b.ChangesAfter, b.ChangesEra = changes, uint64(after.Index), uint64(after.Era)
 	b.Limits = wireLimits(draw(m.Limits(now, false), limitsMost), now)
 
 	return b
--- a/internal/cwmesh/wire.go
+++ b/internal/cwmesh/wire.go
@@ -28,6 +28,46 @@
 	return out
 }
 
+func entry(e *cwwire.Entry) carobward.Item {
+	return carobward.Item{
+		Key: carobward.Key(e.GetKey()), Value: e.GetValue(), Index: carobward.StoreIndex(e.GetIndex()), Gone: e.GetGone(),
+	}
+}
+
+func wireEntry(it *carobward.Item) *cwwire.Entry {
+	return &cwwire.Entry{Key: string(it.Key), Value: it.Value, Index: uint64(it.Index), Gone: it.Gone}
+}
+
+// keptItems reads items that a peer keeps in force.
+func keptItems(list []*cwwire.Kept) []carobward.Kept {
+	var out []carobward.Kept
+
+	for _, k := range list {
+		out = append(out, carobward.Kept{
+			Item: entry(k.GetEntry()), Rank: carobward.Rank{Start: carobward.Start(k.GetStart()), Write: k.GetWrite()},
+			For: time.Duration(min(k.GetLeft(), leftMost)) * time.Millisecond,
+		})
+	}
+
+	return out
+}
+
+// leftMost bounds, in milliseconds, for how long a peer may say that an item is kept.
+const leftMost = uint64(carobward.Always / time.Millisecond)
+
+func wireKept(list []carobward.Kept) []*cwwire.Kept {
+	var out []*cwwire.Kept
+
+	for i := range list {
+		k := &list[i]
+		out = append(out, &cwwire.Kept{
+			Entry: wireEntry(&k.Item), Start: int64(k.Rank.Start), Write: k.Rank.Write, Left: uint64(k.For.Milliseconds()),
+		})
+	}
+
+	return out
+}
+
 // encodeFresh returns an age for a message.
 func encodeFresh(fresh, now time.Time) uint32 {
 	if fresh.IsZero() {
