What the store lost goes to entry VMs that asked it by themselves, too

An entry VM that starts after the store came back lists it, and then is where all others are: nothing told it that they keep a server's leaving or an evacuation that the store lost. The state of a copy has the number of kept items now; who has fewer at the same index fetches them. TestEraModel wants no copy to stay behind another one: that found removals that were kept although the store has no such key.

Also: a kept item whose time is over is not taken from a peer any more.

--- a/internal/cwmesh/receive.go
+++ b/internal/cwmesh/receive.go
@@ -62,7 +62,7 @@
 		Boot: b.GetBoot(), State: State(b.GetState()), Away: b.GetAway(), Rate: int(b.GetRate()), Heard: now,
 		Copy: cwmirror.State{
 			Era: carobward.StoreEra(b.GetEra()), Index: carobward.StoreIndex(b.GetIndex()), Top: carobward.StoreIndex(b.GetTop()),
-			Version: carobward.Version(b.GetVersion()),
+			Version: carobward.Version(b.GetVersion()), Kept: int(b.GetKept()),
 		},
 	}
 	p.ID = carobward.VMID(b.GetId())
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -190,7 +190,7 @@
 	b := &cwwire.Beat{
 		Id: string(m.Table.Self().ID), Boot: m.boot, State: uint32(m.State()),
 		Index: uint64(s.Index), Top: uint64(s.Top), Fresh: encodeFresh(m.Fresh(), now), Away: m.away.Load(),
-		Rate: uint32(m.rate.Load()), Era: uint64(s.Era), Version: uint64(s.Version),
+		Rate: uint32(m.rate.Load()), Era: uint64(s.Era), Version: uint64(s.Version), Kept: uint32(s.Kept),
 	}
 
 	changes, after := m.pushed(now)
--- a/internal/cwmirror/era_test.go
+++ b/internal/cwmirror/era_test.go
@@ -410,6 +410,14 @@
 		}
 	}
 
+	for i, m := range all {
+		for j, other := range all {
+			if m.State().Behind(other.State()) {
+				t.Errorf("copy %d stays behind copy %d: %v and %v", i, j, m.State(), other.State())
+			}
+		}
+	}
+
 	want := s.live()
 	if _, has := s.items["op/config"]; seen > 0 && !has {
 		want = append(want, "op/config")
--- a/internal/cwmirror/kept.go
+++ b/internal/cwmirror/kept.go
@@ -171,6 +171,8 @@
 	rank := m.rankInForce(ours)
 
 	switch {
+	case theirs.For == 0 && !rank.Before(theirs.Rank):
+		return false // Its time is over; it stays no longer than the next look at it.
 	case theirs.Gone:
 		return !ours.Gone && !theirs.Rank.Before(rank)
 	case ours.Gone:
--- a/internal/cwmirror/mirror.go
+++ b/internal/cwmirror/mirror.go
@@ -34,6 +34,8 @@
 	// Version is that of the operators' configuration, which may be newer than the
 	// store's.
 	Version carobward.Version
+	// Kept is how many items are in force in place of the store's.
+	Kept int
 }
 
 // Behind tells whether a copy lacks what another one has.
@@ -42,7 +44,12 @@
 		return s.Era < other.Era
 	}
 
-	return s.Index < other.Index || s.Top < other.Top || s.Version < other.Version
+	if s.Index < other.Index || s.Top < other.Top || s.Version < other.Version {
+		return true
+	}
+
+	// One that asked the store by itself has not what was lost before.
+	return s.Index == other.Index && s.Kept < other.Kept
 }
 
 // Options are what a Mirror needs to know of keys.
@@ -98,7 +105,10 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	return m.state
+	s := m.state
+	s.Kept = len(m.kept)
+
+	return s
 }
 
 // Get returns the value of a key that is in force, or nil.
--- a/internal/cwmirror/mirror_test.go
+++ b/internal/cwmirror/mirror_test.go
@@ -105,7 +105,7 @@
 			false, []string{"a", "b", "c"}, State{Index: 4, Top: 4},
 		},
 		"a removal":              {[]carobward.Changes{whole(3, item("a", 1)), changes(4, gone("a", 4))}, false, nil, State{Index: 4, Top: 4}},
-		"a removal is held back": {[]carobward.Changes{changes(2, item("a", 1)), changes(4, gone("a", 4), item("b", 3))}, true, []string{"a", "b"}, State{Index: 4, Top: 4}},
+		"a removal is held back": {[]carobward.Changes{changes(2, item("a", 1)), changes(4, gone("a", 4), item("b", 3))}, true, []string{"a", "b"}, State{Index: 4, Top: 4, Kept: 1}},
 		"a list without a key":   {[]carobward.Changes{whole(3, item("a", 1)), whole(5, item("b", 4))}, false, []string{"b"}, State{Index: 5, Top: 5}},
 		"an older list":          {[]carobward.Changes{whole(5, item("b", 4)), whole(3, item("a", 1))}, false, []string{"b"}, State{Index: 5, Top: 5}},
 		"an older list with newer items": {
--- a/internal/cwstand/metadata_value.go
+++ b/internal/cwstand/metadata_value.go
@@ -41,6 +41,29 @@
 	return raw
 }
 
+// MetadataWrite returns the value of a server's entry as its process writes it for the nth
+// time.
+func MetadataWrite(entry []byte, nth uint64) []byte {
+	all := struct {
+		Address json.RawMessage `json:"address"`
+		Born    json.RawMessage `json:"born,omitempty"`
+		Info    json.RawMessage `json:"info"`
+		Status  map[string]any  `json:"status"`
+	}{}
+	if err := json.Unmarshal(entry, &all); err != nil {
+		return nil
+	}
+
+	all.Status["seq"] = nth
+
+	raw, err := json.Marshal(all)
+	if err != nil {
+		return nil
+	}
+
+	return raw
+}
+
 // warmupRate is the requests a second that a cold server tolerates, as in the users'
 // deployments.
 const warmupRate = 4.8
