Soak: a store that comes back from copies; records are written again until seen

Records of the quarantine that the store acknowledged and the copy had not had when the store came back were known to nobody: the keeper remembers what it wrote until its copy has it, and writes it again in another era (TestWrittenAgain).

Found while the soak was written: an evacuation that the store had lost and that was taken back within the time in which servers' entries may lapse stayed for a minute. Only servers' entries lapse; one more row of TestStays.

--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -156,6 +156,7 @@
 		VM: o.Self.ID, Table: g.suspects, Feed: o.Adapter.Feed, Clock: o.Clock, Log: o.Log,
 		Word:  func() time.Time { return g.mesh.Word() },
 		Leads: func() bool { return g.follow.Leads() },
+		Era:   func() carobward.StoreEra { return g.mirror.State().Era },
 	})
 
 	g.front = cwfront.New(cwfront.Options{
--- a/internal/cwgateway/restore_test.go
+++ b/internal/cwgateway/restore_test.go
@@ -140,6 +140,9 @@
 		"a server that is gone": {
 			func(r *restored) { r.write("ready") }, func(r *restored) { r.store.Delete("servers/i-1") }, func(r *restored) { r.write("ready") },
 		},
+		"an evacuation, taken back": {
+			nothing, func(r *restored) { r.store.Put(domainKey, nil) }, func(r *restored) { r.store.Delete(domainKey) },
+		},
 		"an evacuation": {
 			nothing, func(r *restored) { r.store.Put(domainKey, nil) },
 			func(r *restored) { r.store.Put(domainKey, nil); r.store.Delete(domainKey) },
--- a/internal/cwmirror/kept.go
+++ b/internal/cwmirror/kept.go
@@ -112,11 +112,17 @@
 
 // keepRemoved keeps a server's entry that is removed while that proves nothing.
 func (m *Mirror) keepRemoved(it carobward.Item, now time.Time) {
-	if m.IsBackend(it.Key) && now.Before(m.hold) && m.kept[it.Key] == nil {
+	if m.mayLapse(it.Key, now) && m.kept[it.Key] == nil {
 		m.keep(it, m.Rank(it.Key, it.Value), m.hold)
 	}
 }
 
+// mayLapse tells whether a removal proves nothing. Only servers' entries have an end of
+// their own.
+func (m *Mirror) mayLapse(key carobward.Key, now time.Time) bool {
+	return m.IsBackend(key) && now.Before(m.hold)
+}
+
 func (m *Mirror) keep(it carobward.Item, rank carobward.Rank, until time.Time) {
 	if k := m.kept[it.Key]; k != nil && k.until.After(until) {
 		until = k.until
@@ -134,7 +140,7 @@
 		k := m.kept[it.Key]
 
 		if k != nil {
-			if it.Gone && !k.Gone && now.Before(m.hold) || !it.Gone && m.Rank(it.Key, it.Value).Before(k.rank) {
+			if it.Gone && !k.Gone && m.mayLapse(it.Key, now) || !it.Gone && m.Rank(it.Key, it.Value).Before(k.rank) {
 				continue
 			}
 
--- /dev/null
+++ b/internal/cwquarantine/again_test.go
@@ -0,0 +1,92 @@
+package cwquarantine
+
+import (
+	"context"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"carobward.example/carobward"
+)
+
+// TestWrittenAgain has what the store acknowledged before it came back from a copy against
+// what is written again: all that the copy of this entry VM had not had yet, since nobody
+// else knows of it.
+func TestWrittenAgain(t *testing.T) {
+	c := seen{"a", "1", 0}.crash()
+	trial := Trial{Print: printBy("a"), Number: 1}
+
+	share := func(t *testing.T, k *Keeper, s *fakeFeed) {
+		t.Helper()
+
+		k.Ended(c)
+		k.Share(c)
+
+		go s.let()
+		k.write(context.Background())
+	}
+
+	for name, test := range map[string]struct {
+		before func(t *testing.T, k *Keeper, s *fakeFeed)
+		era    carobward.StoreEra
+		want   map[carobward.Key]bool
+	}{
+		"a crash": {share, 2, map[carobward.Key]bool{c.key(): true}},
+		"a crash that the copy has": {func(t *testing.T, k *Keeper, s *fakeFeed) {
+			t.Helper()
+			share(t, k, s)
+
+			raw, err := c.encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			k.Took([]carobward.Item{{Key: c.key(), Value: raw}})
+		}, 2, map[carobward.Key]bool{}},
+		"the same era": {share, 1, map[carobward.Key]bool{}},
+		"an answer": {func(t *testing.T, k *Keeper, s *fakeFeed) {
+			t.Helper()
+			share(t, k, s)
+			k.Answered(c.Print)
+
+			go s.let()
+			k.write(context.Background())
+		}, 2, map[carobward.Key]bool{c.key(): false}},
+		"a trial": {func(t *testing.T, k *Keeper, s *fakeFeed) {
+			t.Helper()
+
+			go s.let()
+
+			if !k.Try(trial) {
+				t.Error("no trial")
+			}
+		}, 2, map[carobward.Key]bool{trial.key(): true}},
+		"a quarantine that is lifted": {func(t *testing.T, k *Keeper, s *fakeFeed) {
+			t.Helper()
+			k.Ended(c)
+
+			go s.let()
+
+			if err := k.Lift(c.Print); err != nil {
+				t.Error(err)
+			}
+		}, 2, map[carobward.Key]bool{c.key(): false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFakeFeed()
+			k := newKeeper(s, 0)
+			k.writeAgain(1)
+			test.before(t, k, s)
+			k.writeAgain(test.era)
+
+			got := map[carobward.Key]bool{}
+			for key, value := range k.pending {
+				got[key] = value != nil
+			}
+
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/cwquarantine/keeper.go
+++ b/internal/cwquarantine/keeper.go
@@ -44,6 +44,8 @@
 	Word func() time.Time
 	// Leads tells whether this entry VM clears outdated records away.
 	Leads func() bool
+	// Era returns the store's era, as the copy has it.
+	Era func() carobward.StoreEra
 }
 
 // Keeper shares the crashes that this entry VM sees with all others, through the store.
@@ -56,7 +58,12 @@
 	// pending has the values to be written by key; nil removes a key.
 	pending map[carobward.Key][]byte
 	// sent has the keys among them that the store may have: a call with them began.
-	sent    map[carobward.Key]bool
+	sent map[carobward.Key]bool
+	// unseen has what the store acknowledged and the copy has not had yet: a store that
+	// comes back from a copy may have lost it, and nobody else knows. Era is that in
+	// which it was written.
+	unseen  map[carobward.Key][]byte
+	era     carobward.StoreEra
 	dropped int64
 	back    time.Duration
 	cleaned time.Time
@@ -68,11 +75,12 @@
 func New(o Options) *Keeper {
 	o.Log = o.Log.WithName("quarantine")
 
-	return &Keeper{Options: o, wake: make(chan struct{}, 1), pending: map[carobward.Key][]byte{}, sent: map[carobward.Key]bool{}, cleaned: o.Clock.Now()}
+	return &Keeper{Options: o, wake: make(chan struct{}, 1), pending: map[carobward.Key][]byte{}, sent: map[carobward.Key]bool{}, unseen: map[carobward.Key][]byte{}, cleaned: o.Clock.Now()}
 }
 
 // Took takes changes of the copy of the store.
 func (k *Keeper) Took(items []carobward.Item) {
+	k.saw(items)
 	change := k.Table.Put(items, k.Clock.Now())
 
 	for i := range change.Added {
--- a/internal/cwquarantine/keeper_test.go
+++ b/internal/cwquarantine/keeper_test.go
@@ -86,6 +86,7 @@
 		VM: "vm-1", Table: NewTable(), Feed: s, Clock: still{}, Log: logr.Discard(),
 		Word:  func() time.Time { return start.Add(-word) },
 		Leads: func() bool { return false },
+		Era:   func() carobward.StoreEra { return 0 },
 	})
 }
 
--- a/internal/cwquarantine/trial.go
+++ b/internal/cwquarantine/trial.go
@@ -25,6 +25,12 @@
 		})
 	}
 
+	if err == nil {
+		k.mutex.Lock()
+		k.acknowledge(t.key(), raw)
+		k.mutex.Unlock()
+	}
+
 	// Where the reply was lost this may have been the trial. Others don't make it
 	// then, nor does this entry VM.
 	if !errors.Is(err, carobward.ErrStoreRefused) {
@@ -76,6 +82,12 @@
 			return err
 		}
 
+		k.mutex.Lock()
+		for _, key := range keys[:n] {
+			k.acknowledge(key, nil)
+		}
+		k.mutex.Unlock()
+
 		keys = keys[n:]
 	}
 
--- a/internal/cwquarantine/write.go
+++ b/internal/cwquarantine/write.go
@@ -58,6 +58,7 @@
 		case <-ctx.Done():
 		case <-k.wake:
 		case <-time.After(idleTime):
+			k.writeAgain(k.Era())
 			k.clean(k.Clock.Now())
 		}
 	}
@@ -131,12 +132,50 @@
 	}
 }
 
-// done forgets a change that the store has; the mutex is held.
+// done notes a change that the store has; the mutex is held.
 func (k *Keeper) done(key carobward.Key) {
+	k.acknowledge(key, k.pending[key])
 	delete(k.pending, key)
 	delete(k.sent, key)
 }
 
+// acknowledge notes a value that the store acknowledged, or a removal as nil; the mutex is
+// held.
+func (k *Keeper) acknowledge(key carobward.Key, value []byte) {
+	if len(k.unseen) < pendingMost {
+		k.unseen[key] = value
+	}
+}
+
+// saw notes that the copy of the store has changes.
+func (k *Keeper) saw(items []carobward.Item) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	for i := range items {
+		delete(k.unseen, items[i].Key)
+	}
+}
+
+// writeAgain has changes written again that the copy had not had before the store came back
+// from a copy, in another era.
+func (k *Keeper) writeAgain(era carobward.StoreEra) {
+	k.mutex.Lock()
+	lost := k.unseen
+
+	if era == k.era {
+		lost = nil
+	} else {
+		k.era, k.unseen = era, map[carobward.Key][]byte{}
+	}
+	k.mutex.Unlock()
+
+	if len(lost) > 0 {
+		k.Log.Info("Records that the store may have lost are written again.", "keys", len(lost), "era", era)
+		k.put(lost)
+	}
+}
+
 // clean clears outdated records away, on one entry VM for all.
 func (k *Keeper) clean(now time.Time) {
 	if now.Sub(k.cleaned) < cleanTime || !k.Leads() {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -70,6 +70,10 @@
 	servers []*server
 	version int
 	history *history
+	// emptied has the failure domains that operators evacuate now.
+	emptied map[carobward.Domain]bool
+	// versions has the highest version that each process had in force.
+	versions map[*cwtest.Process]int
 	// crashes counts the processes that a request ended.
 	crashes atomic.Int64
 }
@@ -88,6 +92,9 @@
 	// start is that of the process, in milliseconds since the Unix epoch.
 	start  int64
 	closed bool
+	// state and writes are those of its entry in the store.
+	state  string
+	writes uint64
 }
 
 // Proxy returns the proxy before the server.
@@ -149,6 +156,7 @@
 	w := &world{
 		Site:   cwsite.New(t, grace),
 		random: rand.New(rand.NewPCG(seed, seed)), history: newHistory(),
+		emptied: map[carobward.Domain]bool{}, versions: map[*cwtest.Process]int{},
 	}
 
 	for i := range servers {
@@ -162,6 +170,8 @@
 		cwtest.Wait(t, v.ID+" is ready", v.IsReady)
 	}
 
+	w.Store.Save()
+
 	stop := make(chan struct{})
 
 	var group conc.WaitGroup
@@ -171,6 +181,7 @@
 
 	for range *steps {
 		w.step(t)
+		w.forward(t)
 	}
 
 	w.heal(t)
@@ -249,7 +260,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	w.Store.Put("servers/"+s.instance, cwstand.MetadataStart(entry, s.start))
+	s.state = state
+	s.writes++
+	w.Store.Put("servers/"+s.instance, cwstand.MetadataStart(cwstand.MetadataWrite(entry, s.writes), s.start))
 }
 
 // spoiled are entries of another writer.
@@ -276,9 +289,9 @@
 		cwstand.ProxyPasses, cwstand.ProxyDelays, cwstand.ProxyLosesRequests, cwstand.ProxyLosesReplies, cwstand.ProxyResets,
 	}
 
-	evacuation := evacuationOf(domain(w.random.IntN(domains)))
+	emptied := domain(w.random.IntN(domains))
 
-	switch w.random.IntN(22) {
+	switch w.random.IntN(28) {
 	case 0:
 		w.configure()
 	case 1:
@@ -304,9 +317,11 @@
 	case 13, 14:
 		w.history.add(send(v, http.MethodPost, poison, newID()))
 	case 15:
-		w.Store.Put(evacuation, []byte(spoiled[w.random.IntN(len(spoiled))]))
+		w.emptied[emptied] = true
+		w.Store.Put(evacuationOf(emptied), []byte(spoiled[w.random.IntN(len(spoiled))]))
 	case 16:
-		w.Store.Delete(evacuation)
+		delete(w.emptied, emptied)
+		w.Store.Delete(evacuationOf(emptied))
 	case 17, 18:
 		s.SetCold(time.Duration(w.random.IntN(3000)) * time.Millisecond)
 	case 19, 20:
@@ -315,6 +330,12 @@
 		for _, s := range w.servers {
 			s.SetLimit(limits[w.random.IntN(len(limits))]...)
 		}
+	case 22, 23:
+		w.Store.Save()
+	case 24, 25:
+		w.Store.Restore()
+	case 26, 27:
+		w.writeAgain()
 	}
 
 	<-time.After(time.Duration(50+w.random.IntN(300)) * time.Millisecond)
