--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/juju/errors"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwmesh"
@@ -188,33 +187,20 @@
 
 // took takes an answer of the store.
 func (f *Follower) took(ctx context.Context, c carobward.Changes) {
-	before := f.Mirror.State()
-
-	if c.Era != 0 && c.Era < before.Era {
-		f.failed(errors.Annotatef(errEra, "era %d, the copy's is %d", c.Era, before.Era))
-
-		return
-	}
-
 	now := f.Clock.Now()
 	f.answered = now
 	f.regained(now)
 
-	if c.Era > before.Era && before.Index > 0 {
-		f.Log.Info("The store came back from a copy.", "era", c.Era, "index", c.Index, "before", before.Era, "copy", before.Index)
+	before := f.Mirror.State()
 
-		if !c.Whole {
-			f.list = true // Changes after our index are none of the new history.
+	changed, err := f.Mesh.TakeAnswer(c)
+	if err != nil {
+		f.failed(err)
 
-			return
-		}
+		return
 	}
 
-	changed := f.Mirror.Take(c, now, f.Changed)
 	f.list = false
-
-	f.Mesh.SetFresh(now)
-	f.tell(c, before, now)
 	f.writeLost(ctx, now)
 
 	if len(c.Items) == 0 {
@@ -224,20 +210,6 @@
 	}
 
 	f.Log.Info("Took changes from the store.", "era", c.Era, "index", c.Index, "copy", before.Index, "whole", c.Whole,
-		"keys", len(c.Items), "changed", changed, "kept", len(f.Mirror.Kept(now)), "held", f.Mirror.Held(now).String())
+		"keys", len(c.Items), "changed", changed, "kept", f.Mirror.State().Kept, "held", f.Mirror.Held(now).String())
 	carobward.Pause(ctx, gatherTime)
 }
-
-// errEra is the error of an answer of a store as it was before it came back from a copy.
-const errEra = errors.ConstError("follow: an answer of an earlier era of the store")
-
-// tell tells the fleet of an answer of the store: with the changes, or with the way into
-// another era.
-func (f *Follower) tell(c carobward.Changes, before cwmirror.State, now time.Time) {
-	if c.Era > before.Era && before.Index > 0 {
-		c = f.Mirror.Since(before, now)
-	}
-
-	c.Kept, c.Hold = nil, f.Mirror.Held(now)
-	f.Mesh.TellFleet(&c)
-}
--- a/internal/cwfollow/outage.go
+++ b/internal/cwfollow/outage.go
@@ -40,7 +40,7 @@
 // failed notes a call that failed.
 func (f *Follower) failed(err error) {
 	if errors.Is(err, carobward.ErrHistory) {
-		f.Log.Info("The store no longer has the changes, listing all keys.", "after", f.Mirror.State().Index)
+		f.Log.Info("The store no longer has the changes, listing all keys.", "after", f.Mirror.State().Index, "cause", err.Error())
 		f.list = true
 
 		return
--- a/internal/cwmesh/fetch.go
+++ b/internal/cwmesh/fetch.go
@@ -214,7 +214,7 @@
 	sent := m.Clock.Now()
 	reply := &cwwire.ChangesReply{}
 
-	err := m.clients.Call(limited, from, Service+".Changes", &cwwire.ChangesRequest{After: uint64(own.Index), Era: uint64(own.Era)}, reply)
+	err := m.call(limited, from, &cwwire.ChangesRequest{After: uint64(own.Index), Era: uint64(own.Era)}, reply)
 	if err != nil {
 		return err
 	}
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -14,6 +14,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwmirror"
 	"carobward.example/carobward/internal/cwpeer"
+	"carobward.example/carobward/internal/cwwire"
 )
 
 // The paces of the mesh.
@@ -71,9 +72,11 @@
 	boot    uint64
 	conn    net.PacketConn
 	clients *cwpeer.Clients
-	state   atomic.Uint32
-	away    atomic.Bool
-	rate    atomic.Int64
+	// call asks a peer for changes.
+	call  func(ctx context.Context, peer carobward.Address, in *cwwire.ChangesRequest, out *cwwire.ChangesReply) error
+	state atomic.Uint32
+	away  atomic.Bool
+	rate  atomic.Int64
 	// far tells that the next word goes to the other failure domains, too, and
 	// relay that what was last heard from one is yet to be passed on.
 	far    atomic.Bool
@@ -103,6 +106,10 @@
 		began: o.Clock.Now(), wake: make(chan struct{}, 1), offers: make(chan offer, 1), seeded: map[carobward.Address]bool{},
 	}
 
+	m.call = func(ctx context.Context, peer carobward.Address, in *cwwire.ChangesRequest, out *cwwire.ChangesReply) error {
+		return m.clients.Call(ctx, peer, Service+".Changes", in, out)
+	}
+
 	m.AddSeeds(o.Seeds)
 
 	return m
--- a/internal/cwmesh/sim_test.go
+++ b/internal/cwmesh/sim_test.go
@@ -45,6 +45,10 @@
 	node  Node
 	mesh  *Mesh
 	alive bool
+	// suspended lets it do nothing, and what is sent to it is lost.
+	suspended bool
+	// began is called as it starts, where it is set.
+	began func(*simVM)
 	// starts is when it starts, next when its next heartbeats are due.
 	starts time.Time
 	next   time.Time
@@ -141,6 +145,11 @@
 	v.next = s.now.Add(time.Duration(s.rnd.Int64N(int64(beatTime))))
 	v.meets = s.now.Add(meetTime)
 	v.met = 0
+
+	if v.began != nil {
+		v.began(v)
+	}
+
 	v.mesh.tellSeeds()
 }
 
@@ -176,7 +185,7 @@
 		v.start()
 	}
 
-	if !v.alive {
+	if !v.alive || v.suspended {
 		return
 	}
 
@@ -212,7 +221,7 @@
 		}
 
 		cut := apart && (from.node.Domain == s.cut || to.node.Domain == s.cut)
-		if to.alive && !cut {
+		if to.alive && !to.suspended && !cut {
 			to.mesh.datagram(p.raw, net.UDPAddrFromAddrPort(netip.MustParseAddrPort(string(p.from))))
 		}
 	}
