What servers say is read in one place: leaving, and leave me alone

Cause: nothing read either field.

The adapter reads both; Server.Hear takes all that a reply says of its server (load, cold, limit, leaving, pause), by one rule for process, instance and age, in place of four calls from two places. A process that says it leaves gets nothing more from this entry VM (first send, second send, trial, waiting request, look; Server.Backend has it as leaving), and heartbeats tell others, with its start. A pause is one more time before which a server is not open, beside cold and limit, so that requests for which none opens in time are refused at once with when one does.

TestSpeaksOfLimit moves to Server.Hear with all its rows.

Not measured: whether a pause is better passed on to other entry VMs.

--- a/dialect.go
+++ b/dialect.go
@@ -11,7 +11,7 @@
 	// is the time until the call's deadline.
 	Fields(c *Call, left time.Duration, add func(name, value string))
 	// Read takes what a reply's header says of the call and the server and
-	// sets the reply's Report, Shed, Instance, Warmup, Limit and Keep. It returns ErrOther for
+	// sets the reply's Report, Shed, Instance, Warmup, Limit, Leaving, Pause and Keep. It returns ErrOther for
 	// a reply to another call, and another error for one that can't be
 	// attributed.
 	Read(c *Call, r *Reply, now time.Time) error
--- a/internal/cwbackend/cold.go
+++ b/internal/cwbackend/cold.go
@@ -56,12 +56,3 @@
 
 	return now.Before(s.warm)
 }
-
-// SetWarmup takes the server's own word on how much longer it is cold: newer than any
-// entry of the list.
-func (s *Server) SetWarmup(left time.Duration, now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-
-	s.warm = now.Add(left)
-}
--- a/internal/cwbackend/cold_test.go
+++ b/internal/cwbackend/cold_test.go
@@ -312,7 +312,8 @@
 				}
 
 				if c.answers[i] != none {
-					table.byInstance[b.Instance].SetWarmup(time.Duration(c.answers[i])*time.Second, now)
+					says := &carobward.Reply{Warmup: time.Duration(c.answers[i]) * time.Second, SaysWarmup: true}
+					table.byInstance[b.Instance].Hear(says, ByLook, now)
 				}
 			}
 
--- a/internal/cwbackend/limit.go
+++ b/internal/cwbackend/limit.go
@@ -33,29 +33,8 @@
 	// the entry VMs of a failure domain carry is not bounded.
 	limitRateLeast = 0.001
 	limitRateMost  = 100_000
-	// limitNews is for how long after it came a server's word is passed on: two
-	// heartbeats, one of which may be lost.
-	limitNews = 2500 * time.Millisecond
 )
 
-// LimitSource is where a word on a server's limit comes from.
-type LimitSource uint8
-
-// The sources of words on limits.
-const (
-	// ByReply: the server's reply to a request.
-	ByReply LimitSource = iota
-	// ByLook: its answer to a health check.
-	ByLook
-	// ByPeer: another entry VM, which had the server's reply.
-	ByPeer
-)
-
-var limitSourceNames = [...]string{ByReply: "reply", ByLook: "look", ByPeer: "peer"}
-
-// String returns the source's name.
-func (s LimitSource) String() string { return limitSourceNames[s] }
-
 // limit is what this entry VM believes of a server's limit.
 type limit struct {
 	carobward.Limit
@@ -73,7 +52,7 @@
 // TakeLimit takes a word on the server's limit, and tells whether that changes what is
 // believed. A word that can't be read does not: a server that has named a limit is still
 // in need, for one that has not nothing can be derived.
-func (s *Server) TakeLimit(w carobward.LimitWord, from LimitSource) bool {
+func (s *Server) TakeLimit(w carobward.LimitWord, from Source) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
@@ -85,7 +64,7 @@
 	return s.limit.take(w, from)
 }
 
-func (l *limit) take(w carobward.LimitWord, from LimitSource) bool {
+func (l *limit) take(w carobward.LimitWord, from Source) bool {
 	if w.At.Before(l.at) || !l.counts(w, from) {
 		return false
 	}
@@ -115,7 +94,7 @@
 }
 
 // counts tells whether a word says anything of the limit.
-func (l *limit) counts(w carobward.LimitWord, from LimitSource) bool {
+func (l *limit) counts(w carobward.LimitWord, from Source) bool {
 	switch {
 	case w.Passed && !l.at.IsZero():
 		// One that goes round would never grow old: it is for who knows nothing yet.
@@ -178,12 +157,9 @@
 	return news
 }
 
-// Limits returns the words on limits that other entry VMs lack: those that servers gave
-// this one lately, or for a newcomer all limits that stand.
-func (t *Table) Limits(now time.Time, newcomer bool) []carobward.LimitWord {
-	t.mutex.RLock()
-	defer t.mutex.RUnlock()
-
+// limits returns the words on limits that other entry VMs lack: those that servers gave this
+// one lately, or for a newcomer all limits that stand; the mutex is held.
+func (t *Table) limits(now time.Time, newcomer bool) []carobward.LimitWord {
 	var list []carobward.LimitWord
 
 	for i, s := range t.byInstance {
@@ -202,8 +178,8 @@
 // isNews tells whether what is believed comes from a late word of the server to this entry
 // VM.
 func (l *limit) isNews(now time.Time) bool {
-	late := l.at.Equal(l.own) && now.Sub(l.own) < limitNews
-	lifted := !l.Named && now.Sub(l.since) < limitNews
+	late := l.at.Equal(l.own) && now.Sub(l.own) < newsTime
+	lifted := !l.Named && now.Sub(l.since) < newsTime
 
 	return late && (l.Readable || lifted)
 }
@@ -240,27 +216,3 @@
 
 	return list
 }
-
-// Suspended sets back when requests were sent and words on limits came, by a time that the
-// VM's clock did not count. Without it this entry VM would pass on words that are old.
-func (t *Table) Suspended(by time.Duration) {
-	t.mutex.RLock()
-	defer t.mutex.RUnlock()
-
-	for _, s := range t.byInstance {
-		s.suspended(by)
-	}
-}
-
-func (s *Server) suspended(by time.Duration) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-
-	for _, at := range []*time.Time{&s.follows, &s.limit.at, &s.limit.own, &s.limit.since} {
-		*at = carobward.SetBack(*at, by)
-	}
-
-	for i := range s.sends {
-		s.sends[i] = carobward.SetBack(s.sends[i], by)
-	}
-}
--- a/internal/cwbackend/limit_fleet_test.go
+++ b/internal/cwbackend/limit_fleet_test.go
@@ -210,7 +210,7 @@
 	}
 
 	m.beat = f.now.Add(time.Second)
-	list := v.table.Limits(f.clock(v), false)
+	list := v.table.Words(f.clock(v), false).Limits
 	f.ask(v)
 
 	for _, o := range f.vms {
@@ -230,7 +230,7 @@
 	o := f.vms[f.rnd.IntN(len(f.vms))]
 	if o != v && o.domain == v.domain && o.alive && !v.cut && !o.cut && !f.now.Before(f.more[o].asleep) {
 		f.wake(o)
-		f.pass(o, v, o.table.Limits(f.clock(o), true))
+		f.pass(o, v, o.table.Words(f.clock(o), true).Limits)
 	}
 }
 
--- a/internal/cwbackend/limit_test.go
+++ b/internal/cwbackend/limit_test.go
@@ -177,7 +177,7 @@
 func TestTakeLimit(t *testing.T) {
 	type word struct {
 		says carobward.Limit
-		from LimitSource
+		from Source
 		// passed tells that it went by way of a third entry VM.
 		passed bool
 		// at is when it came, in seconds.
@@ -239,7 +239,7 @@
 
 	table.Put(list, nil, start)
 
-	say := func(i int, l carobward.Limit, from LimitSource, after time.Duration) {
+	say := func(i int, l carobward.Limit, from Source, after time.Duration) {
 		instance := list[i].Instance
 		table.byInstance[instance].TakeLimit(carobward.LimitWord{Server: instance, Limit: l, At: start.Add(after)}, from)
 	}
@@ -255,7 +255,7 @@
 	want := map[carobward.Instance]carobward.Limit{list[1].Instance: rate(1), list[2].Instance: {}}
 	got := map[carobward.Instance]carobward.Limit{}
 
-	for _, w := range table.Limits(start.Add(10*time.Second), false) {
+	for _, w := range table.Words(start.Add(10*time.Second), false).Limits {
 		got[w.Server] = w.Limit
 	}
 
@@ -264,14 +264,14 @@
 	}
 
 	// The one that is taken back goes along, since it is news.
-	if n := len(table.Limits(start.Add(10*time.Second), true)); n != 4 {
+	if n := len(table.Words(start.Add(10*time.Second), true).Limits); n != 4 {
 		t.Errorf("%d words for a newcomer", n)
 	}
 
 	// After a time that the clock did not count they are old.
 	table.Suspended(10 * time.Second)
 
-	if diff := cmp.Diff([]carobward.LimitWord(nil), table.Limits(start.Add(10*time.Second), false), cmpopts.EquateEmpty()); diff != "" {
+	if diff := cmp.Diff([]carobward.LimitWord(nil), table.Words(start.Add(10*time.Second), false).Limits, cmpopts.EquateEmpty()); diff != "" {
 		t.Error(diff)
 	}
 
--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -60,8 +60,11 @@
 	// follows is when it followed another process under its instance, zero if none was
 	// known.
 	follows time.Time
-	// limit is what it says of the requests that it takes.
-	limit limit
+	// limit is what it says of the requests that it takes, leaving since when it says that
+	// it leaves, and paused until when it wants no requests of this entry VM.
+	limit   limit
+	leaving time.Time
+	paused  time.Time
 	// warm is until when it is cold.
 	warm time.Time
 	// sends has when the last of our requests to it were sent: one, or as many as the
@@ -100,14 +103,21 @@
 	}
 }
 
-// Backend returns the server as the platform's list shows it.
+// Backend returns the server as the platform's list shows it, and as leaving also where it
+// says so itself.
 func (s *Server) Backend() carobward.Backend {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	return s.backend
+	b := s.backend
+	b.Leaving = s.leaves()
+
+	return b
 }
 
+// leaves tells whether the server leaves; the mutex is held.
+func (s *Server) leaves() bool { return s.backend.Leaving || !s.leaving.IsZero() }
+
 // update takes a new entry of the list.
 func (s *Server) update(b carobward.Backend, now time.Time) {
 	s.mutex.Lock()
@@ -121,16 +131,6 @@
 	}
 }
 
-// SetReport takes what the server said of its load.
-func (s *Server) SetReport(r carobward.Report) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-
-	if !r.At.IsZero() && r.At.After(s.report.At) {
-		s.report = r
-	}
-}
-
 // Begin notes a request that is sent. Cancel is called if the process ends. End must
 // be called once with what it returns.
 func (s *Server) Begin(now time.Time, cancel func()) int64 {
--- a/internal/cwbackend/sharer.go
+++ b/internal/cwbackend/sharer.go
@@ -73,12 +73,15 @@
 // open returns when the server may get the next request of this entry VM; the mutex is
 // held.
 func (s *Server) open(l *allowances) time.Time {
-	first, second := l[0].open(s.sends), l[1].open(s.sends)
-	if first.Before(second) {
-		return second
+	open := s.paused
+
+	for i := range l {
+		if at := l[i].open(s.sends); at.After(open) {
+			open = at
+		}
 	}
 
-	return first
+	return open
 }
 
 // admit counts a request to the server as sent if it may get one now.
--- a/internal/cwbackend/view.go
+++ b/internal/cwbackend/view.go
@@ -22,7 +22,7 @@
 	// Limit is what it says of the requests a second that it takes from all entry VMs.
 	Limit carobward.Limit
 	// Barred tells that it gets no request of this entry VM before Open, since it is
-	// cold or names a limit.
+	// cold, names a limit or wants a pause.
 	Barred bool
 	Open   time.Time
 	// Slots is how many requests it runs at once.
@@ -68,7 +68,7 @@
 	defer s.mutex.Unlock()
 
 	v := View{
-		Server: s, Leaving: s.backend.Leaving, Blocked: now.Before(s.blocked), Failing: s.failures > 0, Warming: now.Before(s.warm),
+		Server: s, Leaving: s.leaves(), Barred: now.Before(s.paused), Open: s.paused, Blocked: now.Before(s.blocked), Failing: s.failures > 0, Warming: now.Before(s.warm),
 		Slots: max(1, s.backend.Slots), Own: len(s.out), Trouble: s.trouble, Domain: s.backend.Domain, Address: s.backend.Address, Report: s.report, Limit: s.limit.Limit,
 	}
 
--- /dev/null
+++ b/internal/cwbackend/words_test.go
@@ -0,0 +1,182 @@
+package cwbackend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+)
+
+// TestSpeaksOfLimit has replies against whether they say if their server has a limit: each
+// that names one, and of the others only good ones of the server itself. A failure that took
+// a limit back would let all entry VMs loose on a server in need, at each of its failures.
+func TestSpeaksOfLimit(t *testing.T) {
+	named := carobward.Limit{Named: true, Readable: true, Rate: 1.4}
+
+	for name, c := range map[string]struct {
+		reply carobward.Reply
+		want  bool
+	}{
+		"an answer":                     {carobward.Reply{Status: fasthttp.StatusOK}, true},
+		"an answer that names one":      {carobward.Reply{Status: fasthttp.StatusOK, Limit: named}, true},
+		"not found, by the server":      {carobward.Reply{Status: fasthttp.StatusNotFound}, true},
+		"a refusal":                     {carobward.Reply{Status: fasthttp.StatusServiceUnavailable, Shed: true}, false},
+		"a refusal that names one":      {carobward.Reply{Status: fasthttp.StatusServiceUnavailable, Shed: true, Limit: named}, true},
+		"a failure":                     {carobward.Reply{Status: fasthttp.StatusInternalServerError}, false},
+		"a failure that names one":      {carobward.Reply{Status: fasthttp.StatusInternalServerError, Limit: named}, true},
+		"its time limit":                {carobward.Reply{Status: fasthttp.StatusGatewayTimeout}, false},
+		"another server at the address": {carobward.Reply{Status: fasthttp.StatusMisdirectedRequest, Shed: true, Limit: named}, false},
+		"another instance":              {carobward.Reply{Status: fasthttp.StatusOK, Instance: "i-2", Limit: named}, false},
+		"its own instance":              {carobward.Reply{Status: fasthttp.StatusOK, Instance: "i-1", Limit: named}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(carobward.Backend{Instance: "i-1"}, start)
+			s.TakeLimit(carobward.LimitWord{Limit: carobward.Limit{Named: true, Readable: true, Rate: 9}, At: start}, ByReply)
+
+			// One that speaks of it names another one, or takes it back.
+			if got := s.Hear(&c.reply, ByReply, start.Add(time.Second)).Limit; got != c.want || (s.limit.Rate != 9) != c.want {
+				t.Errorf("%v, %v", got, s.limit.Limit)
+			}
+		})
+	}
+}
+
+// TestHearLeaving has what a server says against whether it may get a request: nothing once
+// it said that it leaves, until another process has its instance.
+func TestHearLeaving(t *testing.T) {
+	leaves := carobward.LeaveNotice{Named: true, Readable: true}
+
+	for name, c := range map[string]struct {
+		reply carobward.Reply
+		from  Source
+		// next is the start of the process whose entry comes after the reply.
+		next carobward.Start
+		want bool
+	}{
+		"nothing":                       {carobward.Reply{Status: fasthttp.StatusOK}, ByReply, 1, true},
+		"in an answer":                  {carobward.Reply{Status: fasthttp.StatusOK, Leaving: leaves}, ByReply, 1, false},
+		"in a refusal":                  {carobward.Reply{Status: fasthttp.StatusServiceUnavailable, Shed: true, Leaving: leaves}, ByReply, 1, false},
+		"in a failure":                  {carobward.Reply{Status: fasthttp.StatusInternalServerError, Leaving: leaves}, ByReply, 1, false},
+		"in a health check":             {carobward.Reply{Status: fasthttp.StatusOK, Leaving: leaves}, ByLook, 1, false},
+		"a value that can't be read":    {carobward.Reply{Status: fasthttp.StatusOK, Leaving: carobward.LeaveNotice{Named: true}}, ByReply, 1, true},
+		"another server at the address": {carobward.Reply{Status: fasthttp.StatusMisdirectedRequest, Shed: true, Leaving: leaves}, ByReply, 1, true},
+		"another instance":              {carobward.Reply{Status: fasthttp.StatusOK, Instance: "i-2", Leaving: leaves}, ByLook, 1, true},
+		"before the next process":       {carobward.Reply{Status: fasthttp.StatusOK, Leaving: leaves}, ByReply, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New(VM{ID: "vm-1", Domain: "a"})
+			b := carobward.Backend{Instance: "i-1", Domain: "a", Service: "records", Start: 1}
+			table.Put([]carobward.Backend{b}, nil, start)
+			table.byInstance["i-1"].Hear(&c.reply, c.from, start)
+
+			b.Start = c.next
+			table.Put([]carobward.Backend{b}, nil, start.Add(time.Second))
+
+			s := table.byInstance["i-1"]
+			if got := table.Has(s.Backend()); got != c.want || (len(table.Views("records", start, time.Second)) == 1) != c.want {
+				t.Errorf("%v", got)
+			}
+
+			if got := table.Admit(s, start.Add(time.Second)); got != c.want {
+				t.Errorf("admitted: %v", got)
+			}
+		})
+	}
+}
+
+// TestHearPause has refusals one after the other against when the server may get the next
+// request: at the latest end of the times that it named.
+func TestHearPause(t *testing.T) {
+	type word struct {
+		after, pause time.Duration
+		readable     bool
+		from         Source
+	}
+
+	for name, c := range map[string]struct {
+		words []word
+		want  time.Duration
+	}{
+		"none":                 {nil, 0},
+		"a time":               {[]word{{0, 4 * time.Second, true, ByReply}}, 4 * time.Second},
+		"a fraction":           {[]word{{0, 1500 * time.Millisecond, true, ByReply}}, 1500 * time.Millisecond},
+		"zero":                 {[]word{{time.Second, 0, true, ByReply}}, 0},
+		"can't be read":        {[]word{{time.Second, 0, false, ByReply}}, 0},
+		"in a health check":    {[]word{{0, 4 * time.Second, true, ByLook}}, 0},
+		"a shorter one later":  {[]word{{0, 4 * time.Second, true, ByReply}, {time.Second, time.Second, true, ByReply}}, 4 * time.Second},
+		"a longer one later":   {[]word{{0, 4 * time.Second, true, ByReply}, {time.Second, 4 * time.Second, true, ByReply}}, 5 * time.Second},
+		"unreadable after one": {[]word{{0, 4 * time.Second, true, ByReply}, {time.Second, 0, false, ByReply}}, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New(VM{ID: "vm-1", Domain: "a"})
+			table.Put([]carobward.Backend{{Instance: "i-1", Domain: "a", Service: "records"}}, nil, start)
+			s := table.byInstance["i-1"]
+
+			for _, w := range c.words {
+				reply := &carobward.Reply{Status: fasthttp.StatusServiceUnavailable, Shed: true, Pause: carobward.RetryNotice{Named: true, Readable: w.readable, For: w.pause}}
+				s.Hear(reply, w.from, start.Add(w.after))
+			}
+
+			// Two seconds later, and right at the end.
+			for _, at := range []time.Duration{2 * time.Second, c.want - time.Millisecond, c.want} {
+				now := start.Add(at)
+				v := table.View(s, now, time.Second)
+
+				if want := at < c.want; at >= 0 && (v.Barred != want || want && !v.Open.Equal(start.Add(c.want))) {
+					t.Errorf("after %s: %v, open at %s", at, v.Barred, v.Open)
+				}
+			}
+
+			if c.want > 0 && table.Admit(s, start.Add(c.want-time.Millisecond)) {
+				t.Error("admitted before the end")
+			}
+
+			if !table.Admit(s, start.Add(c.want)) {
+				t.Error("not admitted after the end")
+			}
+		})
+	}
+}
+
+// TestLeavingWords wants what a server said of its leaving to go to other entry VMs for a
+// while and to newcomers always, and to hold for just that process.
+func TestLeavingWords(t *testing.T) {
+	b := carobward.Backend{Instance: "i-1", Domain: "a", Service: "records", Start: 1}
+	from, to, next := New(VM{ID: "vm-1", Domain: "a"}), New(VM{ID: "vm-2", Domain: "a"}), New(VM{ID: "vm-3", Domain: "a"})
+
+	for _, table := range []*Table{from, to} {
+		table.Put([]carobward.Backend{b}, nil, start)
+	}
+
+	b.Start = 2
+	next.Put([]carobward.Backend{b}, nil, start)
+	from.byInstance["i-1"].Hear(&carobward.Reply{Status: fasthttp.StatusOK, Leaving: carobward.LeaveNotice{Named: true, Readable: true}}, ByReply, start)
+
+	want := []carobward.LeavingWord{{Server: "i-1", Start: 1}}
+	if diff := cmp.Diff(want, from.Words(start.Add(time.Second), false).Leaving); diff != "" {
+		t.Error(diff)
+	}
+
+	if late := from.Words(start.Add(newsTime), false).Leaving; len(late) > 0 {
+		t.Errorf("%v long after", late)
+	}
+
+	if diff := cmp.Diff(want, from.Words(start.Add(time.Hour), true).Leaving); diff != "" {
+		t.Error(diff)
+	}
+
+	if news := to.TakeLeaving(want, start); len(news) != 1 || to.Has(to.byInstance["i-1"].Backend()) {
+		t.Errorf("%v taken", news)
+	}
+
+	if again := to.TakeLeaving(want, start); len(again) > 0 || len(to.Words(start, false).Leaving) > 0 {
+		t.Errorf("%v taken again, or passed on", again)
+	}
+
+	if news := next.TakeLeaving(want, start); len(news) > 0 || !next.Has(next.byInstance["i-1"].Backend()) {
+		t.Errorf("%v taken for the next process", news)
+	}
+}
--- a/internal/cwfront/ask.go
+++ b/internal/cwfront/ask.go
@@ -35,15 +35,14 @@
 		return l
 	}
 
-	v.Server.SetReport(reply.Report)
-	r.takeLimit(v.Server, reply.Limit, cwbackend.ByLook)
+	r.hear(v.Server, reply, cwbackend.ByLook)
 
-	if reply.SaysWarmup {
-		// It may be cold again without a start, which its entry tells later.
-		now := r.front.Clock.Now()
-		v.Server.SetWarmup(reply.Warmup, now)
+	if reply.Leaving.Says() {
+		return l
+	}
 
-		fresh := r.front.Servers.View(v.Server, now, r.usual())
+	if reply.SaysWarmup { // It may be cold again without a start, which its entry tells later.
+		fresh := r.front.Servers.View(v.Server, r.front.Clock.Now(), r.usual())
 		l.view.Warming, l.view.Barred = fresh.Warming, fresh.Barred
 	}
 
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -24,7 +24,7 @@
 	ErrShed        = errors.ConstError("the server refused it, and no further send is allowed")
 	ErrNone        = errors.ConstError("no server of the service is known")
 	ErrEvacuated   = errors.ConstError("all servers of the service are in failure domains that the operators have evacuated")
-	ErrLimits      = errors.ConstError("no server may get a request now: those known are cold, or their limits are used up")
+	ErrLimits      = errors.ConstError("no server may get a request now: those known are cold, want a pause, or their limits are used up")
 	ErrHomes       = errors.ConstError("no server of the service may be used in the regions to which the route's requests may go")
 	ErrGone        = errors.ConstError("the caller has gone")
 	ErrLate        = errors.ConstError("the time was over")
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -202,11 +202,7 @@
 	view.Server.End(s.number, end, outcome)
 
 	if s.reply != nil {
-		view.Server.SetReport(s.reply.Report)
-
-		if s.speaksOfLimit() {
-			r.takeLimit(view.Server, s.reply.Limit, cwbackend.ByReply)
-		}
+		r.hear(view.Server, s.reply, cwbackend.ByReply)
 	}
 
 	if outcome == cwbackend.Answered {
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -175,7 +175,7 @@
 
 	g.mesh = cwmesh.New(cwmesh.Options{
 		Table: g.table, Mirror: g.mirror, Seeds: o.Seeds, Key: o.Key, Link: o.Link, Clock: o.Clock, Log: o.Log, Changed: g.changed,
-		Limits: g.servers.Limits, TakeLimits: g.takeLimits,
+		Words: g.servers.Words, TakeWords: g.takeWords,
 	}, conn)
 
 	g.follow = cwfollow.New(cwfollow.Options{
--- a/internal/cwgateway/limit.go
+++ b/internal/cwgateway/limit.go
@@ -6,11 +6,15 @@
 	"carobward.example/carobward"
 )
 
-// takeLimits takes what servers said to another entry VM of the requests that they take.
-func (g *Gateway) takeLimits(list []carobward.LimitWord, from carobward.VMID) {
+// takeWords takes what servers said to another entry VM.
+func (g *Gateway) takeWords(words carobward.ServerWords, from carobward.VMID) {
 	now := g.Clock.Now()
 
-	for _, w := range g.servers.TakeLimits(list) {
+	for _, w := range g.servers.TakeLeaving(words.Leaving, now) {
+		g.log.Info("A server says that it leaves, it gets nothing more.", "server", w.Server, "start", w.Start, "from", "peer", "vm", from)
+	}
+
+	for _, w := range g.servers.TakeLimits(words.Limits) {
 		g.log.Info("A server's limit has changed.", "server", w.Server, "named", w.Limit.Named, "rate", w.Limit.Rate,
 			"from", "peer", "vm", from, "age", now.Sub(w.At).Milliseconds())
 	}
--- a/internal/cwgateway/restore_test.go
+++ b/internal/cwgateway/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -156,7 +157,7 @@
 			r.waitEra(t, next)
 			cwtest.Wait(t, "what the store lost", func() bool { return next.gauge(t, "kept") == r.vms[0].gauge(t, "kept") })
 
-			all := append(r.vms, next)
+			all := slices.Concat(r.vms, []*vm{next})
 
 			for end := time.Now().Add(2 * cwmirror.LapseTime); time.Now().Before(end); {
 				for _, v := range all {
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -111,6 +111,16 @@
 		return int64(len(g.unusable))
 	})
 	g.metrics.Gauge("gateway", "limited", func() int64 { return int64(len(g.servers.Limited(g.Clock.Now()))) })
+	g.metrics.Gauge("gateway", "leaving", func() int64 {
+		leaving, _ := g.servers.Said(g.Clock.Now())
+
+		return int64(leaving)
+	})
+	g.metrics.Gauge("gateway", "paused", func() int64 {
+		_, paused := g.servers.Said(g.Clock.Now())
+
+		return int64(paused)
+	})
 	g.metrics.Gauge("gateway", "evacuated", func() int64 { return int64(len(g.evacuations())) })
 	g.metrics.Gauge("gateway", "index", func() int64 { return int64(g.mirror.State().Index) })
 	g.metrics.Gauge("gateway", "era", func() int64 { return int64(g.mirror.State().Era) })
--- a/internal/cwmesh/fetch_test.go
+++ b/internal/cwmesh/fetch_test.go
@@ -56,7 +56,7 @@
 
 	mirror.Apply(changes, time.Now())
 
-	m := New(Options{Table: NewTable(Node{ID: "self"}), Mirror: mirror, Clock: clock, Log: logr.Discard(), Link: link, Limits: noLimits}, conn)
+	m := New(Options{Table: NewTable(Node{ID: "self"}), Mirror: mirror, Clock: clock, Log: logr.Discard(), Link: link, Words: noWords}, conn)
 	answers := NewAnswers(m)
 
 	sent := 0
@@ -116,7 +116,7 @@
 
 			defer func() { _ = conn.Close() }()
 
-			m := New(Options{Table: NewTable(Node{ID: "self"}), Mirror: mirror, Clock: carobward.SystemClock{}, Log: logr.Discard(), Limits: noLimits}, conn)
+			m := New(Options{Table: NewTable(Node{ID: "self"}), Mirror: mirror, Clock: carobward.SystemClock{}, Log: logr.Discard(), Words: noWords}, conn)
 			reply := &cwwire.ChangesReply{}
 
 			err = NewAnswers(m).Changes(&cwwire.ChangesRequest{After: uint64(c.after)}, reply)
@@ -209,4 +209,4 @@
 	}
 }
 
-func noLimits(time.Time, bool) []carobward.LimitWord { return nil }
+func noWords(time.Time, bool) carobward.ServerWords { return carobward.ServerWords{} }
--- a/internal/cwmesh/limit_test.go
+++ b/internal/cwmesh/limit_test.go
@@ -21,8 +21,12 @@
 	return list
 }
 
-func (v *simVM) takeLimits(list []carobward.LimitWord, _ carobward.VMID) {
-	for _, w := range list {
+func (v *simVM) takeWords(words carobward.ServerWords, _ carobward.VMID) {
+	for _, l := range words.Leaving {
+		v.left[l] = true
+	}
+
+	for _, w := range words.Limits {
 		if old, ok := v.told[w.Server]; !ok || !w.Passed && w.At.After(old.At) {
 			v.told[w.Server] = w
 		}
@@ -81,3 +85,24 @@
 		})
 	}
 }
+
+// TestFleetLeaving wants the word of a server that leaves to reach all entry VMs of a failure
+// domain within two heartbeats, with packets lost, too.
+func TestFleetLeaving(t *testing.T) {
+	const loss = 0.03
+
+	s := newSim(6, 60)
+	s.run(2*simForms, nil)
+
+	s.loss = loss
+	want := carobward.LeavingWord{Server: "i-1", Start: 7}
+	teller := s.vms[0]
+	teller.leaves = []carobward.LeavingWord{want}
+	s.run(2*beatTime+2*simDelay, nil)
+
+	for _, v := range s.vms {
+		if v != teller && v.node.Domain == teller.node.Domain && !v.left[want] {
+			t.Errorf("%s was not told", v.node.ID)
+		}
+	}
+}
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -32,9 +32,9 @@
 	// othersMost is how many peers a datagram tells of: some 80 bytes each,
 	// within one packet.
 	othersMost = 14
-	// limitsMost is how many servers' limits a heartbeat tells of, drawn at random where
-	// there are more: some 40 bytes each, within one packet.
-	limitsMost = 32
+	// wordsMost is of how many servers a heartbeat tells what they said, of each kind, drawn
+	// at random where there are more: some 40 bytes each, within one packet.
+	wordsMost = 32
 	// newTime is for how long after its start an entry VM asks each one that it
 	// meets who else there is.
 	newTime = 3 * time.Second
@@ -59,10 +59,10 @@
 	Link carobward.ByteCount
 	// Changed is called with the changes that came from a peer.
 	Changed func([]carobward.Item)
-	// Limits returns what servers said of the requests that they take: lately, or for a
-	// newcomer at any time. TakeLimits is called with what they said to a peer.
-	Limits     func(now time.Time, newcomer bool) []carobward.LimitWord
-	TakeLimits func(list []carobward.LimitWord, from carobward.VMID)
+	// Words returns what servers said: lately, or for a newcomer at any time. TakeWords
+	// is called with what they said to a peer.
+	Words     func(now time.Time, newcomer bool) carobward.ServerWords
+	TakeWords func(words carobward.ServerWords, from carobward.VMID)
 }
 
 // Mesh sends and takes heartbeats and fetches changes.
--- a/internal/cwmesh/receive.go
+++ b/internal/cwmesh/receive.go
@@ -86,8 +86,8 @@
 		m.reply(from, b, !known)
 	}
 
-	if list := b.GetLimits(); len(list) > 0 {
-		m.TakeLimits(limits(list, now), p.ID)
+	if words := words(b, now); len(words.Limits)+len(words.Leaving) > 0 {
+		m.TakeWords(words, p.ID)
 	}
 
 	m.takePush(b)
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -178,7 +178,7 @@
 
 		b.Others = wireNodes(m.Table.othersOf(asker.Domain, asker.ID, now))
 		b.Domains = wireSummaries(append(m.Table.known(), own), now)
-		b.Limits = wireLimits(draw(m.Limits(now, true), limitsMost), now)
+		m.addWords(b, now, true)
 	}
 
 	m.write(m.encode(b), carobward.Address(to.String()))
@@ -195,11 +195,18 @@
 
 	changes, after := m.pushed(now)
 	b.Changes, b.ChangesAfter, b.ChangesEra = changes, uint64(after.Index), uint64(after.Era)
-	b.Limits = wireLimits(draw(m.Limits(now, false), limitsMost), now)
+	m.addWords(b, now, false)
 
 	return b
 }
 
+// addWords adds what servers said.
+func (m *Mesh) addWords(b *cwwire.Beat, now time.Time, newcomer bool) {
+	words := m.Words(now, newcomer)
+	b.Limits = wireLimits(draw(words.Limits, wordsMost), now)
+	b.Leaving = wireLeaving(draw(words.Leaving, wordsMost))
+}
+
 // introduce returns the heartbeat of this moment for who may not know this entry
 // VM.
 func (m *Mesh) introduce(now time.Time) *cwwire.Beat {
--- a/internal/cwmesh/sim_test.go
+++ b/internal/cwmesh/sim_test.go
@@ -56,7 +56,10 @@
 	met    int
 	round  int
 	// says is what servers said to it lately, told what it knows from others.
-	says []carobward.LimitWord
+	says   []carobward.LimitWord
+	leaves []carobward.LeavingWord
+	// left is what others told of servers that leave.
+	left map[carobward.LeavingWord]bool
 	told map[carobward.Instance]carobward.LimitWord
 }
 
@@ -128,6 +131,7 @@
 func (v *simVM) start() {
 	s := v.sim
 	v.says, v.told = nil, map[carobward.Instance]carobward.LimitWord{}
+	v.leaves, v.left = nil, map[carobward.LeavingWord]bool{}
 
 	var seeds []carobward.Address
 	for _, other := range s.vms[:simSeeds] {
@@ -136,9 +140,11 @@
 
 	v.mesh = New(Options{
 		Table: NewTable(v.node), Mirror: newMirror(), Seeds: seeds, Key: cwpeer.Key("a key of the simulated fleet"), Clock: s, Log: logr.Discard(),
-		Changed:    func([]carobward.Item) {},
-		Limits:     func(_ time.Time, newcomer bool) []carobward.LimitWord { return v.limits(newcomer) },
-		TakeLimits: v.takeLimits,
+		Changed: func([]carobward.Item) {},
+		Words: func(_ time.Time, newcomer bool) carobward.ServerWords {
+			return carobward.ServerWords{Limits: v.limits(newcomer), Leaving: v.leaves}
+		},
+		TakeWords: v.takeWords,
 	}, simConn{vm: v})
 	v.mesh.state.Store(uint32(Ready))
 	v.alive, v.starts = true, time.Time{}
--- a/internal/cwmesh/wire.go
+++ b/internal/cwmesh/wire.go
@@ -116,6 +116,26 @@
 	return out
 }
 
+// words reads what servers said to a peer.
+func words(b *cwwire.Beat, now time.Time) carobward.ServerWords {
+	w := carobward.ServerWords{Limits: limits(b.GetLimits(), now)}
+
+	for _, l := range b.GetLeaving() {
+		w.Leaving = append(w.Leaving, carobward.LeavingWord{Server: carobward.Instance(l.GetServer()), Start: carobward.Start(l.GetStart())})
+	}
+
+	return w
+}
+
+func wireLeaving(list []carobward.LeavingWord) []*cwwire.LeavingServer {
+	var out []*cwwire.LeavingServer
+	for _, l := range list {
+		out = append(out, &cwwire.LeavingServer{Server: string(l.Server), Start: int64(l.Start)})
+	}
+
+	return out
+}
+
 // limits reads what servers said of the requests that they take. A rate that can't be one
 // is a limit that can't be read.
 func limits(list []*cwwire.ServerLimit, now time.Time) []carobward.LimitWord {
--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -70,6 +70,10 @@
 	// limits are what it says of the requests a second that it takes; none: it says
 	// nothing.
 	limits []string
+	// fields are header lines of all its answers.
+	fields string
+	// refusals has when each of the requests came that it refused.
+	refusals []time.Time
 	// closing ends the connection of each health check.
 	closing bool
 	// body is what answers have.
@@ -145,6 +149,25 @@
 	u.limits = limits
 }
 
+// SetFields has all its answers carry header lines, those to health checks among them.
+func (u *Upstream) SetFields(lines ...string) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	u.fields = ""
+	for _, line := range lines {
+		u.fields += line + "\r\n"
+	}
+}
+
+// Refusals returns when each of the requests came that it refused.
+func (u *Upstream) Refusals() []time.Time {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	return append([]time.Time(nil), u.refusals...)
+}
+
 // SetClosing sets whether it ends the connection of each health check.
 func (u *Upstream) SetClosing(closing bool) {
 	u.mutex.Lock()
@@ -215,15 +238,19 @@
 	}
 
 	u.mutex.Lock()
-	way, work, load := u.way, u.work, u.load
+	way, work, load, fields := u.way, u.work, u.load, u.fields
 	u.mutex.Unlock()
 
 	if expected := head("Expect-Instance"); expected != "" && expected != string(u.instance) {
-		return say(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", u.instance)
+		return say(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", u.instance, fields)
 	}
 
 	if way == UpstreamSheds {
-		return say(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		u.mutex.Lock()
+		u.refusals = append(u.refusals, time.Now())
+		u.mutex.Unlock()
+
+		return say(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", fields)
 	}
 
 	run := Run{
@@ -266,7 +293,7 @@
 func (u *Upstream) look(c net.Conn) bool {
 	u.mutex.Lock()
 	u.looks++
-	load, closing, warm := u.load, u.closing, u.warm
+	load, closing, warm, fields := u.load, u.closing, u.warm, u.fields
 	u.mutex.Unlock()
 
 	connection := "keep-alive"
@@ -279,8 +306,8 @@
 		cold = fmt.Sprintf("Warmup-Ms: %d\r\n", max(0, time.Until(warm).Milliseconds()))
 	}
 
-	good := say(c, "HTTP/1.1 200 OK\r\nConnection: %s\r\nInstance-Id: %s\r\nUpstream-Load: %s\r\n%sContent-Length: 0\r\n\r\n",
-		connection, u.instance, load, cold)
+	good := say(c, "HTTP/1.1 200 OK\r\nConnection: %s\r\nInstance-Id: %s\r\nUpstream-Load: %s\r\n%s%sContent-Length: 0\r\n\r\n",
+		connection, u.instance, load, cold, fields)
 
 	return good && !closing
 }
@@ -309,10 +336,10 @@
 // end writes the answer to a request that ran.
 func (u *Upstream) end(c net.Conn, way UpstreamWay, id, load string) bool {
 	u.mutex.Lock()
-	body, limits := u.body, u.limits
+	body, limits, fields := u.body, u.limits, u.fields
 	u.mutex.Unlock()
 
-	whole := fmt.Sprintf("Request-Id: %s\r\nResponse-Seal: s.%s\r\nUpstream-Load: %s\r\n", id, id, load)
+	whole := fmt.Sprintf("Request-Id: %s\r\nResponse-Seal: s.%s\r\nUpstream-Load: %s\r\n%s", id, id, load, fields)
 	for _, limit := range limits {
 		whole += "Server-Limit: " + limit + "\r\n"
 	}
--- a/server.go
+++ b/server.go
@@ -81,6 +81,10 @@
 	SaysWarmup bool
 	// Limit is what the server says of the requests that it takes.
 	Limit Limit
+	// Leaving is whether it says that it leaves, Pause for how long it wants no requests
+	// of this entry VM.
+	Leaving LeaveNotice
+	Pause   RetryNotice
 	// Keep is how long the server keeps an idle connection open; 0 where it
 	// does not say.
 	Keep time.Duration
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -121,6 +121,20 @@
 	s.up.SetCold(left)
 }
 
+// words are what servers say in all their answers.
+var words = [][]string{
+	nil, nil, {"Server-Leaving: 1"}, {"Server-Leaving: soon"}, {"Retry-After: 0.3"}, {"Retry-After: 2"}, {"Retry-After: -1"},
+	{"Server-Leaving: 1", "Retry-After: 1"},
+}
+
+// SetFields has the process add header lines to all its answers.
+func (s *server) SetFields(lines ...string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.up.SetFields(lines...)
+}
+
 // SetLimit has the process name limits of the requests a second that it takes, or none.
 func (s *server) SetLimit(limits ...string) {
 	s.mutex.Lock()
@@ -251,6 +265,16 @@
 	}
 }
 
+// restart has the list name a later process of a server: one that said that it leaves gets
+// nothing for as long as it runs.
+func (w *world) restart(s *server) {
+	s.mutex.Lock()
+	s.start++
+	s.mutex.Unlock()
+
+	w.register(s, "ready")
+}
+
 // isPoison tells whether a request ends the process that runs it.
 func isPoison(r cwstand.Run) bool { return r.URI == poison }
 
@@ -291,7 +315,7 @@
 
 	emptied := domain(w.random.IntN(domains))
 
-	switch w.random.IntN(28) {
+	switch w.random.IntN(32) {
 	case 0:
 		w.configure()
 	case 1:
@@ -336,6 +360,12 @@
 		w.Store.Restore()
 	case 26, 27:
 		w.writeAgain()
+	case 28, 29, 30:
+		s.SetFields(words[w.random.IntN(len(words))]...)
+	case 31:
+		for _, s := range w.servers {
+			s.SetFields(words[w.random.IntN(len(words))]...)
+		}
 	}
 
 	<-time.After(time.Duration(50+w.random.IntN(300)) * time.Millisecond)
@@ -378,7 +408,8 @@
 		s.Proxy().Set(cwstand.ProxyPasses)
 		s.Set(cwstand.UpstreamServes)
 		s.SetLimit()
-		w.register(s, "ready")
+		s.SetFields()
+		w.restart(s)
 	}
 
 	for i := range domains {
