A peer's copy of another era says nothing of ours

A heartbeat of a peer whose copy is of an earlier era, or of a version of the program that names none, made our copy count as the newest, for the time that the peer said: an entry VM that is ahead would not have asked the store while the fleet is upgraded. An answer without an era counts as one of the copy's era only where it is the store's (TestTakeAnswer); from a peer it is passed over.

--- a/internal/cwmesh/answer.go
+++ b/internal/cwmesh/answer.go
@@ -14,10 +14,15 @@
 // does not have all keys: what came after our index is none of its history.
 func (m *Mesh) TakeAnswer(c carobward.Changes) (int, error) {
 	now, before := m.Clock.Now(), m.Mirror.State()
+
+	if c.Era == 0 { // Not named: the store does not count its eras, or not any more.
+		c.Era, c.AfterEra = before.Era, before.Era
+	}
+
 	enters := c.Era > before.Era && before.Top > 0
 
 	switch {
-	case c.Era != 0 && c.Era < before.Era:
+	case c.Era < before.Era:
 		return 0, errors.Annotatef(ErrEra, "era %d, the copy has %d", c.Era, before.Era)
 	case enters && !c.Whole:
 		return 0, errors.Annotatef(carobward.ErrHistory, "era %d, the copy has %d", c.Era, before.Era)
--- a/internal/cwmesh/fetch.go
+++ b/internal/cwmesh/fetch.go
@@ -228,7 +228,10 @@
 	m.Log.Info("Took changes from a peer.", "from", string(from), "after", own.Index, "era", c.Era, "index", c.Index,
 		"whole", c.Whole, "kept", len(c.Kept), "changed", changed)
 
-	m.SetFresh(decodeFresh(reply.GetFresh(), sent))
+	if c.Era == m.Mirror.State().Era {
+		m.SetFresh(decodeFresh(reply.GetFresh(), sent))
+	}
+
 	m.setPush(&c)
 	m.spread(&c)
 	m.passOn()
--- a/internal/cwmesh/receive.go
+++ b/internal/cwmesh/receive.go
@@ -121,7 +121,8 @@
 	m.heard(fresh)
 
 	far := m.isOutside(p.Domain)
-	behind := m.Mirror.State().Behind(p.Copy)
+	own := m.Mirror.State()
+	behind := own.Behind(p.Copy)
 
 	if b.GetRelay() {
 		m.relay.Store(true)
@@ -131,6 +132,8 @@
 	case behind && (!far || b.GetRelay() || m.waits(now)):
 		m.offer(offer{from: carobward.Address(from.String()), id: p.ID, state: p.Copy})
 	case behind:
+	case p.Copy.Era != own.Era:
+		// A copy of another era being the newest says nothing of ours.
 	default:
 		m.SetFresh(fresh)
 		m.passOn()
--- a/internal/cwmirror/mirror.go
+++ b/internal/cwmirror/mirror.go
@@ -138,10 +138,6 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	if c.Era == 0 {
-		c.Era = m.state.Era // Not named: a store that does not count its eras.
-	}
-
 	if c.Hold > 0 {
 		m.holdUntil(now.Add(c.Hold))
 	}
