A trial that its server refuses goes to another server

A quarantined request gets one send after 3 s and one 30 s later. Where the server refused that send, or the connection broke before a byte was sent, nothing had run, and the caller was refused for another 30 s: a request that is the trial was never sent to a second server. It may be now for as long as it has not run, without a second send beside the first.

--- a/internal/cwfront/hedge.go
+++ b/internal/cwfront/hedge.go
@@ -107,7 +107,7 @@
 func (r *request) mayHedge(ctx context.Context, l *looked) (carobward.Backend, bool) {
 	f := r.front
 
-	if l == nil || !r.turn.Good(l.time) || ctx.Err() != nil || !r.mayResend() {
+	if l == nil || r.trial || !r.turn.Good(l.time) || ctx.Err() != nil || !r.mayResend() {
 		return carobward.Backend{}, false
 	}
 
--- a/internal/cwfront/quarantine.go
+++ b/internal/cwfront/quarantine.go
@@ -58,7 +58,7 @@
 // of a trial.
 func (r *request) quarantined(send bool) error {
 	q := r.front.Quarantine
-	if !q.Table.Watches(&r.call) {
+	if r.trial || !q.Table.Watches(&r.call) {
 		return nil
 	}
 
@@ -82,8 +82,8 @@
 // mayResend tells whether this entry VM sends the request to a further server by
 // itself, as far as servers that ended under it go.
 func (r *request) mayResend() bool {
-	if r.trial {
-		return false
+	if r.trial { // It has one run, and a send that did not run is none.
+		return !r.begun
 	}
 
 	t := r.front.Quarantine.Table
--- a/internal/cwgateway/quarantine_test.go
+++ b/internal/cwgateway/quarantine_test.go
@@ -292,6 +292,43 @@
 	cwtest.Wait(t, "an empty store", func() bool { return len(f.store.Keys("carobward/crash/"))+len(f.store.Keys("carobward/trial/")) == 0 })
 }
 
+// TestTrialRefused has the server refuse that gets the send of a trial, and wants the trial to
+// go to another one: nothing has run, and the next trial is half a minute away.
+func TestTrialRefused(t *testing.T) {
+	const trialAfter = 4 * time.Second
+
+	var clock shifted
+
+	f := newFleet(t)
+	servers := newCrashing(t, f, 2, isPoison)
+	f.configure(unsafe())
+
+	v := f.start(t, "vm-1", func(o *cwgateway.Options) { o.Clock = &clock })
+	v.waitReady(t)
+
+	for i := 0; len(v.quarantined()) == 0; i++ {
+		v.charge(fmt.Sprint("first", i))
+	}
+
+	cwtest.Wait(t, "both servers", func() bool { return v.gauge(t, "servers") == 2 })
+
+	before := servers.count()
+	servers.places[0].server.Set(cwstand.UpstreamSheds, 0)
+	servers.places[1].server.SetLoad("3,0,4,100") // The other one is the first choice.
+
+	clock.by.Add(int64(trialAfter))
+	cwtest.Wait(t, "a word of the store", func() bool { return v.gauge(t, "fresh") < 1500 })
+	cwtest.Wait(t, "the trial", func() bool {
+		v.charge(fmt.Sprint("trial", clock.Now().UnixNano()))
+
+		return v.quarantined()[0].Trials == 1
+	})
+
+	if n := servers.count() - before; n != 1 || len(servers.places[0].server.Refusals()) == 0 {
+		t.Errorf("%d servers ended by the trial, %d refused it", n, len(servers.places[0].server.Refusals()))
+	}
+}
+
 // TestLift wants an operator to see a quarantined request on any entry VM, and to end
 // its quarantine on all by one call.
 func TestLift(t *testing.T) {
