Kept items are read as a reply is sent; removed entries come back after 10 s

Found by reading the change. A reply with all keys that peers ask for is packed once and kept for the next one; while anything was kept it was not, since kept items have times: a configuration that nobody writes again stays kept for hours, and each newcomer of a large fleet would have cost its peer some milliseconds of a core. Kept items are added as the reply is sent now, and are no part of Since.

A server's entry that was removed and is there again as it was counted as removed for a minute. Where entries lapse in one outage and the store comes back from a copy in the next one, that would have been all servers of a service; it is 10 s now, which covers the seconds for which a process goes on after it left.

--- a/internal/cwgateway/stay.go
+++ b/internal/cwgateway/stay.go
@@ -7,6 +7,11 @@
 	"carobward.example/carobward/internal/cwmirror"
 )
 
+// goneTime is for how long a server's entry that was removed, and is there again as it was,
+// counts as removed: its process may go on for seconds after it left, and gets nothing. An
+// entry that had only lapsed is written again by its server.
+const goneTime = 10 * time.Second
+
 // lostTime is for how long what a store lost stays in force while nobody has written it
 // again: the platform does so some seconds after the store came back, and an operator who
 // misses it has seen to it by then.
@@ -26,6 +31,8 @@
 		return carobward.Always
 	case a.IsBackend(it.Key) && !it.Gone:
 		return cwmirror.LapseTime
+	case a.IsBackend(it.Key):
+		return goneTime
 	default:
 		return lostTime
 	}
--- a/internal/cwmesh/answer.go
+++ b/internal/cwmesh/answer.go
@@ -33,12 +33,12 @@
 	if enters {
 		m.Log.Info("The store came back from a copy.", "era", c.Era, "index", c.Index, "before", before.Era, "copy", before.Index,
 			"changed", changed, "kept", m.Mirror.State().Kept)
-		c = m.Mirror.Since(before, now)
+		c = m.Mirror.Since(before)
 	}
 
 	m.SetFresh(now)
 
-	c.Kept, c.Hold = nil, m.Mirror.Held(now)
+	c.Hold = m.Mirror.Held(now)
 	m.TellFleet(&c)
 
 	return changed, nil
--- a/internal/cwmesh/fetch.go
+++ b/internal/cwmesh/fetch.go
@@ -288,7 +288,7 @@
 
 	after := cwmirror.State{Era: carobward.StoreEra(in.GetEra()), Index: carobward.StoreIndex(in.GetAfter())}
 
-	reply, err := a.reply(after, now)
+	reply, err := a.reply(after)
 	if err != nil {
 		return err
 	}
@@ -301,7 +301,8 @@
 	out.Index, out.Whole = reply.GetIndex(), reply.GetWhole()
 	out.GapFrom, out.GapTo = reply.GetGapFrom(), reply.GetGapTo()
 	out.Era, out.AfterEra = reply.GetEra(), reply.GetAfterEra()
-	out.Hold, out.Kept = reply.GetHold(), reply.GetKept()
+	// Times that are left are those of this moment.
+	out.Kept, out.Hold = wireKept(a.mesh.Mirror.Kept(now)), uint32(a.mesh.Mirror.Held(now).Milliseconds())
 	out.Fresh = encodeFresh(a.mesh.Fresh(), now)
 
 	return nil
@@ -310,7 +311,7 @@
 // reply returns the changes after a state as they are sent. A reply is kept for
 // the next one that asks for the same, as all newcomers do: to pack 809 servers
 // takes some milliseconds of a whole core.
-func (a *Answers) reply(after cwmirror.State, now time.Time) (*cwwire.ChangesReply, error) {
+func (a *Answers) reply(after cwmirror.State) (*cwwire.ChangesReply, error) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 
@@ -319,7 +320,7 @@
 		return a.last.reply, nil
 	}
 
-	c := a.mesh.Mirror.Since(after, now)
+	c := a.mesh.Mirror.Since(after)
 	if c.Whole && after.Index > 0 && c.Size() > wholeFree {
 		return nil, errGap
 	}
@@ -329,9 +330,7 @@
 		return nil, err
 	}
 
-	if len(c.Kept) == 0 && c.Hold == 0 { // These have times that are left.
-		a.last.after, a.last.state, a.last.reply = after, state, reply
-	}
+	a.last.after, a.last.state, a.last.reply = after, state, reply
 
 	return reply, nil
 }
--- a/internal/cwmesh/push.go
+++ b/internal/cwmesh/push.go
@@ -98,7 +98,7 @@
 func encodeChanges(c *carobward.Changes) (*cwwire.ChangesReply, error) {
 	out := &cwwire.ChangesReply{
 		Index: uint64(c.Index), Whole: c.Whole, GapFrom: uint64(c.Gap.From), GapTo: uint64(c.Gap.To),
-		Era: uint64(c.Era), AfterEra: uint64(c.AfterEra), Hold: uint32(c.Hold.Milliseconds()), Kept: wireKept(c.Kept),
+		Era: uint64(c.Era), AfterEra: uint64(c.AfterEra), Hold: uint32(c.Hold.Milliseconds()),
 	}
 
 	for i := range c.Items {
--- a/internal/cwmirror/kept.go
+++ b/internal/cwmirror/kept.go
@@ -43,10 +43,6 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	return m.keptList(now)
-}
-
-func (m *Mirror) keptList(now time.Time) []carobward.Kept {
 	var list []carobward.Kept
 
 	for _, k := range m.kept {
--- a/internal/cwmirror/since.go
+++ b/internal/cwmirror/since.go
@@ -2,21 +2,18 @@
 
 import (
 	"slices"
-	"time"
 
 	"carobward.example/carobward"
 )
 
 // Since returns the changes after the state of another copy: all keys where that is too
-// long ago, in a gap, or in an era from which the way is not known.
-func (m *Mirror) Since(from State, now time.Time) carobward.Changes {
+// long ago, in a gap, or in an era from which the way is not known. What is kept beside
+// them is not among them.
+func (m *Mirror) Since(from State) carobward.Changes {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	out := carobward.Changes{
-		Era: m.state.Era, AfterEra: from.Era, After: from.Index, Index: m.state.Index,
-		Kept: m.keptList(now), Hold: max(0, m.hold.Sub(now)),
-	}
+	out := carobward.Changes{Era: m.state.Era, AfterEra: from.Era, After: from.Index, Index: m.state.Index}
 
 	switch {
 	case from.Era == m.state.Era && !m.lacks(from.Index):
