--- a/internal/cwticket/budget.go
+++ b/internal/cwticket/budget.go
@@ -23,7 +23,7 @@
 // in bytes. BenchmarkRecord measures less.
 const (
 	recordCost  = 160
-	outcomeCost = 208
+	outcomeCost = 224
 	fieldCost   = 48
 )
 
