How long a heartbeat waited counts towards what it says

A process that was stopped for less than 0.4 s took heartbeats that had waited meanwhile at their word (TestCheckedHistory: 65 ms too young), and an entry VM that had just started counted as having all that was acknowledged by the list of a store which had come back from a copy (version 2 of 24). The time since the process was last known to run is taken off now, whatever it is, in place of a bound from which on heartbeats were passed over, and a newcomer waits half a second, in which its peers answer.

--- a/internal/cwmesh/checked_test.go
+++ b/internal/cwmesh/checked_test.go
@@ -112,8 +112,7 @@
 	h.calm = f.now
 }
 
-// TestRunning has what is noted of a process that stops: heartbeats that waited for it are
-// not taken at their word.
+// TestRunning has for how long a heartbeat may have waited for a process that stops.
 func TestRunning(t *testing.T) {
 	const tick = 100 * time.Millisecond
 
@@ -122,14 +121,15 @@
 	for name, c := range map[string]struct {
 		ticks []time.Duration
 		at    time.Duration
-		want  bool
+		want  time.Duration
 	}{
-		"never noted":            {nil, time.Hour, true},
-		"right after a tick":     {[]time.Duration{tick, 2 * tick}, 2 * tick, true},
-		"a tick is due":          {[]time.Duration{tick, 2 * tick}, 3 * tick, true},
-		"stopped, nothing noted": {[]time.Duration{tick}, 8 * tick, false},
-		"stopped, noted":         {[]time.Duration{tick, 8 * tick}, 8 * tick, false},
-		"some time later":        {[]time.Duration{tick, 8 * tick, 9 * tick, 10 * tick, 11 * tick}, 12 * tick, true},
+		"never noted":            {nil, time.Hour, 0},
+		"right after a tick":     {[]time.Duration{tick, 2 * tick}, 2 * tick, tick},
+		"a tick is due":          {[]time.Duration{tick, 2 * tick}, 3 * tick, tick},
+		"stopped, nothing noted": {[]time.Duration{tick}, 8 * tick, 7 * tick},
+		"stopped, noted":         {[]time.Duration{tick, 8 * tick}, 8 * tick, 7 * tick},
+		"and ticking again":      {[]time.Duration{tick, 8 * tick, 9 * tick}, 9 * tick, 7 * tick},
+		"some time later":        {[]time.Duration{tick, 8 * tick, 9 * tick, 10 * tick, 11 * tick}, 12 * tick, tick},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := running{}
@@ -137,8 +137,8 @@
 				r.note(start.Add(at))
 			}
 
-			if got := r.prompt(start.Add(c.at)); got != c.want {
-				t.Errorf("got %v", got)
+			if diff := cmp.Diff(c.want, r.waited(start.Add(c.at))); diff != "" {
+				t.Error(diff)
 			}
 		})
 	}
@@ -169,7 +169,7 @@
 			k := newClaims()
 			for _, w := range c.words {
 				one := claim{by: 1, nth: w.nth, asked: start.Add(w.at), answered: start.Add(w.at)}
-				k.take(&one, start.Add(w.now), w.era, true)
+				k.take(&one, start.Add(w.now), w.era, 0)
 			}
 
 			if diff := cmp.Diff(c.want, k.checked.Sub(start)); diff != "" {
--- a/internal/cwmesh/claim.go
+++ b/internal/cwmesh/claim.go
@@ -69,15 +69,15 @@
 
 // The figures of taking claims.
 const (
-	// stopLeast is the time without a tick of the process for which it counts as stopped:
-	// a few ticks, which a busy processor may delay.
-	stopLeast = 400 * time.Millisecond
-	// stopDoubt is for how long after that a heartbeat may have waited meanwhile. They are
-	// taken one after the other, without a pause.
+	// stopDoubt is for how long after the process was stopped a heartbeat may be taken that
+	// waited meanwhile. They are taken one after the other, without a pause.
 	stopDoubt = 300 * time.Millisecond
 	// eraSettle is for how long after it entered an era of the store an entry VM may not
 	// have heard of what others keep in force that the store has lost: two heartbeats.
 	eraSettle = 2 * beatTime
+	// startSettle is the same for one that starts anew, by when peers have answered it
+	// several times over.
+	startSettle = 500 * time.Millisecond
 )
 
 // claims tells when the copy was the newest. It is guarded by the mutex of its Mesh.
@@ -85,7 +85,7 @@
 	// newest is the one that was answered last of those that hold for this copy.
 	newest claim
 	// checked is by when all that the store acknowledged is in the copy: when the call of a
-	// claim was made that can't have waited here.
+	// claim was made, less the time for which its heartbeat may have waited here.
 	checked time.Time
 	// word is when the store last answered anybody, as far as was heard.
 	word time.Time
@@ -106,9 +106,9 @@
 	}
 }
 
-// take takes a claim that holds for the copy, which is of an era. Prompt tells that it can't
-// have waited here.
-func (c *claims) take(one *claim, now time.Time, era carobward.StoreEra, prompt bool) {
+// take takes a claim that holds for the copy, which is of an era. It may have waited here
+// for a time.
+func (c *claims) take(one *claim, now time.Time, era carobward.StoreEra, waited time.Duration) {
 	if era != c.era && !c.checked.IsZero() {
 		c.entered = now
 	}
@@ -128,8 +128,8 @@
 	}
 
 	settled := c.entered.IsZero() || now.Sub(c.entered) >= eraSettle
-	if prompt && settled && one.asked.After(c.checked) {
-		c.checked = one.asked
+	if asked := one.asked.Add(-waited); settled && asked.After(c.checked) {
+		c.checked = asked
 	}
 }
 
@@ -140,32 +140,41 @@
 	}
 }
 
-// running tells whether heartbeats are taken as they come. While the process is stopped
-// they wait, and what they say of ages is older by that time then.
+// running tells for how long a heartbeat may have waited for the process, which makes what
+// it says of ages older.
 type running struct {
-	// seen is when the process was last known to run, doubt until when heartbeats may have
-	// waited.
-	seen, doubt time.Time
+	// seen is when the process was last known to run.
+	seen time.Time
+	// gap is how long it may have been stopped before, which counts until doubt.
+	gap   time.Duration
+	doubt time.Time
 }
 
 // note takes a tick of the process.
 func (r *running) note(now time.Time) {
-	if r.stopped(now) {
-		r.doubt = now.Add(stopDoubt)
+	if r.seen.IsZero() {
+		r.seen = now
+	}
+
+	// A longer one stands until the heartbeats that waited in it have been taken.
+	if gap := now.Sub(r.seen); gap >= r.gap || !now.Before(r.doubt) {
+		r.gap, r.doubt = gap, now.Add(stopDoubt)
 	}
 
 	r.seen = now
 }
 
-// stopped tells whether the process did not run before now.
-func (r *running) stopped(now time.Time) bool {
-	return !r.seen.IsZero() && now.Sub(r.seen) >= stopLeast
-}
+// waited returns for how long a heartbeat that is taken now may have waited.
+func (r *running) waited(now time.Time) time.Duration {
+	if r.seen.IsZero() {
+		return 0
+	}
 
-// prompt tells whether a heartbeat that is taken now can't have waited.
-func (r *running) prompt(now time.Time) bool { return !r.stopped(now) && !now.Before(r.doubt) }
+	return max(r.gap, now.Sub(r.seen))
+}
 
-// Running notes that the process runs. It has to be called several times in stopLeast.
+// Running notes that the process runs. What Checked returns is older by the time between
+// two calls.
 func (m *Mesh) Running(now time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -183,8 +192,13 @@
 }
 
 // Checked returns by when all that the store acknowledged is in the copy, or the zero time.
-// It is older than Fresh by the time that the store's answer took.
+// It is older than Fresh by the time that the store's answer took, and not known right after
+// the start: the store may lack what peers keep.
 func (m *Mesh) Checked() time.Time {
+	if m.Clock.Now().Sub(m.began) < startSettle {
+		return time.Time{}
+	}
+
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
@@ -209,7 +223,7 @@
 	defer m.mutex.Unlock()
 
 	m.nth++
-	m.claims.take(&claim{by: m.boot, nth: m.nth, asked: asked, answered: at}, at, era, true)
+	m.claims.take(&claim{by: m.boot, nth: m.nth, asked: asked, answered: at}, at, era, 0)
 }
 
 // hear takes what a claim says of the store, whether it holds for the copy here or not.
@@ -226,7 +240,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	m.claims.take(&c, now, era, m.claims.running.prompt(now))
+	m.claims.take(&c, now, era, m.claims.running.waited(now))
 }
 
 // takeFetched takes the claim of a peer's reply with changes that were taken; its ages are
@@ -238,7 +252,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	m.claims.take(&c, now, era, true)
+	m.claims.take(&c, now, era, 0)
 }
 
 // claim returns the newest claim to pass on. It must be read before the copy that it is
