--- a/caller.go
+++ b/caller.go
@@ -12,9 +12,13 @@
 	// Left returns how long the caller waits; ok is false where it does not
 	// say.
 	Left(field func(name string) string) (left time.Duration, ok bool, err error)
+	// Key returns the API key that a request shows, or nil. Field returns the value of a
+	// header field.
+	Key(field func(name string) []byte) []byte
 	// Hides tells whether a field of a request or a reply is not passed on. The
-	// name is in canonical form, such as Content-Length.
-	Hides(name string) bool
+	// name is in canonical form, such as Content-Length. Keyed tells that the field is of a
+	// request where callers show keys, which are for the entry VM alone.
+	Hides(name string, keyed bool) bool
 	// Answer calls add for each field that each answer carries.
 	Answer(id RequestID, add func(name, value string))
 	// RetryAfter calls add for the fields that say when to come back.
--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -105,6 +105,8 @@
 
 	var calls atomic.Int64
 
+	suspended := cwsuspend.New()
+
 	return cwgateway.Options{
 		Self:      cwmesh.Node{ID: s.VM, Domain: s.Domain, Callers: s.Callers, Peers: s.Peers},
 		Ready:     s.Ready,
@@ -118,7 +120,8 @@
 		Adapter:   platform.Adapter(s.Store, func() { calls.Add(1) }),
 		Calls:     calls.Load,
 		Clock:     carobward.SystemClock{},
-		Suspended: cwsuspend.New().Passed,
+		Suspended: suspended.Passed,
+		Pending:   suspended.Pending,
 		Log:       log,
 	}
 }
--- a/cmd/cwgateway/settings.go
+++ b/cmd/cwgateway/settings.go
@@ -106,12 +106,17 @@
 	return f
 }
 
+// keyAgePart is the part of the time in which a key that was taken away must be refused
+// everywhere that what is known of keys may be old. The rest is for a store whose watches
+// hear of changes late, and for heartbeats on their way.
+const keyAgePart = 0.7
+
 // bounds returns the settings that may change while a process runs.
 func bounds(s *platform.Settings) cwgateway.Bounds {
 	b := &s.Bounds
 
 	return cwgateway.Bounds{
 		Grace: b.Grace, AnswerMost: b.AnswerMost, Seeds: s.Seeds, ColdOvershoot: b.ColdOvershoot, ColdSlack: b.ColdSlack,
-		Limits: cwfront.Limits{ExtraShare: b.ExtraShare, ExtraWindow: b.ExtraWindow, ExtraLeast: b.ExtraLeast, Looks: b.Looks},
+		Limits: cwfront.Limits{ExtraShare: b.ExtraShare, ExtraWindow: b.ExtraWindow, ExtraLeast: b.ExtraLeast, Looks: b.Looks, KeyAge: time.Duration(keyAgePart * float64(b.Revoke))},
 	}
 }
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -49,6 +49,9 @@
 	// Part returns this entry VM's part of all requests, by which the bound on
 	// health checks is shared.
 	Part func() float64
+	// KeyAge returns how old the knowledge is which keys are in force: each one that was
+	// taken away longer ago is known to be.
+	KeyAge func(now time.Time) time.Duration
 }
 
 // Limits are the operators' limits over all entry VMs. They may change while an
@@ -61,6 +64,9 @@
 	ExtraLeast  int
 	// Looks is the most health checks a second that one server gets.
 	Looks float64
+	// KeyAge is the age of what this entry VM knows of keys from which on it serves nobody
+	// by them; 0: it serves at any age.
+	KeyAge time.Duration
 }
 
 // Front takes callers' requests.
@@ -141,6 +147,7 @@
 	countBroken      = "broken"
 	countQuarantined = "quarantined"
 	countFaults      = "faults"
+	countKeysOld     = "keysold"
 )
 
 // Server returns the HTTP server of the callers' listener.
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -30,6 +30,8 @@
 	ErrLate        = errors.ConstError("the time was over")
 	ErrBegun       = errors.ConstError("a server refused it, but an earlier send may have run")
 	ErrQuarantined = errors.ConstError("servers ended under this request, it is not sent again for now")
+	ErrKey         = errors.ConstError("the request shows no key that is in force")
+	ErrKeysOld     = errors.ConstError("this entry VM has not heard lately which keys are in force")
 	ErrDoubt       = errors.ConstError("the server refused in a way that does not say whether the request ran")
 )
 
@@ -50,12 +52,16 @@
 	// returned tells that the caller has probably come back after a refusal.
 	returned bool
 	// turn is what decides who gets a server first.
-	turn    cwturn.Turn
-	routes  *cwroutes.Table
-	route   *cwroutes.Route
-	service carobward.Service
-	kept    *service
-	call    carobward.Call
+	turn   cwturn.Turn
+	routes *cwroutes.Table
+	route  *cwroutes.Route
+	// team is that of the caller, nil where its route needs no key; priority is that of
+	// the team or the route.
+	team     *carobward.Team
+	priority int
+	service  carobward.Service
+	kept     *service
+	call     carobward.Call
 
 	// begun tells that the request may have run at a server.
 	begun bool
@@ -115,6 +121,10 @@
 		return r
 	}
 
+	if r.err = r.authorize(h, now); r.err != nil {
+		return r
+	}
+
 	left, ok, err := f.Dialect.Left(field)
 	if err != nil {
 		r.err = carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err)
@@ -150,7 +160,7 @@
 
 	r.returned = age > 0
 	r.turn = cwturn.Turn{
-		Rank: r.route.Priority, Arrived: now, Due: now.Add(r.route.Objective - age), Deadline: r.deadline,
+		Rank: r.priority, Arrived: now, Due: now.Add(r.route.Objective - age), Deadline: r.deadline,
 		Objective: r.route.Objective, Usual: r.usual(), Pace: r.kept.pace(),
 	}
 }
@@ -183,8 +193,9 @@
 		Method: string(h.Method()),
 		URI:    string(h.RequestURI()),
 		Host:   string(h.Host()),
-		Header: cwframe.Copy(h.All(), func(name []byte) bool { return !r.front.Dialect.Hides(string(name)) }),
+		Header: cwframe.Copy(h.All(), func(name []byte) bool { return !r.front.Dialect.Hides(string(name), r.routes.HasTeams()) }),
 		Body:   append([]byte(nil), ctx.Request.Body()...),
+		Team:   r.teamName(),
 
 		Deadline: r.deadline,
 		MaxReply: replyMost,
@@ -217,7 +228,7 @@
 	resp.SetStatusCode(r.reply.Status)
 
 	for i := range r.reply.Header {
-		if h := &r.reply.Header[i]; !f.Dialect.Hides(h.Name) {
+		if h := &r.reply.Header[i]; !f.Dialect.Hides(h.Name, false) {
 			resp.Header.Add(h.Name, h.Value)
 		}
 	}
@@ -285,6 +296,6 @@
 	}
 
 	f.Log.Info("Answered.", "id", r.id, "status", status, "verdict", r.verdict().String(), "took", took.Milliseconds(),
-		"left", r.left.Milliseconds(), "returned", r.returned, "route", route, "version", version, "service", r.service, "sends", r.sends, "looks", r.looks,
+		"left", r.left.Milliseconds(), "returned", r.returned, "route", route, "version", version, "team", r.teamName(), "service", r.service, "sends", r.sends, "looks", r.looks,
 		"failed", r.seen.failed, "late", r.seen.late, "full", r.seen.full, "slow", r.seen.slow, "server", r.server, "cause", cause)
 }
--- a/internal/cwfront/wait.go
+++ b/internal/cwfront/wait.go
@@ -110,7 +110,7 @@
 
 // free returns how many more requests like this one a server takes.
 func (r *request) free(v *cwbackend.View, now time.Time) int {
-	rank, ranks := r.routes.Rank(r.service, r.route.Priority)
+	rank, ranks := r.routes.Rank(r.service, r.priority)
 
 	return cwpick.Free(v, rank, ranks, r.turn.Spares(now), r.kept.crowding())
 }
--- a/internal/cwgateway/fault_test.go
+++ b/internal/cwgateway/fault_test.go
@@ -11,12 +11,12 @@
 // faulty is a callers' dialect with a fault that one request meets.
 type faulty struct{ carobward.CallerDialect }
 
-func (f faulty) Hides(name string) bool {
+func (f faulty) Hides(name string, keyed bool) bool {
 	if name == "X-Fault" {
 		panic("a fault")
 	}
 
-	return f.CallerDialect.Hides(name)
+	return f.CallerDialect.Hides(name, keyed)
 }
 
 // TestFault wants a request that meets a fault of an entry VM to cost nobody but its
--- a/internal/cwgateway/fleet_test.go
+++ b/internal/cwgateway/fleet_test.go
@@ -134,7 +134,7 @@
 			Limits: cwfront.Limits{ExtraShare: 0.2, ExtraWindow: 10 * time.Second, ExtraLeast: 64, Looks: 60},
 		},
 		Adapter: platform.Adapter(f.address, func() {}), Dropped: func() int64 { return 0 }, Calls: func() int64 { return 0 }, Clock: carobward.SystemClock{},
-		Suspended: func() time.Duration { return 0 }, Log: logr.Discard(),
+		Suspended: func() time.Duration { return 0 }, Pending: func() time.Duration { return 0 }, Log: logr.Discard(),
 	}
 }
 
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -105,8 +105,9 @@
 	Calls   func() int64
 	Clock   carobward.Clock
 	// Suspended returns for how long the VM was suspended since the last call, which
-	// Clock does not count.
+	// Clock does not count. Pending returns the same and leaves it to be counted.
 	Suspended func() time.Duration
+	Pending   func() time.Duration
 	Log       logr.Logger
 }
 
@@ -164,6 +165,8 @@
 		Metrics: g.metrics, Log: o.Log, Limits: o.Limits,
 		Fleet: func() int { return g.table.Size(o.Clock.Now()) },
 		Part:  func() float64 { return g.part(o.Clock.Now()) },
+
+		KeyAge: func(now time.Time) time.Duration { return now.Sub(g.mesh.Checked()) + o.Pending() },
 	})
 
 	g.bounds.Store(&o.Bounds)
@@ -214,14 +217,20 @@
 	return nil
 }
 
-// ready tells the peers once there is a configuration and a list of servers.
+// ready tells the peers once there is a configuration and a list of servers, and it is known
+// which keys are in force where callers show them.
 func (g *Gateway) ready() {
-	if g.mesh.State() == cwmesh.Starting && g.front.Routes() != nil && g.servers.Count() > 0 {
+	if g.mesh.State() == cwmesh.Starting && g.front.Routes() != nil && g.servers.Count() > 0 && g.knowsKeys() {
 		g.log.Info("Ready.", "version", g.front.Routes().Version, "servers", g.servers.Count())
 		g.mesh.SetState(cwmesh.Ready)
 	}
 }
 
+// knowsKeys tells whether it is known which keys are in force, or none are needed.
+func (g *Gateway) knowsKeys() bool {
+	return !g.front.Routes().HasTeams() || !g.mesh.Checked().IsZero()
+}
+
 func (g *Gateway) isReady() bool { return g.mesh.State() == cwmesh.Ready }
 
 // stop lets the callers go: the entry VM leaves all answers, serves those that
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -26,10 +26,12 @@
 		}
 
 		now := g.Clock.Now()
+		g.mesh.Running(now)
 		g.mirror.Sweep(now, g.changed)
 		g.front.Tick(now)
 		g.link.Tick(now)
 		g.share(now)
+		g.ready()
 		g.measure()
 	}
 }
--- a/internal/cwroutes/table.go
+++ b/internal/cwroutes/table.go
@@ -23,6 +23,9 @@
 	services map[carobward.Service]carobward.ServiceSpec
 	hosts    map[string]map[string]*Route
 	ranks    map[carobward.Service][]int
+	// teams has the team that holds each key, teamed tells that there are teams.
+	teams  map[carobward.KeyHash]*carobward.Team
+	teamed bool
 }
 
 // Route is a route with the state that spreads its requests.
@@ -41,13 +44,15 @@
 		services: r.Services,
 		hosts:    make(map[string]map[string]*Route, len(r.Hosts)),
 		ranks:    map[carobward.Service][]int{},
+		teams:    holders(r.Teams),
+		teamed:   len(r.Teams) > 0,
 	}
 
 	for host, list := range r.Hosts {
 		byPrefix := make(map[string]*Route, len(list))
 
 		for i := range list {
-			byPrefix[list[i].Prefix] = t.newRoute(list[i])
+			byPrefix[list[i].Prefix] = t.newRoute(list[i], r.Teams)
 		}
 
 		t.hosts[strings.ToLower(host)] = byPrefix
@@ -56,7 +61,36 @@
 	return t
 }
 
-func (t *Table) newRoute(r carobward.Route) *Route {
+// holders returns the team that holds each key.
+func holders(teams []carobward.Team) map[carobward.KeyHash]*carobward.Team {
+	all := make(map[carobward.KeyHash]*carobward.Team, len(teams))
+
+	for i := range teams {
+		for _, k := range teams[i].Keys {
+			all[k] = &teams[i]
+		}
+	}
+
+	return all
+}
+
+// Keyed tells whether a request of a route needs a key.
+func (t *Table) Keyed(r *Route) bool { return t.HasTeams() && !r.Anonymous }
+
+// HasTeams tells whether callers show keys.
+func (t *Table) HasTeams() bool { return t.teamed }
+
+// Team returns the team that holds a key, or nil. The key is looked up by its hash, of
+// which a caller can't choose the bytes: how long it takes tells nothing of other keys.
+func (t *Table) Team(key []byte) *carobward.Team {
+	if key == nil {
+		return nil
+	}
+
+	return t.teams[carobward.HashKey(key)]
+}
+
+func (t *Table) newRoute(r carobward.Route, teams []carobward.Team) *Route {
 	out := &Route{Route: r}
 	if out.Objective <= 0 {
 		// Without an objective an answer in time is as good as any; a zero would
@@ -70,12 +104,30 @@
 
 	for _, s := range r.Shares {
 		out.total += s.Weight
-		t.addRank(s.Service, r.Priority)
+
+		if r.Anonymous || len(teams) == 0 {
+			t.addRank(s.Service, r.Priority)
+
+			continue
+		}
+
+		for i := range teams {
+			t.addRank(s.Service, Priority(&r, &teams[i]))
+		}
 	}
 
 	return out
 }
 
+// Priority returns the priority of a team's requests on a route. Team may be nil.
+func Priority(r *carobward.Route, team *carobward.Team) int {
+	if team != nil && team.Ranked {
+		return team.Priority
+	}
+
+	return r.Priority
+}
+
 // addRank keeps the priorities of a service in their order.
 func (t *Table) addRank(s carobward.Service, priority int) {
 	list := t.ranks[s]
--- a/internal/cwstand/metadata_value.go
+++ b/internal/cwstand/metadata_value.go
@@ -104,3 +104,32 @@
 
 	return raw
 }
+
+// MetadataTeam is one team of a configuration.
+type MetadataTeam struct {
+	Name string   `json:"name"`
+	Keys []string `json:"api_keys"`
+	// Priority goes before that of routes; nil: it has none.
+	Priority *int `json:"priority,omitempty"`
+	// Rate and Burst are its quota; 0: it has none.
+	Rate  float64 `json:"rate_per_s,omitempty"`
+	Burst float64 `json:"burst,omitempty"`
+}
+
+// MetadataTeams returns the value of a configuration with teams, by whose keys callers are
+// known.
+func MetadataTeams(config []byte, teams ...MetadataTeam) []byte {
+	all := map[string]any{}
+	if err := json.Unmarshal(config, &all); err != nil {
+		return nil
+	}
+
+	all["tenants"] = teams
+
+	raw, err := json.Marshal(all)
+	if err != nil {
+		return nil
+	}
+
+	return raw
+}
--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -53,6 +53,9 @@
 	Body   string
 	// Left is the time left that came with it, in milliseconds.
 	Left string
+	// Team is the team that came with it, Key what should never come: an API key.
+	Team string
+	Key  string
 }
 
 // Upstream is a stand-in for a backend server of the users' platform.
@@ -256,6 +259,7 @@
 	run := Run{
 		ID: head("Request-Id"), Method: string(req.Header.Method()), URI: string(req.Header.RequestURI()),
 		Body: string(req.Body()), Left: head("Deadline-Ms"),
+		Team: head("Tenant"), Key: head("Authorization"),
 	}
 
 	u.mutex.Lock()
--- a/internal/cwsuspend/meter.go
+++ b/internal/cwsuspend/meter.go
@@ -3,6 +3,7 @@
 package cwsuspend
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -15,7 +16,8 @@
 // Meter compares a clock that counts suspended time with one that does not.
 type Meter struct {
 	boot, steady func() time.Duration
-	ahead        time.Duration
+	// ahead is by how much the clock that counts suspended time was ahead, in nanoseconds.
+	ahead atomic.Int64
 }
 
 // New returns a meter of the machine's clocks.
@@ -25,7 +27,7 @@
 
 func newMeter(boot, steady func() time.Duration) *Meter {
 	m := &Meter{boot: boot, steady: steady}
-	m.ahead = m.read()
+	m.ahead.Store(int64(m.read()))
 
 	return m
 }
@@ -39,15 +41,20 @@
 
 // Passed returns for how long the VM was suspended since the last call.
 func (m *Meter) Passed() time.Duration {
-	ahead := m.read()
-	passed := ahead - m.ahead
+	passed := m.Pending()
+	m.ahead.Add(int64(passed))
 
+	return passed
+}
+
+// Pending returns what Passed would, which goes on counting it. It is safe for use beside
+// Passed.
+func (m *Meter) Pending() time.Duration {
+	passed := m.read() - time.Duration(m.ahead.Load())
 	if passed < leastTime {
 		return 0
 	}
 
-	m.ahead = ahead
-
 	return passed
 }
 
--- a/routing.go
+++ b/routing.go
@@ -18,6 +18,8 @@
 	Limits Limits
 	// Hosts has the routes by the Host that they serve.
 	Hosts map[string][]Route
+	// Teams are those whose callers show a key. Where there are none nobody needs one.
+	Teams []Team
 }
 
 // ServiceSpec is what the operator says of a group of servers.
@@ -61,6 +63,8 @@
 	Attempts int
 	// Homes are the regions that its requests may be sent to; none: any.
 	Homes []Region
+	// Anonymous tells that its requests need no key.
+	Anonymous bool
 }
 
 // Share is a service's share of a route's requests.
@@ -88,7 +92,7 @@
 
 // Validate returns all that is wrong with a configuration, or nil.
 func (r *Routing) Validate() error {
-	var wrong []string
+	wrong := checkTeams(r.Teams)
 
 	for _, list := range r.Hosts {
 		for i := range list {
--- a/server.go
+++ b/server.go
@@ -55,6 +55,8 @@
 	// Instance is the run of a server that alone may do the work; another one
 	// at the same address refuses. Empty: any.
 	Instance Instance
+	// Team is that of the caller; empty: none is known.
+	Team TeamName
 	// Look marks a health check, which is no caller's request and has no id.
 	Look bool
 }
