Quotas of teams hold over all entry VMs

Beyond its quota a team's requests get 429 with when to come back, at once; where no owner answers 503.

Left: the parts of failure domains follow their entry VMs, not the requests.

--- a/internal/cwfront/carry.go
+++ b/internal/cwfront/carry.go
@@ -52,6 +52,12 @@
 		return
 	}
 
+	if err := r.takeToken(ctx); err != nil {
+		r.giveUp(err)
+
+		return
+	}
+
 	tried := map[*cwbackend.Server]bool{}
 
 	for {
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -26,6 +26,7 @@
 	"carobward.example/carobward/internal/cwmetric"
 	"carobward.example/carobward/internal/cwpick"
 	"carobward.example/carobward/internal/cwquarantine"
+	"carobward.example/carobward/internal/cwquota"
 	"carobward.example/carobward/internal/cwroutes"
 )
 
@@ -39,9 +40,11 @@
 	Link    *cwlink.Link
 	// Quarantine has the requests that are not sent since servers ended under them.
 	Quarantine *cwquarantine.Keeper
-	Clock      carobward.Clock
-	Metrics    *cwmetric.Set
-	Log        logr.Logger
+	// Quota has the quotas of teams.
+	Quota   *cwquota.Keeper
+	Clock   carobward.Clock
+	Metrics *cwmetric.Set
+	Log     logr.Logger
 	// Limits are the limits at the start, see SetLimits.
 	Limits Limits
 	// Fleet returns the number of entry VMs that share those bounds.
@@ -148,6 +151,8 @@
 	countQuarantined = "quarantined"
 	countFaults      = "faults"
 	countKeysOld     = "keysold"
+	countOver        = "over"
+	countUnknown     = "unknown"
 )
 
 // Server returns the HTTP server of the callers' listener.
--- a/internal/cwfront/team.go
+++ b/internal/cwfront/team.go
@@ -1,11 +1,14 @@
 package cwfront
 
 import (
+	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwquota"
 	"carobward.example/carobward/internal/cwroutes"
 )
 
@@ -56,3 +59,25 @@
 
 	return r.team.Name
 }
+
+// takeToken takes a token of the team's quota, or refuses the request.
+func (r *request) takeToken(ctx context.Context) error {
+	if r.team == nil {
+		return nil
+	}
+
+	wait, err := r.front.Quota.Take(ctx, r.team.Name)
+
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, cwquota.ErrOver):
+		r.front.counts.Add(countOver, 1)
+
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusTooManyRequests, wait, err)
+	default:
+		r.front.counts.Add(countUnknown, 1)
+
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, wait, err)
+	}
+}
--- a/internal/cwgateway/bounds.go
+++ b/internal/cwgateway/bounds.go
@@ -7,6 +7,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
 	"carobward.example/carobward/internal/cwfront"
+	"carobward.example/carobward/internal/cwquota"
 )
 
 // Bounds are the operators' figures. They may change while an entry VM runs.
@@ -21,6 +22,8 @@
 	// is the most requests that it may get in any second.
 	ColdOvershoot float64
 	ColdSlack     float64
+	// Quota says what may be sent beyond teams' quotas.
+	Quota cwquota.Bounds
 	// Seeds are the addresses of entry VMs to begin with.
 	Seeds []carobward.Address
 }
@@ -40,9 +43,11 @@
 	g.bounds.Store(&b)
 	g.front.SetLimits(b.Limits)
 	g.setColdBounds()
+	g.quota.SetBounds(b.Quota)
 	g.mesh.AddSeeds(b.Seeds)
 	g.log.Info("New bounds are in force.", "grace", b.Grace.String(), "answer", b.AnswerMost.String(),
-		"share", b.Limits.ExtraShare, "least", b.Limits.ExtraLeast, "looks", b.Limits.Looks, "overshoot", b.ColdOvershoot, "slack", b.ColdSlack, "seeds", b.Seeds)
+		"share", b.Limits.ExtraShare, "least", b.Limits.ExtraLeast, "looks", b.Limits.Looks, "overshoot", b.ColdOvershoot, "slack", b.ColdSlack,
+		"keyage", b.Limits.KeyAge.String(), "quota", b.Quota.Slack, "window", b.Quota.Window.String(), "seeds", b.Seeds)
 }
 
 // setColdBounds tells the table of servers what cold ones bear, by the configuration and
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -25,6 +26,7 @@
 	"carobward.example/carobward/internal/cwmirror"
 	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwquarantine"
+	"carobward.example/carobward/internal/cwquota"
 )
 
 // The figures of an entry VM.
@@ -127,6 +129,7 @@
 	// suspects has the requests under which servers ended, keeper shares them.
 	suspects *cwquarantine.Table
 	keeper   *cwquarantine.Keeper
+	quota    *cwquota.Keeper
 
 	bounds atomic.Pointer[Bounds]
 
@@ -160,8 +163,17 @@
 		Era:   func() carobward.StoreEra { return g.mirror.State().Era },
 	})
 
+	g.quota = cwquota.New(cwquota.Options{
+		Self: o.Self.ID, Clock: o.Clock, Log: o.Log,
+		Fleet: func(now time.Time) cwquota.Fleet { return g.mesh.Quota(now) },
+		Ask: func(ctx context.Context, to carobward.VMID, team carobward.TeamName, want int) (cwquota.Grant, error) {
+			return g.mesh.AskTokens(ctx, to, team, want)
+		},
+	})
+	g.quota.SetBounds(o.Quota)
+
 	g.front = cwfront.New(cwfront.Options{
-		Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Regions: o.Regions, Servers: g.servers, Link: g.link, Quarantine: g.keeper, Clock: o.Clock,
+		Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Regions: o.Regions, Servers: g.servers, Link: g.link, Quarantine: g.keeper, Quota: g.quota, Clock: o.Clock,
 		Metrics: g.metrics, Log: o.Log, Limits: o.Limits,
 		Fleet: func() int { return g.table.Size(o.Clock.Now()) },
 		Part:  func() float64 { return g.part(o.Clock.Now()) },
@@ -178,7 +190,7 @@
 
 	g.mesh = cwmesh.New(cwmesh.Options{
 		Table: g.table, Mirror: g.mirror, Seeds: o.Seeds, Key: o.Key, Link: o.Link, Clock: o.Clock, Log: o.Log, Changed: g.changed,
-		Words: g.servers.Words, TakeWords: g.takeWords,
+		Words: g.servers.Words, TakeWords: g.takeWords, Grant: g.quota.Grant, Domains: slices.Collect(maps.Keys(o.Regions)),
 	}, conn)
 
 	g.follow = cwfollow.New(cwfollow.Options{
--- a/internal/cwgateway/state.go
+++ b/internal/cwgateway/state.go
@@ -177,6 +177,7 @@
 		return
 	}
 
+	g.quota.SetTeams(r.Teams)
 	g.front.SetRoutes(cwroutes.New(r))
 	g.link.SetConns(leastConns(r))
 	g.setColdBounds()
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -14,6 +14,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwmirror"
 	"carobward.example/carobward/internal/cwpeer"
+	"carobward.example/carobward/internal/cwquota"
 	"carobward.example/carobward/internal/cwwire"
 )
 
@@ -50,6 +51,8 @@
 type Options struct {
 	Table  *Table
 	Mirror *cwmirror.Mirror
+	// Domains are all failure domains.
+	Domains []carobward.Domain
 	// Seeds are addresses of entry VMs to begin with.
 	Seeds []carobward.Address
 	Key   cwpeer.Key
@@ -63,6 +66,8 @@
 	// is called with what they said to a peer.
 	Words     func(now time.Time, newcomer bool) carobward.ServerWords
 	TakeWords func(words carobward.ServerWords, from carobward.VMID)
+	// Grant gives tokens of a team's quota.
+	Grant func(team carobward.TeamName, want int) cwquota.Grant
 }
 
 // Mesh sends and takes heartbeats and fetches changes.
@@ -92,6 +97,9 @@
 	claims claims
 	// nth counts the answers of the store to this entry VM.
 	nth uint64
+	// asks has the asks for tokens without an answer by their numbers.
+	asks    map[uint64]chan cwquota.Grant
+	lastAsk uint64
 	// lack is when peers were ahead that could not bring the copy up to date.
 	lack time.Time
 	push push
@@ -104,7 +112,7 @@
 	o.Log = o.Log.WithName("mesh")
 	m := &Mesh{
 		Options: o, boot: rand.Uint64(), conn: conn, clients: cwpeer.NewClients(o.Key),
-		began: o.Clock.Now(), wake: make(chan struct{}, 1), offers: make(chan offer, 1), seeded: map[carobward.Address]bool{}, claims: newClaims(),
+		began: o.Clock.Now(), wake: make(chan struct{}, 1), offers: make(chan offer, 1), seeded: map[carobward.Address]bool{}, claims: newClaims(), asks: map[uint64]chan cwquota.Grant{},
 	}
 
 	m.call = func(ctx context.Context, peer carobward.Address, in *cwwire.ChangesRequest, out *cwwire.ChangesReply) error {
--- a/internal/cwmesh/receive.go
+++ b/internal/cwmesh/receive.go
@@ -48,6 +48,12 @@
 		return
 	}
 
+	if t := beat.GetTokens(); t != nil {
+		m.takeTokens(t, from)
+
+		return
+	}
+
 	m.take(beat, from)
 }
 
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -317,3 +317,45 @@
 
 	return t.size
 }
+
+// partTime is for how long a failure domain that is not heard of keeps its part of quotas: it
+// may be cut off and serve callers.
+const partTime = time.Hour
+
+// part returns how many entry VMs this failure domain has had lately, and which part of all
+// that is. A failure domain of which nothing is known counts as large as this one.
+func (t *Table) part(domains []carobward.Domain, now time.Time) (int, float64) {
+	_, near := t.Lately(now)
+
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	all := near
+
+	for _, d := range domains {
+		o := t.others[d]
+
+		switch {
+		case d == t.self.Domain:
+		case o == nil || o.Size == 0:
+			all += near
+		case now.Sub(o.Made) < partTime:
+			all += o.Size
+		}
+	}
+
+	return near, float64(near) / float64(all)
+}
+
+// addressOf returns where a peer of this failure domain is.
+func (t *Table) addressOf(id carobward.VMID) (carobward.Address, bool) {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	p := t.peers[id]
+	if p == nil {
+		return "", false
+	}
+
+	return p.Peers, true
+}
