Tokens of other failure domains where the own one has none

Change: where the owners here have no token, an entry VM of each other failure domain is asked to ask the owners there, in any order. All tokens still come from the buckets, so the bound stands (TestQuotaHistory).

--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -169,6 +169,9 @@
 		Ask: func(ctx context.Context, to carobward.VMID, team carobward.TeamName, want int) (cwquota.Grant, error) {
 			return g.mesh.AskTokens(ctx, to, team, want)
 		},
+		AskFar: func(ctx context.Context, in carobward.Domain, team carobward.TeamName, want int) (cwquota.Grant, error) {
+			return g.mesh.AskTokensFar(ctx, in, team, want)
+		},
 	})
 	g.quota.SetBounds(o.Quota)
 
@@ -190,7 +193,7 @@
 
 	g.mesh = cwmesh.New(cwmesh.Options{
 		Table: g.table, Mirror: g.mirror, Seeds: o.Seeds, Key: o.Key, Link: o.Link, Clock: o.Clock, Log: o.Log, Changed: g.changed,
-		Words: g.servers.Words, TakeWords: g.takeWords, Grant: g.quota.Grant, Domains: slices.Collect(maps.Keys(o.Regions)),
+		Words: g.servers.Words, TakeWords: g.takeWords, Grant: g.quota.Grant, Near: g.quota.Near, Domains: slices.Collect(maps.Keys(o.Regions)),
 	}, conn)
 
 	g.follow = cwfollow.New(cwfollow.Options{
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -68,6 +68,8 @@
 	TakeWords func(words carobward.ServerWords, from carobward.VMID)
 	// Grant gives tokens of a team's quota.
 	Grant func(team carobward.TeamName, want int) cwquota.Grant
+	// Near asks the owners of this failure domain for tokens of a team.
+	Near func(ctx context.Context, team carobward.TeamName, want int) cwquota.Grant
 }
 
 // Mesh sends and takes heartbeats and fetches changes.
@@ -100,6 +102,8 @@
 	// asks has the asks for tokens without an answer by their numbers.
 	asks    map[uint64]chan cwquota.Grant
 	lastAsk uint64
+	// relayed counts the asks of other failure domains that are worked on.
+	relayed atomic.Int64
 	// lack is when peers were ahead that could not bring the copy up to date.
 	lack time.Time
 	push push
--- a/internal/cwmesh/tokens.go
+++ b/internal/cwmesh/tokens.go
@@ -19,6 +19,10 @@
 // errNoPeer is the error of an ask to an entry VM that is not known here.
 const errNoPeer = errors.ConstError("mesh: no such peer in the failure domain")
 
+// relaysMost is how many asks of other failure domains are worked on at once. More are not
+// answered.
+const relaysMost = 64
+
 // AskTokens asks an entry VM of the failure domain for tokens of a team's quota.
 func (m *Mesh) AskTokens(ctx context.Context, to carobward.VMID, team carobward.TeamName, want int) (cwquota.Grant, error) {
 	address, ok := m.Table.addressOf(to)
@@ -26,18 +30,32 @@
 		return cwquota.Grant{}, errNoPeer
 	}
 
+	return m.askTokens(ctx, address, &cwwire.Tokens{Team: string(team), Want: uint32(want)})
+}
+
+// AskTokensFar has an entry VM of another failure domain ask the owners there.
+func (m *Mesh) AskTokensFar(ctx context.Context, in carobward.Domain, team carobward.TeamName, want int) (cwquota.Grant, error) {
+	list := m.Table.Contacts(in, 1, m.Clock.Now())
+	if len(list) == 0 {
+		return cwquota.Grant{}, errNoPeer
+	}
+
+	return m.askTokens(ctx, list[0].Peers, &cwwire.Tokens{Team: string(team), Want: uint32(want), Relay: true})
+}
+
+// askTokens asks until there is an answer or the context ends.
+func (m *Mesh) askTokens(ctx context.Context, to carobward.Address, ask *cwwire.Tokens) (cwquota.Grant, error) {
 	number, answer := m.beginAsk()
 	defer m.endAsk(number)
 
-	raw := m.encode(&cwwire.Beat{
-		Id: string(m.Table.Self().ID), Tokens: &cwwire.Tokens{Ask: number, Team: string(team), Want: uint32(want)},
-	})
+	ask.Ask = number
+	raw := m.encode(&cwwire.Beat{Id: string(m.Table.Self().ID), Tokens: ask})
 
 	t := time.NewTicker(askAgain)
 	defer t.Stop()
 
 	for {
-		m.write(raw, address)
+		m.write(raw, to)
 
 		select {
 		case g := <-answer:
@@ -70,15 +88,40 @@
 
 // takeTokens answers an ask for tokens, or takes an answer.
 func (m *Mesh) takeTokens(t *cwwire.Tokens, from net.Addr) {
-	if !t.GetAnswer() {
-		g := m.Grant(carobward.TeamName(t.GetTeam()), int(t.GetWant()))
-		m.write(m.encode(&cwwire.Beat{Id: string(m.Table.Self().ID), Tokens: &cwwire.Tokens{
-			Ask: t.GetAsk(), Answer: true, Owner: g.Owner, Given: uint32(g.Tokens), Wait: uint32(g.Wait.Milliseconds()),
-		}}), carobward.Address(from.String()))
+	team, want := carobward.TeamName(t.GetTeam()), int(t.GetWant())
+
+	switch {
+	case t.GetAnswer():
+		m.takeAnswer(t)
+	case t.GetRelay():
+		m.relayTokens(t.GetAsk(), team, want, from)
+	default:
+		m.answerTokens(t.GetAsk(), m.Grant(team, want), from)
+	}
+}
+
+// relayTokens asks the owners here for another failure domain, unless too many wait for that.
+func (m *Mesh) relayTokens(ask uint64, team carobward.TeamName, want int, from net.Addr) {
+	if m.relayed.Add(1) > relaysMost {
+		m.relayed.Add(-1)
 
 		return
 	}
 
+	m.work.Go(func() {
+		defer m.relayed.Add(-1)
+
+		m.answerTokens(ask, m.Near(context.Background(), team, want), from)
+	})
+}
+
+func (m *Mesh) answerTokens(ask uint64, g cwquota.Grant, to net.Addr) {
+	m.write(m.encode(&cwwire.Beat{Id: string(m.Table.Self().ID), Tokens: &cwwire.Tokens{
+		Ask: ask, Answer: true, Owner: g.Owner, Given: uint32(g.Tokens), Wait: uint32(min(g.Wait, time.Hour).Milliseconds()),
+	}}), carobward.Address(to.String()))
+}
+
+func (m *Mesh) takeAnswer(t *cwwire.Tokens) {
 	m.mutex.Lock()
 	answer := m.asks[t.GetAsk()]
 	delete(m.asks, t.GetAsk())
@@ -91,7 +134,7 @@
 
 // Quota returns what is known of the entry VMs that divide quotas.
 func (m *Mesh) Quota(now time.Time) cwquota.Fleet {
-	f := cwquota.Fleet{Settled: now.Sub(m.began) >= startSettle}
+	f := cwquota.Fleet{Settled: now.Sub(m.began) >= startSettle, Domains: m.Table.domainNames()}
 
 	for _, p := range m.Table.Live(now) {
 		if p.State != Leaving {
--- a/internal/cwquota/quota.go
+++ b/internal/cwquota/quota.go
@@ -1,13 +1,15 @@
 // Package cwquota holds teams to their quotas over all entry VMs. Nobody counts the requests
 // of all: a quota is divided among the failure domains by their entry VMs, and in each a few
 // entry VMs, the first by rendezvous hash for the team, own token buckets. The others ask an
-// owner for tokens before they send. So whoever sends more, whatever is cut off and whoever
-// starts anew, the sum of the buckets is the bound.
+// owner for tokens before they send, and where those have none those of other failure domains.
+// So whoever sends more, whatever is cut off and whoever starts anew, the sum of the buckets is
+// the bound.
 package cwquota
 
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -45,6 +47,13 @@
 	stockTime = 200 * time.Millisecond
 	// askTime bounds one ask for tokens.
 	askTime = 100 * time.Millisecond
+	// farTime bounds one ask in another failure domain, silentTime is for how long one is not
+	// asked again that did not answer.
+	farTime    = 50 * time.Millisecond
+	silentTime = time.Second
+	// dryMost is for how long at most a failure domain is not asked again that had no token:
+	// tokens come one by one, and other entry VMs have heard nothing of that.
+	dryMost = 200 * time.Millisecond
 	// againTime is when a caller may come back that is refused since no owner answered.
 	againTime = 300 * time.Millisecond
 	// waitLeast bounds from below when one may come back that is beyond the quota.
@@ -75,6 +84,8 @@
 	Near int
 	// Part is the part of all entry VMs that they are.
 	Part float64
+	// Domains are the other failure domains.
+	Domains []carobward.Domain
 	// Settled tells that this entry VM has had the time to hear of the others.
 	Settled bool
 }
@@ -96,6 +107,8 @@
 	Fleet func(now time.Time) Fleet
 	// Ask asks another entry VM for some tokens of a team.
 	Ask func(ctx context.Context, to carobward.VMID, team carobward.TeamName, want int) (Grant, error)
+	// AskFar has an entry VM of another failure domain call Near.
+	AskFar func(ctx context.Context, in carobward.Domain, team carobward.TeamName, want int) (Grant, error)
 }
 
 // Keeper has the quotas of all teams. It is safe for use by several goroutines.
@@ -123,6 +136,8 @@
 	// their number in the one before.
 	asked, lately int
 	since         time.Time
+	// dry has until when failure domains are not asked.
+	dry map[carobward.Domain]time.Time
 }
 
 // New returns a Keeper without teams.
@@ -167,43 +182,128 @@
 func (k *Keeper) Take(ctx context.Context, name carobward.TeamName) (time.Duration, error) {
 	now := k.Clock.Now()
 
-	want, owners := k.begin(name, now)
+	want, f := k.begin(name, now)
 	if want == 0 {
 		return 0, nil
 	}
 
-	over := time.Duration(math.MaxInt64)
+	g, err := k.near(ctx, name, want, &f)
+	if g.Tokens > 0 {
+		k.store(name, g.Tokens-1, now)
 
-	for _, o := range owners {
+		return 0, nil
+	}
+
+	if k.takeFar(ctx, name, &f, now) {
+		return 0, nil
+	}
+
+	if err != nil {
+		return againTime, ErrUnknown
+	}
+
+	return g.Wait, ErrOver
+}
+
+// Near gives tokens of a team that owners of this failure domain have.
+func (k *Keeper) Near(ctx context.Context, name carobward.TeamName, want int) Grant {
+	f := k.Fleet(k.Clock.Now())
+
+	g, err := k.near(ctx, name, want, &f)
+	if err != nil {
+		return Grant{}
+	}
+
+	return g
+}
+
+// near asks the owners of this failure domain, one after the other. The error is that none of
+// them answered.
+func (k *Keeper) near(ctx context.Context, name carobward.TeamName, want int, f *Fleet) (Grant, error) {
+	none := Grant{Wait: math.MaxInt64}
+
+	for _, o := range k.ownersOf(name, f) {
 		g, err := k.ask(ctx, o, name, want)
 
 		switch {
 		case err != nil:
 			k.Log.V(1).Info("An owner of tokens did not answer.", "vm", o, "team", name, "cause", err.Error())
-		case g.Owner && g.Tokens > 0:
-			k.store(name, g.Tokens-1, now)
-
-			return 0, nil
+		case g.Tokens > 0:
+			return g, nil
 		case g.Owner:
-			over = min(over, g.Wait)
+			none.Owner, none.Wait = true, min(none.Wait, g.Wait)
 		}
 	}
 
-	if over == math.MaxInt64 {
-		return againTime, ErrUnknown
+	if !none.Owner {
+		return none, ErrUnknown
+	}
+
+	return none, nil
+}
+
+// takeFar takes a token in another failure domain.
+func (k *Keeper) takeFar(ctx context.Context, name carobward.TeamName, f *Fleet, now time.Time) bool {
+	for _, i := range rand.Perm(len(f.Domains)) {
+		d := f.Domains[i]
+		if k.isDry(name, d, now) {
+			continue
+		}
+
+		ctx, cancel := context.WithTimeout(ctx, farTime)
+		g, err := k.AskFar(ctx, d, name, 1)
+		cancel()
+
+		if err != nil {
+			k.Log.V(1).Info("A failure domain did not answer for tokens.", "domain", d, "team", name, "cause", err.Error())
+			k.setDry(name, d, now.Add(silentTime))
+
+			continue
+		}
+
+		if g.Tokens > 0 {
+			return true
+		}
+
+		k.setDry(name, d, now.Add(min(dryMost, max(waitLeast, g.Wait))))
 	}
 
-	return over, ErrOver
+	return false
+}
+
+func (k *Keeper) isDry(name carobward.TeamName, d carobward.Domain, now time.Time) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	t := k.teams[name]
+
+	return t == nil || now.Before(t.dry[d])
 }
 
-// begin uses a token of the stock, or returns how many to ask for and whom.
-func (k *Keeper) begin(name carobward.TeamName, now time.Time) (int, []carobward.VMID) {
+func (k *Keeper) setDry(name carobward.TeamName, d carobward.Domain, until time.Time) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	t := k.teams[name]
+	if t == nil {
+		return
+	}
+
+	if t.dry == nil {
+		t.dry = map[carobward.Domain]time.Time{}
+	}
+
+	t.dry[d] = until
+}
+
+// begin uses a token of the stock, or returns how many to ask for among whom.
+func (k *Keeper) begin(name carobward.TeamName, now time.Time) (int, Fleet) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 
 	t := k.teams[name]
 	if t == nil || t.quota.Rate <= 0 {
-		return 0, nil
+		return 0, Fleet{}
 	}
 
 	t.count(now)
@@ -211,18 +311,26 @@
 	if t.stock > 0 && now.Before(t.until) {
 		t.stock--
 
-		return 0, nil
+		return 0, Fleet{}
 	}
 
-	f := k.Fleet(now)
-	owners := k.owners(t, &f)
+	return 1 + t.lately, k.Fleet(now)
+}
+
+// ownersOf returns the owners of a team's buckets in any order, so that they empty alike.
+func (k *Keeper) ownersOf(name carobward.TeamName, f *Fleet) []carobward.VMID {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
 
-	// Either may be the first, so that their buckets empty alike.
-	if len(owners) > 1 && t.asked%2 == 0 {
-		owners[0], owners[1] = owners[1], owners[0]
+	t := k.teams[name]
+	if t == nil {
+		return nil
 	}
 
-	return 1 + t.lately, owners
+	owners := k.owners(t, f)
+	rand.Shuffle(len(owners), func(i, j int) { owners[i], owners[j] = owners[j], owners[i] })
+
+	return owners
 }
 
 // count counts a request. The number of the last span is what a stock for the next one is.
--- a/internal/cwquota/quota_test.go
+++ b/internal/cwquota/quota_test.go
@@ -80,6 +80,14 @@
 		Ask: func(_ context.Context, to carobward.VMID, team carobward.TeamName, want int) (Grant, error) {
 			return s.ask(v, to, team, want)
 		},
+		AskFar: func(ctx context.Context, in carobward.Domain, team carobward.TeamName, want int) (Grant, error) {
+			o := s.inDomain(in)
+			if o == nil || !s.hears(v, o) {
+				return Grant{}, errors.New("no answer")
+			}
+
+			return o.keeper.Near(ctx, team, want), nil
+		},
 	})
 	v.keeper.SetBounds(Bounds{Window: simWindow, Overshoot: simOver, Slack: simSlack})
 	v.keeper.SetTeams(s.teams)
@@ -105,6 +113,12 @@
 
 	f.Part = float64(f.Near) / float64(len(s.vms))
 
+	for d := range simDomains {
+		if d != v.domain {
+			f.Domains = append(f.Domains, carobward.Domain(fmt.Sprint(d)))
+		}
+	}
+
 	return f
 }
 
@@ -120,6 +134,23 @@
 	return Grant{}, errors.New("no answer")
 }
 
+// inDomain returns any entry VM of a failure domain, nil where there is none.
+func (s *sim) inDomain(d carobward.Domain) *simVM {
+	var all []*simVM
+
+	for _, v := range s.vms {
+		if fmt.Sprint(v.domain) == string(d) {
+			all = append(all, v)
+		}
+	}
+
+	if len(all) == 0 {
+		return nil
+	}
+
+	return all[s.rnd.IntN(len(all))]
+}
+
 // request is one request of a team at an entry VM.
 func (s *sim) request(v *simVM, team *carobward.Team) bool {
 	if !v.alive {
@@ -257,23 +288,37 @@
 		times float64
 		// least is the part of what is asked for, or of the quota where that is less.
 		least float64
+		// one has all requests come in one failure domain.
+		one bool
 	}{
-		"usual, small":       {139, 3, 0.62, 0.95},
-		"usual, large":       {139, 300, 0.62, 0.99},
-		"usual, whole fleet": {984, 300, 0.62, 0.99},
-		"more, small":        {139, 3, 4, 0.9},
-		"more, large":        {139, 300, 4, 0.9},
-		"more, whole fleet":  {984, 300, 4, 0.9},
-		"one entry VM":       {1, 30, 4, 0.2}, // A part of four failure domains.
+		"usual, small":       {139, 3, 0.62, 0.99, false},
+		"usual, large":       {139, 300, 0.62, 0.99, false},
+		"usual, whole fleet": {984, 300, 0.62, 0.99, false},
+		"more, small":        {139, 3, 4, 0.9, false},
+		"more, large":        {139, 300, 4, 0.9, false},
+		"more, whole fleet":  {984, 300, 4, 0.9, false},
+		"usual, one domain":  {139, 30, 0.62, 0.99, true},
+		"more, one domain":   {139, 300, 4, 0.9, true},
+		"one entry VM":       {1, 30, 4, 0.2, false}, // A part of four failure domains.
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
-			const span = 60 * time.Second
+			// Enough requests for the part to mean something.
+			span := 60 * time.Second
+			if c.rate > 100 {
+				span = 5 * time.Second
+			}
 
 			s := newSim(t, 5, c.vms, []carobward.Team{{Name: "club", Quota: quota(c.rate)}})
 			s.play(time.Second, 0, s.anywhere)
-			s.play(span, c.times, s.anywhere)
+
+			where := s.anywhere
+			if c.one {
+				where = func(*carobward.Team) *simVM { return s.inDomain("0") }
+			}
+
+			s.play(span, c.times, where)
 			s.check()
 
 			want := min(float64(s.asked), c.rate*span.Seconds())
