--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -14,10 +14,17 @@
 	t := time.NewTicker(tickTime)
 	defer t.Stop()
 
+	second := time.NewTicker(time.Second)
+	defer second.Stop()
+
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-second.C:
+			g.quota.Tick(g.Clock.Now())
+
+			continue
 		case <-t.C:
 		}
 
--- a/internal/cwquota/quota.go
+++ b/internal/cwquota/quota.go
@@ -10,6 +10,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -424,6 +425,37 @@
 	return s
 }
 
+// Tick begins to fill the buckets that this entry VM has come to own, and drops the others. It
+// should be called each second.
+func (k *Keeper) Tick(now time.Time) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	if len(k.teams) == 0 {
+		return
+	}
+
+	f := k.Fleet(now)
+	for _, t := range k.teams {
+		k.own(t, &f, now)
+	}
+}
+
+// own fills the bucket of a team where this entry VM owns one, and tells whether it does; the
+// mutex is held.
+func (k *Keeper) own(t *team, f *Fleet, now time.Time) (share, bool) {
+	if t.quota.Rate <= 0 || !f.Settled || float64(1+len(f.Peers)) < knownLeast*float64(f.Near) || !slices.Contains(k.owners(t, f), k.Self) {
+		t.bucket = nil
+
+		return share{}, false
+	}
+
+	s := k.shareOf(t, f)
+	t.fill(&s, now)
+
+	return s, true
+}
+
 // Grant gives tokens of a team where this entry VM owns a bucket of it.
 func (k *Keeper) Grant(name carobward.TeamName, want int) Grant {
 	now := k.Clock.Now()
@@ -438,15 +470,11 @@
 
 	f := k.Fleet(now)
 
-	if !f.Settled || float64(1+len(f.Peers)) < knownLeast*float64(f.Near) || !has(k.owners(t, &f), k.Self) {
-		t.bucket = nil
-
+	s, owner := k.own(t, &f, now)
+	if !owner {
 		return Grant{}
 	}
 
-	s := k.shareOf(t, &f)
-	t.fill(&s, now)
-
 	n := min(want, int(t.bucket.TokensAt(now)))
 	if n <= 0 || !t.bucket.AllowN(now, n) {
 		return Grant{Owner: true, Wait: t.refuse(&s, now)}
@@ -455,16 +483,6 @@
 	return Grant{Owner: true, Tokens: n}
 }
 
-func has(list []carobward.VMID, id carobward.VMID) bool {
-	for _, one := range list {
-		if one == id {
-			return true
-		}
-	}
-
-	return false
-}
-
 // fill brings the bucket to its share. A new one holds a single token: another entry VM may
 // have given what the team may have now.
 func (t *team) fill(s *share, now time.Time) {
--- a/internal/cwquota/quota_test.go
+++ b/internal/cwquota/quota_test.go
@@ -49,6 +49,8 @@
 	// cut lets nobody in its failure domain reach it; since when it is cut off or dead.
 	cut   bool
 	since time.Time
+	// ticks is when its next tick is due.
+	ticks time.Time
 }
 
 // Now is the clock of all.
@@ -74,6 +76,7 @@
 // start starts an entry VM, which knows nothing of before.
 func (s *sim) start(v *simVM) {
 	v.alive, v.cut, v.began, v.since = true, false, s.now, s.now
+	v.ticks = s.now.Add(time.Duration(s.rnd.Int64N(int64(time.Second))))
 	v.keeper = New(Options{
 		Self: v.id, Clock: s, Log: logr.Discard(),
 		Fleet: func(now time.Time) Fleet { return s.fleet(v, now) },
@@ -171,7 +174,7 @@
 
 // play lets requests of each team come for a time, some times its quota each second.
 func (s *sim) play(d time.Duration, times float64, where func(*carobward.Team) *simVM) {
-	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(simStep) {
+	for end := s.now.Add(d); s.now.Before(end); s.pass() {
 		for i := range s.teams {
 			t := &s.teams[i]
 
@@ -183,6 +186,18 @@
 	}
 }
 
+// pass lets one step of time pass.
+func (s *sim) pass() {
+	s.now = s.now.Add(simStep)
+
+	for _, v := range s.vms {
+		if v.alive && !s.now.Before(v.ticks) {
+			v.ticks = s.now.Add(time.Second)
+			v.keeper.Tick(s.now)
+		}
+	}
+}
+
 // draw returns a number that is Poisson distributed.
 func (s *sim) draw(mean float64) int {
 	n, p := 0, s.rnd.Float64()
@@ -311,7 +326,7 @@
 			}
 
 			s := newSim(t, 5, c.vms, []carobward.Team{{Name: "club", Quota: quota(c.rate)}})
-			s.play(time.Second, 0, s.anywhere)
+			s.play(2*time.Second, 0, s.anywhere)
 
 			where := s.anywhere
 			if c.one {
@@ -340,12 +355,12 @@
 		v.keeper.SetTeams(s.teams)
 	}
 
-	s.play(time.Second, 0, s.anywhere)
+	s.play(2*time.Second, 0, s.anywhere)
 
 	refused := 0
 
 	for range 500 {
-		s.now = s.now.Add(simStep)
+		s.pass()
 
 		for range 2 {
 			s.request(s.anywhere(nil), &hot)
