What an entry VM works out for a changed server no longer grows with all servers

Change: servers are kept in groups by service, which follow the entries; only the services that changed are picked from, in one pass, and a change of state moves nothing; addresses are counted; servers that said something are remembered.

--- a/internal/cwbackend/backend_test.go
+++ b/internal/cwbackend/backend_test.go
@@ -44,7 +44,7 @@
 		"up to a bound":          {times(20, Failed), 4 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newServer(backend(1, "a"), start)
+			s := newServer(backend(1, "a"), newSpeakers(), start)
 			for _, o := range c.outcomes {
 				s.End(s.Begin(start, func() {}), start, o)
 			}
@@ -63,7 +63,7 @@
 
 // TestBlockedAgain wants an answer to end the row of failures.
 func TestBlockedAgain(t *testing.T) {
-	s := newServer(backend(1, "a"), start)
+	s := newServer(backend(1, "a"), newSpeakers(), start)
 	for _, o := range []Outcome{Broken, Broken, Broken, Answered} {
 		s.End(s.Begin(start, func() {}), start, o)
 	}
@@ -78,7 +78,7 @@
 
 // TestLooked wants a good health check not to excuse failed requests.
 func TestLooked(t *testing.T) {
-	s := newServer(backend(1, "a"), start)
+	s := newServer(backend(1, "a"), newSpeakers(), start)
 	s.End(s.Begin(start, func() {}), start, Broken)
 	s.Looked(start, Answered)
 
@@ -86,7 +86,7 @@
 		t.Error("health excused a failure")
 	}
 
-	s = newServer(backend(1, "a"), start)
+	s = newServer(backend(1, "a"), newSpeakers(), start)
 	s.Looked(start, Silent)
 
 	if !s.View(start, usual).Blocked {
@@ -95,7 +95,7 @@
 }
 
 func TestOverdue(t *testing.T) {
-	s := newServer(backend(1, "a"), start)
+	s := newServer(backend(1, "a"), newSpeakers(), start)
 	number := s.Begin(start, func() {})
 
 	if s.View(start.Add(3*usual), usual).Overdue || !s.View(start.Add(5*usual), usual).Overdue {
--- a/internal/cwbackend/cold.go
+++ b/internal/cwbackend/cold.go
@@ -50,9 +50,12 @@
 	return allowance{most: t.part(b, bound.most(), t.sharers.size, now), window: shareWindow, until: warm}
 }
 
-func (s *Server) isCold(now time.Time) bool {
+func (s *Server) isCold(now time.Time) bool { return now.Before(s.warmAt()) }
+
+// warmAt returns until when the server is cold.
+func (s *Server) warmAt() time.Time {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	return now.Before(s.warm)
+	return s.warm
 }
--- a/internal/cwbackend/cost_test.go
+++ b/internal/cwbackend/cost_test.go
@@ -88,3 +88,15 @@
 		t.SetNeighbours(list)
 	}
 }
+
+// BenchmarkWords has the cost of what servers said for one heartbeat.
+func BenchmarkWords(b *testing.B) {
+	t, _ := largeTable(10_000)
+	now := time.Now()
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		t.Words(now, false)
+	}
+}
--- a/internal/cwbackend/limit.go
+++ b/internal/cwbackend/limit.go
@@ -61,7 +61,17 @@
 		return false
 	}
 
-	return s.limit.take(w, from)
+	return s.takeLimit(w, from)
+}
+
+// takeLimit takes a word on the limit; the mutex is held.
+func (s *Server) takeLimit(w carobward.LimitWord, from Source) bool {
+	changed := s.limit.take(w, from)
+	if changed || s.limit.Named {
+		s.speakers.add(s)
+	}
+
+	return changed
 }
 
 func (l *limit) take(w carobward.LimitWord, from Source) bool {
@@ -158,11 +168,11 @@
 }
 
 // limits returns the words on limits that other entry VMs lack: those that servers gave this
-// one lately, or for a newcomer all limits that stand; the mutex is held.
-func (t *Table) limits(now time.Time, newcomer bool) []carobward.LimitWord {
+// one lately, or for a newcomer all limits that stand.
+func limits(said map[carobward.Instance]*Server, now time.Time, newcomer bool) []carobward.LimitWord {
 	var list []carobward.LimitWord
 
-	for i, s := range t.byInstance {
+	for i, s := range said {
 		s.mutex.Lock()
 		l := s.limit
 		s.mutex.Unlock()
--- a/internal/cwbackend/limit_test.go
+++ b/internal/cwbackend/limit_test.go
@@ -209,7 +209,7 @@
 		"passed on, after it is gone": {[]word{{carobward.Limit{}, ByReply, false, 1, false}, {rate(3), ByPeer, true, 2, false}}, carobward.Limit{}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newServer(backend(1, "a"), start)
+			s := newServer(backend(1, "a"), newSpeakers(), start)
 			s.follows = start
 
 			for i, w := range c.words {
--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -65,6 +65,8 @@
 	limit   limit
 	leaving time.Time
 	paused  time.Time
+	// speakers has the server once it has said something that others may lack.
+	speakers *speakers
 	// warm is until when it is cold.
 	warm time.Time
 	// sends has when the last of our requests to it were sent: one, or as many as the
@@ -88,8 +90,8 @@
 	cancel func()
 }
 
-func newServer(b carobward.Backend, now time.Time) *Server {
-	return &Server{backend: b, warm: now.Add(b.Warmup), out: map[int64]flight{}}
+func newServer(b carobward.Backend, p *speakers, now time.Time) *Server {
+	return &Server{backend: b, warm: now.Add(b.Warmup), out: map[int64]flight{}, speakers: p}
 }
 
 // end breaks off what is in flight: the process has ended. Behind a cut nothing else
--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,8 +48,13 @@
 	now time.Time
 	// alone tells that no other entry VM is known to share the servers yet.
 	alone bool
-	// mine has the servers of each service that this entry VM sends to.
-	mine map[carobward.Service]*known
+	// groups has the servers of each service, and mine those that this entry VM sends to.
+	groups map[carobward.Service]*group
+	mine   map[carobward.Service]*known
+	// speakers are servers that have said something that other entry VMs may lack.
+	speakers *speakers
+	// addresses counts the servers at each address.
+	addresses map[carobward.Address]int
 	// cold has what cold servers of each service bear, sharers who divides that and the
 	// limits that servers name, near the number of near servers of each service.
 	cold    map[carobward.Service]ColdBound
@@ -56,10 +62,6 @@
 	near    map[carobward.Service]int
 	// evacuated has the failure domains whose servers get nothing.
 	evacuated map[carobward.Domain]bool
-	// counts has the number of the servers of each service that may get requests,
-	// emptied of those in evacuated failure domains.
-	counts  map[carobward.Service]int
-	emptied map[carobward.Service]int
 }
 
 // New returns an empty table for an entry VM, which sends to all servers before
@@ -67,7 +69,9 @@
 func New(self VM) *Table {
 	return &Table{
 		self: self, byInstance: map[carobward.Instance]*Server{}, shares: newShares(self.ID), alone: true,
-		evacuated: map[carobward.Domain]bool{},
+		groups: map[carobward.Service]*group{}, mine: map[carobward.Service]*known{}, addresses: map[carobward.Address]int{},
+		speakers: newSpeakers(),
+		near:     map[carobward.Service]int{}, evacuated: map[carobward.Domain]bool{},
 	}
 }
 
@@ -79,11 +83,13 @@
 
 	var ended []carobward.Backend
 
+	t.now = now
+	changed := map[carobward.Service]bool{}
+
 	for _, b := range list {
 		s := t.byInstance[b.Instance]
 		if s == nil {
-			t.byInstance[b.Instance] = newServer(b, now)
-			t.shares.add(b.Instance)
+			t.add(newServer(b, t.speakers, now), changed)
 
 			continue
 		}
@@ -92,11 +98,15 @@
 		case older:
 			// A late word of a process that has ended.
 		case same:
-			s.update(b, now)
+			t.update(s, b, changed)
 		case newer:
 			// Nothing that was known of the process before holds for this one.
-			t.byInstance[b.Instance] = newServer(b, now)
-			t.byInstance[b.Instance].follows = now
+			t.remove(s, changed)
+
+			next := newServer(b, t.speakers, now)
+			next.follows = now
+			t.add(next, changed)
+
 			ended = append(ended, old)
 
 			s.end()
@@ -104,16 +114,85 @@
 	}
 
 	for _, i := range gone {
-		delete(t.byInstance, i)
-		t.shares.remove(i)
+		if s := t.byInstance[i]; s != nil {
+			t.remove(s, changed)
+		}
 	}
 
-	t.now = now
-	t.arrange()
+	for service, g := range t.groups {
+		if !g.warms.IsZero() && !now.Before(g.warms) {
+			changed[service] = true
+		}
+	}
+
+	for service := range changed {
+		t.arrange(service)
+	}
 
 	return ended
 }
 
+// add takes a server and notes its service as changed; the mutex is held.
+func (t *Table) add(s *Server, changed map[carobward.Service]bool) {
+	b := s.Backend()
+	t.byInstance[b.Instance] = s
+	t.shares.add(b.Instance)
+	t.addresses[b.Address]++
+	t.join(s, &b)
+
+	changed[b.Service] = true
+}
+
+// remove forgets a server and notes its service as changed; the mutex is held.
+func (t *Table) remove(s *Server, changed map[carobward.Service]bool) {
+	b := s.Backend()
+	t.leave(s, &b)
+	delete(t.byInstance, b.Instance)
+	t.shares.remove(b.Instance)
+	t.forget(b.Address)
+
+	changed[b.Service] = true
+}
+
+// update takes a changed entry of the same process. Most changes, as of its state, move no
+// server from one entry VM to another; the mutex is held.
+func (t *Table) update(s *Server, b carobward.Backend, changed map[carobward.Service]bool) {
+	old, cold := s.Backend(), s.isCold(t.now)
+
+	if moves := old.Service != b.Service || old.Domain != b.Domain; moves {
+		t.leave(s, &old)
+		defer t.join(s, &b)
+
+		changed[old.Service], changed[b.Service] = true, true
+	}
+
+	if old.Address != b.Address {
+		t.forget(old.Address)
+		t.addresses[b.Address]++
+	}
+
+	s.update(b, t.now)
+
+	if s.isCold(t.now) != cold {
+		changed[b.Service] = true
+	}
+}
+
+// forget counts a server at an address less; the mutex is held.
+func (t *Table) forget(a carobward.Address) {
+	if t.addresses[a]--; t.addresses[a] <= 0 {
+		delete(t.addresses, a)
+	}
+}
+
+// HasAddress tells whether a server is at an address.
+func (t *Table) HasAddress(a carobward.Address) bool {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	return t.addresses[a] > 0
+}
+
 // The order of two entries of an instance by the start of their processes.
 const (
 	older = iota - 1
@@ -139,7 +218,7 @@
 
 	if t.shares.set(list) || t.alone {
 		t.alone = false
-		t.arrange()
+		t.arrangeAll()
 	}
 }
 
@@ -156,7 +235,7 @@
 		delete(t.evacuated, d)
 	}
 
-	t.arrange()
+	t.regroup()
 
 	count := 0
 
@@ -175,7 +254,9 @@
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
 
-	return t.counts[service] == 0 && t.emptied[service] > 0
+	g := t.groups[service]
+
+	return g != nil && g.count == 0 && g.emptied > 0
 }
 
 // candidate is a server that this entry VM may send to.
@@ -185,59 +266,150 @@
 	server *Server
 }
 
-// arrange sorts the servers by service and picks ours; the mutex is held.
-func (t *Table) arrange() {
-	near, far := map[carobward.Service][]candidate{}, map[distance][]candidate{}
-	t.counts, t.emptied = map[carobward.Service]int{}, map[carobward.Service]int{}
+// group has the servers of a service, kept apart as entries come and go: sorting all servers
+// anew at each change would cost the more the more servers there are and the more of them
+// change.
+type group struct {
+	near []candidate
+	// far has those of other failure domains by their region. An entry VM knows some in each,
+	// since requests may have their homes in any.
+	far map[carobward.Region][]candidate
+	// count is the number of those that may get requests, emptied of those in evacuated
+	// failure domains, which are in neither list.
+	count, emptied int
+	// warms is when the last of the near ones that were cold when ours were picked is not any
+	// more: then fewer entry VMs need to know them.
+	warms time.Time
+}
 
-	for i, s := range t.byInstance {
-		b := s.Backend()
+// join puts a server with an entry into its group; the mutex is held.
+func (t *Table) join(s *Server, b *carobward.Backend) {
+	g := t.groups[b.Service]
+	if g == nil {
+		g = &group{far: map[carobward.Region][]candidate{}}
+		t.groups[b.Service] = g
+	}
 
-		if t.evacuated[b.Domain] {
-			t.emptied[b.Service]++
+	if t.evacuated[b.Domain] {
+		g.emptied++
 
-			continue
-		}
+		return
+	}
 
-		t.counts[b.Service]++
+	g.count++
 
-		if b.Domain == t.self.Domain {
-			near[b.Service] = append(near[b.Service], candidate{t.shares.places[i], s})
-		} else {
-			at := distance{b.Service, t.self.Regions[b.Domain]}
-			far[at] = append(far[at], candidate{t.shares.places[i], s})
-		}
+	list := g.list(t, b)
+	*list = append(*list, candidate{t.shares.places[b.Instance], s})
+	g.put(t, b, *list)
+}
+
+// leave takes a server with an entry out of its group; the mutex is held.
+func (t *Table) leave(s *Server, b *carobward.Backend) {
+	g := t.groups[b.Service]
+
+	if t.evacuated[b.Domain] {
+		g.emptied--
+	} else {
+		g.count--
 	}
 
-	t.mine, t.near = map[carobward.Service]*known{}, map[carobward.Service]int{}
+	list := *g.list(t, b)
+	if i := slices.IndexFunc(list, func(c candidate) bool { return c.server == s }); i >= 0 {
+		last := len(list) - 1
+		list[i], list[last] = list[last], candidate{}
+		g.put(t, b, list[:last])
+	}
 
-	for service, list := range near {
-		t.near[service] = len(list)
-		t.mine[service] = &known{near: t.pickNear(list, t.cold[service])}
+	if g.count == 0 && g.emptied == 0 {
+		delete(t.groups, b.Service)
 	}
+}
 
-	for at, list := range far {
-		if t.mine[at.service] == nil {
-			t.mine[at.service] = &known{}
-		}
+// list returns the list of a group that an entry belongs to.
+func (g *group) list(t *Table, b *carobward.Backend) *[]candidate {
+	if b.Domain == t.self.Domain {
+		return &g.near
+	}
+
+	list := g.far[t.self.Regions[b.Domain]]
+
+	return &list
+}
+
+// put stores that list after it was changed.
+func (g *group) put(t *Table, b *carobward.Backend, list []candidate) {
+	if b.Domain == t.self.Domain {
+		g.near = list
+
+		return
+	}
+
+	g.far[t.self.Regions[b.Domain]] = list
+}
+
+// regroup sorts all servers anew, as where failure domains are evacuated; the mutex is held.
+func (t *Table) regroup() {
+	t.groups = map[carobward.Service]*group{}
+
+	for _, s := range t.byInstance {
+		b := s.Backend()
+		t.join(s, &b)
+	}
+
+	t.arrangeAll()
+}
+
+// arrangeAll picks ours of all services; the mutex is held.
+func (t *Table) arrangeAll() {
+	for service := range t.groups {
+		t.arrange(service)
+	}
+}
+
+// arrange picks ours of the servers of a service; the mutex is held.
+func (t *Table) arrange(service carobward.Service) {
+	g := t.groups[service]
+	if g == nil {
+		delete(t.mine, service)
+		delete(t.near, service)
+
+		return
+	}
+
+	g.warms = time.Time{}
+	if t.cold[service].Rate > 0 {
+		g.warms = t.warms(g.near)
+	}
 
-		m := t.mine[at.service]
-		usual, spare := t.pickFar(list, t.farCount(len(near[at.service])))
+	t.near[service] = len(g.near)
+	m := &known{near: t.pickNear(g.near, t.cold[service])}
+
+	for _, list := range g.far {
+		usual, spare := t.pickFar(list, t.farCount(len(g.near)))
 		m.far, m.spare = append(m.far, usual...), append(m.spare, spare...)
 	}
+
+	t.mine[service] = m
+}
+
+// warms returns when the last of the cold ones of some servers is not cold any more, zero where
+// none is cold; the mutex is held.
+func (t *Table) warms(list []candidate) time.Time {
+	last := time.Time{}
+
+	for i := range list {
+		if warm := list[i].server.warmAt(); warm.After(t.now) && warm.After(last) {
+			last = warm
+		}
+	}
+
+	return last
 }
 
 // known are the servers of a service that an entry VM sends to: near ones, some of other
 // failure domains, and more of those for when few of the near ones can be used.
 type known struct{ near, far, spare []*Server }
 
-// distance are the servers of a service in a region that are not near. An entry VM knows
-// some in each region, since requests may have their homes in any.
-type distance struct {
-	service carobward.Service
-	region  carobward.Region
-}
-
 // farCount returns how many servers of other failure domains this entry VM knows
 // beside so many near ones. Where its own failure domain has none (it may be
 // evacuated), the others take the place of those: by knownFar alone the requests of
@@ -300,19 +472,21 @@
 	return servers(list[:most]), servers(list[most:all])
 }
 
-// toFront brings those few of a list to its front that this entry VM comes first
-// for the most.
+// toFront brings those few of a list to its front, in their order, that this entry VM comes
+// first for the most. It takes one pass.
 func toFront(list []candidate, few int) {
-	for n := range few {
-		best := n
+	before := func(a, b candidate) int { return a.compare(b.place) }
+	slices.SortFunc(list[:few], before)
 
-		for i := n + 1; i < len(list); i++ {
-			if list[i].compare(list[best].place) < 0 {
-				best = i
-			}
+	for i := few; i < len(list); i++ {
+		if list[i].compare(list[few-1].place) >= 0 {
+			continue
 		}
 
-		list[n], list[best] = list[best], list[n]
+		at, _ := slices.BinarySearchFunc(list[:few], list[i], before)
+		one := list[few-1]
+		copy(list[at+1:few], list[at:few-1])
+		list[at], list[i] = list[i], one
 	}
 }
 
@@ -367,28 +541,17 @@
 	return s.Backend(), true
 }
 
-// VMs returns all servers as lines of a VM list.
-func (t *Table) VMs() []carobward.VM {
-	t.mutex.RLock()
-	defer t.mutex.RUnlock()
-
-	list := make([]carobward.VM, 0, len(t.byInstance))
-
-	for _, s := range t.byInstance {
-		b := s.Backend()
-		list = append(list, carobward.VM{Address: b.Address, Service: b.Service, Domain: b.Domain})
-	}
-
-	return list
-}
-
 // CountOf returns the number of servers of a service that are not in evacuated failure
 // domains.
 func (t *Table) CountOf(service carobward.Service) int {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
 
-	return t.counts[service]
+	if g := t.groups[service]; g != nil {
+		return g.count
+	}
+
+	return 0
 }
 
 // Count returns the number of servers.
--- a/internal/cwbackend/words.go
+++ b/internal/cwbackend/words.go
@@ -1,6 +1,9 @@
 package cwbackend
 
 import (
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -30,6 +33,47 @@
 // String returns the source's name.
 func (s Source) String() string { return sourceNames[s] }
 
+// speakers are the servers that have said something that other entry VMs may lack. They are
+// few, where looking at all servers for each heartbeat would cost the more the more there are.
+type speakers struct {
+	mutex sync.Mutex
+	all   map[*Server]struct{}
+}
+
+func newSpeakers() *speakers { return &speakers{all: map[*Server]struct{}{}} }
+
+// add notes a server.
+func (p *speakers) add(s *Server) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	p.all[s] = struct{}{}
+}
+
+// list returns the servers in any order.
+func (p *speakers) list() []*Server {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	return slices.Collect(maps.Keys(p.all))
+}
+
+// remove forgets a server.
+func (p *speakers) remove(s *Server) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	delete(p.all, s)
+}
+
+// speaks tells whether a server has said something that stands or that is still passed on.
+func (s *Server) speaks(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return !s.leaving.IsZero() || s.limit.Named || now.Sub(s.limit.since) < newsTime
+}
+
 // News is what a reply changes of what is believed of its server.
 type News struct {
 	Limit   bool
@@ -60,10 +104,11 @@
 
 	if news.Leaving {
 		s.leaving = now
+		s.speakers.add(s)
 	}
 
 	if speaksOfLimit(r, from) {
-		news.Limit = s.limit.take(carobward.LimitWord{Limit: r.Limit, At: now}, from)
+		news.Limit = s.takeLimit(carobward.LimitWord{Limit: r.Limit, At: now}, from)
 	}
 
 	return news
@@ -116,6 +161,7 @@
 
 	// Long ago, so that it is not passed on as this entry VM's own.
 	s.leaving = now.Add(-newsTime)
+	s.speakers.add(s)
 
 	return true
 }
@@ -126,9 +172,10 @@
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
 
-	words := carobward.ServerWords{Limits: t.limits(now, newcomer)}
+	said := t.said(now)
+	words := carobward.ServerWords{Limits: limits(said, now, newcomer)}
 
-	for i, s := range t.byInstance {
+	for i, s := range said {
 		s.mutex.Lock()
 		leaving, start := s.leaving, s.backend.Start
 		s.mutex.Unlock()
@@ -141,6 +188,26 @@
 	return words
 }
 
+// said returns the servers that have said something, and forgets those that have not any more;
+// the mutex is held.
+func (t *Table) said(now time.Time) map[carobward.Instance]*Server {
+	all := map[carobward.Instance]*Server{}
+
+	for _, s := range t.speakers.list() {
+		i := s.Backend().Instance
+
+		if t.byInstance[i] != s || !s.speaks(now) {
+			t.speakers.remove(s)
+
+			continue
+		}
+
+		all[i] = s
+	}
+
+	return all
+}
+
 // Said returns how many servers say that they leave, and how many want no requests of this
 // entry VM now.
 func (t *Table) Said(now time.Time) (leaving, paused int) {
--- a/internal/cwbackend/words_test.go
+++ b/internal/cwbackend/words_test.go
@@ -33,7 +33,7 @@
 		"its own instance":              {carobward.Reply{Status: fasthttp.StatusOK, Instance: "i-1", Limit: named}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newServer(carobward.Backend{Instance: "i-1"}, start)
+			s := newServer(carobward.Backend{Instance: "i-1"}, newSpeakers(), start)
 			s.TakeLimit(carobward.LimitWord{Limit: carobward.Limit{Named: true, Readable: true, Rate: 9}, At: start}, ByReply)
 
 			// One that speaks of it names another one, or takes it back.
--- a/internal/cwgateway/state.go
+++ b/internal/cwgateway/state.go
@@ -90,7 +90,7 @@
 		g.link.Drop(b.Address)
 	}
 
-	g.link.Retain(g.servers.VMs())
+	g.link.Retain(g.servers.HasAddress)
 }
 
 // entry reads a server's entry. Of the first list only servers that leave are logged: a
--- a/internal/cwlink/link.go
+++ b/internal/cwlink/link.go
@@ -99,25 +99,23 @@
 	return idling{usual: l.options.Keep, most: max(l.options.Keep, l.options.KeepMost)}
 }
 
-// Retain closes and forgets the connections to servers that are not on the
-// list. A call in flight goes on.
-func (l *Link) Retain(list []carobward.VM) {
-	keep := make(map[carobward.Address]bool, len(list))
-	for i := range list {
-		keep[list[i].Address] = true
-	}
-
+// Retain closes and forgets the connections to servers that are not to be kept. A call in
+// flight goes on.
+func (l *Link) Retain(keep func(carobward.Address) bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 
 	for a, p := range l.pools {
-		if !keep[a] {
+		if !keep(a) {
 			p.close()
 			delete(l.pools, a)
 		}
 	}
 }
 
+// none keeps no connection.
+func none(carobward.Address) bool { return false }
+
 // Suspended counts a time that the clock did not towards the idle time of connections:
 // servers may have closed them meanwhile.
 func (l *Link) Suspended(by time.Duration) {
@@ -148,7 +146,7 @@
 	l.closed = true
 	l.mutex.Unlock()
 
-	l.Retain(nil)
+	l.Retain(none)
 }
 
 func (l *Link) pool(to carobward.Address) (*pool, error) {
--- a/internal/cwlink/pool_test.go
+++ b/internal/cwlink/pool_test.go
@@ -174,13 +174,13 @@
 	}
 
 	warm(t, l, s)
-	l.Retain([]carobward.VM{{Address: s.Address()}})
+	l.Retain(func(a carobward.Address) bool { return a == s.Address() })
 
 	if n, _ := idle(l, s.Address()); n != 1 {
 		t.Errorf("%d idle of a server that is listed", n)
 	}
 
-	l.Retain(nil)
+	l.Retain(none)
 
 	if len(l.pools) != 0 {
 		t.Errorf("%d pools of no server", len(l.pools))
@@ -207,7 +207,7 @@
 	}()
 
 	cwtest.Wait(t, "the call at the server", func() bool { return s.Requests() == 1 })
-	l.Retain(nil)
+	l.Retain(none)
 	close(release)
 
 	if err := <-done; err != nil {
--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -1,6 +1,7 @@
 package cwnode
 
 import (
+	"carobward.example/carobward"
 	"context"
 	"time"
 )
@@ -37,6 +38,16 @@
 	}
 }
 
+// listed returns what tells whether an address is on a VM list.
+func listed(list []carobward.VM) func(carobward.Address) bool {
+	all := make(map[carobward.Address]bool, len(list))
+	for i := range list {
+		all[list[i].Address] = true
+	}
+
+	return func(a carobward.Address) bool { return all[a] }
+}
+
 // readList takes the VM list: servers into their table, entry VMs to the
 // membership.
 func (n *Node) readList(ctx context.Context) {
@@ -52,6 +63,6 @@
 	n.news.Listed(list)
 	n.measure.listVMs(n.clock.Now(), list)
 	n.servers.Update(list)
-	n.link.Retain(list)
+	n.link.Retain(listed(list))
 	n.member.Seeds(list)
 }
