How long a health check is awaited follows what servers show

Change: twice what health checks of the service have taken lately, a quarter of the objective at most, and 60 ms at least as before. Answers that came too late for their request count, so that the next ones wait for them. Ruled out: a longer constant, which all would pay that have silent servers among those they look at.

--- a/internal/cwfront/ask.go
+++ b/internal/cwfront/ask.go
@@ -14,6 +14,7 @@
 func (r *request) lookAt(v cwbackend.View) *looked {
 	b := v.Server.Backend()
 	l := &looked{view: v}
+	began := r.front.Clock.Now()
 
 	ctx, cancel := context.WithTimeout(context.Background(), endTime)
 	defer cancel()
@@ -35,6 +36,7 @@
 		return l
 	}
 
+	r.kept.learnLook(r.front.Clock.Now().Sub(began))
 	r.hear(v.Server, reply, cwbackend.ByLook)
 
 	if reply.Leaving.Says() {
--- a/internal/cwfront/look.go
+++ b/internal/cwfront/look.go
@@ -13,9 +13,15 @@
 const (
 	// blindWidth is how many servers are compared where none can be looked at.
 	blindWidth = 3
-	// lookTime is how long an answer is awaited at most: several round trips
-	// between failure domains, and a new connection.
-	lookTime = 60 * time.Millisecond
+	// lookTime is how long an answer is awaited at most where servers answer at once:
+	// several round trips between failure domains, and a new connection. lookFactor is how
+	// many times what they take lately it is else, and lookPart bounds it by the objective:
+	// a look leaves most of the time to the work.
+	lookTime   = 60 * time.Millisecond
+	lookFactor = 2
+	lookPart   = 0.25
+	// lookWeight is the weight of one look in the moving average of what they take.
+	lookWeight = 0.2
 	// lateTime is how long the others are awaited once one has answered.
 	lateTime = 6 * time.Millisecond
 	// endTime is how long an answer that is no longer awaited may take before
@@ -179,7 +185,7 @@
 // gather takes the results of looks as they come, and for a short while after
 // the first. It returns the best with room, or nil, and how many are awaited.
 func (r *request) gather(ctx context.Context, results <-chan *looked, awaited int) (*looked, int) {
-	timer := time.NewTimer(lookTime)
+	timer := time.NewTimer(r.kept.lookTime(r.route.Objective))
 	defer timer.Stop()
 
 	var best *looked
--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -27,6 +27,8 @@
 	times *cwpick.Times
 	// speed is how much longer than usual servers take now.
 	speed cwturn.Pace
+	// looking is how long answers to health checks take lately.
+	looking time.Duration
 	// waits is what the callers of each route said of how long they wait.
 	waits map[carobward.RouteName]*cwattempt.Waits
 }
@@ -109,6 +111,30 @@
 	return s.speed.Now()
 }
 
+// learnLook takes how long the answer to one health check took, also one that came too late
+// for its request: then the next ones wait longer.
+func (s *service) learnLook(took time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	if s.looking == 0 {
+		s.looking = took
+	}
+
+	s.looking += time.Duration(lookWeight * float64(took-s.looking))
+}
+
+// lookTime returns how long the answer to a health check is awaited for a request with an
+// objective.
+func (s *service) lookTime(objective time.Duration) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	most := min(endTime, time.Duration(lookPart*float64(objective)))
+
+	return max(lookTime, min(lookFactor*s.looking, most))
+}
+
 // learn takes the time of one answer, see cwpick.Times.
 func (s *service) learn(objective, took time.Duration, slowness float64, crowded, cold bool) {
 	s.mutex.Lock()
--- a/internal/cwfront/service_test.go
+++ b/internal/cwfront/service_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
@@ -133,3 +134,29 @@
 		t.Errorf("%v looks a second at ten servers", limit)
 	}
 }
+
+// TestLookTime has how long a health check is awaited by what the last ones took.
+func TestLookTime(t *testing.T) {
+	const objective = time.Second
+
+	for name, c := range map[string]struct {
+		took []time.Duration
+		want time.Duration
+	}{
+		"nothing known":        {nil, lookTime},
+		"at once":              {[]time.Duration{time.Millisecond}, lookTime},
+		"slow":                 {[]time.Duration{80 * time.Millisecond}, 160 * time.Millisecond},
+		"slower than is borne": {[]time.Duration{400 * time.Millisecond}, 250 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &service{}
+			for _, took := range c.took {
+				s.learnLook(took)
+			}
+
+			if diff := cmp.Diff(c.want, s.lookTime(objective)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/cwgateway/gateway_test.go
+++ b/internal/cwgateway/gateway_test.go
@@ -120,6 +120,37 @@
 	}
 }
 
+// TestSlowLooks wants healthy servers that all take long for a health check to be used.
+func TestSlowLooks(t *testing.T) {
+	const (
+		slow  = 80 * time.Millisecond
+		asked = 20
+		least = 15
+	)
+
+	f := newFleet(t)
+	for i := range 3 {
+		f.upstream(t, "records", fmt.Sprint("i-", i)).SetSlow(slow)
+	}
+
+	f.configure(safe("records"))
+
+	v := f.start(t, "vm-1")
+	v.waitReady(t)
+
+	served := 0
+
+	for i := range asked {
+		if v.ask(http.MethodGet, reading, fmt.Sprint("one-", i), "").status == http.StatusOK {
+			served++
+		}
+	}
+
+	if served < least {
+		t.Errorf("%d of %d requests served", served, asked)
+	}
+}
+
 // TestNoRoute wants a newcomer without a configuration to refuse, and a
 // request without a route to get 404.
 func TestNoRoute(t *testing.T) {
--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -77,6 +77,8 @@
 	fields string
 	// refusals has when each of the requests came that it refused.
 	refusals []time.Time
+	// slow is how long answers to health checks take.
+	slow time.Duration
 	// closing ends the connection of each health check.
 	closing bool
 	// body is what answers have.
@@ -163,6 +165,14 @@
 	}
 }
 
+// SetSlow sets how long its answers to health checks take.
+func (u *Upstream) SetSlow(slow time.Duration) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	u.slow = slow
+}
+
 // Refusals returns when each of the requests came that it refused.
 func (u *Upstream) Refusals() []time.Time {
 	u.mutex.Lock()
@@ -297,9 +307,11 @@
 func (u *Upstream) look(c net.Conn) bool {
 	u.mutex.Lock()
 	u.looks++
-	load, closing, warm, fields := u.load, u.closing, u.warm, u.fields
+	load, closing, warm, fields, slow := u.load, u.closing, u.warm, u.fields, u.slow
 	u.mutex.Unlock()
 
+	time.Sleep(slow)
+
 	connection := "keep-alive"
 	if closing {
 		connection = "close"
