--- a/internal/cwnode/tick.go
+++ b/internal/cwnode/tick.go
@@ -1,9 +1,10 @@
 package cwnode
 
 import (
-	"carobward.example/carobward"
 	"context"
 	"time"
+
+	"carobward.example/carobward"
 )
 
 // tickEvery is the pace of the systems.
