Load of services: the types that entry VMs exchange

Cause: what entry VMs are to decide together under load (admission, when refused callers return, placement over failure domains) needs one account of a service's demand and room. Change: ServiceLoad, DomainLoad and the interface FleetLoad, agreed before the parts are built. Nothing uses them yet.

--- /dev/null
+++ b/load.go
@@ -0,0 +1,51 @@
+package carobward
+
+import "time"
+
+// LoadRanks is the number of ranks by which demand is counted. Requests of further, less
+// urgent ranks count for the last one.
+const LoadRanks = 4
+
+// ServiceLoad is the recent load of a service's servers at one entry VM, or the sum over
+// the entry VMs of a failure domain.
+type ServiceLoad struct {
+	Service Service
+	// Demand is the requests a second by rank, the most urgent first. Refused requests
+	// count as well.
+	Demand [LoadRanks]Rate
+	// Completed is the replies a second from servers that ran a request.
+	Completed Rate
+	// Full is the requests a second whose first health checks found no server with room.
+	Full Rate
+	// Waiting is the number of requests that wait for a server.
+	Waiting int
+}
+
+// Total returns the requests a second of all ranks.
+func (l *ServiceLoad) Total() Rate {
+	var sum Rate
+	for _, d := range l.Demand {
+		sum += d
+	}
+
+	return sum
+}
+
+// DomainLoad is the load of a service in one failure domain.
+type DomainLoad struct {
+	ServiceLoad
+
+	Domain Domain
+	// At is when it was measured, by this entry VM's clock. VMs is the number of entry VMs
+	// that it covers.
+	At  time.Time
+	VMs int
+}
+
+// FleetLoad tells what this entry VM knows of the load of services at all entry VMs.
+type FleetLoad interface {
+	// Load returns the load of a service by failure domain, this one first. Failure domains
+	// from which nothing was heard lately are left out. It returns nil if nothing is known
+	// beyond this entry VM.
+	Load(s Service, now time.Time) []DomainLoad
+}
