Platform: numbers of settings and configuration may be fractions

Change: each number and duration of the settings file is read by its key, each of the configuration as it stands, and checked with a range; where it must be whole it is rounded to the safe side (budgets down, priorities up, sends and connections down but not to none; weights keep their proportion), with one log line. What has no meaning (negative, nan, text, beyond its range) is refused by name, with its line, all at once. A value that only tunes (memory_mb, link_mbps, heartbeat, bootstrap, seeds, zones; header_timeout, idle_timeout, target_latency) gets a default and a log line. Limits agreed with the operators are never guessed: missing or meaningless ones are still refused. A retry_min_extra or retry_budget_ratio of 0 is now taken: it means no such calls.

Ruled out: a float in place of ExtraMin, since 64.9 would then allow a 65th call at some moment; errors of the TOML library, since they stop at the first.

No existing test changed.

--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -75,6 +75,8 @@
 		return err
 	}
 
+	logNotes(log, s)
+
 	o := options(s, log)
 	o.DroppedLines = out.Dropped
 
@@ -98,6 +100,13 @@
 	return err
 }
 
+// logNotes logs which settings were rounded or replaced by a default.
+func logNotes(log logr.Logger, s *platform.Settings) {
+	for _, note := range s.Notes {
+		log.Info("A setting was not taken as it stands.", "setting", note)
+	}
+}
+
 func options(s *platform.Settings, log logr.Logger) cwgateway.Options {
 	host, _, _ := net.SplitHostPort(string(s.Callers))
 	// All entry VMs of a deployment share its store, so the key derived from the
--- a/cmd/cwgateway/settings.go
+++ b/cmd/cwgateway/settings.go
@@ -95,6 +95,7 @@
 		w.log.Info("Some settings have changed that take effect only after a restart, such as names, addresses and the store.", "why", why)
 	}
 
+	logNotes(w.log, s)
 	w.log.Info("Reloaded the settings.", "why", why)
 	w.apply(bounds(s))
 }
@@ -102,7 +103,7 @@
 // restartSettings returns the settings that take effect only after a restart.
 func restartSettings(s *platform.Settings) platform.Settings {
 	f := *s
-	f.Bounds, f.First, f.Seeds = platform.Bounds{}, false, nil
+	f.Bounds, f.First, f.Seeds, f.Notes = platform.Bounds{}, false, nil, nil
 
 	return f
 }
--- a/internal/cwgateway/changes.go
+++ b/internal/cwgateway/changes.go
@@ -178,6 +178,10 @@
 		return
 	}
 
+	for _, note := range r.Notes {
+		g.log.Info("A value of the configuration was not taken as it stands.", "value", note, "version", r.Version)
+	}
+
 	g.quota.SetTeams(r.Teams)
 	g.front.SetRoutes(cwroutes.New(r))
 	g.link.SetConns(minConns(r))
--- a/routing.go
+++ b/routing.go
@@ -21,6 +21,8 @@
 	// Teams are the teams whose callers authenticate by API key. If there are none, no
 	// request needs a key.
 	Teams []Team
+	// Notes are lines for the log: which values were rounded or replaced by a default.
+	Notes []string
 }
 
 // ServiceSpec is the operators' configuration of a group of servers.
