Quota: a team beyond its quota spends its tokens on its urgent requests

Cause: tokens went first come, first served.

Change: owners of buckets grant by class while they have to refuse (package cwreserve): the rank of the route's priority, late requests after all others. Nothing is asked for in advance meanwhile. Token requests carry class, again and relayed, answers beyond, two bytes each. A refused caller is told when a token for its class is expected, or the longest useful delay. Tokens whose request did not run come back to the entry VM for 0.5 s after their grant.

Ruled out: a part of the rate for each class (small teams have less than a token for each), demand in heartbeats (old by then), giving tokens back to the owner (a message that may be lost).

--- a/internal/cwfront/quarantine.go
+++ b/internal/cwfront/quarantine.go
@@ -96,6 +96,7 @@
 // complete marks the request as done. An answer ends its quarantine.
 func (r *request) complete() {
 	close(r.done)
+	r.giveBackToken()
 
 	if q := r.front.Quarantine; r.isAnswered() && q.Table.MayContain(&r.call) {
 		q.Answered(r.fingerprint())
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -60,6 +60,7 @@
 	// team or the route.
 	team     *carobward.Team
 	priority int
+	token    token
 	service  carobward.Service
 	state    *serviceState
 	call     carobward.Call
--- a/internal/cwfront/team.go
+++ b/internal/cwfront/team.go
@@ -9,6 +9,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwquota"
+	"carobward.example/carobward/internal/cwreserve"
 	"carobward.example/carobward/internal/cwroutes"
 )
 
@@ -60,16 +61,45 @@
 	return r.team.Name
 }
 
+// token is the token of a request, or the zero value if it has none.
+type token struct {
+	class cwreserve.Class
+	taken time.Time
+}
+
+// tokenRequest describes the request to the team's quota. The route's priority decides, as
+// a team's own is the same for all its requests.
+func (r *request) tokenRequest(now time.Time) cwquota.Request {
+	return cwquota.Request{
+		Class:     cwreserve.ClassOf(r.routes.KeyedRank(r.route.Priority), r.schedule.Timely(now)),
+		TimelyFor: max(0, r.schedule.TimelyFor(now)),
+		UsefulFor: max(0, r.schedule.UsefulFor(now)),
+	}
+}
+
+// giveBackToken gives back the token of a request that has not run and never will.
+func (r *request) giveBackToken() {
+	if r.token.taken.IsZero() || r.possiblyRun || r.err == nil || carobward.VerdictOf(r.err) != carobward.NotRun {
+		return
+	}
+
+	r.front.Quota.GiveBack(r.team.Name, r.token.class, r.token.taken)
+}
+
 // takeToken takes a token from the team's quota, or returns the failure of the request.
 func (r *request) takeToken(ctx context.Context) error {
 	if r.team == nil {
 		return nil
 	}
 
-	wait, err := r.front.Quota.Take(ctx, r.team.Name)
+	now := r.front.Clock.Now()
+	need := r.tokenRequest(now)
+	wait, err := r.front.Quota.Take(ctx, r.team.Name, need)
 
 	switch {
 	case err == nil:
+		r.token = token{class: need.Class, taken: now}
+
 		return nil
 	case errors.Is(err, cwquota.ErrOverQuota):
 		r.front.counts.Add(countOverQuota, 1)
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -27,6 +27,7 @@
 	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwquarantine"
 	"carobward.example/carobward/internal/cwquota"
+	"carobward.example/carobward/internal/cwreserve"
 )
 
 // Intervals, timeouts and limits of an entry VM.
@@ -166,11 +167,11 @@
 	g.quota = cwquota.New(cwquota.Options{
 		Self: o.Self.ID, Clock: o.Clock, Log: o.Log,
 		Fleet: func(now time.Time) cwquota.Fleet { return g.mesh.Quota(now) },
-		Ask: func(ctx context.Context, to carobward.VMID, team carobward.TeamName, want int) (cwquota.Grant, error) {
-			return g.mesh.AskTokens(ctx, to, team, want)
+		Ask: func(ctx context.Context, to carobward.VMID, team carobward.TeamName, a *cwreserve.Ask) (cwquota.Grant, error) {
+			return g.mesh.AskTokens(ctx, to, team, a)
 		},
-		AskDomain: func(ctx context.Context, in carobward.Domain, team carobward.TeamName, want int) (cwquota.Grant, error) {
-			return g.mesh.AskTokensInDomain(ctx, in, team, want)
+		AskDomain: func(ctx context.Context, in carobward.Domain, team carobward.TeamName, a *cwreserve.Ask) (cwquota.Grant, error) {
+			return g.mesh.AskTokensInDomain(ctx, in, team, a)
 		},
 	})
 	g.quota.SetBounds(o.Quota)
--- a/internal/cwgateway/operators.go
+++ b/internal/cwgateway/operators.go
@@ -103,6 +103,8 @@
 	Evacuated []evacuation `json:"evacuated"`
 	// Limited has the servers that report how many requests a second they accept.
 	Limited []limitedServer `json:"limited"`
+	// Quota has the teams beyond their quotas for whose tokens this entry VM is asked.
+	Quota *quotaStatus `json:"quota,omitempty"`
 }
 
 func (g *Gateway) writeStatus(ctx *fasthttp.RequestCtx) {
@@ -111,6 +113,7 @@
 		VM: g.Self.ID, Domain: g.Self.Domain, Ready: g.isReady(), Index: g.mirror.State().Index,
 		Age:     now.Sub(g.mesh.Fresh()).Round(time.Millisecond).String(),
 		Servers: g.servers.Count(), Fleet: g.table.Size(now), Evacuated: g.evacuations(), Limited: g.limitedServers(now),
+		Quota: g.quotaStatus(),
 	}
 
 	if t := g.front.Routes(); t != nil {
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -15,6 +15,7 @@
 	"carobward.example/carobward/internal/cwmirror"
 	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwquota"
+	"carobward.example/carobward/internal/cwreserve"
 	"carobward.example/carobward/internal/cwwire"
 )
 
@@ -68,9 +69,9 @@
 	Notices     func(now time.Time, newcomer bool) carobward.Announcements
 	TakeNotices func(notices carobward.Announcements, from carobward.VMID)
 	// Grant grants tokens of a team's quota.
-	Grant func(team carobward.TeamName, want int) cwquota.Grant
+	Grant func(team carobward.TeamName, a *cwreserve.Ask) cwquota.Grant
 	// DomainGrant asks the owners in this failure domain for tokens of a team's quota.
-	DomainGrant func(ctx context.Context, team carobward.TeamName, want int) cwquota.Grant
+	DomainGrant func(ctx context.Context, team carobward.TeamName, a *cwreserve.Ask) cwquota.Grant
 }
 
 // Mesh exchanges heartbeats with the other entry VMs and fetches changes of the store from them.
--- a/internal/cwmesh/tokens.go
+++ b/internal/cwmesh/tokens.go
@@ -9,6 +9,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwquota"
+	"carobward.example/carobward/internal/cwreserve"
 	"carobward.example/carobward/internal/cwwire"
 )
 
@@ -23,24 +24,39 @@
 // Further ones get no answer.
 const maxTokenRelays = 64
 
+// maxTokenWait is the longest wait that an answer has. It is longer than any caller's timeout.
+const maxTokenWait = time.Hour
+
 // AskTokens asks an entry VM of this failure domain for tokens of a team's quota.
-func (m *Mesh) AskTokens(ctx context.Context, to carobward.VMID, team carobward.TeamName, want int) (cwquota.Grant, error) {
+func (m *Mesh) AskTokens(ctx context.Context, to carobward.VMID, team carobward.TeamName, a *cwreserve.Ask) (cwquota.Grant, error) {
 	address, ok := m.Table.addressOf(to)
 	if !ok {
 		return cwquota.Grant{}, errNoPeer
 	}
 
-	return m.requestTokens(ctx, address, &cwwire.Tokens{Team: string(team), Want: uint32(want)})
+	return m.requestTokens(ctx, address, encodeAsk(team, a))
 }
 
 // AskTokensInDomain has an entry VM of another failure domain ask the owners there.
-func (m *Mesh) AskTokensInDomain(ctx context.Context, in carobward.Domain, team carobward.TeamName, want int) (cwquota.Grant, error) {
+func (m *Mesh) AskTokensInDomain(ctx context.Context, in carobward.Domain, team carobward.TeamName, a *cwreserve.Ask) (cwquota.Grant, error) {
 	list := m.Table.Contacts(in, 1, m.Clock.Now())
 	if len(list) == 0 {
 		return cwquota.Grant{}, errNoPeer
 	}
 
-	return m.requestTokens(ctx, list[0].Peers, &cwwire.Tokens{Team: string(team), Want: uint32(want), Relay: true})
+	ask := encodeAsk(team, a)
+	ask.Relay = true
+
+	return m.requestTokens(ctx, list[0].Peers, ask)
+}
+
+func encodeAsk(team carobward.TeamName, a *cwreserve.Ask) *cwwire.Tokens {
+	return &cwwire.Tokens{Team: string(team), Want: uint32(a.Want), Class: uint32(a.Class), Again: a.Again, Relayed: a.Relayed}
+}
+
+// decodeAsk returns the ask of a token request. A class that is not known here goes last.
+func decodeAsk(t *cwwire.Tokens) *cwreserve.Ask {
+	return &cwreserve.Ask{Want: int(t.GetWant()), Class: cwreserve.Class(min(t.GetClass(), cwreserve.Classes-1)), Again: t.GetAgain(), Relayed: t.GetRelayed()}
 }
 
 // requestTokens sends a request until there is an answer or the context ends.
@@ -88,21 +104,21 @@
 
 // handleTokens answers a token request, or delivers the answer to one.
 func (m *Mesh) handleTokens(t *cwwire.Tokens, from net.Addr) {
-	team, want := carobward.TeamName(t.GetTeam()), int(t.GetWant())
+	team := carobward.TeamName(t.GetTeam())
 
 	switch {
 	case t.GetAnswer():
 		m.deliverGrant(t)
 	case t.GetRelay():
-		m.relayTokenRequest(t.GetAsk(), team, want, from)
+		m.relayTokenRequest(t.GetAsk(), team, decodeAsk(t), from)
 	default:
-		m.sendGrant(t.GetAsk(), m.Grant(team, want), from)
+		m.sendGrant(t.GetAsk(), m.Grant(team, decodeAsk(t)), from)
 	}
 }
 
 // relayTokenRequest asks the owners here on behalf of another failure domain, unless too many
 // such requests are in progress.
-func (m *Mesh) relayTokenRequest(ask uint64, team carobward.TeamName, want int, from net.Addr) {
+func (m *Mesh) relayTokenRequest(number uint64, team carobward.TeamName, a *cwreserve.Ask, from net.Addr) {
 	if m.tokenRelays.Add(1) > maxTokenRelays {
 		m.tokenRelays.Add(-1)
 
@@ -112,13 +128,14 @@
 	m.group.Go(func() {
 		defer m.tokenRelays.Add(-1)
 
-		m.sendGrant(ask, m.DomainGrant(context.Background(), team, want), from)
+		m.sendGrant(number, m.DomainGrant(context.Background(), team, a), from)
 	})
 }
 
 func (m *Mesh) sendGrant(ask uint64, g cwquota.Grant, to net.Addr) {
 	m.write(m.encode(&cwwire.Beat{Id: string(m.Table.Self().ID), Tokens: &cwwire.Tokens{
-		Ask: ask, Answer: true, Owner: g.Owner, Given: uint32(g.Tokens), Wait: uint32(min(g.Wait, time.Hour).Milliseconds()),
+		Ask: ask, Answer: true, Owner: g.Owner, Given: uint32(g.Tokens), Wait: uint32(min(g.Wait, maxTokenWait).Milliseconds()),
+		Beyond: g.Beyond,
 	}}), carobward.Address(to.String()))
 }
 
@@ -129,7 +146,9 @@
 	m.mutex.Unlock()
 
 	if answer != nil {
-		answer <- cwquota.Grant{Owner: t.GetOwner(), Tokens: int(t.GetGiven()), Wait: time.Duration(t.GetWait()) * time.Millisecond}
+		answer <- cwquota.Grant{
+			Owner: t.GetOwner(), Tokens: int(t.GetGiven()), Wait: time.Duration(t.GetWait()) * time.Millisecond, Beyond: t.GetBeyond(),
+		}
 	}
 }
 
--- a/internal/cwqueue/schedule.go
+++ b/internal/cwqueue/schedule.go
@@ -61,7 +61,15 @@
 func (s *Schedule) times(n float64) time.Duration { return time.Duration(n * float64(s.Usual)) }
 
 // Timely reports whether an answer can still be in time.
-func (s *Schedule) Timely(now time.Time) bool { return s.Due.Sub(now) >= s.expectedTime() }
+func (s *Schedule) Timely(now time.Time) bool { return s.TimelyFor(now) >= 0 }
+
+// TimelyFor returns how long an answer can still be in time if the request waits.
+func (s *Schedule) TimelyFor(now time.Time) time.Duration { return s.Due.Sub(now) - s.expectedTime() }
+
+// UsefulFor returns how long an answer can still reach the caller if the request waits.
+func (s *Schedule) UsefulFor(now time.Time) time.Duration {
+	return s.Deadline.Sub(now) - s.expectedTime()
+}
 
 // Before reports whether a request gets a server before another one. A request whose
 // answer can be in time goes first, then the more urgent one, then the one that is due
--- a/internal/cwquota/bucket.go
+++ b/internal/cwquota/bucket.go
@@ -3,13 +3,12 @@
 import (
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwreserve"
 )
 
 // Grant grants tokens of a team if this entry VM owns a bucket of it.
-func (l *Limiter) Grant(name carobward.TeamName, want int) Grant {
+func (l *Limiter) Grant(name carobward.TeamName, a *cwreserve.Ask) Grant {
 	now := l.Clock.Now()
 
 	l.mutex.Lock()
@@ -21,47 +20,25 @@
 	}
 
 	f := l.Fleet(now)
-
-	s, owner := l.updateBucket(t, &f, now)
-	if !owner {
+	if !l.updateBucket(t, &f, now) {
 		return Grant{}
 	}
 
-	n := min(want, int(t.bucket.TokensAt(now)))
-	if n <= 0 || !t.bucket.AllowN(now, n) {
-		return Grant{Owner: true, Wait: t.countRefusal(&s, now)}
-	}
+	n, wait := t.bucket.Take(a, now)
+	t.answered.add(a.Class, n)
+	l.answered.add(a.Class, n)
 
-	return Grant{Owner: true, Tokens: n}
+	return Grant{Owner: true, Tokens: n, Wait: wait, Beyond: t.bucket.Beyond(now)}
 }
 
 // adjustBucket adjusts the bucket to its share of the quota. A new bucket holds a single
 // token: its previous owner may have granted what the team is entitled to.
 func (t *team) adjustBucket(s *share, now time.Time) {
-	limit, burst := rate.Limit(s.rate), int(s.burst)
-
 	if t.bucket == nil {
-		t.bucket = rate.NewLimiter(limit, burst)
-		t.bucket.AllowN(now, burst-1)
-	}
+		t.bucket = cwreserve.NewBucket(s.rate, s.burst, 1, now)
 
-	if t.bucket.Limit() != limit {
-		t.bucket.SetLimitAt(now, limit)
+		return
 	}
 
-	if t.bucket.Burst() != burst {
-		t.bucket.SetBurstAt(now, burst)
-	}
-}
-
-// countRefusal counts a refusal and returns the retry delay of its caller, which allows for
-// the tokens of all others that were refused within the last second.
-func (t *team) countRefusal(s *share, now time.Time) time.Duration {
-	if now.Sub(t.refusedSince) >= time.Second {
-		t.refused, t.refusedSince = 0, now
-	}
-
-	t.refused++
-
-	return max(minRetryDelay, time.Duration(float64(t.refused)/s.rate*float64(time.Second)))
+	t.bucket.Adjust(s.rate, s.burst, now)
 }
--- a/internal/cwquota/owners.go
+++ b/internal/cwquota/owners.go
@@ -1,6 +1,7 @@
 package cwquota
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -77,13 +78,13 @@
 		s.owners, s.rate, s.burst = maxOwners, s.rate/maxOwners, s.burst/maxOwners
 	}
 
-	s.burst = max(1, s.burst)
+	s.burst = max(1, math.Floor(s.burst))
 
 	return s
 }
 
-// Tick creates the buckets that this entry VM has come to own and drops those that it no
-// longer owns. It should be called each second.
+// Tick creates the buckets that this entry VM has come to own, drops those that it no
+// longer owns, and logs teams beyond their quotas. It should be called each second.
 func (l *Limiter) Tick(now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -96,19 +97,21 @@
 	for _, t := range l.teams {
 		l.updateBucket(t, &f, now)
 	}
+
+	l.logBeyond(now)
 }
 
 // updateBucket updates the bucket of a team if this entry VM owns one, or drops it. It
 // reports whether this entry VM owns one. The mutex must be held.
-func (l *Limiter) updateBucket(t *team, f *Fleet, now time.Time) (share, bool) {
+func (l *Limiter) updateBucket(t *team, f *Fleet, now time.Time) bool {
 	if t.quota.Rate <= 0 || !f.Settled || float64(1+len(f.Peers)) < minKnownFraction*float64(f.DomainSize) || !slices.Contains(l.owners(t, f), l.Self) {
 		t.bucket = nil
 
-		return share{}, false
+		return false
 	}
 
 	s := l.shareOf(t, f)
 	t.adjustBucket(&s, now)
 
-	return s, true
+	return true
 }
--- a/internal/cwquota/quota.go
+++ b/internal/cwquota/quota.go
@@ -3,7 +3,8 @@
 // In each failure domain a few entry VMs, the first ones by rendezvous hashing of the team,
 // own token buckets. The other entry VMs request tokens from an owner before they send, and
 // if those have none, from other failure domains. So the sum of the buckets is the limit,
-// wherever requests arrive, whichever entry VMs are cut off, and whichever restart.
+// wherever requests arrive, whichever entry VMs are cut off, and whichever restart. While a
+// team asks for more than its quota, the owners grant tokens by class (package cwreserve).
 package cwquota
 
 import (
@@ -13,10 +14,10 @@
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
-	"golang.org/x/time/rate"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwrank"
+	"carobward.example/carobward/internal/cwreserve"
 )
 
 // Parameters of the division of a quota.
@@ -62,6 +63,17 @@
 	unknownRetryDelay = 300 * time.Millisecond
 	// minRetryDelay is the minimum retry delay for a request beyond the quota.
 	minRetryDelay = 100 * time.Millisecond
+	// retryTime is how long a caller takes to be here again, beside the delay.
+	retryTime = 25 * time.Millisecond
+	// maxUnknownDelay is the retry delay if no token is expected and the caller has not said
+	// how long it waits.
+	maxUnknownDelay = time.Second
+	// maxReturnAge is until how long after its grant a token that was given back may be
+	// used: most requests that get no server are refused within that time. Older tokens may
+	// belong to a window that is over.
+	maxReturnAge = 500 * time.Millisecond
+	// beyondTime is how long a team counts as beyond its quota after an owner said so.
+	beyondTime = time.Second
 )
 
 // The errors of a request that got no token.
@@ -98,9 +110,13 @@
 type Grant struct {
 	// Owner is set if the sender owns a bucket of the team.
 	Owner bool
-	// Tokens is how many tokens it grants; Wait is when to ask again if that is none.
+	// Tokens is how many tokens it grants; Wait is when one is expected if that is none, or
+	// cwreserve.NoToken.
 	Tokens int
 	Wait   time.Duration
+	// Beyond is set if the team asked for more than the bucket had lately. Tokens should not
+	// be requested in advance then.
+	Beyond bool
 }
 
 // Options are the dependencies of a Limiter.
@@ -110,9 +126,9 @@
 	Log   logr.Logger
 	Fleet func(now time.Time) Fleet
 	// Ask requests tokens of a team from another entry VM.
-	Ask func(ctx context.Context, to carobward.VMID, team carobward.TeamName, want int) (Grant, error)
+	Ask func(ctx context.Context, to carobward.VMID, team carobward.TeamName, a *cwreserve.Ask) (Grant, error)
 	// AskDomain has an entry VM of another failure domain call GrantInDomain.
-	AskDomain func(ctx context.Context, in carobward.Domain, team carobward.TeamName, want int) (Grant, error)
+	AskDomain func(ctx context.Context, in carobward.Domain, team carobward.TeamName, a *cwreserve.Ask) (Grant, error)
 }
 
 // Limiter enforces the quotas of all teams. It is safe for concurrent use.
@@ -122,6 +138,10 @@
 	mutex  sync.Mutex
 	bounds Bounds
 	teams  map[carobward.TeamName]*team
+	// answered counts this entry VM's answers as an owner, returned the tokens that were
+	// given back here.
+	answered counts
+	returned int64
 }
 
 // team is the state of a team. It is guarded by the Limiter's mutex.
@@ -129,22 +149,17 @@
 	hash  uint64
 	quota carobward.Quota
 	// bucket is this entry VM's bucket if it is an owner.
-	bucket *rate.Limiter
-	// refused counts the refusals since refusedSince.
-	refused      int
-	refusedSince time.Time
-	// prefetched is the number of tokens that were requested in advance. They may be used
-	// until prefetchedUntil.
-	prefetched      int
-	prefetchedUntil time.Time
-	// requests counts the team's requests in the period that began at periodStart,
-	// lastRequests those in the period before.
-	requests, lastRequests int
-	periodStart            time.Time
-	// backoff has the failure domains that are skipped, and until when.
-	backoff map[carobward.Domain]time.Time
+	bucket *cwreserve.Bucket
+	// answered counts this entry VM's answers as an owner since the last Tick.
+	answered counts
+	stock    stock
+	// backoff has, by class, until when other failure domains are skipped.
+	backoff map[carobward.Domain]*classTimes
 }
 
+// classTimes has a time for each class.
+type classTimes [cwreserve.Classes]time.Time
+
 // New returns a Limiter without teams.
 func New(o Options) *Limiter {
 	o.Log = o.Log.WithName("quota")
--- a/internal/cwquota/quota_test.go
+++ b/internal/cwquota/quota_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwreserve"
 )
 
 // Parameters of the simulated fleet.
@@ -32,11 +34,16 @@
 	now    time.Time
 	random *rand.Rand
 	vms    []*simVM
-	teams  []carobward.Team
+	// byID and byDomain have the same entry VMs.
+	byID     map[carobward.VMID]*simVM
+	byDomain [simDomains][]*simVM
+
+	teams []carobward.Team
 	// sent has the times at which requests of each team were admitted.
 	sent map[carobward.TeamName][]time.Time
-	// requests counts all requests, admitted those that were admitted.
-	requests, admitted int
+	// requests counts all requests, admitted those that were admitted, asks the token
+	// requests to other entry VMs.
+	requests, admitted, asks int
 }
 
 // simVM is an entry VM.
@@ -62,12 +69,14 @@
 
 	s := &sim{
 		t: t, now: time.Date(2100, time.January, 1, 0, 0, 0, 0, time.UTC), random: rand.New(rand.NewPCG(seed, 1)),
-		teams: teams, sent: map[carobward.TeamName][]time.Time{},
+		byID: map[carobward.VMID]*simVM{}, teams: teams, sent: map[carobward.TeamName][]time.Time{},
 	}
 
 	for i := range vms {
 		v := &simVM{id: carobward.VMID(fmt.Sprint("vm-", i)), domain: i % simDomains}
 		s.vms = append(s.vms, v)
+		s.byID[v.id] = v
+		s.byDomain[v.domain] = append(s.byDomain[v.domain], v)
 		s.start(v)
 	}
 
@@ -81,16 +90,16 @@
 	v.limiter = New(Options{
 		Self: v.id, Clock: s, Log: logr.Discard(),
 		Fleet: func(now time.Time) Fleet { return s.fleet(v, now) },
-		Ask: func(_ context.Context, to carobward.VMID, team carobward.TeamName, want int) (Grant, error) {
-			return s.ask(v, to, team, want)
+		Ask: func(_ context.Context, to carobward.VMID, team carobward.TeamName, a *cwreserve.Ask) (Grant, error) {
+			return s.ask(v, to, team, a)
 		},
-		AskDomain: func(ctx context.Context, in carobward.Domain, team carobward.TeamName, want int) (Grant, error) {
+		AskDomain: func(ctx context.Context, in carobward.Domain, team carobward.TeamName, a *cwreserve.Ask) (Grant, error) {
 			o := s.inDomain(in)
 			if o == nil || !s.reachable(v, o) {
 				return Grant{}, errors.New("no answer")
 			}
 
-			return o.limiter.GrantInDomain(ctx, team, want), nil
+			return o.limiter.GrantInDomain(ctx, team, a), nil
 		},
 	})
 	v.limiter.SetBounds(Bounds{Window: simWindow, Overshoot: simOvershoot, Slack: simSlack})
@@ -104,8 +113,8 @@
 
 	f := Fleet{DomainSize: 1, Settled: now.Sub(v.started) >= settle}
 
-	for _, o := range s.vms {
-		if o == v || o.domain != v.domain {
+	for _, o := range s.byDomain[v.domain] {
+		if o == v {
 			continue
 		}
 
@@ -129,11 +138,11 @@
 
 func (s *sim) reachable(a, b *simVM) bool { return a.alive && b.alive && !a.isolated && !b.isolated }
 
-func (s *sim) ask(from *simVM, to carobward.VMID, team carobward.TeamName, want int) (Grant, error) {
-	for _, o := range s.vms {
-		if o.id == to && s.reachable(from, o) {
-			return o.limiter.Grant(team, want), nil
-		}
+func (s *sim) ask(from *simVM, to carobward.VMID, team carobward.TeamName, a *cwreserve.Ask) (Grant, error) {
+	s.asks++
+
+	if o := s.byID[to]; o != nil && s.reachable(from, o) {
+		return o.limiter.Grant(team, a), nil
 	}
 
 	return Grant{}, errors.New("no answer")
@@ -141,14 +150,12 @@
 
 // inDomain returns a random entry VM of a failure domain, or nil if it has none.
 func (s *sim) inDomain(d carobward.Domain) *simVM {
-	var all []*simVM
-
-	for _, v := range s.vms {
-		if fmt.Sprint(v.domain) == string(d) {
-			all = append(all, v)
-		}
+	i, err := strconv.Atoi(string(d))
+	if err != nil {
+		s.t.Fatal(err)
 	}
 
+	all := s.byDomain[i]
 	if len(all) == 0 {
 		return nil
 	}
@@ -164,7 +171,7 @@
 
 	s.requests++
 
-	if _, err := v.limiter.Take(context.Background(), team.Name); err != nil {
+	if _, err := v.limiter.Take(context.Background(), team.Name, Request{}); err != nil {
 		return false
 	}
 
@@ -412,12 +419,12 @@
 	s := newSim(t, 8, 3, []carobward.Team{{Name: "free"}})
 
 	for _, name := range []carobward.TeamName{"free", "unknown"} {
-		if _, err := s.vms[0].limiter.Take(context.Background(), name); err != nil {
+		if _, err := s.vms[0].limiter.Take(context.Background(), name, Request{}); err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
 
-	if diff := cmp.Diff(Grant{}, s.vms[0].limiter.Grant("unknown", 1)); diff != "" {
+	if diff := cmp.Diff(Grant{}, s.vms[0].limiter.Grant("unknown", &cwreserve.Ask{Want: 1})); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -433,7 +440,7 @@
 	b.ReportAllocs()
 
 	for b.Loop() {
-		if _, err := l.Take(context.Background(), "club"); err != nil {
+		if _, err := l.Take(context.Background(), "club", Request{}); err != nil {
 			b.Fatal(err)
 		}
 	}
--- /dev/null
+++ b/internal/cwquota/status.go
@@ -0,0 +1,75 @@
+package cwquota
+
+import (
+	"time"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwreserve"
+)
+
+// maxLogged is the maximum number of teams that are logged each second.
+const maxLogged = 8
+
+// counts are an owner's answers to token requests, by class.
+type counts struct {
+	granted, refused [cwreserve.Classes]int64
+}
+
+// add counts an answer that grants n tokens.
+func (c *counts) add(class cwreserve.Class, n int) {
+	if n == 0 {
+		c.refused[class]++
+
+		return
+	}
+
+	c.granted[class] += int64(n)
+}
+
+// Status is the state of the tokens for which this entry VM is asked.
+type Status struct {
+	// Granted and Refused count tokens and refusals by class. A request that two owners
+	// refuse counts at both.
+	Granted, Refused [cwreserve.Classes]int64
+	// Returned counts tokens that were given back here.
+	Returned int64
+	// Beyond are the teams that asked for more than this entry VM's bucket had lately.
+	Beyond []carobward.TeamName
+	// Reserved is the number of tokens that these buckets hold back from the last class.
+	Reserved float64
+}
+
+// Status returns the state of the tokens for which this entry VM is asked.
+func (l *Limiter) Status(now time.Time) Status {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	s := Status{Granted: l.answered.granted, Refused: l.answered.refused, Returned: l.returned}
+
+	for name, t := range l.teams {
+		if t.bucket != nil && t.bucket.Beyond(now) {
+			s.Beyond = append(s.Beyond, name)
+			s.Reserved += t.bucket.Reserve(cwreserve.Classes-1, now)
+		}
+	}
+
+	return s
+}
+
+// logBeyond logs what this entry VM granted to teams beyond their quotas since the last call.
+// The mutex must be held.
+func (l *Limiter) logBeyond(now time.Time) {
+	logged := 0
+
+	for name, t := range l.teams {
+		c := t.answered
+		t.answered = counts{}
+
+		if t.bucket == nil || !t.bucket.Beyond(now) || logged >= maxLogged {
+			continue
+		}
+
+		logged++
+		l.Log.Info("A team asks for more than its quota.", "team", name, "granted", c.granted, "refused", c.refused, "reserved", t.bucket.Reserve(cwreserve.Classes-1, now))
+	}
+}
--- a/internal/cwquota/stock.go
+++ b/internal/cwquota/stock.go
@@ -4,11 +4,38 @@
 	"time"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwreserve"
 )
 
-// usePrefetched uses a token that was requested in advance, or returns how many to request
-// and the entry VMs to request them from. It returns 0 if no token has to be requested.
-func (l *Limiter) usePrefetched(name carobward.TeamName, now time.Time) (int, Fleet) {
+// maxReturned is the maximum number of a team's tokens that were given back and are kept.
+const maxReturned = 8
+
+// stock has the tokens of a team that this entry VM holds.
+type stock struct {
+	// prefetched is the number of tokens that were requested in advance. They may be used
+	// until prefetchedUntil.
+	prefetched      int
+	prefetchedUntil time.Time
+	// returned are tokens whose request got no server.
+	returned []returnedToken
+	// beyondUntil is until when none are requested in advance.
+	beyondUntil time.Time
+	// requests counts the team's requests in the period that began at periodStart,
+	// lastRequests those in the period before.
+	requests, lastRequests int
+	periodStart            time.Time
+}
+
+// returnedToken is a token that may be used until a time by requests that go no later than
+// the one that it was granted for.
+type returnedToken struct {
+	class cwreserve.Class
+	until time.Time
+}
+
+// takeFromStock uses a token that this entry VM holds, or returns how many to request and the
+// entry VMs to request them from. It returns 0 if no token has to be requested.
+func (l *Limiter) takeFromStock(name carobward.TeamName, c cwreserve.Class, now time.Time) (int, Fleet) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 
@@ -17,38 +44,97 @@
 		return 0, Fleet{}
 	}
 
-	t.countRequest(now)
-
-	if t.prefetched > 0 && now.Before(t.prefetchedUntil) {
-		t.prefetched--
+	s := &t.stock
+	s.countRequest(now)
 
+	if s.useReturned(c, now) || s.usePrefetched(now) {
 		return 0, Fleet{}
 	}
 
-	return 1 + t.lastRequests, l.Fleet(now)
+	if now.Before(s.beyondUntil) {
+		return 1, l.Fleet(now)
+	}
+
+	return 1 + s.lastRequests, l.Fleet(now)
+}
+
+func (s *stock) usePrefetched(now time.Time) bool {
+	if s.prefetched == 0 || !now.Before(s.prefetchedUntil) {
+		return false
+	}
+
+	s.prefetched--
+
+	return true
+}
+
+// useReturned uses a token that was given back, and drops those that are too old.
+func (s *stock) useReturned(c cwreserve.Class, now time.Time) bool {
+	kept, used := s.returned[:0], false
+
+	for _, r := range s.returned {
+		switch {
+		case !now.Before(r.until):
+		case !used && c <= r.class:
+			used = true
+		default:
+			kept = append(kept, r)
+		}
+	}
+
+	s.returned = kept
+
+	return used
 }
 
 // countRequest counts a request. The number of tokens to request in advance for a period is
 // the number of requests in the period before.
-func (t *team) countRequest(now time.Time) {
-	if past := now.Sub(t.periodStart); past >= prefetchTime {
-		t.lastRequests = 0
+func (s *stock) countRequest(now time.Time) {
+	if past := now.Sub(s.periodStart); past >= prefetchTime {
+		s.lastRequests = 0
 		if past < 2*prefetchTime {
-			t.lastRequests = t.requests
+			s.lastRequests = s.requests
 		}
 
-		t.requests, t.periodStart = 0, now
+		s.requests, s.periodStart = 0, now
 	}
 
-	t.requests++
+	s.requests++
 }
 
-// storePrefetched keeps the tokens that were granted beyond the one needed.
-func (l *Limiter) storePrefetched(name carobward.TeamName, tokens int, now time.Time) {
+// noteGrant keeps the tokens that were granted beyond the one needed, and whether the team is
+// beyond its quota.
+func (l *Limiter) noteGrant(name carobward.TeamName, g *Grant, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 
-	if t := l.teams[name]; t != nil && tokens > 0 {
-		t.prefetched, t.prefetchedUntil = tokens, now.Add(prefetchTime)
+	t := l.teams[name]
+	if t == nil {
+		return
 	}
+
+	if g.Tokens > 1 {
+		t.stock.prefetched, t.stock.prefetchedUntil = g.Tokens-1, now.Add(prefetchTime)
+	}
+
+	if g.Beyond {
+		t.stock.beyondUntil = now.Add(beyondTime)
+	}
+}
+
+// GiveBack gives back the token of a request that was granted at some time and has not run.
+// Requests that go no later than its class may use it here for a short time.
+func (l *Limiter) GiveBack(name carobward.TeamName, c cwreserve.Class, granted time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	until := granted.Add(maxReturnAge)
+
+	t := l.teams[name]
+	if t == nil || t.quota.Rate <= 0 || len(t.stock.returned) >= maxReturned || !l.Clock.Now().Before(until) {
+		return
+	}
+
+	l.returned++
+	t.stock.returned = append(t.stock.returned, returnedToken{class: c, until: until})
 }
--- a/internal/cwquota/take.go
+++ b/internal/cwquota/take.go
@@ -6,26 +6,56 @@
 	"time"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwreserve"
 )
 
+// Request describes a request that needs a token.
+type Request struct {
+	// Class is its place in the order in which requests of a team beyond its quota get
+	// tokens.
+	Class cwreserve.Class
+	// TimelyFor is how long its answer can still be in time if it is sent by then, 0 if it
+	// is late already. UsefulFor is the same until its caller gives up.
+	TimelyFor, UsefulFor time.Duration
+}
+
+// retryDelay returns the delay after which the caller of a refused request may retry if a
+// token for its class is expected after the wait. If that is too late for an answer in time,
+// it is the longest useful one: an earlier retry would take tokens from new requests.
+func (r *Request) retryDelay(wait time.Duration) time.Duration {
+	useful := r.TimelyFor
+	if r.Class.Late() {
+		useful = r.UsefulFor
+	}
+
+	useful -= retryTime
+
+	switch {
+	case wait <= useful:
+		return min(max(wait, minRetryDelay), useful)
+	case r.UsefulFor > minRetryDelay:
+		return r.UsefulFor
+	default:
+		return min(max(wait, minRetryDelay), maxUnknownDelay)
+	}
+}
+
 // Take takes a token for a request of a team. If there is none it returns ErrOverQuota or
 // ErrUnknown, with the delay after which the caller may retry.
-func (l *Limiter) Take(ctx context.Context, name carobward.TeamName) (time.Duration, error) {
+func (l *Limiter) Take(ctx context.Context, name carobward.TeamName, r Request) (time.Duration, error) {
 	now := l.Clock.Now()
 
-	want, f := l.usePrefetched(name, now)
+	want, f := l.takeFromStock(name, r.Class, now)
 	if want == 0 {
 		return 0, nil
 	}
 
-	g, err := l.askOwners(ctx, name, want, &f)
-	if g.Tokens > 0 {
-		l.storePrefetched(name, g.Tokens-1, now)
+	a := cwreserve.Ask{Class: r.Class, Want: want}
 
-		return 0, nil
-	}
+	g, err := l.askOwners(ctx, name, a, &f)
+	l.noteGrant(name, &g, now)
 
-	if l.takeFromOtherDomain(ctx, name, &f, now) {
+	if g.Tokens > 0 || l.takeFromOtherDomain(ctx, name, r.Class, &f, now) {
 		return 0, nil
 	}
 
@@ -33,14 +63,18 @@
 		return unknownRetryDelay, ErrUnknown
 	}
 
-	return g.Wait, ErrOverQuota
+	return r.retryDelay(g.Wait), ErrOverQuota
 }
 
-// GrantInDomain grants tokens of a team from the owners in this failure domain.
-func (l *Limiter) GrantInDomain(ctx context.Context, name carobward.TeamName, want int) Grant {
+// GrantInDomain grants tokens of a team from the owners in this failure domain to an entry VM
+// of another one.
+func (l *Limiter) GrantInDomain(ctx context.Context, name carobward.TeamName, a *cwreserve.Ask) Grant {
 	f := l.Fleet(l.Clock.Now())
 
-	g, err := l.askOwners(ctx, name, want, &f)
+	relayed := *a
+	relayed.Relayed = true
+
+	g, err := l.askOwners(ctx, name, relayed, &f)
 	if err != nil {
 		return Grant{}
 	}
@@ -50,11 +84,11 @@
 
 // askOwners requests tokens from the owners in this failure domain, one after the other. It
 // returns an error if none of them answered.
-func (l *Limiter) askOwners(ctx context.Context, name carobward.TeamName, want int, f *Fleet) (Grant, error) {
+func (l *Limiter) askOwners(ctx context.Context, name carobward.TeamName, a cwreserve.Ask, f *Fleet) (Grant, error) {
 	none := Grant{Wait: math.MaxInt64}
 
 	for _, o := range l.shuffledOwners(name, f) {
-		g, err := l.ask(ctx, o, name, want)
+		g, err := l.ask(ctx, o, name, &a)
 
 		switch {
 		case err != nil:
@@ -62,7 +96,8 @@
 		case g.Tokens > 0:
 			return g, nil
 		case g.Owner:
-			none.Owner, none.Wait = true, min(none.Wait, g.Wait)
+			none.Owner, none.Wait, none.Beyond = true, min(none.Wait, g.Wait), true
+			a.Again = true
 		}
 	}
 
@@ -73,13 +108,13 @@
 	return none, nil
 }
 
-func (l *Limiter) ask(ctx context.Context, to carobward.VMID, name carobward.TeamName, want int) (Grant, error) {
+func (l *Limiter) ask(ctx context.Context, to carobward.VMID, name carobward.TeamName, a *cwreserve.Ask) (Grant, error) {
 	if to == l.Self {
-		return l.Grant(name, want), nil
+		return l.Grant(name, a), nil
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 
-	return l.Ask(ctx, to, name, want)
+	return l.Ask(ctx, to, name, a)
 }
--- a/internal/cwroutes/table.go
+++ b/internal/cwroutes/table.go
@@ -23,6 +23,8 @@
 	services   map[carobward.Service]carobward.ServiceSpec
 	hosts      map[string]map[string]*Route
 	priorities map[carobward.Service][]int
+	// keyed has the priorities of the routes that need an API key, sorted.
+	keyed []int
 	// teamsByKey maps the hash of each API key to its team. hasTeams is set if there
 	// are any teams.
 	teamsByKey map[carobward.KeyHash]*carobward.Team
@@ -112,6 +114,8 @@
 			continue
 		}
 
+		t.keyed = insertSorted(t.keyed, r.Priority)
+
 		for i := range teams {
 			t.addPriority(s.Service, Priority(&r, &teams[i]))
 		}
@@ -131,21 +135,25 @@
 
 // addPriority adds a priority to the sorted list of a service's priorities.
 func (t *Table) addPriority(s carobward.Service, priority int) {
-	list := t.priorities[s]
+	t.priorities[s] = insertSorted(t.priorities[s], priority)
+}
 
-	at := 0
-	for at < len(list) && list[at] < priority {
-		at++
+// insertSorted adds a number to a sorted list unless the list has it.
+func insertSorted(list []int, n int) []int {
+	at, found := slices.BinarySearch(list, n)
+	if found {
+		return list
 	}
 
-	if at < len(list) && list[at] == priority {
-		return
-	}
+	return slices.Insert(list, at, n)
+}
+
+// KeyedRank returns the rank of a route's priority among those of all routes that need an
+// API key, 0 being the most urgent.
+func (t *Table) KeyedRank(priority int) int {
+	rank, _ := slices.BinarySearch(t.keyed, priority)
 
-	list = append(list, 0)
-	copy(list[at+1:], list[at:])
-	list[at] = priority
-	t.priorities[s] = list
+	return rank
 }
 
 // Rank returns the rank of a priority among those of a service, 0 being the most urgent, and
--- a/internal/cwroutes/table_test.go
+++ b/internal/cwroutes/table_test.go
@@ -141,3 +141,30 @@
 		})
 	}
 }
+
+// TestKeyedRank verifies that a team's requests are ranked among the routes that need a key.
+func TestKeyedRank(t *testing.T) {
+	shares := []carobward.Share{{Service: "records", Weight: 1}}
+	teams := []carobward.Team{{Name: "club", HasPriority: true, Priority: 9}}
+	hosts := map[string][]carobward.Route{"a.example": {
+		{Prefix: "/", Priority: 5, Shares: shares}, {Prefix: "/b/", Priority: 2, Shares: shares},
+		{Prefix: "/c/", Priority: 2, Shares: shares}, {Prefix: "/free/", Priority: 1, Anonymous: true, Shares: shares},
+	}}
+
+	for name, c := range map[string]struct {
+		teams          []carobward.Team
+		priority, want int
+	}{
+		"most urgent":  {teams, 2, 0},
+		"least urgent": {teams, 5, 1},
+		"no teams":     {nil, 5, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New(&carobward.Routing{Hosts: hosts, Teams: c.teams})
+
+			if got := table.KeyedRank(c.priority); got != c.want {
+				t.Errorf("rank %d, want %d", got, c.want)
+			}
+		})
+	}
+}
