Refusals by servers with room are no failures

While all servers of a service refuse half of what they get, each refusal counted as a failure of its server: blocked for 0.1 s, and 0.8 usual times dearer for each. The choice went to slower or fuller servers instead, though the refusal says nothing about the next request.

With a free slot: no block; the share that a server refuses is kept, halves in 2 s and ends with the process; a server is dearer by what it refuses beyond the service's mean. Without one, without a report, or with a 421: as before.

--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -16,6 +16,8 @@
 	Answered Outcome = iota
 	// Refused: the server reported that it did not run the request.
 	Refused
+	// RefusedWithRoom: the same, though its load report shows a free slot.
+	RefusedWithRoom
 	// Failed: a response arrived that shows a fault of the server, such as status 500.
 	Failed
 	// Broken: the connection ended before a complete response, or the response was invalid.
@@ -27,7 +29,7 @@
 )
 
 var outcomeNames = [...]string{
-	Answered: "answered", Refused: "refused", Failed: "failed",
+	Answered: "answered", Refused: "refused", RefusedWithRoom: "refused-with-room", Failed: "failed",
 	Broken: "broken", Silent: "silent", Abandoned: "abandoned",
 }
 
@@ -76,6 +78,7 @@
 	// requests that failed.
 	failures     int
 	failureRate  float64
+	refusals     refusals
 	blockedUntil time.Time
 	// inFlight has the requests of this entry VM at the server.
 	inFlight map[int64]flight
@@ -170,6 +173,9 @@
 	case Answered:
 		s.failures = 0
 		s.failureRate -= failureWeight * s.failureRate
+		s.refusals.add(now, false)
+	case RefusedWithRoom:
+		s.refusals.add(now, true)
 	case Refused:
 		// The server is alive and reports its load; it may have a free slot for the next
 		// request.
--- a/internal/cwbackend/view.go
+++ b/internal/cwbackend/view.go
@@ -32,8 +32,12 @@
 	InFlight int
 	// Overdue is set if one of these requests has been in flight for too long.
 	Overdue bool
-	// FailureRate is the moving average of the share of requests that failed or were refused.
+	// FailureRate is the moving average of the share of requests that failed, or were refused
+	// by a server without a free slot.
 	FailureRate float64
+	// RefusalRate is that of the share of requests that were refused although the server had
+	// room.
+	RefusalRate float64
 	// Domain is its failure domain, Address where it listens.
 	Domain  carobward.Domain
 	Address carobward.Address
@@ -69,7 +73,7 @@
 
 	v := View{
 		Server: s, Leaving: s.isLeaving(), Throttled: now.Before(s.pausedUntil), ThrottledUntil: s.pausedUntil, Blocked: now.Before(s.blockedUntil), Failing: s.failures > 0, Warming: now.Before(s.warmupEnd),
-		Slots: max(1, s.backend.Slots), InFlight: len(s.inFlight), FailureRate: s.failureRate, Domain: s.backend.Domain, Address: s.backend.Address, Report: s.report, Limit: s.limit.Limit,
+		Slots: max(1, s.backend.Slots), InFlight: len(s.inFlight), FailureRate: s.failureRate, RefusalRate: s.refusals.value(now), Domain: s.backend.Domain, Address: s.backend.Address, Report: s.report, Limit: s.limit.Limit,
 	}
 
 	for _, f := range s.inFlight {
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -147,6 +147,7 @@
 	countSends        = "sends"
 	countRetries      = "again"
 	countDenied       = "denied"
+	countRefusals     = "refused"
 	countHedges       = "hedges"
 	countHandovers    = "handed"
 	countStreamed     = "passed"
--- a/internal/cwfront/result_test.go
+++ b/internal/cwfront/result_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/juju/errors"
@@ -25,6 +26,9 @@
 func TestResolveResult(t *testing.T) {
 	failure := func(v carobward.Verdict, err error) error { return carobward.NewFailure(v, 502, 0, err) }
 	reply := func(status int, shed bool) *carobward.Reply { return &carobward.Reply{Status: status, Shed: shed} }
+	refusal := func(status, running int) *carobward.Reply {
+		return &carobward.Reply{Status: status, Shed: true, Report: carobward.Report{At: time.Now(), Running: running, Slots: 3}}
+	}
 
 	for name, c := range map[string]struct {
 		reply         *carobward.Reply
@@ -32,19 +36,22 @@
 		want          told
 		serverOutcome cwbackend.Outcome
 	}{
-		"an answer":                {reply(200, false), nil, told{200, "ran", false}, cwbackend.Answered},
-		"a server's failure":       {reply(500, false), nil, told{500, "ran", false}, cwbackend.Failed},
-		"the server's own timeout": {reply(504, false), nil, told{504, "ran", false}, cwbackend.Failed},
-		"refused":                  {reply(503, true), nil, told{503, "not-run", true}, cwbackend.Refused},
-		"refused with 429":         {reply(429, true), nil, told{503, "not-run", true}, cwbackend.Refused},
-		"another instance":         {reply(421, true), nil, told{503, "not-run", true}, cwbackend.Refused},
-		"503 without a notice":     {reply(503, false), nil, told{502, "unknown", false}, cwbackend.Failed},
-		"429 without a notice":     {reply(429, false), nil, told{502, "unknown", false}, cwbackend.Answered},
-		"408 without a notice":     {reply(408, false), nil, told{502, "unknown", false}, cwbackend.Answered},
-		"a connection that breaks": {nil, failure(carobward.Unknown, errors.New("reset")), told{502, "unknown", false}, cwbackend.Broken},
-		"no answer in time":        {nil, failure(carobward.Unknown, os.ErrDeadlineExceeded), told{504, "unknown", false}, cwbackend.Silent},
-		"no connection":            {nil, failure(carobward.NotRun, errors.New("refused")), told{503, "not-run", true}, cwbackend.Broken},
-		"no connection in time":    {nil, failure(carobward.NotRun, os.ErrDeadlineExceeded), told{503, "not-run", true}, cwbackend.Silent},
+		"an answer":                   {reply(200, false), nil, told{200, "ran", false}, cwbackend.Answered},
+		"a server's failure":          {reply(500, false), nil, told{500, "ran", false}, cwbackend.Failed},
+		"the server's own timeout":    {reply(504, false), nil, told{504, "ran", false}, cwbackend.Failed},
+		"refused":                     {reply(503, true), nil, told{503, "not-run", true}, cwbackend.Refused},
+		"refused with 429":            {reply(429, true), nil, told{503, "not-run", true}, cwbackend.Refused},
+		"another instance":            {reply(421, true), nil, told{503, "not-run", true}, cwbackend.Refused},
+		"refused by a full server":    {refusal(503, 3), nil, told{503, "not-run", true}, cwbackend.Refused},
+		"refused by one with room":    {refusal(503, 1), nil, told{503, "not-run", true}, cwbackend.RefusedWithRoom},
+		"another instance, with room": {refusal(421, 1), nil, told{503, "not-run", true}, cwbackend.Refused},
+		"503 without a notice":        {reply(503, false), nil, told{502, "unknown", false}, cwbackend.Failed},
+		"429 without a notice":        {reply(429, false), nil, told{502, "unknown", false}, cwbackend.Answered},
+		"408 without a notice":        {reply(408, false), nil, told{502, "unknown", false}, cwbackend.Answered},
+		"a connection that breaks":    {nil, failure(carobward.Unknown, errors.New("reset")), told{502, "unknown", false}, cwbackend.Broken},
+		"no answer in time":           {nil, failure(carobward.Unknown, os.ErrDeadlineExceeded), told{504, "unknown", false}, cwbackend.Silent},
+		"no connection":               {nil, failure(carobward.NotRun, errors.New("refused")), told{503, "not-run", true}, cwbackend.Broken},
+		"no connection in time":       {nil, failure(carobward.NotRun, os.ErrDeadlineExceeded), told{503, "not-run", true}, cwbackend.Silent},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r, s := &request{reply: c.reply, err: c.err}, &send{reply: c.reply, err: c.err}
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -204,7 +204,11 @@
 		r.recordNotices(view.Server, s.reply, cwbackend.ByReply)
 	}
 
-	if outcome == cwbackend.Answered {
+	switch outcome {
+	case cwbackend.RefusedWithRoom:
+		r.state.recordRefusal()
+		f.counts.Add(countRefusals, 1)
+	case cwbackend.Answered:
 		load := &view.Report
 		r.state.recordAnswer(r.route.Objective, end.Sub(s.at), load.Slowness, cwpick.Crowded(load, view.SlotCount()), view.Warming)
 	}
@@ -237,7 +241,7 @@
 	case s.err != nil:
 		return cwbackend.Broken
 	case s.reply.Shed:
-		return cwbackend.Refused
+		return refusalOutcome(s.reply)
 	case s.reply.Status >= fasthttp.StatusInternalServerError:
 		return cwbackend.Failed
 	default:
@@ -245,6 +249,16 @@
 	}
 }
 
+// refusalOutcome returns what a reply shows that says the request did not run. The load
+// report of another server at the address says nothing.
+func refusalOutcome(r *carobward.Reply) cwbackend.Outcome {
+	if r.Status == fasthttp.StatusMisdirectedRequest {
+		return cwbackend.Refused
+	}
+
+	return cwbackend.OutcomeOfRefusal(&r.Report, r.Report.Slots)
+}
+
 func (f *Front) logSend(id carobward.RequestID, s *send, o cwbackend.Outcome, end time.Time) {
 	load := s.candidate.view.Report
 	f.Log.Info("Sent a request to a server.", "id", id, "server", s.backend.Instance, "address", s.backend.Address, "cost", s.candidate.cost,
--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -141,4 +141,13 @@
 	defer s.mutex.Unlock()
 
 	s.times.Learn(objective, took, slowness, crowded, warmingUp)
+	s.times.LearnRefusal(false)
+}
+
+// recordRefusal adds a refusal by a server that had room.
+func (s *serviceState) recordRefusal() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.times.LearnRefusal(true)
 }
--- a/internal/cwmetric/table.go
+++ b/internal/cwmetric/table.go
@@ -72,6 +72,7 @@
 	{"front/looks", "health checks", "Health checks of servers, made right before a request is sent."},
 	{"front/sends", "sends", "Requests handed to a server."},
 	{"front/again", "sends", "Sends after the first one of a request."},
+	{"front/refused", "sends", "Sends that a server refused although its load report showed a free slot."},
 	{"front/denied", "sends", "Further sends that were denied because their limit was reached."},
 	{"front/quarantined", unitRequests, "Requests refused because servers crashed while they ran such a request before."},
 	{"front/faults", unitRequests, "Requests that hit a bug of the entry VM; the log has each one with its stack. Report it."},
--- a/internal/cwpick/pick.go
+++ b/internal/cwpick/pick.go
@@ -22,7 +22,8 @@
 	// fillCost is the cost of a server with all slots in use. Among equal servers, one with
 	// more free slots stays a good choice for longer.
 	fillCost = 0.1
-	// failureCost is the cost of a server all of whose recent requests failed.
+	// failureCost is the cost of a server all of whose recent requests failed, or were refused
+	// while others refuse none.
 	failureCost = 4
 	// overdueCost is the cost of a server with an overdue request of this entry VM.
 	overdueCost = 4
@@ -72,7 +73,7 @@
 func Cost(v *cwbackend.View, f Factors, home carobward.Domain) float64 {
 	cost := ExpectedTime(v, f)
 	cost += fillCost * float64(v.Report.Running) / float64(v.SlotCount())
-	cost += failureCost * v.FailureRate
+	cost += failureCost * (v.FailureRate + max(0, v.RefusalRate-f.Refused))
 
 	if v.Overdue {
 		cost += overdueCost
--- a/internal/cwpick/pick_test.go
+++ b/internal/cwpick/pick_test.go
@@ -1,6 +1,7 @@
 package cwpick
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -51,6 +52,53 @@
 	}
 }
 
+// TestCostRefusals checks that a server which refuses a part of the requests is avoided only
+// as far as others refuse less.
+func TestCostRefusals(t *testing.T) {
+	for name, c := range map[string]struct {
+		// own is the share that the server refuses, all that of all servers.
+		own, all float64
+		avoided  bool
+	}{
+		"none refuse":                 {0, 0, false},
+		"it refuses, others don't":    {0.3, 0.05, true},
+		"all refuse alike":            {0.5, 0.5, false},
+		"it refuses less than usual":  {0.1, 0.5, false},
+		"it refuses all, others half": {0.9, 0.5, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			free, used := view(0, 0, 1), view(2, 0, 1)
+			free.RefusalRate = c.own
+			used.RefusalRate = min(c.own, c.all)
+
+			f := Factors{Crowd: 1.5, Warmup: 2, Refused: c.all}
+			if got := Cost(&free, f, home) > Cost(&used, f, home); got != c.avoided {
+				t.Errorf("avoided: %v", got)
+			}
+		})
+	}
+}
+
+// TestLearnRefusal checks that the share of refusals follows a change within forty
+// requests, some seconds at one entry VM.
+func TestLearnRefusal(t *testing.T) {
+	for name, share := range map[string]float64{"all refuse half": 0.5, "none refuses": 0} {
+		times := NewTimes()
+
+		for range 10 { // Before the change.
+			times.LearnRefusal(share == 0)
+		}
+
+		for i := range 40 {
+			times.LearnRefusal(share > 0 && i%2 == 0)
+		}
+
+		if got := times.Factors().Refused; math.Abs(got-share) > 0.1 {
+			t.Errorf("%s: share %.2f", name, got)
+		}
+	}
+}
+
 // TestFreeSlots checks that urgent requests are accepted when others are not.
 func TestFreeSlots(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/cwpick/times.go
+++ b/internal/cwpick/times.go
@@ -20,14 +20,21 @@
 	crowdDefault  = 1.3
 	warmupDefault = 2
 	maxFactor     = 4
+	// refusedWeight is the weight of one request in the average of refusals: an entry VM sends
+	// a few requests a second, and the average follows within a second or two.
+	refusedWeight = 0.1
 )
 
-// Factors are the factors by which responses take longer at servers that are slowed, in
-// addition to the slowness of the machine.
+// Factors are what is known of all servers of a service. Crowd and Warmup are the factors by
+// which responses take longer at servers that are slowed, in addition to the slowness of the
+// machine.
 type Factors struct {
 	// Crowd is for servers above the share of their slots in use at which some slow down,
 	// Warmup for servers that are warming up.
 	Crowd, Warmup float64
+	// Refused is the share of requests that servers refuse although they have room. One that
+	// refuses no more than the others isn't avoided.
+	Refused float64
 }
 
 // factor is a moving average of the factor by which responses take longer, and the number of
@@ -50,6 +57,9 @@
 	// objective of the route: routes with other objectives are for other kinds of requests.
 	usual         map[time.Duration]float64
 	crowd, warmup factor
+	// refused is the moving average of the share of requests that were refused by servers
+	// with room.
+	refused float64
 }
 
 // NewTimes returns Times with the defaults.
@@ -70,7 +80,18 @@
 func (t *Times) Crowding() float64 { return t.crowd.mean }
 
 // Factors returns the factors by which responses take longer at slowed servers.
-func (t *Times) Factors() Factors { return Factors{Crowd: t.crowd.mean, Warmup: t.warmup.mean} }
+func (t *Times) Factors() Factors {
+	return Factors{Crowd: t.crowd.mean, Warmup: t.warmup.mean, Refused: t.refused}
+}
+
+// LearnRefusal adds whether a server with room refused a request.
+func (t *Times) LearnRefusal(refused bool) {
+	t.refused -= refusedWeight * t.refused
+
+	if refused {
+		t.refused += refusedWeight
+	}
+}
 
 // Learn adds the duration of one response, with the slowness of the server's machine when the
 // request was sent and whether the server was crowded or warming up then. If it was both, the
