Second sends of refused requests go to the more urgent first

Where servers refuse a part, the bound on extra calls covers a third of the refused sends, and who was refused first got them. Now a request leaves some of the earned calls to more urgent ones (Claim.Reserve): the most urgent may use four before they are earned, the least urgent leaves two; teams' priorities first, then the routes', which also order where teams are equal. One whose answer would be late comes last; one whose caller can't be back in time counts like one that is back.

The bound itself is unchanged: TestWindowClaims checks it over ten entry VMs whose windows begin at different times, with claims of all kinds, by the rule's own count (without the second minExtra that TestWindow allows).

--- a/internal/cwfront/forward.go
+++ b/internal/cwfront/forward.go
@@ -175,7 +175,7 @@
 		return false
 	}
 
-	if !r.takeExtraCall(now, cwretry.ClaimOf(carobward.VerdictOf(r.err), r.returned)) {
+	if !r.takeExtraCall(now, cwretry.ClaimOf(carobward.VerdictOf(r.err), r.refusal(now))) {
 		return false
 	}
 
@@ -184,6 +184,18 @@
 	return true
 }
 
+// refusal describes the request to the decision about its second send.
+func (r *request) refusal(now time.Time) cwretry.Refusal {
+	rank, ranks := r.routes.Rank(r.service, r.priority)
+
+	routeRank, routeRanks := r.routes.RouteRank(r.service, r.route.Priority)
+
+	return cwretry.Refusal{
+		Rank: rank, Ranks: ranks, RouteRank: routeRank, RouteRanks: routeRanks,
+		Timely: r.schedule.Timely(now), Returns: !r.returned && r.schedule.Returns(now),
+	}
+}
+
 // takeExtraCall spends one call beyond the first of a request if there is one left for the
 // claim, and counts a denial otherwise.
 func (r *request) takeExtraCall(now time.Time, c cwretry.Claim) bool {
--- a/internal/cwqueue/schedule.go
+++ b/internal/cwqueue/schedule.go
@@ -63,6 +63,10 @@
 // Timely reports whether an answer can still be in time.
 func (s *Schedule) Timely(now time.Time) bool { return s.Due.Sub(now) >= s.expectedTime() }
 
+// Returns reports whether a caller that is refused by a server now can retry and get an
+// answer in time.
+func (s *Schedule) Returns(now time.Time) bool { return s.Timely(now.Add(s.RetryAfterRefusal())) }
+
 // Before reports whether a request gets a server before another one. A request whose
 // answer can be in time goes first, then the more urgent one, then the one that is due
 // sooner.
--- a/internal/cwretry/claim_test.go
+++ b/internal/cwretry/claim_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"carobward.example/carobward"
 )
@@ -13,24 +14,92 @@
 // refusal, the request may use a share of the bound at once and the rest evenly. If the
 // caller has retried already, or the request failed otherwise, it may use the whole bound.
 func TestClaimOf(t *testing.T) {
+	first := Refusal{Ranks: 1, Timely: true, Returns: true}
+	retry := Refusal{Ranks: 1, Timely: true}
+	ranked := func(rank, routeRank int, returns bool) Refusal {
+		return Refusal{Rank: rank, Ranks: 3, RouteRank: routeRank, RouteRanks: 3, Timely: true, Returns: returns}
+	}
+	reserve := func(n float64) Claim {
+		c := Refused
+		c.Reserve = n
+
+		return c
+	}
+
 	for name, c := range map[string]struct {
-		verdict  carobward.Verdict
-		returned bool
-		want     Claim
+		verdict carobward.Verdict
+		refusal Refusal
+		want    Claim
 	}{
-		"refused, for the first time": {carobward.NotRun, false, Refused},
-		"refused, a retry":            {carobward.NotRun, true, Needed},
-		"no answer":                   {carobward.Unknown, false, Needed},
-		"a server's failure":          {carobward.Ran, false, Needed},
+		"refused, for the first time": {carobward.NotRun, first, Refused},
+		"refused, a retry":            {carobward.NotRun, retry, Needed},
+		"no answer":                   {carobward.Unknown, first, Needed},
+		"no answer, too late":         {carobward.Unknown, Refusal{Ranks: 1}, Needed},
+		"a server's failure":          {carobward.Ran, first, Needed},
+		"refused, too late":           {carobward.NotRun, Refusal{Ranks: 1}, RefusedLate},
+		"refused, too late, urgent":   {carobward.NotRun, Refusal{Ranks: 3}, RefusedLate},
+		"refused, most urgent":        {carobward.NotRun, ranked(0, 0, true), reserve(-4)},
+		"an urgent team":              {carobward.NotRun, ranked(0, 2, true), reserve(-8. / 3)},
+		"an urgent route":             {carobward.NotRun, ranked(1, 0, true), reserve(-2)},
+		"a route in the middle":       {carobward.NotRun, ranked(1, 1, true), reserve(-4. / 3)},
+		"refused, least urgent":       {carobward.NotRun, ranked(2, 2, true), reserve(4. / 3)},
+		"equal teams, urgent route":   {carobward.NotRun, Refusal{Ranks: 1, RouteRanks: 2, Timely: true, Returns: true}, reserve(-4)},
+		"equal teams, other route":    {carobward.NotRun, Refusal{Ranks: 1, RouteRank: 1, RouteRanks: 2, Timely: true, Returns: true}, reserve(-1)},
+		"one team, route unknown":     {carobward.NotRun, Refusal{Ranks: 1, Timely: true, Returns: true}, Refused},
+		"a retry, least urgent":       {carobward.NotRun, ranked(2, 2, false), Needed},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if diff := cmp.Diff(c.want, ClaimOf(c.verdict, c.returned)); diff != "" {
+			if diff := cmp.Diff(c.want, ClaimOf(c.verdict, c.refusal), cmpopts.EquateApprox(0, 1e-9)); diff != "" {
 				t.Error(diff)
 			}
 		})
 	}
 }
 
+// TestTakeInOrder lets all servers refuse for most of a window, more requests than the bound
+// covers. Urgent requests get nearly all the extra calls that they ask for, the others what is
+// left of the bound, in the order of their claims.
+func TestTakeInOrder(t *testing.T) {
+	const (
+		share = 0.2
+		each  = 20 // Requests a second. Every second one is refused.
+		span  = 10 * time.Second
+	)
+
+	claim := func(rank int) Claim {
+		return ClaimOf(carobward.NotRun, Refusal{Rank: rank, Ranks: 3, RouteRank: rank, RouteRanks: 3, Timely: true, Returns: true})
+	}
+	claims := map[string]Claim{"urgent": claim(0), "middle": claim(1), "spare": claim(2)}
+	asked, taken := map[string]int{}, map[string]int{}
+	start := time.Now()
+	w := NewWindow(share, span, start)
+
+	for i := range 19 * each {
+		now := start.Add(time.Duration(i) * time.Second / each)
+		w.Request(now)
+
+		if now.Sub(start) < span || i%2 == 0 {
+			continue
+		}
+
+		name := []string{"urgent", "middle", "middle", "spare", "spare"}[i/2%5]
+		asked[name]++
+
+		if w.Take(now, 0, claims[name]) {
+			taken[name]++
+		}
+	}
+
+	part := func(name string) float64 { return float64(taken[name]) / float64(asked[name]) }
+	if part("urgent") < 0.95 || part("middle") < part("spare") {
+		t.Errorf("taken %v of %v", taken, asked)
+	}
+
+	if all := taken["urgent"] + taken["middle"] + taken["spare"]; all < 30 || all > share*each*10 {
+		t.Errorf("%d extra calls, the bound is %.0f", all, share*each*10)
+	}
+}
+
 // TestTakePaced lets all servers refuse for most of a window. Paced claims use up the
 // bound with some calls in each second. Other claims use their share in the first second
 // and leave the rest.
--- a/internal/cwretry/window.go
+++ b/internal/cwretry/window.go
@@ -20,14 +20,20 @@
 	bucket   int64
 	requests [buckets + 1]int
 	extras   [buckets + 1]int
-	// earned is how many extra calls paced claims have earned by recent requests, up to
-	// maxEarned.
+	// earned is how many extra calls paced claims have earned by recent requests, from
+	// -maxOwed to maxEarned.
 	earned float64
 }
 
-// maxEarned is how many extra calls paced claims may save up, for two requests that are
-// refused at the same moment.
-const maxEarned = 2
+// The limits of what paced claims have earned.
+const (
+	// maxEarned is how many extra calls they may save up, for some requests that are refused
+	// at the same moment.
+	maxEarned = 4
+	// maxOwed is how many extra calls may be used before they are earned. The other claims
+	// wait until these are made up for.
+	maxOwed = 4
+)
 
 // NewWindow returns a window that allows extra calls up to share of the requests in each
 // span, and a number on top that is passed to Take.
@@ -69,14 +75,14 @@
 
 	bound := w.share*float64(requests) + minExtra
 	next := float64(extras + 1)
-	paced := c.Paced && w.earned >= 1
+	paced := c.Paced && w.earned >= 1+c.Reserve
 
 	if next > bound || next > c.Share*bound && !paced {
 		return false
 	}
 
 	w.extras[w.bucket%(buckets+1)]++
-	w.earned = max(0, w.earned-1)
+	w.earned = max(-maxOwed, w.earned-1)
 
 	return true
 }
--- a/internal/cwretry/window_test.go
+++ b/internal/cwretry/window_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"carobward.example/carobward"
 )
 
 // TestWindow generates random loads and checks that each span of time, wherever it begins,
@@ -68,6 +70,70 @@
 	return total
 }
 
+// TestWindowClaims lets claims of all kinds at ten entry VMs, whose windows begin at different
+// times, take what they can. They use nine tenths of the operators' bound, as the product
+// does. In no span of time may all of them together pass that bound: a share of the requests in
+// that span, the one before it or the one half a span before it, whichever has most, plus
+// minExtra.
+func TestWindowClaims(t *testing.T) {
+	const (
+		share    = 0.2
+		minExtra = 0.5 // At each entry VM.
+		used     = 0.9
+		vms      = 10
+		span     = 10 * time.Second
+		step     = 50 * time.Millisecond
+		spans    = int(span / step)
+	)
+
+	claims := []Claim{Needed, Refused, RefusedLate, Overdue}
+	for rank := range 3 {
+		claims = append(claims, ClaimOf(carobward.NotRun, Refusal{Rank: rank, Ranks: 3, RouteRank: rank, RouteRanks: 3, Timely: true, Returns: true}))
+	}
+
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		start := time.Now()
+		windows := make([]*Window, vms)
+
+		for i := range windows {
+			windows[i] = NewWindow(used*share, span, start.Add(-time.Duration(random.Int64N(int64(span)))))
+		}
+
+		requests, extras := make([]int, 8*spans), make([]int, 8*spans)
+		load := 0.5
+
+		for i := range requests {
+			if i%(spans/4) == 0 {
+				load = random.Float64()
+			}
+
+			now := start.Add(time.Duration(i) * step)
+
+			for _, w := range windows {
+				if random.Float64() < load {
+					requests[i]++
+					w.Request(now)
+				}
+
+				if w.Take(now, used*minExtra, claims[random.IntN(len(claims))]) {
+					extras[i]++
+				}
+			}
+		}
+
+		for from := spans; from+spans <= len(extras); from++ {
+			more := sum(extras[from : from+spans])
+			asked := max(sum(requests[from:from+spans]), sum(requests[from-spans:from]), sum(requests[from-spans/2:from+spans/2]))
+			most := share*float64(asked) + minExtra*vms
+
+			if float64(more) > most {
+				t.Fatalf("seed %d: %d extra calls from step %d on, at most %.1f", seed, more, from, most)
+			}
+		}
+	}
+}
+
 // TestWindowIdle checks that extra calls are available again after a pause.
 func TestWindowIdle(t *testing.T) {
 	now := time.Now()
--- /dev/null
+++ b/internal/cwroutes/route_rank.go
@@ -0,0 +1,26 @@
+package cwroutes
+
+import (
+	"slices"
+
+	"carobward.example/carobward"
+)
+
+// addRoutePriority adds the priority of a route to the sorted list of a service's routes.
+func (t *Table) addRoutePriority(s carobward.Service, priority int) {
+	list := t.routePriorities[s]
+
+	if at, known := slices.BinarySearch(list, priority); !known {
+		t.routePriorities[s] = slices.Insert(list, at, priority)
+	}
+}
+
+// RouteRank returns the rank of a route's own priority among those of all routes of a service,
+// 0 being the most urgent, and the number of ranks. Teams' priorities don't change it, so that
+// it orders requests of equally urgent teams.
+func (t *Table) RouteRank(s carobward.Service, priority int) (int, int) {
+	list := t.routePriorities[s]
+	at, _ := slices.BinarySearch(list, priority)
+
+	return at, len(list)
+}
--- a/internal/cwroutes/table.go
+++ b/internal/cwroutes/table.go
@@ -23,6 +23,8 @@
 	services   map[carobward.Service]carobward.ServiceSpec
 	hosts      map[string]map[string]*Route
 	priorities map[carobward.Service][]int
+	// routePriorities has the routes' own priorities, whatever the teams'.
+	routePriorities map[carobward.Service][]int
 	// teamsByKey maps the hash of each API key to its team. hasTeams is set if there
 	// are any teams.
 	teamsByKey map[carobward.KeyHash]*carobward.Team
@@ -47,6 +49,8 @@
 		priorities: map[carobward.Service][]int{},
 		teamsByKey: indexTeams(r.Teams),
 		hasTeams:   len(r.Teams) > 0,
+
+		routePriorities: map[carobward.Service][]int{},
 	}
 
 	for host, list := range r.Hosts {
@@ -105,6 +109,7 @@
 
 	for _, s := range r.Shares {
 		out.totalWeight += s.Weight
+		t.addRoutePriority(s.Service, r.Priority)
 
 		if r.Anonymous || len(teams) == 0 {
 			t.addPriority(s.Service, r.Priority)
--- a/internal/lab/cwbench/pattern.go
+++ b/internal/lab/cwbench/pattern.go
@@ -28,6 +28,9 @@
 	// Rate is the number of new requests a second. Surges multiply it.
 	Rate   float64
 	Surges []Surge
+	// Urgent is the share of requests of the higher of two priorities. If it is zero, there
+	// is one priority.
+	Urgent float64
 	// Length is the time during which new requests arrive.
 	Length time.Duration
 	// Knee is the fraction of the slots of a server above which a new request takes
@@ -118,6 +121,13 @@
 	shed := pattern("shed", "All servers refuse half of their requests.")
 	shed.Shed = Disturbance{Interval: span, Share: 1, Factor: 0.5}
 
+	some := pattern("shed-some", "A seventh of the servers refuses half of its requests.")
+	some.Shed = Disturbance{Interval: span, Share: 0.15, Factor: 0.5}
+
+	ranked := pattern("shed-ranked", "All servers refuse over half of their requests for long; a fifth of the requests is urgent.")
+	ranked.Shed = Disturbance{Interval: Interval{From: from, To: from + 8*time.Second}, Share: 1, Factor: 0.55}
+	ranked.Length, ranked.Urgent = 13*time.Second, 0.2
+
 	dark := burst(pattern("dark", "All entry VMs lose power for 0.9 s; all callers retry at once."), 1.6)
 	dark.PowerLoss = Interval{From: from + time.Second, To: from + 1900*time.Millisecond}
 
@@ -130,7 +140,7 @@
 	single := burst(pattern("single", "Servers with one slot, each slowed down by a single request, at a higher load."), 1.5)
 	single.Slots, single.Rate, single.KneeFactor = 1, 30, 1.9
 
-	return []Pattern{calm, one, two, slow, all, gone, shed, dark, lean, fallen, single}
+	return []Pattern{calm, one, two, slow, all, gone, shed, some, ranked, dark, lean, fallen, single}
 }
 
 // FindPattern returns the pattern with a name.
@@ -160,6 +170,15 @@
 // factor returns the load at a time as a multiple of Rate.
 func (p *Pattern) factor(at time.Duration) float64 { return loadOf(p.Surges, at, 1) }
 
+// ranks returns the number of priorities.
+func (p *Pattern) ranks() int {
+	if p.Urgent > 0 {
+		return 2
+	}
+
+	return 1
+}
+
 // Validate returns an error if a size or time of the pattern is out of range.
 func (p *Pattern) Validate() error {
 	if p.VMs < 1 || p.Servers < 1 || p.Slots < 1 || p.Rate <= 0 {
@@ -206,6 +225,11 @@
 	ReserveExtra bool
 	// NoSlowdown waits for a faster server also where all servers are slow.
 	NoSlowdown bool
+	// NoRanks gives second sends to requests of all priorities alike.
+	NoRanks bool
+	// RefusalsAsFailures avoids servers that refuse although they have room, also where all
+	// servers refuse alike.
+	RefusalsAsFailures bool
 }
 
 // Names of the way of the product and of the upper bound.
@@ -223,6 +247,7 @@
 		{Name: "ageless", NoRetryAge: true}, {Name: "greedy", NoSparedSlots: true}, {Name: "forgetful", NoHandOver: true},
 		{Name: "restless", AllCheck: true},
 		{Name: "paceless", NoSlowdown: true}, {Name: "homebound", LocalFirst: true}, {Name: "narrow", NoSpareServers: true}, {Name: "reserved", ReserveExtra: true},
+		{Name: "rankless", NoRanks: true}, {Name: "wary", RefusalsAsFailures: true},
 		{Name: nameCeiling, Central: true},
 	}
 }
--- a/internal/lab/cwbench/replay.go
+++ b/internal/lab/cwbench/replay.go
@@ -54,8 +54,10 @@
 	// gives up.
 	began, until time.Time
 	attempt      int
-	vm           *replayVM
-	schedule     cwqueue.Schedule
+	// rank is its priority, 0 the most urgent.
+	rank     int
+	vm       *replayVM
+	schedule cwqueue.Schedule
 	// retried reports whether the caller has probably retried after a refusal, sends
 	// is the number of sends of this attempt, and tried has the servers that got it.
 	retried bool
@@ -137,6 +139,10 @@
 
 	w.timeline.after(time.Duration(gap*float64(time.Second)), func() {
 		r := &replayRequest{run: w, began: w.now(), until: w.now().Add(wait)}
+		if p.Urgent > 0 && rng.Float64() >= p.Urgent {
+			r.rank = 1
+		}
+
 		w.connect(r)
 		w.arrive(rng)
 	})
@@ -230,5 +236,9 @@
 
 	if w.counts(at) {
 		w.result.count(took, answered, late, refused, !w.pattern.PowerLoss.contains(at))
+
+		if w.pattern.Urgent > 0 && r.rank == 0 {
+			w.result.countUrgent(answered && !late)
+		}
 	}
 }
--- a/internal/lab/cwbench/replay_result.go
+++ b/internal/lab/cwbench/replay_result.go
@@ -13,6 +13,9 @@
 	// Fresh counts the requests that arrived while entry VMs had power, FreshInTime
 	// those of them that were answered in time.
 	Fresh, FreshInTime int
+	// Urgent counts the requests of the higher of two priorities, UrgentInTime those of
+	// them that were answered in time.
+	Urgent, UrgentInTime int
 	// P99 is the 99th percentile of the time of answered requests.
 	P99 time.Duration
 	// Series holds the whole run in steps of replayStepLength.
@@ -78,6 +81,14 @@
 	}
 }
 
+func (r *ReplayResult) countUrgent(inTime bool) {
+	r.Urgent++
+
+	if inTime {
+		r.UrgentInTime++
+	}
+}
+
 // ReplaySeeds runs a pattern with a number of consecutive seeds, starting with
 // its own, and adds up the results of each way.
 func ReplaySeeds(p Pattern, ways []Way, seeds, parallel int) ([]*ReplayResult, error) {
@@ -113,6 +124,8 @@
 	r.Retried += o.Retried
 	r.Fresh += o.Fresh
 	r.FreshInTime += o.FreshInTime
+	r.Urgent += o.Urgent
+	r.UrgentInTime += o.UrgentInTime
 	r.P99 = max(r.P99, o.P99)
 
 	for i := range r.Series {
--- a/internal/lab/cwbench/replay_test.go
+++ b/internal/lab/cwbench/replay_test.go
@@ -53,6 +53,7 @@
 	for _, r := range sums {
 		out[r.Way] = share{
 			float64(r.InTime) / float64(r.Calls), float64(r.FreshInTime) / float64(r.Fresh), float64(r.Refused) / float64(r.Calls),
+			float64(r.UrgentInTime) / float64(max(1, r.Urgent)),
 		}
 	}
 
@@ -60,8 +61,9 @@
 }
 
 // share has shares of the requests of a pattern: answered in time, answered in time
-// of those that arrived while entry VMs had power, and refused for good.
-type share struct{ inTime, fresh, refused float64 }
+// of those that arrived while entry VMs had power, refused for good, and answered in time of
+// the urgent ones.
+type share struct{ inTime, fresh, refused, urgent float64 }
 
 // TestReplay checks that under overload and failures the product answers more
 // requests in time than requests that each check servers independently, and nearly
@@ -116,6 +118,7 @@
 		"freed slots go to waiting requests":       {"bursts", "forgetful", 4, 0, 0.02, -1},
 		"only the first in the queue checks":       {"bursts", "restless", 0, 0, 0.02, -1},
 		"slow servers are accepted where all are":  {"all-slow", "paceless", 0, 0, -1, 0.2},
+		"servers that all refuse are equal":        {"shed", "wary", 0, 472, 0.002, -1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -139,6 +142,25 @@
 	}
 }
 
+// TestReplayRanks checks that urgent requests get second sends before others while all servers
+// refuse over half of what they get, which costs the others little.
+func TestReplayRanks(t *testing.T) {
+	for name, c := range map[string]struct{ vms, seeds int }{
+		"a few entry VMs": {0, manySeeds}, "a fleet": {139, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			got := shares(t, "shed-ranked", 0, c.vms, c.seeds, nameOurs, "rankless")
+			ours, without := got[nameOurs], got["rankless"]
+
+			if ours.urgent < without.urgent+0.06 || ours.inTime < without.inTime-0.02 {
+				t.Errorf("urgent in time: %.3f, without ranks %.3f; all: %.3f and %.3f", ours.urgent, without.urgent, ours.inTime, without.inTime)
+			}
+		})
+	}
+}
+
 // TestReplayRepeats checks that a run gives the same result each time, whatever runs
 // in parallel.
 func TestReplayRepeats(t *testing.T) {
--- a/internal/lab/cwbench/replay_vm.go
+++ b/internal/lab/cwbench/replay_vm.go
@@ -138,7 +138,7 @@
 	v.extra.Request(now)
 	r.aloneRetried = float64(left) < aloneRetryRatio*float64(v.longest)
 	r.schedule = cwqueue.Schedule{
-		Arrived: now, Due: now.Add(p.Objective - age), Deadline: r.until, Objective: p.Objective,
+		Rank: r.rank, Arrived: now, Due: now.Add(p.Objective - age), Deadline: r.until, Objective: p.Objective,
 		Usual: v.times.Usual(p.Objective), Slowdown: v.currentSlowdown(),
 	}
 	r.retried = age > 0
@@ -257,7 +257,7 @@
 	server := q.record
 
 	if q.refused {
-		server.End(q.number, w.now(), cwbackend.Refused)
+		server.End(q.number, w.now(), v.refusalOutcome(&report))
 
 		if !v.mayResend(r) {
 			w.refuse(r, r.schedule.RetryAfterRefusal())
@@ -273,6 +273,7 @@
 
 	server.End(q.number, w.now(), cwbackend.Answered)
 	server.ApplyReply(&carobward.Reply{Report: report}, cwbackend.ByReply, w.now())
+	v.times.LearnRefusal(false)
 	v.times.Learn(w.pattern.Objective, w.now().Sub(q.at), q.report.Slowness, cwpick.Crowded(&q.report, w.pattern.Slots), false)
 	w.finish(r, true, false)
 
@@ -281,6 +282,20 @@
 	}
 }
 
+// refusalOutcome records a refusal and returns its outcome.
+func (v *replayVM) refusalOutcome(r *carobward.Report) cwbackend.Outcome {
+	o := cwbackend.OutcomeOfRefusal(r, r.Slots)
+	if v.run.way.RefusalsAsFailures {
+		o = cwbackend.Refused
+	}
+
+	if o == cwbackend.RefusedWithRoom {
+		v.times.LearnRefusal(true)
+	}
+
+	return o
+}
+
 // mayResend reports whether a refused request is sent to another server.
 func (v *replayVM) mayResend(r *replayRequest) bool {
 	now := v.run.now()
@@ -290,7 +305,7 @@
 		return false
 	}
 
-	claim := cwretry.ClaimOf(carobward.NotRun, r.retried)
+	claim := cwretry.ClaimOf(carobward.NotRun, v.refusal(r, now))
 	if v.run.way.ReserveExtra && !r.retried {
 		claim = cwretry.Overdue
 	}
@@ -298,6 +313,17 @@
 	return v.extra.Take(now, v.extraMin, claim)
 }
 
+// refusal describes a refused request.
+func (v *replayVM) refusal(r *replayRequest, now time.Time) cwretry.Refusal {
+	out := cwretry.Refusal{Timely: r.schedule.Timely(now), Returns: !r.retried && r.schedule.Returns(now)}
+	if !v.run.way.NoRanks {
+		out.Rank, out.Ranks = r.rank, v.run.pattern.ranks()
+		out.RouteRank, out.RouteRanks = out.Rank, out.Ranks
+	}
+
+	return out
+}
+
 // handOver gives a freed slot to the next request of the queue.
 func (v *replayVM) handOver(s *cwbackend.Server, report carobward.Report) {
 	now := v.run.now()
