--- a/internal/cwqueue/schedule.go
+++ b/internal/cwqueue/schedule.go
@@ -71,6 +71,10 @@
 	return s.Deadline.Sub(now) - s.expectedTime()
 }
 
+// Returns reports whether a caller that is refused by a server now can retry and get an
+// answer in time.
+func (s *Schedule) Returns(now time.Time) bool { return s.Timely(now.Add(s.RetryAfterRefusal())) }
+
 // Before reports whether a request gets a server before another one. A request whose
 // answer can be in time goes first, then the more urgent one, then the one that is due
 // sooner.
--- a/internal/cwroutes/table.go
+++ b/internal/cwroutes/table.go
@@ -25,6 +25,8 @@
 	priorities map[carobward.Service][]int
 	// keyed has the priorities of the routes that need an API key, sorted.
 	keyed []int
+	// routePriorities has the routes' own priorities, whatever the teams'.
+	routePriorities map[carobward.Service][]int
 	// teamsByKey maps the hash of each API key to its team. hasTeams is set if there
 	// are any teams.
 	teamsByKey map[carobward.KeyHash]*carobward.Team
@@ -49,6 +51,8 @@
 		priorities: map[carobward.Service][]int{},
 		teamsByKey: indexTeams(r.Teams),
 		hasTeams:   len(r.Teams) > 0,
+
+		routePriorities: map[carobward.Service][]int{},
 	}
 
 	for host, list := range r.Hosts {
@@ -107,6 +111,7 @@
 
 	for _, s := range r.Shares {
 		out.totalWeight += s.Weight
+		t.routePriorities[s.Service] = insertSorted(t.routePriorities[s.Service], r.Priority)
 
 		if r.Anonymous || len(teams) == 0 {
 			t.addPriority(s.Service, r.Priority)
