--- a/internal/cwreserve/bucket.go
+++ b/internal/cwreserve/bucket.go
@@ -23,10 +23,10 @@
 	MinShare = 0.1
 	// tokenError allows for rounding when a whole token is compared with the level.
 	tokenError = 1e-9
-	// maxWait is the longest wait that is foretold: demand beyond it is not known.
+	// maxWait is the longest wait that is predicted: demand beyond it is not known.
 	maxWait = time.Second
 	// minFree is the fraction of a bucket's rate that must be left by the classes that go
-	// first for a token to be foretold.
+	// first for a token to be predicted.
 	minFree = 0.02
 )
 
