Start: hold requests that arrive before the configuration or the keys

Cause: after a loss of power of all entry VMs each refused what reached it before its copy of the store ("no configuration yet") and, where revoked keys bind VMs that are cut off, before 0.5 s of its life ("not heard lately which keys are in force").

Change: cwhold.Decide holds a request if its answer can be in time once the copy or the keys are there, or refuses it at once with when to come back. A held request is identified by the configuration that is newest when it is released, so that no key that was taken away meanwhile serves. The answer is due by the arrival, the search for a server begins with the release. A VM that has run for 1 s holds nothing.

Tests: TestDecide; TestHeldAtStart, TestRefusedAtStart, TestRefusedAfterLongStart over real parts with a store that answers nobody; the pattern "return" and its row of TestReplayParts. No existing test changed.

--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -23,6 +23,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
 	"carobward.example/carobward/internal/cwdisconnect"
+	"carobward.example/carobward/internal/cwhold"
 	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwmetric"
 	"carobward.example/carobward/internal/cwpick"
@@ -57,6 +58,9 @@
 	// KeyAge returns the age of this entry VM's knowledge of the API keys. Keys that were
 	// revoked longer ago than that are known to be revoked.
 	KeyAge func(now time.Time) time.Duration
+	// Startup returns the state of this entry VM's start. Requests that lack something that
+	// it will bring may be held; StartChanged has them decided on again.
+	Startup func(now time.Time) cwhold.Start
 }
 
 // Limits are the operators' limits over all entry VMs. They can change at run time.
@@ -85,6 +89,7 @@
 	total       atomic.Int64
 	leaving     atomic.Bool
 	work        conc.WaitGroup
+	held        *held
 	// counts holds the metrics of this package.
 	counts *expvar.Map
 
@@ -113,13 +118,13 @@
 	maxBodyBytes = 64 << 20
 )
 
-// New returns a front without a configuration. It refuses requests until SetRoutes is
-// called.
+// New returns a front without a configuration. It holds or refuses requests until SetRoutes
+// is called.
 func New(o Options) *Front {
 	o.Log = o.Log.WithName("front")
 
 	f := &Front{
-		Options: o, disconnects: cwdisconnect.New(), services: map[carobward.Service]*serviceState{}, counts: o.Metrics.Part(metricsPart),
+		Options: o, disconnects: cwdisconnect.New(), held: newHeld(), services: map[carobward.Service]*serviceState{}, counts: o.Metrics.Part(metricsPart),
 	}
 	f.limits.Store(&o.Limits)
 
@@ -154,6 +159,7 @@
 	countQuarantined  = "quarantined"
 	countFaults       = "faults"
 	countStaleKeys    = "keysold"
+	countHeld         = "startheld"
 	countOverQuota    = "over"
 	countQuotaUnknown = "unknown"
 )
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -52,6 +52,8 @@
 	callerWait time.Duration
 	// returned reports that the caller is probably retrying after a refusal.
 	returned bool
+	// held reports that the request was held during the start of this entry VM.
+	held bool
 	// schedule decides when the request gets a server.
 	schedule cwqueue.Schedule
 	routes   *cwroutes.Table
@@ -102,26 +104,9 @@
 func (f *Front) newRequest(ctx *fasthttp.RequestCtx, now time.Time) *request {
 	h := &ctx.Request.Header
 	field := func(name string) string { return string(h.Peek(name)) }
-	r := &request{front: f, arrived: now, ip: ctx.RemoteIP().String(), id: f.Dialect.ID(field), routes: f.routes.Load()}
+	r := &request{front: f, arrived: now, ip: ctx.RemoteIP().String(), id: f.Dialect.ID(field)}
 
-	if r.routes == nil {
-		r.err = carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, configRetryAfter, ErrNoConfig)
-
-		return r
-	}
-
-	if r.err = r.validate(ctx); r.err != nil {
-		return r
-	}
-
-	r.route = r.routes.Find(string(h.Host()), string(h.RequestURI()))
-	if r.route == nil {
-		r.err = carobward.NewFailure(carobward.NotRun, fasthttp.StatusNotFound, 0, ErrNoRoute)
-
-		return r
-	}
-
-	if r.err = r.authorize(h, now); r.err != nil {
+	if r.err = r.identify(ctx); r.err != nil {
 		return r
 	}
 
@@ -140,18 +125,69 @@
 		r.deadline = now.Add(left)
 	}
 
-	r.setSchedule(now, ok)
+	r.setSchedule(ok)
 
-	r.state.window.Request(now)
+	r.state.window.Request(f.Clock.Now())
 	r.call = r.newCall(ctx)
 	r.done = make(chan struct{})
 
 	return r
 }
 
+// identify finds the route and the team of a request by the configuration in force. Right
+// after the start it waits for what it lacks, if the request can be held.
+func (r *request) identify(ctx *fasthttp.RequestCtx) error {
+	// Without servers a configuration still tells which requests have no route.
+	if _, err := r.awaitStart(ctx, false, ErrNoConfig); err != nil && r.front.routes.Load() == nil {
+		return err
+	}
+
+	err := r.findTeam(ctx)
+	if !errors.Is(err, ErrStaleKeys) {
+		return err
+	}
+
+	waited, refused := r.awaitStart(ctx, true, ErrStaleKeys)
+
+	switch {
+	case refused != nil:
+		err = refused
+	case waited: // Another configuration may be in force now.
+		err = r.findTeam(ctx)
+	}
+
+	if errors.Is(err, ErrStaleKeys) {
+		r.front.counts.Add(countStaleKeys, 1)
+	}
+
+	return err
+}
+
+// findTeam finds the route and the team of a request, or refuses it.
+func (r *request) findTeam(ctx *fasthttp.RequestCtx) error {
+	h := &ctx.Request.Header
+
+	r.routes = r.front.routes.Load()
+	if r.routes == nil {
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, configRetryAfter, ErrNoConfig)
+	}
+
+	if err := r.validate(ctx); err != nil {
+		return err
+	}
+
+	r.route = r.routes.Find(string(h.Host()), string(h.RequestURI()))
+	if r.route == nil {
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusNotFound, 0, ErrNoRoute)
+	}
+
+	return r.authorize(h, r.front.Clock.Now())
+}
+
 // setSchedule sets what decides when the request gets a server. Known is set if the caller
-// stated how long it still waits.
-func (r *request) setSchedule(now time.Time, known bool) {
+// stated how long it still waits. The answer is due by the arrival, but the search for a
+// server begins only now, after the request may have been held.
+func (r *request) setSchedule(known bool) {
 	var age time.Duration
 
 	if known {
@@ -160,7 +196,7 @@
 
 	r.returned = age > 0
 	r.schedule = cwqueue.Schedule{
-		Rank: r.priority, Arrived: now, Due: now.Add(r.route.Objective - age), Deadline: r.deadline,
+		Rank: r.priority, Arrived: r.front.Clock.Now(), Due: r.arrived.Add(r.route.Objective - age), Deadline: r.deadline,
 		Objective: r.route.Objective, Usual: r.usualTime(), Slowdown: r.state.currentSlowdown(),
 	}
 }
--- a/internal/cwfront/team.go
+++ b/internal/cwfront/team.go
@@ -38,8 +38,6 @@
 
 	switch {
 	case most > 0 && age >= most, team == nil && age >= keysStaleAge:
-		f.counts.Add(countStaleKeys, 1)
-
 		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, keysRetryAfter, ErrStaleKeys)
 	case team == nil:
 		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusUnauthorized, 0, ErrNoKey)
--- a/internal/cwgateway/changes.go
+++ b/internal/cwgateway/changes.go
@@ -49,6 +49,10 @@
 	}
 
 	g.announceReady()
+
+	if !g.isReady() {
+		g.front.StartChanged()
+	}
 }
 
 // serverChanges are the changes of the list of servers.
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -132,6 +132,8 @@
 	quota            *cwquota.Limiter
 
 	bounds atomic.Pointer[Bounds]
+	// started is when this entry VM started.
+	started time.Time
 
 	mutex sync.Mutex
 	// unusable has the servers whose entry in the store is unusable.
@@ -147,7 +149,7 @@
 // New returns an entry VM that is not running yet.
 func New(o Options) (*Gateway, error) {
 	g := &Gateway{
-		Options: o, log: o.Log.WithName("gateway"), unusable: map[carobward.Instance]bool{}, evacuated: map[carobward.Domain]evacuationRecord{}, metrics: cwmetric.New(),
+		Options: o, log: o.Log.WithName("gateway"), started: o.Clock.Now(), unusable: map[carobward.Instance]bool{}, evacuated: map[carobward.Domain]evacuationRecord{}, metrics: cwmetric.New(),
 		table: cwmesh.NewTable(o.Self), mirror: newMirror(&o.Adapter), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain, Regions: o.Regions}),
 	}
 
@@ -181,7 +183,8 @@
 		FleetSize:    func() int { return g.table.Size(o.Clock.Now()) },
 		TrafficShare: func() float64 { return g.trafficShare(o.Clock.Now()) },
 
-		KeyAge: func(now time.Time) time.Duration { return now.Sub(g.mesh.Checked()) + o.PendingSuspension() },
+		KeyAge:  func(now time.Time) time.Duration { return now.Sub(g.mesh.Checked()) + o.PendingSuspension() },
+		Startup: g.startup,
 	})
 
 	g.bounds.Store(&o.Bounds)
@@ -238,6 +241,7 @@
 	if g.mesh.State() == cwmesh.Starting && g.front.Routes() != nil && g.servers.Count() > 0 && g.knowsKeysInForce() {
 		g.log.Info("Ready.", "version", g.front.Routes().Version, "servers", g.servers.Count())
 		g.mesh.SetState(cwmesh.Ready)
+		g.front.StartChanged()
 	}
 }
 
--- a/internal/cwmesh/claim.go
+++ b/internal/cwmesh/claim.go
@@ -207,6 +207,11 @@
 	return m.claims.checked
 }
 
+// SettlesIn returns how long after now Checked can tell what it knows; at most zero if it can.
+func (m *Mesh) SettlesIn(now time.Time) time.Duration {
+	return startSettleTime - now.Sub(m.started)
+}
+
 // LastStoreAnswer returns when the store last answered any entry VM, as far as is known, or
 // the zero time. It may be later than Fresh: this entry VM may be behind.
 func (m *Mesh) LastStoreAnswer() time.Time {
--- a/internal/lab/cwbench/pattern.go
+++ b/internal/lab/cwbench/pattern.go
@@ -45,6 +45,10 @@
 	LostDomain Interval
 	// PowerLoss is the interval in which all entry VMs have no power.
 	PowerLoss Interval
+	// StartSpread is the time within which the entry VMs start after a loss of power, and
+	// CopyTime the mean time from the start of one until it has its copy of the store.
+	// Without it they are back at once.
+	StartSpread, CopyTime time.Duration
 	// Skew sends a share of the callers to the first failure domain; the others are
 	// spread over all of them.
 	Skew Disturbance
@@ -121,6 +125,10 @@
 	dark := burst(pattern("dark", "All entry VMs lose power for 0.9 s; all callers retry at once."), 1.6)
 	dark.PowerLoss = Interval{From: from + time.Second, To: from + 1900*time.Millisecond}
 
+	back := pattern("return", "All entry VMs lose power for 1.5 s and have to copy the store; all callers retry.")
+	back.PowerLoss = Interval{From: from, To: from + 1500*time.Millisecond}
+	back.StartSpread, back.CopyTime = 300*time.Millisecond, 250*time.Millisecond
+
 	lean := burst(pattern("lean", "Half of the callers move to one of three failure domains, at a higher load."), 1.3)
 	lean.Skew = Disturbance{Interval: span, Share: 0.5}
 
@@ -130,7 +138,7 @@
 	single := burst(pattern("single", "Servers with one slot, each slowed down by a single request, at a higher load."), 1.5)
 	single.Slots, single.Rate, single.KneeFactor = 1, 30, 1.9
 
-	return []Pattern{calm, one, two, slow, all, gone, shed, dark, lean, fallen, single}
+	return []Pattern{calm, one, two, slow, all, gone, shed, dark, back, lean, fallen, single}
 }
 
 // FindPattern returns the pattern with a name.
@@ -204,6 +212,9 @@
 	// ReserveExtra reserves most of the limit on extra calls for callers that have
 	// retried.
 	ReserveExtra bool
+	// NoHold refuses every request that reaches an entry VM before it has its copy of the
+	// store.
+	NoHold bool
 	// NoSlowdown waits for a faster server also where all servers are slow.
 	NoSlowdown bool
 }
@@ -222,6 +233,7 @@
 		{Name: "naive", Random: true}, {Name: "alone", Alone: true}, {Name: nameOurs},
 		{Name: "ageless", NoRetryAge: true}, {Name: "greedy", NoSparedSlots: true}, {Name: "forgetful", NoHandOver: true},
 		{Name: "restless", AllCheck: true},
+		{Name: "impatient", NoHold: true},
 		{Name: "paceless", NoSlowdown: true}, {Name: "homebound", LocalFirst: true}, {Name: "narrow", NoSpareServers: true}, {Name: "reserved", ReserveExtra: true},
 		{Name: nameCeiling, Central: true},
 	}
--- a/internal/lab/cwbench/replay.go
+++ b/internal/lab/cwbench/replay.go
@@ -53,9 +53,11 @@
 	// began is the time of the first attempt, until the time at which the caller
 	// gives up.
 	began, until time.Time
-	attempt      int
-	vm           *replayVM
-	schedule     cwqueue.Schedule
+	// heldSince is when it arrived at an entry VM that holds it, or zero.
+	heldSince time.Time
+	attempt   int
+	vm        *replayVM
+	schedule  cwqueue.Schedule
 	// retried reports whether the caller has probably retried after a refusal, sends
 	// is the number of sends of this attempt, and tried has the servers that got it.
 	retried bool
@@ -152,12 +154,33 @@
 		w.finish(r, false, false)
 	case d.contains(w.timeline.now):
 		w.timeline.after(reconnectDelay, func() { w.connect(r) })
+	case w.pattern.CopyTime > 0 && !w.way.Central:
+		w.connectStarted(r)
 	default:
 		r.vm = w.pickVM()
 		r.vm.accept(r)
 	}
 }
 
+// connectStarted passes a request to an entry VM that has started. Callers learn at once
+// that one does not listen yet, and try others.
+func (w *replay) connectStarted(r *replayRequest) {
+	v := w.pickVM()
+
+	for range w.vms {
+		if w.timeline.now >= v.started {
+			r.vm = v
+			v.accept(r)
+
+			return
+		}
+
+		v = w.pickVM()
+	}
+
+	w.timeline.after(networkDelay, func() { w.connect(r) })
+}
+
 // pickVM returns the entry VM that a caller uses: a random one, or one of the first
 // failure domain for the callers that Skew affects.
 func (w *replay) pickVM() *replayVM {
@@ -181,6 +204,7 @@
 		}
 
 		w.vms[i] = newReplayVM(w, i, len(w.vms))
+		w.vms[i].startAfter(w.pattern.PowerLoss.To)
 	}
 }
 
--- a/internal/lab/cwbench/replay_test.go
+++ b/internal/lab/cwbench/replay_test.go
@@ -115,6 +115,7 @@
 		"late requests leave a slot free":          {"dark", "greedy", 0, 0, 0.05, -1},
 		"freed slots go to waiting requests":       {"bursts", "forgetful", 4, 0, 0.02, -1},
 		"only the first in the queue checks":       {"bursts", "restless", 0, 0, 0.02, -1},
+		"requests wait for a copy at a start":      {"return", "impatient", 0, 0, 0.03, 0.03},
 		"slow servers are accepted where all are":  {"all-slow", "paceless", 0, 0, -1, 0.2},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/lab/cwbench/replay_vm.go
+++ b/internal/lab/cwbench/replay_vm.go
@@ -10,6 +10,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwattempt"
 	"carobward.example/carobward/internal/cwbackend"
+	"carobward.example/carobward/internal/cwhold"
 	"carobward.example/carobward/internal/cwpick"
 	"carobward.example/carobward/internal/cwqueue"
 	"carobward.example/carobward/internal/cwretry"
@@ -61,6 +62,11 @@
 	extra    *cwretry.Window
 	extraMin float64
 	inFlight map[*replayRequest]bool
+	// started and copied are when the entry VM starts and has its copy of the store.
+	started, copied time.Duration
+	// held has the requests that wait for the copy, load what they take.
+	held []*replayRequest
+	load cwhold.Load
 }
 
 func newReplayVM(w *replay, index, vms int) *replayVM {
@@ -124,8 +130,20 @@
 // accept handles a request of a caller.
 func (v *replayVM) accept(r *replayRequest) {
 	now, p := v.run.now(), v.run.pattern
-	left := r.until.Sub(now)
+	arrived := now
 	v.inFlight[r] = true
+
+	if w := v.run; w.timeline.now < v.copied && !w.way.Central {
+		v.acceptEarly(r)
+
+		return
+	}
+
+	if !r.heldSince.IsZero() {
+		arrived, r.heldSince = r.heldSince, time.Time{}
+	}
+
+	left := r.until.Sub(arrived)
 	v.waits.Add(left)
 	v.longest = max(v.longest, left)
 
@@ -138,7 +156,7 @@
 	v.extra.Request(now)
 	r.aloneRetried = float64(left) < aloneRetryRatio*float64(v.longest)
 	r.schedule = cwqueue.Schedule{
-		Arrived: now, Due: now.Add(p.Objective - age), Deadline: r.until, Objective: p.Objective,
+		Arrived: now, Due: arrived.Add(p.Objective - age), Deadline: r.until, Objective: p.Objective,
 		Usual: v.times.Usual(p.Objective), Slowdown: v.currentSlowdown(),
 	}
 	r.retried = age > 0
