--- a/internal/cwmesh/claim.go
+++ b/internal/cwmesh/claim.go
@@ -194,12 +194,10 @@
 }
 
 // Checked returns the time before which all that the store acknowledged is in the replica,
-// or the zero time. It is earlier than Fresh by the time the store took to answer. For a store
-// that is restored from backups it is unknown right after the start: the store may lack items
-// that peers keep. One that reports no era is not restored, and lacks nothing.
+// or the zero time. It is earlier than Fresh by the time the store took to answer, and
+// unknown until SettlesIn is over.
 func (m *Mesh) Checked() time.Time {
-	restorable := m.Mirror.State().Era > 0
-	if restorable && m.Clock.Now().Sub(m.started) < startSettleTime {
+	if m.SettlesIn(m.Clock.Now()) > 0 {
 		return time.Time{}
 	}
 
@@ -209,6 +207,17 @@
 	return m.claims.checked
 }
 
+// SettlesIn returns how long after now Checked can tell what it knows; at most zero if it can.
+// Right after the start it can't if the store is one that is restored from backups: it may
+// lack items that peers keep. A store that reports no era is not restored, and lacks nothing.
+func (m *Mesh) SettlesIn(now time.Time) time.Duration {
+	if m.Mirror.State().Era == 0 {
+		return 0
+	}
+
+	return startSettleTime - now.Sub(m.started)
+}
+
 // LastStoreAnswer returns when the store last answered any entry VM, as far as is known, or
 // the zero time. It may be later than Fresh: this entry VM may be behind.
 func (m *Mesh) LastStoreAnswer() time.Time {
