Load of services over the fleet: measured, told in heartbeats, summed by failure domain

Cause: where servers are short each entry VM of a fleet sees a few requests a second and knows nothing of the others' that compete for the same servers.

Change: an entry VM measures per service, over the last 1.2 s, the requests by rank, the replies of servers, the requests that found no room and those that wait (cwfront/load.go), of services at which several priorities or teams compete. Heartbeats within the failure domain carry it (Beat 27), summaries the sums (Domain 8); cwmesh.Mesh.Load implements carobward.FleetLoad. Nothing uses it yet: this commit stands alone.

Bytes: at most 32 a service and message (TestLoadWire), 16 services at most. One heartbeat a second to each peer of the failure domain: at 139 entry VMs in five failure domains 27 peers, under 0.9 kB/s a service and entry VM; at 1,000 199 peers, under 6.4 kB/s. Summaries add under 64 bytes a service to each (computed from the bound, not measured).

Demand leaves out requests beyond a team's quota, which never reach a server; load.go of the root package says so now.

Tests: TestFleetLoad (17 to 1,000 entry VMs, losses, cut, suspension, restart), TestLoadAge, TestLoadAlone, TestLoadWire, TestMaxLoads, TestLoadMeter, TestCompetes.

--- a/internal/cwfront/forward.go
+++ b/internal/cwfront/forward.go
@@ -58,6 +58,8 @@
 		return
 	}
 
+	r.state.load.countRequest(r.rank(), r.front.Clock.Now())
+
 	tried := map[*cwbackend.Server]bool{}
 
 	for {
--- a/internal/cwfront/queue.go
+++ b/internal/cwfront/queue.go
@@ -124,7 +124,12 @@
 	w := &waiter{request: r, tried: tried, offer: make(chan *candidate, 1), wake: make(chan struct{}, 1)}
 	check := r.state.queue.join(w, f.Clock.Now())
 
-	defer func() { r.state.queue.leave(w, f.Clock.Now()) }()
+	r.state.load.addWaiting(1)
+
+	defer func() {
+		r.state.load.addWaiting(-1)
+		r.state.queue.leave(w, f.Clock.Now())
+	}()
 
 	for {
 		if check {
@@ -136,6 +141,8 @@
 			r.state.queue.noteNoRoom(w)
 		}
 
+		r.noteFull()
+
 		if ctx.Err() != nil {
 			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, 0, ErrCallerGone)
 		}
@@ -152,6 +159,14 @@
 	}
 }
 
+// noteFull counts the request once among those that found no server with room at first.
+func (r *request) noteFull() {
+	if !r.full {
+		r.full = true
+		r.state.load.countFull(r.front.Clock.Now())
+	}
+}
+
 // wait waits until the request is offered a server, which it returns, until it is woken or
 // the interval is over, or until the caller disconnects.
 func (w *waiter) wait(ctx context.Context, timeout time.Duration) *candidate {
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -74,6 +74,8 @@
 	sends       int
 	checks      int
 	checkCounts checkCounts
+	// full reports that the request found no server with room at first.
+	full bool
 	// availableAt is when the first server may get requests again, if warm-up, pauses or
 	// rate limits bar them all now; otherwise zero.
 	availableAt time.Time
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -204,6 +204,10 @@
 		r.recordNotices(view.Server, s.reply, cwbackend.ByReply)
 	}
 
+	if s.reply != nil && !s.reply.Shed {
+		r.state.load.countCompleted(end)
+	}
+
 	if outcome == cwbackend.Answered {
 		load := &view.Report
 		r.state.recordAnswer(r.route.Objective, end.Sub(s.at), load.Slowness, cwpick.Crowded(load, view.SlotCount()), view.Warming)
--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -21,6 +21,7 @@
 	checks *rate.Limiter
 
 	queue queue
+	load  loadMeter
 
 	mutex sync.Mutex
 	// times has statistics of response times.
--- a/internal/cwmesh/domain.go
+++ b/internal/cwmesh/domain.go
@@ -53,6 +53,8 @@
 	Rate int
 	// Nodes has some of those that take callers.
 	Nodes []Node
+	// Loads has the load of services at all together.
+	Loads []carobward.ServiceLoad
 }
 
 // otherDomain is what is kept of another failure domain.
--- a/internal/cwmesh/fleet.go
+++ b/internal/cwmesh/fleet.go
@@ -23,7 +23,7 @@
 	for i := range list {
 		d := encodeSummary(&list[i], list[i].Made)
 		// These change often and are of no use to newcomers.
-		d.Rate, d.Away = 0, 0
+		d.Rate, d.Away, d.Loads = 0, 0, nil
 		f.Domains = append(f.Domains, d)
 	}
 
--- /dev/null
+++ b/internal/cwmesh/load.go
@@ -0,0 +1,166 @@
+package cwmesh
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwwire"
+)
+
+const (
+	// maxLoads is the number of services whose load a message carries, those with the most
+	// requests: about 25 bytes each, 400 in all.
+	maxLoads = 16
+	// loadTimeout is the age up to which the load of another failure domain is used: one
+	// heartbeat until it is summed up, one until it is passed on here, and two lost ones.
+	loadTimeout = 4 * heartbeatInterval
+	// loadScale converts a rate to the unit of messages, a tenth of a request a second.
+	loadScale = 10
+)
+
+// Load implements carobward.FleetLoad. Of this failure domain it has this entry VM and the
+// live peers. Peers that send no load of the service have none.
+func (m *Mesh) Load(s carobward.Service, now time.Time) []carobward.DomainLoad {
+	peers, domains := m.Table.Live(now), m.Table.recentSummaries(now)
+	if len(peers)+len(domains) == 0 {
+		return nil
+	}
+
+	own := carobward.DomainLoad{Domain: m.Table.Self().Domain, At: now, VMs: 1 + len(peers)}
+	own.Service = s
+	addLoad(&own.ServiceLoad, m.ownLoads(now))
+
+	for i := range peers {
+		if addLoad(&own.ServiceLoad, peers[i].Loads) && peers[i].LastSeen.Before(own.At) {
+			own.At = peers[i].LastSeen
+		}
+	}
+
+	list := []carobward.DomainLoad{own}
+
+	for i := range domains {
+		d := carobward.DomainLoad{Domain: domains[i].Domain, At: domains[i].Made, VMs: domains[i].Alive}
+		d.Service = s
+		addLoad(&d.ServiceLoad, domains[i].Loads)
+		list = append(list, d)
+	}
+
+	return list
+}
+
+// addLoad adds the load of the same service from a list, and reports whether it is there.
+func addLoad(sum *carobward.ServiceLoad, list []carobward.ServiceLoad) bool {
+	i := slices.IndexFunc(list, func(l carobward.ServiceLoad) bool { return l.Service == sum.Service })
+	if i < 0 {
+		return false
+	}
+
+	sum.Add(&list[i])
+
+	return true
+}
+
+// recentSummaries returns the summaries of the other failure domains whose load is used, in
+// the order of their names.
+func (t *Table) recentSummaries(now time.Time) []Summary {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	return t.domains(func(o *otherDomain) bool { return now.Sub(o.Made) < loadTimeout })
+}
+
+// ownLoads returns the load of services at this entry VM, of those with the most requests.
+func (m *Mesh) ownLoads(now time.Time) []carobward.ServiceLoad {
+	if m.OwnLoad == nil {
+		return nil
+	}
+
+	return busiest(m.OwnLoad(now))
+}
+
+// sumLoads returns the load of services at this entry VM and the live peers together.
+func (m *Mesh) sumLoads(now time.Time) []carobward.ServiceLoad {
+	list := slices.Clone(m.ownLoads(now))
+
+	for _, p := range m.Table.Live(now) {
+		for i := range p.Loads {
+			list = mergeLoad(list, &p.Loads[i])
+		}
+	}
+
+	return busiest(list)
+}
+
+func mergeLoad(list []carobward.ServiceLoad, l *carobward.ServiceLoad) []carobward.ServiceLoad {
+	for i := range list {
+		if list[i].Service == l.Service {
+			list[i].Add(l)
+
+			return list
+		}
+	}
+
+	return append(list, *l)
+}
+
+// busiest returns the maxLoads services with the most requests.
+func busiest(list []carobward.ServiceLoad) []carobward.ServiceLoad {
+	if len(list) <= maxLoads {
+		return list
+	}
+
+	sorted := slices.Clone(list)
+	slices.SortFunc(sorted, func(a, b carobward.ServiceLoad) int {
+		return cmp.Or(cmp.Compare(b.Total(), a.Total()), cmp.Compare(a.Service, b.Service))
+	})
+
+	return sorted[:maxLoads]
+}
+
+func encodeLoads(list []carobward.ServiceLoad) []*cwwire.Load {
+	var out []*cwwire.Load
+
+	for i := range list {
+		l := &list[i]
+		e := &cwwire.Load{Service: string(l.Service), Completed: encodeRate(l.Completed), Full: encodeRate(l.Full), Waiting: uint32(max(0, l.Waiting))}
+
+		for _, d := range l.Demand {
+			e.Demand = append(e.Demand, encodeRate(d))
+		}
+
+		for n := len(e.Demand); n > 0 && e.Demand[n-1] == 0; n-- {
+			e.Demand = e.Demand[:n-1]
+		}
+
+		out = append(out, e)
+	}
+
+	return out
+}
+
+// decodeLoads decodes the load of services, of maxLoads at most. Demand beyond the last rank
+// counts for the last one.
+func decodeLoads(list []*cwwire.Load) []carobward.ServiceLoad {
+	var out []carobward.ServiceLoad
+
+	for _, e := range list[:min(len(list), maxLoads)] {
+		l := carobward.ServiceLoad{Service: carobward.Service(e.GetService()), Completed: decodeRate(e.GetCompleted()), Full: decodeRate(e.GetFull()), Waiting: int(e.GetWaiting())}
+
+		for i, d := range e.GetDemand() {
+			l.Demand[min(i, carobward.LoadRanks-1)] += decodeRate(d)
+		}
+
+		out = append(out, l)
+	}
+
+	return out
+}
+
+func encodeRate(r carobward.Rate) uint32 {
+	return uint32(min(math.MaxUint32, math.Round(loadScale*float64(max(0, r)))))
+}
+
+func decodeRate(n uint32) carobward.Rate { return carobward.Rate(float64(n) / loadScale) }
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -67,6 +67,9 @@
 	// TakeNotices is called with those that a peer passed on.
 	Notices     func(now time.Time, newcomer bool) carobward.Announcements
 	TakeNotices func(notices carobward.Announcements, from carobward.VMID)
+	// OwnLoad returns the recent load of services at this entry VM, of those whose load
+	// the others need to know.
+	OwnLoad func(now time.Time) []carobward.ServiceLoad
 	// Grant grants tokens of a team's quota.
 	Grant func(team carobward.TeamName, want int) cwquota.Grant
 	// DomainGrant asks the owners in this failure domain for tokens of a team's quota.
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -88,7 +88,7 @@
 // other one. Relay asks them to pass on how fresh the replica is.
 func (m *Mesh) sendSummary(now time.Time, some int, relay bool) {
 	b := m.introduction(now)
-	b.Relay = relay
+	b.Relay, b.Loads = relay, nil // The summary has the sums.
 	own := m.summary(now)
 	list := []Summary{own}
 
@@ -110,7 +110,10 @@
 
 // summary returns the summary of this failure domain for the others.
 func (m *Mesh) summary(now time.Time) Summary {
-	return m.Table.Summary(now, m.State(), m.storeDown.Load(), int(m.rate.Load()))
+	s := m.Table.Summary(now, m.State(), m.storeDown.Load(), int(m.rate.Load()))
+	s.Loads = m.sumLoads(now)
+
+	return s
 }
 
 // sendTo sends a heartbeat to some peers.
@@ -197,6 +200,7 @@
 	changes, after := m.pushed(now)
 	b.Changes, b.ChangesAfter, b.ChangesEra = changes, uint64(after.Index), uint64(after.Era)
 	m.addNotices(b, now, false)
+	b.Loads = encodeLoads(m.ownLoads(now))
 
 	return b
 }
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -50,6 +50,8 @@
 	StoreDown bool
 	// Rate is its requests a second.
 	Rate int
+	// Loads has the load of services at it alone.
+	Loads []carobward.ServiceLoad
 	// LastSeen is when its last heartbeat came.
 	LastSeen time.Time
 
--- a/internal/cwmesh/wire.go
+++ b/internal/cwmesh/wire.go
@@ -91,6 +91,7 @@
 	s := Summary{
 		Domain: carobward.Domain(d.GetName()), Made: decodeAge(d.GetAge(), now),
 		Alive: int(d.GetAlive()), Size: int(d.GetSize()), StoreDown: int(d.GetAway()), Rate: int(d.GetRate()),
+		Loads: decodeLoads(d.GetLoads()),
 	}
 	for _, n := range d.GetNodes() {
 		s.Nodes = append(s.Nodes, decodeNode(n))
@@ -103,6 +104,7 @@
 	return &cwwire.Domain{
 		Name: string(s.Domain), Age: encodeAge(s.Made, now),
 		Alive: uint32(s.Alive), Size: uint32(s.Size), Away: uint32(s.StoreDown), Rate: uint32(s.Rate), Nodes: encodeNodes(s.Nodes),
+		Loads: encodeLoads(s.Loads),
 	}
 }
 
--- a/internal/cwroutes/table.go
+++ b/internal/cwroutes/table.go
@@ -162,6 +162,12 @@
 	return 0, len(list)
 }
 
+// Competes reports whether requests of several priorities or teams compete for a service's
+// servers.
+func (t *Table) Competes(s carobward.Service) bool {
+	return len(t.priorities[s]) > 1 || t.hasTeams && len(t.priorities[s]) > 0
+}
+
 // AllowedRegions returns the regions that all routes of a host allow. Routes without
 // allowed regions are ignored.
 func (t *Table) AllowedRegions(host string) []carobward.Region {
--- a/load.go
+++ b/load.go
@@ -10,12 +10,13 @@
 // the entry VMs of a failure domain.
 type ServiceLoad struct {
 	Service Service
-	// Demand is the requests a second by rank, the most urgent first. Refused requests
-	// count as well.
+	// Demand is the requests a second by rank, the most urgent first. Requests that were
+	// refused for lack of room count as well, those beyond a team's quota do not.
 	Demand [LoadRanks]Rate
 	// Completed is the replies a second from servers that ran a request.
 	Completed Rate
-	// Full is the requests a second whose first health checks found no server with room.
+	// Full is the requests a second that found no server with room at first: their health
+	// checks found none, or they waited behind such a request.
 	Full Rate
 	// Waiting is the number of requests that wait for a server.
 	Waiting int
@@ -31,6 +32,17 @@
 	return sum
 }
 
+// Add adds another load of the same service.
+func (l *ServiceLoad) Add(o *ServiceLoad) {
+	for i := range l.Demand {
+		l.Demand[i] += o.Demand[i]
+	}
+
+	l.Completed += o.Completed
+	l.Full += o.Full
+	l.Waiting += o.Waiting
+}
+
 // DomainLoad is the load of a service in one failure domain.
 type DomainLoad struct {
 	ServiceLoad
