--- a/internal/cwfront/queue.go
+++ b/internal/cwfront/queue.go
@@ -124,24 +124,33 @@
 	w := &waiter{request: r, tried: tried, offer: make(chan *candidate, 1), wake: make(chan struct{}, 1)}
 	check := r.state.queue.join(w, f.Clock.Now())
 
-	defer func() { r.state.queue.leave(w, f.Clock.Now()) }()
+	r.state.load.AddWaiting(1)
+
+	defer func() {
+		r.state.load.AddWaiting(-1)
+		r.state.queue.leave(w, f.Clock.Now())
+	}()
 
 	for {
 		if check {
 			best, err := r.tryChoose(ctx, tried)
 			if best != nil || err != nil {
+				r.noteRoom(best != nil)
+
 				return best, err
 			}
 
 			r.state.queue.noteNoRoom(w)
 		}
 
+		r.noteRoom(false)
+
 		if ctx.Err() != nil {
 			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, 0, ErrCallerGone)
 		}
 
 		if now := f.Clock.Now(); r.schedule.ShouldRefuse(now) {
-			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, r.schedule.RetryAfter(), ErrNoRoom)
+			return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, r.retryAfter(now), ErrNoRoom)
 		}
 
 		if o := w.wait(ctx, r.schedule.CheckInterval()); o != nil {
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -204,6 +204,10 @@
 		r.recordNotices(view.Server, s.reply, cwbackend.ByReply)
 	}
 
+	if s.reply != nil && !s.reply.Shed {
+		r.state.load.CountCompleted(end)
+	}
+
 	switch outcome {
 	case cwbackend.RefusedWithRoom:
 		r.state.recordRefusal()
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -183,6 +183,7 @@
 		Metrics: g.metrics, Log: o.Log, Limits: o.Limits,
 		FleetSize:    func() int { return g.table.Size(o.Clock.Now()) },
 		TrafficShare: func() float64 { return g.trafficShare(o.Clock.Now()) },
+		FleetLoad:    func(s carobward.Service, now time.Time) []carobward.DomainLoad { return g.mesh.Load(s, now) },
 
 		KeyAge:  func(now time.Time) time.Duration { return now.Sub(g.mesh.Checked()) + o.PendingSuspension() },
 		Startup: g.startup,
@@ -197,7 +198,7 @@
 
 	g.mesh = cwmesh.New(cwmesh.Options{
 		Table: g.table, Mirror: g.mirror, Seeds: o.Seeds, Key: o.Key, Link: o.LinkSpeed, Clock: o.Clock, Log: o.Log, Changed: g.applyChanges,
-		Notices: g.servers.Announcements, TakeNotices: g.applyReports, Grant: g.quota.Grant, DomainGrant: g.quota.GrantInDomain, Domains: slices.Collect(maps.Keys(o.Regions)),
+		Notices: g.servers.Announcements, TakeNotices: g.applyReports, Grant: g.quota.Grant, DomainGrant: g.quota.GrantInDomain, OwnLoad: g.front.Loads, Domains: slices.Collect(maps.Keys(o.Regions)),
 	}, conn)
 
 	g.follow = cwfollow.New(cwfollow.Options{
--- a/internal/lab/cwbench/pattern.go
+++ b/internal/lab/cwbench/pattern.go
@@ -26,11 +26,11 @@
 	Objective, Wait time.Duration
 	WaitSpread      float64
 	// Rate is the number of new requests a second. Surges multiply it.
-	Rate   float64
+	Rate float64
+	// Ranks has the shares of the requests by rank, the most urgent first; none means that
+	// all have the same.
+	Ranks  []float64
 	Surges []Surge
-	// Urgent is the share of requests of the higher of two priorities. If it is zero, there
-	// is one priority.
-	Urgent float64
 	// Length is the time during which new requests arrive.
 	Length time.Duration
 	// Knee is the fraction of the slots of a server above which a new request takes
@@ -76,6 +76,7 @@
 // Sizes and request rate (per second) of the users' lookup service.
 const (
 	patternVMs     = 17
+	manyVMs        = 4 * patternVMs
 	patternServers = 18
 	patternSlots   = 3
 	patternRate    = 88
@@ -93,6 +94,13 @@
 	}
 }
 
+// burst multiplies the load of a pattern for three seconds.
+func burst(p Pattern, factor float64) Pattern {
+	p.Surges = []Surge{{Interval: Interval{From: 3 * time.Second, To: 6 * time.Second}, Load: factor}}
+
+	return p
+}
+
 // Patterns returns all patterns.
 func Patterns() []Pattern {
 	const (
@@ -101,11 +109,6 @@
 	)
 
 	span := Interval{From: from, To: to}
-	burst := func(p Pattern, factor float64) Pattern {
-		p.Surges = []Surge{{Interval: span, Load: factor}}
-
-		return p
-	}
 
 	calm := pattern("calm", "Half of what the servers handle.")
 	one := burst(pattern("burst", "More than the servers handle, for three seconds."), 2.1)
@@ -130,7 +133,7 @@
 
 	ranked := pattern("shed-ranked", "All servers refuse over half of their requests for long; a fifth of the requests is urgent.")
 	ranked.Shed = Disturbance{Interval: Interval{From: from, To: from + 8*time.Second}, Share: 1, Factor: 0.55}
-	ranked.Length, ranked.Urgent = 13*time.Second, 0.2
+	ranked.Length, ranked.Ranks = 13*time.Second, []float64{0.2, 0.8}
 
 	dark := burst(pattern("dark", "All entry VMs lose power for 0.9 s; all callers retry at once."), 1.6)
 	dark.PowerLoss = Interval{From: from + time.Second, To: from + 1900*time.Millisecond}
@@ -148,7 +151,9 @@
 	single := burst(pattern("single", "Servers with one slot, each slowed down by a single request, at a higher load."), 1.5)
 	single.Slots, single.Rate, single.KneeFactor = 1, 30, 1.9
 
-	return []Pattern{calm, one, two, slow, all, gone, shed, some, ranked, dark, back, lean, fallen, single}
+	list := []Pattern{calm, one, two, slow, all, gone, shed, some, ranked, dark, back, lean, fallen, single}
+
+	return append(list, rankedPatterns()...)
 }
 
 // FindPattern returns the pattern with a name.
@@ -178,14 +183,8 @@
 // factor returns the load at a time as a multiple of Rate.
 func (p *Pattern) factor(at time.Duration) float64 { return loadOf(p.Surges, at, 1) }
 
-// ranks returns the number of priorities.
-func (p *Pattern) ranks() int {
-	if p.Urgent > 0 {
-		return 2
-	}
-
-	return 1
-}
+// ranks returns the number of ranks.
+func (p *Pattern) ranks() int { return max(1, len(p.Ranks)) }
 
 // Validate returns an error if a size or time of the pattern is out of range.
 func (p *Pattern) Validate() error {
@@ -234,6 +233,9 @@
 	// NoHold refuses every request that reaches an entry VM before it has its copy of the
 	// store.
 	NoHold bool
+	// Unled lets all arriving requests try to get a server. OwnLoadOnly decides on them by
+	// what the entry VM has seen itself.
+	Unled, OwnLoadOnly bool
 	// NoSlowdown waits for a faster server also where all servers are slow.
 	NoSlowdown bool
 	// NoRanks gives second sends to requests of all priorities alike.
@@ -260,6 +262,7 @@
 		{Name: "impatient", NoHold: true},
 		{Name: "paceless", NoSlowdown: true}, {Name: "homebound", LocalFirst: true}, {Name: "narrow", NoSpareServers: true}, {Name: "reserved", ReserveExtra: true},
 		{Name: "rankless", NoRanks: true}, {Name: "wary", RefusalsAsFailures: true},
+		{Name: "unled", Unled: true}, {Name: "own-load", OwnLoadOnly: true},
 		{Name: nameCeiling, Central: true},
 	}
 }
--- a/internal/lab/cwbench/replay.go
+++ b/internal/lab/cwbench/replay.go
@@ -44,6 +44,7 @@
 	rng      *rand.Rand
 	servers  []*replayServer
 	vms      []*replayVM
+	fleet    *replayFleet
 	result   *ReplayResult
 }
 
@@ -56,10 +57,12 @@
 	// heldSince is when it arrived at an entry VM that holds it, or zero.
 	heldSince time.Time
 	attempt   int
+	vm        *replayVM
 	// rank is its priority, 0 the most urgent.
 	rank     int
-	vm       *replayVM
 	schedule cwqueue.Schedule
+	// checked reports that the first health checks of this attempt are over.
+	checked bool
 	// retried reports whether the caller has probably retried after a refusal, sends
 	// is the number of sends of this attempt, and tried has the servers that got it.
 	retried bool
@@ -104,6 +107,8 @@
 		w.vms = append(w.vms, newReplayVM(w, i, vms))
 	}
 
+	w.fleet = newReplayFleet(w, vms)
+
 	return w
 }
 
@@ -113,6 +118,10 @@
 	rng := random(w.pattern.Seed, streamArrivals)
 	w.arrive(rng)
 
+	if w.led() {
+		w.fleet.start()
+	}
+
 	if d := w.pattern.PowerLoss; d.To > 0 {
 		w.timeline.add(d.From, w.losePower)
 	}
@@ -141,8 +150,8 @@
 
 	w.timeline.after(time.Duration(gap*float64(time.Second)), func() {
 		r := &replayRequest{run: w, began: w.now(), until: w.now().Add(wait)}
-		if p.Urgent > 0 && rng.Float64() >= p.Urgent {
-			r.rank = 1
+		if len(p.Ranks) > 1 {
+			r.rank = p.drawRank(rng.Float64())
 		}
 
 		w.connect(r)
@@ -212,6 +221,8 @@
 		w.vms[i] = newReplayVM(w, i, len(w.vms))
 		w.vms[i].startAfter(w.pattern.PowerLoss.To)
 	}
+
+	w.fleet.lose()
 }
 
 // refuse tells a caller when to retry, or refuses it for good after its last retry.
@@ -260,9 +271,6 @@
 
 	if w.counts(at) {
 		w.result.count(took, answered, late, refused, !w.pattern.PowerLoss.contains(at))
-
-		if w.pattern.Urgent > 0 && r.rank == 0 {
-			w.result.countUrgent(answered && !late)
-		}
+		w.result.countRank(r.rank, answered, late, refused)
 	}
 }
--- a/internal/lab/cwbench/replay_test.go
+++ b/internal/lab/cwbench/replay_test.go
@@ -53,7 +53,7 @@
 	for _, r := range sums {
 		out[r.Way] = share{
 			float64(r.InTime) / float64(r.Calls), float64(r.FreshInTime) / float64(r.Fresh), float64(r.Refused) / float64(r.Calls),
-			float64(r.UrgentInTime) / float64(max(1, r.Urgent)),
+			float64(r.Ranks[0].InTime) / float64(max(1, r.Ranks[0].Calls)),
 		}
 	}
 
--- a/internal/lab/cwbench/replay_vm.go
+++ b/internal/lab/cwbench/replay_vm.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwadmit"
 	"carobward.example/carobward/internal/cwattempt"
 	"carobward.example/carobward/internal/cwbackend"
 	"carobward.example/carobward/internal/cwhold"
@@ -50,6 +51,7 @@
 // replayVM is one simulated entry VM.
 type replayVM struct {
 	run      *replay
+	index    int
 	domain   carobward.Domain
 	table    *cwbackend.Table
 	servers  map[carobward.Address]*replayServer
@@ -67,6 +69,9 @@
 	// held has the requests that wait for the copy, load what they take.
 	held []*replayRequest
 	load cwhold.Load
+	// meter measures the load, by which admission decides on arriving requests.
+	meter     cwadmit.Meter
+	admission cwadmit.Control
 }
 
 func newReplayVM(w *replay, index, vms int) *replayVM {
@@ -75,7 +80,7 @@
 	}
 
 	v := &replayVM{
-		run: w, domain: replayDomain(index), table: cwbackend.New(name(index)), times: cwpick.NewTimes(),
+		run: w, index: index, domain: replayDomain(index), table: cwbackend.New(name(index)), times: cwpick.NewTimes(),
 		servers: map[carobward.Address]*replayServer{}, inFlight: map[*replayRequest]bool{},
 	}
 
@@ -155,11 +160,17 @@
 	r.sends, r.tried = 0, map[*cwbackend.Server]bool{}
 	v.extra.Request(now)
 	r.aloneRetried = float64(left) < aloneRetryRatio*float64(v.longest)
+	r.checked = false
 	r.schedule = cwqueue.Schedule{
 		Rank: r.rank, Arrived: now, Due: arrived.Add(p.Objective - age), Deadline: r.until, Objective: p.Objective,
 		Usual: v.times.Usual(p.Objective), Slowdown: v.currentSlowdown(),
 	}
 	r.retried = age > 0
+
+	if !v.admits(r) {
+		return
+	}
+
 	v.queue.Join(r)
 	v.dispatch(r)
 }
@@ -226,6 +237,8 @@
 // park lets a request wait until it gets a freed slot or its pause ends. checked
 // reports whether health checks for it just found no suitable server.
 func (v *replayVM) park(r *replayRequest, checked bool) {
+	v.noteChecked(r, false)
+
 	r.parked++
 	r.waiting = true
 	r.schedule.NoRoom = r.schedule.NoRoom || checked
@@ -249,6 +262,7 @@
 func (v *replayVM) send(r *replayRequest, c *candidate) {
 	w := v.run
 	v.queue.Leave(r)
+	v.noteChecked(r, true)
 
 	r.waiting = false
 	r.sends++
@@ -290,6 +304,7 @@
 	}
 
 	server.End(q.number, w.now(), cwbackend.Answered)
+	v.meter.CountCompleted(w.now())
 	server.ApplyReply(&carobward.Reply{Report: report}, cwbackend.ByReply, w.now())
 	v.times.LearnRefusal(false)
 	v.times.Learn(w.pattern.Objective, w.now().Sub(q.at), q.report.Slowness, cwpick.Crowded(&q.report, w.pattern.Slots), false)
