Hedges are made again soon after a time of refusals

Hedges may use a quarter of the bound on extra calls, counted over all extra calls. Now the quarter limits hedges alone (Claim.Capped); once all extra calls are above it, a hedge needs an earned call and leaves two to refused requests.

TestOverdueAfterRefusals fails without it (0 of 4 hedges after it).

--- a/internal/cwretry/claim.go
+++ b/internal/cwretry/claim.go
@@ -12,6 +12,8 @@
 	// Reserve is how many earned extra calls a paced claim leaves to claims of more need.
 	// If it is negative, the claim may use that many before they are earned.
 	Reserve float64
+	// Capped limits the claims of this kind to Share, also where they are paced.
+	Capped bool
 }
 
 // The shares of the bound that requests with another chance to succeed may use at once.
@@ -42,8 +44,10 @@
 	Refused = Claim{Share: refusedShare, Paced: true}
 	// RefusedLate is the same for requests whose answers would be late in any case.
 	RefusedLate = Claim{Share: refusedShare, Paced: true, Reserve: mostReserve}
-	// Overdue is for hedges: second sends while the first may still be answered.
-	Overdue = Claim{Share: overdueShare}
+	// Overdue is for hedges: second sends while the first may still be answered. Where other
+	// claims have used their share, as while servers refuse, hedges wait until those leave
+	// earned calls over.
+	Overdue = Claim{Share: overdueShare, Paced: true, Reserve: mostReserve, Capped: true}
 )
 
 // Refusal is what decides about the second send of a request that did not run.
--- a/internal/cwretry/claim_test.go
+++ b/internal/cwretry/claim_test.go
@@ -149,3 +149,47 @@
 		})
 	}
 }
+
+// TestOverdueAfterRefusals lets all servers refuse for most of a window. Hedges, which are few,
+// wait meanwhile, since refused requests need the extra calls more. Within a second of the end
+// they are made again, though the window is full of extra calls.
+func TestOverdueAfterRefusals(t *testing.T) {
+	const (
+		share = 0.2
+		each  = 20 // Requests a second.
+	)
+
+	var (
+		start = time.Now()
+		w     = NewWindow(share, 10*time.Second, start)
+		from  = 10 * time.Second
+		to    = 18 * time.Second
+	)
+
+	during, after := 0, 0
+
+	for i := range 22 * each {
+		at := time.Duration(i) * time.Second / each
+		w.Request(start.Add(at))
+
+		refusing := at >= from && at < to
+		if refusing {
+			w.Take(start.Add(at), 0, Refused)
+		}
+
+		if i%each != each-1 || at < from+time.Second { // One overdue request a second.
+			continue
+		}
+
+		switch taken := w.Take(start.Add(at), 0, Overdue); {
+		case taken && refusing:
+			during++
+		case taken:
+			after++
+		}
+	}
+
+	if during > 2 || after != 4 {
+		t.Errorf("%d hedges while servers refuse, want 2 at most; %d of 4 after it", during, after)
+	}
+}
--- a/internal/cwretry/window.go
+++ b/internal/cwretry/window.go
@@ -20,6 +20,8 @@
 	bucket   int64
 	requests [buckets + 1]int
 	extras   [buckets + 1]int
+	// capped has those of the extra calls whose claims are capped.
+	capped [buckets + 1]int
 	// earned is how many extra calls paced claims have earned by recent requests, from
 	// -maxOwed to maxEarned.
 	earned float64
@@ -67,10 +69,11 @@
 
 	w.advance(now)
 
-	requests, extras := 0, 0
+	requests, extras, capped := 0, 0, 0
 	for i := range w.requests {
 		requests += w.requests[i]
 		extras += w.extras[i]
+		capped += w.capped[i]
 	}
 
 	bound := w.share*float64(requests) + minExtra
@@ -81,7 +84,15 @@
 		return false
 	}
 
+	if c.Capped && float64(capped+1) > c.Share*bound {
+		return false
+	}
+
 	w.extras[w.bucket%(buckets+1)]++
+	if c.Capped {
+		w.capped[w.bucket%(buckets+1)]++
+	}
+
 	w.earned = max(-maxOwed, w.earned-1)
 
 	return true
@@ -93,7 +104,8 @@
 
 	for steps := 0; w.bucket < current && steps <= buckets; steps++ {
 		w.bucket++
-		w.requests[w.bucket%(buckets+1)], w.extras[w.bucket%(buckets+1)] = 0, 0
+		at := w.bucket % (buckets + 1)
+		w.requests[at], w.extras[at], w.capped[at] = 0, 0, 0
 	}
 
 	w.bucket = max(w.bucket, current)
