Tests of refusals that clump and of servers that refuse by chance more

TestTakeClumps fails with a bucket of two calls (60 of 120 earned calls used); nothing failed for it before. TestCostRefusals gets a case that fails where the mean of the service isn't taken off: until now its two servers refused alike, so that the case didn't need it. Its other cases stand.

--- a/internal/cwfront/forward.go
+++ b/internal/cwfront/forward.go
@@ -187,7 +187,6 @@
 // refusal describes the request to the decision about its second send.
 func (r *request) refusal(now time.Time) cwretry.Refusal {
 	rank, ranks := r.routes.Rank(r.service, r.priority)
-
 	routeRank, routeRanks := r.routes.RouteRank(r.service, r.route.Priority)
 
 	return cwretry.Refusal{
--- a/internal/cwpick/pick_test.go
+++ b/internal/cwpick/pick_test.go
@@ -56,20 +56,21 @@
 // as far as others refuse less.
 func TestCostRefusals(t *testing.T) {
 	for name, c := range map[string]struct {
-		// own is the share that the server refuses, all that of all servers.
-		own, all float64
-		avoided  bool
+		// own is the share that the server refuses, other that of another one with more
+		// requests, all that of all servers.
+		own, other, all float64
+		avoided         bool
 	}{
-		"none refuse":                 {0, 0, false},
-		"it refuses, others don't":    {0.3, 0.05, true},
-		"all refuse alike":            {0.5, 0.5, false},
-		"it refuses less than usual":  {0.1, 0.5, false},
-		"it refuses all, others half": {0.9, 0.5, true},
+		"none refuse":                     {0, 0, 0, false},
+		"it refuses, others don't":        {0.3, 0, 0.05, true},
+		"all refuse alike":                {0.5, 0.5, 0.5, false},
+		"all refuse, it by chance more":   {0.5, 0.3, 0.5, false},
+		"all refuse, none of its refused": {0, 0.5, 0.5, false},
+		"it refuses all, others half":     {0.9, 0.5, 0.5, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			free, used := view(0, 0, 1), view(2, 0, 1)
-			free.RefusalRate = c.own
-			used.RefusalRate = min(c.own, c.all)
+			free.RefusalRate, used.RefusalRate = c.own, c.other
 
 			f := Factors{Crowd: 1.5, Warmup: 2, Refused: c.all}
 			if got := Cost(&free, f, home) > Cost(&used, f, home); got != c.avoided {
--- a/internal/cwretry/claim_test.go
+++ b/internal/cwretry/claim_test.go
@@ -56,6 +56,38 @@
 	}
 }
 
+// TestTakeClumps lets refusals come four at a time, as callers do at an entry VM with few
+// requests. What the requests between them have earned isn't lost.
+func TestTakeClumps(t *testing.T) {
+	const (
+		share  = 0.2
+		clump  = 4
+		clumps = 30
+	)
+
+	start := time.Now()
+	w := NewWindow(share, 10*time.Second, start)
+	taken := 0
+
+	for i := range clumps {
+		now := start.Add(time.Duration(i) * time.Second)
+
+		for range int(clump / share) {
+			w.Request(now)
+		}
+
+		for range clump {
+			if w.Take(now, 0, Refused) {
+				taken++
+			}
+		}
+	}
+
+	if taken < clump*clumps*9/10 {
+		t.Errorf("%d extra calls of %d that were earned", taken, clump*clumps)
+	}
+}
+
 // TestTakeInOrder lets all servers refuse for most of a window, more requests than the bound
 // covers. Urgent requests get nearly all the extra calls that they ask for, the others what is
 // left of the bound, in the order of their claims.
