--- a/internal/lab/cwbench/replay_test.go
+++ b/internal/lab/cwbench/replay_test.go
@@ -118,6 +118,8 @@
 		"freed slots go to waiting requests":       {"bursts", "forgetful", 4, 0, 0.02, -1},
 		"only the first in the queue checks":       {"bursts", "restless", 0, 0, 0.02, -1},
 		"requests wait for a copy at a start":      {"return", "impatient", 0, 0, 0.03, 0.03},
+		"refused callers come back in turn":        {"ranks-long", "constant", 0, 472, 0.02, -1},
+		"the most urgent first, at all entry VMs":  {"ranks-long", "unled", 0, 472, 0.08, 0.02},
 		"slow servers are accepted where all are":  {"all-slow", "paceless", 0, 0, -1, 0.2},
 		"servers that all refuse are equal":        {"shed", "wary", 0, 472, 0.002, -1},
 	} {
