Start: hold requests for which no owner of a quota has answered

Cause: the owners of a team's tokens start when all do, and grant nothing in the first 0.5 s of their life.

Change: such a request is held as one that lacks the keys is (cwhold.Decide), and asks the owners again each 0.1 s, in the first second of an entry VM only. Quotas themselves are as before: no bucket gives more or earlier.

Ruled out: a shorter time until an entry VM owns a bucket, since two owners of one bucket exceed a quota.

--- a/internal/cwfront/hold.go
+++ b/internal/cwfront/hold.go
@@ -127,6 +127,41 @@
 	return f.held.decide(hold, f.Startup(now), counted), changed
 }
 
+// ownersDelay is when the owners of a team's tokens are asked again while the entry VMs start:
+// some of them get their copy of the store meanwhile.
+const ownersDelay = 100 * time.Millisecond
+
+// awaitOwners holds a request for which no owner of its team's tokens has answered, since those
+// start as this entry VM does, and reports whether to ask them again.
+func (r *request) awaitOwners(ctx context.Context) bool {
+	f := r.front
+	now := f.Clock.Now()
+	hold := cwhold.Request{
+		Keyed: true, Holding: r.held, Passed: now.Sub(r.arrived), Waits: r.callerWait, Objective: r.route.Objective, Usual: r.usualTime(),
+		Size: carobward.ByteCount(len(r.call.Body)),
+	}
+
+	d := f.held.decide(&hold, cwhold.Start{Age: f.Startup(now).Age, Configured: true, Keys: ownersDelay}, false)
+	if d.Action != cwhold.Wait {
+		return false
+	}
+
+	defer f.held.release(hold.Size)
+
+	if !r.held {
+		f.counts.Add(countHeld, 1)
+	}
+
+	r.held = true
+
+	carobward.Sleep(ctx, d.For)
+
+	// The search for a server begins only now.
+	r.schedule.Arrived = f.Clock.Now()
+
+	return ctx.Err() == nil
+}
+
 // refusal returns the failure of a request that is refused, or nil.
 func refusal(d cwhold.Decision, cause error) error {
 	if d.Action != cwhold.Refuse {
--- a/internal/cwfront/team.go
+++ b/internal/cwfront/team.go
@@ -65,6 +65,9 @@
 	}
 
 	wait, err := r.front.Quota.Take(ctx, r.team.Name)
+	for errors.Is(err, cwquota.ErrUnknown) && r.awaitOwners(ctx) {
+		wait, err = r.front.Quota.Take(ctx, r.team.Name)
+	}
 
 	switch {
 	case err == nil:
--- a/internal/cwgateway/startup_test.go
+++ b/internal/cwgateway/startup_test.go
@@ -55,18 +55,23 @@
 	return c.began.Add(clockAhead + time.Since(c.began)/clockSlowdown)
 }
 
+// closed makes the store of an entry VM answer nobody until a channel is closed, and its
+// clock slow.
+func closed(open chan struct{}) func(*cwgateway.Options) {
+	return func(o *cwgateway.Options) {
+		o.Adapter.Feed = closedFeed{Feed: o.Adapter.Feed, open: open}
+		o.Clock = slowClock{time.Now()}
+	}
+}
+
 // startClosed starts an entry VM whose store does not answer until the returned channel is
 // closed.
 func (f *fleet) startClosed(t *testing.T, change ...func(*cwgateway.Options)) (*vm, chan struct{}) {
 	t.Helper()
 
 	open := make(chan struct{})
-	change = append(change, func(o *cwgateway.Options) {
-		o.Adapter.Feed = closedFeed{Feed: o.Adapter.Feed, open: open}
-		o.Clock = slowClock{time.Now()}
-	})
 
-	return f.start(t, "vm-1", change...), open
+	return f.start(t, "vm-1", append(change, closed(open))...), open
 }
 
 // held returns the number of requests that an entry VM has held during its start.
@@ -77,15 +82,19 @@
 }
 
 // TestHeldAtStart verifies that a request that reaches an entry VM before its configuration
-// is held and then runs once, also where the keys in force are known only later.
+// is held and then runs once, also where the keys in force or the owners of quotas are known
+// only later.
 func TestHeldAtStart(t *testing.T) {
 	for name, c := range map[string]struct {
 		teams []cwstand.MetadataTeam
 		// fields are those of the request.
 		fields map[string]string
+		// maxKeyAge is the age up to which what is known of the keys may be used, 0 for any.
+		maxKeyAge time.Duration
 	}{
 		"without teams": {},
-		"with a key":    {[]cwstand.MetadataTeam{{Name: "club", Keys: []string{clubKey}}}, bearer(clubKey)},
+		"with a key":    {[]cwstand.MetadataTeam{{Name: "club", Keys: []string{clubKey}}}, bearer(clubKey), 3500 * time.Millisecond},
+		"with a quota":  {[]cwstand.MetadataTeam{{Name: "club", Keys: []string{clubKey}, Rate: 100, Burst: 10}}, bearer(clubKey), 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -98,7 +107,7 @@
 			route["target_latency"] = "1500ms"
 			f.configureTeams(c.teams, route)
 
-			v, open := f.startClosed(t, func(o *cwgateway.Options) { o.Limits.MaxKeyAge = 3500 * time.Millisecond })
+			v, open := f.startClosed(t, func(o *cwgateway.Options) { o.Limits.MaxKeyAge = c.maxKeyAge })
 			cwtest.Wait(t, "the listeners", func() bool { return get(v.options.Ready, "/").err == nil })
 
 			done := make(chan answer, 1)
