--- a/internal/cwfront/team.go
+++ b/internal/cwfront/team.go
@@ -94,6 +94,12 @@
 	need := r.tokenRequest(now)
 	wait, err := r.front.Quota.Take(ctx, r.team.Name, need)
 
+	for errors.Is(err, cwquota.ErrUnknown) && r.awaitOwners(ctx) {
+		now = r.front.Clock.Now()
+		need = r.tokenRequest(now)
+		wait, err = r.front.Quota.Take(ctx, r.team.Name, need)
+	}
+
 	switch {
 	case err == nil:
 		r.token = token{class: need.Class, taken: now}
