Admission: who comes back early and often gains nothing

Cause: each try of a caller drew anew whether it is admitted, so that one who repeats at once had many draws where others, who wait as told, have one.

Change: the draw follows from the request's id (cwadmit.Draw), the same at all entry VMs for as long as the shortest delay that refused callers are told. Ruled out: one draw for good, as a caller who waited and is not known as one who came back would be refused again.

TestDraw: nine in ten get the same number a tenth of the delay later (the time changes for each id at a moment of its own), none after the delay; even numbers.

--- a/internal/cwadmit/control.go
+++ b/internal/cwadmit/control.go
@@ -10,9 +10,11 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwrank"
 )
 
 // The parameters of the threshold.
@@ -65,10 +67,20 @@
 	// Returned reports that its caller was probably refused before, Timely that an answer
 	// can still be in time.
 	Returned, Timely bool
-	// Draw is a random number in [0,1).
+	// Draw is a random number in [0,1), see Draw.
 	Draw float64
 }
 
+// Draw returns the random number of a request, the same at all entry VMs for as long as any
+// refused caller has to wait at least. A caller that comes back sooner than that is told the
+// same again, however often it does.
+func Draw(id carobward.RequestID, earliest time.Duration, now time.Time) float64 {
+	period := uint64(max(time.Millisecond, earliest))
+	turn := (uint64(now.UnixNano()) + cwrank.Weight(string(id), "")%period) / period
+
+	return float64(cwrank.Weight(string(id), strconv.FormatUint(turn, 10))) / (1 << 64)
+}
+
 // late reports whether a request is late since its caller has waited. A first attempt is not:
 // if servers are too slow for it, they are so for all.
 func (r *Request) late() bool { return r.Returned && !r.Timely }
--- a/internal/cwadmit/control_test.go
+++ b/internal/cwadmit/control_test.go
@@ -1,6 +1,7 @@
 package cwadmit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -74,6 +75,42 @@
 	}
 }
 
+// TestDraw checks that a caller who comes back at once gets the same number, that one who waits
+// gets another, and that the numbers are spread evenly.
+func TestDraw(t *testing.T) {
+	const earliest = 80 * time.Millisecond
+
+	same, again, sum := 0, 0, 0.0
+
+	const count = 4000
+
+	for i := range count {
+		id := carobward.RequestID(fmt.Sprint("request-", i))
+		first := Draw(id, earliest, begin)
+		sum += first
+
+		if first < 0 || first >= 1 {
+			t.Fatalf("got %f", first)
+		}
+
+		if Draw(id, earliest, begin.Add(earliest/10)) == first {
+			same++
+		}
+
+		if Draw(id, earliest, begin.Add(earliest)) == first {
+			again++
+		}
+	}
+
+	if same < count*85/100 || same == count || again > 0 {
+		t.Errorf("%d of %d have the same number at once after, %d when told", same, count, again)
+	}
+
+	if mean := sum / count; mean < 0.48 || mean > 0.52 {
+		t.Errorf("the numbers have a mean of %.3f", mean)
+	}
+}
+
 // TestOwnRoom checks that an entry VM whose own requests find room refuses none, whatever the
 // others tell, and that one without room soon does.
 func TestOwnRoom(t *testing.T) {
--- a/internal/cwfront/admission.go
+++ b/internal/cwfront/admission.go
@@ -1,7 +1,6 @@
 package cwfront
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -100,7 +99,7 @@
 
 // claim returns what decides on the admission of the request.
 func (r *request) claim(now time.Time) cwadmit.Request {
-	return cwadmit.Request{Rank: r.rank(), Returned: r.returned, Timely: r.schedule.Timely(now), Draw: rand.Float64()}
+	return cwadmit.Request{Rank: r.rank(), Returned: r.returned, Timely: r.schedule.Timely(now), Draw: cwadmit.Draw(r.id, r.schedule.Return(now).Earliest, now)}
 }
 
 // observeLoad updates the threshold of the request's service from time to time.
--- a/internal/cwfront/admission_test.go
+++ b/internal/cwfront/admission_test.go
@@ -1,6 +1,7 @@
 package cwfront
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -55,10 +56,10 @@
 
 			refused := 0
 
-			for range 1000 { // Ten seconds: one that has just started refuses none.
+			for i := range 1000 { // Ten seconds: one that has just started refuses none.
 				clock.now = clock.now.Add(10 * time.Millisecond)
 
-				if err := f.admitOne(c.path); err != nil {
+				if err := f.admitOne(c.path, carobward.RequestID(fmt.Sprint(i))); err != nil {
 					refused++
 
 					var failure *carobward.Failure
@@ -76,9 +77,9 @@
 }
 
 // admitOne returns the result of the admission of one request.
-func (f *Front) admitOne(path string) error {
+func (f *Front) admitOne(path string, id carobward.RequestID) error {
 	now := f.Clock.Now()
-	r := &request{front: f, routes: f.Routes(), arrived: now}
+	r := &request{front: f, id: id, routes: f.Routes(), arrived: now}
 	r.route = r.routes.Find("a.example", path)
 	r.priority, r.service = r.route.Priority, r.route.Pick()
 	r.state = f.serviceState(r.service)
