Start: lookups name entry VMs that start while most of them do

Callers without an address ask the next node or keep old ones, and the first ready ones get many.

Change: while most of those that a starting entry VM knows in its failure domain are starting, too, and it knows four at least, it names both kinds: the starting ones hold what reaches them. Only in its first second; a VM that starts alone in a fleet that runs names the ready ones, as before.

Tests: TestNamesStarting; TestLookupAtStart over real parts, seen failing without the change. -race of the whole of cwhold, cwfront and cwgateway on this code: ok (208 s), TestLookupAtStart and lookups again after it was written; lint clean.

--- a/internal/cwgateway/addresses.go
+++ b/internal/cwgateway/addresses.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwhold"
 	"carobward.example/carobward/internal/cwmesh"
 )
 
@@ -89,19 +90,30 @@
 
 // localAddresses returns the addresses of this failure domain's entry VMs that take callers.
 func (g *Gateway) localAddresses() []carobward.Address {
-	var list []carobward.Address
+	var ready, starting []carobward.Address
+
+	add := func(s cwmesh.State, a carobward.Address) {
+		switch s {
+		case cwmesh.Ready:
+			ready = append(ready, a)
+		case cwmesh.Starting:
+			starting = append(starting, a)
+		case cwmesh.Leaving:
+		}
+	}
 
-	if g.isReady() {
-		list = append(list, g.Self.Callers)
+	now := g.Clock.Now()
+	add(g.mesh.State(), g.Self.Callers)
+
+	for _, p := range g.table.Live(now) {
+		add(p.State, p.Callers)
 	}
 
-	for _, p := range g.table.Live(g.Clock.Now()) {
-		if p.State == cwmesh.Ready {
-			list = append(list, p.Callers)
-		}
+	if cwhold.NamesStarting(now.Sub(g.started), len(ready), len(starting)) {
+		return append(ready, starting...)
 	}
 
-	return list
+	return ready
 }
 
 // remoteAddresses returns the addresses of another failure domain's entry VMs that are known
--- a/internal/cwgateway/startup_test.go
+++ b/internal/cwgateway/startup_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 	"carobward.example/carobward/internal/cwgateway"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/platform"
 )
 
 // closedFeed is a store that answers nobody until it is opened.
@@ -178,3 +182,30 @@
 		return got.status == http.StatusServiceUnavailable && v.held(t) == before
 	})
 }
+
+// TestLookupAtStart verifies that callers are told of entry VMs that all start at once, and of
+// none of them if the start takes too long.
+func TestLookupAtStart(t *testing.T) {
+	f := newFleet(t)
+	f.configure(safeRoute("records"))
+
+	const count = 4
+
+	open := make(chan struct{})
+	defer close(open)
+
+	var all []*vm
+	for i := range count {
+		all = append(all, f.start(t, fmt.Sprint("vm-", i), closed(open)))
+	}
+
+	lookup := func() answer { return get(all[0].options.Lookup, platform.PathLookup+"?zone=a") }
+
+	cwtest.Wait(t, "all addresses", func() bool {
+		body := lookup().body
+
+		return !slices.ContainsFunc(all, func(v *vm) bool { return !strings.Contains(body, string(v.options.Self.Callers)) })
+	})
+
+	cwtest.Wait(t, "the end of the time for a start", func() bool { return lookup().status == http.StatusServiceUnavailable })
+}
--- a/internal/cwhold/hold.go
+++ b/internal/cwhold/hold.go
@@ -156,3 +156,16 @@
 		return blindWait
 	}
 }
+
+// minNamed is how many entry VMs at least are named while none is ready: with fewer all
+// callers would meet at the first ones that start.
+const minNamed = 4
+
+// NamesStarting reports whether callers that look up addresses are told of entry VMs that are
+// still starting, which hold requests. It is so while most of the fleet starts: the few that are
+// ready first would get all callers, and callers that get no address ask elsewhere for seconds.
+// Age is the time since the start of the entry VM that answers; ready and starting are how many
+// entry VMs of its failure domain it knows of each kind.
+func NamesStarting(age time.Duration, ready, starting int) bool {
+	return age < MaxStartTime && starting > ready && ready+starting >= minNamed
+}
--- a/internal/cwhold/hold_test.go
+++ b/internal/cwhold/hold_test.go
@@ -60,3 +60,27 @@
 		})
 	}
 }
+
+// TestNamesStarting checks when callers are told of entry VMs that are still starting.
+func TestNamesStarting(t *testing.T) {
+	for name, c := range map[string]struct {
+		age             time.Duration
+		ready, starting int
+		want            bool
+	}{
+		"all start":                   {100 * ms, 0, 20, true},
+		"few are ready":               {200 * ms, 3, 20, true},
+		"most are ready":              {400 * ms, 20, 3, false},
+		"alone in a running fleet":    {100 * ms, 20, 1, false},
+		"nobody known yet":            {5 * ms, 0, 1, false},
+		"a small failure domain":      {100 * ms, 0, 3, false},
+		"some can't get ready":        {time.Second, 0, 20, false},
+		"a small one, some are ready": {100 * ms, 1, 3, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := NamesStarting(c.age, c.ready, c.starting); got != c.want {
+				t.Errorf("got %v", got)
+			}
+		})
+	}
+}
