--- a/internal/cwreserve/bucket.go
+++ b/internal/cwreserve/bucket.go
@@ -180,7 +180,8 @@
 // requests were told. Tokens that new requests of its own class will ask for are not free.
 func (b *Bucket) wait(a *Ask, now time.Time) time.Duration {
 	free := b.rate - b.demandUpTo(a.Class, now)
-	if free < minFree*b.rate {
+	// The interval is compared in seconds: that of a low rate overflows a Duration.
+	if free < minFree*b.rate || 1/free > maxWait.Seconds() {
 		return NoToken
 	}
 
--- a/internal/cwreserve/bucket_test.go
+++ b/internal/cwreserve/bucket_test.go
@@ -217,3 +217,15 @@
 		}
 	}
 }
+
+// TestWaitOfSlowBucket verifies that a bucket whose next token takes longer than a Duration can
+// express predicts none.
+func TestWaitOfSlowBucket(t *testing.T) {
+	for _, rate := range []float64{0, 1e-12, 1e-9} {
+		b := NewBucket(rate, 1, 0, start)
+
+		if n, wait := b.Take(&Ask{Want: 1}, start); n != 0 || wait != NoToken {
+			t.Errorf("rate %g: %d tokens, wait %s", rate, n, wait)
+		}
+	}
+}
