--- a/internal/cwquota/class_test.go
+++ b/internal/cwquota/class_test.go
@@ -17,7 +17,7 @@
 	usual, objective, timeout time.Duration
 }
 
-// kinds are by rank; the most urgent one asks least.
+// kinds are by rank. The most urgent one has the fewest requests.
 var kinds = []kind{
 	{0.17, 170 * time.Millisecond, 500 * time.Millisecond, 2500 * time.Millisecond},
 	{0.23, 250 * time.Millisecond, 600 * time.Millisecond, 3 * time.Second},
@@ -58,7 +58,7 @@
 	// refuse is the fraction of admitted requests that get no server and give back their
 	// token.
 	refuse float64
-	// oneClass has all requests go first.
+	// oneClass puts all requests in the first class.
 	oneClass bool
 	pending  map[time.Time][]call
 	unused   []unused
@@ -155,7 +155,7 @@
 	return timely, late
 }
 
-// reset forgets the counts.
+// reset clears the counts.
 func (c *crowd) reset() {
 	c.asked, c.timely, c.late, c.refused, c.twice = [3]int{}, [3]int{}, [3]int{}, [3]int{}, [3]int{}
 }
@@ -311,7 +311,7 @@
 }
 
 // TestGiveBack verifies that a token whose request got no server goes to the next request
-// that goes no later, once and only for a short time.
+// of its class or a more urgent one, once and only for a short time.
 func TestGiveBack(t *testing.T) {
 	for name, c := range map[string]struct {
 		class, by cwreserve.Class
--- a/internal/cwquota/domains.go
+++ b/internal/cwquota/domains.go
@@ -47,8 +47,8 @@
 	return t == nil || t.backoff[d] != nil && now.Before(t.backoff[d][c])
 }
 
-// setBackoff has requests of a class skip a failure domain, and those of the classes after it,
-// for which it holds no more tokens.
+// setBackoff makes requests of a class and of less urgent ones skip a failure domain until a
+// time. It has no tokens for the less urgent ones either.
 func (l *Limiter) setBackoff(name carobward.TeamName, d carobward.Domain, c cwreserve.Class, until time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/cwquota/quota.go
+++ b/internal/cwquota/quota.go
@@ -3,8 +3,8 @@
 // In each failure domain a few entry VMs, the first ones by rendezvous hashing of the team,
 // own token buckets. The other entry VMs request tokens from an owner before they send, and
 // if those have none, from other failure domains. So the sum of the buckets is the limit,
-// wherever requests arrive, whichever entry VMs are cut off, and whichever restart. While a
-// team asks for more than its quota, the owners grant tokens by class (package cwreserve).
+// wherever requests arrive, and whichever entry VMs are partitioned or restart. While a team
+// requests more than its quota, the owners grant tokens by class (package cwreserve).
 package cwquota
 
 import (
@@ -63,16 +63,17 @@
 	unknownRetryDelay = 300 * time.Millisecond
 	// minRetryDelay is the minimum retry delay for a request beyond the quota.
 	minRetryDelay = 100 * time.Millisecond
-	// retryTime is how long a caller takes to be here again, beside the delay.
+	// retryTime is the time that a retry takes to arrive, in addition to the retry delay.
 	retryTime = 25 * time.Millisecond
 	// maxUnknownDelay is the retry delay if no token is expected and the caller has not said
 	// how long it waits.
 	maxUnknownDelay = time.Second
-	// maxReturnAge is until how long after its grant a token that was given back may be
-	// used: most requests that get no server are refused within that time. Older tokens may
-	// belong to a window that is over.
+	// maxReturnAge is the maximum age since its grant at which a returned token may be used.
+	// Most requests that get no server are refused within that time. Older tokens may belong
+	// to a past window of the quota.
 	maxReturnAge = 500 * time.Millisecond
-	// beyondTime is how long a team counts as beyond its quota after an owner said so.
+	// beyondTime is how long no tokens are requested in advance after an owner reported that
+	// the team is beyond its quota.
 	beyondTime = time.Second
 )
 
@@ -110,12 +111,12 @@
 type Grant struct {
 	// Owner is set if the sender owns a bucket of the team.
 	Owner bool
-	// Tokens is how many tokens it grants; Wait is when one is expected if that is none, or
-	// cwreserve.NoToken.
+	// Tokens is how many tokens it grants. If that is none, Wait is the time until one is
+	// expected, or cwreserve.NoToken.
 	Tokens int
 	Wait   time.Duration
-	// Beyond is set if the team asked for more than the bucket had lately. Tokens should not
-	// be requested in advance then.
+	// Beyond is set if the bucket recently had to refuse a request of the team. Tokens should
+	// not be requested in advance then.
 	Beyond bool
 }
 
@@ -138,8 +139,8 @@
 	mutex  sync.Mutex
 	bounds Bounds
 	teams  map[carobward.TeamName]*team
-	// answered counts this entry VM's answers as an owner, returned the tokens that were
-	// given back here.
+	// answered counts this entry VM's answers as an owner, returned the unused tokens that
+	// its own requests gave back.
 	answered counts
 	returned int64
 }
--- a/internal/cwquota/retry_test.go
+++ b/internal/cwquota/retry_test.go
@@ -7,7 +7,7 @@
 	"carobward.example/carobward/internal/cwreserve"
 )
 
-// TestRetryDelay verifies when refused callers are told to come back.
+// TestRetryDelay verifies the retry delays of refused callers.
 func TestRetryDelay(t *testing.T) {
 	const ms = time.Millisecond
 
--- a/internal/cwquota/status.go
+++ b/internal/cwquota/status.go
@@ -26,20 +26,21 @@
 	c.granted[class] += int64(n)
 }
 
-// Status is the state of the tokens for which this entry VM is asked.
+// Status is the state of the token buckets that this entry VM owns.
 type Status struct {
 	// Granted and Refused count tokens and refusals by class. A request that two owners
 	// refuse counts at both.
 	Granted, Refused [cwreserve.Classes]int64
-	// Returned counts tokens that were given back here.
+	// Returned counts the unused tokens that requests at this entry VM gave back.
 	Returned int64
-	// Beyond are the teams that asked for more than this entry VM's bucket had lately.
+	// Beyond are the teams of whose requests this entry VM's bucket recently refused some.
 	Beyond []carobward.TeamName
-	// Reserved is the number of tokens that these buckets hold back from the last class.
+	// Reserved is the number of tokens that the buckets of these teams reserve from the last
+	// class.
 	Reserved float64
 }
 
-// Status returns the state of the tokens for which this entry VM is asked.
+// Status returns the state of the token buckets that this entry VM owns.
 func (l *Limiter) Status(now time.Time) Status {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -56,7 +57,8 @@
 	return s
 }
 
-// logBeyond logs what this entry VM granted to teams beyond their quotas since the last call.
+// logBeyond logs what this entry VM granted to teams beyond their quotas since the last call,
+// for maxLogged of them at most.
 // The mutex must be held.
 func (l *Limiter) logBeyond(now time.Time) {
 	logged := 0
--- a/internal/cwquota/stock.go
+++ b/internal/cwquota/stock.go
@@ -7,16 +7,16 @@
 	"carobward.example/carobward/internal/cwreserve"
 )
 
-// maxReturned is the maximum number of a team's tokens that were given back and are kept.
+// maxReturned is the maximum number of returned tokens that are kept for a team.
 const maxReturned = 8
 
-// stock has the tokens of a team that this entry VM holds.
+// stock holds the tokens of a team that were granted to this entry VM and are not used yet.
 type stock struct {
 	// prefetched is the number of tokens that were requested in advance. They may be used
 	// until prefetchedUntil.
 	prefetched      int
 	prefetchedUntil time.Time
-	// returned are tokens whose request got no server.
+	// returned are tokens that were given back because their request got no server.
 	returned []returnedToken
 	// beyondUntil is until when none are requested in advance.
 	beyondUntil time.Time
@@ -26,8 +26,8 @@
 	periodStart            time.Time
 }
 
-// returnedToken is a token that may be used until a time by requests that go no later than
-// the one that it was granted for.
+// returnedToken is a token that was given back. Until a time it may be used by requests of the
+// class that it was granted for or a more urgent one.
 type returnedToken struct {
 	class cwreserve.Class
 	until time.Time
@@ -68,7 +68,8 @@
 	return true
 }
 
-// useReturned uses a token that was given back, and drops those that are too old.
+// useReturned uses a returned token if there is one for the class, and drops those that are
+// too old.
 func (s *stock) useReturned(c cwreserve.Class, now time.Time) bool {
 	kept, used := s.returned[:0], false
 
@@ -122,8 +123,8 @@
 	}
 }
 
-// GiveBack gives back the token of a request that was granted at some time and has not run.
-// Requests that go no later than its class may use it here for a short time.
+// GiveBack returns the token, granted at a given time, of a request that has not run. For a
+// short time, requests of its class or a more urgent one may use it at this entry VM.
 func (l *Limiter) GiveBack(name carobward.TeamName, c cwreserve.Class, granted time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/cwquota/take.go
+++ b/internal/cwquota/take.go
@@ -14,14 +14,15 @@
 	// Class is its place in the order in which requests of a team beyond its quota get
 	// tokens.
 	Class cwreserve.Class
-	// TimelyFor is how long its answer can still be in time if it is sent by then, 0 if it
-	// is late already. UsefulFor is the same until its caller gives up.
+	// TimelyFor is the time left to send the request so that its answer is in time, 0 if it
+	// is late already. UsefulFor is the time left to send it so that its answer still
+	// reaches the caller, 0 if none is left.
 	TimelyFor, UsefulFor time.Duration
 }
 
 // retryDelay returns the delay after which the caller of a refused request may retry if a
 // token for its class is expected after the wait. If that is too late for an answer in time,
-// it is the longest useful one: an earlier retry would take tokens from new requests.
+// it is the longest useful delay, since an earlier retry would take tokens from new requests.
 func (r *Request) retryDelay(wait time.Duration) time.Duration {
 	useful := r.TimelyFor
 	if r.Class.Late() {
--- a/internal/cwreserve/bucket.go
+++ b/internal/cwreserve/bucket.go
@@ -8,55 +8,60 @@
 )
 
 const (
-	// beyondTime is how long a bucket that had to refuse a request goes by class.
+	// beyondTime is how long a bucket grants tokens by class after it refused a request.
 	beyondTime = time.Second
-	// reserveTime is the time for whose requests a bucket holds tokens back: in it, those
-	// that were refused elsewhere arrive as well. deviations is how many standard
-	// deviations above the mean are covered, as requests come at random.
+	// reserveTime is the period whose expected requests a bucket reserves tokens for. It is
+	// long enough for requests that another owner refused to arrive as well. deviations is
+	// the number of standard deviations above the mean that the reserve covers, since
+	// requests arrive at random.
 	reserveTime = 100 * time.Millisecond
 	deviations  = 2
-	// maxReserve is the maximum fraction of a bucket, without the token that is handed out,
-	// that is held back from requests in time: they need not wait until it is full.
+	// maxReserve is the maximum fraction of a bucket's capacity, less the token that is being
+	// granted, that is reserved from requests whose answer can be in time. Below 1, so that
+	// they need not wait for a full bucket.
 	maxReserve = 0.9
-	// MinShare is the share of a bucket's tokens that each class with answers in time gets
-	// at least if it asks for it, so that none is shut out while others ask for everything.
+	// MinShare is the minimum share of a bucket's tokens for each class whose answers can be
+	// in time, if it requests as many, so that no class is starved by the others.
 	MinShare = 0.1
-	// tokenError allows for rounding when a whole token is compared with the level.
+	// tokenError is the tolerance, in tokens, for rounding errors of the level.
 	tokenError = 1e-9
-	// maxWait is the longest wait that is predicted: demand beyond it is not known.
+	// maxWait is the longest wait that is predicted. Demand further ahead is not known.
 	maxWait = time.Second
-	// minFree is the fraction of a bucket's rate that must be left by the classes that go
-	// first for a token to be predicted.
+	// minFree is the minimum fraction of a bucket's rate that a class and the more urgent
+	// ones leave unused. Below it no token is predicted.
 	minFree = 0.02
 )
 
-// NoToken is the wait of a request for whose class no token is expected.
+// NoToken is the wait of a refused request if no token is expected for its class.
 const NoToken time.Duration = math.MaxInt64
 
 // Ask is a request for tokens.
 type Ask struct {
 	Class Class
-	// Want is how many tokens are asked for, one for a request and the rest in advance.
+	// Want is how many tokens are requested: one for the request, the rest in advance.
 	Want int
 	// Again is set if another owner in the failure domain had no token for the same
-	// request, whose demand is known therefore.
+	// request. That owner has counted its demand already.
 	Again bool
-	// Relayed is set if the request comes from another failure domain. Its caller is told
-	// when to retry by the owners there.
+	// Relayed is set if the request comes from another failure domain, whose owners
+	// determine the caller's retry delay.
 	Relayed bool
 }
 
-// Bucket is a token bucket that goes by class while it does not hold enough for all.
+// Bucket is a token bucket that grants tokens by class while it can't grant all that are
+// requested. It is not safe for concurrent use.
 type Bucket struct {
-	// rate is in tokens a second. Level is the number of tokens at the time of at.
+	// rate is in tokens a second, burst is the capacity in tokens. level is the number of
+	// tokens at the time at.
 	rate, burst, level float64
 	at                 time.Time
-	// beyondUntil is until when the bucket goes by class.
+	// beyondUntil is until when the bucket grants tokens by class.
 	beyondUntil time.Time
 	demand      [Classes]demand
-	// floor has, by class, the tokens that it may take in spite of the reserve.
+	// floor has, by class, the accrued tokens of its minimum share, which it may take
+	// although they are reserved.
 	floor [Classes]float64
-	// promised is the time of the last token that a refused request was told to come for.
+	// promised is, by class, the time of the latest token predicted for a refused request.
 	promised [Classes]time.Time
 }
 
@@ -73,12 +78,13 @@
 	b.level = min(b.level, burst)
 }
 
-// Beyond reports whether more was asked for lately than the bucket had.
+// Beyond reports whether the bucket recently had to refuse a request, and so grants tokens by
+// class.
 func (b *Bucket) Beyond(now time.Time) bool { return now.Before(b.beyondUntil) }
 
-// Take takes tokens. If there are none it returns 0 and when a token for the class is
-// expected, or NoToken. While the bucket goes by class it grants one at a time: tokens taken
-// in advance would go to whoever comes first.
+// Take takes tokens and returns their number. If that is 0 it also returns the time until a
+// token for the class is expected, or NoToken. While the bucket grants tokens by class it
+// grants one at a time: tokens taken in advance would be used in order of arrival.
 func (b *Bucket) Take(a *Ask, now time.Time) (int, time.Duration) {
 	b.advance(now)
 
@@ -113,7 +119,7 @@
 	}
 }
 
-// Reserve returns how many tokens are held back from a class for those that go first. All late
+// Reserve returns how many tokens are reserved from a class for the more urgent ones. All late
 // classes are treated alike.
 func (b *Bucket) Reserve(c Class, now time.Time) float64 {
 	var before, all, last float64
@@ -136,7 +142,7 @@
 		return min(all, b.burst-1)
 	}
 
-	// Nothing is held back for the class that goes last of those with answers in time.
+	// Nothing is reserved for the least urgent active class that is not late.
 	all = max(all-last, before)
 	if most := maxReserve * (b.burst - 1); all > most {
 		before *= most / all
@@ -145,8 +151,8 @@
 	return before
 }
 
-// owed returns how many tokens are held back from a class for those after it that have not had
-// their minimum share.
+// owed returns how many tokens are reserved from a class for the less urgent ones that have
+// not had their minimum share.
 func (b *Bucket) owed(c Class, now time.Time) float64 {
 	n := 0.
 
@@ -159,7 +165,7 @@
 	return min(n, maxReserve*(b.burst-1))
 }
 
-// advance adds the tokens of the time that has passed.
+// advance adds the tokens of the time since the last call.
 func (b *Bucket) advance(now time.Time) {
 	past := now.Sub(b.at).Seconds()
 	if past <= 0 {
@@ -176,8 +182,9 @@
 	}
 }
 
-// wait returns when a token for a refused request is expected, in the order in which such
-// requests were told. Tokens that new requests of its own class will ask for are not free.
+// wait returns the time until a token for a refused request is expected, after those
+// predicted for earlier refused requests of its class. Tokens that new requests of its class
+// or of more urgent ones will take are not free.
 func (b *Bucket) wait(a *Ask, now time.Time) time.Duration {
 	free := b.rate - b.demandUpTo(a.Class, now)
 	// The interval is compared in seconds: that of a low rate overflows a Duration.
@@ -202,8 +209,8 @@
 	return next.Sub(now)
 }
 
-// demandUpTo returns the rate of requests of a class and those that go first, a standard
-// deviation below the mean: a few requests do not tell much.
+// demandUpTo returns the rate of requests of a class and the more urgent ones, less one
+// standard deviation: a few requests are weak evidence of demand.
 func (b *Bucket) demandUpTo(c Class, now time.Time) float64 {
 	var n float64
 	for i := range c + 1 {
--- a/internal/cwreserve/bucket_test.go
+++ b/internal/cwreserve/bucket_test.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// TestWait verifies when refused requests are told to come back.
+// TestWait verifies the waits predicted for refused requests.
 func TestWait(t *testing.T) {
 	second := Ask{Class: 1, Want: 1}
 
--- a/internal/cwreserve/demand.go
+++ b/internal/cwreserve/demand.go
@@ -6,14 +6,14 @@
 )
 
 const (
-	// demandTime is the time over which demand is averaged. A class that stops asking is
-	// forgotten after some four times of it.
+	// demandTime is the time constant of the moving average of demand. A class without new
+	// requests counts as inactive after about four times demandTime.
 	demandTime = time.Second
-	// minDemand is the decayed number of requests below which a class does not ask.
+	// minDemand is the decayed number of requests below which a class is inactive.
 	minDemand = 0.02
 )
 
-// demand is the number of requests of a class, decaying with demandTime.
+// demand is the number of recent requests of a class. It decays exponentially with demandTime.
 type demand struct {
 	sum float64
 	at  time.Time
@@ -27,10 +27,10 @@
 	return d.sum * math.Exp(-max(0, now.Sub(d.at).Seconds())/demandTime.Seconds())
 }
 
-// asks reports whether there were requests lately.
+// asks reports whether the class is active: whether there were recent requests.
 func (d *demand) asks(now time.Time) bool { return d.recent(now) >= minDemand }
 
-// expected returns how many requests to expect in reserveTime, one at least.
+// expected returns how many requests to expect within reserveTime, at least one.
 func (d *demand) expected(now time.Time) float64 {
 	mean := d.recent(now) / demandTime.Seconds() * reserveTime.Seconds()
 
