--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -100,7 +100,7 @@
 	return err
 }
 
-// logNotes logs which settings were rounded or replaced by a default.
+// logNotes logs which settings were rounded, left out or replaced by a default.
 func logNotes(log logr.Logger, s *platform.Settings) {
 	for _, note := range s.Notes {
 		log.Info("A setting was not taken as it stands.", "setting", note)
--- a/cmd/cwgateway/settings.go
+++ b/cmd/cwgateway/settings.go
@@ -110,8 +110,8 @@
 
 // keyAgeFraction is a fraction of the time within which a revoked key must be
 // refused everywhere. Requests that need a key are refused once the information
-// about keys is older than that. The rest of the time, a second of five, allows for
-// heartbeats in transit: packets may wait over half a second on a busy link.
+// about keys is older than that. The rest of the time, a second if the time is five,
+// allows for heartbeats in transit: packets may queue for over half a second on a busy link.
 const keyAgeFraction = 0.8
 
 // bounds returns the settings that can change at run time.
--- a/internal/cwgateway/addresses.go
+++ b/internal/cwgateway/addresses.go
@@ -89,6 +89,7 @@
 }
 
 // localAddresses returns the addresses of this failure domain's entry VMs that take callers.
+// While most of them start, those that are starting are included, see cwhold.NamesStarting.
 func (g *Gateway) localAddresses() []carobward.Address {
 	var ready, starting []carobward.Address
 
--- a/internal/cwgateway/operators.go
+++ b/internal/cwgateway/operators.go
@@ -103,7 +103,7 @@
 	Evacuated []evacuation `json:"evacuated"`
 	// Limited has the servers that report how many requests a second they accept.
 	Limited []limitedServer `json:"limited"`
-	// Quota has the teams beyond their quotas for whose tokens this entry VM is asked.
+	// Quota has the teams beyond their quotas of which this entry VM owns token buckets.
 	Quota *quotaStatus `json:"quota,omitempty"`
 }
 
--- a/internal/cwgateway/quota.go
+++ b/internal/cwgateway/quota.go
@@ -8,14 +8,15 @@
 	"carobward.example/carobward/internal/cwreserve"
 )
 
-// quotaMetrics is the part of the metrics of the tokens that this entry VM grants as an owner.
+// quotaMetrics is the name of the group of metrics of the tokens that this entry VM grants as
+// an owner.
 const quotaMetrics = "quota"
 
 // quotaStatus are the teams beyond their quotas as shown to operators, if this entry VM owns
 // buckets of theirs.
 type quotaStatus struct {
 	Beyond []carobward.TeamName `json:"beyond"`
-	// Reserved is the number of tokens held back from the requests that go last.
+	// Reserved is the number of tokens reserved from the last class of requests.
 	Reserved float64 `json:"reserved"`
 	// Granted and Refused have, by class, this entry VM's answers to token requests of all
 	// teams since its start.
--- a/internal/cwgateway/startup.go
+++ b/internal/cwgateway/startup.go
@@ -6,11 +6,11 @@
 	"carobward.example/carobward/internal/cwhold"
 )
 
-// claimDelay is when to look again whether the keys in force are known, once only the word of
-// a peer is missing: one more exchange of heartbeats.
+// claimDelay is the delay before checking again whether the keys in force are known, if only
+// a claim of the store or of a peer is missing. It is enough for one exchange of heartbeats.
 const claimDelay = 50 * time.Millisecond
 
-// startup returns the state of this entry VM's start.
+// startup returns what this entry VM has of what it needs to serve requests after its start.
 func (g *Gateway) startup(now time.Time) cwhold.Start {
 	s := cwhold.Start{Age: now.Sub(g.started), Configured: g.isReady() || g.front.Routes() != nil && g.servers.Count() > 0}
 
--- a/internal/cwmesh/claim.go
+++ b/internal/cwmesh/claim.go
@@ -207,9 +207,10 @@
 	return m.claims.checked
 }
 
-// SettlesIn returns how long after now Checked can tell what it knows; at most zero if it can.
-// Right after the start it can't if the store is one that is restored from backups: it may
-// lack items that peers keep. A store that reports no era is not restored, and lacks nothing.
+// SettlesIn returns how long from now Checked stays unknown, at most zero if it is available.
+// It is unknown right after the start if the store has eras, that is, may be restored from a
+// backup: such a store may lack items that peers keep. A store that reports no era is never
+// restored, and lacks nothing.
 func (m *Mesh) SettlesIn(now time.Time) time.Duration {
 	if m.Mirror.State().Era == 0 {
 		return 0
--- a/internal/cwmesh/domain.go
+++ b/internal/cwmesh/domain.go
@@ -53,7 +53,7 @@
 	Rate int
 	// Nodes has some of those that take callers.
 	Nodes []Node
-	// Loads has the load of services at all together.
+	// Loads is the load of services summed over all of them.
 	Loads []carobward.ServiceLoad
 }
 
--- a/internal/cwmesh/load.go
+++ b/internal/cwmesh/load.go
@@ -11,11 +11,12 @@
 )
 
 const (
-	// maxLoads is the number of services whose load a message carries, those with the most
-	// requests: about 25 bytes each, 400 in all.
+	// maxLoads is the maximum number of services whose load a message carries, those with
+	// the most requests: about 25 bytes each, 400 in total.
 	maxLoads = 16
 	// loadTimeout is the age up to which the load of another failure domain is used: one
-	// heartbeat until it is summed up, one until it is passed on here, and two lost ones.
+	// heartbeat interval until it is summed there, one until it is passed on here, and two
+	// for lost heartbeats.
 	loadTimeout = 4 * heartbeatInterval
 	// loadScale converts a rate to the unit of messages, a tenth of a request a second.
 	loadScale = 10
@@ -23,8 +24,8 @@
 
 var _ carobward.FleetLoad = (*Mesh)(nil)
 
-// Load implements carobward.FleetLoad. Of this failure domain it has this entry VM and the
-// live peers. Peers that send no load of the service have none.
+// Load implements carobward.FleetLoad. The load of this failure domain is that of this entry
+// VM and the live peers. Peers that send no load of the service count as without load.
 func (m *Mesh) Load(s carobward.Service, now time.Time) []carobward.DomainLoad {
 	peers, domains := m.Table.Live(now), m.Table.recentSummaries(now)
 	if len(peers)+len(domains) == 0 {
@@ -53,7 +54,7 @@
 	return list
 }
 
-// addLoad adds the load of the same service from a list, and reports whether it is there.
+// addLoad adds the load of the sum's service from a list, and reports whether the list has it.
 func addLoad(sum *carobward.ServiceLoad, list []carobward.ServiceLoad) bool {
 	i := slices.IndexFunc(list, func(l carobward.ServiceLoad) bool { return l.Service == sum.Service })
 	if i < 0 {
@@ -65,8 +66,8 @@
 	return true
 }
 
-// recentSummaries returns the summaries of the other failure domains whose load is used, in
-// the order of their names.
+// recentSummaries returns the summaries of the other failure domains that are recent enough
+// for their load to be used, in the order of their names.
 func (t *Table) recentSummaries(now time.Time) []Summary {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
@@ -74,7 +75,7 @@
 	return t.domains(func(o *otherDomain) bool { return now.Sub(o.Made) < loadTimeout })
 }
 
-// ownLoads returns the load of services at this entry VM, of those with the most requests.
+// ownLoads returns the load at this entry VM of the maxLoads services with the most requests.
 func (m *Mesh) ownLoads(now time.Time) []carobward.ServiceLoad {
 	if m.OwnLoad == nil {
 		return nil
@@ -143,8 +144,8 @@
 	return out
 }
 
-// decodeLoads decodes the load of services, of maxLoads at most. Demand beyond the last rank
-// counts for the last one.
+// decodeLoads decodes the load of services, of maxLoads at most. Demand of ranks beyond the
+// last one counts as demand of the last one.
 func decodeLoads(list []*cwwire.Load) []carobward.ServiceLoad {
 	var out []carobward.ServiceLoad
 
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -68,8 +68,8 @@
 	// TakeNotices is called with those that a peer passed on.
 	Notices     func(now time.Time, newcomer bool) carobward.Announcements
 	TakeNotices func(notices carobward.Announcements, from carobward.VMID)
-	// OwnLoad returns the recent load of services at this entry VM, of those whose load
-	// the others need to know.
+	// OwnLoad returns the recent load at this entry VM of the services whose load the
+	// others need to know. It may be nil.
 	OwnLoad func(now time.Time) []carobward.ServiceLoad
 	// Grant grants tokens of a team's quota.
 	Grant func(team carobward.TeamName, a *cwreserve.Ask) cwquota.Grant
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -50,7 +50,7 @@
 	StoreDown bool
 	// Rate is its requests a second.
 	Rate int
-	// Loads has the load of services at it alone.
+	// Loads is its own load of services.
 	Loads []carobward.ServiceLoad
 	// LastSeen is when its last heartbeat came.
 	LastSeen time.Time
@@ -322,13 +322,13 @@
 	return t.size
 }
 
-// listedFraction is the fraction of the listed entry VMs of the failure domain that have to be
-// alive for an entry VM to know it right after its start. Of those that it lacks, few would own
-// the same token bucket.
+// listedFraction is the fraction of the entry VMs of its failure domain in the store's list
+// that a newly started entry VM must know to be alive before it may own token buckets. Few of
+// the others would own a bucket that it takes for its own.
 const listedFraction = 0.9
 
-// knowsListed reports whether a number of entry VMs are nearly all that the store lists for
-// this failure domain.
+// knowsListed reports whether a number of live entry VMs covers nearly all that the store
+// lists for this failure domain.
 func (t *Table) knowsListed(alive int) bool {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
--- a/internal/cwmesh/tokens.go
+++ b/internal/cwmesh/tokens.go
@@ -24,7 +24,7 @@
 // Further ones get no answer.
 const maxTokenRelays = 64
 
-// maxTokenWait is the longest wait that an answer has. It is longer than any caller's timeout.
+// maxTokenWait is the maximum wait in an answer. It is longer than any caller's timeout.
 const maxTokenWait = time.Hour
 
 // AskTokens asks an entry VM of this failure domain for tokens of a team's quota.
@@ -54,7 +54,7 @@
 	return &cwwire.Tokens{Team: string(team), Want: uint32(a.Want), Class: uint32(a.Class), Again: a.Again, Relayed: a.Relayed}
 }
 
-// decodeAsk returns the ask of a token request. A class that is not known here goes last.
+// decodeAsk decodes a token request. An unknown class counts as the last one.
 func decodeAsk(t *cwwire.Tokens) *cwreserve.Ask {
 	return &cwreserve.Ask{Want: int(t.GetWant()), Class: cwreserve.Class(min(t.GetClass(), cwreserve.Classes-1)), Again: t.GetAgain(), Relayed: t.GetRelayed()}
 }
--- a/internal/cwroutes/table.go
+++ b/internal/cwroutes/table.go
@@ -25,7 +25,8 @@
 	priorities map[carobward.Service][]int
 	// keyed has the priorities of the routes that need an API key, sorted.
 	keyed []int
-	// routePriorities has the routes' own priorities, whatever the teams'.
+	// routePriorities has the routes' own priorities by service, sorted. They don't depend on
+	// the teams' priorities.
 	routePriorities map[carobward.Service][]int
 	// teamsByKey maps the hash of each API key to its team. hasTeams is set if there
 	// are any teams.
--- a/load.go
+++ b/load.go
@@ -2,27 +2,27 @@
 
 import "time"
 
-// LoadRanks is the number of ranks by which demand is counted. Requests of further, less
-// urgent ranks count for the last one.
+// LoadRanks is the number of ranks of priority by which demand is counted. Requests of less
+// urgent ranks count as requests of the last one.
 const LoadRanks = 4
 
 // ServiceLoad is the recent load of a service's servers at one entry VM, or the sum over
 // the entry VMs of a failure domain.
 type ServiceLoad struct {
 	Service Service
-	// Demand is the requests a second by rank, the most urgent first. Requests that were
+	// Demand is the rate of requests by rank, the most urgent first. Requests that were
 	// refused for lack of room count as well, those beyond a team's quota do not.
 	Demand [LoadRanks]Rate
-	// Completed is the replies a second from servers that ran a request.
+	// Completed is the rate of replies from servers that ran a request.
 	Completed Rate
-	// Full is the requests a second that found no server with room at first: their health
+	// Full is the rate of requests that found no server with room at first: their health
 	// checks found none, or they waited behind such a request.
 	Full Rate
 	// Waiting is the number of requests that wait for a server.
 	Waiting int
 }
 
-// Total returns the requests a second of all ranks.
+// Total returns the rate of requests of all ranks.
 func (l *ServiceLoad) Total() Rate {
 	var sum Rate
 	for _, d := range l.Demand {
@@ -48,16 +48,16 @@
 	ServiceLoad
 
 	Domain Domain
-	// At is when it was measured, by this entry VM's clock. VMs is the number of entry VMs
-	// that it covers.
-	At  time.Time
+	// At is when it was measured, by this entry VM's clock.
+	At time.Time
+	// VMs is the number of entry VMs that it covers.
 	VMs int
 }
 
-// FleetLoad tells what this entry VM knows of the load of services at all entry VMs.
+// FleetLoad provides what this entry VM knows of the load of services at all entry VMs.
 type FleetLoad interface {
 	// Load returns the load of a service by failure domain, this one first. Failure domains
-	// from which nothing was heard lately are left out. It returns nil if nothing is known
+	// from which nothing was heard recently are omitted. It returns nil if nothing is known
 	// beyond this entry VM.
 	Load(s Service, now time.Time) []DomainLoad
 }
