Loads in messages: bounded in bytes, the busiest services first

Cause: a review; names of services have no bound, and twelve summaries of 16 services with names of 60 characters pass the receive buffer of 16 KB, so that newcomers would reject them. Change: at most 600 bytes of loads a message or summary. Leaving loads out of replies to newcomers was tried: a newer summary without them replaces one with them (TestFleetLoad fails). Test: TestMaxLoadBytes, written with the change.

--- a/internal/cwmesh/load.go
+++ b/internal/cwmesh/load.go
@@ -6,14 +6,18 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwwire"
 )
 
 const (
 	// maxLoads is the maximum number of services whose load a message carries, those with
-	// the most requests: about 25 bytes each, 400 in total.
-	maxLoads = 16
+	// the most requests: about 25 bytes each. maxLoadBytes bounds the size of all together,
+	// so that a dozen summaries fit the receive buffer whatever the services are called.
+	maxLoads     = 16
+	maxLoadBytes = 600
 	// loadTimeout is the age up to which the load of another failure domain is used: one
 	// heartbeat interval until it is summed there, one until it is passed on here, and two
 	// for lost heartbeats.
@@ -109,33 +113,28 @@
 	return append(list, *l)
 }
 
-// busiest returns the maxLoads services with the most requests.
+// busiest returns the maxLoads services with the most requests, those with most first.
 func busiest(list []carobward.ServiceLoad) []carobward.ServiceLoad {
-	if len(list) <= maxLoads {
-		return list
-	}
-
 	sorted := slices.Clone(list)
 	slices.SortFunc(sorted, func(a, b carobward.ServiceLoad) int {
 		return cmp.Or(cmp.Compare(b.Total(), a.Total()), cmp.Compare(a.Service, b.Service))
 	})
 
-	return sorted[:maxLoads]
+	return sorted[:min(maxLoads, len(sorted))]
 }
 
+// encodeLoads encodes loads, as many as fit into maxLoadBytes.
 func encodeLoads(list []carobward.ServiceLoad) []*cwwire.Load {
 	var out []*cwwire.Load
 
-	for i := range list {
-		l := &list[i]
-		e := &cwwire.Load{Service: string(l.Service), Completed: encodeRate(l.Completed), Full: encodeRate(l.Full), Waiting: uint32(max(0, l.Waiting))}
+	size := 0
 
-		for _, d := range l.Demand {
-			e.Demand = append(e.Demand, encodeRate(d))
-		}
+	for i := range list {
+		e := encodeLoad(&list[i])
 
-		for n := len(e.Demand); n > 0 && e.Demand[n-1] == 0; n-- {
-			e.Demand = e.Demand[:n-1]
+		size += proto.Size(e)
+		if size > maxLoadBytes {
+			break
 		}
 
 		out = append(out, e)
@@ -144,6 +143,20 @@
 	return out
 }
 
+func encodeLoad(l *carobward.ServiceLoad) *cwwire.Load {
+	e := &cwwire.Load{Service: string(l.Service), Completed: encodeRate(l.Completed), Full: encodeRate(l.Full), Waiting: uint32(max(0, l.Waiting))}
+
+	for _, d := range l.Demand {
+		e.Demand = append(e.Demand, encodeRate(d))
+	}
+
+	for n := len(e.Demand); n > 0 && e.Demand[n-1] == 0; n-- {
+		e.Demand = e.Demand[:n-1]
+	}
+
+	return e
+}
+
 // decodeLoads decodes the load of services, of maxLoads at most. Demand of ranks beyond the
 // last one counts as demand of the last one.
 func decodeLoads(list []*cwwire.Load) []carobward.ServiceLoad {
--- a/internal/cwmesh/load_test.go
+++ b/internal/cwmesh/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -198,3 +199,24 @@
 		t.Errorf("got %d services, %v first", len(got), got[0].Service)
 	}
 }
+
+// TestMaxLoadBytes verifies that a message carries the loads of the busiest services only, as
+// many as fit, if the services have long names.
+func TestMaxLoadBytes(t *testing.T) {
+	var list []carobward.ServiceLoad
+
+	for i := range maxLoads {
+		name := carobward.Service(fmt.Sprint(i, strings.Repeat("x", 100)))
+		list = append(list, carobward.ServiceLoad{Service: name, Demand: [carobward.LoadRanks]carobward.Rate{carobward.Rate(i)}})
+	}
+
+	beat := &cwwire.Beat{Loads: encodeLoads(busiest(list))}
+
+	if n := len(beat.GetLoads()); n < 4 || n == maxLoads || !strings.HasPrefix(beat.GetLoads()[0].GetService(), "15") {
+		t.Errorf("%d services, %.4s first", n, beat.GetLoads()[0].GetService())
+	}
+
+	if size := proto.Size(beat); size > maxLoadBytes+8*maxLoads {
+		t.Errorf("%d bytes", size)
+	}
+}
