Quota: a short or outdated list doesn't make an owner settled

Cause: a review; with a list of one or two entry VMs, from the first moments of a fleet, nine tenths are there at once, and several entry VMs would own a team's bucket. Change: four listed at least, and nine tenths of all that are known by name, too. Test: the case 'a short list, all heard' of TestQuotaSettled, failing before (the rule had no minimum).

--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -322,18 +322,21 @@
 	return t.size
 }
 
-// listedFraction is the fraction of the entry VMs of its failure domain in the store's list
-// that a newly started entry VM must know to be alive before it may own token buckets. Few of
-// the others would own a bucket that it takes for its own.
-const listedFraction = 0.9
-
-// knowsListed reports whether a number of live entry VMs covers nearly all that the store
-// lists for this failure domain.
-func (t *Table) knowsListed(alive int) bool {
+// An entry VM knows its failure domain right after its start if listedFraction of the entry VMs
+// that the store lists there are alive: of those that it lacks, few would own the same token
+// bucket. A list of fewer than minListed may be from the first moments of a fleet.
+const (
+	listedFraction = 0.9
+	minListed      = 4
+)
+
+// knowsListed reports whether a number of entry VMs are nearly all that the store lists for
+// this failure domain, and nearly all of a known size.
+func (t *Table) knowsListed(alive, size int) bool {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
 
-	return t.listedSize > 0 && float64(alive) >= listedFraction*float64(t.listedSize)
+	return t.listedSize >= minListed && float64(alive) >= listedFraction*float64(max(t.listedSize, size))
 }
 
 // domainShareTime is for how long a silent failure domain keeps its share of quotas: it
--- a/internal/cwmesh/tokens.go
+++ b/internal/cwmesh/tokens.go
@@ -163,7 +163,7 @@
 	}
 
 	f.DomainSize, f.DomainShare = m.Table.domainShare(m.Domains, now)
-	f.Settled = now.Sub(m.started) >= startSettleTime || m.Table.knowsListed(1+len(f.Peers))
+	f.Settled = now.Sub(m.started) >= startSettleTime || m.Table.knowsListed(1+len(f.Peers), f.DomainSize)
 
 	return f
 }
--- a/internal/cwmesh/tokens_test.go
+++ b/internal/cwmesh/tokens_test.go
@@ -27,6 +27,8 @@
 		"nearly all heard":        {listed, 17, 0, true},
 		"all heard":               {listed, listed - 1, 0, true},
 		"no list, all heard":      {0, listed - 1, 0, false},
+		"a short list, all heard": {2, 1, 0, false},
+		"outdated list, more":     {5, listed - 1, 0, true},
 		"nobody heard, some time": {listed, 0, startSettleTime, true},
 		"no list, some time":      {0, 0, startSettleTime, true},
 	} {
