--- a/internal/cwadmit/meter.go
+++ b/internal/cwadmit/meter.go
@@ -35,6 +35,10 @@
 func (m *Meter) slice(now time.Time) *counts {
 	number := now.UnixNano() / int64(loadSlice)
 
+	if number <= m.current-loadSlices { // The clock was set back.
+		m.slices, m.current = [loadSlices]counts{}, number
+	}
+
 	for n := max(m.current+1, number-loadSlices+1); n <= number; n++ {
 		m.slices[n%loadSlices] = counts{}
 	}
--- a/internal/cwadmit/meter_test.go
+++ b/internal/cwadmit/meter_test.go
@@ -41,3 +41,21 @@
 		t.Error(diff)
 	}
 }
+
+// TestMeterClockSetBack checks that the load after the clock was set back is that of the last
+// second, and not that of all the time until the clock shows the earlier time again.
+func TestMeterClockSetBack(t *testing.T) {
+	m := &Meter{}
+	m.CountRequest(0, time.Unix(5000, 0))
+
+	now := time.Unix(1000, 0)
+	for range 100 { // Ten seconds.
+		m.CountRequest(0, now)
+		now = now.Add(loadSlice)
+	}
+
+	load := m.Load("records", now.Add(-loadSlice))
+	if got := load.Total(); got < 9 || got > 11 {
+		t.Errorf("the load is %v requests a second, want 10", got)
+	}
+}
