Admission: no threshold stays in force for the few requests after the load has ended

With nothing completed and none without room, a single request in sight counted as a lack of room, so that the limit fell instead of rising.

--- a/internal/cwadmit/control.go
+++ b/internal/cwadmit/control.go
@@ -188,7 +188,8 @@
 		return false
 	}
 
-	return total >= shortFactor*sum.Completed && sum.Full >= crowdedShare*sum.Completed
+	// Without requests that found no room there is room, also if none has completed yet.
+	return total >= shortFactor*sum.Completed && sum.Full > 0 && sum.Full >= crowdedShare*sum.Completed
 }
 
 // share divides the limit: the more urgent first, and what they leave to late requests.
