--- a/internal/cwadmit/control.go
+++ b/internal/cwadmit/control.go
@@ -163,6 +163,8 @@
 }
 
 // adjust moves the limit. While room is short it is what servers complete, and a little more.
+// It does not fall below what is admitted in any case: from far lower it would take too long to
+// rise after an outage of all servers.
 func (c *Control) adjust(sum *carobward.ServiceLoad, elapsed float64) {
 	total, crowded := sum.Total(), c.crowded(sum)
 
@@ -170,7 +172,7 @@
 	case crowded && c.limit == 0:
 		c.limit = surplus * sum.Completed
 	case crowded:
-		c.limit = max(surplus*sum.Completed, c.limit*carobward.Rate(1-shrinkRate*elapsed))
+		c.limit = max(surplus*sum.Completed, c.limit*carobward.Rate(1-shrinkRate*elapsed), minShare*total)
 	case c.limit > 0:
 		c.limit *= carobward.Rate(1 + growRate*elapsed)
 	}
--- a/internal/cwadmit/recovery_test.go
+++ b/internal/cwadmit/recovery_test.go
@@ -34,3 +34,28 @@
 		t.Errorf("%d of 60 requests were refused, short: %v", refused, c.Short())
 	}
 }
+
+// TestLimitAfterOutage checks that the threshold is soon gone once servers that completed
+// nothing for a minute complete requests again.
+func TestLimitAfterOutage(t *testing.T) {
+	c := observed(known(100, 80, 30, 90, 80))
+	out, back := known(0, 200, 30, 90, 80), known(10, 0, 30, 90, 80)
+	now := begin
+
+	for range 600 {
+		now = now.Add(observeInterval)
+		c.Observe(out, own(out), now)
+	}
+
+	const most = 10 * time.Second
+
+	end := now
+	for c.Short() && now.Sub(end) < time.Minute {
+		now = now.Add(observeInterval)
+		c.Observe(back, own(back), now)
+	}
+
+	if took := now.Sub(end); took > most {
+		t.Errorf("the threshold was in force for %s after the outage", took)
+	}
+}
