--- a/internal/cwfront/admission.go
+++ b/internal/cwfront/admission.go
@@ -135,6 +135,10 @@
 
 // retryAfter returns when the caller of a request that found no room may come back.
 func (r *request) retryAfter(now time.Time) time.Duration {
+	if !r.routes.Competes(r.service) {
+		return r.schedule.RetryAfter()
+	}
+
 	if after, ok := r.state.admission.retryAfter(r.claim(now), r.schedule.Return(now), now); ok {
 		return after
 	}
@@ -160,13 +164,18 @@
 // ShortServices returns the number of services with too little room for the requests of all
 // entry VMs.
 func (f *Front) ShortServices() int {
+	routes := f.routes.Load()
+	if routes == nil {
+		return 0
+	}
+
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 
 	n := 0
 
-	for _, s := range f.services {
-		if s.admission.short() {
+	for name, s := range f.services {
+		if routes.Competes(name) && s.admission.short() {
 			n++
 		}
 	}
--- a/internal/cwfront/admission_test.go
+++ b/internal/cwfront/admission_test.go
@@ -88,3 +88,41 @@
 
 	return r.admit()
 }
+
+// TestAdmissionRoutesChange checks that a threshold that was in force is without effect once
+// the configuration no longer has requests that compete for the service.
+func TestAdmissionRoutesChange(t *testing.T) {
+	short := carobward.DomainLoad{Domain: "a", VMs: 30}
+	short.Demand = [carobward.LoadRanks]carobward.Rate{100, 300}
+	short.Completed, short.Full = 100, 150
+
+	f, clock := newFront(1), &testClock{now: time.Unix(1000, 0)}
+	f.Clock = clock
+	f.FleetLoad = func(carobward.Service, time.Time) []carobward.DomainLoad { return []carobward.DomainLoad{short} }
+	f.SetRoutes(admissionRoutes())
+
+	for i := range 1000 {
+		clock.now = clock.now.Add(10 * time.Millisecond)
+		_ = f.admitOne("/all/1", carobward.RequestID(fmt.Sprint(i))) // TestAdmissionRefusal checks the result.
+	}
+
+	if f.ShortServices() != 1 {
+		t.Fatal("no threshold is in force")
+	}
+
+	f.SetRoutes(cwroutes.New(&carobward.Routing{Hosts: map[string][]carobward.Route{"a.example": {{
+		Name: "all", Prefix: "/all/", Priority: 1, Objective: 400 * time.Millisecond, Timeout: 2 * time.Second, Shares: []carobward.Share{{Service: "records", Weight: 1}},
+	}}}}))
+
+	now := f.Clock.Now()
+	r := &request{front: f, id: "1", routes: f.Routes(), service: "records", priority: 1, state: f.serviceState("records")}
+	r.schedule = cwqueue.Schedule{Arrived: now, Due: now.Add(400 * time.Millisecond), Deadline: now.Add(2 * time.Second), Objective: 400 * time.Millisecond, Usual: 100 * time.Millisecond, Slowdown: 1}
+
+	if got, want := r.retryAfter(now), r.schedule.RetryAfter(); got != want {
+		t.Errorf("a refused caller may come back after %s, want %s", got, want)
+	}
+
+	if got := f.ShortServices(); got != 0 {
+		t.Errorf("%d services have too little room", got)
+	}
+}
