--- a/internal/cwadmit/control.go
+++ b/internal/cwadmit/control.go
@@ -1,11 +1,13 @@
-// Package cwadmit decides at an entry VM which requests of a service may try to get a server
-// while there is too little room for all of them, and when the refused ones may come back. It
-// has no side effects: it works on the load that the entry VMs tell one another, and on times
-// and random numbers that are passed in.
+// Package cwadmit is the admission control of an entry VM. While the servers of a service have
+// too few free slots for all requests (a shortage), it decides which requests may try to get a
+// server, and when the callers of the others may retry. It has no side effects: it works on the
+// load that the entry VMs report to one another, and on times and random numbers that are passed
+// in.
 //
-// It is for a lasting lack of room in fleets whose entry VMs get a few requests a second each:
-// a queue at one of them holds one request or none, so nothing there puts the requests of
-// different entry VMs in order. Each entry VM applies the same threshold to its own requests.
+// It is for a lasting shortage in fleets whose entry VMs get a few requests a second each: a
+// queue at one of them holds one request or none, so no queue orders the requests of different
+// entry VMs by priority. Instead all entry VMs derive a limit from the same reported load, and
+// each applies it to its own requests.
 package cwadmit
 
 import (
@@ -19,44 +21,46 @@
 
 // The parameters of the threshold.
 const (
-	// crowdedShare is the fraction of requests that found no room at first, to those that
-	// servers completed, from which on there is too little room. A request checks eight
-	// servers first, so half of them find none once more than nine in ten slots are in use.
+	// crowdedShare is the ratio of requests whose first health checks found no free slot to
+	// completed requests from which on there is a shortage. A request checks eight servers
+	// first, so half of the requests find no slot once more than nine in ten are in use.
 	crowdedShare = 0.5
-	// shortFactor is by how much the requests exceed those completed where room is short. It
-	// is above what a sudden rise of the load shows while its first requests are running.
+	// shortFactor is the ratio of arriving to completed requests from which on there is a
+	// shortage. It is above the ratio that a sudden rise of the load shows while its first
+	// requests are running.
 	shortFactor = 1.15
-	// minSeen is the requests a second in sight below which there are too few to tell a lack of
-	// room from chance: twenty in the time over which the load is measured.
+	// minSeen is the request rate below which a shortage can't be told from chance: twenty
+	// requests in the time over which the load is measured.
 	minSeen = carobward.Rate(20 * float64(time.Second) / float64(loadTime))
-	// chanceFactor is by how many standard deviations the requests have to exceed those
-	// completed. Either number varies by its square root.
+	// chanceFactor is by how many standard deviations the arriving requests have to exceed the
+	// completed ones. The standard deviation of a count is its square root.
 	chanceFactor = 2.5
-	// surplus is by how much more is admitted than is completed, so that a request waits
-	// whenever a slot becomes free.
+	// surplus is the ratio of admitted to completed requests. It is above 1 so that a request
+	// waits whenever a slot becomes free.
 	surplus = 1.1
-	// shrinkRate is how fast the limit falls, growRate how fast it rises while there is
-	// room, in fractions a second. What was completed lags behind: a limit that follows at
-	// once would fall below what servers can do.
+	// shrinkRate is how fast the limit falls, growRate how fast it rises without a shortage,
+	// in fractions a second. The count of completed requests lags behind: a limit that follows
+	// it at once would fall below what the servers can handle.
 	shrinkRate = 0.3
 	growRate   = 0.5
 	// minShare is the fraction of requests of each rank that is admitted in any case. They
-	// show when there is room again.
+	// show when the shortage is over.
 	minShare = 0.05
-	// settleTime is for how long a new entry VM admits all: what it and the others measure
-	// does not show yet what servers complete, in particular after the loss of all.
+	// settleTime is for how long a new entry VM admits all requests: until then the measured
+	// load does not show what servers can complete, in particular after a restart of the
+	// whole fleet.
 	settleTime = 3 * time.Second
-	// observeInterval is the time between updates of the threshold.
+	// observeInterval is the time between updates of the limit.
 	observeInterval = 100 * time.Millisecond
 	// lateWeight is the weight of one request in the moving average of late ones.
 	lateWeight = 0.1
-	// roomSamples is how many of an entry VM's latest requests must all have found room, each
-	// within roomTime, for its own experience to count more than what others tell.
+	// roomSamples is how many of an entry VM's latest requests must have found a free slot,
+	// all of them within roomTime, for it to ignore the load that others report.
 	roomSamples = 3
 	roomTime    = time.Second
-	// nearSeen is the requests a second in the failure domain from which on its load alone is
-	// used. It is a second or two newer than that of the others, and shows what callers
-	// there find.
+	// nearSeen is the request rate of the entry VM's own failure domain from which on the load
+	// of that domain alone is used. It is a second or two newer than that of the others, and
+	// shows which servers its callers reach.
 	nearSeen = 2 * minSeen
 )
 
@@ -71,9 +75,9 @@
 	Draw float64
 }
 
-// Draw returns the random number of a request, the same at all entry VMs for as long as any
-// refused caller has to wait at least. A caller that comes back sooner than that is told the
-// same again, however often it does.
+// Draw returns the random number of a request. It is the same at all entry VMs and changes once
+// in each period of length earliest, the shortest retry delay: a caller that retries sooner than
+// told is refused again, however often it does.
 func Draw(id carobward.RequestID, earliest time.Duration, now time.Time) float64 {
 	period := uint64(max(time.Millisecond, earliest))
 	turn := (uint64(now.UnixNano()) + cwrank.Weight(string(id), "")%period) / period
@@ -81,8 +85,8 @@
 	return float64(cwrank.Weight(string(id), strconv.FormatUint(turn, 10))) / (1 << 64)
 }
 
-// late reports whether a request is late since its caller has waited. A first attempt is not:
-// if servers are too slow for it, they are so for all.
+// late reports whether a retry comes too late for an answer in time. A first attempt does not
+// count as late: if servers are too slow for it, they are too slow for all requests.
 func (r *Request) late() bool { return r.Returned && !r.Timely }
 
 func (r *Request) rank() int { return min(max(0, r.Rank), carobward.LoadRanks-1) }
@@ -90,10 +94,10 @@
 // Control admits the requests of one service at one entry VM. It is not safe for concurrent
 // use.
 type Control struct {
-	// limit is the number of requests a second that the entry VMs in sight admit together,
-	// 0 while there is room.
+	// limit is the request rate that the entry VMs whose load is used admit together; 0
+	// without a shortage.
 	limit carobward.Rate
-	// vms is the number of entry VMs that were in sight.
+	// vms is the number of entry VMs whose load was used last.
 	vms int
 	// began is when the load was first looked at, observed when it was last.
 	began, observed time.Time
@@ -109,15 +113,16 @@
 	returns returns
 }
 
-// Due reports whether the load is to be looked at again.
+// Due reports whether Observe is to be called again.
 func (c *Control) Due(now time.Time) bool {
 	age := now.Sub(c.observed)
 
 	return age < 0 || age >= observeInterval
 }
 
-// Observe updates the threshold by the load of the service at all entry VMs in sight, own
-// being that at this one. Without others there is none.
+// Observe updates the limit by the load of the service: list has that of the failure domains, the
+// entry VM's own first, and own that of this entry VM alone. With an empty list all requests are
+// admitted.
 func (c *Control) Observe(list []carobward.DomainLoad, own *carobward.ServiceLoad, now time.Time) {
 	elapsed := min(now.Sub(c.observed), time.Second).Seconds()
 	c.observed = now
@@ -144,7 +149,7 @@
 	c.returns.observe(&sum, own, c.limit)
 }
 
-// sight returns the load of the entry VMs by which the threshold is set, and their number.
+// sight returns the load by which the limit is set, and the number of entry VMs that have it.
 func sight(list []carobward.DomainLoad) (carobward.ServiceLoad, int) {
 	if list[0].Total() >= nearSeen {
 		list = list[:1]
@@ -162,7 +167,7 @@
 	return sum, vms
 }
 
-// adjust moves the limit. While room is short it is what servers complete, and a little more.
+// adjust moves the limit. During a shortage it is slightly above the rate of completed requests.
 // It does not fall below what is admitted in any case: from far lower it would take too long to
 // rise after an outage of all servers.
 func (c *Control) adjust(sum *carobward.ServiceLoad, elapsed float64) {
@@ -182,7 +187,8 @@
 	}
 }
 
-// crowded reports whether the load shows a lack of room: at first one that is not by chance.
+// crowded reports whether the load shows a shortage. While no limit is in force, it must also be
+// larger than chance explains.
 func (c *Control) crowded(sum *carobward.ServiceLoad) bool {
 	total := sum.Total()
 
@@ -194,7 +200,7 @@
 	return total >= shortFactor*sum.Completed && sum.Full > 0 && sum.Full >= crowdedShare*sum.Completed
 }
 
-// share divides the limit: the more urgent first, and what they leave to late requests.
+// share divides the limit among the ranks, the most urgent first. Late requests get what is left.
 func (c *Control) share(sum *carobward.ServiceLoad) {
 	left := c.limit
 
@@ -231,7 +237,7 @@
 	case r.late():
 		return r.Draw < c.lateShare
 	case r.Returned:
-		// It was told to come back now, and can't come a third time.
+		// It was told to retry now, and callers don't retry twice.
 		return share > minShare
 	default:
 		return r.Draw < share
@@ -262,11 +268,11 @@
 	c.found = append(c.found, now)
 }
 
-// foundRoom reports whether the latest requests of this entry VM all found room. What others
-// tell can't make it refuse then.
+// foundRoom reports whether the latest requests of this entry VM all found a free slot. Load that
+// others report can't make it refuse requests then.
 func (c *Control) foundRoom(now time.Time) bool {
 	return len(c.found) == roomSamples && now.Sub(c.found[0]) < roomTime
 }
 
-// Short reports whether a threshold is in force.
+// Short reports whether a limit is in force.
 func (c *Control) Short() bool { return c.limit > 0 }
--- a/internal/cwadmit/meter.go
+++ b/internal/cwadmit/meter.go
@@ -7,8 +7,8 @@
 	"carobward.example/carobward"
 )
 
-// A load is measured over loadTime, in slices of loadSlice. A shorter time says little at a few
-// requests a second; a longer one delays what follows from it.
+// The load is measured over loadTime, in slices of loadSlice. A shorter time has too few samples
+// at a few requests a second; a longer one delays the decisions based on it.
 const (
 	loadSlices = 8
 	loadSlice  = 100 * time.Millisecond
--- a/internal/cwadmit/returns.go
+++ b/internal/cwadmit/returns.go
@@ -6,19 +6,19 @@
 	"carobward.example/carobward"
 )
 
-// returnShare is the fraction of the room of a rank that is given to callers who come back.
-// The rest is for those who come first, who have more time left.
+// returnShare is the fraction of the limit of a rank that is scheduled for retries. The rest is
+// for first attempts, which have more time left.
 const returnShare = 0.5
 
-// returns is the schedule of refused callers at one entry VM.
+// returns is the schedule of the retries of refused callers at one entry VM.
 type returns struct {
-	// gap is the time between two that come back to a rank, 0 if there is no room for any.
+	// gap is the time between two retries of a rank, 0 if there is no room for any.
 	gap [carobward.LoadRanks]time.Duration
-	// next is when the next one may come back.
+	// next is the time of the next retry.
 	next [carobward.LoadRanks]time.Time
 }
 
-// observe sets the pace: each entry VM schedules the part of the room that it has of the
+// observe sets the gaps: an entry VM schedules the same share of the limit as it has of the
 // requests.
 func (s *returns) observe(sum, own *carobward.ServiceLoad, limit carobward.Rate) {
 	left := limit
@@ -34,7 +34,7 @@
 	}
 }
 
-// Return is when a refused caller may come back.
+// Return limits when a refused caller may retry.
 type Return struct {
 	// Earliest is the shortest delay, Last the longest with which an answer is in time.
 	Earliest, Last time.Duration
@@ -42,13 +42,13 @@
 	Wait time.Duration
 }
 
-// maxReturnShare is the part of the time that they have left after which callers come back at
-// the latest, whatever they are told.
+// maxReturnShare is the fraction of its remaining time after which a caller retries at the latest,
+// whatever it is told.
 const maxReturnShare = 1.0 / 3
 
-// RetryAfter returns the delay after which a refused caller may come back: when it is its turn
-// among those that were told so before. If that is too late for an answer in time, it is as
-// late as callers wait, so that it takes nothing from those who are in time.
+// RetryAfter returns the retry delay of a refused caller: until the next free place in the
+// schedule of its rank. If that is too late for an answer in time, the delay is the longest that
+// callers accept, so that the retry takes no slot from requests that can be in time.
 func (c *Control) RetryAfter(r Request, t Return, now time.Time) time.Duration {
 	s, rank := &c.returns, r.rank()
 	latest := time.Duration(maxReturnShare * float64(t.Wait))
--- a/internal/cwfront/queue.go
+++ b/internal/cwfront/queue.go
@@ -217,8 +217,7 @@
 // handOver offers the slot of an answered send, with its connection, to a waiter, and
 // reports whether one took it. The answer carried a load report of its server, so no
 // health check is needed. Under overload health checks are scarce, and the slot would stay
-// idle until one finds it. In bursts with 4 entry VMs, 0.81 of the requests are in time,
-// against 0.77 without the handover.
+// idle until one finds it.
 func (r *request) handOver(s *send) bool {
 	f := r.front
 	server := s.candidate.view.Server
--- a/internal/cwhold/hold.go
+++ b/internal/cwhold/hold.go
@@ -2,7 +2,7 @@
 // start, before the entry VM has what it needs to serve: it is held until that has come, or
 // refused at once with a time to retry. It has no side effects.
 //
-// It is for the return of all entry VMs after a loss of power or a crash of all processes.
+// It is for the start of all entry VMs at once, after a loss of power or a crash of all processes.
 // Callers connect at once, while the copy of the store takes some tenths of a second. A
 // caller that is refused then returns later, mostly too late to be answered in time; one
 // that waits for the copy is often in time.
@@ -23,8 +23,7 @@
 	// next connection mostly reaches another entry VM, which may have started earlier.
 	elsewhereTime = 100 * time.Millisecond
 	// MaxStartTime is the time after the start during which requests are held. An entry VM
-	// that still lacks its copy then can't reach the store or its peers, and nobody knows
-	// for how long.
+	// without a copy by then can't reach the store or its peers, for an unknown time.
 	MaxStartTime = time.Second
 	// blindShare is the share of the time that a caller waits for which its request is held
 	// without a configuration, which would say when its answer is due. Callers wait several
--- a/internal/cwpick/times.go
+++ b/internal/cwpick/times.go
@@ -11,8 +11,7 @@
 	usualWeight = 0.05
 	// minFactorWeight is the least weight of one response in the average of a factor.
 	// Responses of slowed servers are few and a burst is over in seconds, so the first ones
-	// weigh more: with 60 entry VMs, 0.73 of requests in bursts finish in time, and 0.68 with
-	// a weight of 0.1 for each.
+	// weigh more.
 	minFactorWeight = 0.1
 	// crowdDefault is the assumed factor by which responses take longer at crowded servers
 	// before any is known, warmupDefault that at servers that are warming up. maxFactor bounds
--- a/internal/cwqueue/queue.go
+++ b/internal/cwqueue/queue.go
@@ -48,8 +48,7 @@
 // a request before it failed to find room. While there is room, all requests make checks at
 // once, however many arrive. When there is none, the others wait for what the first one
 // finds and for slots that become free. If each made its own checks, waiting requests would
-// use up the rate limit of all, and several would take the same slot: in bursts 0.76 of the
-// requests would be in time, and 0.78 are with this rule.
+// use up the rate limit of all, and several would take the same slot.
 func (q *Queue[W]) MayCheck(w W, now time.Time) bool {
 	for _, o := range q.list {
 		if o != w && o.Turn().NoRoom && o.Turn().Before(w.Turn(), now) {
--- a/internal/cwqueue/schedule.go
+++ b/internal/cwqueue/schedule.go
@@ -95,9 +95,7 @@
 }
 
 // Spares returns how many slots of a server a request leaves free for others. Under
-// overload, slots held for late answers are missing for those that can be in time. Of the
-// requests that arrive while all other callers return from a power failure, 0.81 are in
-// time without this rule, 0.88 with it.
+// overload, slots held for late answers are missing for those that can be in time.
 func (s *Schedule) Spares(now time.Time) int {
 	if s.Timely(now) {
 		return 0
--- a/internal/cwretry/claim.go
+++ b/internal/cwretry/claim.go
@@ -9,7 +9,7 @@
 	// Paced lets it use the rest of the bound as fast as requests earn it, so that there
 	// are extra calls in each second of an outage that lasts for a whole window.
 	Paced bool
-	// Reserve is how many earned extra calls a paced claim leaves to claims of more need.
+	// Reserve is how many earned extra calls a paced claim leaves to more urgent claims.
 	// If it is negative, the claim may use that many before they are earned.
 	Reserve float64
 	// Capped limits the claims of this kind to Share, also where they are paced.
@@ -37,10 +37,7 @@
 	// no extra call. While all servers refuse, callers retry within half a usual response
 	// time. The waits of different callers differ by more than that, so hardly any retry is
 	// recognized as one, and extra calls reserved for retries would be left over. So these
-	// claims may use the whole bound, evenly over the window. While all servers
-	// refuse half of the requests, 0.903 of the requests are in time, against 0.865 if
-	// three quarters of the bound are reserved; 0.902 and 0.870 in a fleet of 472 entry
-	// VMs.
+	// claims may use the whole bound, evenly over the window.
 	Refused = Claim{Share: refusedShare, Paced: true}
 	// RefusedLate is the same for requests whose answers would be late in any case.
 	RefusedLate = Claim{Share: refusedShare, Paced: true, Reserve: mostReserve}
