--- a/internal/cwbackend/refusal.go
+++ b/internal/cwbackend/refusal.go
@@ -18,9 +18,9 @@
 )
 
 // OutcomeOfRefusal returns the outcome of a request that a server did not run, by the load
-// report that came with the refusal. The load pattern is a server that refuses a part of all
-// requests, whatever its load: the next one has the same chance right away, while a server
-// without a free slot needs a pause. A refusal without a report may be due to load.
+// report that came with the refusal. It tells apart a server that refuses a part of all requests
+// whatever its load, where the next request has the same chance at once, from one without a free
+// slot, which needs a pause. A refusal without a report may be due to load.
 func OutcomeOfRefusal(r *carobward.Report, slots int) Outcome {
 	if r.At.IsZero() || r.Running+r.Queued >= slots {
 		return Refused
--- a/internal/cwbackend/view.go
+++ b/internal/cwbackend/view.go
@@ -91,8 +91,7 @@
 // While over half of the near servers fail or may not get requests, the spare servers of other
 // failure domains are included. This handles the loss of all servers of a failure domain whose
 // entry VMs still receive callers: with subsetFar servers alone, these requests concentrate on
-// few servers and are refused while others have free slots. With 17 entry VMs, 0.896 of all
-// requests finish in time with spare servers during such a loss, 0.886 without.
+// few servers and are refused while others have free slots.
 func (t *Table) Views(service carobward.Service, now time.Time, usual time.Duration) []View {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
--- a/internal/cwfront/admission.go
+++ b/internal/cwfront/admission.go
@@ -10,13 +10,13 @@
 	"carobward.example/carobward/internal/cwadmit"
 )
 
-// admission decides on the arriving requests of one service. It is safe for concurrent use.
+// admission is the admission control of one service. It is safe for concurrent use.
 type admission struct {
 	mutex   sync.Mutex
 	control cwadmit.Control
 }
 
-// due reports whether the load is to be looked at again.
+// due reports whether observe is to be called again.
 func (a *admission) due(now time.Time) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -24,7 +24,7 @@
 	return a.control.Due(now)
 }
 
-// observe updates the threshold, and reports whether one is in force now and before.
+// observe updates the limit, and reports whether one is in force now and whether one was before.
 func (a *admission) observe(list []carobward.DomainLoad, own *carobward.ServiceLoad, now time.Time) (short, before bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -35,8 +35,8 @@
 	return a.control.Short(), before
 }
 
-// admit reports whether a request may try to get a server, and otherwise when its caller may
-// come back.
+// admit reports whether a request may try to get a server, and otherwise returns the delay after
+// which its caller may retry.
 func (a *admission) admit(q cwadmit.Request, t cwadmit.Return, now time.Time) (time.Duration, bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -56,8 +56,8 @@
 	a.control.Checked(room, now)
 }
 
-// retryAfter returns when a caller may come back whose request found no room in time, and
-// false if there is no lack of room beyond this entry VM.
+// retryAfter returns the retry delay of a caller whose request found no server with room in time,
+// and false if no limit is in force.
 func (a *admission) retryAfter(q cwadmit.Request, t cwadmit.Return, now time.Time) (time.Duration, bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -69,7 +69,7 @@
 	return a.control.RetryAfter(q, t, now), true
 }
 
-// short reports whether a threshold is in force.
+// short reports whether a limit is in force.
 func (a *admission) short() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -102,7 +102,7 @@
 	return cwadmit.Request{Rank: r.rank(), Returned: r.returned, Timely: r.schedule.Timely(now), Draw: cwadmit.Draw(r.id, r.schedule.Return(now).Earliest, now)}
 }
 
-// observeLoad updates the threshold of the request's service from time to time.
+// observeLoad updates the admission limit of the request's service if that is due.
 func (r *request) observeLoad(now time.Time) {
 	f, a := r.front, &r.state.admission
 	if !a.due(now) {
@@ -117,7 +117,7 @@
 	}
 }
 
-// logShort logs that a threshold of admission is in force, or no longer.
+// logShort logs that an admission limit is in force, or no longer.
 func (f *Front) logShort(s carobward.Service, list []carobward.DomainLoad, short bool, now time.Time) {
 	var sum carobward.ServiceLoad
 
@@ -133,7 +133,7 @@
 		"full", int(sum.Full), "vms", vms, "domains", len(list), "age", age.Milliseconds())
 }
 
-// retryAfter returns when the caller of a request that found no room may come back.
+// retryAfter returns the retry delay of the caller of a request that found no room.
 func (r *request) retryAfter(now time.Time) time.Duration {
 	if !r.routes.Competes(r.service) {
 		return r.schedule.RetryAfter()
--- a/internal/cwfront/hold.go
+++ b/internal/cwfront/hold.go
@@ -12,12 +12,12 @@
 	"carobward.example/carobward/internal/cwhold"
 )
 
-// held has the requests that wait for what the entry VM lacks right after its start. The
-// decisions are those of cwhold.
+// held counts the requests that wait for the configuration, servers or keys that the entry VM
+// lacks right after its start. The decisions are those of cwhold.
 type held struct {
 	mutex sync.Mutex
 	load  cwhold.Load
-	// changed is closed when something that requests wait for has come.
+	// changed is closed when something that requests wait for has arrived.
 	changed chan struct{}
 }
 
@@ -127,12 +127,12 @@
 	return f.held.decide(hold, f.Startup(now), counted), changed
 }
 
-// ownersDelay is when the owners of a team's tokens are asked again while the entry VMs start:
-// some of them get their copy of the store meanwhile.
+// ownersDelay is the time until the owners of a team's tokens are asked again while the entry VMs
+// start: some of them get their copy of the store in that time.
 const ownersDelay = 100 * time.Millisecond
 
-// awaitOwners holds a request for which no owner of its team's tokens has answered, since those
-// start as this entry VM does, and reports whether to ask them again.
+// awaitOwners holds a request for which no owner of its team's tokens has answered, and reports
+// whether to ask them again. Right after this entry VM's start they may be starting, too.
 func (r *request) awaitOwners(ctx context.Context) bool {
 	f := r.front
 	now := f.Clock.Now()
--- a/internal/cwqueue/schedule.go
+++ b/internal/cwqueue/schedule.go
@@ -24,8 +24,7 @@
 	// better server after it has found one whose answer would be in time.
 	betterFraction = 0.18
 	// lateFraction is the fraction of the objective for which a request whose answer will
-	// be late searches for room. Searching for one or two objectives served no more of
-	// them (mean of 18 simulated days each).
+	// be late searches for room. A longer search serves no more of them.
 	lateFraction = 0.5
 	// checkInterval is the interval between health checks while no server has room. A
 	// server with two slots in use frees one in half a usual response time.
@@ -67,10 +66,11 @@
 // Timely reports whether an answer can still be in time.
 func (s *Schedule) Timely(now time.Time) bool { return s.TimelyFor(now) >= 0 }
 
-// TimelyFor returns how long an answer can still be in time if the request waits.
+// TimelyFor returns for how long the request can wait so that its answer is still in time;
+// negative if it can't be.
 func (s *Schedule) TimelyFor(now time.Time) time.Duration { return s.Due.Sub(now) - s.expectedTime() }
 
-// UsefulFor returns how long an answer can still reach the caller if the request waits.
+// UsefulFor returns for how long the request can wait so that its answer still reaches the caller.
 func (s *Schedule) UsefulFor(now time.Time) time.Duration {
 	return s.Deadline.Sub(now) - s.expectedTime()
 }
@@ -154,8 +154,8 @@
 	return max(minRetryAfter, s.times(refusalRetryAfter))
 }
 
-// Return returns between which times a refused caller may come back. It may come back soon: it
-// is told a time at which there is room for it.
+// Return returns the limits of the retry delay of a refused caller. The shortest one is that after
+// a server's refusal: admission schedules the retry for when there is room for it.
 func (s *Schedule) Return(now time.Time) cwadmit.Return {
 	return cwadmit.Return{Earliest: s.RetryAfterRefusal(), Last: s.Due.Sub(now) - s.expectedTime(), Wait: s.Deadline.Sub(now)}
 }
