--- a/internal/lab/cwbench/pattern.go
+++ b/internal/lab/cwbench/pattern.go
@@ -233,9 +233,9 @@
 	// NoHold refuses every request that reaches an entry VM before it has its copy of the
 	// store.
 	NoHold bool
-	// Unled lets all arriving requests try to get a server. OwnLoadOnly decides on them by
-	// what the entry VM has seen itself.
-	Unled, OwnLoadOnly bool
+	// NoAdmission lets all arriving requests try to get a server. OwnLoadOnly decides on them by
+	// the load of the entry VM itself.
+	NoAdmission, OwnLoadOnly bool
 	// ConstantReturn tells all callers that are refused on arrival to come back after the
 	// same number of usual response times.
 	ConstantReturn bool
@@ -265,7 +265,7 @@
 		{Name: "impatient", NoHold: true},
 		{Name: "paceless", NoSlowdown: true}, {Name: "homebound", LocalFirst: true}, {Name: "narrow", NoSpareServers: true}, {Name: "reserved", ReserveExtra: true},
 		{Name: "rankless", NoRanks: true}, {Name: "wary", RefusalsAsFailures: true},
-		{Name: "unled", Unled: true}, {Name: "own-load", OwnLoadOnly: true}, {Name: "constant", ConstantReturn: true},
+		{Name: "unled", NoAdmission: true}, {Name: "own-load", OwnLoadOnly: true}, {Name: "constant", ConstantReturn: true},
 		{Name: nameCeiling, Central: true},
 	}
 }
--- a/internal/lab/cwbench/replay.go
+++ b/internal/lab/cwbench/replay.go
@@ -118,7 +118,7 @@
 	rng := random(w.pattern.Seed, streamArrivals)
 	w.arrive(rng)
 
-	if w.led() {
+	if w.admissionUsed() {
 		w.fleet.start()
 	}
 
--- a/internal/lab/cwbench/replay_load.go
+++ b/internal/lab/cwbench/replay_load.go
@@ -16,7 +16,7 @@
 	relayDelay = time.Second
 )
 
-// replayFleet is what the entry VMs have told one another of their load.
+// replayFleet has the load that the entry VMs have reported to one another.
 type replayFleet struct {
 	run *replay
 	rng *rand.Rand
@@ -56,10 +56,10 @@
 	}
 }
 
-// over reports whether no more requests come, so that the simulation can end.
+// over reports whether all requests have arrived, so that the simulation can end.
 func (f *replayFleet) over() bool { return f.run.timeline.now > f.run.pattern.Length }
 
-// lose discards what the entry VMs have told one another.
+// lose discards the reported load.
 func (f *replayFleet) lose() {
 	clear(f.told)
 	clear(f.known)
@@ -141,7 +141,7 @@
 // otherwise refuses it.
 func (v *replayVM) admits(r *replayRequest) bool {
 	w := v.run
-	if !w.led() {
+	if !w.admissionUsed() {
 		return true
 	}
 
@@ -171,7 +171,7 @@
 
 // noteChecked records whether a request found room with its first health checks.
 func (v *replayVM) noteChecked(r *replayRequest, room bool) {
-	if !v.run.led() || r.checked {
+	if !v.run.admissionUsed() || r.checked {
 		return
 	}
 
@@ -183,9 +183,9 @@
 	}
 }
 
-// led reports whether the threshold of admission is used.
-func (w *replay) led() bool {
-	return len(w.pattern.Ranks) > 1 && !w.way.Unled && !w.way.Central && !w.way.Alone && !w.way.Random
+// admissionUsed reports whether arriving requests pass admission control.
+func (w *replay) admissionUsed() bool {
+	return len(w.pattern.Ranks) > 1 && !w.way.NoAdmission && !w.way.Central && !w.way.Alone && !w.way.Random
 }
 
 // drawRank returns the rank of a new request.
