--- a/internal/cwadmit/meter.go
+++ b/internal/cwadmit/meter.go
@@ -7,8 +7,8 @@
 	"carobward.example/carobward"
 )
 
-// A load is measured over loadTime, in slices of loadSlice. A shorter time says little at a few
-// requests a second; a longer one delays what follows from it.
+// The load is measured over loadTime, in slices of loadSlice. A shorter time has too few samples
+// at a few requests a second; a longer one delays the decisions based on it.
 const (
 	loadSlices = 8
 	loadSlice  = 100 * time.Millisecond
@@ -35,6 +35,10 @@
 func (m *Meter) slice(now time.Time) *counts {
 	number := now.UnixNano() / int64(loadSlice)
 
+	if number <= m.current-loadSlices { // The clock was set back.
+		m.slices, m.current = [loadSlices]counts{}, number
+	}
+
 	for n := max(m.current+1, number-loadSlices+1); n <= number; n++ {
 		m.slices[n%loadSlices] = counts{}
 	}
