--- a/internal/cwpick/sample.go
+++ b/internal/cwpick/sample.go
@@ -41,9 +41,7 @@
 
 // FirstRound returns the first round of health checks for a request. If earlier health checks
 // for it failed to find a server, only the last round is made: where all servers are full, more
-// checks at once find no more free slots, and the number of checks is limited. While a third
-// of the servers is slow, 0.852 of requests finish in time with this rule and 0.837 if both
-// rounds are always made; in bursts with 127 entry VMs, 0.798 and 0.781.
+// checks at once find no more free slots, and the number of checks is limited.
 func FirstRound(failed bool) int {
 	if failed {
 		return MaxRounds - 1
@@ -55,9 +53,8 @@
 // Sample returns up to n servers to health check, at random among those that may get a request:
 // those of the home domain first, and of these those that need no new connection first, see
 // orderNear. Blocked ones are only drawn if there are no others. In rounds after the first, half
-// of the places go to other failure domains: where two thirds of the callers are in one of three
-// failure domains, 0.99 of requests finish in time, and 0.93 if near servers come first in every
-// round (127 entry VMs).
+// of the places go to other failure domains: where most callers are in one of them, its own
+// servers are full while others have free slots.
 func Sample(
 	random Random, views []cwbackend.View, n int, home carobward.Domain, seen map[*cwbackend.Server]bool, round int,
 ) []cwbackend.View {
