--- a/internal/cwfront/forward.go
+++ b/internal/cwfront/forward.go
@@ -228,16 +228,3 @@
 		Timely: r.schedule.Timely(now), Returns: !r.returned && r.schedule.Returns(now),
 	}
 }
-
-// takeExtraCall spends one call beyond the first of a request if there is one left for the
-// claim, and counts a denial otherwise.
-func (r *request) takeExtraCall(now time.Time, c cwretry.Claim) bool {
-	f := r.front
-	ok := r.state.window.Take(now, f.minExtraCalls(), c)
-
-	if !ok {
-		f.counts.Add(countDenied, 1)
-	}
-
-	return ok
-}
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -139,6 +139,7 @@
 		Options: o, disconnects: cwdisconnect.New(), held: newHeld(), reach: cwreach.New(), services: map[carobward.Service]*serviceState{}, counts: o.Metrics.Part(metricsPart),
 	}
 	f.limits.Store(&o.Limits)
+	f.counts.Set(metricExtra, expvar.Func(f.extraMetrics))
 
 	return f
 }
@@ -164,6 +165,7 @@
 	countSends        = "sends"
 	countRetries      = "again"
 	countDenied       = "denied"
+	metricExtra       = "extra"
 	countRefusals     = "refused"
 	countHedges       = "hedges"
 	countHandovers    = "handed"
--- a/internal/cwretry/claim.go
+++ b/internal/cwretry/claim.go
@@ -2,8 +2,21 @@
 
 import "carobward.example/carobward"
 
+// Kind is the kind of an extra call, by the need for it.
+type Kind string
+
+// The kinds of extra calls. All but hedges are retries.
+const (
+	KindNeeded      Kind = "needed"
+	KindRefused     Kind = "refused"
+	KindRefusedLate Kind = "refused-late"
+	KindHedge       Kind = "hedge"
+)
+
 // Claim limits how much of the bound on extra calls one kind of extra call may use.
 type Claim struct {
+	// Kind says for which kind of extra call this is.
+	Kind Kind
 	// Share is the fraction of the bound that it may use at once.
 	Share float64
 	// Paced lets it use the rest of the bound as fast as requests earn it, so that there
@@ -32,19 +45,19 @@
 var (
 	// Needed is for requests that can't succeed otherwise: they failed at a server after
 	// it may have run them, or their callers have retried already and won't again.
-	Needed = Claim{Share: 1}
+	Needed = Claim{Kind: KindNeeded, Share: 1}
 	// Refused is for requests that a server refused. Their callers can retry, which costs
 	// no extra call. While all servers refuse, callers retry within half a usual response
 	// time. The waits of different callers differ by more than that, so hardly any retry is
 	// recognized as one, and extra calls reserved for retries would be left over. So these
 	// claims may use the whole bound, evenly over the window.
-	Refused = Claim{Share: refusedShare, Paced: true}
+	Refused = Claim{Kind: KindRefused, Share: refusedShare, Paced: true}
 	// RefusedLate is the same for requests whose answers would be late in any case.
-	RefusedLate = Claim{Share: refusedShare, Paced: true, Reserve: mostReserve}
+	RefusedLate = Claim{Kind: KindRefusedLate, Share: refusedShare, Paced: true, Reserve: mostReserve}
 	// Overdue is for hedges: second sends while the first may still be answered. Where other
 	// claims have used their share, as while servers refuse, hedges wait until those leave
 	// earned calls over.
-	Overdue = Claim{Share: overdueShare, Paced: true, Reserve: mostReserve, Capped: true}
+	Overdue = Claim{Kind: KindHedge, Share: overdueShare, Paced: true, Reserve: mostReserve, Capped: true}
 )
 
 // Refusal is what decides about the second send of a request that did not run.
--- a/internal/cwretry/window.go
+++ b/internal/cwretry/window.go
@@ -61,6 +61,34 @@
 	w.earned = min(maxEarned, w.earned+w.share)
 }
 
+// Usage is what a window has counted within its span, and the bound that follows from it.
+type Usage struct {
+	// Requests and Extras are the requests and the extra calls of the span.
+	Requests, Extras int
+	// Bound is how many extra calls the span allows.
+	Bound float64
+	// Age is how long this entry VM has counted.
+	Age time.Duration
+}
+
+// Usage returns the counts at a time. MinExtra is passed as to Take.
+func (w *Window) Usage(now time.Time, minExtra float64) Usage {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	w.advance(now)
+
+	u := Usage{Age: now.Sub(w.start)}
+	for i := range w.requests {
+		u.Requests += w.requests[i]
+		u.Extras += w.extras[i]
+	}
+
+	u.Bound = w.share*float64(u.Requests) + minExtra
+
+	return u
+}
+
 // Take spends one extra call and reports whether there was one left for the claim.
 // MinExtra is how many are allowed regardless of the number of requests.
 func (w *Window) Take(now time.Time, minExtra float64, c Claim) bool {
