Extra calls: what an entry VM can use at once is limited, a new process has hardly any of it

Seen by callers: nothing; by operators: a service got 2,334 extra calls in ten seconds where 2,278 are allowed, after all entry VMs were killed while its servers refused.

Cause: each entry VM kept its part of the bound by counts of its own process. A process that ends takes them along, and the next one began with the whole fixed part; and the sum of parts that are right by themselves passes the bound without any restart where requests move from some entry VMs to others (1.7 times). Ruled out: a fleet taken for smaller (fleet=126 in each line), calls that are not counted.

The window stays. Order of priorities: claims leave a part of what is left to more urgent ones, in place of the account of paced claims, which let the less urgent use it up.

Bounds are the same.

--- a/internal/cwfront/extra.go
+++ b/internal/cwfront/extra.go
@@ -3,10 +3,33 @@
 import (
 	"time"
 
-	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwretry"
 )
 
+// extraCallFraction is the fraction of the limit on extra calls that entry VMs use in each
+// window. Of the part that requests add, the rest may be saved up; of the fixed part, it
+// covers entry VMs that underestimate the size of the fleet.
+const extraCallFraction = 0.9
+
+// extraShares returns how many extra calls each request allows at once, and how many more may be
+// saved up for it.
+func (l *Limits) extraShares() (share, saved float64) {
+	return extraCallFraction * l.ExtraShare, (1 - extraCallFraction) * l.ExtraShare
+}
+
+// extraLimit returns the part of the limit on extra calls that requests add.
+func (l *Limits) extraLimit() cwretry.Limit {
+	share, saved := l.extraShares()
+
+	return cwretry.Limit{Share: share, Saved: saved, Span: l.ExtraWindow}
+}
+
+// minExtraCalls returns this entry VM's share of the extra calls that are allowed
+// regardless of the number of requests.
+func (f *Front) minExtraCalls() float64 {
+	return extraCallFraction * float64(f.limits.Load().ExtraMin) / float64(max(1, f.FleetSize()))
+}
+
 // takeExtraCall spends one call beyond the first of a request if there is one left for the
 // claim, and counts a denial otherwise.
 func (r *request) takeExtraCall(now time.Time, c cwretry.Claim) bool {
@@ -20,7 +43,7 @@
 
 	u := r.state.window.Usage(now, least)
 	f.Log.Info("Decided on an extra call.", "id", r.id, "service", r.service, "kind", string(c.Kind), "granted", granted,
-		"requests", u.Requests, "extras", u.Extras, "bound", u.Bound, "fleet", f.FleetSize(), "age", u.Age.Milliseconds())
+		"requests", u.Requests, "extras", u.Extras, "bound", u.Bound, "left", u.Left, "fleet", f.FleetSize(), "age", u.Age.Milliseconds())
 
 	return granted
 }
@@ -30,22 +53,14 @@
 	Requests int     `json:"requests"`
 	Extras   int     `json:"extras"`
 	Bound    float64 `json:"bound"`
-	// Age is how long this process has counted, in milliseconds.
+	Left     float64 `json:"left"`
+	// Age is how long this process has run, in milliseconds.
 	Age int64 `json:"age"`
 }
 
-// extraMetrics returns what the windows of extra calls count, by service.
-func (f *Front) extraMetrics() any {
-	now, least := f.Clock.Now(), f.minExtraCalls()
-	metrics := map[carobward.Service]extraMetric{}
-
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-
-	for name, s := range f.services {
-		u := s.window.Usage(now, least)
-		metrics[name] = extraMetric{Requests: u.Requests, Extras: u.Extras, Bound: u.Bound, Age: u.Age.Milliseconds()}
-	}
+// extraMetric returns what the window of extra calls of a service counts.
+func (f *Front) extraMetric(w *cwretry.Window) any {
+	u := w.Usage(f.Clock.Now(), f.minExtraCalls())
 
-	return metrics
+	return extraMetric{Requests: u.Requests, Extras: u.Extras, Bound: u.Bound, Left: u.Left, Age: u.Age.Milliseconds()}
 }
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -94,6 +94,7 @@
 
 	limits      atomic.Pointer[Limits]
 	routes      atomic.Pointer[cwroutes.Table]
+	started     time.Time
 	disconnects *cwdisconnect.Watcher
 	inFlight    atomic.Int64
 	total       atomic.Int64
@@ -136,10 +137,9 @@
 	o.Log = o.Log.WithName("front")
 
 	f := &Front{
-		Options: o, disconnects: cwdisconnect.New(), held: newHeld(), reach: cwreach.New(), services: map[carobward.Service]*serviceState{}, counts: o.Metrics.Part(metricsPart),
+		Options: o, started: o.Clock.Now(), disconnects: cwdisconnect.New(), held: newHeld(), reach: cwreach.New(), services: map[carobward.Service]*serviceState{}, counts: o.Metrics.Part(metricsPart),
 	}
 	f.limits.Store(&o.Limits)
-	f.counts.Set(metricExtra, expvar.Func(f.extraMetrics))
 
 	return f
 }
@@ -154,18 +154,18 @@
 	f.limits.Store(&l)
 
 	for _, s := range f.services {
-		s.window.SetShare(l.ExtraShare * extraCallFraction)
+		s.window.SetShares(l.extraShares())
 	}
 }
 
 // The names of the metrics of this package.
 const (
 	metricsPart       = "front"
+	metricsPartExtra  = "extra"
 	countHealthChecks = "looks"
 	countSends        = "sends"
 	countRetries      = "again"
 	countDenied       = "denied"
-	metricExtra       = "extra"
 	countRefusals     = "refused"
 	countHedges       = "hedges"
 	countHandovers    = "handed"
@@ -284,17 +284,6 @@
 // Wait waits for all goroutines started for requests.
 func (f *Front) Wait() { f.work.Wait() }
 
-// extraCallFraction is the fraction of the limit on extra calls that is used. The rest
-// covers entry VMs that underestimate the size of the fleet, and windows that the entry
-// VMs start at different times.
-const extraCallFraction = 0.9
-
-// minExtraCalls returns this entry VM's share of the extra calls that are allowed
-// regardless of the number of requests.
-func (f *Front) minExtraCalls() float64 {
-	return extraCallFraction * float64(f.limits.Load().ExtraMin) / float64(max(1, f.FleetSize()))
-}
-
 // handle serves one request of a caller.
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
 	f.serve(ctx, func(now time.Time) *request { return f.newRequest(ctx, now) })
--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -1,6 +1,8 @@
 package cwfront
 
 import (
+	"expvar"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -64,11 +66,12 @@
 		limits := f.limits.Load()
 		s = &serviceState{
 			times:  cwpick.NewTimes(),
-			window: cwretry.NewWindow(limits.ExtraShare*extraCallFraction, limits.ExtraWindow, f.Clock.Now()),
+			window: cwretry.NewWindow(limits.extraLimit(), f.started, rand.Float64()),
 			checks: rate.NewLimiter(limit, burst),
 			waits:  map[carobward.RouteName]*cwattempt.Waits{},
 		}
 		f.services[name] = s
+		f.Metrics.Part(metricsPartExtra).Set(string(name), expvar.Func(func() any { return f.extraMetric(s.window) }))
 	}
 
 	return s
--- a/internal/cwmetric/table.go
+++ b/internal/cwmetric/table.go
@@ -16,6 +16,7 @@
 	unitVMs      = "entry VMs"
 	unitBytes    = "bytes"
 	unitCalls    = "calls"
+	unitSends    = "sends"
 )
 
 // Table has all metrics of an entry VM. docs/operators.md lists them, too.
@@ -70,14 +71,15 @@
 	{"memstats", "", "Memory statistics of the Go runtime, runtime.MemStats."},
 	{"cmdline", "", "The command line of the process."},
 	{"front/looks", "health checks", "Health checks of servers, made right before a request is sent."},
-	{"front/sends", "sends", "Requests handed to a server."},
-	{"front/again", "sends", "Sends after the first one of a request."},
-	{"front/refused", "sends", "Sends that a server refused although its load report showed a free slot."},
-	{"front/denied", "sends", "Further sends that were denied because their limit was reached."},
-	{"front/extra/SERVICE/requests", unitRequests, "What the limit on extra calls counts within its window now: the requests of a service at this entry VM."},
-	{"front/extra/SERVICE/extras", "sends", "The retries and hedges in that window."},
-	{"front/extra/SERVICE/bound", "sends", "How many the window allows this entry VM."},
-	{"front/extra/SERVICE/age", "milliseconds", "For how long this process has counted."},
+	{"front/sends", unitSends, "Requests handed to a server."},
+	{"front/again", unitSends, "Sends after the first one of a request."},
+	{"front/refused", unitSends, "Sends that a server refused although its load report showed a free slot."},
+	{"front/denied", unitSends, "Further sends that were denied because their limit was reached."},
+	{"extra/SERVICE/requests", unitRequests, "What the limit on extra calls counts within its window now: the requests of a service at this entry VM."},
+	{"extra/SERVICE/extras", unitSends, "The retries and hedges in that window."},
+	{"extra/SERVICE/bound", unitSends, "How many the window allows this entry VM."},
+	{"extra/SERVICE/left", unitSends, "How many it may make at once: what its requests have earned and not used, and its part of the fixed part. A process has nothing of that at its start."},
+	{"extra/SERVICE/age", "milliseconds", "For how long this process has run."},
 	{"front/quarantined", unitRequests, "Requests refused because servers crashed while they ran such a request before."},
 	{"front/faults", unitRequests, "Requests that hit a bug of the entry VM; the log has each one with its stack. Report it."},
 	{"quarantine/held", unitRequests, "Quarantined requests, each counted once however often it is received. If above zero, see docs/operators.md."},
--- a/internal/cwretry/claim.go
+++ b/internal/cwretry/claim.go
@@ -17,25 +17,16 @@
 type Claim struct {
 	// Kind says for which kind of extra call this is.
 	Kind Kind
-	// Share is the fraction of the bound that it may use at once.
+	// Spare is the fraction of what can be saved up that it leaves to more urgent claims.
+	Spare float64
+	// Share, if not zero, is the fraction of the bound that all claims of its kind may use.
 	Share float64
-	// Paced lets it use the rest of the bound as fast as requests earn it, so that there
-	// are extra calls in each second of an outage that lasts for a whole window.
-	Paced bool
-	// Reserve is how many earned extra calls a paced claim leaves to more urgent claims.
-	// If it is negative, the claim may use that many before they are earned.
-	Reserve float64
-	// Capped limits the claims of this kind to Share, also where they are paced.
-	Capped bool
 }
 
-// The shares of the bound that requests with another chance to succeed may use at once.
+// What claims leave to more urgent ones.
 const (
-	// refusedShare covers the first half second of refusals by all servers. The rest of
-	// the bound then lasts for the rest of its window.
-	refusedShare = 0.15
-	// mostReserve is how many earned extra calls the least urgent requests leave to others.
-	mostReserve = 2
+	// mostSpare is for the least urgent: they get little more than what could not be saved up.
+	mostSpare = 0.8
 	// overdueShare leaves most of the bound to requests that failed: the first send may
 	// still be answered.
 	overdueShare = 0.25
@@ -45,19 +36,19 @@
 var (
 	// Needed is for requests that can't succeed otherwise: they failed at a server after
 	// it may have run them, or their callers have retried already and won't again.
-	Needed = Claim{Kind: KindNeeded, Share: 1}
+	Needed = Claim{Kind: KindNeeded}
 	// Refused is for requests that a server refused. Their callers can retry, which costs
 	// no extra call. While all servers refuse, callers retry within half a usual response
 	// time. The waits of different callers differ by more than that, so hardly any retry is
 	// recognized as one, and extra calls reserved for retries would be left over. So these
-	// claims may use the whole bound, evenly over the window.
-	Refused = Claim{Kind: KindRefused, Share: refusedShare, Paced: true}
+	// claims may use the whole bound.
+	Refused = Claim{Kind: KindRefused}
 	// RefusedLate is the same for requests whose answers would be late in any case.
-	RefusedLate = Claim{Kind: KindRefusedLate, Share: refusedShare, Paced: true, Reserve: mostReserve}
+	RefusedLate = Claim{Kind: KindRefusedLate, Spare: mostSpare}
 	// Overdue is for hedges: second sends while the first may still be answered. Where other
-	// claims have used their share, as while servers refuse, hedges wait until those leave
-	// earned calls over.
-	Overdue = Claim{Kind: KindHedge, Share: overdueShare, Paced: true, Reserve: mostReserve, Capped: true}
+	// claims need the extra calls, as while servers refuse, hedges wait until those leave some
+	// over.
+	Overdue = Claim{Kind: KindHedge, Spare: mostSpare, Share: overdueShare}
 )
 
 // Refusal is what decides about the second send of a request that did not run.
@@ -87,22 +78,16 @@
 	case !r.Returns:
 		return Needed
 	default:
-		return r.claim()
+		return Claim{Kind: KindRefused, Spare: mostSpare * r.place()}
 	}
 }
 
-// claim returns the claim of a request whose caller can still retry. The more urgent it is,
-// the fewer earned extra calls it leaves to others. Teams come before routes: where teams are
-// equally urgent, the more urgent route goes first.
-func (r *Refusal) claim() Claim {
-	c := Refused
-	if r.Ranks < 2 && r.RouteRanks < 2 {
-		return c
-	}
-
-	route := float64(r.RouteRank) / float64(max(1, r.RouteRanks))
-	place := (float64(r.Rank) + route) / float64(max(1, r.Ranks))
-	c.Reserve = place*(maxOwed+mostReserve) - maxOwed
+// place returns the place of a request among the priorities of its service, from 0, the most
+// urgent, to 1. Teams come before routes: where teams are equally urgent, the more urgent route
+// goes first.
+func (r *Refusal) place() float64 {
+	routeRanks := max(1, r.RouteRanks)
+	last := max(1, r.Ranks)*routeRanks - 1
 
-	return c
+	return float64(r.Rank*routeRanks+r.RouteRank) / float64(max(1, last))
 }
