Health checks: an entry VM that has just started counts those that it has not heard from

Its share of all requests, by which the limit on health checks is divided, was 1 until the first heartbeats came: each of 126 that start together could make the checks of all (seen in TestRestartTakesAllTraffic: 1.000, 1 of 126 wanted). Known entry VMs without a word count for one request a second, as those do that say so.

--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -95,19 +95,24 @@
 }
 
 // trafficShare returns this entry VM's share of all requests. Each entry VM counts for one
-// request a second at least, so that one without requests has a share to start with.
+// request a second at least, so that one without requests has a share to start with. So do those
+// that are known but have not been heard from: right after a start that is nearly all.
 func (g *Gateway) trafficShare(now time.Time) float64 {
 	own := 1 + math.Float64frombits(g.rate.Load())
-	total := own
+	total, heard := own, 1
 
 	for _, p := range g.table.Live(now) {
 		total += 1 + float64(p.Rate)
+		heard++
 	}
 
 	for _, s := range g.table.Domains(now) {
 		total += float64(s.Alive + s.Rate)
+		heard += int(s.Alive)
 	}
 
+	total += float64(max(0, g.table.Size(now)-heard))
+
 	return own / total
 }
 
