--- a/internal/cwfront/service_test.go
+++ b/internal/cwfront/service_test.go
@@ -63,6 +63,35 @@
 	}
 }
 
+// TestRestartsSaveHealthChecks makes health checks as fast as the rate limit allows while the
+// process is restarted every two seconds, and counts those of all processes.
+func TestRestartsSaveHealthChecks(t *testing.T) {
+	const (
+		restarts = 15
+		life     = 1600
+		period   = 2000 // Both in milliseconds.
+		limit    = 60.0 * 10
+		share    = 0.25
+	)
+
+	checks := 0
+
+	for range restarts {
+		f := newFront(share)
+		r := &request{front: f, state: f.serviceState("records")}
+		start := time.Now()
+
+		for ms := range life {
+			checks += r.checkCount(start.Add(time.Duration(ms) * time.Millisecond))
+		}
+	}
+
+	most := limit * share * restarts * period / 1000
+	if float64(checks) > most || float64(checks) < 0.8*most {
+		t.Errorf("%d health checks in %d s, want at most %.0f and most of them", checks, restarts*period/1000, most)
+	}
+}
+
 // TestRecordAnswer checks that the usual response time is that of a machine at its usual
 // speed with free slots, that each objective has its own, and that the crowding factor is
 // learned.
