Stand-in and soak: servers that refuse a share of everything while entry VMs restart in series

The stand-in of servers refuses a share of what arrives and keeps all arrivals. The soak lets all servers do so, alone and with entry VMs that are killed or terminated in series, and checks the operators' bound on extra calls as counted at the servers.

--- a/internal/cwsite/site.go
+++ b/internal/cwsite/site.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -58,6 +59,14 @@
 	grace   string
 }
 
+// The limit on calls beyond the first of each request: in each window a share of the requests, and
+// a fixed number.
+const (
+	RetryShare    = 0.2
+	RetryWindow   = 10 * time.Second
+	RetryMinExtra = 64
+)
+
 // The ports of each entry VM on its loopback address.
 const (
 	portCallers = 8161 + iota
@@ -136,13 +145,13 @@
 [terms.bounds]
 grace = %q
 ttl_max = "5s"
-retry_budget_ratio = 0.2
-retry_window = "10s"
-retry_min_extra = 64
+retry_budget_ratio = %v
+retry_window = "%s"
+retry_min_extra = %d
 probes_per_s = 60
 warmup_overshoot = 1.5
 warmup_slack = 8
-`, v.ID, n%3, portRelay, portRelay, s.network, portPeers, s.network, portPeers, v.Callers, v.Ready, at(portPeers), v.Lookup, s.StoreProxy.Address(), s.grace)
+`, v.ID, n%3, portRelay, portRelay, s.network, portPeers, s.network, portPeers, v.Callers, v.Ready, at(portPeers), v.Lookup, s.StoreProxy.Address(), s.grace, RetryShare, RetryWindow, RetryMinExtra)
 
 	v.Settings = filepath.Join(t.TempDir(), v.ID+".toml")
 
--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -62,6 +63,12 @@
 	Key  string
 }
 
+// Received is a request that arrived at an Upstream.
+type Received struct {
+	ID string
+	At time.Time
+}
+
 // Upstream is a stand-in for a backend server of the users' platform.
 type Upstream struct {
 	*acceptor
@@ -71,7 +78,9 @@
 	mutex sync.Mutex
 	mode  UpstreamMode
 	work  time.Duration
-	load  string
+	// shed is the share of the requests that the server refuses in any mode.
+	shed float64
+	load string
 	// warmUntil is the time at which the reported warmup ends. If it is zero, no warmup is
 	// reported.
 	warmUntil time.Time
@@ -81,6 +90,8 @@
 	fields string
 	// refusals has the arrival time of each refused request.
 	refusals []time.Time
+	// received has all requests that arrived, those that were refused among them.
+	received []Received
 	// healthDelay is the delay of replies to health checks.
 	healthDelay time.Duration
 	// closeOnHealth makes the server close the connection after each health check.
@@ -118,6 +129,22 @@
 	u.mode, u.work = mode, work
 }
 
+// SetShed sets the share of the requests that the server refuses, whatever its mode.
+func (u *Upstream) SetShed(share float64) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	u.shed = share
+}
+
+// Received returns the requests that arrived, those that were refused among them.
+func (u *Upstream) Received() []Received {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	return append([]Received(nil), u.received...)
+}
+
 // SetLoad sets the value of the Upstream-Load header.
 func (u *Upstream) SetLoad(load string) {
 	u.mutex.Lock()
@@ -260,12 +287,21 @@
 
 	u.mutex.Lock()
 	mode, work, load, fields := u.mode, u.work, u.load, u.fields
+
+	if rand.Float64() < u.shed {
+		mode = UpstreamSheds
+	}
+
 	u.mutex.Unlock()
 
 	if expected := header("Expect-Instance"); expected != "" && expected != string(u.instance) {
 		return writeReply(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", u.instance, fields)
 	}
 
+	u.mutex.Lock()
+	u.received = append(u.received, Received{ID: header("Request-Id"), At: time.Now()})
+	u.mutex.Unlock()
+
 	if mode == UpstreamSheds {
 		u.mutex.Lock()
 		u.refusals = append(u.refusals, time.Now())
--- /dev/null
+++ b/test/soak/extra_test.go
@@ -0,0 +1,98 @@
+package soak
+
+import (
+	"slices"
+	"sort"
+	"syscall"
+	"testing"
+	"time"
+
+	"carobward.example/carobward/internal/cwsite"
+	"carobward.example/carobward/internal/cwstand"
+)
+
+// maxShed is the largest share of the requests that all servers refuse at once.
+const maxShed = 0.9
+
+// shedAll lets all servers refuse a share of everything, whatever their load.
+func (w *world) shedAll() {
+	share := maxShed * w.random.Float64()
+	for _, s := range w.servers {
+		s.SetShed(share)
+	}
+}
+
+// restartSeries lets all servers refuse a share of everything, and restarts entry VMs in series:
+// some or all of them, several times.
+func (w *world) restartSeries(t *testing.T) {
+	t.Helper()
+
+	const maxRounds = 4
+
+	w.shedAll()
+
+	for range 1 + w.random.IntN(maxRounds) {
+		signal := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[w.random.IntN(2)]
+
+		for _, i := range w.random.Perm(vms)[:1+w.random.IntN(vms)] {
+			w.replace(t, w.VMs[i], signal)
+		}
+	}
+}
+
+// checkExtraCalls checks the operators' bound on calls beyond the first of each request, as it is
+// counted at the servers: in any window, a share of the requests of that window, the one before it
+// or the one half a window before it, whichever has most, and a fixed number.
+func (h *history) checkExtraCalls(t *testing.T, servers []*server) {
+	t.Helper()
+
+	var sent []time.Time
+	for _, r := range h.all {
+		sent = append(sent, r.sent)
+	}
+
+	extras := extraCalls(servers)
+
+	slices.SortFunc(sent, time.Time.Compare)
+	slices.SortFunc(extras, time.Time.Compare)
+
+	between := func(list []time.Time, from time.Time) int {
+		to := from.Add(cwsite.RetryWindow)
+
+		return sort.Search(len(list), func(i int) bool { return list[i].After(to) }) - sort.Search(len(list), func(i int) bool { return !list[i].Before(from) })
+	}
+
+	for _, from := range extras {
+		asked := max(between(sent, from), between(sent, from.Add(-cwsite.RetryWindow)), between(sent, from.Add(-cwsite.RetryWindow/2)))
+
+		if got, most := between(extras, from), cwsite.RetryShare*float64(asked)+cwsite.RetryMinExtra; float64(got) > most {
+			t.Fatalf("%d extra calls in a window for %d requests, at most %.0f", got, asked, most)
+		}
+	}
+
+	t.Logf("%d extra calls", len(extras))
+}
+
+// extraCalls returns when servers received requests that they or others had received before.
+func extraCalls(servers []*server) []time.Time {
+	var all []cwstand.Received
+	for _, s := range servers {
+		all = append(all, s.Received()...)
+	}
+
+	slices.SortFunc(all, func(a, b cwstand.Received) int { return a.At.Compare(b.At) })
+
+	var extras []time.Time
+
+	seen := map[string]bool{}
+
+	for _, r := range all {
+		if seen[r.ID] {
+			extras = append(extras, r.At)
+		}
+
+		seen[r.ID] = true
+	}
+
+	return extras
+}
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -18,6 +18,7 @@
 // result is the outcome of a request as its caller sees it.
 type result struct {
 	id     string
+	sent   time.Time
 	charge bool
 	status int
 	body   string
@@ -66,7 +67,7 @@
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", "1500")
 
-	r := result{id: id, charge: method == http.MethodPost}
+	r := result{id: id, sent: time.Now(), charge: method == http.MethodPost}
 	if err := caller.DoTimeout(req, resp, 3*time.Second); err != nil {
 		return r
 	}
@@ -131,6 +132,7 @@
 	}
 
 	t.Logf("%d requests, by status %v", len(h.all), byStatus)
+	h.checkExtraCalls(t, w.servers)
 
 	if byStatus[http.StatusOK] == 0 {
 		t.Error("no request was served")
--- a/test/soak/server_test.go
+++ b/test/soak/server_test.go
@@ -92,6 +92,27 @@
 	return runs
 }
 
+// SetShed sets the share of the requests that the process refuses.
+func (s *server) SetShed(share float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.current.SetShed(share)
+}
+
+// Received returns the requests that arrived at all processes of the server.
+func (s *server) Received() []cwstand.Received {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	received := s.current.Received()
+	for _, u := range s.previous {
+		received = append(received, u.Received()...)
+	}
+
+	return received
+}
+
 // Close stops the server for good.
 func (s *server) Close() {
 	s.mutex.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -145,7 +145,7 @@
 
 	evacuated := domain(w.random.IntN(domains))
 
-	switch w.random.IntN(38) {
+	switch w.random.IntN(41) {
 	case 0:
 		w.configure()
 	case 1:
@@ -200,6 +200,10 @@
 		w.cutSome()
 	case 36, 37:
 		w.paths.mend()
+	case 38, 39:
+		w.restartSeries(t)
+	case 40:
+		w.shedAll()
 	}
 
 	<-time.After(time.Duration(50+w.random.IntN(300)) * time.Millisecond)
@@ -245,6 +249,7 @@
 		s.SetMode(cwstand.UpstreamServes)
 		s.SetLimit()
 		s.SetHeaders()
+		s.SetShed(0)
 		w.registerRestart(s)
 	}
 
