--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -108,7 +108,7 @@
 
 	for _, s := range g.table.Domains(now) {
 		total += float64(s.Alive + s.Rate)
-		heard += int(s.Alive)
+		heard += s.Alive
 	}
 
 	total += float64(max(0, g.table.Size(now)-heard))
--- a/internal/lab/cwbench/pattern.go
+++ b/internal/lab/cwbench/pattern.go
@@ -135,6 +135,11 @@
 	ranked.Shed = Disturbance{Interval: Interval{From: from, To: from + 8*time.Second}, Share: 1, Factor: 0.55}
 	ranked.Length, ranked.Ranks = 13*time.Second, []float64{0.2, 0.8}
 
+	killed := pattern("shed-dark", "All servers refuse over half of their requests for long, and all entry VMs lose power for half a second.")
+	killed.Shed = Disturbance{Interval: Interval{From: from, To: from + 8*time.Second}, Share: 1, Factor: 0.55}
+	killed.PowerLoss = Interval{From: from + 3*time.Second, To: from + 3500*time.Millisecond}
+	killed.Length = 13 * time.Second
+
 	dark := burst(pattern("dark", "All entry VMs lose power for 0.9 s; all callers retry at once."), 1.6)
 	dark.PowerLoss = Interval{From: from + time.Second, To: from + 1900*time.Millisecond}
 
@@ -151,7 +156,7 @@
 	single := burst(pattern("single", "Servers with one slot, each slowed down by a single request, at a higher load."), 1.5)
 	single.Slots, single.Rate, single.KneeFactor = 1, 30, 1.9
 
-	list := []Pattern{calm, one, two, slow, all, gone, shed, some, ranked, dark, back, lean, fallen, single}
+	list := []Pattern{calm, one, two, slow, all, gone, shed, some, ranked, killed, dark, back, lean, fallen, single}
 
 	return append(list, rankedPatterns()...)
 }
--- a/internal/lab/cwbench/replay.go
+++ b/internal/lab/cwbench/replay.go
@@ -104,7 +104,7 @@
 	}
 
 	for i := range vms {
-		w.vms = append(w.vms, newReplayVM(w, i, vms))
+		w.vms = append(w.vms, newReplayVM(w, i, vms, w.now().Add(-extraWindow)))
 	}
 
 	w.fleet = newReplayFleet(w, vms)
@@ -218,7 +218,7 @@
 			w.finish(r, false, false)
 		}
 
-		w.vms[i] = newReplayVM(w, i, len(w.vms))
+		w.vms[i] = newReplayVM(w, i, len(w.vms), epoch.Add(w.pattern.PowerLoss.To))
 		w.vms[i].startAfter(w.pattern.PowerLoss.To)
 	}
 
--- a/internal/lab/cwbench/replay_result.go
+++ b/internal/lab/cwbench/replay_result.go
@@ -28,6 +28,8 @@
 	Series []ReplayStep
 
 	took []time.Duration
+	// attempts has when requests arrived at entry VMs, extras when they were sent again.
+	attempts, extras []time.Time
 }
 
 // RankResult counts the requests of one rank by their outcome.
--- a/internal/lab/cwbench/replay_test.go
+++ b/internal/lab/cwbench/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
@@ -164,6 +165,55 @@
 	}
 }
 
+// TestReplayExtraCalls checks the bound on extra calls over all entry VMs where these lose power
+// while all servers refuse.
+func TestReplayExtraCalls(t *testing.T) {
+	for name, vms := range map[string]int{"a few entry VMs": 0, "a fleet": 139} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			p, err := FindPattern("shed-dark")
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			if vms > 0 {
+				p.Grow(vms)
+			}
+
+			list, err := Replay(p, Ways()[:1], 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			r := list[0]
+			fixed := extraFree * p.Rate / 0.9
+
+			for _, from := range r.extras {
+				got := countFrom(r.extras, from)
+				asked := max(countFrom(r.attempts, from), countFrom(r.attempts, from.Add(-extraWindow)), countFrom(r.attempts, from.Add(-extraWindow/2)))
+
+				if most := (extraShare+extraSaved)*float64(asked) + fixed; float64(got) > most {
+					t.Fatalf("%d extra calls for %d requests, at most %.0f", got, asked, most)
+				}
+			}
+		})
+	}
+}
+
+// countFrom returns the number of times in the window that begins at one.
+func countFrom(list []time.Time, from time.Time) int {
+	n := 0
+
+	for _, at := range list {
+		if !at.Before(from) && at.Before(from.Add(extraWindow)) {
+			n++
+		}
+	}
+
+	return n
+}
+
 // TestReplayRepeats checks that a run gives the same result each time, whatever runs
 // in parallel.
 func TestReplayRepeats(t *testing.T) {
--- a/internal/lab/cwbench/replay_vm.go
+++ b/internal/lab/cwbench/replay_vm.go
@@ -75,7 +75,7 @@
 	admission cwadmit.Control
 }
 
-func newReplayVM(w *replay, index, vms int) *replayVM {
+func newReplayVM(w *replay, index, vms int, started time.Time) *replayVM {
 	name := func(i int) cwbackend.VM {
 		return cwbackend.VM{ID: carobward.VMID(rune('A' + i)), Domain: replayDomain(i)}
 	}
@@ -111,7 +111,7 @@
 	perSecond := checksPerServer * float64(len(w.servers)) / float64(vms)
 	v.checks = rate.NewLimiter(rate.Limit(perSecond), int(checkBurst*perSecond)+cwpick.SampleSize)
 
-	v.extra = cwretry.NewWindow(cwretry.Limit{Share: extraShare, Saved: extraSaved, Span: extraWindow}, w.now().Add(-extraWindow), 0)
+	v.extra = cwretry.NewWindow(cwretry.Limit{Share: extraShare, Saved: extraSaved, Span: extraWindow}, started, 0)
 	v.extraMin = extraFree * w.pattern.Rate / float64(vms)
 
 	return v
@@ -160,6 +160,7 @@
 
 	r.sends, r.tried = 0, map[*cwbackend.Server]bool{}
 	v.extra.Request(now)
+	v.run.result.attempts = append(v.run.result.attempts, now)
 	r.aloneRetried = float64(left) < aloneRetryRatio*float64(v.longest)
 	r.checked = false
 	r.schedule = cwqueue.Schedule{
@@ -330,7 +331,7 @@
 	return o
 }
 
-// mayResend reports whether a refused request is sent to another server.
+// mayResend reports whether a refused request is sent to another server, and records that.
 func (v *replayVM) mayResend(r *replayRequest) bool {
 	now := v.run.now()
 	left := r.until.Sub(now)
@@ -344,7 +345,13 @@
 		claim = cwretry.Overdue
 	}
 
-	return v.extra.Take(now, v.extraMin, claim)
+	if !v.extra.Take(now, v.extraMin, claim) {
+		return false
+	}
+
+	v.run.result.extras = append(v.run.result.extras, now)
+
+	return true
 }
 
 // refusal describes a refused request.
