Limits that servers announce: a new process waits a window before it uses its part

The process before may have used its part of a window right before it ended, and the next one has no count of that: restarted every two seconds, an entry VM sent 40 requests in 20 s to a server that takes one in two seconds, 10 allowed (TestRestartsRepeatLimit, seen failing). Windows of limits from 3 a second on are not longer than the time in which a new process has no part anyway.

--- a/internal/cwbackend/limit.go
+++ b/internal/cwbackend/limit.go
@@ -141,7 +141,8 @@
 	if l.Rate >= minLimitRate {
 		total, window := l.bound()
 		if part := t.share(b, total, min(total, t.holders(t.nearCounts[b.Service])), now); part > 0 {
-			return allowance{maxRequests: part, window: window}
+			// The process before may have used its part of a window right before it ended.
+			return allowance{maxRequests: part, window: window, from: t.sharers.since.Add(window)}
 		}
 	}
 
--- a/internal/cwbackend/limit_test.go
+++ b/internal/cwbackend/limit_test.go
@@ -317,6 +317,39 @@
 	}
 }
 
+// TestRestartsRepeatLimit restarts the only entry VM every two seconds, which learns the limit of a
+// server right after each start, and sends as much as it may.
+func TestRestartsRepeatLimit(t *testing.T) {
+	const (
+		restarts = 10
+		life     = 2 * time.Second
+		limit    = 0.5
+		step     = 50 * time.Millisecond
+	)
+
+	b, sent := backend(1, "a"), 0
+
+	for i := range restarts {
+		begin := start.Add(time.Duration(i) * life)
+		table := New(VM{ID: "vm-1", Domain: "a"})
+		table.Put([]carobward.Backend{b}, nil, begin)
+		table.SetSharers(nil, 1, begin)
+		table.MergeLimits([]carobward.LimitAnnouncement{{Server: b.Instance, Limit: rate(limit), At: begin}})
+
+		server := table.Views(b.Service, begin, time.Second)[0].Server
+
+		for at := time.Duration(0); at < life; at += step {
+			if table.Admit(server, begin.Add(at)) {
+				sent++
+			}
+		}
+	}
+
+	if most := limit * restarts * life.Seconds(); float64(sent) > most {
+		t.Errorf("%d requests in %s, the limit allows %.0f", sent, restarts*life, most)
+	}
+}
+
 // TestShare checks that the shares of all entry VMs add up to the whole.
 func TestShare(t *testing.T) {
 	for _, vms := range []int{1, 2, 5, 17, 95} {
