Extra calls: a retry counts when it is sent, not when the search for its server begins

The operators count extra calls when they arrive. Whether one is left is asked before the search, it is spent right before the send or before the request is passed to another entry VM; if it has gone meanwhile, the failure of the send before stands.

--- a/internal/cwfront/extra.go
+++ b/internal/cwfront/extra.go
@@ -30,22 +30,44 @@
 	return extraCallFraction * float64(f.limits.Load().ExtraMin) / float64(max(1, f.FleetSize()))
 }
 
+// payRetry spends the extra call of a retry that is about to be sent, and reports whether there is
+// still one left. The limit counts calls when they arrive, and the search for a server takes time.
+func (r *request) payRetry() bool {
+	if r.retry == nil {
+		return true
+	}
+
+	claim := *r.retry
+	r.retry = nil
+
+	if !r.takeExtraCall(r.front.Clock.Now(), claim) {
+		return false
+	}
+
+	r.front.counts.Add(countRetries, 1)
+
+	return true
+}
+
 // takeExtraCall spends one call beyond the first of a request if there is one left for the
-// claim, and counts a denial otherwise.
+// claim.
 func (r *request) takeExtraCall(now time.Time, c cwretry.Claim) bool {
-	f := r.front
-	least := f.minExtraCalls()
-	granted := r.state.window.Take(now, least, c)
+	granted := r.state.window.Take(now, r.front.minExtraCalls(), c)
+	r.logExtraCall(now, c, granted)
+
+	return granted
+}
 
+// logExtraCall logs whether an extra call is made, and counts it if not.
+func (r *request) logExtraCall(now time.Time, c cwretry.Claim, granted bool) {
+	f := r.front
 	if !granted {
 		f.counts.Add(countDenied, 1)
 	}
 
-	u := r.state.window.Usage(now, least)
+	u := r.state.window.Usage(now, f.minExtraCalls())
 	f.Log.Info("Decided on an extra call.", "id", r.id, "service", r.service, "kind", string(c.Kind), "granted", granted,
 		"requests", u.Requests, "extras", u.Extras, "bound", u.Bound, "left", u.Left, "fleet", f.FleetSize(), "age", u.Age.Milliseconds())
-
-	return granted
 }
 
 // extraMetric is the metric of the window of extra calls of one service.
--- a/internal/cwfront/forward.go
+++ b/internal/cwfront/forward.go
@@ -81,7 +81,7 @@
 	for {
 		c, err := r.choose(ctx, tried)
 		if errors.Is(err, errNoPath) {
-			if r.relay(ctx) {
+			if !r.payRetry() || r.relay(ctx) {
 				return
 			}
 
@@ -116,6 +116,12 @@
 			continue
 		}
 
+		if !r.payRetry() {
+			c.release()
+
+			return
+		}
+
 		r.setResult(r.await(ctx, c, b, tried))
 
 		if !r.shouldRetry(ctx) {
@@ -193,8 +199,8 @@
 // response times.
 const minTimeLeft = 0.5
 
-// shouldRetry reports whether the request is sent to another server, and spends an extra
-// call if so.
+// shouldRetry reports whether the request is sent to another server. The extra call is spent by
+// payRetry.
 func (r *request) shouldRetry(ctx context.Context) bool {
 	f := r.front
 	failed := r.err != nil || r.reply.Status >= fasthttp.StatusInternalServerError
@@ -209,11 +215,14 @@
 		return false
 	}
 
-	if !r.takeExtraCall(now, cwretry.ClaimOf(carobward.VerdictOf(r.err), r.refusal(now))) {
+	claim := cwretry.ClaimOf(carobward.VerdictOf(r.err), r.refusal(now))
+	if !r.state.window.Allows(now, f.minExtraCalls(), claim) {
+		r.logExtraCall(now, claim, false)
+
 		return false
 	}
 
-	f.counts.Add(countRetries, 1)
+	r.retry = &claim
 
 	return true
 }
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -12,6 +12,7 @@
 	"carobward.example/carobward/internal/cwframe"
 	"carobward.example/carobward/internal/cwqueue"
 	"carobward.example/carobward/internal/cwrelay"
+	"carobward.example/carobward/internal/cwretry"
 	"carobward.example/carobward/internal/cwroutes"
 )
 
@@ -84,6 +85,8 @@
 	// of a quarantined request.
 	done  chan struct{}
 	trial bool
+	// retry is the claim of the retry that a server is searched for, or nil.
+	retry *cwretry.Claim
 	// sends counts the sends of the request, checks the health checks made for it.
 	sends       int
 	checks      int
--- a/internal/cwretry/window.go
+++ b/internal/cwretry/window.go
@@ -126,6 +126,16 @@
 	return u
 }
 
+// Allows reports whether Take would spend an extra call now.
+func (w *Window) Allows(now time.Time, fixed float64, c Claim) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	w.advance(now)
+
+	return w.allows(now, fixed, c)
+}
+
 // Take spends one extra call and reports whether there was one left for the claim. Fixed is
 // how many this entry VM is allowed in each span regardless of the number of requests.
 func (w *Window) Take(now time.Time, fixed float64, c Claim) bool {
