--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -62,11 +62,12 @@
 
 	s := f.services[name]
 	if s == nil {
+		limit, burst := f.checkRate(name)
 		limits := f.limits.Load()
 		s = &serviceState{
 			times:  cwpick.NewTimes(),
 			window: cwretry.NewWindow(limits.extraLimit(), f.started, rand.Float64()),
-			checks: f.newCheckLimiter(name),
+			checks: rate.NewLimiter(limit, burst),
 			waits:  map[carobward.RouteName]*cwattempt.Waits{},
 		}
 		f.services[name] = s
