--- a/internal/cwretry/restart_test.go
+++ b/internal/cwretry/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -62,7 +63,8 @@
 	// may be nil: then all get the same.
 	moved func(step int) float64
 
-	sizes            []int
+	// sizes has the size of the fleet in each step, largest the largest of the last keepSteps.
+	sizes, largest   []int
 	requests, extras []int
 }
 
@@ -120,17 +122,7 @@
 		return 1
 	}
 
-	most := 1
-
-	for at := max(0, step-keepSteps); at <= step-v.lag; at++ {
-		most = max(most, h.sizes[at])
-	}
-
-	if step <= v.lag {
-		most = max(most, h.sizes[0])
-	}
-
-	return most
+	return h.largest[max(0, step-v.lag)]
 }
 
 // run plays the history.
@@ -138,6 +130,7 @@
 	for step := range historySteps {
 		h.events(h, step)
 		h.sizes = append(h.sizes, len(h.vms))
+		h.largest = append(h.largest, slices.Max(h.sizes[max(0, step-keepSteps):]))
 
 		var running []*fleetVM
 
--- a/internal/cwretry/window.go
+++ b/internal/cwretry/window.go
@@ -65,7 +65,7 @@
 	w.trim()
 }
 
-// trim takes what can't be saved up and gives it back to the fixed part.
+// trim moves what can't be saved up to the fixed part.
 func (w *Window) trim() {
 	most := w.mostSaved()
 	if w.saved > most {
