The limit on extra calls is checked in one place for soak, replay and histories

It was written three times; cwtest.ExtraLimit looks at the spans that begin or end with an extra call. The stand-in keeps one list of what arrived in place of two.

--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -63,10 +63,11 @@
 	Key  string
 }
 
-// Received is a request that arrived at an Upstream.
+// Received is a request that arrived at an Upstream, and whether it was refused.
 type Received struct {
-	ID string
-	At time.Time
+	ID      string
+	At      time.Time
+	Refused bool
 }
 
 // Upstream is a stand-in for a backend server of the users' platform.
@@ -88,9 +89,7 @@
 	limits []string
 	// fields are header lines added to all replies.
 	fields string
-	// refusals has the arrival time of each refused request.
-	refusals []time.Time
-	// received has all requests that arrived, those that were refused among them.
+	// received has the requests that arrived, apart from those for another instance.
 	received []Received
 	// healthDelay is the delay of replies to health checks.
 	healthDelay time.Duration
@@ -137,7 +136,7 @@
 	u.shed = share
 }
 
-// Received returns the requests that arrived, those that were refused among them.
+// Received returns the requests that arrived, apart from those for another instance.
 func (u *Upstream) Received() []Received {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
@@ -213,7 +212,15 @@
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 
-	return append([]time.Time(nil), u.refusals...)
+	var times []time.Time
+
+	for _, r := range u.received {
+		if r.Refused {
+			times = append(times, r.At)
+		}
+	}
+
+	return times
 }
 
 // SetCloseOnHealth sets whether the server closes the connection after each health check.
@@ -286,27 +293,20 @@
 	}
 
 	u.mutex.Lock()
-	mode, work, load, fields := u.mode, u.work, u.load, u.fields
-
-	if rand.Float64() < u.shed {
-		mode = UpstreamSheds
-	}
-
+	mode, work, load, fields, shed := u.mode, u.work, u.load, u.fields, u.shed
 	u.mutex.Unlock()
 
 	if expected := header("Expect-Instance"); expected != "" && expected != string(u.instance) {
 		return writeReply(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", u.instance, fields)
 	}
 
+	refused := mode == UpstreamSheds || rand.Float64() < shed
+
 	u.mutex.Lock()
-	u.received = append(u.received, Received{ID: header("Request-Id"), At: time.Now()})
+	u.received = append(u.received, Received{ID: header("Request-Id"), At: time.Now(), Refused: refused})
 	u.mutex.Unlock()
 
-	if mode == UpstreamSheds {
-		u.mutex.Lock()
-		u.refusals = append(u.refusals, time.Now())
-		u.mutex.Unlock()
-
+	if refused {
 		return writeReply(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", fields)
 	}
 
--- a/test/soak/extra_test.go
+++ b/test/soak/extra_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"strings"
 	"syscall"
 	"testing"
@@ -10,6 +9,7 @@
 
 	"carobward.example/carobward/internal/cwsite"
 	"carobward.example/carobward/internal/cwstand"
+	"carobward.example/carobward/internal/cwtest"
 )
 
 // maxShed is the largest share of the requests that all servers refuse at once.
@@ -57,9 +57,8 @@
 	w.Restart(t, v)
 }
 
-// checkExtraCalls checks the operators' bound on calls beyond the first of each request, as it is
-// counted at the servers: in any window, a share of the requests of that window, the one before it
-// or the one half a window before it, whichever has most, and a fixed number.
+// checkExtraCalls checks the operators' limit on calls beyond the first of each request, as they are
+// counted at the servers.
 func (h *history) checkExtraCalls(t *testing.T, servers []*server) {
 	t.Helper()
 
@@ -69,22 +68,10 @@
 	}
 
 	extras := extraCalls(servers)
+	limit := cwtest.ExtraLimit{Share: cwsite.RetryShare, Fixed: cwsite.RetryMinExtra, Span: cwsite.RetryWindow}
 
-	slices.SortFunc(sent, time.Time.Compare)
-	slices.SortFunc(extras, time.Time.Compare)
-
-	between := func(list []time.Time, from time.Time) int {
-		to := from.Add(cwsite.RetryWindow)
-
-		return sort.Search(len(list), func(i int) bool { return list[i].After(to) }) - sort.Search(len(list), func(i int) bool { return !list[i].Before(from) })
-	}
-
-	for _, from := range extras {
-		asked := max(between(sent, from), between(sent, from.Add(-cwsite.RetryWindow)), between(sent, from.Add(-cwsite.RetryWindow/2)))
-
-		if got, most := between(extras, from), cwsite.RetryShare*float64(asked)+cwsite.RetryMinExtra; float64(got) > most {
-			t.Fatalf("%d extra calls in a window for %d requests, at most %.0f", got, asked, most)
-		}
+	if w := limit.Worst(sent, extras); float64(w.Extras) > w.Allowed {
+		t.Errorf("%d extra calls from %s on, %.0f allowed", w.Extras, w.From.Format(time.TimeOnly), w.Allowed)
 	}
 
 	t.Logf("%d extra calls", len(extras))
--- a/test/soak/server_test.go
+++ b/test/soak/server_test.go
@@ -80,16 +80,22 @@
 }
 
 // Runs returns the requests that all processes of the server ran.
-func (s *server) Runs() []cwstand.Run {
+func (s *server) Runs() []cwstand.Run { return readAll(s, (*cwstand.Upstream).Runs) }
+
+// Received returns the requests that arrived at all processes of the server.
+func (s *server) Received() []cwstand.Received { return readAll(s, (*cwstand.Upstream).Received) }
+
+// readAll returns what all processes of a server, the current one first, have kept.
+func readAll[T any](s *server, read func(*cwstand.Upstream) []T) []T {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	runs := s.current.Runs()
+	list := read(s.current)
 	for _, u := range s.previous {
-		runs = append(runs, u.Runs()...)
+		list = append(list, read(u)...)
 	}
 
-	return runs
+	return list
 }
 
 // SetShed sets the share of the requests that the process refuses.
@@ -100,19 +106,6 @@
 	s.current.SetShed(share)
 }
 
-// Received returns the requests that arrived at all processes of the server.
-func (s *server) Received() []cwstand.Received {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-
-	received := s.current.Received()
-	for _, u := range s.previous {
-		received = append(received, u.Received()...)
-	}
-
-	return received
-}
-
 // Close stops the server for good.
 func (s *server) Close() {
 	s.mutex.Lock()
