Extra calls: a failure domain without a word keeps its part for an hour

The fixed number was divided by the entry VMs that were heard of within 30 s. A failure domain that is cut off for longer may still serve callers: three of equal size that do not hear each other used it three times. The sizes of others last for an hour, one that is not known counts as large as the own, as for quotas, which had this already (TestSilentDomainKeepsPart: 18 where 5 were counted after a minute).

--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -178,7 +178,7 @@
 	g.front = cwfront.New(cwfront.Options{
 		VM: o.Self.ID, Relay: g.relay, Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Regions: o.Regions, Servers: g.servers, Link: g.link, Quarantine: g.quarantineKeeper, Quota: g.quota, Clock: o.Clock,
 		Metrics: g.metrics, Log: o.Log, Limits: o.Limits,
-		FleetSize:    func() int { return g.table.Size(o.Clock.Now()) },
+		FleetSize:    func() int { return g.mesh.FleetSize(o.Clock.Now()) },
 		TrafficShare: func() float64 { return g.trafficShare(o.Clock.Now()) },
 		FleetLoad:    func(s carobward.Service, now time.Time) []carobward.DomainLoad { return g.mesh.Load(s, now) },
 
--- a/internal/cwmesh/fleet.go
+++ b/internal/cwmesh/fleet.go
@@ -106,3 +106,11 @@
 func (s *Summary) sharesNode(o Summary) bool {
 	return slices.ContainsFunc(s.Nodes, func(n Node) bool { return slices.Contains(o.Nodes, n) })
 }
+
+// FleetSize returns the number of entry VMs among which a limit is divided that holds for all of
+// them together.
+func (m *Mesh) FleetSize(now time.Time) int {
+	_, all := m.Table.fleetSize(m.Domains, now)
+
+	return max(all, m.Table.Size(now))
+}
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -344,19 +344,19 @@
 	return t.listedSize >= minListed && float64(alive) >= listedFraction*float64(max(t.listedSize, size))
 }
 
-// domainShareTime is for how long a silent failure domain keeps its share of quotas: it
-// may be cut off and still serve callers.
+// domainShareTime is for how long a silent failure domain keeps its share of what is divided among
+// the whole fleet: it may be cut off and still serve callers.
 const domainShareTime = time.Hour
 
-// domainShare returns the recent number of entry VMs of this failure domain, and its share of
-// the whole fleet. A failure domain of unknown size counts as large as this one.
-func (t *Table) domainShare(domains []carobward.Domain, now time.Time) (int, float64) {
-	_, near := t.RecentPeers(now)
+// fleetSize returns the recent number of entry VMs of this failure domain, and that of the whole
+// fleet. A failure domain of unknown size counts as large as this one.
+func (t *Table) fleetSize(domains []carobward.Domain, now time.Time) (near, all int) {
+	_, near = t.RecentPeers(now)
 
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
 
-	all := near
+	all = near
 
 	for _, d := range domains {
 		o := t.others[d]
@@ -370,7 +370,7 @@
 		}
 	}
 
-	return near, float64(near) / float64(all)
+	return near, all
 }
 
 // addressOf returns the address at which an entry VM of this failure domain receives heartbeats.
--- a/internal/cwmesh/table_test.go
+++ b/internal/cwmesh/table_test.go
@@ -53,6 +53,35 @@
 	}
 }
 
+// TestSilentDomainKeepsPart checks that a limit over the fleet is divided by all failure domains,
+// also by one that has been silent for long: it may be cut off and still serve callers. One of
+// unknown size counts as large as this one.
+func TestSilentDomainKeepsPart(t *testing.T) {
+	const each = 4
+
+	start := time.Now()
+	domains := []carobward.Domain{"a", "b", "c", "d"}
+	table := newTable(each, start)
+
+	for name, later := range map[string]time.Duration{"at once": 0, "after a minute": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			now := start.Add(later)
+			for i := range each {
+				table.updatePeer(Peer{Node: testNode(3*i, "a"), Boot: 1, LastSeen: now})
+			}
+
+			near, all := table.fleetSize(domains, now)
+			if diff := cmp.Diff([]int{each + 1, 2*(each+1) + 2*each}, []int{near, all}); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+
+	if near, all := table.fleetSize(domains[:3], start.Add(2*domainShareTime)); all != near {
+		t.Errorf("%d of %d entry VMs are elsewhere after two hours without a word", all-near, all)
+	}
+}
+
 // TestUpdatePeer checks that a peer whose addresses are not known stays unknown, and that one
 // that was only named does not count as alive.
 func TestUpdatePeer(t *testing.T) {
--- a/internal/cwmesh/tokens.go
+++ b/internal/cwmesh/tokens.go
@@ -162,7 +162,8 @@
 		}
 	}
 
-	f.DomainSize, f.DomainShare = m.Table.domainShare(m.Domains, now)
+	near, all := m.Table.fleetSize(m.Domains, now)
+	f.DomainSize, f.DomainShare = near, float64(near)/float64(all)
 	f.Settled = now.Sub(m.started) >= startSettleTime || m.Table.knowsListed(1+len(f.Peers), f.DomainSize)
 
 	return f
