--- a/internal/cwmesh/checked_test.go
+++ b/internal/cwmesh/checked_test.go
@@ -16,6 +16,8 @@
 // has, so it must never return a time before which a configuration was acknowledged that the
 // entry VM lacks. TestRestoreHistory checks the same in larger fleets.
 func TestCheckedHistory(t *testing.T) {
+	t.Parallel()
+
 	for name, c := range map[string]struct {
 		vms, steps int
 		seed       uint64
--- a/internal/cwmesh/lost_history_test.go
+++ b/internal/cwmesh/lost_history_test.go
@@ -358,6 +358,8 @@
 // often as at the others, as long as one that they reach has a path. Nothing is served without
 // one, and paths that are back are used at once.
 func TestPathHistory(t *testing.T) {
+	t.Parallel()
+
 	for name, c := range map[string]struct {
 		vms, steps int
 		seed       uint64
--- a/internal/cwmesh/restore_test.go
+++ b/internal/cwmesh/restore_test.go
@@ -341,6 +341,8 @@
 // left, each acknowledged configuration has to be in force in time, and in the end all entry
 // VMs have what the store has.
 func TestRestoreHistory(t *testing.T) {
+	t.Parallel()
+
 	for name, c := range map[string]struct {
 		vms, steps int
 		seed       uint64
