Unchecked requests that may not be repeated use a connection that carried a reply just now

Cause: without a health check, such a request always got a new connection, as an idle one may be dead. Nothing noted that new ones were.

Ruled out: marking the service as lost after two broken connections (tried before, the first two still fail; and the service is not lost, other requests are served).

Change: it goes over a connection that carried a reply in the last 150 ms, by the reply and not by the release; servers forget idle connections after some hundred milliseconds at the soonest. Else over a new one, unless new ones to three servers broke since one was answered: then it is passed on or waits for a health check. Timeouts don't count, the server may be slow.

--- a/internal/cwfront/candidate.go
+++ b/internal/cwfront/candidate.go
@@ -13,6 +13,9 @@
 const (
 	// uncheckedWidth is how many servers are compared if no health check may be made.
 	uncheckedWidth = 3
+	// recentConnAge is how old the last reply over a connection may be for a request that may not
+	// be repeated to use it unchecked: well below the idle timeouts of servers.
+	recentConnAge = 150 * time.Millisecond
 	// minCheckTimeout is how long to wait for health checks if servers answer them
 	// quickly: several round trips between failure domains, and a new connection. For
 	// slower ones the timeout is checkTimeoutFactor times their recent average, up to
@@ -62,7 +65,7 @@
 	f := r.front
 	now := f.Clock.Now()
 	views := r.allowedServers(f.Servers.Views(r.service, now, r.usualTime()))
-	r.availableAt = cwbackend.NextAvailable(views)
+	r.availableAt, r.newConnsBreak = cwbackend.NextAvailable(views), false
 
 	for i := range views {
 		views[i].Idle, views[i].InUse = f.Link.ConnState(views[i].Address)
@@ -102,12 +105,48 @@
 // chooseUnchecked returns the best server by what is known without a health check, for
 // when the rate limit allows none. It returns nil if no server has room.
 func (r *request) chooseUnchecked(ctx context.Context, views []cwbackend.View, tried map[*cwbackend.Server]bool) *candidate {
-	f := r.front
-	now := f.Clock.Now()
+	if r.route.Idempotent {
+		return r.holdUnchecked(ctx, r.bestUnchecked(views, tried), false)
+	}
+
+	// If a write fails on a connection that was idle, it is unknown whether the request ran. So a
+	// request that may not be repeated gets one that carried a reply just now, or a new one.
+	if c := r.bestUnchecked(r.recentlyUsed(views), tried); c != nil {
+		if c.held = r.front.Link.HoldRecent(c.view.Address, recentConnAge); c.held != nil {
+			return c
+		}
+	}
+
+	if r.front.reach.NewConnsBreak(r.service) {
+		r.newConnsBreak = true
+
+		return nil
+	}
+
+	return r.holdUnchecked(ctx, r.bestUnchecked(views, tried), true)
+}
+
+// recentlyUsed returns the servers with an idle connection that carried a reply just now.
+func (r *request) recentlyUsed(views []cwbackend.View) []cwbackend.View {
+	var list []cwbackend.View
+
+	for i := range views {
+		if v := &views[i]; v.Idle && !v.Blocked && r.front.Link.HasRecent(v.Address, recentConnAge) {
+			list = append(list, *v)
+		}
+	}
+
+	return list
+}
+
+// bestUnchecked returns the best of some servers with room by what is known without a health check,
+// or nil.
+func (r *request) bestUnchecked(views []cwbackend.View, tried map[*cwbackend.Server]bool) *candidate {
+	now := r.front.Clock.Now()
 
 	var best *candidate
 
-	for _, v := range cwpick.Sample(cwpick.Global{}, views, uncheckedWidth, f.Domain, tried, 0) {
+	for _, v := range cwpick.Sample(cwpick.Global{}, views, uncheckedWidth, r.front.Domain, tried, 0) {
 		v.Report = v.Expected()
 
 		if r.freeSlots(&v, now) > 0 {
@@ -117,23 +156,29 @@
 		}
 	}
 
-	if best == nil {
+	return best
+}
+
+// holdUnchecked gives a candidate a connection, a new one if fresh is set, and returns it. It
+// returns nil if there is none.
+func (r *request) holdUnchecked(ctx context.Context, c *candidate, fresh bool) *candidate {
+	if c == nil {
 		return nil
 	}
 
-	b := best.view.Server.Backend()
-	// If a write fails on a connection that was idle, it is unknown whether the request
-	// ran. So requests that may not be repeated get a new connection.
-	held, err := f.Link.Hold(ctx, b.Address, now.Add(maxCheckTime), !r.route.Idempotent)
+	f := r.front
+	b, now := c.view.Server.Backend(), f.Clock.Now()
+
+	held, err := f.Link.Hold(ctx, b.Address, now.Add(maxCheckTime), fresh)
 	if err != nil {
-		r.checkFailed(best.view.Server, b, now, err)
+		r.checkFailed(c.view.Server, b, now, err)
 
 		return nil
 	}
 
-	best.held = held
+	c.held = held
 
-	return best
+	return c
 }
 
 // checkCount returns how many servers may be checked now, and takes that many checks from
--- a/internal/cwfront/health_check.go
+++ b/internal/cwfront/health_check.go
@@ -70,6 +70,7 @@
 func (r *request) sendCheck(ctx context.Context, c *candidate, b carobward.Backend, fresh bool) (*carobward.Reply, error) {
 	held, reply, err := r.front.sendCheck(ctx, r.routes.Service(r.service).HealthPath, b.Address, fresh)
 	c.held = held
+	r.front.noteNewConn(r.service, b, held, err)
 
 	return reply, err
 }
--- a/internal/cwfront/reach.go
+++ b/internal/cwfront/reach.go
@@ -9,6 +9,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
+	"carobward.example/carobward/internal/cwframe"
 	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwpick"
 	"carobward.example/carobward/internal/cwrank"
@@ -46,6 +47,22 @@
 	}
 }
 
+// noteNewConn records whether a new connection to a server of a service carried its first exchange,
+// which ended with an error or nil. Held is nil if there was no connection. A timeout is no sign of
+// the connection: the server may be slow.
+func (f *Front) noteNewConn(s carobward.Service, b carobward.Backend, held *cwlink.HeldConn, err error) {
+	if held == nil || held.Reused() {
+		return
+	}
+
+	switch known := f.Servers.CountOf(s); {
+	case err == nil && f.reach.NewConnAnswered(s):
+		f.Log.Info("New connections to servers of the service are answered again.", "service", s, "server", b.Instance)
+	case err != nil && !cwframe.IsTimeout(err) && f.reach.NewConnBroke(s, b.Instance, known):
+		f.Log.Info("New connections to servers of the service break.", "service", s, "server", b.Instance, "servers", known, "cause", err.Error())
+	}
+}
+
 // probeLost makes health checks of some servers of each service that is not reached, so that a
 // path that is back is found without a request that waits for it.
 func (f *Front) probeLost(now time.Time) {
@@ -107,6 +124,8 @@
 		defer held.Release()
 	}
 
+	f.noteNewConn(s, b, held, err)
+
 	switch {
 	case errors.Is(err, cwlink.ErrConnsInUse):
 		return
@@ -133,11 +152,12 @@
 func (r *request) noteAnswer(s *cwbackend.Server) { r.front.serverAnswered(s.Backend().Service) }
 
 // unreached reports whether health checks for the request were made and no server answered
-// any: the request lacks a path, which says nothing about the room at servers.
+// any, or whether none may be made and new connections break: the request lacks a path, which says
+// nothing about the room at servers.
 func (r *request) unreached() bool {
 	c := &r.checkCounts
 
-	return r.front.reach.Lost(r.service) || r.checks > 0 && c.answered == 0 && c.failed+c.late > 0
+	return r.front.reach.Lost(r.service) || r.newConnsBreak || r.checks > 0 && c.answered == 0 && c.failed+c.late > 0
 }
 
 // noServerFound returns the cause of the refusal of a request that found no server in time.
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -198,6 +198,12 @@
 	end := f.Clock.Now()
 	outcome := s.outcome(ctx)
 	view := &s.candidate.view
+
+	// After a health check, the request is not the first call on its connection.
+	if !s.candidate.ok && (outcome == cwbackend.Broken || s.reply != nil) {
+		f.noteNewConn(r.service, s.backend, s.candidate.held, s.err)
+	}
+
 	view.Server.End(s.number, end, outcome)
 
 	if s.reply != nil {
--- a/internal/cwlink/held_conn.go
+++ b/internal/cwlink/held_conn.go
@@ -44,6 +44,34 @@
 	return &HeldConn{link: l, pool: p, conn: c, reusable: true, reused: !c.lastUsed.IsZero()}, nil
 }
 
+// HasRecent reports whether HoldRecent would return a connection. Another call may change that
+// right after.
+func (l *Link) HasRecent(to carobward.Address, age time.Duration) bool {
+	l.mutex.RLock()
+	p := l.pools[to]
+	l.mutex.RUnlock()
+
+	return p != nil && p.hasRecent(l.clock.Now(), age, l.idleLimits())
+}
+
+// HoldRecent returns an idle connection to a server that carried a reply at most an age ago, or nil.
+func (l *Link) HoldRecent(to carobward.Address, age time.Duration) *HeldConn {
+	l.mutex.RLock()
+	p := l.pools[to]
+	l.mutex.RUnlock()
+
+	if p == nil {
+		return nil
+	}
+
+	c := p.takeRecent(l.clock.Now(), age, l.idleLimits())
+	if c == nil {
+		return nil
+	}
+
+	return &HeldConn{link: l, pool: p, conn: c, reusable: true, reused: true}
+}
+
 // ConnState reports whether there is a usable idle connection to a server, and else whether
 // there are connections that are all in use. Another call may change that right after.
 func (l *Link) ConnState(to carobward.Address) (idle, inUse bool) {
@@ -71,6 +99,10 @@
 	t := h.link.newRoundTrip(h.conn.Conn, call)
 	reply, err := t.run()
 
+	if err == nil {
+		h.conn.lastReply = h.link.clock.Now()
+	}
+
 	if s, ok := bodyStream(reply); ok && err == nil {
 		return h.handOver(reply, s, t, stop)
 	}
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -23,6 +23,8 @@
 type conn struct {
 	net.Conn
 	lastUsed time.Time
+	// lastReply is when it last carried a reply. It may be released without one.
+	lastReply time.Time
 	// keepAlive is the idle timeout that the server announced, or 0.
 	keepAlive time.Duration
 }
@@ -75,6 +77,57 @@
 	}
 }
 
+// takeRecent returns the most recently used idle connection if it carried a reply at most an age
+// ago, is still open and has no unread bytes, or nil.
+func (p *pool) takeRecent(now time.Time, age time.Duration, limits idleLimits) *conn {
+	for {
+		c := p.popRecent(now, age, limits)
+		if c == nil || cwsocket.Peek(c.Conn) == cwsocket.Idle {
+			return c
+		}
+
+		p.drop(c)
+	}
+}
+
+func (p *pool) popRecent(now time.Time, age time.Duration, limits idleLimits) *conn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	if !p.lastRecent(now, age, limits) {
+		return nil
+	}
+
+	return p.popIdle()
+}
+
+// hasRecent reports whether the most recently used idle connection carried a reply at most an age
+// ago.
+func (p *pool) hasRecent(now time.Time, age time.Duration, limits idleLimits) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	return p.lastRecent(now, age, limits)
+}
+
+// lastRecent is hasRecent; p.mutex must be held.
+func (p *pool) lastRecent(now time.Time, age time.Duration, limits idleLimits) bool {
+	last := len(p.idle) - 1
+
+	return last >= 0 && now.Sub(p.idle[last].lastReply) <= age && p.idle[last].usable(now, limits)
+}
+
+// popIdle removes the most recently used idle connection; p.mutex must be held and there must be
+// one.
+func (p *pool) popIdle() *conn {
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	p.idle[last] = nil
+	p.idle = p.idle[:last]
+
+	return c
+}
+
 // state reports whether there is a usable idle connection, and else whether there are
 // connections that are all in use.
 func (p *pool) state(now time.Time, limits idleLimits) (idle, inUse bool) {
@@ -101,11 +154,7 @@
 
 	last := len(p.idle) - 1
 	if last >= 0 && p.idle[last].usable(now, limits) {
-		c := p.idle[last]
-		p.idle[last] = nil
-		p.idle = p.idle[:last]
-
-		return c, nil
+		return p.popIdle(), nil
 	}
 
 	p.trim(maxConns - 1)
@@ -170,7 +219,7 @@
 	defer p.mutex.Unlock()
 
 	for _, c := range p.idle {
-		c.lastUsed = c.lastUsed.Add(-by)
+		c.lastUsed, c.lastReply = c.lastUsed.Add(-by), c.lastReply.Add(-by)
 	}
 }
 
--- a/internal/cwlink/pool_test.go
+++ b/internal/cwlink/pool_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
@@ -293,3 +294,51 @@
 	second.Release()
 	check("both released", true, false, 2, 1)
 }
+
+// TestHoldRecent checks that a connection counts as recent by the reply that it last carried: not
+// by its release, and for as long as the VM was not suspended.
+func TestHoldRecent(t *testing.T) {
+	const age = time.Minute
+
+	s := newStub(t, cwstand.FixedReply(okReply, true))
+	l := newLink(t)
+	check := func(when string, want bool) {
+		t.Helper()
+
+		has := l.HasRecent(s.Address(), age)
+		h := l.HoldRecent(s.Address(), age)
+
+		if h != nil {
+			h.Release()
+		}
+
+		if diff := cmp.Diff([]bool{want, want}, []bool{has, h != nil}); diff != "" {
+			t.Errorf("%s: %s", when, diff)
+		}
+	}
+
+	check("no connection", false)
+
+	unused, err := l.Hold(context.Background(), s.Address(), time.Now().Add(time.Second), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	unused.Release()
+	check("released without a reply", false)
+	warm(t, l, s)
+	check("after a reply", true)
+	l.Suspended(age)
+	check("suspended", false)
+	warm(t, l, s)
+	check("after another reply", true)
+
+	p, _ := l.pool(s.Address())
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+
+	if h := l.HoldRecent(s.Address(), age); h != nil {
+		t.Error("got a closed connection")
+	}
+}
--- a/internal/cwreach/reach.go
+++ b/internal/cwreach/reach.go
@@ -51,6 +51,9 @@
 	failed   map[carobward.Instance]bool
 	failures int
 	lost     bool
+	// broken has the servers whose new connections broke since one to any server was answered.
+	broken        map[carobward.Instance]bool
+	newConnsBreak bool
 	// claimed reports that peers are told of the loss, back is when the last loss ended, and
 	// probed when servers were last probed.
 	claimed bool
@@ -71,7 +74,7 @@
 func (t *Tracker) contact(s carobward.Service) *contact {
 	c := t.services[s]
 	if c == nil {
-		c = &contact{failed: map[carobward.Instance]bool{}}
+		c = &contact{failed: map[carobward.Instance]bool{}, broken: map[carobward.Instance]bool{}}
 		t.services[s] = c
 	}
 
@@ -132,6 +135,50 @@
 	return c.loss(s), true
 }
 
+// NewConnAnswered records that a server of a service answered over a new connection. It reports
+// whether new connections to the service broke until now.
+func (t *Tracker) NewConnAnswered(s carobward.Service) (changed bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	c := t.contact(s)
+	changed = c.newConnsBreak
+	c.newConnsBreak = false
+	clear(c.broken)
+
+	return changed
+}
+
+// NewConnBroke records that a new connection to a server was established and broke without an
+// answer. Known is the number of servers of the service. It reports whether new connections to the
+// service count as broken from now on.
+func (t *Tracker) NewConnBroke(s carobward.Service, i carobward.Instance, known int) (changed bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	c := t.contact(s)
+	c.broken[i] = true
+
+	if c.newConnsBreak || len(c.broken) < min(minFailures, known) {
+		return false
+	}
+
+	c.newConnsBreak = true
+
+	return true
+}
+
+// NewConnsBreak reports whether new connections to the servers of a service break, which says
+// nothing about open ones.
+func (t *Tracker) NewConnsBreak(s carobward.Service) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	c := t.services[s]
+
+	return c != nil && c.newConnsBreak
+}
+
 // Silent records that no server answered any of several contacts in good time that began at a
 // time.
 func (t *Tracker) Silent(s carobward.Service, began time.Time) {
@@ -141,15 +188,15 @@
 	t.contact(s).silent = began
 }
 
-// Doubtful reports whether it is likely that no server of a service is reached: none is, or none
-// has answered since several were silent.
+// Doubtful reports whether it is likely that a server of a service is not reached: none is, none
+// has answered since several were silent, or new connections break.
 func (t *Tracker) Doubtful(s carobward.Service) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 
 	c := t.services[s]
 
-	return c != nil && (c.lost || c.silent.After(c.answered))
+	return c != nil && (c.lost || c.newConnsBreak || c.silent.After(c.answered))
 }
 
 // Lost reports whether no server of a service is reached.
--- a/internal/cwreach/reach_test.go
+++ b/internal/cwreach/reach_test.go
@@ -66,6 +66,44 @@
 	}
 }
 
+// TestNewConnsBreak verifies when new connections to the servers of a service count as broken, and
+// that this does not make the service one that is lost.
+func TestNewConnsBreak(t *testing.T) {
+	// Each event is a server whose new connection broke, or "" for one that was answered.
+	for name, c := range map[string]struct {
+		known  int
+		events []carobward.Instance
+		want   bool
+	}{
+		"nothing known":        {8, nil, false},
+		"one server":           {8, []carobward.Instance{"a", "a", "a"}, false},
+		"three servers":        {8, []carobward.Instance{"a", "b", "c"}, true},
+		"an answer between":    {8, []carobward.Instance{"a", "b", "", "c"}, false},
+		"an answer after":      {8, []carobward.Instance{"a", "b", "c", ""}, false},
+		"broken again":         {8, []carobward.Instance{"a", "b", "c", "", "a", "b", "c"}, true},
+		"all of two servers":   {2, []carobward.Instance{"a", "b"}, true},
+		"the only server":      {1, []carobward.Instance{"a"}, true},
+		"one of two, answered": {2, []carobward.Instance{"a", "", "b"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := New()
+
+			for _, server := range c.events {
+				if server == "" {
+					tracker.NewConnAnswered("records")
+				} else {
+					tracker.NewConnBroke("records", server, c.known)
+				}
+			}
+
+			got := []bool{tracker.NewConnsBreak("records"), tracker.Doubtful("records"), tracker.Lost("records"), tracker.NewConnsBreak("fees")}
+			if diff := cmp.Diff([]bool{c.want, c.want, false, false}, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // TestLosses verifies what operators see of a loss, and that its end is reported once.
 func TestLosses(t *testing.T) {
 	tracker := New()
