Health checks: a process begins with half a second's worth of them

Cause: a rate limit began full, four seconds' worth, with each process. The class of the extra calls: what may be saved up is granted anew with each process.

Change: half a second's worth, a little more than the time in which a process starts, in which nobody makes any; without the sample that left on top. With L checks a second, D seconds down and k starts: 0.9 L (T - D) + 0.45 L k at most in T, within L T for a start each 1.8 s that takes 0.3 s. TestConcurrentChecks sets a rate limit of its own: it counts checks right after the start.

--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -281,6 +281,20 @@
 	return rate.Limit(most), int(checkBurstSeconds*most) + cwpick.SampleSize
 }
 
+// checkStartSeconds is the number of seconds' worth of checks that a process begins with. The one
+// before may have used all it had, so it is little more than the time in which a process starts
+// again, for which the limit allows checks that nobody makes.
+const checkStartSeconds = 0.5
+
+// newCheckLimiter returns the rate limit on health checks of a service's servers.
+func (f *Front) newCheckLimiter(name carobward.Service) *rate.Limiter {
+	limit, burst := f.checkRate(name)
+	checks := rate.NewLimiter(limit, burst)
+	checks.AllowN(f.Clock.Now(), burst-int(checkStartSeconds*float64(limit)))
+
+	return checks
+}
+
 // Wait waits for all goroutines started for requests.
 func (f *Front) Wait() { f.work.Wait() }
 
--- a/internal/cwfront/queue_test.go
+++ b/internal/cwfront/queue_test.go
@@ -11,9 +11,11 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
+	"carobward.example/carobward/internal/cwpick"
 	"carobward.example/carobward/internal/cwqueue"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
@@ -59,6 +61,8 @@
 
 	f, r := newCheckFront(t, s.Address())
 	f.Link.SetConns(requests)
+	// A process that has just started may make fewer checks than this test counts.
+	r.state.checks = rate.NewLimiter(requests*cwpick.SampleSize, requests*cwpick.SampleSize)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/cwfront/service.go
+++ b/internal/cwfront/service.go
@@ -62,12 +62,11 @@
 
 	s := f.services[name]
 	if s == nil {
-		limit, burst := f.checkRate(name)
 		limits := f.limits.Load()
 		s = &serviceState{
 			times:  cwpick.NewTimes(),
 			window: cwretry.NewWindow(limits.extraLimit(), f.started, rand.Float64()),
-			checks: rate.NewLimiter(limit, burst),
+			checks: f.newCheckLimiter(name),
 			waits:  map[carobward.RouteName]*cwattempt.Waits{},
 		}
 		f.services[name] = s
