New connections that this entry VM closes are no sign that new connections break

A health check that is out of time has its connection closed here; such errors were counted as broken by the path, where timeouts are not. They say nothing now (TestNoteNewConn, which failed in that row).

--- a/internal/cwfront/reach.go
+++ b/internal/cwfront/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"time"
 
@@ -48,8 +49,8 @@
 }
 
 // noteNewConn records whether a new connection to a server of a service carried its first exchange,
-// which ended with an error or nil. Held is nil if there was no connection. A timeout is no sign of
-// the connection: the server may be slow.
+// which ended with an error or nil. Held is nil if there was no connection. A timeout, or that this
+// entry VM closed the connection meanwhile, says nothing: the server may be slow.
 func (f *Front) noteNewConn(s carobward.Service, b carobward.Backend, held *cwlink.HeldConn, err error) {
 	if held == nil || held.Reused() {
 		return
@@ -58,7 +59,7 @@
 	switch known := f.Servers.CountOf(s); {
 	case err == nil && f.reach.NewConnAnswered(s):
 		f.Log.Info("New connections to servers of the service are answered again.", "service", s, "server", b.Instance)
-	case err != nil && !cwframe.IsTimeout(err) && f.reach.NewConnBroke(s, b.Instance, known):
+	case err != nil && !cwframe.IsTimeout(err) && !errors.Is(err, net.ErrClosed) && f.reach.NewConnBroke(s, b.Instance, known):
 		f.Log.Info("New connections to servers of the service break.", "service", s, "server", b.Instance, "servers", known, "cause", err.Error())
 	}
 }
--- a/internal/cwfront/reach_test.go
+++ b/internal/cwfront/reach_test.go
@@ -1,10 +1,15 @@
 package cwfront
 
 import (
+	"io"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwlink"
@@ -98,3 +103,36 @@
 		t.Error("the server is blocked although the path is back")
 	}
 }
+
+// TestNoteNewConn verifies which failures over new connections show that new connections break.
+func TestNoteNewConn(t *testing.T) {
+	for name, c := range map[string]struct {
+		held *cwlink.HeldConn
+		err  error
+		want bool
+	}{
+		"reset by the path":            {&cwlink.HeldConn{}, syscall.ECONNRESET, true},
+		"closed by the path":           {&cwlink.HeldConn{}, io.EOF, true},
+		"closed here, out of time":     {&cwlink.HeldConn{}, net.ErrClosed, false},
+		"a slow server":                {&cwlink.HeldConn{}, os.ErrDeadlineExceeded, false},
+		"no connection is established": {nil, syscall.ECONNREFUSED, false},
+		"an answer":                    {&cwlink.HeldConn{}, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFront(1)
+
+			for _, v := range f.Servers.Views("records", time.Now(), 0) {
+				err := c.err
+				if err != nil {
+					err = carobward.NewFailure(carobward.Unknown, fasthttp.StatusBadGateway, 0, errors.Annotate(err, "link"))
+				}
+
+				f.noteNewConn("records", v.Server.Backend(), c.held, err)
+			}
+
+			if got := f.reach.NewConnsBreak("records"); got != c.want {
+				t.Errorf("new connections break: %v", got)
+			}
+		})
+	}
+}
