Heartbeats: a peer that replies after the own state changed is told of it at once

It greets the others as it starts and announces itself as ready to those that it has heard from. One whose reply arrives after that had the greeting only, until the next heartbeat, up to a second later. Callers' lookups leave such an entry VM out, too.

Ruled out: late answers to the question whether it takes requests (none in the log).

Change: within a heartbeat's interval after a change of state, a peer that is heard from for the first time gets a heartbeat; one datagram for each of them, once a start.

TestReadyBeforeReplies fails without it.

--- a/internal/cwmesh/fleet_test.go
+++ b/internal/cwmesh/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -208,3 +209,40 @@
 		})
 	}
 }
+
+// TestReadyBeforeReplies lets an entry VM become ready after it has greeted the others and before
+// their replies arrive. All must know it as ready long before its next heartbeats.
+func TestReadyBeforeReplies(t *testing.T) {
+	t.Parallel()
+
+	const (
+		vms   = 40
+		delay = 100 * time.Millisecond
+	)
+
+	s := newSim(1, vms)
+	s.run(2*simFormTime, nil)
+
+	late := s.vms[simDomains] // Of the failure domain of the first seed.
+	late.stop()
+	s.run(keepTime+time.Second, nil)
+
+	late.onStart = func(v *simVM) {
+		v.mesh.state.Store(uint32(Starting))
+		v.nextRound = s.now.Add(heartbeatInterval)
+	}
+	late.startAt = s.now.Add(simStep)
+	s.run(simStep, nil)
+	late.mesh.SetState(Ready)
+	s.run(delay, nil)
+
+	for _, v := range s.vms {
+		if v == late || v.node.Domain != late.node.Domain {
+			continue
+		}
+
+		if !slices.ContainsFunc(v.mesh.Table.Live(s.now), func(p Peer) bool { return p.ID == late.node.ID && p.State == Ready }) {
+			t.Errorf("%s does not know that %s is ready", v.node.ID, late.node.ID)
+		}
+	}
+}
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -88,10 +88,12 @@
 	conn    net.PacketConn
 	clients *cwpeer.Clients
 	// call requests changes from a peer.
-	call      func(ctx context.Context, peer carobward.Address, in *cwwire.ChangesRequest, out *cwwire.ChangesReply) error
-	state     atomic.Uint32
-	storeDown atomic.Bool
-	rate      atomic.Int64
+	call  func(ctx context.Context, peer carobward.Address, in *cwwire.ChangesRequest, out *cwwire.ChangesReply) error
+	state atomic.Uint32
+	// stateSince is when the state last changed, in Unix nanoseconds, or 0.
+	stateSince atomic.Int64
+	storeDown  atomic.Bool
+	rate       atomic.Int64
 	// sendsFar is set if the next heartbeat also goes to the other failure domains,
 	// relayPending if an update from one of them has yet to be passed on in this one.
 	sendsFar     atomic.Bool
@@ -166,10 +168,19 @@
 // SetState sets whether this entry VM takes callers, and announces it to the peers at once.
 func (m *Mesh) SetState(s State) {
 	if m.state.Swap(uint32(s)) != uint32(s) {
+		m.stateSince.Store(m.Clock.Now().UnixNano())
 		m.HeartbeatDomain()
 	}
 }
 
+// hasNewState reports whether the state changed so lately that a peer that was greeted before that
+// has not had another heartbeat since.
+func (m *Mesh) hasNewState(now time.Time) bool {
+	since := m.stateSince.Load()
+
+	return since != 0 && now.Sub(time.Unix(0, since)) < heartbeatInterval
+}
+
 // State returns whether this entry VM takes callers.
 func (m *Mesh) State() State { return State(m.state.Load()) }
 
--- a/internal/cwmesh/receive.go
+++ b/internal/cwmesh/receive.go
@@ -78,18 +78,22 @@
 		m.removeSeed(p.Peers)
 	}
 
-	known := true
+	known, first := true, false
 
 	if m.isOtherDomain(p.Domain) {
 		m.Table.recordContact(p.Node)
 	} else {
+		first = m.hasNewState(now) && m.Table.neverSeen(p.ID)
 		known = m.Table.updatePeer(p)
 	}
 
 	m.addNamed(b, p.Domain, now)
 
-	if !known || b.GetAsk() || b.GetList() {
+	switch {
+	case !known || b.GetAsk() || b.GetList():
 		m.reply(from, b, !known)
+	case first: // The state was announced to those that had been heard from.
+		m.write(m.encode(m.heartbeat(now)), carobward.Address(from.String()))
 	}
 
 	if notices := decodeNotices(b, now); len(notices.Limits)+len(notices.Leaving) > 0 {
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -146,6 +146,16 @@
 	return true
 }
 
+// neverSeen reports whether an entry VM of this failure domain was never heard from.
+func (t *Table) neverSeen(id carobward.VMID) bool {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+
+	p := t.peers[id]
+
+	return p == nil || p.neverSeen()
+}
+
 // addPeer adds an entry VM that a peer named. It counts as alive only after its own
 // heartbeat. It reports whether the entry VM is new.
 func (t *Table) addPeer(n Node) bool {
