Tests of cwmesh: those that simulate fleets run beside each other

It needs 256 s on one core under the race detector, and tests that are marked as parallel begin only when all others have ended.

No test, size, seed or bound changed.

--- a/internal/cwmesh/checked_test.go
+++ b/internal/cwmesh/checked_test.go
@@ -262,6 +262,8 @@
 // TestAgeWithoutStore takes the store down: what entry VMs know of it has to age as fast as time passes,
 // however often they pass claims on to each other.
 func TestAgeWithoutStore(t *testing.T) {
+	t.Parallel()
+
 	const (
 		vms   = 125
 		quiet = 8 * time.Second
--- a/internal/cwmesh/fleet_test.go
+++ b/internal/cwmesh/fleet_test.go
@@ -23,6 +23,8 @@
 // knows its failure domain, the sizes of the others and a fleet size for budgets that is not
 // too small.
 func TestFleet(t *testing.T) {
+	t.Parallel()
+
 	for name, c := range map[string]struct {
 		vms  int
 		loss float64
@@ -122,6 +124,8 @@
 // TestFleetAlive checks that with packet loss no live entry VM counts as dead in its failure
 // domain for more than two heartbeats.
 func TestFleetAlive(t *testing.T) {
+	t.Parallel()
+
 	s := newSim(2, 50)
 	s.run(2*simFormTime, nil)
 
@@ -144,6 +148,8 @@
 // TestFleetStoreAnswer checks that an answer of the store to one entry VM is known to all others
 // at once, also with packet loss, and with few packets between failure domains.
 func TestFleetStoreAnswer(t *testing.T) {
+	t.Parallel()
+
 	for name, loss := range map[string]float64{"no loss": 0, "packet loss": 0.03} {
 		t.Run(name, func(t *testing.T) {
 			const (
@@ -185,6 +191,8 @@
 // TestFleetPackets checks that the packets an entry VM sends between failure domains don't
 // grow with the fleet, and that the packets it sends in all grow only with its failure domain.
 func TestFleetPackets(t *testing.T) {
+	t.Parallel()
+
 	const seconds = 3
 
 	for _, count := range []int{25, 100} {
--- a/internal/cwmesh/limit_test.go
+++ b/internal/cwmesh/limit_test.go
@@ -38,6 +38,8 @@
 // whole failure domain within two heartbeats, also with packet loss, and to a newcomer as soon
 // as it knows the others. A rate that is not a finite number is a limit that can't be read.
 func TestFleetLimits(t *testing.T) {
+	t.Parallel()
+
 	for name, c := range map[string]struct {
 		announced, want carobward.Limit
 		loss            float64
--- a/internal/cwmesh/load_test.go
+++ b/internal/cwmesh/load_test.go
@@ -76,6 +76,8 @@
 // TestFleetLoad checks that each entry VM knows the load of services in all failure domains,
 // also with losses, cuts and restarts, and that nothing old is used.
 func TestFleetLoad(t *testing.T) {
+	t.Parallel()
+
 	for name, c := range map[string]struct {
 		vms  int
 		loss float64
@@ -120,6 +122,8 @@
 // TestLoadAge checks that the load of another failure domain has the age at which it was
 // measured there, and is left out once it is old.
 func TestLoadAge(t *testing.T) {
+	t.Parallel()
+
 	// transit is how much younger a summary looks that has passed two entry VMs of each failure
 	// domain: the age in a message leaves out its time on the way.
 	const transit = 2 * simDomains * simStep
--- a/internal/cwmesh/lost_history_test.go
+++ b/internal/cwmesh/lost_history_test.go
@@ -409,6 +409,8 @@
 // TestShortLossHistory verifies that a loss of tenths of a second at many entry VMs is told to
 // nobody.
 func TestShortLossHistory(t *testing.T) {
+	t.Parallel()
+
 	h := newPathHistory(1, 60)
 	h.play(2 * simFormTime)
 
--- a/internal/cwmesh/restore_test.go
+++ b/internal/cwmesh/restore_test.go
@@ -402,6 +402,8 @@
 // TestEraListCalls brings a fleet with many servers into an era in which few keys changed, and
 // checks that few entry VMs list all keys.
 func TestEraListCalls(t *testing.T) {
+	t.Parallel()
+
 	const (
 		vms = 127
 		// maxLists is how many may list before the first answer reaches them: here all are due at
