Lists of peers are sorted by pointers, and a sample of them not at all

By its profile, a fifth of the time went to copying and sorting peers, values of a quarter of a kilobyte: for a sample that is shuffled right after, for the summary in each reply to an entry VM that starts, and for contacts that are moved to the end of their list. Pointers are sorted now, the sample is not, the own rank is computed once for a summary. The same saves processor time where a fleet starts.

No decision, test, size or bound changed.

--- a/internal/cwmesh/domain.go
+++ b/internal/cwmesh/domain.go
@@ -72,8 +72,12 @@
 
 // touchContact makes an entry VM the newest contact; the table's mutex must be held.
 func (o *otherDomain) touchContact(n Node) {
-	o.contacts = slices.DeleteFunc(o.contacts, func(c Node) bool { return c.ID == n.ID })
-	if len(o.contacts) >= maxContacts {
+	at := slices.IndexFunc(o.contacts, func(c Node) bool { return c.ID == n.ID })
+
+	switch {
+	case at >= 0:
+		o.contacts = slices.Delete(o.contacts, at, at+1)
+	case len(o.contacts) >= maxContacts:
 		o.contacts = slices.Delete(o.contacts, 0, 1)
 	}
 
@@ -124,9 +128,9 @@
 func (t *Table) Summary(now time.Time, own Peer) Summary {
 	s := Summary{Domain: t.self.Domain, Made: now, Size: t.recentDomainSize(now), Rate: own.Rate}
 
-	var ready []Peer
+	var ready []*Peer
 
-	add := func(p Peer) {
+	add := func(p *Peer) {
 		if p.State == Leaving {
 			return
 		}
@@ -143,11 +147,13 @@
 	}
 
 	own.Node = t.self
-	add(own)
+	own.rank = own.Rank() // Computed once, not at each comparison.
+	add(&own)
 
-	for _, p := range t.Live(now) {
-		s.Rate += p.Rate
-		add(p)
+	live := t.Live(now)
+	for i := range live {
+		s.Rate += live[i].Rate
+		add(&live[i])
 	}
 
 	s.Nodes, s.Lost = pickNodes(ready)
@@ -158,13 +164,13 @@
 // pickNodes returns the entry VMs that a summary names: the first by rank that the store
 // serves, and a random sample of the others, from those that reach all services if there are
 // any. It also returns which of them do not.
-func pickNodes(ready []Peer) ([]Node, []carobward.VMID) {
-	slices.SortFunc(ready, func(a, b Peer) int {
+func pickNodes(ready []*Peer) ([]Node, []carobward.VMID) {
+	slices.SortFunc(ready, func(a, b *Peer) int {
 		return cmp.Or(cwrank.CompareBool(a.StoreDown, b.StoreDown), cmp.Compare(a.Rank(), b.Rank()))
 	})
 
 	first := min(rankedNodes, len(ready))
-	rest := slices.DeleteFunc(slices.Clone(ready[first:]), func(p Peer) bool { return p.Lost.Any() })
+	rest := slices.DeleteFunc(slices.Clone(ready[first:]), func(p *Peer) bool { return p.Lost.Any() })
 
 	if len(rest) == 0 {
 		rest = ready[first:]
--- a/internal/cwmesh/lost_test.go
+++ b/internal/cwmesh/lost_test.go
@@ -85,7 +85,12 @@
 		"none takes callers": {nil, 0, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
-			nodes, gone := pickNodes(c.ready)
+			var ready []*Peer
+			for i := range c.ready {
+				ready = append(ready, &c.ready[i])
+			}
+
+			nodes, gone := pickNodes(ready)
 			slices.Sort(gone)
 
 			if diff := cmp.Diff(c.lost, gone); diff != "" || len(nodes) != c.named {
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -196,15 +196,16 @@
 	return t.filter(func(p *Peer) bool { return now.Sub(p.LastSeen) < liveTimeout })
 }
 
-func byID(a, b Peer) int { return cmp.Compare(a.ID, b.ID) }
+func byID(a, b *Peer) int { return cmp.Compare(a.ID, b.ID) }
 
 // sampleLive returns up to n live peers of this failure domain, drawn at random.
 func (t *Table) sampleLive(now time.Time, n int) []Peer {
 	t.mutex.RLock()
-	list := t.filter(func(p *Peer) bool { return now.Sub(p.LastSeen) < liveTimeout && !p.neverSeen() })
-	t.mutex.RUnlock()
+	defer t.mutex.RUnlock()
 
-	return sample(list, n)
+	list := t.matching(func(p *Peer) bool { return now.Sub(p.LastSeen) < liveTimeout && !p.neverSeen() })
+
+	return copyPeers(sample(list, n))
 }
 
 // sampleNeverSeen returns up to n peers that were only named by others, drawn at random.
@@ -240,19 +241,35 @@
 // filter returns the peers for which want returns true, in the order of their names;
 // t.mutex must be held.
 func (t *Table) filter(want func(*Peer) bool) []Peer {
-	list := make([]Peer, 0, len(t.peers))
+	list := t.matching(want)
+	slices.SortFunc(list, byID)
+
+	return copyPeers(list)
+}
+
+// matching returns the peers for which want returns true, in any order; t.mutex must be held, also
+// while the result is used.
+func (t *Table) matching(want func(*Peer) bool) []*Peer {
+	list := make([]*Peer, 0, len(t.peers))
 
 	for _, p := range t.peers {
 		if want(p) {
-			list = append(list, *p)
+			list = append(list, p)
 		}
 	}
 
-	slices.SortFunc(list, byID)
-
 	return list
 }
 
+func copyPeers(list []*Peer) []Peer {
+	peers := make([]Peer, 0, len(list))
+	for _, p := range list {
+		peers = append(peers, *p)
+	}
+
+	return peers
+}
+
 // recipients returns the peers that get heartbeats: those heard from within keepTime,
 // and for nearly as long those that were named and never heard from. It deletes the others.
 func (t *Table) recipients(now time.Time) []Peer {
