--- a/internal/cwlink/held_conn.go
+++ b/internal/cwlink/held_conn.go
@@ -47,19 +47,14 @@
 // HasRecent reports whether HoldRecent would return a connection. Another call may change that
 // right after.
 func (l *Link) HasRecent(to carobward.Address, age time.Duration) bool {
-	l.mutex.RLock()
-	p := l.pools[to]
-	l.mutex.RUnlock()
+	p := l.knownPool(to)
 
 	return p != nil && p.hasRecent(l.clock.Now(), age, l.idleLimits())
 }
 
 // HoldRecent returns an idle connection to a server that carried a reply at most an age ago, or nil.
 func (l *Link) HoldRecent(to carobward.Address, age time.Duration) *HeldConn {
-	l.mutex.RLock()
-	p := l.pools[to]
-	l.mutex.RUnlock()
-
+	p := l.knownPool(to)
 	if p == nil {
 		return nil
 	}
@@ -75,10 +70,7 @@
 // ConnState reports whether there is a usable idle connection to a server, and else whether
 // there are connections that are all in use. Another call may change that right after.
 func (l *Link) ConnState(to carobward.Address) (idle, inUse bool) {
-	l.mutex.RLock()
-	p := l.pools[to]
-	l.mutex.RUnlock()
-
+	p := l.knownPool(to)
 	if p == nil {
 		return false, false
 	}
--- a/internal/cwlink/link.go
+++ b/internal/cwlink/link.go
@@ -181,6 +181,15 @@
 	l.Retain(keepNone)
 }
 
+// knownPool returns the pool of a server, or nil if there is none.
+func (l *Link) knownPool(to carobward.Address) *pool {
+	l.mutex.RLock()
+	defer l.mutex.RUnlock()
+
+	return l.pools[to]
+}
+
+// pool returns the pool of a server, and creates it on first use.
 func (l *Link) pool(to carobward.Address) (*pool, error) {
 	l.mutex.RLock()
 	p, closed := l.pools[to], l.closed
