Unchecked requests use a new connection only where new ones are known to be answered

And on a busy machine more than 150 ms pass between replies: then a request that may not be repeated got a new connection, which nothing had shown to work.

Change: a connection that carried a reply in the last 150 ms, else an idle one for requests that may be repeated, else a new one if a server answered over a new one in the last 150 ms or no other entry VM is known. Otherwise the request is passed on, or waits for a health check.

--- a/internal/cwfront/candidate.go
+++ b/internal/cwfront/candidate.go
@@ -14,7 +14,8 @@
 	// uncheckedWidth is how many servers are compared if no health check may be made.
 	uncheckedWidth = 3
 	// recentConnAge is how old the last reply over a connection may be for a request that may not
-	// be repeated to use it unchecked: well below the idle timeouts of servers.
+	// be repeated to use it unchecked, and over a new one for it to use another new one: well below
+	// the idle timeouts of servers.
 	recentConnAge = 150 * time.Millisecond
 	// minCheckTimeout is how long to wait for health checks if servers answer them
 	// quickly: several round trips between failure domains, and a new connection. For
@@ -65,7 +66,7 @@
 	f := r.front
 	now := f.Clock.Now()
 	views := r.allowedServers(f.Servers.Views(r.service, now, r.usualTime()))
-	r.availableAt, r.newConnsBreak = cwbackend.NextAvailable(views), false
+	r.availableAt, r.connUnproven = cwbackend.NextAvailable(views), false
 
 	for i := range views {
 		views[i].Idle, views[i].InUse = f.Link.ConnState(views[i].Address)
@@ -103,36 +104,54 @@
 }
 
 // chooseUnchecked returns the best server by what is known without a health check, for
-// when the rate limit allows none. It returns nil if no server has room.
+// when the rate limit allows none. It returns nil if no server has room, or if the request would
+// need a new connection that may break.
 func (r *request) chooseUnchecked(ctx context.Context, views []cwbackend.View, tried map[*cwbackend.Server]bool) *candidate {
-	if r.route.Idempotent {
-		return r.holdUnchecked(ctx, r.bestUnchecked(views, tried), false)
-	}
+	link := r.front.Link
 
-	// If a write fails on a connection that was idle, it is unknown whether the request ran. So a
-	// request that may not be repeated gets one that carried a reply just now, or a new one.
-	if c := r.bestUnchecked(r.recentlyUsed(views), tried); c != nil {
-		if c.held = r.front.Link.HoldRecent(c.view.Address, recentConnAge); c.held != nil {
+	recent := filterViews(views, func(v *cwbackend.View) bool { return !v.Blocked && link.HasRecent(v.Address, recentConnAge) })
+	if c := r.bestUnchecked(recent, tried); c != nil {
+		if c.held = link.HoldRecent(c.view.Address, recentConnAge); c.held != nil {
 			return c
 		}
 	}
 
-	if r.front.reach.NewConnsBreak(r.service) {
-		r.newConnsBreak = true
+	// If a write fails on a connection that was idle for longer, it is unknown whether the request
+	// ran. So one that may not be repeated gets a new connection.
+	if r.route.Idempotent {
+		idle := filterViews(views, func(v *cwbackend.View) bool { return !v.Blocked && v.Idle })
+		if c := r.holdUnchecked(ctx, r.bestUnchecked(idle, tried)); c != nil {
+			return c
+		}
+	}
 
+	if r.connUnproven = r.mayBreak(); r.connUnproven {
 		return nil
 	}
 
-	return r.holdUnchecked(ctx, r.bestUnchecked(views, tried), true)
+	return r.holdUnchecked(ctx, r.bestUnchecked(views, tried))
+}
+
+// mayBreak reports whether a new connection to a server may break although it is established: new
+// ones do, or none was answered just now and another entry VM may know better.
+func (r *request) mayBreak() bool {
+	f := r.front
+	if f.reach.NewConnsBreak(r.service) {
+		return true
+	}
+
+	since := f.Clock.Now().Add(-recentConnAge)
+
+	return r.origin == "" && f.Relay != nil && f.FleetSize() > 1 && !f.reach.NewConnAnsweredSince(r.service, since)
 }
 
-// recentlyUsed returns the servers with an idle connection that carried a reply just now.
-func (r *request) recentlyUsed(views []cwbackend.View) []cwbackend.View {
+// filterViews returns the servers for which want returns true.
+func filterViews(views []cwbackend.View, want func(*cwbackend.View) bool) []cwbackend.View {
 	var list []cwbackend.View
 
 	for i := range views {
-		if v := &views[i]; v.Idle && !v.Blocked && r.front.Link.HasRecent(v.Address, recentConnAge) {
-			list = append(list, *v)
+		if want(&views[i]) {
+			list = append(list, views[i])
 		}
 	}
 
@@ -159,9 +178,9 @@
 	return best
 }
 
-// holdUnchecked gives a candidate a connection, a new one if fresh is set, and returns it. It
-// returns nil if there is none.
-func (r *request) holdUnchecked(ctx context.Context, c *candidate, fresh bool) *candidate {
+// holdUnchecked gives a candidate a connection, a new one if the request may not be repeated, and
+// returns it. It returns nil if there is none.
+func (r *request) holdUnchecked(ctx context.Context, c *candidate) *candidate {
 	if c == nil {
 		return nil
 	}
@@ -169,7 +188,7 @@
 	f := r.front
 	b, now := c.view.Server.Backend(), f.Clock.Now()
 
-	held, err := f.Link.Hold(ctx, b.Address, now.Add(maxCheckTime), fresh)
+	held, err := f.Link.Hold(ctx, b.Address, now.Add(maxCheckTime), !r.route.Idempotent)
 	if err != nil {
 		r.checkFailed(c.view.Server, b, now, err)
 
--- a/internal/cwfront/reach.go
+++ b/internal/cwfront/reach.go
@@ -57,7 +57,7 @@
 	}
 
 	switch known := f.Servers.CountOf(s); {
-	case err == nil && f.reach.NewConnAnswered(s):
+	case err == nil && f.reach.NewConnAnswered(s, f.Clock.Now()):
 		f.Log.Info("New connections to servers of the service are answered again.", "service", s, "server", b.Instance)
 	case err != nil && !cwframe.IsTimeout(err) && !errors.Is(err, net.ErrClosed) && f.reach.NewConnBroke(s, b.Instance, known):
 		f.Log.Info("New connections to servers of the service break.", "service", s, "server", b.Instance, "servers", known, "cause", err.Error())
@@ -153,12 +153,12 @@
 func (r *request) noteAnswer(s *cwbackend.Server) { r.front.serverAnswered(s.Backend().Service) }
 
 // unreached reports whether health checks for the request were made and no server answered
-// any, or whether none may be made and new connections break: the request lacks a path, which says
-// nothing about the room at servers.
+// any, or whether none may be made and no connection is known to work: the request may lack a path,
+// which says nothing about the room at servers.
 func (r *request) unreached() bool {
 	c := &r.checkCounts
 
-	return r.front.reach.Lost(r.service) || r.newConnsBreak || r.checks > 0 && c.answered == 0 && c.failed+c.late > 0
+	return r.front.reach.Lost(r.service) || r.connUnproven || r.checks > 0 && c.answered == 0 && c.failed+c.late > 0
 }
 
 // noServerFound returns the cause of the refusal of a request that found no server in time.
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -91,9 +91,9 @@
 	sends       int
 	checks      int
 	checkCounts checkCounts
-	// newConnsBreak reports that the last search found that no health check may be made, and that
-	// the new connection which the request needs would break.
-	newConnsBreak bool
+	// connUnproven reports that the last search could make no health check, and that the new
+	// connection that the request needs may break.
+	connUnproven bool
 	// roomNoted is set once it is known whether the request found room at first.
 	roomNoted bool
 	// availableAt is when the first server may get requests again, if warm-up, pauses or
--- a/internal/cwreach/reach.go
+++ b/internal/cwreach/reach.go
@@ -54,6 +54,8 @@
 	// broken has the servers whose new connections broke since one to any server was answered.
 	broken        map[carobward.Instance]bool
 	newConnsBreak bool
+	// newConnAnswered is when a server last answered over a new connection.
+	newConnAnswered time.Time
 	// claimed reports that peers are told of the loss, back is when the last loss ended, and
 	// probed when servers were last probed.
 	claimed bool
@@ -137,13 +139,13 @@
 
 // NewConnAnswered records that a server of a service answered over a new connection. It reports
 // whether new connections to the service broke until now.
-func (t *Tracker) NewConnAnswered(s carobward.Service) (changed bool) {
+func (t *Tracker) NewConnAnswered(s carobward.Service, now time.Time) (changed bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 
 	c := t.contact(s)
 	changed = c.newConnsBreak
-	c.newConnsBreak = false
+	c.newConnsBreak, c.newConnAnswered = false, now
 	clear(c.broken)
 
 	return changed
@@ -168,6 +170,17 @@
 	return true
 }
 
+// NewConnAnsweredSince reports whether a server of a service has answered over a new connection
+// since a time.
+func (t *Tracker) NewConnAnsweredSince(s carobward.Service, since time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	c := t.services[s]
+
+	return c != nil && !c.newConnAnswered.Before(since) && !c.newConnAnswered.IsZero()
+}
+
 // NewConnsBreak reports whether new connections to the servers of a service break, which says
 // nothing about open ones.
 func (t *Tracker) NewConnsBreak(s carobward.Service) bool {
--- a/internal/cwreach/reach_test.go
+++ b/internal/cwreach/reach_test.go
@@ -90,7 +90,7 @@
 
 			for _, server := range c.events {
 				if server == "" {
-					tracker.NewConnAnswered("records")
+					tracker.NewConnAnswered("records", at(0))
 				} else {
 					tracker.NewConnBroke("records", server, c.known)
 				}
@@ -104,6 +104,21 @@
 	}
 }
 
+// TestNewConnAnsweredSince verifies for how long an answer over a new connection counts.
+func TestNewConnAnsweredSince(t *testing.T) {
+	tracker := New()
+	if tracker.NewConnAnsweredSince("records", time.Time{}) {
+		t.Error("answered at first")
+	}
+
+	tracker.NewConnAnswered("records", at(10))
+
+	got := []bool{tracker.NewConnAnsweredSince("records", at(10)), tracker.NewConnAnsweredSince("records", at(11)), tracker.NewConnAnsweredSince("fees", at(10))}
+	if diff := cmp.Diff([]bool{true, false, false}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestLosses verifies what operators see of a loss, and that its end is reported once.
 func TestLosses(t *testing.T) {
 	tracker := New()
