Without health checks: a request for which no server has room is not passed on for want of a connection

Cause, likely: since a request asks for a proven connection before it is known whether any server has room, and is passed on.

--- a/internal/cwfront/candidate.go
+++ b/internal/cwfront/candidate.go
@@ -125,11 +125,16 @@
 		}
 	}
 
+	c := r.bestUnchecked(views, tried)
+	if c == nil {
+		return nil
+	}
+
 	if r.connUnproven = r.mayBreak(); r.connUnproven {
 		return nil
 	}
 
-	return r.holdUnchecked(ctx, r.bestUnchecked(views, tried))
+	return r.holdUnchecked(ctx, c)
 }
 
 // mayBreak reports whether a new connection to a server may break although it is established: new
--- a/internal/cwgateway/quarantine_test.go
+++ b/internal/cwgateway/quarantine_test.go
@@ -303,7 +303,10 @@
 	servers := newCrashingServers(t, f, 2, isPoison)
 	f.configure(unsafeRoute())
 
-	v := f.start(t, "vm-1", func(o *cwgateway.Options) { o.Clock = &clock })
+	v := f.start(t, "vm-1", func(o *cwgateway.Options) {
+		o.Clock = &clock
+		startedLongAgo(o)
+	})
 	v.waitReady(t)
 
 	for i := 0; len(v.quarantined()) == 0; i++ {
