Unchecked requests: the clock is read once for all servers, not for each

In reading: where no health check may be made, a request asked of each server of the service how old the last reply over its connection is, and read the clock each time. The time since which a reply counts is passed now, and only servers with an idle connection are asked.

--- a/internal/cwfront/candidate.go
+++ b/internal/cwfront/candidate.go
@@ -108,10 +108,11 @@
 // need a new connection that may break.
 func (r *request) chooseUnchecked(ctx context.Context, views []cwbackend.View, tried map[*cwbackend.Server]bool) *candidate {
 	link := r.front.Link
+	since := r.front.Clock.Now().Add(-recentConnAge)
 
-	recent := filterViews(views, func(v *cwbackend.View) bool { return !v.Blocked && link.HasRecent(v.Address, recentConnAge) })
+	recent := filterViews(views, func(v *cwbackend.View) bool { return v.Idle && !v.Blocked && link.HasRecent(v.Address, since) })
 	if c := r.bestUnchecked(recent, tried); c != nil {
-		if c.held = link.HoldRecent(c.view.Address, recentConnAge); c.held != nil {
+		if c.held = link.HoldRecent(c.view.Address, since); c.held != nil {
 			return c
 		}
 	}
@@ -130,24 +131,22 @@
 		return nil
 	}
 
-	if r.connUnproven = r.mayBreak(); r.connUnproven {
+	if r.connUnproven = r.newConnMayBreak(since); r.connUnproven {
 		return nil
 	}
 
 	return r.holdUnchecked(ctx, c)
 }
 
-// mayBreak reports whether a new connection to a server may break although it is established: new
-// ones do, or none was answered just now and another entry VM may know better.
-func (r *request) mayBreak() bool {
+// newConnMayBreak reports whether a new connection to a server may break after it is established:
+// new ones do, or none was answered since a time and another entry VM may know better.
+func (r *request) newConnMayBreak(since time.Time) bool {
 	f := r.front
 	if f.reach.NewConnsBreak(r.service) {
 		return true
 	}
 
-	since := f.Clock.Now().Add(-recentConnAge)
-
-	return r.origin == "" && f.Relay != nil && f.FleetSize() > 1 && !f.reach.NewConnAnsweredSince(r.service, since)
+	return r.origin == "" && f.Relay != nil && !f.reach.NewConnAnsweredSince(r.service, since) && f.FleetSize() > 1
 }
 
 // filterViews returns the servers for which want returns true.
--- a/internal/cwlink/held_conn.go
+++ b/internal/cwlink/held_conn.go
@@ -44,22 +44,22 @@
 	return &HeldConn{link: l, pool: p, conn: c, reusable: true, reused: !c.lastUsed.IsZero()}, nil
 }
 
-// HasRecent reports whether HoldRecent would return a connection. Another call may change that
-// right after.
-func (l *Link) HasRecent(to carobward.Address, age time.Duration) bool {
+// HasRecent reports whether the idle connection to a server that was used last carried a reply since
+// a time. ConnState tells whether it is usable.
+func (l *Link) HasRecent(to carobward.Address, since time.Time) bool {
 	p := l.knownPool(to)
 
-	return p != nil && p.hasRecent(l.clock.Now(), age, l.idleLimits())
+	return p != nil && p.hasRecent(since)
 }
 
-// HoldRecent returns an idle connection to a server that carried a reply at most an age ago, or nil.
-func (l *Link) HoldRecent(to carobward.Address, age time.Duration) *HeldConn {
+// HoldRecent returns an idle connection to a server that carried a reply since a time, or nil.
+func (l *Link) HoldRecent(to carobward.Address, since time.Time) *HeldConn {
 	p := l.knownPool(to)
 	if p == nil {
 		return nil
 	}
 
-	c := p.takeRecent(l.clock.Now(), age, l.idleLimits())
+	c := p.takeRecent(since, l.clock.Now(), l.idleLimits())
 	if c == nil {
 		return nil
 	}
--- a/internal/cwlink/pool.go
+++ b/internal/cwlink/pool.go
@@ -77,11 +77,11 @@
 	}
 }
 
-// takeRecent returns the most recently used idle connection if it carried a reply at most an age
-// ago, is still open and has no unread bytes, or nil.
-func (p *pool) takeRecent(now time.Time, age time.Duration, limits idleLimits) *conn {
+// takeRecent returns the most recently used idle connection if it carried a reply since a time, is
+// usable, still open and has no unread bytes, or nil.
+func (p *pool) takeRecent(since, now time.Time, limits idleLimits) *conn {
 	for {
-		c := p.popRecent(now, age, limits)
+		c := p.popRecent(since, now, limits)
 		if c == nil || cwsocket.Peek(c.Conn) == cwsocket.Idle {
 			return c
 		}
@@ -90,31 +90,30 @@
 	}
 }
 
-func (p *pool) popRecent(now time.Time, age time.Duration, limits idleLimits) *conn {
+func (p *pool) popRecent(since, now time.Time, limits idleLimits) *conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	if !p.lastRecent(now, age, limits) {
+	if !p.lastRecent(since) || !p.idle[len(p.idle)-1].usable(now, limits) {
 		return nil
 	}
 
 	return p.popIdle()
 }
 
-// hasRecent reports whether the most recently used idle connection carried a reply at most an age
-// ago.
-func (p *pool) hasRecent(now time.Time, age time.Duration, limits idleLimits) bool {
+// hasRecent reports whether the most recently used idle connection carried a reply since a time.
+func (p *pool) hasRecent(since time.Time) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	return p.lastRecent(now, age, limits)
+	return p.lastRecent(since)
 }
 
 // lastRecent is hasRecent; p.mutex must be held.
-func (p *pool) lastRecent(now time.Time, age time.Duration, limits idleLimits) bool {
+func (p *pool) lastRecent(since time.Time) bool {
 	last := len(p.idle) - 1
 
-	return last >= 0 && now.Sub(p.idle[last].lastReply) <= age && p.idle[last].usable(now, limits)
+	return last >= 0 && !p.idle[last].lastReply.Before(since)
 }
 
 // popIdle removes the most recently used idle connection; p.mutex must be held and there must be
--- a/internal/cwlink/pool_test.go
+++ b/internal/cwlink/pool_test.go
@@ -305,8 +305,9 @@
 	check := func(when string, want bool) {
 		t.Helper()
 
-		has := l.HasRecent(s.Address(), age)
-		h := l.HoldRecent(s.Address(), age)
+		since := time.Now().Add(-age)
+		has := l.HasRecent(s.Address(), since)
+		h := l.HoldRecent(s.Address(), since)
 
 		if h != nil {
 			h.Release()
@@ -338,7 +339,7 @@
 		_ = c.Close()
 	}
 
-	if h := l.HoldRecent(s.Address(), age); h != nil {
+	if h := l.HoldRecent(s.Address(), time.Now().Add(-age)); h != nil {
 		t.Error("got a closed connection")
 	}
 }
