The size of the fleet is counted without a list of its entry VMs

In reading: each decision on an extra call made a list of the peers of the failure domain for its length. What is counted and kept is the same.

--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -321,16 +321,43 @@
 	list := make([]carobward.VMID, 0, len(t.peers))
 
 	for id, p := range t.peers {
-		if p.LastSeen.IsZero() || now.Sub(p.LastSeen) < keepTime {
+		if p.isRecent(now) {
 			list = append(list, id)
 		}
 	}
 
-	if n := 1 + len(list); n >= t.domainSize || now.Sub(t.domainSizeAt) > keepTime {
+	return list, t.updateDomainSize(1+len(list), now)
+}
+
+// largestDomainSize returns the size that RecentPeers returns.
+func (t *Table) largestDomainSize(now time.Time) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	n := 1
+
+	for _, p := range t.peers {
+		if p.isRecent(now) {
+			n++
+		}
+	}
+
+	return t.updateDomainSize(n, now)
+}
+
+// isRecent reports whether a peer was heard from or named within keepTime.
+func (p *Peer) isRecent(now time.Time) bool {
+	return p.LastSeen.IsZero() || now.Sub(p.LastSeen) < keepTime
+}
+
+// updateDomainSize records the current size of this failure domain and returns the largest recent
+// one; t.mutex must be held.
+func (t *Table) updateDomainSize(n int, now time.Time) int {
+	if n >= t.domainSize || now.Sub(t.domainSizeAt) > keepTime {
 		t.domainSize, t.domainSizeAt = n, now
 	}
 
-	return list, t.domainSize
+	return t.domainSize
 }
 
 // Size returns the number of entry VMs by which a budget is divided: the largest
@@ -378,7 +405,7 @@
 // fleetSize returns the recent number of entry VMs of this failure domain, and that of the whole
 // fleet. A failure domain of unknown size counts as large as this one.
 func (t *Table) fleetSize(domains []carobward.Domain, now time.Time) (near, all int) {
-	_, near = t.RecentPeers(now)
+	near = t.largestDomainSize(now)
 
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
--- a/internal/cwquota/quota.go
+++ b/internal/cwquota/quota.go
@@ -140,7 +140,8 @@
 	bounds Bounds
 	teams  map[carobward.TeamName]*team
 	// answered counts this entry VM's answers as an owner, returned the unused tokens that
-	// its own requests gave back, expired those that it requested in advance in vain.
+	// its own requests gave back, expired those that it requested in advance and did not
+	// use in time, or that more requested in advance replaced.
 	answered counts
 	returned int64
 	expired  int64
