TestRelayTeam waits for what is still held in place of a pause

In reading: the test slept for as long as tokens requested in advance may be used. A metric of those (quota/held) tells when none is left, on any machine.

--- a/internal/cwgateway/quota.go
+++ b/internal/cwgateway/quota.go
@@ -47,6 +47,7 @@
 	gauge("beyond", func(s *cwquota.Status) int64 { return int64(len(s.Beyond)) })
 	gauge("reserved", func(s *cwquota.Status) int64 { return int64(s.Reserved) })
 	gauge("returned", func(s *cwquota.Status) int64 { return s.Returned })
+	gauge("held", func(s *cwquota.Status) int64 { return s.Held })
 	gauge("expired", func(s *cwquota.Status) int64 { return s.Expired })
 
 	for c := range cwreserve.Classes {
--- a/internal/cwgateway/relay_test.go
+++ b/internal/cwgateway/relay_test.go
@@ -154,17 +154,11 @@
 	}
 }
 
-// used returns the number of tokens that the owners of quotas have granted and requests have used,
-// once none that was requested in advance is left.
-func (p *pathFleet) used(t *testing.T) int {
+// quotaMetric returns the sum of the metrics of quotas whose names begin so, over all entry VMs.
+func (p *pathFleet) quotaMetric(t *testing.T, prefix string) int {
 	t.Helper()
 
-	// prefetched is for how long tokens that were requested in advance may be used.
-	const prefetched = 200 * time.Millisecond
-
-	time.Sleep(prefetched)
-
-	granted, expired := 0, 0
+	n := 0
 
 	for _, v := range p.vms {
 		var all struct {
@@ -176,14 +170,23 @@
 		}
 
 		for name, value := range all.Quota {
-			if strings.HasPrefix(name, "granted") {
-				granted += value
+			if strings.HasPrefix(name, prefix) {
+				n += value
 			}
 		}
-
-		expired += all.Quota["expired"]
 	}
 
+	return n
+}
+
+// usedTokens returns the number of tokens that the owners of quotas have granted and requests have
+// used, once none that was requested in advance is left.
+func (p *pathFleet) usedTokens(t *testing.T) int {
+	t.Helper()
+
+	cwtest.Wait(t, "tokens to expire", func() bool { return p.quotaMetric(t, "held") == 0 })
+
+	granted, expired := p.quotaMetric(t, "granted"), p.quotaMetric(t, "expired")
 	t.Logf("%d tokens granted, %d of them expired", granted, expired)
 
 	return granted - expired
@@ -207,7 +210,7 @@
 		return v.sendWithFields(readPath, "first", bearer(clubKey)).status == http.StatusOK && len(p.status(v).Lost) > 0
 	})
 
-	before := p.used(t)
+	before := p.usedTokens(t)
 	forged := cwrelay.Request{VM: "vm-1", Service: "records", ID: "forged", Team: "pilots", Left: time.Second}
 
 	for i := range requests {
@@ -219,7 +222,7 @@
 		}
 	}
 
-	if got := p.used(t) - before; got != requests {
+	if got := p.usedTokens(t) - before; got != requests {
 		t.Errorf("%d tokens for %d requests", got, requests)
 	}
 
--- a/internal/cwquota/status.go
+++ b/internal/cwquota/status.go
@@ -33,8 +33,9 @@
 	Granted, Refused [cwreserve.Classes]int64
 	// Returned counts the unused tokens that requests at this entry VM gave back.
 	Returned int64
-	// Expired counts the tokens that this entry VM requested in advance and did not use in time.
-	Expired int64
+	// Held is the number of tokens that this entry VM requested in advance and may still use,
+	// Expired counts those that it did not use in time.
+	Held, Expired int64
 	// Beyond are the teams of whose requests this entry VM's bucket recently refused some.
 	Beyond []carobward.TeamName
 	// Reserved is the number of tokens that the buckets of these teams reserve from the last
@@ -51,6 +52,7 @@
 
 	for name, t := range l.teams {
 		l.expired += int64(t.stock.dropExpired(now))
+		s.Held += int64(t.stock.prefetched)
 
 		if t.bucket != nil && t.bucket.Beyond(now) {
 			s.Beyond = append(s.Beyond, name)
