--- a/internal/lab/cwbench/replay_vm.go
+++ b/internal/lab/cwbench/replay_vm.go
@@ -27,6 +27,8 @@
 	// checks accumulate.
 	checksPerServer = 54
 	checkBurst      = 4
+	// checkStart is the number of seconds' worth of health checks that a process begins with.
+	checkStart = 0.5
 	// maxSends is the maximum number of sends of one attempt of a caller.
 	maxSends = 2
 	// extraShare and extraWindow limit extra calls: in each window, they may be a
@@ -109,7 +111,12 @@
 	}
 
 	perSecond := checksPerServer * float64(len(w.servers)) / float64(vms)
-	v.checks = rate.NewLimiter(rate.Limit(perSecond), int(checkBurst*perSecond)+cwpick.SampleSize)
+	burst := int(checkBurst*perSecond) + cwpick.SampleSize
+	v.checks = rate.NewLimiter(rate.Limit(perSecond), burst)
+	// A process that has run for some seconds has saved all that it may.
+	if started.After(w.now().Add(-checkBurst * time.Second)) {
+		v.checks.AllowN(started, burst-int(checkStart*perSecond))
+	}
 
 	v.extra = cwretry.NewWindow(cwretry.Limit{Share: extraShare, Burst: extraBurst, Span: extraWindow}, started, 0)
 	v.extraMin = extraFree * w.pattern.Rate / float64(vms)
