A request that no health check could be made for is not refused as one without a path

In reading: where the limit on health checks was used up and no connection was known to work, the refusal said that this entry VM reaches no server, and was counted so, though nothing had failed. It has a cause of its own now (TestNoServerFound).

--- a/internal/cwfront/reach.go
+++ b/internal/cwfront/reach.go
@@ -152,22 +152,28 @@
 // noteAnswer records the answer of a server to this request or to a health check for it.
 func (r *request) noteAnswer(s *cwbackend.Server) { r.front.serverAnswered(s.Backend().Service) }
 
-// unreached reports whether health checks for the request were made and no server answered
-// any, or whether none may be made and no connection is known to work: the request may lack a path,
-// which says nothing about the room at servers.
-func (r *request) unreached() bool {
+// unreached reports whether the request may lack a path, which says nothing about the room at
+// servers: none answers, or no health check may be made and no connection is known to work.
+func (r *request) unreached() bool { return r.connUnproven || r.unanswered() }
+
+// unanswered reports whether health checks for the request were made, or others before it, and no
+// server answered any.
+func (r *request) unanswered() bool {
 	c := &r.checkCounts
 
-	return r.front.reach.Lost(r.service) || r.connUnproven || r.checks > 0 && c.answered == 0 && c.failed+c.late > 0
+	return r.front.reach.Lost(r.service) || r.checks > 0 && c.answered == 0 && c.failed+c.late > 0
 }
 
 // noServerFound returns the cause of the refusal of a request that found no server in time.
 func (r *request) noServerFound() error {
-	if !r.unreached() {
+	switch {
+	case r.unanswered():
+		r.front.counts.Add(countUnreached, 1)
+
+		return ErrUnreached
+	case r.connUnproven:
+		return ErrUnchecked
+	default:
 		return ErrNoRoom
 	}
-
-	r.front.counts.Add(countUnreached, 1)
-
-	return ErrUnreached
 }
--- a/internal/cwfront/reach_test.go
+++ b/internal/cwfront/reach_test.go
@@ -136,3 +136,25 @@
 		})
 	}
 }
+
+// TestNoServerFound verifies the causes of refusals of requests that found no server in time.
+func TestNoServerFound(t *testing.T) {
+	for name, c := range map[string]struct {
+		request request
+		want    error
+	}{
+		"no room":                  {request{checks: 2, checkCounts: checkCounts{answered: 2, full: 2}}, ErrNoRoom},
+		"no answer":                {request{checks: 2, checkCounts: checkCounts{failed: 1, late: 1}}, ErrUnreached},
+		"no health check":          {request{connUnproven: true}, ErrUnchecked},
+		"no answer, then no check": {request{connUnproven: true, checks: 1, checkCounts: checkCounts{failed: 1}}, ErrUnreached},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := c.request
+			r.front = newFront(1)
+
+			if got := r.noServerFound(); !errors.Is(got, c.want) {
+				t.Errorf("%v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -25,6 +25,7 @@
 	ErrNoID             = errors.ConstError("the request has no id")
 	ErrNoRoom           = errors.ConstError("no server has room now")
 	ErrUnreached        = errors.ConstError("this entry VM reaches no server of the service now")
+	ErrUnchecked        = errors.ConstError("no health check may be made now, and no connection to a server is known to work")
 	ErrShort            = errors.ConstError("servers have too little room for the requests of all entry VMs now")
 	ErrRefused          = errors.ConstError("the server refused it, and no further send is allowed")
 	ErrNoServer         = errors.ConstError("no server of the service is known")
