--- a/review/standins/descriptors.go
+++ b/review/standins/descriptors.go
@@ -126,7 +126,7 @@
 			q.directories = append(q.directories, p.vms[(i+j)%3].at(portDirectory))
 		}
 
-		group.Go(func() { q.run(done, 3*time.Second, 1800*time.Millisecond) })
+		group.Go(func() { q.run(done, 3*time.Second, 1800*time.Millisecond, mix...) })
 	}
 
 	v := p.vms[0]
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(*play) bool{
 	"descriptors": descriptors,
 	"stop":        stop,
+	"memory":      memory,
 }
 
 // play is one run of a case.
--- a/review/standins/requester.go
+++ b/review/standins/requester.go
@@ -36,6 +36,8 @@
 
 	address string
 	reader  *bufio.Reader
+	// used is set once it has carried a request.
+	used bool
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -60,7 +62,8 @@
 
 	sent := time.Now()
 	_, err := io.WriteString(c, text+"\r\n"+body)
-	rec.add("sent", "id", id, "to", c.address, "route", rt.name, "path", path, "error", err)
+	rec.add("sent", "id", id, "to", c.address, "route", rt.name, "path", path, "kept", c.used, "error", err)
+	c.used = true
 
 	a, err := c.read(rt.method)
 	took := time.Since(sent).Milliseconds()
@@ -109,6 +112,8 @@
 	failed map[string]bool
 	// kept has the kept connections to directories, or is nil if none is kept.
 	kept map[string]*directory
+	// body is the body of its requests.
+	body string
 }
 
 // resolve asks for addresses if the last answer is too old. Without a new answer, the old one is
@@ -210,15 +215,17 @@
 
 	id := newID()
 
-	a, err := q.conn.exchange(q.rec, id, rt, rt.prefix+strings.ToLower(id[:2]), "", "")
+	a, err := q.conn.exchange(q.rec, id, rt, rt.prefix+strings.ToLower(id[:2]), "", q.body)
 	if err != nil || a.close {
 		q.drop()
 	}
 }
 
-// run sends requests until done is closed, each after a pause.
-func (q *requester) run(done <-chan struct{}, least, spread time.Duration) {
-	mix := []*route{&lookup, &lookup, &lookup, &reconcile, &reconcile, &charge}
+// mix has the routes of the site's requests, as often as they are used.
+var mix = []*route{&lookup, &lookup, &lookup, &reconcile, &reconcile, &charge}
+
+// run sends requests of some routes until done is closed, each after a pause.
+func (q *requester) run(done <-chan struct{}, least, spread time.Duration, mix ...*route) {
 	pause := rand.N(least + spread)
 
 	for {
--- a/review/standins/stop.go
+++ b/review/standins/stop.go
@@ -87,7 +87,7 @@
 			q.directories = append(q.directories, p.vms[(i+j)%machines].at(portDirectory))
 		}
 
-		group.Go(func() { q.run(done, 5*time.Second, 2*time.Second) })
+		group.Go(func() { q.run(done, 5*time.Second, 2*time.Second, mix...) })
 	}
 
 	time.Sleep(12 * time.Second)
--- a/review/standins/vm.go
+++ b/review/standins/vm.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -34,6 +35,8 @@
 	log            string
 	process        *exec.Cmd
 	ended          chan struct{}
+	// removed is set once the machine is lost for good.
+	removed atomic.Bool
 }
 
 // reserve finds a loopback network 127.N.0.0 that no other run uses.
