--- a/review/standins/stop.go
+++ b/review/standins/stop.go
@@ -62,12 +62,15 @@
 	p.store.put("op/config", siteConfig("00000007"))
 }
 
-// stop: all machines get SIGTERM, while requesters use the connections that they have kept.
+// stop: machines get SIGTERM in turn and start again, while requesters use the connections that they
+// have kept.
 func stop(p *play) bool {
 	const (
 		machines   = 2
 		requesters = 265
+		rounds     = 4
 		gap        = time.Second
+		round      = 17 * time.Second
 	)
 
 	p.site(16, 4)
@@ -87,60 +90,61 @@
 			q.directories = append(q.directories, p.vms[(i+j)%machines].at(portDirectory))
 		}
 
-		group.Go(func() { q.run(done, 5*time.Second, 2*time.Second, mix...) })
+		group.Go(func() { q.run(done, 4800*time.Millisecond, 1600*time.Millisecond, mix...) })
 	}
 
 	time.Sleep(12 * time.Second)
 
-	termed := time.Now()
-
-	if p.trouble {
+	for range rounds {
 		for _, v := range p.vms {
-			p.roll(v)
+			if p.trouble {
+				p.roll(v)
+			}
+
 			time.Sleep(gap)
 		}
+
+		time.Sleep(round)
 	}
 
-	time.Sleep(9 * time.Second)
 	close(done)
 	group.Wait()
 
-	return p.lost(termed)
+	return p.lost()
 }
 
 // lost reports whether LOST was broken: a request that was passed on to an upstream in the time of
 // planned work got no complete answer, and no excuse holds.
-func (p *play) lost(termed time.Time) bool {
+func (p *play) lost() bool {
 	const (
 		grace    = 6 * time.Second
-		lastPart = termedSlack
+		after    = time.Second
+		early    = 3 * time.Second
+		lastPart = grace * 5 / 6
 	)
 
-	sent, run, done := map[string]entry{}, map[string]entry{}, map[string]entry{}
+	sent, run, termed := map[string]entry{}, map[string]bool{}, map[string]time.Time{}
 	broken := 0
 
 	for _, e := range p.rec.list() {
 		id := e.fields["id"]
 
 		switch e.kind {
+		case "signal":
+			termed[e.fields["address"]] = e.at
 		case "sent":
 			sent[id] = e
 		case "run":
-			run[id] = e
-		case "done", "dropped":
-			done[id] = e
+			run[id] = true
 		case "cut":
-			s, passed := sent[id], false
-			if _, ok := run[id]; ok {
-				passed = true
-			}
-
-			after := s.at.Sub(termed)
-			excused := after <= 3*time.Second && e.at.Sub(termed) >= grace*5/6
+			s := sent[id]
+			from, ok := termed[s.fields["to"]]
+			sentAt, cutAt := s.at.Sub(from), e.at.Sub(from)
+			excused := sentAt <= early && cutAt >= lastPart
 
-			if passed && after > -lastPart && e.at.Sub(termed) <= grace+time.Second && !excused {
+			if ok && run[id] && cutAt <= grace+after && !excused {
 				broken++
-				p.rec.add("lost", "id", id, "sent", after.Milliseconds(), "cut", e.at.Sub(termed).Milliseconds())
+				p.rec.add("lost", "id", id, "route", s.fields["route"], "sent", sentAt.Milliseconds(), "cut", cutAt.Milliseconds())
 			}
 		}
 	}
@@ -149,5 +153,3 @@
 
 	return broken > 0
 }
-
-const termedSlack = 2 * time.Second
--- a/review/standins/vm.go
+++ b/review/standins/vm.go
@@ -158,7 +158,7 @@
 }
 
 func (v *vm) signal(rec *record, s syscall.Signal) {
-	rec.add("signal", "vm", v.name, "signal", s)
+	rec.add("signal", "vm", v.name, "address", v.at(portFront), "signal", s)
 	_ = v.process.Process.Signal(s)
 }
 
