--- a/review/standins/descriptors.go
+++ b/review/standins/descriptors.go
@@ -99,7 +99,7 @@
 func descriptors(p *play) bool {
 	const (
 		requesters = 2400
-		lonely     = 10 * time.Second
+		lonely     = 20 * time.Second
 		// calm is longer than recovery, contact and the 5 s after a press.
 		calm = 20 * time.Second
 	)
--- a/review/standins/memory.go
+++ b/review/standins/memory.go
@@ -68,9 +68,9 @@
 // that is left.
 func memory(p *play) bool {
 	const (
-		machines   = 3
-		requesters = 60
-		uploaders  = 10
+		machines   = 6
+		requesters = 150
+		uploaders  = 12
 		bundleMB   = 16
 		lonely     = 20 * time.Second
 	)
@@ -100,7 +100,7 @@
 	var group sync.WaitGroup
 
 	for i := range requesters {
-		q := &requester{rec: p.rec, zone: zones[i%machines], hold: 1, failed: map[string]bool{}}
+		q := &requester{rec: p.rec, zone: zones[i%len(zones)], hold: 1, failed: map[string]bool{}}
 		for j := range machines {
 			q.directories = append(q.directories, p.vms[(i+j)%machines].at(portDirectory))
 		}
