--- a/review/standins/descriptors.go
+++ b/review/standins/descriptors.go
@@ -111,6 +111,7 @@
 	}
 
 	awaitReady(p.vms)
+	time.Sleep(lead)
 
 	done := make(chan struct{})
 
@@ -167,7 +168,7 @@
 
 // add starts another machine.
 func (p *play) add(number int) {
-	v := newVM(p.dir, p.gateway, p.network, number, p.store.serve(), "")
+	v := newVM(p.dir, p.gateway, p.network, number, p.address, "")
 	p.vms = append(p.vms, v)
 	v.start(p.rec)
 	limitFDs(v.process.Process.Pid)
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -32,6 +32,8 @@
 	network int
 	trouble bool
 	store   *store
+	// address is that of the store, the same for all machines: their keys follow from it.
+	address string
 	vms     []*vm
 	ending  atomic.Bool
 }
@@ -70,6 +72,8 @@
 
 	p := &play{rec: newRecord(), dir: temp, gateway: path, network: reserve(), trouble: os.Getenv("TROUBLE") != "0", store: newStore()}
 
+	p.address = p.store.serve()
+
 	go func() {
 		time.Sleep(115 * time.Second)
 		p.end()
@@ -106,7 +110,7 @@
 // startVMs starts machines and waits until they are ready.
 func (p *play) startVMs(n int, extra string) {
 	for i := range n {
-		v := newVM(p.dir, p.gateway, p.network, i+1, p.store.serve(), extra)
+		v := newVM(p.dir, p.gateway, p.network, i+1, p.address, extra)
 		p.vms = append(p.vms, v)
 		v.start(p.rec)
 	}
--- a/review/standins/memory.go
+++ b/review/standins/memory.go
@@ -64,11 +64,11 @@
 
 var bundle = route{"bundle-uploads", "POST", "/bundles/", "upload", 5000 * time.Millisecond}
 
-// memory: two of three machines lose power, and the requesters that upload bundles come to the one
+// memory: eight of nine machines lose power, and the requesters that upload bundles come to the one
 // that is left.
 func memory(p *play) bool {
 	const (
-		machines   = 6
+		machines   = 9
 		requesters = 150
 		uploaders  = 12
 		bundleMB   = 16
@@ -89,6 +89,7 @@
 	}
 
 	awaitReady(p.vms)
+	time.Sleep(lead)
 
 	for _, v := range p.vms {
 		go p.watchMemory(v)
--- a/review/standins/stop.go
+++ b/review/standins/stop.go
@@ -75,6 +75,7 @@
 
 	p.site(16, 4)
 	p.startVMs(machines, "")
+	time.Sleep(lead)
 
 	done := make(chan struct{})
 
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -22,6 +22,16 @@
 	history []event
 	leases  map[uint64]*lease
 	nextID  uint64
+	// era is how often it came back from a copy, kept is the copy.
+	era  uint64
+	kept *storeCopy
+}
+
+// storeCopy is a copy of what the store holds.
+type storeCopy struct {
+	rev     uint64
+	items   map[string]item
+	history []event
 }
 
 type item struct {
@@ -124,12 +134,55 @@
 	s.deleteLocked(key)
 }
 
-// serve opens a listener of its own, so that each VM can have a path of its own to the store.
+// save makes a copy.
+func (s *store) save() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.kept = &storeCopy{rev: s.rev, items: map[string]item{}, history: append([]event(nil), s.history...)}
+
+	for k, it := range s.items {
+		s.kept.items[k] = *it
+	}
+}
+
+// restore brings the copy back. What was written since and all leases are lost, revisions go back,
+// and the era rises.
+func (s *store) restore() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.rev, s.history, s.items = s.kept.rev, append([]event(nil), s.kept.history...), map[string]*item{}
+
+	for k, it := range s.kept.items {
+		s.items[k] = &it
+	}
+
+	s.leases = map[uint64]*lease{}
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// setEraLocked adds the era to an answer. The mutex must be held.
+func (s *store) setEraLocked(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
+// serve opens the store's listener and returns its address.
 func (s *store) serve() string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 
-	go func() { _ = http.Serve(ln, s.handler()) }()
+	mux := s.handler()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mutex.Lock()
+		s.setEraLocked(w)
+		s.mutex.Unlock()
+		mux.ServeHTTP(w, r)
+	})
+
+	go func() { _ = http.Serve(ln, handler) }()
 
 	return ln.Addr().String()
 }
@@ -225,7 +278,16 @@
 
 	for {
 		s.mutex.Lock()
+		s.setEraLocked(w)
 		changed, rev := s.changed, s.rev
+
+		if after > rev {
+			s.mutex.Unlock()
+			reply(w, http.StatusGone, map[string]any{})
+
+			return
+		}
+
 		list := []jsonItem{}
 
 		for i := range s.history {
--- a/review/standins/vm.go
+++ b/review/standins/vm.go
@@ -39,10 +39,16 @@
 	removed atomic.Bool
 }
 
+// reserved is the listener that keeps the loopback network for this run.
+var reserved net.Listener
+
 // reserve finds a loopback network 127.N.0.0 that no other run uses.
 func reserve() int {
 	for n := 101; n < 250; n++ {
-		if _, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.254:%d", n, portReserve)); err == nil {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.254:%d", n, portReserve))
+		if err == nil {
+			reserved = ln
+
 			return n
 		}
 	}
@@ -184,6 +190,9 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// lead is how long after the machines the traffic starts, as on the sheet.
+const lead = 8 * time.Second
+
 // awaitReady waits until machines are ready.
 func awaitReady(vms []*vm) {
 	end := time.Now().Add(20 * time.Second)
