A stop logs what its connections do, and each request that it cuts

Callers of an entry VM that was stopped saw connections close without an answer. Whether the end of the process cut a request that was in progress, one that was just being read, or one whose answer was just being written, could not be told apart: a stop logged two numbers of requests in flight, and a request was counted as done before its answer was written.

cwconn tracks what each connection of callers and of peers does: wait, bring a request, or have one in progress until its answer has been written. A stop logs these numbers at its steps, and each request that is still in progress at its end; three metrics show them at any time. Nothing that is decided has changed.

--- /dev/null
+++ b/internal/cwconn/table.go
@@ -0,0 +1,126 @@
+// Package cwconn tracks the open connections of a listener and what each of them is doing. A
+// process that stops can tell which still bring a request, and which wait for an answer.
+package cwconn
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+)
+
+// Phase is what a connection is doing.
+type Phase uint8
+
+// The phases of a connection.
+const (
+	// Waiting: nothing of the next request has been read.
+	Waiting Phase = iota
+	// Reading: a part of a request has been read.
+	Reading
+	// Busy: a whole request has been read, and its answer has not been written yet.
+	Busy
+)
+
+// Counts are numbers of connections by phase.
+type Counts struct{ Waiting, Reading, Busy int }
+
+// Open returns the number of all connections.
+func (c Counts) Open() int { return c.Waiting + c.Reading + c.Busy }
+
+// Request is a request in progress on a connection.
+type Request struct {
+	ID carobward.RequestID
+	// Read is when it had been read.
+	Read time.Time
+}
+
+// conn is the state of one connection.
+type conn struct {
+	phase   Phase
+	request Request
+}
+
+// Table has the open connections of an HTTP server. It is safe for concurrent use.
+type Table struct {
+	mutex sync.Mutex
+	conns map[net.Conn]*conn
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{conns: map[net.Conn]*conn{}} }
+
+// Observe takes a change of a connection's state from the HTTP server, see
+// fasthttp.Server.ConnState.
+func (t *Table) Observe(c net.Conn, s fasthttp.ConnState) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	switch s {
+	case fasthttp.StateNew:
+		t.conns[c] = &conn{}
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		delete(t.conns, c)
+	case fasthttp.StateActive:
+		t.setPhase(c, Reading)
+	case fasthttp.StateIdle:
+		t.setPhase(c, Waiting)
+	}
+}
+
+// setPhase sets the phase of a connection that is open. The caller must hold the mutex.
+func (t *Table) setPhase(c net.Conn, p Phase) {
+	if one := t.conns[c]; one != nil {
+		one.phase, one.request = p, Request{}
+	}
+}
+
+// Begin records that a whole request has been read from a connection.
+func (t *Table) Begin(c net.Conn, r Request) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	if one := t.conns[c]; one != nil {
+		one.phase, one.request = Busy, r
+	}
+}
+
+// Counts returns how many connections are in each phase.
+func (t *Table) Counts() Counts {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	var n Counts
+
+	for _, c := range t.conns {
+		switch c.phase {
+		case Waiting:
+			n.Waiting++
+		case Reading:
+			n.Reading++
+		case Busy:
+			n.Busy++
+		}
+	}
+
+	return n
+}
+
+// Requests returns the requests in progress.
+func (t *Table) Requests() []Request {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	var list []Request
+
+	for _, c := range t.conns {
+		if c.phase == Busy {
+			list = append(list, c.request)
+		}
+	}
+
+	return list
+}
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -22,6 +22,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
+	"carobward.example/carobward/internal/cwconn"
 	"carobward.example/carobward/internal/cwdisconnect"
 	"carobward.example/carobward/internal/cwhold"
 	"carobward.example/carobward/internal/cwlink"
@@ -101,6 +102,9 @@
 	leaving     atomic.Bool
 	work        conc.WaitGroup
 	held        *held
+	// conns and relayConns have the connections of callers and of peers that pass requests on.
+	conns      *cwconn.Table
+	relayConns *cwconn.Table
 	// reach tracks of which services this entry VM reaches servers.
 	reach *cwreach.Tracker
 	// counts holds the metrics of this package.
@@ -137,7 +141,7 @@
 	o.Log = o.Log.WithName("front")
 
 	f := &Front{
-		Options: o, started: o.Clock.Now(), disconnects: cwdisconnect.New(), held: newHeld(), reach: cwreach.New(), services: map[carobward.Service]*serviceState{}, counts: o.Metrics.Part(metricsPart),
+		Options: o, started: o.Clock.Now(), disconnects: cwdisconnect.New(), held: newHeld(), conns: cwconn.New(), relayConns: cwconn.New(), reach: cwreach.New(), services: map[carobward.Service]*serviceState{}, counts: o.Metrics.Part(metricsPart),
 	}
 	f.limits.Store(&o.Limits)
 
@@ -185,9 +189,13 @@
 )
 
 // Server returns the HTTP server of the callers' listener.
-func (f *Front) Server() *fasthttp.Server {
+func (f *Front) Server() *fasthttp.Server { return f.newServer(f.handle, f.conns) }
+
+// newServer returns an HTTP server whose connections a table tracks.
+func (f *Front) newServer(h fasthttp.RequestHandler, t *cwconn.Table) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                      f.handle,
+		Handler:                      h,
+		ConnState:                    t.Observe,
 		ErrorHandler:                 f.handleReadError,
 		Concurrency:                  maxConns,
 		ReadBufferSize:               bufferBytes,
@@ -246,6 +254,23 @@
 // InFlight returns the number of requests in progress.
 func (f *Front) InFlight() int { return int(f.inFlight.Load()) }
 
+// Conns returns the numbers of callers' connections and of those of peers that pass requests on.
+func (f *Front) Conns() (callers, peers cwconn.Counts) {
+	return f.conns.Counts(), f.relayConns.Counts()
+}
+
+// maxCutLines bounds the log lines about requests that the end of the process cuts.
+const maxCutLines = 100
+
+// LogCut logs the requests that are still in progress when the process ends.
+func (f *Front) LogCut(now time.Time) {
+	list := append(f.conns.Requests(), f.relayConns.Requests()...)
+
+	for _, r := range list[:min(maxCutLines, len(list))] {
+		f.Log.Info("A request is cut by the end of the process.", "id", r.ID, "age", now.Sub(r.Read).Milliseconds())
+	}
+}
+
 // Total returns the number of requests received, without those that other entry VMs took.
 func (f *Front) Total() int64 { return f.total.Load() }
 
@@ -300,6 +325,7 @@
 
 // handle serves one request of a caller.
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
+	f.begin(ctx, f.conns)
 	f.serve(ctx, func(now time.Time) *request { return f.newRequest(ctx, now) })
 
 	if f.leaving.Load() {
@@ -307,6 +333,12 @@
 	}
 }
 
+// begin records that a whole request has been read.
+func (f *Front) begin(ctx *fasthttp.RequestCtx, t *cwconn.Table) {
+	id := f.Dialect.ID(func(name string) string { return string(ctx.Request.Header.Peek(name)) })
+	t.Begin(ctx.Conn(), cwconn.Request{ID: id, Read: f.Clock.Now()})
+}
+
 // serve serves one request, which parse returns. It recovers from a panic, which then fails
 // this request only: if it ended the process, a caller that retries would crash one entry VM
 // after the other.
--- a/internal/cwfront/relayed.go
+++ b/internal/cwfront/relayed.go
@@ -23,10 +23,7 @@
 // RelayServer returns the HTTP server of the listener for requests that other entry VMs pass
 // on. Only peers may reach it.
 func (f *Front) RelayServer() *fasthttp.Server {
-	s := f.Server()
-	s.Handler = f.handleRelayed
-
-	return s
+	return f.newServer(f.handleRelayed, f.relayConns)
 }
 
 // handleRelayed serves a request that another entry VM passed on, or its question whether this
@@ -43,6 +40,7 @@
 		result := f.takesRelayed(in)
 		ctx.Response.Header.Set(cwrelay.Header, result.Encode())
 	default:
+		f.begin(ctx, f.relayConns)
 		f.serve(ctx, func(now time.Time) *request { return f.newRelayed(ctx, in, now) })
 	}
 
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -271,7 +271,8 @@
 func (g *Gateway) stop(listeners []net.Listener) {
 	began := g.Clock.Now()
 	grace := float64(g.bounds.Load().Grace)
-	g.log.Info("Stopping.", "flight", g.front.InFlight())
+	callers, peers := g.front.Conns()
+	g.log.Info("Stopping.", "flight", g.front.InFlight(), "grace", g.bounds.Load().Grace.String(), "waiting", callers.Waiting, "reading", callers.Reading, "busy", callers.Busy, "peers", peers.Open())
 	g.front.Leave()
 	g.mesh.SetState(cwmesh.Leaving)
 
@@ -280,9 +281,14 @@
 	// The callers' listener is the first.
 	_ = listeners[0].Close()
 
+	callers, _ = g.front.Conns()
+	g.log.Info("New connections are refused.", "flight", g.front.InFlight(), "waiting", callers.Waiting, "reading", callers.Reading, "busy", callers.Busy)
+
 	for g.front.InFlight() > 0 && g.Clock.Now().Sub(began) < time.Duration(drainShare*grace) {
 		time.Sleep(tickInterval / 4)
 	}
 
-	g.log.Info("Stopped.", "flight", g.front.InFlight(), "took", g.Clock.Now().Sub(began).String())
+	callers, peers = g.front.Conns()
+	g.front.LogCut(g.Clock.Now())
+	g.log.Info("Stopped.", "flight", g.front.InFlight(), "waiting", callers.Waiting, "reading", callers.Reading, "busy", callers.Busy, "peers", peers.Busy, "took", g.Clock.Now().Sub(began).String())
 }
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwconn"
 	"carobward.example/carobward/internal/cwmesh"
 )
 
@@ -121,6 +122,7 @@
 	g.registerQuotaGauges()
 	g.registerServerGauges()
 	g.metrics.Gauge("gateway", "flight", func() int64 { return int64(g.front.InFlight()) })
+	g.registerConnGauges()
 	g.metrics.Gauge("gateway", "short", func() int64 { return int64(g.front.ShortServices()) })
 	g.metrics.Gauge("gateway", "servers", func() int64 { return int64(g.servers.Count()) })
 	g.metrics.Gauge("gateway", "peers", func() int64 { return int64(len(g.table.Live(g.Clock.Now()))) })
@@ -185,3 +187,18 @@
 		return int64(paused)
 	})
 }
+
+// registerConnGauges registers the numbers of callers' connections by what they are doing.
+func (g *Gateway) registerConnGauges() {
+	gauge := func(name string, of func(cwconn.Counts) int) {
+		g.metrics.Gauge("conns", name, func() int64 {
+			callers, _ := g.front.Conns()
+
+			return int64(of(callers))
+		})
+	}
+
+	gauge("waiting", func(n cwconn.Counts) int { return n.Waiting })
+	gauge("reading", func(n cwconn.Counts) int { return n.Reading })
+	gauge("busy", func(n cwconn.Counts) int { return n.Busy })
+}
--- a/internal/cwmetric/table.go
+++ b/internal/cwmetric/table.go
@@ -15,6 +15,7 @@
 	unitRequests = "requests"
 	unitVMs      = "entry VMs"
 	unitBytes    = "bytes"
+	unitConns    = "connections"
 	unitCalls    = "calls"
 	unitSends    = "sends"
 )
@@ -87,6 +88,9 @@
 	{"quarantine/waiting", "records", "Records that wait to be written to the store."},
 	{"quarantine/dropped", "records", "Records dropped because too many waited."},
 	{"gateway/flight", unitRequests, "Callers' requests in flight now, on the users' platform."},
+	{"conns/waiting", unitConns, "Callers' connections of which nothing of the next request has been read, on the users' platform."},
+	{"conns/reading", unitConns, "Callers' connections of which a part of a request has been read."},
+	{"conns/busy", unitConns, "Callers' connections with a request in progress, until its answer has been written."},
 	{"gateway/servers", "servers", "Backend servers known now."},
 	{"gateway/peers", unitVMs, "Other entry VMs that answer now."},
 	{"gateway/fresh", "milliseconds", "The time since the replica of the store was last known to be up to date: usually below a second."},
