--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -44,6 +46,8 @@
 	// UpstreamUnframed runs each request and answers without a length: the reply
 	// ends when the connection is closed.
 	UpstreamUnframed
+	// upstreamTimesOut ends the work at the time limit and answers with status 504.
+	upstreamTimesOut
 )
 
 // upstreamSlots is the number of slots in a server's entry in the store.
@@ -63,6 +67,16 @@
 	Key  string
 }
 
+// limit returns the time limit of a request, or the largest time if it has none.
+func (r *Run) limit() time.Duration {
+	ms, err := strconv.ParseInt(r.TimeLeft, 10, 64)
+	if err != nil {
+		return math.MaxInt64
+	}
+
+	return time.Duration(ms) * time.Millisecond
+}
+
 // Received is a request that arrived at an Upstream, and whether it was refused.
 type Received struct {
 	ID      string
@@ -79,6 +93,8 @@
 	mutex sync.Mutex
 	mode  UpstreamMode
 	work  time.Duration
+	// workOf is the time that the work of each request takes, if it differs; see SetWorkOf.
+	workOf func(Run) time.Duration
 	// shed is the share of the requests that the server refuses in any mode.
 	shed float64
 	load string
@@ -128,6 +144,15 @@
 	u.mode, u.work = mode, work
 }
 
+// SetWorkOf sets how long the work of each request takes, in place of the time set by SetMode. The
+// server then stops at a request's time limit, and answers with status 504.
+func (u *Upstream) SetWorkOf(workOf func(Run) time.Duration) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	u.workOf = workOf
+}
+
 // SetShed sets the share of the requests that the server refuses, whatever its mode.
 func (u *Upstream) SetShed(share float64) {
 	u.mutex.Lock()
@@ -319,9 +344,16 @@
 	u.mutex.Lock()
 	u.runs = append(u.runs, run)
 	u.arrivals = append(u.arrivals, time.Now())
-	crashesOn := u.crashesOn
+	crashesOn, workOf := u.crashesOn, u.workOf
 	u.mutex.Unlock()
 
+	if workOf != nil {
+		work = workOf(run)
+		if limit := run.limit(); work > limit {
+			work, mode = limit, upstreamTimesOut
+		}
+	}
+
 	if !u.simulateWork(c, r, work) {
 		return false
 	}
@@ -420,6 +452,8 @@
 		<-u.stop
 
 		return false
+	case upstreamTimesOut:
+		return writeReply(c, "HTTP/1.1 504 Gateway Timeout\r\n%sContent-Length: 0\r\n\r\n", headers)
 	case UpstreamFails:
 		return writeReply(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 0\r\n\r\n", headers)
 	case UpstreamRefuses:
--- /dev/null
+++ b/test/stop/caller_test.go
@@ -0,0 +1,145 @@
+package stop
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"carobward.example/carobward"
+)
+
+// connUse is how a caller uses the connection of a request.
+type connUse string
+
+// The uses of a connection.
+const (
+	// onNew opens a connection for the request.
+	onNew connUse = "new"
+	// onIdle sends it on a connection that was used before the stop and has been idle since.
+	onIdle connUse = "idle"
+	// onPipeline sends it right behind another request, without waiting for that one's reply.
+	onPipeline connUse = "pipelined"
+	// onSlowBody has sent the header and half of the body before the stop.
+	onSlowBody connUse = "slow body"
+)
+
+// request is one request of a caller, and what became of it.
+type request struct {
+	id     carobward.RequestID
+	method string
+	path   string
+	use    connUse
+	// after is when its last byte is sent, counted from the signal to stop.
+	after time.Duration
+	// timeout is the caller's time limit.
+	timeout time.Duration
+
+	conn   net.Conn
+	reader *bufio.Reader
+	// sent and ended are when its last byte was sent, and when its reply or the end of the
+	// connection was read.
+	sent, ended time.Time
+	reply       *http.Response
+	err         error
+}
+
+const body = "a body that takes its time"
+
+// connect opens the connection.
+func (r *request) connect(to carobward.Address) error {
+	c, err := net.Dial("tcp", string(to))
+	if err != nil {
+		return err
+	}
+
+	r.conn, r.reader = c, bufio.NewReader(c)
+
+	return nil
+}
+
+// head returns the request's line and header.
+func (r *request) head(id carobward.RequestID) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
+		r.method, r.path, host, id, r.timeout.Milliseconds(), len(body))
+}
+
+// prepare does what comes before the stop.
+func (r *request) prepare(to carobward.Address) error {
+	if r.use == onNew {
+		return nil
+	}
+
+	if err := r.connect(to); err != nil {
+		return err
+	}
+
+	switch r.use {
+	case onIdle:
+		if _, err := io.WriteString(r.conn, r.head(r.id+"-before")+body); err != nil {
+			return err
+		}
+
+		_, err := r.read()
+
+		return err
+	case onSlowBody:
+		_, err := io.WriteString(r.conn, r.head(r.id)+body[:len(body)/2])
+
+		return err
+	default:
+		return nil
+	}
+}
+
+// send sends the request and reads its reply.
+func (r *request) send(to carobward.Address) {
+	if r.conn == nil {
+		if r.err = r.connect(to); r.err != nil {
+			return
+		}
+	}
+
+	text := r.head(r.id) + body
+
+	switch r.use {
+	case onPipeline:
+		text = r.head(r.id+"-before") + body + text
+	case onSlowBody:
+		text = body[len(body)/2:]
+	}
+
+	_, r.err = io.WriteString(r.conn, text)
+	r.sent = time.Now()
+
+	if r.use == onPipeline && r.err == nil {
+		_, r.err = r.read()
+	}
+
+	if r.err == nil {
+		r.reply, r.err = r.read()
+	}
+
+	r.ended = time.Now()
+	_ = r.conn.Close()
+}
+
+// read reads one whole reply.
+func (r *request) read() (*http.Response, error) {
+	resp, err := http.ReadResponse(r.reader, nil)
+	if err != nil {
+		return nil, err
+	}
+
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+
+	resp.Body = io.NopCloser(strings.NewReader(string(raw)))
+
+	return resp, nil
+}
