--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -69,7 +69,7 @@
 	random  *rand.Rand
 	servers []*server
 	// paths are those from entry VMs to servers.
-	paths   *paths
+	paths   *cwsite.Paths
 	version int
 	history *history
 	// evacuated has the failure domains that are currently evacuated.
@@ -87,7 +87,7 @@
 		evacuated: map[carobward.Domain]bool{}, versions: map[*cwtest.Process]int{},
 	}
 
-	w.paths = newPaths()
+	w.paths = cwsite.NewPaths()
 
 	for i := range servers {
 		w.addServer(t, i)
@@ -97,7 +97,7 @@
 
 	for range vms {
 		v := w.Start(t)
-		w.paths.add(v)
+		w.paths.Add(v)
 		cwtest.Wait(t, v.ID+" is ready", v.IsReady)
 	}
 
@@ -201,7 +201,7 @@
 	case 32, 33, 34, 35:
 		w.cutSome()
 	case 36, 37:
-		w.paths.mend()
+		w.paths.Mend()
 	case 38, 39:
 		w.restartSeries(t)
 	case 40:
@@ -244,7 +244,7 @@
 	t.Helper()
 
 	w.StoreProxy.SetFault(cwstand.ProxyPasses)
-	w.paths.mend()
+	w.paths.Mend()
 
 	for _, s := range w.servers {
 		s.Proxy().SetFault(cwstand.ProxyPasses)
