A signal to stop is not lost behind signals to reload the settings

What callers saw: nothing at first. The process went on as ready until SIGKILL came after the grace period, which cuts all requests in progress.

Cause: one channel with room for one signal took both kinds. While the settings are reloaded, which takes about a millisecond, a second SIGHUP fills it, and the SIGTERM behind it is dropped. Signals to stop now have a channel of their own, from which nothing else is received; a second SIGHUP that is dropped changes nothing, as the settings are read after the first one is received.

--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -15,10 +15,8 @@
 	"fmt"
 	"net"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
@@ -45,13 +43,12 @@
 
 func main() {
 	// Registered first, so that an early SIGHUP does not terminate the process.
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	sig := notifySignals()
 	debug.SetGCPercent(gcPercent)
 
 	out := cwlog.NewAsync(os.Stdout, logQueueLines)
 	log := cwlog.New(out, "info")
-	err := run(log, out, signals)
+	err := run(log, out, sig)
 
 	if err != nil {
 		log.Error(err, "The entry VM stopped with an error.")
@@ -64,7 +61,7 @@
 	}
 }
 
-func run(log logr.Logger, out *cwlog.Async, signals <-chan os.Signal) error {
+func run(log logr.Logger, out *cwlog.Async, sig *signals) error {
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return fmt.Errorf("set %s to the path of the platform's settings file", platform.SettingsVariable)
@@ -90,7 +87,7 @@
 	var group conc.WaitGroup
 
 	w := newWatcher(path, s, g.SetBounds, log.WithName("signal"))
-	group.Go(func() { w.run(signals, stop) })
+	group.Go(func() { w.run(sig, stop) })
 
 	err = g.Run(stop)
 	if err == nil {
--- a/cmd/cwgateway/settings.go
+++ b/cmd/cwgateway/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"os/signal"
 	"reflect"
 	"syscall"
 	"time"
@@ -18,6 +19,19 @@
 // which may change without a signal.
 const settingsPollInterval = 5 * time.Second
 
+// signals are the signals to this process. Those to stop have a channel of their own: a channel that
+// is full drops signals, and settings are being reloaded for a while.
+type signals struct{ stop, reload chan os.Signal }
+
+// notifySignals starts to receive signals.
+func notifySignals() *signals {
+	s := &signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+
+	return s
+}
+
 // watcher handles the signals to the process and reloads the settings when
 // their file changes.
 type watcher struct {
@@ -44,21 +58,19 @@
 
 // run closes stop on SIGTERM or SIGINT, and reloads the settings on SIGHUP
 // and when their file has changed.
-func (w *watcher) run(signals <-chan os.Signal, stop chan<- struct{}) {
+func (w *watcher) run(sig *signals, stop chan<- struct{}) {
 	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
 
 	for {
 		select {
-		case s := <-signals:
+		case s := <-sig.stop:
 			w.log.Info("Received a signal.", "signal", s.String())
+			close(stop)
 
-			if s != syscall.SIGHUP {
-				close(stop)
-
-				return
-			}
-
+			return
+		case s := <-sig.reload:
+			w.log.Info("Received a signal.", "signal", s.String())
 			w.reload("a signal")
 		case <-t.C:
 			if w.stat() != w.seen {
--- a/test/gateway/process_test.go
+++ b/test/gateway/process_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -173,3 +174,29 @@
 		t.Errorf("status %d after the restart, the server ran %d requests", status, len(u.Runs()))
 	}
 }
+
+// TestStopRightAfterReload guards against a signal to stop that is lost right behind signals to reload
+// the settings.
+func TestStopRightAfterReload(t *testing.T) {
+	const (
+		vms  = 6
+		step = 50 * time.Microsecond
+	)
+
+	g, _ := startSite(t, vms)
+
+	for i, v := range g.VMs {
+		gap := time.Duration(i+1) * step
+
+		for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM} {
+			v.Process().Signal(t, s)
+			<-time.After(gap)
+		}
+	}
+
+	for _, v := range g.VMs {
+		if err := v.Process().Wait(t); err != nil {
+			t.Errorf("the process exited with %v", err)
+		}
+	}
+}
