carobward serve begins no work that its stop would give up

What callers saw: a request on a connection that they had kept, sent late in a stop of the program that the deploy file doesn't run, was passed to a server and answered with 502 and the verdict unknown when the stop's bound came, although its server was at work; the process exited with 1.

The forwarder now has the plan of the stop (cwstop): a request whose time limit or usual reply doesn't fit is refused as not run, and servers get a time limit that ends before the bound. Where a server's latency is unknown, its whole time limit has to fit.

--- a/internal/cwentry/forward.go
+++ b/internal/cwentry/forward.go
@@ -1,6 +1,7 @@
 package cwentry
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"time"
@@ -225,6 +226,12 @@
 // attempt sends the call to one server. serverCall is the call as already
 // registered at the server.
 func (fw *Forwarder) attempt(ctx context.Context, id carobward.RequestID, s *cwserver.Server, serverCall cwserver.Call, call *carobward.Call) (*carobward.Reply, error) {
+	if fw.endsTooEarly(s, call) {
+		serverCall.End(fw.clock.Now(), cwserver.Cancelled)
+
+		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, defaultRetry, ErrStopping)
+	}
+
 	if now := fw.clock.Now(); !fw.servers.MayDispatch(s, now) {
 		serverCall.End(now, cwserver.Cancelled)
 
@@ -237,6 +244,10 @@
 	}
 
 	attemptCall := *call
+	if p := fw.plan.Load(); p != nil {
+		attemptCall.WorkLimit = p.Limit(call.Deadline)
+	}
+
 	attemptCall.ID = id + "~" + carobward.RequestID(strconv.FormatUint(fw.attemptSerial.Add(1), 36))
 
 	ctx, cancel := fw.abortable(ctx)
@@ -256,6 +267,19 @@
 	return reply, nil
 }
 
+// endsTooEarly reports whether this entry VM is stopping and a server's answer may come too late. A
+// server of unknown latency may use all the time that is left.
+func (fw *Forwarder) endsTooEarly(s *cwserver.Server, call *carobward.Call) bool {
+	p := fw.plan.Load()
+	if p == nil {
+		return false
+	}
+
+	now := fw.clock.Now()
+
+	return !p.Takes(now, call.Deadline, cmp.Or(s.UsualLatency(), call.Deadline.Sub(now)))
+}
+
 // exchange sends the call. Even after a panic, it records the end of the call at
 // the server and the cost of the load report.
 func (fw *Forwarder) exchange(ctx context.Context, s *cwserver.Server, serverCall cwserver.Call, call *carobward.Call) (*carobward.Reply, error) {
--- a/internal/cwentry/forwarder.go
+++ b/internal/cwentry/forwarder.go
@@ -24,6 +24,7 @@
 	"carobward.example/carobward/internal/cwretry"
 	"carobward.example/carobward/internal/cwroute"
 	"carobward.example/carobward/internal/cwserver"
+	"carobward.example/carobward/internal/cwstop"
 	"carobward.example/carobward/internal/cwtrace"
 )
 
@@ -31,6 +32,7 @@
 const (
 	ErrNoServer = errors.ConstError("entry: no server can take this request now")
 	ErrPaused   = errors.ConstError("entry: this entry VM stood still and does not know yet which servers leave")
+	ErrStopping = errors.ConstError("entry: this entry VM is stopping, the reply might come too late")
 	ErrBusy     = errors.ConstError("entry: this entry VM has too many requests in flight")
 	ErrNoConfig = errors.ConstError("entry: this entry VM has no configuration yet")
 )
@@ -97,6 +99,8 @@
 	metrics *expvar.Map
 	records *cwmap.Map[carobward.TargetName, *cwretry.TargetState]
 
+	// plan is that of the stop, or nil if this entry VM isn't stopping.
+	plan          atomic.Pointer[cwstop.Plan]
 	inFlight      atomic.Int64
 	attemptSerial atomic.Uint64
 	callers       *cwdisconnect.Watcher
@@ -147,6 +151,9 @@
 // Running returns the number of requests in flight.
 func (fw *Forwarder) Running() int64 { return fw.inFlight.Load() }
 
+// Leave makes the forwarder refuse requests whose answer may come after a plan's end.
+func (fw *Forwarder) Leave(p cwstop.Plan) { fw.plan.Store(&p) }
+
 // Abort cancels all requests in flight. Those that have been sent to a server
 // get the verdict Unknown.
 func (fw *Forwarder) Abort() { fw.abort() }
--- a/internal/cwnode/stop.go
+++ b/internal/cwnode/stop.go
@@ -9,6 +9,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwlookup"
+	"carobward.example/carobward/internal/cwstop"
 )
 
 // Times of the steps of a graceful stop, see docs/design/stop.md.
@@ -28,6 +29,8 @@
 	abortTimeout = 500 * time.Millisecond
 	// closeTimeout limits the shutdown of each of the other listeners.
 	closeTimeout = time.Second
+	// replyTime is reserved for the last replies of servers to reach the callers.
+	replyTime    = 200 * time.Millisecond
 	pollInterval = 10 * time.Millisecond
 )
 
@@ -59,6 +62,7 @@
 	serve, cancel := context.WithDeadline(context.Background(), end.Add(-n.handOverTime()-abortTimeout))
 	defer cancel()
 
+	n.forwarder.Leave(n.stopPlan(end))
 	n.announce(serve)
 	n.data.CloseAfterReply()
 	carobward.Sleep(serve, cwlookup.KeepTime(n.settings.Keep.Std())+keepMargin)
@@ -74,6 +78,13 @@
 	return cause
 }
 
+// stopPlan returns until when requests are still sent to servers in a stop that ends at a time.
+func (n *Node) stopPlan(end time.Time) cwstop.Plan {
+	serve := end.Add(-n.handOverTime() - abortTimeout)
+
+	return cwstop.Plan{Accept: serve, Work: serve.Add(-replyTime), End: serve}
+}
+
 // announce makes sure that every peer knows that this VM is leaving, so that no
 // further lookup reply includes it.
 func (n *Node) announce(ctx context.Context) {
--- a/test/stop/caller_test.go
+++ b/test/stop/caller_test.go
@@ -107,6 +107,8 @@
 func (r *request) send() {
 	if r.conn == nil {
 		if r.err = r.connect(); r.err != nil {
+			r.ended = time.Now()
+
 			return
 		}
 	}
@@ -132,7 +134,13 @@
 	}
 
 	r.ended = time.Now()
-	_ = r.conn.Close()
+}
+
+// close closes the connection, if there is one.
+func (r *request) close() {
+	if r.conn != nil {
+		_ = r.conn.Close()
+	}
 }
 
 // reply is a whole reply.
--- a/test/stop/stop_test.go
+++ b/test/stop/stop_test.go
@@ -178,6 +178,7 @@
 		group.Go(func() {
 			<-time.After(time.Until(p.stopped.Add(r.signal + r.after)))
 			r.send()
+			r.close()
 		})
 	}
 
@@ -202,6 +203,7 @@
 		r.id = carobward.RequestID(fmt.Sprint("cut-", time.Now().UnixNano()))
 		r.conn = nil
 		r.send()
+		r.close()
 
 		return strings.Contains(p.VMs[0].Process().Output(), "Passed a request to another entry VM") && r.reply != nil && r.reply.status == http.StatusOK
 	})
