A transfer coding other than chunked is refused, and the connection closed

Cause: Transfer-Encoding: identity was taken for a request without a body, and the body for the next request on the connection (request smuggling). The check of the header now allows chunked alone, in HTTP/1.1; anything else is answered with 501 (two lengths, or both kinds, with 400, as before), and the connection is closed behind it, since what follows may belong to the request.

A fuzz target over raw bytes is not written yet.

--- a/internal/cwentry/forwarder.go
+++ b/internal/cwentry/forwarder.go
@@ -193,6 +193,8 @@
 
 func (fw *Forwarder) serve(ctx *fasthttp.RequestCtx, id carobward.RequestID, o *observation) (*answer, error) {
 	if err := check(ctx); err != nil {
+		ctx.SetConnectionClose() // What follows may belong to this request.
+
 		return nil, fw.refuse(ctx, carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, err))
 	}
 
--- a/internal/cwframe/check.go
+++ b/internal/cwframe/check.go
@@ -16,16 +16,19 @@
 	ErrFold   = errors.ConstError("frame: a header line is folded")
 	ErrName   = errors.ConstError("frame: a header name is not a token")
 	ErrLength = errors.ConstError("frame: the length of the body is given more than once")
+	ErrCoding = errors.ConstError("frame: the body has a transfer coding other than chunked")
 )
 
 var (
 	contentLength    = []byte("content-length")
 	transferEncoding = []byte("transfer-encoding")
+	chunked          = []byte("chunked")
 )
 
 // Check validates the lines of a header block without its start line: each must end
-// in CRLF, none may be folded, names must be tokens, and there must be at most one
-// Content-Length or Transfer-Encoding. See RFC 9112, 5.1, 5.2 and 6.3.
+// in CRLF, none may be folded, names must be tokens, there must be at most one
+// Content-Length or Transfer-Encoding, and the only transfer coding is chunked. See RFC
+// 9112, 5.1, 5.2, 6.1 and 6.3.
 func Check(block []byte) error {
 	lengths := 0
 
@@ -47,8 +50,15 @@
 			return err
 		}
 
-		if bytes.EqualFold(name, contentLength) || bytes.EqualFold(name, transferEncoding) {
+		switch {
+		case bytes.EqualFold(name, contentLength):
 			lengths++
+		case bytes.EqualFold(name, transferEncoding):
+			lengths++
+
+			if value := bytes.Trim(line[len(name)+1:], " \t"); !bytes.EqualFold(value, chunked) {
+				return ErrCoding
+			}
 		}
 	}
 
--- a/internal/cwframe/check_test.go
+++ b/internal/cwframe/check_test.go
@@ -29,6 +29,10 @@
 		"two lengths":         {"Content-Length: 3\r\ncontent-length: 3\r\n\r\n", ErrLength},
 		"length and encoding": {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", ErrLength},
 		"encoding and length": {"TRANSFER-ENCODING: chunked\r\nCONTENT-LENGTH: 3\r\n\r\n", ErrLength},
+		"other encoding":      {"Transfer-Encoding: identity\r\n\r\n", ErrCoding},
+		"encoding of chunks":  {"Transfer-Encoding: gzip, chunked\r\n\r\n", ErrCoding},
+		"empty encoding":      {"Transfer-Encoding: \r\n\r\n", ErrCoding},
+		"padded encoding":     {"Transfer-Encoding:\t Chunked \r\n\r\n", nil},
 		"two encodings":       {"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", ErrLength},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -375,10 +375,19 @@
 func (f *Front) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	f.Log.Info("A request could not be read.", "from", addrString(ctx.RemoteAddr()), "cause", err.Error())
 	ctx.Response.Reset()
-	ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	ctx.SetStatusCode(readErrorStatus(err))
 	ctx.SetConnectionClose()
 }
 
+// readErrorStatus returns the status of a request that could not be read.
+func readErrorStatus(err error) int {
+	if errors.Is(err, fasthttp.ErrUnsupportedTransferEncoding) {
+		return fasthttp.StatusNotImplemented
+	}
+
+	return fasthttp.StatusBadRequest
+}
+
 func addrString(a net.Addr) string {
 	if a == nil {
 		return ""
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -225,11 +225,30 @@
 	}
 }
 
+// checkFrame refuses a request whose length a server could read differently.
+func checkFrame(h *fasthttp.RequestHeader) error {
+	err := cwframe.Check(h.RawHeaders())
+	if err == nil && !h.IsHTTP11() && len(h.Peek(fasthttp.HeaderTransferEncoding)) > 0 {
+		err = cwframe.ErrCoding
+	}
+
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, cwframe.ErrCoding):
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusNotImplemented, 0, err)
+	default:
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, errors.Annotate(err, ErrAmbiguousHeader.Error()))
+	}
+}
+
 // validate refuses a request that is too large, has no id, or has a header that a server
 // could parse differently.
 func (r *request) validate(ctx *fasthttp.RequestCtx) error {
-	if err := cwframe.Check(ctx.Request.Header.RawHeaders()); err != nil {
-		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusBadRequest, 0, errors.Annotate(err, ErrAmbiguousHeader.Error()))
+	if err := checkFrame(&ctx.Request.Header); err != nil {
+		ctx.SetConnectionClose() // What follows may belong to this request.
+
+		return err
 	}
 
 	if most := r.routes.Limits.Body; most > 0 && carobward.ByteCount(len(ctx.Request.Body())) > most {
