A listener outlives a lack of descriptors

Cause: the HTTP library takes EMFILE from accept for the end of a listener, and its Serve returns; the process only logged that. cwaccept waits such errors out, with pauses that grow to half a second and a log line a second, and counts them. A connection that waits meanwhile is closed by way of a spare descriptor, so that its caller goes elsewhere. An error that does not pass ends the process, but for metrics and requests of peers: an entry VM that callers can't reach must not say that it is ready. The same for the listeners of carobward serve.

--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -134,6 +134,9 @@
 	// started is when this entry VM started.
 	started time.Time
 
+	// unaccepted counts the errors of listeners that were waited out.
+	unaccepted atomic.Int64
+
 	mutex sync.Mutex
 	// unusable has the servers whose entry in the store is unusable.
 	unusable map[carobward.Instance]bool
@@ -229,7 +232,9 @@
 	defer group.Wait()
 	defer cancel()
 
-	listeners, err := g.listen(ctx, &group)
+	failed := make(chan error, maxListeners)
+
+	listeners, err := g.listen(ctx, &group, failed)
 	if err != nil {
 		return err
 	}
@@ -240,10 +245,14 @@
 	group.Go(func() { g.tick(ctx) })
 	g.log.Info("Started.", "vm", g.Self.ID, "domain", g.Self.Domain, "callers", g.Self.Callers, "seeds", g.Seeds)
 
-	<-stop
-	g.stop(listeners)
+	select {
+	case <-stop:
+		g.stop(listeners)
 
-	return nil
+		return nil
+	case err := <-failed: // An entry VM that callers can't reach must not say that it is ready.
+		return err
+	}
 }
 
 // announceReady announces this entry VM as ready to its peers once it has a configuration
--- a/internal/cwgateway/listeners.go
+++ b/internal/cwgateway/listeners.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwaccept"
 	"carobward.example/carobward/internal/cwmesh"
 	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwstop"
@@ -21,6 +22,9 @@
 	listenerRelay   = "relay"
 )
 
+// maxListeners is the number of listeners.
+const maxListeners = 6
+
 // listenerSpec is a listener's name and address, and the function that serves it.
 type listenerSpec struct {
 	name    string
@@ -28,8 +32,12 @@
 	serve   func(net.Listener) error
 }
 
-// listen opens all listeners and starts to serve them.
-func (g *Gateway) listen(ctx context.Context, group *conc.WaitGroup) ([]net.Listener, error) {
+// optional reports whether an entry VM can do without the listener.
+func (s *listenerSpec) optional() bool { return s.name == listenerMetrics || s.name == listenerRelay }
+
+// listen opens all listeners and starts to serve them. One that an entry VM can't do without is sent to
+// failed if it ends.
+func (g *Gateway) listen(ctx context.Context, group *conc.WaitGroup, failed chan<- error) ([]net.Listener, error) {
 	peers := cwpeer.NewServer(g.Key, g.Log)
 	if err := peers.Register(cwmesh.Service, cwmesh.NewAnswers(g.mesh)); err != nil {
 		return nil, err
@@ -61,8 +69,15 @@
 		s := specs[i]
 
 		group.Go(func() {
-			if err := s.serve(ln); err != nil && ctx.Err() == nil {
-				g.log.Info("A listener failed.", "listener", s.name, "cause", err.Error())
+			err := s.serve(ln)
+			if err == nil || ctx.Err() != nil {
+				return
+			}
+
+			g.log.Error(err, "A listener failed.", "listener", s.name)
+
+			if !s.optional() {
+				failed <- errors.Annotate(err, s.name)
 			}
 		})
 	}
@@ -87,8 +102,8 @@
 
 		switch {
 		case err == nil:
-			listeners = append(listeners, ln)
-		case s.name == listenerMetrics, s.name == listenerRelay:
+			listeners = append(listeners, cwaccept.New(ln, s.name, &g.unaccepted, g.log))
+		case s.optional():
 			g.log.Error(err, "A listener can't be opened; what it is for is not served.", "listener", s.name)
 
 			listeners = append(listeners, nil)
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -198,6 +198,7 @@
 		})
 	}
 
+	g.metrics.Gauge("conns", "failed", g.unaccepted.Load)
 	gauge("waiting", func(n cwconn.Counts) int { return n.Waiting })
 	gauge("reading", func(n cwconn.Counts) int { return n.Reading })
 	gauge("busy", func(n cwconn.Counts) int { return n.Busy })
--- a/internal/cwmetric/table.go
+++ b/internal/cwmetric/table.go
@@ -92,6 +92,7 @@
 	{"conns/waiting", unitConns, "Callers' connections of which nothing of the next request has been read, on the users' platform."},
 	{"conns/reading", unitConns, "Callers' connections of which a part of a request has been read."},
 	{"conns/busy", unitConns, "Callers' connections with a request in progress, until its answer has been written."},
+	{"conns/failed", "errors", "Connections that could not be accepted for lack of descriptors or memory; the log has the listener. If above zero, raise the limit of descriptors or add entry VMs."},
 	{"gateway/servers", "servers", "Backend servers known now."},
 	{"gateway/peers", unitVMs, "Other entry VMs that answer now."},
 	{"gateway/fresh", "milliseconds", "The time since the replica of the store was last known to be up to date: usually below a second."},
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -13,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwaccept"
 	"carobward.example/carobward/internal/cwconfig"
 	"carobward.example/carobward/internal/cwdrain"
 	"carobward.example/carobward/internal/cwentry"
@@ -61,7 +63,11 @@
 	lookup    *fiber.App
 	operators *fiber.App
 	listeners listeners
-	done      chan struct{}
+	// unaccepted counts the errors of listeners that were waited out. Failed gets the error of one
+	// that has ended.
+	unaccepted atomic.Int64
+	failed     chan error
+	done       chan struct{}
 }
 
 // listeners are the open sockets.
@@ -81,6 +87,7 @@
 		holder:   cwconfig.NewHolder(),
 		metrics:  cwmetric.New(),
 		done:     make(chan struct{}),
+		failed:   make(chan error, 1),
 	}
 
 	n.store = cwkv.New(s.Store.URL, s.Store.Prefix, s.Store.Timeout.Std(), n.metrics.Part("store"))
@@ -152,20 +159,21 @@
 	l := &n.settings.Listen
 
 	for _, s := range []struct {
+		name     string
 		addr     carobward.Address
 		listener *net.Listener
 	}{
-		{l.Callers, &n.listeners.callers},
-		{l.Lookup, &n.listeners.lookup},
-		{l.Peers, &n.listeners.peers},
-		{l.Operators, &n.listeners.operators},
+		{"callers", l.Callers, &n.listeners.callers},
+		{"lookup", l.Lookup, &n.listeners.lookup},
+		{"peers", l.Peers, &n.listeners.peers},
+		{"operators", l.Operators, &n.listeners.operators},
 	} {
 		opened, err := net.Listen("tcp", string(s.addr))
 		if err != nil {
 			return errors.Annotate(err, "node")
 		}
 
-		*s.listener = opened
+		*s.listener = cwaccept.New(opened, s.name, &n.unaccepted, n.log)
 	}
 
 	var err error
@@ -217,5 +225,10 @@
 func (n *Node) logServeError(listener string, err error) {
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		n.log.Error(err, "A listener failed.", "listener", listener)
+
+		select {
+		case n.failed <- errors.Annotate(err, listener):
+		default: // The process ends already.
+		}
 	}
 }
--- a/internal/cwnode/stop.go
+++ b/internal/cwnode/stop.go
@@ -40,14 +40,16 @@
 	ErrReplaced    = errors.ConstError("node: a later run of this VM has replaced this one")
 )
 
-// awaitStop returns nil once ctx is done, or ErrReplaced once a later run of this
-// VM is known.
+// awaitStop returns nil once ctx is done, ErrReplaced once a later run of this VM is known, or the error of a
+// listener that has ended.
 func (n *Node) awaitStop(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
 		return nil
 	case <-n.member.Replaced():
 		return ErrReplaced
+	case err := <-n.failed:
+		return err
 	}
 }
 
--- a/internal/cwsite/site.go
+++ b/internal/cwsite/site.go
@@ -40,9 +40,12 @@
 	return v.process
 }
 
+// readyTimeout is how long an answer of the readiness endpoint is waited for.
+const readyTimeout = time.Second
+
 // IsReady reports whether the readiness endpoint answers with status 200.
 func (v *EntryVM) IsReady() bool {
-	status, _, err := fasthttp.Get(nil, "http://"+string(v.Ready)+platform.PathReady)
+	status, _, err := fasthttp.GetTimeout(nil, "http://"+string(v.Ready)+platform.PathReady, readyTimeout)
 
 	return err == nil && status == fasthttp.StatusOK
 }
--- a/test/gateway/process_test.go
+++ b/test/gateway/process_test.go
@@ -3,6 +3,8 @@
 package gateway
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -11,15 +13,20 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
+	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwsite"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
+	"carobward.example/carobward/platform"
 )
 
 const (
 	host  = "club.example"
 	grace = "1s"
+	// answerTimeout is longer than any answer takes.
+	answerTimeout = 5 * time.Second
 )
 
 // startSite starts n entry VMs with one server and waits until they are ready.
@@ -53,7 +60,7 @@
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", "2000")
 
-	if err := fasthttp.Do(req, resp); err != nil {
+	if err := fasthttp.DoTimeout(req, resp, answerTimeout); err != nil {
 		return 0
 	}
 
@@ -200,3 +207,59 @@
 		}
 	}
 }
+
+// TestDescriptors guards against an entry VM that never accepts a connection again once it has run out
+// of descriptors.
+func TestDescriptors(t *testing.T) {
+	const (
+		more  = 30
+		conns = 2 * more
+	)
+
+	g, _ := startSite(t, 1)
+	v := g.VMs[0]
+	pid := v.Process().PID()
+
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	most := uint64(len(open) + more)
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: most, Max: most}, nil); err != nil {
+		t.Fatal(err)
+	}
+
+	addresses := map[string]carobward.Address{"callers": v.Callers, "lookup": v.Lookup, "readiness": v.Ready}
+
+	for name, address := range addresses {
+		var held []net.Conn
+
+		for range conns {
+			c, err := net.Dial("tcp", string(address))
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			held = append(held, c)
+		}
+
+		cwtest.Wait(t, "no descriptors for "+name, func() bool {
+			now, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+
+			return err == nil && len(now) >= len(open)+more-1
+		})
+
+		for _, c := range held {
+			_ = c.Close()
+		}
+	}
+
+	cwtest.Wait(t, "a request to be answered", func() bool { return send(v, "one") == http.StatusOK })
+	cwtest.Wait(t, "readiness", v.IsReady)
+
+	status, _, err := fasthttp.GetTimeout(nil, "http://"+string(v.Lookup)+platform.PathLookup+"?zone=zone-1", answerTimeout)
+	if err != nil || status != http.StatusOK {
+		t.Errorf("lookup: status %d, %v", status, err)
+	}
+}
