Connections of each listener are bounded, and the longest idle one makes room

Each table of connections has a bound now: 2,400 of callers, 512 for lookups, 256 of peers that pass requests on, 32 each for readiness and operators. TestMost, TestClose.

--- a/internal/cwconn/table.go
+++ b/internal/cwconn/table.go
@@ -42,6 +42,8 @@
 type conn struct {
 	phase   Phase
 	request Request
+	// since is when it entered its phase.
+	since time.Time
 	// closed is set once the table has closed it. The server may still find a request in what it
 	// had read before.
 	closed bool
@@ -49,14 +51,21 @@
 
 // Table has the open connections of an HTTP server. It is safe for concurrent use.
 type Table struct {
+	// most is how many connections there may be.
+	most  int
+	clock carobward.Clock
+
 	mutex sync.Mutex
 	conns map[net.Conn]*conn
 	// closes has the phases in which connections are closed.
 	closes map[Phase]bool
 }
 
-// New returns an empty table.
-func New() *Table { return &Table{conns: map[net.Conn]*conn{}, closes: map[Phase]bool{}} }
+// New returns an empty table. Beyond the given number of connections, each new one takes the place of the
+// one that has waited longest for a request.
+func New(most int, clock carobward.Clock) *Table {
+	return &Table{most: most, clock: clock, conns: map[net.Conn]*conn{}, closes: map[Phase]bool{}}
+}
 
 // Observe takes a change of a connection's state from the HTTP server, see
 // fasthttp.Server.ConnState.
@@ -66,6 +75,10 @@
 
 	switch s {
 	case fasthttp.StateNew:
+		if len(t.conns) >= t.most {
+			t.closeLongestWaiting()
+		}
+
 		t.conns[c] = &conn{}
 		t.setPhase(c, Waiting)
 	case fasthttp.StateClosed, fasthttp.StateHijacked:
@@ -84,10 +97,30 @@
 		return
 	}
 
-	one.phase, one.request = p, Request{}
+	one.phase, one.request, one.since = p, Request{}, t.clock.Now()
 	t.closeIn(c, one)
 }
 
+// closeLongestWaiting closes the connection that has waited longest for a request, if any waits. The
+// caller must hold the mutex.
+func (t *Table) closeLongestWaiting() {
+	var (
+		longest net.Conn
+		state   *conn
+	)
+
+	for c, one := range t.conns {
+		if one.phase == Waiting && !one.closed && (state == nil || one.since.Before(state.since)) {
+			longest, state = c, one
+		}
+	}
+
+	if state != nil {
+		state.closed = true
+		_ = longest.Close() // Nothing was promised on it.
+	}
+}
+
 // closeIn closes a connection if those in its phase are closed. The caller must hold the mutex.
 func (t *Table) closeIn(c net.Conn, one *conn) {
 	if t.closes[one.phase] && !one.closed {
--- /dev/null
+++ b/internal/cwconn/table_test.go
@@ -0,0 +1,111 @@
+package cwconn
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwsocket"
+	"carobward.example/carobward/internal/cwtest"
+)
+
+// pair returns the server's side of a connection.
+func pair(t *testing.T) net.Conn {
+	t.Helper()
+
+	ln := cwtest.Listen(t)
+
+	theirs, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	ours, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { _, _ = ours.Close(), theirs.Close() })
+
+	return ours
+}
+
+func isClosed(c net.Conn) bool { return cwsocket.Peek(c) == cwsocket.Closed }
+
+// TestClose guards against a request that is begun on a connection which is closed: a connection that
+// waits is closed or brings a request, never both.
+func TestClose(t *testing.T) {
+	for name, c := range map[string]struct {
+		states []fasthttp.ConnState
+		close  []Phase
+		// closed and begins are what becomes of the connection, and of a request that has been read.
+		closed, begins bool
+	}{
+		"new":                 {[]fasthttp.ConnState{fasthttp.StateNew}, []Phase{Waiting}, true, false},
+		"idle":                {[]fasthttp.ConnState{fasthttp.StateNew, fasthttp.StateActive, fasthttp.StateIdle}, []Phase{Waiting}, true, false},
+		"brings one":          {[]fasthttp.ConnState{fasthttp.StateNew, fasthttp.StateActive}, []Phase{Waiting}, false, true},
+		"brings one too late": {[]fasthttp.ConnState{fasthttp.StateNew, fasthttp.StateActive}, []Phase{Waiting, Reading}, true, false},
+		"nothing is closed":   {[]fasthttp.ConnState{fasthttp.StateNew}, nil, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table, one := New(1, carobward.SystemClock{}), pair(t)
+			for _, s := range c.states {
+				table.Observe(one, s)
+			}
+
+			for _, p := range c.close {
+				table.Close(p)
+			}
+
+			if isClosed(one) != c.closed || table.Begin(one, Request{ID: "one"}) != c.begins {
+				t.Errorf("closed %v, want %v, and a request begun or not against that", isClosed(one), c.closed)
+			}
+
+			later := pair(t)
+			table.Observe(later, fasthttp.StateNew)
+
+			if want := len(c.close) > 0; isClosed(later) != want {
+				t.Errorf("a connection opened later is closed: %v", !want)
+			}
+		})
+	}
+}
+
+// TestMost guards against connections that use up the descriptors: beyond the bound, the one that has waited
+// longest is closed, never one with a request.
+func TestMost(t *testing.T) {
+	table := New(3, carobward.SystemClock{})
+
+	var conns []net.Conn
+
+	for range 4 {
+		<-time.After(time.Millisecond)
+
+		c := pair(t)
+		conns = append(conns, c)
+		table.Observe(c, fasthttp.StateNew)
+
+		if len(conns) == 1 { // The first one has a request in progress.
+			table.Observe(c, fasthttp.StateActive)
+			table.Begin(c, Request{ID: "one"})
+		}
+	}
+
+	var closed []bool
+	for _, c := range conns {
+		closed = append(closed, isClosed(c))
+	}
+
+	if diff := cmp.Diff([]bool{false, true, false, false}, closed); diff != "" {
+		t.Error(diff)
+	}
+
+	want := Counts{Waiting: 3, Busy: 1}
+	if diff := cmp.Diff(want, table.Counts()); diff != "" || len(table.Requests()) != 1 {
+		t.Errorf("%s, %v", diff, table.Requests())
+	}
+}
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -135,6 +135,8 @@
 	// maxConns bounds the callers' connections, well below the file descriptor limit of a
 	// VM.
 	maxConns = 2400
+	// maxRelayConns bounds the connections of peers that pass requests on.
+	maxRelayConns = 256
 	// maxBodyBytes bounds a request's body if no configuration does.
 	maxBodyBytes = 64 << 20
 )
@@ -145,7 +147,7 @@
 	o.Log = o.Log.WithName("front")
 
 	f := &Front{
-		Options: o, started: o.Clock.Now(), disconnects: cwdisconnect.New(), held: newHeld(), conns: cwconn.New(), relayConns: cwconn.New(), reach: cwreach.New(), services: map[carobward.Service]*serviceState{}, counts: o.Metrics.Part(metricsPart),
+		Options: o, started: o.Clock.Now(), disconnects: cwdisconnect.New(), held: newHeld(), conns: cwconn.New(maxConns, o.Clock), relayConns: cwconn.New(maxRelayConns, o.Clock), reach: cwreach.New(), services: map[carobward.Service]*serviceState{}, counts: o.Metrics.Part(metricsPart),
 	}
 	f.limits.Store(&o.Limits)
 
@@ -202,7 +204,7 @@
 		Handler:                      h,
 		ConnState:                    t.Observe,
 		ErrorHandler:                 f.handleReadError,
-		Concurrency:                  maxConns,
+		Concurrency:                  2 * maxConns, // The table keeps the bound; one that it closes ends a little later.
 		ReadBufferSize:               bufferBytes,
 		MaxRequestBodySize:           maxBodyBytes,
 		ReadTimeout:                  readTimeout,
--- a/internal/cwgateway/listeners.go
+++ b/internal/cwgateway/listeners.go
@@ -11,6 +11,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwaccept"
+	"carobward.example/carobward/internal/cwconn"
 	"carobward.example/carobward/internal/cwmesh"
 	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwstop"
@@ -45,8 +46,8 @@
 
 	specs := []listenerSpec{
 		{"callers", g.Self.Callers, g.front.Server().Serve},
-		{"ready", g.Ready, auxiliaryServer(g.serveReady)},
-		{"lookup", g.Lookup, auxiliaryServer(g.serveLookup)},
+		{"ready", g.Ready, g.auxiliaryServer(g.serveReady, maxOperatorsConns)},
+		{"lookup", g.Lookup, g.auxiliaryServer(g.serveLookup, maxLookupConns)},
 		{"peers", g.Self.Peers, peers.Serve},
 	}
 
@@ -54,7 +55,7 @@
 		specs = append(specs, listenerSpec{listenerRelay, g.Self.Relay, g.serveRelay})
 	}
 
-	specs = append(specs, listenerSpec{listenerMetrics, g.Metrics, auxiliaryServer(g.serveOperators)})
+	specs = append(specs, listenerSpec{listenerMetrics, g.Metrics, g.auxiliaryServer(g.serveOperators, maxOperatorsConns)})
 
 	listeners, err := g.open(specs)
 	if err != nil {
@@ -130,10 +131,17 @@
 	return g.front.RelayServer().Serve(cwpeer.NewListener(ln, g.Key))
 }
 
+// The largest numbers of connections of the listeners for lookups, and for readiness and operators.
+// Callers open a new one where theirs was closed.
+const (
+	maxLookupConns    = 512
+	maxOperatorsConns = 32
+)
+
 // auxiliaryServer returns the serve function of a small HTTP server with short timeouts.
-func auxiliaryServer(h fasthttp.RequestHandler) func(net.Listener) error {
+func (g *Gateway) auxiliaryServer(h fasthttp.RequestHandler, maxConns int) func(net.Listener) error {
 	s := &fasthttp.Server{
-		Handler: h, ReadTimeout: listenerTimeout, WriteTimeout: listenerTimeout, ReduceMemoryUsage: true,
+		Handler: h, ConnState: cwconn.New(maxConns, g.Clock).Observe, ReadTimeout: listenerTimeout, WriteTimeout: listenerTimeout, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true,
 	}
 
