Bounds of connections: the HTTP server's own limit lies a little above, and per listener

Where all connections have a request, none waits that could be closed, and the library's limit holds. It was twice the bound, and that of callers for peers.

--- a/internal/cwconn/table.go
+++ b/internal/cwconn/table.go
@@ -25,6 +25,10 @@
 	Busy
 )
 
+// MaxClosing is how many connections beyond its bound a server has to allow: those that the table has
+// closed end a little later.
+const MaxClosing = 64
+
 // Counts are numbers of connections by phase.
 type Counts struct{ Waiting, Reading, Busy int }
 
--- a/internal/cwconn/table_test.go
+++ b/internal/cwconn/table_test.go
@@ -13,23 +13,11 @@
 	"carobward.example/carobward/internal/cwtest"
 )
 
-// pair returns the server's side of a connection.
-func pair(t *testing.T) net.Conn {
+// accepted returns the server's side of a connection.
+func accepted(t *testing.T) net.Conn {
 	t.Helper()
 
-	ln := cwtest.Listen(t)
-
-	theirs, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-
-	ours, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-
-	t.Cleanup(func() { _, _ = ours.Close(), theirs.Close() })
+	ours, _ := cwtest.Pair(t)
 
 	return ours
 }
@@ -52,7 +40,7 @@
 		"nothing is closed":   {[]fasthttp.ConnState{fasthttp.StateNew}, nil, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			table, one := New(1, carobward.SystemClock{}), pair(t)
+			table, one := New(1, carobward.SystemClock{}), accepted(t)
 			for _, s := range c.states {
 				table.Observe(one, s)
 			}
@@ -65,7 +53,7 @@
 				t.Errorf("closed %v, want %v, and a request begun or not against that", isClosed(one), c.closed)
 			}
 
-			later := pair(t)
+			later := accepted(t)
 			table.Observe(later, fasthttp.StateNew)
 
 			if want := len(c.close) > 0; isClosed(later) != want {
@@ -85,7 +73,7 @@
 	for range 4 {
 		<-time.After(time.Millisecond)
 
-		c := pair(t)
+		c := accepted(t)
 		conns = append(conns, c)
 		table.Observe(c, fasthttp.StateNew)
 
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -196,15 +196,15 @@
 )
 
 // Server returns the HTTP server of the callers' listener.
-func (f *Front) Server() *fasthttp.Server { return f.newServer(f.handle, f.conns) }
+func (f *Front) Server() *fasthttp.Server { return f.newServer(f.handle, f.conns, maxConns) }
 
-// newServer returns an HTTP server whose connections a table tracks.
-func (f *Front) newServer(h fasthttp.RequestHandler, t *cwconn.Table) *fasthttp.Server {
+// newServer returns an HTTP server whose connections a table tracks and bounds.
+func (f *Front) newServer(h fasthttp.RequestHandler, t *cwconn.Table, most int) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      h,
 		ConnState:                    t.Observe,
 		ErrorHandler:                 f.handleReadError,
-		Concurrency:                  2 * maxConns, // The table keeps the bound; one that it closes ends a little later.
+		Concurrency:                  most + cwconn.MaxClosing,
 		ReadBufferSize:               bufferBytes,
 		MaxRequestBodySize:           maxBodyBytes,
 		ReadTimeout:                  readTimeout,
--- a/internal/cwfront/relayed.go
+++ b/internal/cwfront/relayed.go
@@ -23,7 +23,7 @@
 // RelayServer returns the HTTP server of the listener for requests that other entry VMs pass
 // on. Only peers may reach it.
 func (f *Front) RelayServer() *fasthttp.Server {
-	return f.newServer(f.handleRelayed, f.relayConns)
+	return f.newServer(f.handleRelayed, f.relayConns, maxRelayConns)
 }
 
 // handleRelayed serves a request that another entry VM passed on, or its question whether this
--- a/internal/cwgateway/listeners.go
+++ b/internal/cwgateway/listeners.go
@@ -141,7 +141,7 @@
 // auxiliaryServer returns the serve function of a small HTTP server with short timeouts.
 func (g *Gateway) auxiliaryServer(h fasthttp.RequestHandler, maxConns int) func(net.Listener) error {
 	s := &fasthttp.Server{
-		Handler: h, ConnState: cwconn.New(maxConns, g.Clock).Observe, ReadTimeout: listenerTimeout, WriteTimeout: listenerTimeout, ReduceMemoryUsage: true,
+		Handler: h, ConnState: cwconn.New(maxConns, g.Clock).Observe, Concurrency: maxConns + cwconn.MaxClosing, ReadTimeout: listenerTimeout, WriteTimeout: listenerTimeout, ReduceMemoryUsage: true,
 		NoDefaultServerHeader: true, NoDefaultDate: true,
 	}
 
--- a/internal/cwsocket/peek_test.go
+++ b/internal/cwsocket/peek_test.go
@@ -31,7 +31,7 @@
 		}, Closed},
 	} {
 		t.Run(name, func(t *testing.T) {
-			ours, theirs := pair(t)
+			ours, theirs := cwtest.Pair(t)
 			if err := c.other(theirs); err != nil {
 				t.Fatal(err)
 			}
@@ -46,24 +46,3 @@
 		})
 	}
 }
-
-// pair returns both ends of a TCP connection.
-func pair(t *testing.T) (net.Conn, *net.TCPConn) {
-	t.Helper()
-
-	ln := cwtest.Listen(t)
-
-	theirs, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-
-	ours, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-
-	t.Cleanup(func() { _, _ = ours.Close(), theirs.Close() })
-
-	return ours, theirs.(*net.TCPConn)
-}
--- a/internal/cwtest/listen.go
+++ b/internal/cwtest/listen.go
@@ -19,3 +19,29 @@
 
 	return ln
 }
+
+// Pair returns both ends of a TCP connection.
+func Pair(t testing.TB) (ours net.Conn, theirs *net.TCPConn) {
+	t.Helper()
+
+	ln := Listen(t)
+
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	ours, err = ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { _, _ = ours.Close(), conn.Close() })
+
+	theirs, ok := conn.(*net.TCPConn)
+	if !ok {
+		t.Fatalf("a connection of type %T", conn)
+	}
+
+	return ours, theirs
+}
