Tests: who opened a connection is found once for it, and nothing else waits meanwhile

The stand-in for paths kept what it had found by port: a port that another entry VM used later got the first one's fault, a connection that was gone was looked up at each read, and all connections waited for each look-up. It keeps it by connection now and looks up outside of the lock.

--- a/internal/cwsite/paths.go
+++ b/internal/cwsite/paths.go
@@ -14,15 +14,19 @@
 	mutex  sync.Mutex
 	vms    []*EntryVM
 	faults map[string]cwstand.ProxyFault
-	// openers has which entry VM has opened the connections from a port, "" if none has.
-	openers map[int]string
-	// found is when they were last looked up.
-	found time.Time
+	// openers has which entry VM has opened a connection, "" if none has.
+	openers map[net.Conn]string
+
+	// scan guards a look-up of the connections that all entry VMs have open. Found is when the last
+	// one began, and owners what it found, by port.
+	scan   sync.Mutex
+	found  time.Time
+	owners map[int]string
 }
 
 // NewPaths returns paths without faults.
 func NewPaths() *Paths {
-	return &Paths{faults: map[string]cwstand.ProxyFault{}, openers: map[int]string{}}
+	return &Paths{faults: map[string]cwstand.ProxyFault{}, openers: map[net.Conn]string{}}
 }
 
 // Add adds an entry VM that has been started.
@@ -35,44 +39,66 @@
 
 // Fault implements cwstand.Sources.
 func (p *Paths) Fault(c net.Conn) cwstand.ProxyFault {
-	asked := time.Now()
-
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	opener, known := p.openers[c]
+	faults := len(p.faults)
+	p.mutex.Unlock()
 
-	if len(p.faults) == 0 { // To find who opened a connection takes a while.
+	if faults == 0 { // To find who opened a connection takes a while.
 		return cwstand.ProxyPasses
 	}
 
+	if !known {
+		opener = p.findOpener(c)
+	}
+
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	p.openers[c] = opener
+
+	return p.faults[opener]
+}
+
+// findOpener returns which entry VM has opened a connection, or "". One look-up serves all connections
+// that wait for it. Nothing else waits meanwhile.
+func (p *Paths) findOpener(c net.Conn) string {
+	asked := time.Now()
+
 	a, ok := c.RemoteAddr().(*net.TCPAddr)
 	if !ok {
-		return cwstand.ProxyPasses
+		return ""
 	}
 
-	// One that was open at the last look-up and was not found has been closed since.
-	if _, known := p.openers[a.Port]; !known && p.found.Before(asked) {
+	p.scan.Lock()
+	defer p.scan.Unlock()
+
+	if p.found.Before(asked) {
 		p.findOpeners()
 	}
 
-	return p.faults[p.openers[a.Port]]
+	return p.owners[a.Port]
 }
 
-// findOpeners finds out which entry VMs have opened the connections that there are now, all at
-// once. The mutex must be held.
+// findOpeners finds out which entry VMs have opened the connections that there are now. The caller must
+// hold scan.
 func (p *Paths) findOpeners() {
 	p.found = time.Now()
+	p.owners = map[int]string{}
 	byPID := map[int]string{}
 
 	var pids []int
 
+	p.mutex.Lock()
 	for _, v := range p.vms {
 		pid := v.Process().PID()
 		byPID[pid] = v.ID
 		pids = append(pids, pid)
 	}
+	p.mutex.Unlock()
 
 	for port, pid := range cwtest.PortOwners(pids) {
-		p.openers[port] = byPID[pid]
+		p.owners[port] = byPID[pid]
 	}
 }
 
