A request that takes too long to arrive is answered with 408, not 400

Nothing of it was sent to a server, which 408 promises, so they may come back; Retry-After says when.

--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -24,6 +24,7 @@
 	"carobward.example/carobward/internal/cwbackend"
 	"carobward.example/carobward/internal/cwconn"
 	"carobward.example/carobward/internal/cwdisconnect"
+	"carobward.example/carobward/internal/cwframe"
 	"carobward.example/carobward/internal/cwhold"
 	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwmetric"
@@ -379,15 +380,26 @@
 	ctx.Response.Reset()
 	ctx.SetStatusCode(readErrorStatus(err))
 	ctx.SetConnectionClose()
+
+	if ctx.Response.StatusCode() == fasthttp.StatusRequestTimeout {
+		f.Dialect.RetryAfter(slowRetryAfter, ctx.Response.Header.Set)
+	}
 }
 
+// slowRetryAfter is when a caller may retry that took too long to send its request: nothing here has to
+// change before.
+const slowRetryAfter = 50 * time.Millisecond
+
 // readErrorStatus returns the status of a request that could not be read.
 func readErrorStatus(err error) int {
-	if errors.Is(err, fasthttp.ErrUnsupportedTransferEncoding) {
+	switch {
+	case errors.Is(err, fasthttp.ErrUnsupportedTransferEncoding):
 		return fasthttp.StatusNotImplemented
+	case cwframe.IsTimeout(err):
+		return fasthttp.StatusRequestTimeout
+	default:
+		return fasthttp.StatusBadRequest
 	}
-
-	return fasthttp.StatusBadRequest
 }
 
 func addrString(a net.Addr) string {
