--- a/internal/cwgateway/listeners.go
+++ b/internal/cwgateway/listeners.go
@@ -141,8 +141,9 @@
 // auxiliaryServer returns the serve function of a small HTTP server with short timeouts.
 func (g *Gateway) auxiliaryServer(h fasthttp.RequestHandler, maxConns int) func(net.Listener) error {
 	s := &fasthttp.Server{
-		Handler: h, ConnState: cwconn.New(maxConns, g.Clock).Observe, Concurrency: maxConns + cwconn.MaxClosing, ReadTimeout: listenerTimeout, WriteTimeout: listenerTimeout, ReduceMemoryUsage: true,
-		NoDefaultServerHeader: true, NoDefaultDate: true,
+		Handler: h, ConnState: cwconn.New(maxConns, g.Clock).Observe, Concurrency: maxConns + cwconn.MaxClosing,
+		ReadTimeout: listenerTimeout, WriteTimeout: listenerTimeout,
+		ReduceMemoryUsage: true, NoDefaultServerHeader: true, NoDefaultDate: true,
 	}
 
 	return s.Serve
--- a/test/stop/stop_test.go
+++ b/test/stop/stop_test.go
@@ -58,7 +58,10 @@
 func newPlay(t *testing.T, grace time.Duration, servers, vms int) *play {
 	t.Helper()
 
-	p := &play{Site: cwsite.New(t, grace.String()), grace: grace, stops: map[int]time.Duration{0: 0}, paths: cwsite.NewPaths(), ran: map[carobward.RequestID]bool{}, done: map[carobward.RequestID]bool{}}
+	p := &play{
+		Site: cwsite.New(t, grace.String()), grace: grace, stops: map[int]time.Duration{0: 0}, paths: cwsite.NewPaths(),
+		ran: map[carobward.RequestID]bool{}, done: map[carobward.RequestID]bool{},
+	}
 
 	for i := range servers {
 		u := cwstand.NewUpstream(cwtest.Listen(t), carobward.Instance(fmt.Sprint("i-", i)))
