--- a/review/standins-2/site.go
+++ b/review/standins-2/site.go
@@ -61,13 +61,15 @@
 	vms    []*vm
 	record *record
 	guard  net.Listener
+	// zones has the zone of each entry VM in turn; without any, all are in one.
+	zones []string
 }
 
 // vm is one entry VM.
 type vm struct {
-	site     *site
-	name, ip string
-	settings string
+	site           *site
+	name, ip, zone string
+	settings       string
 
 	mutex sync.Mutex
 	cmd   *exec.Cmd
@@ -78,8 +80,11 @@
 
 // newSite starts the store and n entry VMs, and waits until all of them are ready.
 // Configure puts the configuration and the servers into the store before.
-func newSite(rec *record, n int, configure func(s *site) error) (*site, error) {
-	s := &site{record: rec}
+func newSite(rec *record, n int, configure func(s *site) error, zones ...string) (*site, error) {
+	s := &site{record: rec, zones: zones}
+	if len(zones) == 0 {
+		s.zones = []string{"hall"}
+	}
 
 	var err error
 	if s.dir, err = os.MkdirTemp("", "carobward-review-2-"); err != nil {
@@ -105,7 +110,7 @@
 	}
 
 	for i := range n {
-		v := &vm{site: s, name: fmt.Sprintf("front-hall-%d", i+1), ip: s.ip(0, i+1)}
+		v := &vm{site: s, name: fmt.Sprintf("front-%d", i+1), ip: s.ip(0, i+1), zone: s.zones[i%len(s.zones)]}
 		v.settings = filepath.Join(s.dir, v.name+".toml")
 
 		if err := os.WriteFile(v.settings, []byte(s.settings(v, n)), 0o600); err != nil {
@@ -138,13 +143,18 @@
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", s.ip(0, i+1), portControl)))
 	}
 
+	zones := ""
+	for _, z := range s.zones {
+		zones += z + " = \"ops\"\n"
+	}
+
 	return fmt.Sprintf(`[self]
 node = %q
 role = "entry"
 machine_class = "front"
 serves = ["front","control","directory"]
 ip = %q
-zone = "hall"
+zone = %q
 region = "ops"
 loss_counts = false
 bootstrap = true
@@ -164,8 +174,7 @@
 control = "%s:%d"
 directory = "%s:%d"
 [network.zones]
-hall = "ops"
-[platform]
+%s[platform]
 discovery = "platform"
 entry = "directory"
 heartbeat = "1500ms"
@@ -201,8 +210,8 @@
 recovery = "15s"
 ttl_max = "5s"
 probes_per_s = 60
-`, v.name, v.ip, portInternal, portInternal+8, strings.Join(seeds, ","),
-		v.ip, portFront, v.ip, portReady, v.ip, portControl, v.ip, portDirectory, s.store.addr, grace)
+`, v.name, v.ip, v.zone, portInternal, portInternal+8, strings.Join(seeds, ","),
+		v.ip, portFront, v.ip, portReady, v.ip, portControl, v.ip, portDirectory, zones, s.store.addr, grace)
 }
 
 // start starts the process of the entry VM by the command of the deploy file.
@@ -351,7 +360,7 @@
 func entry(u *upstream, state string) map[string]any {
 	return map[string]any{
 		"address": u.addr, "born": u.born,
-		"info":   map[string]any{"service": u.service, "zone": "hall", "version": "v1", "slots": u.slots},
+		"info":   map[string]any{"service": u.service, "zone": u.zone, "version": "v1", "slots": u.slots},
 		"status": map[string]any{"state": state, "seq": 1, "warmup_left": "0ms"},
 	}
 }
--- a/review/standins-2/upstream.go
+++ b/review/standins-2/upstream.go
@@ -15,6 +15,7 @@
 // slots, queues some, and refuses the others. It echoes what the pages say.
 type upstream struct {
 	id, service, addr string
+	zone              string
 	born              int64
 	slots, queue      int
 	record            *record
@@ -35,7 +36,7 @@
 
 func newUpstream(rec *record, ip, id, service string, slots, queue int) (*upstream, error) {
 	u := &upstream{
-		id: id, service: service, born: time.Now().UnixMilli(), slots: slots, queue: queue, record: rec,
+		id: id, service: service, zone: "hall", born: time.Now().UnixMilli(), slots: slots, queue: queue, record: rec,
 		turn: make(chan struct{}, slots),
 		work: func(string) time.Duration { return 20 * time.Millisecond },
 		body: func(path string) []byte { return []byte("whole answer of " + path) },
