--- a/review/standins-2/addresses.go
+++ b/review/standins-2/addresses.go
@@ -8,20 +8,22 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
 func init() { cases["addresses"] = addresses }
 
-// addresses has three zones with two entry VMs each. One of the last zone has been removed long
-// ago. With the disruption, the other one is stopped by SIGTERM and started again.
+// addresses has three zones with four entry VMs each. Three of the last zone have been removed one
+// after the other, long ago. With the disruption, the last one is stopped by SIGTERM and started
+// again.
 func addresses(rec *record) (verdict, error) {
 	const (
-		vms = 6
+		vms = 12
 		// off is how long after its end a VM must not be named any more: contact + 3 s.
 		off    = 6 * time.Second
-		length = 26 * time.Second
+		length = 28 * time.Second
 	)
 
 	s, err := newSite(rec, vms, func(s *site) error {
@@ -50,26 +52,32 @@
 	time.Sleep(3 * time.Second)
 	rec.restart()
 
-	gone, last := s.vms[2], s.vms[5]
+	gone, last := []*vm{s.vms[2], s.vms[5], s.vms[8]}, s.vms[11]
 
-	gone.signal(syscall.SIGTERM)
-	gone.awaitEnd(grace)
+	for _, v := range gone {
+		v.signal(syscall.SIGTERM)
+		time.Sleep(time.Second)
+	}
 
-	goneAt := time.Now()
+	for _, v := range gone {
+		v.awaitEnd(grace)
+		rec.add("ended for good", "", v.name, "")
+	}
 
-	rec.add("ended for good", "", gone.name, "")
+	goneAt := time.Now()
 
 	var (
 		group sync.WaitGroup
 		mutex sync.Mutex
 		named int
 		alone int
+		down  atomic.Bool
 	)
 
 	end := time.Now().Add(length)
 
 	for _, v := range s.vms {
-		if v == gone || v == last {
+		if slices.Contains(gone, v) || v == last {
 			continue
 		}
 
@@ -84,11 +92,18 @@
 
 				rec.add("names", "", v.name, strings.Join(list, " "))
 
-				if time.Since(goneAt) > off && slices.Contains(list, gone.front()) {
+				dead := slices.ContainsFunc(gone, func(v *vm) bool { return slices.Contains(list, v.front()) })
+				usable := slices.ContainsFunc(list, func(a string) bool {
+					isGone := slices.ContainsFunc(gone, func(v *vm) bool { return v.front() == a })
+
+					return !isGone && (a != last.front() || !down.Load())
+				})
+
+				if time.Since(goneAt) > off && dead {
 					mutex.Lock()
 					named++
 
-					if len(list) == 1 {
+					if !usable {
 						alone++
 					}
 					mutex.Unlock()
@@ -100,6 +115,7 @@
 	if trouble() {
 		time.Sleep(off + 6*time.Second)
 		rec.add("SIGTERM", "", last.name, "")
+		down.Store(true)
 		last.signal(syscall.SIGTERM)
 		last.awaitEnd(grace)
 		rec.add("ended", "", last.name, "")
@@ -113,13 +129,14 @@
 		}
 
 		rec.add("ready again", "", last.name, "")
+		down.Store(false)
 	}
 
 	group.Wait()
 
 	return verdict{
 		broken: named > 3,
-		text:   fmt.Sprintf("%d answers of the directory named a machine that had been off for over %s, %d of them no other", named, off, alone),
+		text:   fmt.Sprintf("%d answers of the directory named a machine that had been off for over %s, %d of them no machine but these and one that was stopping", named, off, alone),
 	}, nil
 }
 
