--- a/review/standins-2/leaving.go
+++ b/review/standins-2/leaving.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -114,12 +115,11 @@
 		rec.add("heartbeat is executed", "", first.id, fmt.Sprintf("ready, seq %d", delayed))
 	}
 
-	// The next heartbeat is due.
-	time.Sleep(1400 * time.Millisecond)
-	beat("draining")
-	time.Sleep(500 * time.Millisecond)
+	// The server has served for drain and somewhat longer, and exits before its next heartbeat.
+	time.Sleep(700 * time.Millisecond)
+	first.exit()
 	s.store.remove("servers/" + first.id)
-	rec.add("entry is removed", "", first.id, "")
+	rec.add("exits, its entry is removed", "", first.id, "")
 	group.Wait()
 
 	deadline := acked.Add(drain).Sub(rec.start)
@@ -131,9 +131,18 @@
 		}
 	}
 
+	failed := 0
+
+	for _, l := range rec.of("answered") {
+		if !strings.HasPrefix(l.value, "200") {
+			failed++
+		}
+	}
+
 	return verdict{
 		broken: after > 0,
-		text:   fmt.Sprintf("%d requests reached the leaving server later than %s after its report was acknowledged", after, drain),
+		text: fmt.Sprintf("%d requests reached the leaving server later than %s after its report was acknowledged; %d of all were not answered by 200",
+			after, drain, failed),
 	}, nil
 }
 
--- a/review/standins-2/upstream.go
+++ b/review/standins-2/upstream.go
@@ -25,8 +25,11 @@
 	// none.
 	extra func(refusal bool) (time.Duration, bool)
 
+	listener net.Listener
+
 	mutex            sync.Mutex
 	running, waiting int
+	conns            []net.Conn
 	turn             chan struct{}
 }
 
@@ -43,7 +46,7 @@
 		return nil, err
 	}
 
-	u.addr = ln.Addr().String()
+	u.addr, u.listener = ln.Addr().String(), ln
 
 	go func() {
 		for {
@@ -52,6 +55,10 @@
 				return
 			}
 
+			u.mutex.Lock()
+			u.conns = append(u.conns, c)
+			u.mutex.Unlock()
+
 			go u.serve(c)
 		}
 	}()
@@ -59,6 +66,22 @@
 	return u, nil
 }
 
+// exit ends the server's process: its connections are reset.
+func (u *upstream) exit() {
+	_ = u.listener.Close()
+
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	for _, c := range u.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+
+		_ = c.Close()
+	}
+}
+
 // load returns the value of Upstream-Load.
 func (u *upstream) load() string {
 	u.mutex.Lock()
