The directory names no removed VMs: contacts of a failure domain have a field of their own

Cause: a summary of a failure domain that names nobody, because nobody is ready there, was filled with the newest contacts (Table.knownDomains) before it was passed on, under the time at which the unfilled one was made. As ages are passed on without the time in transit, the copy looked newer and took the place of the original, and callers were told its entry VMs. One list served two purposes: to find somebody to talk to, and to name to callers.

Ruled out: that the entry VMs of the failure domain name the dead themselves. Their own summary had no nodes in all plays of the simulated fleet.

Change: contacts are a field of their own of the message Domain. They are kept as contacts, never as nodes, and never passed off as part of a summary.

Why it holds: what a failure domain says of itself is the only source of the nodes that callers are told of; nobody else may add to it.

--- /dev/null
+++ b/internal/cwmesh/directory_test.go
@@ -0,0 +1,129 @@
+package cwmesh
+
+import (
+	"flag"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"carobward.example/carobward"
+)
+
+// large is set to play a fleet of the largest size, too, which takes minutes.
+var large = flag.Bool("large", false, "also play a fleet of 472 entry VMs")
+
+// lastDomain is the failure domain that TestRemovedNotNamed empties.
+const lastDomain = carobward.Domain("hall-2")
+
+// emptied is a fleet of which one failure domain has lost all entry VMs but the last one.
+type emptied struct {
+	*directoryHistory
+
+	last *simVM
+	gone []*simVM
+	// lastNamed is how long after its end an entry VM was last named.
+	lastNamed time.Duration
+}
+
+// newEmptied returns a fleet in which all but one entry VM of lastDomain have ended, one after the
+// other.
+func newEmptied(seed uint64, domains, each int) *emptied {
+	const together = 3 * time.Second
+
+	e := &emptied{directoryHistory: newDirectoryHistory(seed, domains, each)}
+	e.play(2 * simFormTime)
+
+	list := e.running(lastDomain)
+	e.last, e.gone = list[0], list[1:]
+
+	for _, v := range e.gone {
+		e.end(v)
+		e.watch(together / time.Duration(each))
+	}
+
+	e.watch(2 * namedTime)
+
+	return e
+}
+
+// watch plays the fleet and notes how long those that ended are named.
+func (e *emptied) watch(d time.Duration) {
+	for end := e.now.Add(d); e.now.Before(end); e.play(simCheckInterval) {
+		for _, v := range e.vms {
+			if !v.alive || e.now.Sub(e.runs[v]) < inTouchTime {
+				continue
+			}
+
+			for _, n := range v.named() {
+				if ended, ok := e.ended[n.Callers]; ok && !e.byPeers[n.Peers].alive {
+					e.lastNamed = max(e.lastNamed, e.now.Sub(ended))
+				}
+			}
+		}
+	}
+}
+
+// firstNamed plays the fleet until each entry VM names one, and returns how long that takes.
+func (e *emptied) firstNamed(v *simVM) time.Duration {
+	began := e.now
+	names := func(o *simVM) bool {
+		return !o.alive || o == v || slices.ContainsFunc(o.named(), func(n Node) bool { return n.ID == v.node.ID })
+	}
+
+	for e.now.Sub(began) < time.Minute {
+		if !slices.ContainsFunc(e.vms, func(o *simVM) bool { return !names(o) }) {
+			break
+		}
+
+		e.watch(simCheckInterval)
+	}
+
+	return e.now.Sub(began)
+}
+
+// TestRemovedNotNamed verifies that callers of a failure domain whose last entry VM stops are not
+// told of those that were removed there before, and that one which starts in their place is named
+// in time.
+func TestRemovedNotNamed(t *testing.T) {
+	t.Parallel()
+
+	type size struct{ domains, each int }
+
+	sizes := map[string]size{"12 VMs": {3, 4}, "126 VMs": {3, 42}}
+	if *large {
+		maps.Copy(sizes, map[string]size{"472 VMs": {4, 118}})
+	}
+
+	for name, c := range sizes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			const stay = 4 * time.Second
+
+			e := newEmptied(1, c.domains, c.each)
+			removed := e.lastNamed
+
+			e.last.mesh.SetState(Leaving)
+			e.watch(stay)
+			e.end(e.last)
+			e.watch(time.Second)
+
+			first := e.firstNamed(e.replaceNow(e.last))
+
+			for _, problem := range e.problems {
+				t.Error(problem)
+			}
+
+			if e.lastNamed > namedTime {
+				t.Errorf("an entry VM was named %s after its end", e.lastNamed)
+			}
+
+			if first > simFormTime {
+				t.Errorf("an entry VM was named by all %s after its start", first)
+			}
+
+			t.Logf("last named %s after the end while one is ready, %s at all, first named by all %s after the start", removed, e.lastNamed, first)
+		})
+	}
+}
--- a/internal/cwmesh/domain.go
+++ b/internal/cwmesh/domain.go
@@ -51,8 +51,10 @@
 	StoreDown int
 	// Rate is the requests a second of all together.
 	Rate int
-	// Nodes has some of those that take callers.
+	// Nodes has some of those that take callers. It is empty if none does.
 	Nodes []Node
+	// Contacts has entry VMs to contact while Nodes is empty. They may no longer exist.
+	Contacts []Node
 	// Lost has those of Nodes that reach no server of some service.
 	Lost []carobward.VMID
 	// Loads is the load of services summed over all of them.
@@ -113,10 +115,12 @@
 	}
 
 	o := t.otherDomain(s.Domain)
-	for _, n := range s.Nodes {
+	for _, n := range slices.Concat(s.Contacts, s.Nodes) {
 		o.touchContact(n)
 	}
 
+	s.Contacts = nil
+
 	if s.Made.After(o.Made) {
 		o.Summary = s
 		o.unsent = o.unsent || outside
@@ -231,7 +235,7 @@
 }
 
 // knownDomains returns all that is known of the other failure domains: their summaries,
-// or where there is none yet the newest contacts.
+// and the newest contacts of those whose summary names no entry VM.
 func (t *Table) knownDomains() []Summary {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
@@ -241,7 +245,7 @@
 		if s := &list[i]; len(s.Nodes) == 0 {
 			contacts := t.others[s.Domain].contacts
 			// Cloned, as contacts is modified in place by each heartbeat from there.
-			s.Nodes = slices.Clone(contacts[max(0, len(contacts)-randomNodes):])
+			s.Contacts = slices.Clone(contacts[max(0, len(contacts)-randomNodes):])
 		}
 	}
 
--- a/internal/cwmesh/sim_test.go
+++ b/internal/cwmesh/sim_test.go
@@ -34,16 +34,25 @@
 	queue   []simPacket
 	loss    float64
 	cut     carobward.Domain // Partitioned from the others.
+	// cutLinks are the directions between failure domains that lose all datagrams.
+	cutLinks map[simLink]bool
+	// jitter is the longest random delay of a datagram beyond simDelay.
+	jitter  time.Duration
 	packets int
 	far     int
 }
 
+// simLink is one direction between two failure domains.
+type simLink struct{ from, to carobward.Domain }
+
 // simVM is one entry VM of a sim.
 type simVM struct {
 	sim   *sim
 	node  Node
 	mesh  *Mesh
 	alive bool
+	// clock is by how much its clock is ahead of the simulated time.
+	clock time.Duration
 	// suspended: the VM does nothing, and datagrams to it are lost.
 	suspended bool
 	// stopped: the process does nothing, and datagrams to it wait in held.
@@ -71,8 +80,8 @@
 	raw      []byte
 }
 
-// Now returns the simulated time, the same for all meshes.
-func (s *sim) Now() time.Time { return s.now }
+// Now returns the time by the entry VM's clock.
+func (v *simVM) Now() time.Time { return v.sim.now.Add(v.clock) }
 
 // simConn is the socket of one entry VM.
 type simConn struct {
@@ -101,17 +110,17 @@
 	})
 }
 
-func newSim(seed uint64, count int) *sim {
-	s := &sim{now: time.Date(2100, time.January, 1, 0, 0, 0, 0, time.UTC), rnd: rand.New(rand.NewPCG(seed, 1)), byPeers: map[carobward.Address]*simVM{}}
+func newSim(seed uint64, count int) *sim { return newDividedSim(seed, count, simDomains) }
+
+// newDividedSim returns a fleet that is divided evenly among a number of failure domains.
+func newDividedSim(seed uint64, count, domains int) *sim {
+	s := &sim{
+		now: time.Date(2100, time.January, 1, 0, 0, 0, 0, time.UTC), rnd: rand.New(rand.NewPCG(seed, 1)), byPeers: map[carobward.Address]*simVM{},
+		cutLinks: map[simLink]bool{},
+	}
 
 	for i := range count {
-		host := fmt.Sprintf("10.%d.%d.%d", i%simDomains, i/250, i%250)
-		address := carobward.Address(host + ":7000")
-		s.vms = append(s.vms, &simVM{sim: s, node: Node{
-			ID: carobward.VMID(fmt.Sprintf("front-%d", i)), Domain: carobward.Domain(fmt.Sprintf("hall-%d", i%simDomains)),
-			Callers: address, Peers: address, Relay: carobward.Address(host + ":7001"),
-		}})
-		s.byPeers[address] = s.vms[i]
+		s.add(fmt.Sprintf("front-%d", i), i, domains)
 	}
 
 	s.startAll()
@@ -119,6 +128,21 @@
 	return s
 }
 
+// add adds an entry VM at the address of a number, by which it also belongs to its failure domain.
+func (s *sim) add(id string, number, domains int) *simVM {
+	host := fmt.Sprintf("10.%d.%d.%d", number%domains, number/250, number%250)
+	address := carobward.Address(host + ":7000")
+	v := &simVM{sim: s, node: Node{
+		ID: carobward.VMID(id), Domain: carobward.Domain(fmt.Sprintf("hall-%d", number%domains)),
+		Callers: address, Peers: address, Relay: carobward.Address(host + ":7001"),
+	}}
+
+	s.vms = append(s.vms, v)
+	s.byPeers[address] = v
+
+	return v
+}
+
 // startAll makes all that are not running start within simSpread.
 func (s *sim) startAll() {
 	for _, v := range s.vms {
@@ -137,12 +161,12 @@
 	v.ownLeaving, v.learnedLeaving = nil, map[carobward.LeavingAnnouncement]bool{}
 
 	var seeds []carobward.Address
-	for _, other := range s.vms[:simSeeds] {
+	for _, other := range s.vms[:min(simSeeds, len(s.vms))] {
 		seeds = append(seeds, other.node.Peers)
 	}
 
 	v.mesh = New(Options{
-		Table: NewTable(v.node), Mirror: newMirror(), Seeds: seeds, Key: cwpeer.Key("a key of the simulated fleet"), Clock: s, Log: logr.Discard(),
+		Table: NewTable(v.node), Mirror: newMirror(), Seeds: seeds, Key: cwpeer.Key("a key of the simulated fleet"), Clock: v, Log: logr.Discard(),
 		Changed: func([]carobward.Item) {},
 		Notices: func(_ time.Time, newcomer bool) carobward.Announcements {
 			return carobward.Announcements{Limits: v.limitNotices(newcomer), Leaving: v.ownLeaving}
@@ -169,7 +193,25 @@
 	}
 
 	s.packets++
-	s.queue = append(s.queue, simPacket{at: s.now.Add(simDelay), from: from.node.Peers, to: to, raw: slices.Clone(raw)})
+	s.enqueue(simPacket{at: s.now.Add(simDelay + s.drawJitter()), from: from.node.Peers, to: to, raw: slices.Clone(raw)})
+}
+
+// enqueue adds a datagram to those in transit, which are kept in the order of their arrival.
+func (s *sim) enqueue(p simPacket) {
+	at := len(s.queue)
+	for at > 0 && s.queue[at-1].at.After(p.at) {
+		at--
+	}
+
+	s.queue = slices.Insert(s.queue, at, p)
+}
+
+func (s *sim) drawJitter() time.Duration {
+	if s.jitter == 0 {
+		return 0
+	}
+
+	return time.Duration(s.rnd.Int64N(int64(s.jitter)))
 }
 
 // run advances the clock, and calls check at each step if it is set.
@@ -201,7 +243,7 @@
 
 	// After a pause, either the tick or the waiting datagrams may come first.
 	if s.rnd.IntN(2) == 0 {
-		v.mesh.MarkRunning(s.now)
+		v.mesh.MarkRunning(v.Now())
 	}
 
 	for _, p := range v.held {
@@ -209,7 +251,7 @@
 	}
 
 	v.held = nil
-	v.mesh.MarkRunning(s.now)
+	v.mesh.MarkRunning(v.Now())
 
 	if !s.now.Before(v.nextGreet) {
 		v.nextGreet = s.now.Add(greetInterval)
@@ -242,7 +284,7 @@
 			s.far++
 		}
 
-		cut := crossDomain && (from.node.Domain == s.cut || to.node.Domain == s.cut)
+		cut := crossDomain && (from.node.Domain == s.cut || to.node.Domain == s.cut) || s.cutLinks[simLink{from.node.Domain, to.node.Domain}]
 		switch {
 		case !to.alive || to.suspended || cut:
 		case to.stopped:
--- a/internal/cwmesh/table_test.go
+++ b/internal/cwmesh/table_test.go
@@ -241,7 +241,7 @@
 		table.recordContact(vm(n))
 	}
 
-	before := table.knownDomains()[0].Nodes
+	before := table.knownDomains()[0].Contacts
 	want := slices.Clone(before)
 
 	for n := range randomNodes {
--- a/internal/cwmesh/wire.go
+++ b/internal/cwmesh/wire.go
@@ -56,6 +56,15 @@
 	return out
 }
 
+func decodeNodes(list []*cwwire.Node) []Node {
+	var out []Node
+	for _, n := range list {
+		out = append(out, decodeNode(n))
+	}
+
+	return out
+}
+
 func decodeEntry(e *cwwire.Entry) carobward.Item {
 	return carobward.Item{
 		Key: carobward.Key(e.GetKey()), Value: e.GetValue(), Index: carobward.StoreIndex(e.GetIndex()), Deleted: e.GetGone(),
@@ -126,9 +135,7 @@
 		s.Lost = append(s.Lost, carobward.VMID(id))
 	}
 
-	for _, n := range d.GetNodes() {
-		s.Nodes = append(s.Nodes, decodeNode(n))
-	}
+	s.Nodes, s.Contacts = decodeNodes(d.GetNodes()), decodeNodes(d.GetContacts())
 
 	return s
 }
@@ -137,7 +144,7 @@
 	d := &cwwire.Domain{
 		Name: string(s.Domain), Age: encodeAge(s.Made, now),
 		Alive: uint32(s.Alive), Size: uint32(s.Size), Away: uint32(s.StoreDown), Rate: uint32(s.Rate), Nodes: encodeNodes(s.Nodes),
-		Loads: encodeLoads(s.Loads),
+		Loads: encodeLoads(s.Loads), Contacts: encodeNodes(s.Contacts),
 	}
 
 	for _, id := range s.Lost {
