Summaries that go in circles don't look newer: each is taken once, by its maker's number

What callers saw: with slow links, entry VMs of a failure domain that had ended were named for as long as the other failure domains passed its last summary to each other.

Cause: a summary is passed on with its age, which leaves out the time in transit, and the one that looks newer wins. At each hop, and in circles, a copy looks younger than the one it came from. Claims of how fresh a replica is have the same trouble and are applied once, by the number that their maker gave them; summaries had no such number.

Ruled out: adding a time in transit to the age; it isn't known without clocks that agree.

Change: a summary has the run that made it and its number there (by, nth). One that is not newer than the last of that run is dropped, whatever its age says. What claims had for this is a type of its own now (stamp, seenNumbers) and serves both. A summary without a stamp, of an entry VM that has yet to be replaced, is ordered by its age as before.

Evidence: TestSummaryInCircles, links that delay by up to 2 s: without the order by number "front-0 names front-2, which ended 14.005s before" (the limit is 6 s and four delays), in both cases; with it both pass.

Why it holds: an entry VM takes each summary once, so its age grows while it is kept and shrinks only by one transit for each hop of the first copy that comes.

--- a/internal/cwmesh/checked_test.go
+++ b/internal/cwmesh/checked_test.go
@@ -205,7 +205,7 @@
 		t.Run(name, func(t *testing.T) {
 			k := newClaims()
 			for _, w := range c.answers {
-				one := claim{askerBoot: 1, number: w.nth, asked: start.Add(w.at), answered: start.Add(w.at)}
+				one := claim{stamp: stamp{1, w.nth}, asked: start.Add(w.at), answered: start.Add(w.at)}
 				k.apply(&one, start.Add(w.now), w.era, 0)
 			}
 
@@ -246,16 +246,16 @@
 	}
 }
 
-// TestSeenClaimsEviction checks that the entry VMs whose claims were added last are remembered.
-func TestSeenClaimsEviction(t *testing.T) {
-	s, now := seenClaims{}, time.Date(2100, time.January, 1, 0, 0, 0, 0, time.UTC)
+// TestSeenNumbersEviction checks that the runs whose statements were added last are remembered.
+func TestSeenNumbersEviction(t *testing.T) {
+	s, now := seenNumbers{}, time.Date(2100, time.January, 1, 0, 0, 0, 0, time.UTC)
 
-	for by := range uint64(2 * maxSeenClaims) {
-		s.add(&claim{askerBoot: 1 + by, number: 5}, now.Add(time.Duration(by)))
+	for by := range uint64(2 * maxSeenNumbers) {
+		s.add(stamp{1 + by, 5}, now.Add(time.Duration(by)))
 	}
 
-	if s.add(&claim{askerBoot: 2 * maxSeenClaims, number: 5}, now) || len(s) > maxSeenClaims {
-		t.Errorf("the last claim counts as new again, or %d remembered claims are too many", len(s))
+	if s.add(stamp{2 * maxSeenNumbers, 5}, now) || len(s) > maxSeenNumbers {
+		t.Errorf("the last statement counts as new again, or %d remembered runs are too many", len(s))
 	}
 }
 
--- a/internal/cwmesh/claim.go
+++ b/internal/cwmesh/claim.go
@@ -13,9 +13,8 @@
 // received again through other peers, it would look younger each time, and all the more so
 // in a larger fleet.
 type claim struct {
-	// askerBoot identifies the run of the entry VM that made the call, number is the number
-	// of the call in that run.
-	askerBoot, number uint64
+	// stamp has the run of the entry VM that made the call, and the number of the call.
+	stamp
 	// asked is when the call was made: all that the store acknowledged before is in the
 	// replica. Answered is when the answer came, which may be much later.
 	asked, answered time.Time
@@ -23,50 +22,7 @@
 
 // claimOf returns the claim of a heartbeat.
 func claimOf(b *cwwire.Beat, now time.Time) claim {
-	return claim{askerBoot: b.GetBy(), number: b.GetNth(), asked: decodeAge(b.GetChecked(), now), answered: decodeAge(b.GetFresh(), now)}
-}
-
-// seenClaims has the number of the newest claim of each entry VM, by its boot.
-type seenClaims map[uint64]seenClaim
-
-type seenClaim struct {
-	number uint64
-	at     time.Time
-}
-
-// maxSeenClaims is how many entry VMs' claims are remembered. Few ask the store at any time.
-const maxSeenClaims = 256
-
-// add records a claim, and reports whether it is new. A claim without a number always is.
-func (s seenClaims) add(c *claim, now time.Time) bool {
-	if c.askerBoot == 0 {
-		return true
-	}
-
-	if old, ok := s[c.askerBoot]; ok && c.number <= old.number {
-		return false
-	}
-
-	if len(s) >= maxSeenClaims {
-		s.evictOldest()
-	}
-
-	s[c.askerBoot] = seenClaim{c.number, now}
-
-	return true
-}
-
-// evictOldest drops the claim that was added first.
-func (s seenClaims) evictOldest() {
-	first := uint64(0)
-
-	for by, c := range s {
-		if first == 0 || c.at.Before(s[first].at) {
-			first = by
-		}
-	}
-
-	delete(s, first)
+	return claim{stamp: stamp{b.GetBy(), b.GetNth()}, asked: decodeAge(b.GetChecked(), now), answered: decodeAge(b.GetFresh(), now)}
 }
 
 // Periods during which claims are unreliable.
@@ -92,18 +48,18 @@
 	// lastAnswer is when the store last answered any entry VM, as far as is known.
 	lastAnswer time.Time
 	// applied has the claims applied to the replica, received those of all heartbeats.
-	applied, received seenClaims
+	applied, received seenNumbers
 	pauses            pauseMeter
 	// era is that of the replica, entered is when it changed.
 	era     carobward.StoreEra
 	entered time.Time
 }
 
-func newClaims() claims { return claims{applied: seenClaims{}, received: seenClaims{}} }
+func newClaims() claims { return claims{applied: seenNumbers{}, received: seenNumbers{}} }
 
 // noteAnswer records only that the store answered, and when.
 func (c *claims) noteAnswer(in *claim, now time.Time) {
-	if c.received.add(in, now) && in.answered.After(c.lastAnswer) {
+	if c.received.add(in.stamp, now) && in.answered.After(c.lastAnswer) {
 		c.lastAnswer = in.answered
 	}
 }
@@ -117,7 +73,7 @@
 
 	c.era = era
 
-	if !c.applied.add(in, now) {
+	if !c.applied.add(in.stamp, now) {
 		return
 	}
 
@@ -284,7 +240,7 @@
 	defer m.mutex.Unlock()
 
 	m.answers++
-	m.claims.apply(&claim{askerBoot: m.boot, number: m.answers, asked: asked, answered: at}, at, era, 0)
+	m.claims.apply(&claim{stamp: stamp{m.boot, m.answers}, asked: asked, answered: at}, at, era, 0)
 }
 
 // noteAnswer records that the store answered, whether the claim holds for this replica or not.
@@ -307,7 +263,7 @@
 // applyFetchedClaim applies the claim of a peer's reply to a fetch; its ages count from when
 // the request was sent.
 func (m *Mesh) applyFetchedClaim(r *cwwire.ChangesReply, sent time.Time, era carobward.StoreEra) {
-	c := claim{askerBoot: r.GetBy(), number: r.GetNth(), asked: decodeAge(r.GetChecked(), sent), answered: decodeAge(r.GetFresh(), sent)}
+	c := claim{stamp: stamp{r.GetBy(), r.GetNth()}, asked: decodeAge(r.GetChecked(), sent), answered: decodeAge(r.GetFresh(), sent)}
 	now := m.Clock.Now()
 
 	m.mutex.Lock()
--- a/internal/cwmesh/directory_history_test.go
+++ b/internal/cwmesh/directory_history_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"testing"
 	"time"
 
 	"carobward.example/carobward"
@@ -381,3 +382,57 @@
 		}
 	}
 }
+
+// TestDirectoryHistory simulates entry VMs that end, stop, are suspended, removed and replaced, the
+// last ones of a failure domain above all, beside links that delay, lose and cut. No entry VM that
+// runs may name to callers one that ended or began to stop more than namedTime before. Once all is
+// calm, each names some of each failure domain.
+func TestDirectoryHistory(t *testing.T) {
+	t.Parallel()
+
+	for name, c := range map[string]struct {
+		seed          uint64
+		domains, each int
+		steps         int
+		loss          float64
+		jitter        time.Duration
+	}{
+		"one VM each":          {1, 2, 1, 24, 0, 0},
+		"one VM each, 16":      {2, 16, 1, 8, 0.02, 0},
+		"3 domains":            {3, 3, 4, 16, 0, 0},
+		"3 domains, loss":      {4, 3, 4, 16, 0.1, 0},
+		"3 domains, delays":    {5, 3, 3, 16, 0.02, time.Second},
+		"5 domains, delays":    {6, 5, 2, 12, 0, time.Second},
+		"5 domains, much loss": {7, 5, 3, 12, 0.3, 20 * time.Millisecond},
+		"2 domains of 30":      {8, 2, 30, 3, 0.02, 20 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			h := newDirectoryHistory(c.seed, c.domains, c.each)
+			h.play(simFormTime)
+
+			// What is known goes from an entry VM to its failure domain, on to another one, through a
+			// third and on: one delay each. Less than that is within the limit.
+			h.loss, h.jitter = c.loss, c.jitter
+			h.slack = directoryHops * c.jitter
+
+			for range c.steps {
+				h.disturb()
+			}
+
+			h.mend()
+			h.checkCalm()
+
+			for _, problem := range h.problems {
+				t.Error(problem)
+			}
+
+			t.Logf("%d answers", h.answers)
+		})
+	}
+}
+
+// directoryHops is the number of datagrams through which an entry VM may hear of another one at
+// the ends of the longest chain of failure domains in a history: two for each.
+const directoryHops = 10
--- a/internal/cwmesh/directory_test.go
+++ b/internal/cwmesh/directory_test.go
@@ -82,6 +82,39 @@
 	return e.now.Sub(began)
 }
 
+// TestSummaryInCircles verifies that a summary which entry VMs of other failure domains pass to each
+// other does not look newer each time: links are slow, and ages leave out the time in transit.
+func TestSummaryInCircles(t *testing.T) {
+	t.Parallel()
+
+	const (
+		jitter = 2 * time.Second
+		hops   = 4
+	)
+
+	for name, domains := range map[string]int{"3 domains": 3, "6 domains": 6} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			h := newDirectoryHistory(1, domains, 2)
+			h.play(2 * simFormTime)
+
+			h.jitter, h.slack = jitter, hops*jitter
+			h.play(2 * simFormTime)
+
+			for _, v := range h.running(lastDomain) {
+				h.end(v)
+			}
+
+			h.play(time.Minute)
+
+			for _, problem := range h.problems {
+				t.Error(problem)
+			}
+		})
+	}
+}
+
 // TestRemovedNotNamed verifies that callers of a failure domain whose last entry VM stops are not
 // told of those that were removed there before, and that one which starts in their place is named
 // in time.
--- a/internal/cwmesh/domain.go
+++ b/internal/cwmesh/domain.go
@@ -41,6 +41,8 @@
 // Summary describes the entry VMs of a failure domain as a whole.
 type Summary struct {
 	Domain carobward.Domain
+	// stamp has the run of the entry VM that made it, and its number.
+	stamp
 	// Made is when it was made in that failure domain, by this entry VM's clock.
 	Made time.Time
 	// Alive is the number of entry VMs that live and are not stopping, Size the largest
@@ -65,6 +67,8 @@
 type otherDomain struct {
 	Summary
 
+	// seen has the newest summary of each entry VM that was received.
+	seen seenNumbers
 	// contacts has entry VMs that sent a heartbeat or were named, the newest last.
 	contacts []Node
 	// unsent is set if the summary came from outside this failure domain and its peers
@@ -90,7 +94,7 @@
 func (t *Table) otherDomain(d carobward.Domain) *otherDomain {
 	o := t.others[d]
 	if o == nil {
-		o = &otherDomain{Summary: Summary{Domain: d}}
+		o = &otherDomain{Summary: Summary{Domain: d}, seen: seenNumbers{}}
 		t.others[d] = o
 	}
 
@@ -106,7 +110,8 @@
 }
 
 // addSummary stores a summary if it is newer. Outside is set if another failure domain sent it.
-func (t *Table) addSummary(s Summary, outside bool) {
+// Summaries of one entry VM are ordered by their numbers, those of several by when they were made.
+func (t *Table) addSummary(s Summary, outside bool, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 
@@ -121,7 +126,7 @@
 
 	s.Contacts = nil
 
-	if s.Made.After(o.Made) {
+	if o.seen.add(s.stamp, now) && s.Made.After(o.Made) {
 		o.Summary = s
 		o.unsent = o.unsent || outside
 	}
--- a/internal/cwmesh/fetch.go
+++ b/internal/cwmesh/fetch.go
@@ -314,7 +314,7 @@
 	// Remaining times and ages must be current, even if the rest is a reused reply.
 	out.Kept, out.Hold = encodeKept(a.mesh.Mirror.Kept(now)), uint32(a.mesh.Mirror.HoldRemaining(now).Milliseconds())
 	out.Fresh, out.Checked = encodeAge(claim.answered, now), encodeAge(claim.asked, now)
-	out.By, out.Nth = claim.askerBoot, claim.number
+	out.By, out.Nth = claim.boot, claim.number
 
 	return nil
 }
--- a/internal/cwmesh/fleet.go
+++ b/internal/cwmesh/fleet.go
@@ -23,7 +23,7 @@
 	for i := range list {
 		d := encodeSummary(&list[i], list[i].Made)
 		// These change often and are of no use to newcomers.
-		d.Rate, d.Away, d.Loads, d.Lost = 0, 0, nil, nil
+		d.Rate, d.Away, d.Loads, d.Lost, d.By, d.Nth = 0, 0, nil, nil, 0, 0
 		f.Domains = append(f.Domains, d)
 	}
 
--- a/internal/cwmesh/lost_test.go
+++ b/internal/cwmesh/lost_test.go
@@ -133,7 +133,7 @@
 	table.recordContact(node("contact"))
 	table.recordContact(node("lost"))
 	table.recordContact(Node{ID: "old", Domain: "b"})
-	table.addSummary(Summary{Domain: "b", Made: now, Nodes: []Node{node("named"), node("lost")}, Lost: []carobward.VMID{"lost"}}, true)
+	table.addSummary(Summary{Domain: "b", Made: now, Nodes: []Node{node("named"), node("lost")}, Lost: []carobward.VMID{"lost"}}, true, now)
 
 	named, others := table.FarRelays("b", now)
 	if diff := cmp.Diff([][]Node{{node("named")}, {node("contact")}}, [][]Node{named, others}); diff != "" {
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -94,6 +94,8 @@
 	stateSince atomic.Int64
 	storeDown  atomic.Bool
 	rate       atomic.Int64
+	// summaries counts the summaries that this entry VM made.
+	summaries atomic.Uint64
 	// sendsFar is set if the next heartbeat also goes to the other failure domains,
 	// relayPending if an update from one of them has yet to be passed on in this one.
 	sendsFar     atomic.Bool
--- a/internal/cwmesh/receive.go
+++ b/internal/cwmesh/receive.go
@@ -114,7 +114,7 @@
 func (m *Mesh) addNamed(b *cwwire.Beat, from carobward.Domain, now time.Time) {
 	outside := m.isOtherDomain(from)
 	for _, d := range b.GetDomains() {
-		m.Table.addSummary(decodeSummary(d, now), outside)
+		m.Table.addSummary(decodeSummary(d, now), outside, now)
 	}
 
 	for _, o := range b.GetOthers() {
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -112,6 +112,7 @@
 func (m *Mesh) summary(now time.Time) Summary {
 	s := m.Table.Summary(now, Peer{State: m.State(), StoreDown: m.storeDown.Load(), Rate: int(m.rate.Load()), Lost: m.Lost(now)})
 	s.Loads = m.sumLoads(now)
+	s.stamp = stamp{m.boot, m.summaries.Add(1)}
 
 	return s
 }
@@ -193,7 +194,7 @@
 	s := m.Mirror.State()
 	b := &cwwire.Beat{
 		Id: string(m.Table.Self().ID), Boot: m.boot, State: uint32(m.State()),
-		Index: uint64(s.Index), Top: uint64(s.Top), Fresh: encodeAge(c.answered, now), Checked: encodeAge(c.asked, now), By: c.askerBoot, Nth: c.number, Away: m.storeDown.Load(),
+		Index: uint64(s.Index), Top: uint64(s.Top), Fresh: encodeAge(c.answered, now), Checked: encodeAge(c.asked, now), By: c.boot, Nth: c.number, Away: m.storeDown.Load(),
 		Rate: uint32(m.rate.Load()), Era: uint64(s.Era), Version: uint64(s.Version), Kept: uint32(s.Kept),
 	}
 
--- a/internal/cwmesh/table_test.go
+++ b/internal/cwmesh/table_test.go
@@ -27,7 +27,7 @@
 			s.Nodes = append(s.Nodes, testNode(3*i+n+1, d))
 		}
 
-		t.addSummary(s, true)
+		t.addSummary(s, true, heard)
 	}
 
 	return t
@@ -281,7 +281,7 @@
 				s.Nodes = append(s.Nodes, testNode(3*i+1, "b"))
 			}
 
-			table.addSummary(s, c.direct)
+			table.addSummary(s, c.direct, later(c.last))
 			table.recordContact(testNode(1, "b")) // One of them has sent a heartbeat.
 
 			if got := len(table.Callable("b", later(c.at))); got != c.want {
--- a/internal/cwmesh/wire.go
+++ b/internal/cwmesh/wire.go
@@ -126,7 +126,7 @@
 // decodeSummary decodes a summary. Made is the zero time if the summary was never made.
 func decodeSummary(d *cwwire.Domain, now time.Time) Summary {
 	s := Summary{
-		Domain: carobward.Domain(d.GetName()), Made: decodeAge(d.GetAge(), now),
+		Domain: carobward.Domain(d.GetName()), stamp: stamp{d.GetBy(), d.GetNth()}, Made: decodeAge(d.GetAge(), now),
 		Alive: int(d.GetAlive()), Size: int(d.GetSize()), StoreDown: int(d.GetAway()), Rate: int(d.GetRate()),
 		Loads: decodeLoads(d.GetLoads()),
 	}
@@ -144,7 +144,7 @@
 	d := &cwwire.Domain{
 		Name: string(s.Domain), Age: encodeAge(s.Made, now),
 		Alive: uint32(s.Alive), Size: uint32(s.Size), Away: uint32(s.StoreDown), Rate: uint32(s.Rate), Nodes: encodeNodes(s.Nodes),
-		Loads: encodeLoads(s.Loads), Contacts: encodeNodes(s.Contacts),
+		Loads: encodeLoads(s.Loads), Contacts: encodeNodes(s.Contacts), By: s.boot, Nth: s.number,
 	}
 
 	for _, id := range s.Lost {
