An entry VM that wakes makes nobody name those that ended meanwhile

What callers saw: after an entry VM had been suspended or its process paused for 20 s, entry VMs of other failure domains, which had run all the while, named to callers those that had ended meanwhile.

Cause: the clock doesn't count a suspension, so what the VM knew before looked fresh and was passed on as fresh; and what waits in its socket during a pause is read after it as if it had just come, so that dead peers counted as alive and went into its own summary.

Ruled out: that peers have to be forgotten. They most likely run on, and without them a VM that wakes acts as if it were alone; only what callers are told may not rest on it.

Change: a peer has, beside the time at which its last heartbeat was read, the time at which it certainly ran (ProvenAt), and only proven ones are named, to callers and in summaries. Ages in a heartbeat count from when it may have come (HeardUntil). A suspension is added to the age of summaries, and to ages that are sent before the tick has noticed it.

--- a/internal/cwgateway/addresses.go
+++ b/internal/cwgateway/addresses.go
@@ -123,7 +123,9 @@
 	add(g.mesh.State(), g.Self.Callers, g.mesh.Lost(now))
 
 	for _, p := range g.table.Live(now) {
-		add(p.State, p.Callers, p.Lost)
+		if p.IsProven(now) {
+			add(p.State, p.Callers, p.Lost)
+		}
 	}
 
 	if !cwhold.NamesStarting(now.Sub(g.started), len(l.ready)+len(l.lost), len(l.starting)) {
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -196,7 +196,7 @@
 
 	g.mesh = cwmesh.New(cwmesh.Options{
 		Table: g.table, Mirror: g.mirror, Seeds: o.Seeds, Key: o.Key, Link: o.LinkSpeed, Clock: o.Clock, Log: o.Log, Changed: g.applyChanges,
-		Notices: g.servers.Announcements, TakeNotices: g.applyReports, Grant: g.quota.Grant, DomainGrant: g.quota.GrantInDomain, OwnLoad: g.front.Loads, LostServices: g.front.Claims, Domains: slices.Collect(maps.Keys(o.Regions)),
+		Notices: g.servers.Announcements, TakeNotices: g.applyReports, Grant: g.quota.Grant, DomainGrant: g.quota.GrantInDomain, OwnLoad: g.front.Loads, LostServices: g.front.Claims, PendingSuspension: o.PendingSuspension, Domains: slices.Collect(maps.Keys(o.Regions)),
 	}, conn)
 
 	g.follow = cwfollow.New(cwfollow.Options{
--- a/internal/cwmesh/claim.go
+++ b/internal/cwmesh/claim.go
@@ -132,6 +132,12 @@
 	p.lastTick = now
 }
 
+// addSuspension records a suspension of the VM, which the clock does not count. What was received
+// before may still be read after it.
+func (p *pauseMeter) addSuspension(by time.Duration, now time.Time) {
+	p.gap, p.gapUntil = max(p.gap, by), now.Add(backlogTime)
+}
+
 // paused returns for how long the process was paused since a time, counting its last pause.
 func (p *pauseMeter) paused(since, now time.Time) time.Duration {
 	from, to := p.pausedFrom, p.pausedTo
--- a/internal/cwmesh/directory_history_test.go
+++ b/internal/cwmesh/directory_history_test.go
@@ -1,7 +1,9 @@
 package cwmesh
 
 import (
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -33,6 +35,11 @@
 	runs map[*simVM]time.Time
 	// removed are the entry VMs that never start again.
 	removed map[*simVM]bool
+	// listed is the list of the fleet in the store, listNext when it is next brought up to date.
+	// While the store is silent, it is neither written nor read.
+	listed   []Summary
+	listNext time.Time
+	silent   bool
 	// slack is added to namedTime, for the time that datagrams are in transit.
 	slack    time.Duration
 	replaced int
@@ -61,6 +68,30 @@
 		h.runs[v] = h.now
 		delete(h.leaving, v.node.Callers)
 		v.mesh.AddSeeds(h.someRunning())
+
+		if !h.silent {
+			v.mesh.Table.AddListed(h.listed, v.Now())
+		}
+	}
+}
+
+// updateList writes the list of the fleet to the store as an entry VM does that finds it outdated.
+func (h *directoryHistory) updateList() {
+	const interval = time.Second
+
+	if h.silent || h.now.Before(h.listNext) {
+		return
+	}
+
+	h.listNext = h.now.Add(interval)
+
+	v := h.vms[h.rnd.IntN(len(h.vms))]
+	if !v.alive || v.suspended || v.stopped || v.mesh.State() != Ready {
+		return
+	}
+
+	if fleet := v.mesh.Table.Fleet(v.Now(), Ready); IsOutdated(h.listed, fleet) {
+		h.listed = fleet
 	}
 }
 
@@ -89,6 +120,8 @@
 
 		next = h.now.Add(simCheckInterval)
 
+		h.updateList()
+
 		for _, v := range h.vms {
 			if v.alive && !v.suspended && !v.stopped && h.now.Sub(h.runs[v]) >= inTouchTime {
 				h.checkAnswer(v)
@@ -104,7 +137,7 @@
 	var list []Node
 
 	for _, p := range t.Live(now) {
-		if p.State == Ready {
+		if p.State == Ready && p.IsProven(now) {
 			list = append(list, p.Node)
 		}
 	}
@@ -189,9 +222,17 @@
 		return
 	}
 
+	h.resume(v, by)
+}
+
+// resume ends a suspension.
+func (h *directoryHistory) resume(v *simVM, by time.Duration) {
 	v.suspended = false
 	v.clock -= by
+	v.pending = by
 	h.runs[v] = h.now
+	h.play(time.Duration(h.rnd.IntN(2)) * simStep) // It may send before it learns of its suspension.
+	v.pending = 0
 	v.mesh.Suspended(by)
 }
 
@@ -278,6 +319,8 @@
 
 // disturb makes trouble of one kind, in links or for entry VMs.
 func (h *directoryHistory) disturb() {
+	h.silent = h.rnd.IntN(4) == 0
+
 	switch h.rnd.IntN(5) {
 	case 0:
 		h.empty(h.randomDomain())
@@ -340,7 +383,7 @@
 // mend ends all trouble: each failure domain has an entry VM again.
 func (h *directoryHistory) mend() {
 	clear(h.cutLinks)
-	h.loss, h.jitter = 0, 0
+	h.loss, h.jitter, h.silent = 0, 0, false
 
 	for d := range h.domains {
 		domain := carobward.Domain(fmt.Sprintf("hall-%d", d))
@@ -360,7 +403,7 @@
 		}
 	}
 
-	h.play(simDeathTime)
+	h.play(mendTime)
 }
 
 // checkCalm checks that each entry VM names some of each failure domain, and all of its own.
@@ -383,6 +426,38 @@
 	}
 }
 
+// directoryCase is a drawn history.
+type directoryCase struct {
+	seed          uint64
+	domains, each int
+	steps         int
+	loss          float64
+	jitter        time.Duration
+}
+
+// histories is how many more histories are drawn, firstHistory the seed of the first one.
+var (
+	histories    = flag.Int("histories", 0, "how many more histories of the directory are drawn")
+	firstHistory = flag.Uint64("first-history", 100, "the seed of the first of these")
+)
+
+// drawDirectoryCase draws the size of a fleet and the faults of its links.
+func drawDirectoryCase(seed uint64) directoryCase {
+	const (
+		maxDomains, maxEach = 16, 30
+		maxVMs              = 120
+	)
+
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	domains := 2 + rnd.IntN(maxDomains-1)
+
+	return directoryCase{
+		seed: seed, domains: domains, each: 1 + rnd.IntN(min(maxEach, maxVMs/domains)), steps: 8,
+		loss:   []float64{0, 0.02, 0.1, 0.3}[rnd.IntN(4)],
+		jitter: []time.Duration{0, 20 * time.Millisecond, 300 * time.Millisecond, time.Second}[rnd.IntN(4)],
+	}
+}
+
 // TestDirectoryHistory simulates entry VMs that end, stop, are suspended, removed and replaced, the
 // last ones of a failure domain above all, beside links that delay, lose and cut. No entry VM that
 // runs may name to callers one that ended or began to stop more than namedTime before. Once all is
@@ -390,13 +465,7 @@
 func TestDirectoryHistory(t *testing.T) {
 	t.Parallel()
 
-	for name, c := range map[string]struct {
-		seed          uint64
-		domains, each int
-		steps         int
-		loss          float64
-		jitter        time.Duration
-	}{
+	cases := map[string]directoryCase{
 		"one VM each":          {1, 2, 1, 24, 0, 0},
 		"one VM each, 16":      {2, 16, 1, 8, 0.02, 0},
 		"3 domains":            {3, 3, 4, 16, 0, 0},
@@ -405,7 +474,14 @@
 		"5 domains, delays":    {6, 5, 2, 12, 0, time.Second},
 		"5 domains, much loss": {7, 5, 3, 12, 0.3, 20 * time.Millisecond},
 		"2 domains of 30":      {8, 2, 30, 3, 0.02, 20 * time.Millisecond},
-	} {
+	}
+
+	for n := range *histories {
+		c := drawDirectoryCase(*firstHistory + uint64(n))
+		cases[fmt.Sprintf("seed %d", c.seed)] = c
+	}
+
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
@@ -428,11 +504,13 @@
 				t.Error(problem)
 			}
 
-			t.Logf("%d answers", h.answers)
+			t.Logf("%+v: %d answers", c, h.answers)
 		})
 	}
 }
 
-// directoryHops is the number of datagrams through which an entry VM may hear of another one at
-// the ends of the longest chain of failure domains in a history: two for each.
+// directoryHops is the number of datagrams through which an entry VM may hear of another one within
+// namedTime: one at least for each heartbeat interval, and those that arrive at once.
 const directoryHops = 10
+
+const mendTime = simDeathTime
--- a/internal/cwmesh/directory_test.go
+++ b/internal/cwmesh/directory_test.go
@@ -115,6 +115,46 @@
 	}
 }
 
+// TestWakeTellsNothingOld verifies that an entry VM that runs again after a suspension or a pause
+// makes nobody name those that ended meanwhile: it passes on what it knew, and reads what was sent
+// to it before.
+func TestWakeTellsNothingOld(t *testing.T) {
+	t.Parallel()
+
+	const pause = 20 * time.Second
+
+	for name, wake := range map[string]func(h *directoryHistory, v *simVM){
+		"suspended": func(h *directoryHistory, v *simVM) { h.resume(v, pause) },
+		"paused":    func(h *directoryHistory, v *simVM) { v.stopped, h.runs[v] = false, h.now },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			for seed := range uint64(20) {
+				h := newDirectoryHistory(seed, 3, 2)
+				h.play(2 * simFormTime)
+
+				v := h.running("hall-0")[0]
+				v.suspended, v.stopped = name == "suspended", name == "paused"
+
+				h.play(h.randomTime(time.Second))
+
+				for _, o := range h.running(lastDomain) {
+					h.end(o)
+				}
+
+				h.play(pause)
+				wake(h, v)
+				h.play(2 * namedTime)
+
+				for _, problem := range h.problems {
+					t.Errorf("seed %d: %s", seed, problem)
+				}
+			}
+		})
+	}
+}
+
 // TestRemovedNotNamed verifies that callers of a failure domain whose last entry VM stops are not
 // told of those that were removed there before, and that one which starts in their place is named
 // in time.
--- a/internal/cwmesh/domain.go
+++ b/internal/cwmesh/domain.go
@@ -150,12 +150,13 @@
 			s.StoreDown++
 		}
 
-		if p.State == Ready {
+		if p.State == Ready && p.IsProven(now) {
 			ready = append(ready, p)
 		}
 	}
 
 	own.Node = t.self
+	own.ProvenAt = now
 	own.rank = own.Rank() // Computed once, not at each comparison.
 	add(&own)
 
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -71,6 +71,9 @@
 	// OwnLoad returns the recent load at this entry VM of the services whose load the
 	// others need to know. It may be nil.
 	OwnLoad func(now time.Time) []carobward.ServiceLoad
+	// PendingSuspension returns for how long the VM was suspended without Suspended having been
+	// called yet. It may be nil.
+	PendingSuspension func() time.Duration
 	// LostServices returns the services of which the others are told that this entry VM reaches no
 	// server. It may be nil.
 	LostServices func(now time.Time) []carobward.Service
@@ -212,12 +215,25 @@
 
 // Suspended adds a time that the VM's clock did not count to the age of what is known of
 // the store: when the replica was up to date, and when the store last answered. Otherwise
-// this entry VM would consider its replica up to date, and claim so to peers. What is known
-// of peers stays: they have most likely kept running, and without them this entry VM would
-// act as if it were alone.
+// this entry VM would consider its replica up to date, and claim so to peers. The same holds
+// for what callers are told. Peers still count as alive: they have most likely kept running,
+// and without them this entry VM would act as if it were alone.
 func (m *Mesh) Suspended(by time.Duration) {
+	m.Table.setBack(by)
+
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
 	m.claims.setBack(by)
+	m.claims.pauses.addSuspension(by, m.Clock.Now())
+}
+
+// ageTime returns the time from which ages are counted that are passed on: now, and a suspension
+// that Suspended has yet to add.
+func (m *Mesh) ageTime(now time.Time) time.Time {
+	if m.PendingSuspension == nil {
+		return now
+	}
+
+	return now.Add(m.PendingSuspension())
 }
--- a/internal/cwmesh/receive.go
+++ b/internal/cwmesh/receive.go
@@ -65,7 +65,7 @@
 
 	now := m.Clock.Now()
 	p := Peer{
-		Boot: b.GetBoot(), State: State(b.GetState()), StoreDown: b.GetAway(), Rate: int(b.GetRate()), Loads: decodeLoads(b.GetLoads()), Lost: decodeLost(b), LastSeen: now,
+		Boot: b.GetBoot(), State: State(b.GetState()), StoreDown: b.GetAway(), Rate: int(b.GetRate()), Loads: decodeLoads(b.GetLoads()), Lost: decodeLost(b), LastSeen: now, ProvenAt: m.HeardUntil(now),
 		Replica: cwmirror.State{
 			Era: carobward.StoreEra(b.GetEra()), Index: carobward.StoreIndex(b.GetIndex()), Top: carobward.StoreIndex(b.GetTop()),
 			Version: carobward.Version(b.GetVersion()), Kept: int(b.GetKept()),
@@ -113,8 +113,11 @@
 // addNamed adds the entry VMs and failure domains that a heartbeat names.
 func (m *Mesh) addNamed(b *cwwire.Beat, from carobward.Domain, now time.Time) {
 	outside := m.isOtherDomain(from)
+	// The ages in a heartbeat that waited here count from when it may have come.
+	heard := m.HeardUntil(now)
+
 	for _, d := range b.GetDomains() {
-		m.Table.addSummary(decodeSummary(d, now), outside, now)
+		m.Table.addSummary(decodeSummary(d, heard), outside, now)
 	}
 
 	for _, o := range b.GetOthers() {
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -58,7 +58,7 @@
 func (m *Mesh) sendRound(round int) {
 	now := m.Clock.Now()
 	b := m.heartbeat(now)
-	b.Domains = encodeSummaries(m.Table.takeUnsent(), now)
+	b.Domains = encodeSummaries(m.Table.takeUnsent(), m.ageTime(now))
 	m.sendTo(m.Table.recipients(now), b)
 
 	ask := m.introduction(now)
@@ -98,7 +98,7 @@
 		list = append(list, others[rand.IntN(len(others))])
 	}
 
-	b.Domains = encodeSummaries(list, now)
+	b.Domains = encodeSummaries(list, m.ageTime(now))
 	raw := m.encode(b)
 
 	for _, d := range m.Table.domainNames() {
@@ -181,7 +181,7 @@
 		own := m.summary(now)
 
 		b.Others = encodeNodes(m.Table.peersFor(asker.Domain, asker.ID, now))
-		b.Domains = encodeSummaries(append(m.Table.knownDomains(), own), now)
+		b.Domains = encodeSummaries(append(m.Table.knownDomains(), own), m.ageTime(now))
 		m.addNotices(b, now, true)
 	}
 
--- a/internal/cwmesh/sim_test.go
+++ b/internal/cwmesh/sim_test.go
@@ -53,6 +53,8 @@
 	alive bool
 	// clock is by how much its clock is ahead of the simulated time.
 	clock time.Duration
+	// pending is a suspension that its mesh has yet to be told.
+	pending time.Duration
 	// suspended: the VM does nothing, and datagrams to it are lost.
 	suspended bool
 	// stopped: the process does nothing, and datagrams to it wait in held.
@@ -171,7 +173,8 @@
 		Notices: func(_ time.Time, newcomer bool) carobward.Announcements {
 			return carobward.Announcements{Limits: v.limitNotices(newcomer), Leaving: v.ownLeaving}
 		},
-		TakeNotices: v.receiveNotices,
+		TakeNotices:       v.receiveNotices,
+		PendingSuspension: func() time.Duration { return v.pending },
 	}, simConn{vm: v})
 	v.mesh.state.Store(uint32(Ready))
 	v.alive, v.startAt = true, time.Time{}
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -57,8 +57,11 @@
 	Loads []carobward.ServiceLoad
 	// Lost are the services of which it reaches no server.
 	Lost Lost
-	// LastSeen is when its last heartbeat came.
+	// LastSeen is when its last heartbeat was read.
 	LastSeen time.Time
+	// ProvenAt is when it certainly ran: LastSeen without the time for which the heartbeat may
+	// have waited here, and without later suspensions of this VM.
+	ProvenAt time.Time
 
 	// rank is the rendezvous weight of its name, or 0 before it is computed.
 	rank uint64
@@ -74,6 +77,11 @@
 	return p.rank
 }
 
+// IsProven reports whether the peer ran so lately that callers may be told of it. One that is alive
+// without that is told nobody: after a pause of this entry VM its peers most likely run on, but
+// some may have ended meanwhile.
+func (p *Peer) IsProven(now time.Time) bool { return now.Sub(p.ProvenAt) < liveTimeout }
+
 // Timeouts of peers.
 const (
 	// liveTimeout is how long after its last heartbeat a peer counts as alive: two and a
@@ -196,6 +204,23 @@
 	return t.filter(func(p *Peer) bool { return now.Sub(p.LastSeen) < liveTimeout })
 }
 
+// setBack adds a time that the VM's clock did not count to the age of what callers are told:
+// which peers certainly run, and how old the summaries of other failure domains are.
+func (t *Table) setBack(by time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	for _, p := range t.peers {
+		p.ProvenAt = carobward.SetBack(p.ProvenAt, by)
+	}
+
+	for _, o := range t.others {
+		o.Made = carobward.SetBack(o.Made, by)
+	}
+
+	t.live = nil
+}
+
 func byID(a, b *Peer) int { return cmp.Compare(a.ID, b.ID) }
 
 // sampleLive returns up to n live peers of this failure domain, drawn at random.
