An age that doesn't fit into a message is sent as the longest one

Cause: the age of a summary or of the store's last answer is sent in 32 bits of milliseconds, and the rest was cut off: after 49.7 days a summary of a failure domain that is gone looked new, and callers would have been told its entry VMs.

Evidence: TestAge, failed before for 50 days (sent as 6h57m) and a year; passes. Seen by reading, not in a run of a fleet.

--- a/internal/cwmesh/wire.go
+++ b/internal/cwmesh/wire.go
@@ -105,13 +105,16 @@
 	return out
 }
 
+// maxAge is the longest age that a message can carry.
+const maxAge = (math.MaxUint32 - 1) * time.Millisecond
+
 // encodeAge returns the age of a time in milliseconds plus one, or 0 for the zero time.
 func encodeAge(fresh, now time.Time) uint32 {
 	if fresh.IsZero() {
 		return 0
 	}
 
-	return uint32(max(0, now.Sub(fresh).Milliseconds())) + 1
+	return uint32(min(max(0, now.Sub(fresh)), maxAge).Milliseconds()) + 1
 }
 
 // decodeAge returns the time that an age in a message stands for, or the zero time for 0.
