No requests are passed on to a failure domain in which nobody takes callers

What callers saw: nothing that was reported. While the summary of a failure domain names nobody, requests without a path to their servers could be passed on to its contacts, which are stopping, starting or gone: a list for finding somebody to talk to.

Change: FarRelays returns contacts only beside entry VMs that the summary names.

Evidence: TestRelays failed before ("[], [{contact b 2.2.2.2:2} ...]"), passes.

--- a/internal/cwmesh/lost.go
+++ b/internal/cwmesh/lost.go
@@ -72,13 +72,13 @@
 
 // FarRelays returns entry VMs of another failure domain that may take requests, without those that
 // are known to reach no server of some service: named has those that its summary names, others
-// further ones, of which less is known.
+// further ones, of which less is known. If the summary names nobody, none takes callers there.
 func (t *Table) FarRelays(d carobward.Domain, now time.Time) (named, others []Node) {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
 
 	o := t.others[d]
-	if o == nil || now.Sub(o.Made) >= domainTimeout {
+	if o == nil || now.Sub(o.Made) >= domainTimeout || len(o.Nodes) == 0 {
 		return nil, nil
 	}
 
--- a/internal/cwmesh/lost_test.go
+++ b/internal/cwmesh/lost_test.go
@@ -144,6 +144,13 @@
 		t.Errorf("of a silent failure domain: %v, %v", named, others)
 	}
 
+	later := now.Add(time.Second)
+	table.addSummary(Summary{Domain: "b", Made: later}, true, later)
+
+	if named, others := table.FarRelays("b", later); len(named)+len(others) > 0 {
+		t.Errorf("of a failure domain in which nobody takes callers: %v, %v", named, others)
+	}
+
 	for _, n := range table.Callable("b", now) {
 		if n.ID == "lost" {
 			t.Error("callers are sent to an entry VM that lacks a service")
