A server's write that the store executes late doesn't revert a newer one

Cause: replicas ordered the values of a key by the store's index, the order of execution. The number in a server's entry was compared only after a restore of the store.

Ruled out: that the table of servers reverts the state; it takes what the replica hands on. Dropping the late value from the replica: peers and the store have it at that index, and replicas update each other by the store's indexes. Sticking to "leaving" for each process: it says nothing of a removal, nor of a server whose count begins anew.

Change (cwmirror): an entry that is older by its process and number than the effective one is recorded, and the newer one is kept in force, as after a restore; so is a removal when the same process seems to come back by a single write. A log line says so. It ends with a write that is not older, or when the server goes on from there: at its next write if the numbers lie too far behind to be late, else after maxLateness (8 s), when no late write can be left; of a removed key with the second write. What was let go isn't taken back from peers. A value that can't be ordered takes the store's order, and doesn't make an older one look new (an entry without its start time, or without a number). Entry VMs ask a peer that keeps more than they do, not only when they start: one that lists the store after the late write learns of the newer one.

Why it holds: a write sent after the newest one has a higher number; one that is lower after maxLateness, or behind by more numbers than are written in that time, was not sent before it.

What remains: numbers that go back by a few only, with the server leaving, take up to 8 s and not two heartbeats; an entry VM that starts without a peer knows the store's last value alone.

--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -123,6 +123,7 @@
 		Regions:           s.Regions,
 		Key:               key[:],
 		LinkSpeed:         s.Link,
+		ServerHeartbeat:   s.Heartbeat,
 		FirstStart:        s.First,
 		Adapter:           platform.Adapter(s.Store, func() { calls.Add(1) }),
 		StoreCalls:        calls.Load,
--- a/feed.go
+++ b/feed.go
@@ -38,9 +38,10 @@
 	Write uint64
 }
 
-// Before reports whether a value is known to be older than another one.
+// Before reports whether a value is known to be older than another one. A value whose process gives
+// its start time and one whose process does not have no order.
 func (r Rank) Before(other Rank) bool {
-	if r == (Rank{}) || other == (Rank{}) {
+	if r == (Rank{}) || other == (Rank{}) || (r.Start == 0) != (other.Start == 0) {
 		return false
 	}
 
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -92,6 +92,8 @@
 	Bounds
 	// Regions maps each failure domain to its region.
 	Regions map[carobward.Domain]carobward.Region
+	// ServerHeartbeat is the interval at which servers write their entries in the store.
+	ServerHeartbeat time.Duration
 	// FirstStart reports that the whole fleet starts for the first time.
 	FirstStart bool
 	Key        cwpeer.Key
@@ -155,7 +157,7 @@
 func New(o Options) (*Gateway, error) {
 	g := &Gateway{
 		Options: o, log: o.Log.WithName("gateway"), started: o.Clock.Now(), unusable: map[carobward.Instance]bool{}, evacuated: map[carobward.Domain]evacuationRecord{}, metrics: cwmetric.New(),
-		table: cwmesh.NewTable(o.Self), mirror: newMirror(&o.Adapter), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain, Regions: o.Regions}),
+		table: cwmesh.NewTable(o.Self), mirror: newMirror(&o), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain, Regions: o.Regions}),
 	}
 
 	g.link = cwlink.New(cwlink.Options{
--- a/internal/cwgateway/retention.go
+++ b/internal/cwgateway/retention.go
@@ -18,8 +18,13 @@
 const lostItemRetention = time.Minute
 
 // newMirror returns an empty replica of the store.
-func newMirror(a *Adapter) *cwmirror.Mirror {
-	return cwmirror.New(cwmirror.Options{Rank: a.Rank, Retention: a.retention, IsRouting: a.IsRouting, IsBackend: a.IsBackend})
+func newMirror(o *Options) *cwmirror.Mirror {
+	a := &o.Adapter
+
+	return cwmirror.New(cwmirror.Options{
+		Rank: a.Rank, Retention: a.retention, Heartbeat: o.ServerHeartbeat, Log: o.Log.WithName("mirror"),
+		IsRouting: a.IsRouting, IsBackend: a.IsBackend,
+	})
 }
 
 // retention returns how long an item stays in force that a restored store has lost. A
--- a/internal/cwmesh/fetch.go
+++ b/internal/cwmesh/fetch.go
@@ -100,7 +100,23 @@
 
 // isNeeded reports whether a peer has something that this entry VM lacks.
 func (m *Mesh) isNeeded(o offer) bool {
-	return m.Mirror.State().Behind(o.state) || o.kept && !m.hasFetched.Load()
+	return m.Mirror.State().Behind(o.state) || o.kept && m.lacksKept(o.state, m.Clock.Now())
+}
+
+// keptPause is the least time between two fetches of items that peers keep in force. Peers that
+// keep different ones for a moment need no exchange.
+const keptPause = heartbeatInterval
+
+// lacksKept reports whether a peer keeps items in force that this entry VM may not know: they are not
+// in the store, so that a replica that came from the store alone lacks them.
+func (m *Mesh) lacksKept(peer cwmirror.State, now time.Time) bool {
+	if peer.Kept == 0 {
+		return false
+	}
+
+	last := m.lastFetch.Load()
+
+	return last == 0 || peer.Kept > m.Mirror.State().Kept && now.Sub(time.Unix(0, last)) >= keptPause
 }
 
 // catchUp fetches changes from a peer, and if that fails from others that have them.
@@ -231,7 +247,7 @@
 		return err
 	}
 
-	m.hasFetched.Store(true)
+	m.lastFetch.Store(m.Clock.Now().UnixNano())
 
 	changed := m.Mirror.ApplyAndNotify(c, m.Clock.Now(), m.Changed)
 	m.Log.Info("Applied changes from a peer.", "from", string(from), "after", own.Index, "era", c.Era, "index", c.Index,
--- a/internal/cwmesh/fetch_test.go
+++ b/internal/cwmesh/fetch_test.go
@@ -209,3 +209,35 @@
 }
 
 func noNotices(time.Time, bool) carobward.Announcements { return carobward.Announcements{} }
+
+// TestLacksKept verifies when an entry VM asks a peer for the items that it keeps: at first, and
+// again when the peer keeps more, but not at each heartbeat.
+func TestLacksKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+
+	for name, c := range map[string]struct {
+		// kept is what the peer keeps, last how long ago something was fetched, 0 for never.
+		kept int
+		last time.Duration
+		want bool
+	}{
+		"nothing kept":           {0, 0, false},
+		"never fetched":          {1, 0, true},
+		"fetched just now":       {1, keptPause / 2, false},
+		"fetched some time ago":  {1, keptPause, true},
+		"nothing kept any more":  {0, time.Minute, false},
+		"fetched much before":    {3, time.Hour, true},
+		"never fetched, several": {3, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := &Mesh{Options: Options{Mirror: newMirror()}}
+			if c.last > 0 {
+				m.lastFetch.Store(now.Add(-c.last).UnixNano())
+			}
+
+			if got := m.lacksKept(cwmirror.State{Kept: c.kept}, now); got != c.want {
+				t.Errorf("lacks kept items: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -103,12 +103,13 @@
 	// relayPending if an update from one of them has yet to be passed on in this one.
 	sendsFar     atomic.Bool
 	relayPending atomic.Bool
-	// hasFetched is set once a peer has sent its replica, and with it the items that it keeps.
-	hasFetched atomic.Bool
-	started    time.Time
-	wake       chan struct{}
-	offers     chan offer
-	group      conc.WaitGroup
+	// lastFetch is when a peer last sent changes, and with them the items that it keeps, in Unix
+	// nanoseconds, or 0.
+	lastFetch atomic.Int64
+	started   time.Time
+	wake      chan struct{}
+	offers    chan offer
+	group     conc.WaitGroup
 
 	mutex  sync.Mutex
 	claims claims
--- a/internal/cwmesh/receive.go
+++ b/internal/cwmesh/receive.go
@@ -138,9 +138,7 @@
 	own := m.Mirror.State()
 	behind := own.Behind(p.Replica)
 
-	// A replica that came from the store alone lacks the items that the store has lost and
-	// peers keep in force.
-	if p.Replica.Kept > 0 && !behind && !m.hasFetched.Load() {
+	if !behind && m.lacksKept(p.Replica, now) {
 		m.setOffer(offer{from: carobward.Address(from.String()), id: p.ID, state: p.Replica, kept: true})
 	}
 
--- a/internal/cwmirror/kept.go
+++ b/internal/cwmirror/kept.go
@@ -13,6 +13,8 @@
 	rank carobward.Rank
 	// until is when the store's item takes effect, unless the store's value is older.
 	until time.Time
+	// held is set if the store's item is held back because it may be a late write.
+	held *held
 }
 
 // Hold records that the store is back after an outage in which entries of live servers may have
@@ -78,7 +80,7 @@
 		current := m.items[key]
 		exists := current.Index > 0 && !current.Deleted
 
-		if now.Before(k.until) || exists && m.rankOf(current).Before(k.rank) {
+		if k.held != nil && exists || now.Before(k.until) || exists && m.rankOf(current).Before(k.rank) {
 			continue
 		}
 
@@ -140,29 +142,34 @@
 		until = k.until
 	}
 
-	m.kept[it.Key] = &kept{Item: it, rank: rank, until: until}
-}
-
-// filterOverridden returns those of the changed items that take effect. A kept item is replaced by
-// a value that is not older, and by a removal that is not held back.
-func (m *Mirror) filterOverridden(fresh []carobward.Item, now time.Time) []carobward.Item {
-	var list []carobward.Item
+	next := &kept{Item: it, rank: rank, until: until}
+	if k := m.kept[it.Key]; k != nil {
+		next.held = k.held
+	}
 
-	for _, it := range fresh {
-		k := m.kept[it.Key]
+	m.kept[it.Key] = next
+}
 
-		if k != nil {
-			if it.Deleted && !k.Deleted && m.mayLapse(it.Key, now) || !it.Deleted && m.Rank(it.Key, it.Value).Before(k.rank) {
-				continue
-			}
+// takesEffect reports whether a changed item takes effect. A kept item is replaced by a value that is
+// not older or held back, and by a removal that is not held back.
+func (m *Mirror) takesEffect(it carobward.Item, now time.Time) bool {
+	k := m.kept[it.Key]
+	if k == nil {
+		return true
+	}
 
-			delete(m.kept, it.Key)
-		}
+	switch {
+	case it.Deleted && !k.Deleted && m.mayLapse(it.Key, now):
+		return false
+	case !it.Deleted && m.Rank(it.Key, it.Value).Before(k.rank):
+		return false
+	case !it.Deleted && k.Deleted && k.held != nil && isLaterWrite(k.rank, m.Rank(it.Key, it.Value)):
+		return false
+	default:
+		delete(m.kept, it.Key)
 
-		list = append(list, it)
+		return true
 	}
-
-	return list
 }
 
 // mergeKept takes over the kept items of a peer where this replica has nothing newer, and returns
@@ -189,7 +196,9 @@
 func (m *Mirror) isNewer(theirs *carobward.RetainedItem, ours carobward.Item) bool {
 	rank := m.effectiveRank(ours)
 
-	switch {
+	switch released := m.items[theirs.Key].released; {
+	case released != carobward.Rank{} && !released.Before(theirs.Rank):
+		return false // Its server has gone on with lower ranks.
 	case theirs.Remaining == 0 && !rank.Before(theirs.Rank):
 		return false // Its time is over: the next Sweep releases it.
 	case theirs.Deleted:
--- a/internal/cwmirror/mirror.go
+++ b/internal/cwmirror/mirror.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"carobward.example/carobward"
 )
 
@@ -53,6 +55,10 @@
 	// Retention returns for how long an item stays effective after the store was restored without
 	// it.
 	Retention func(carobward.Item) time.Duration
+	// Heartbeat is the interval at which a server writes its entry.
+	Heartbeat time.Duration
+	// Log gets a line for each entry that is held back and each that takes effect after that.
+	Log logr.Logger
 	// IsRouting reports whether a key holds the operators' configuration, IsBackend whether it
 	// holds a server's entry.
 	IsRouting func(carobward.Key) bool
@@ -63,8 +69,11 @@
 type record struct {
 	carobward.Item
 
-	// rank is the rank of the last value of a removed key.
+	// rank is the rank of the last value that had one, for a value without one and for a removed
+	// key.
 	rank carobward.Rank
+	// released is the rank up to which peers' kept items don't take effect any more.
+	released carobward.Rank
 }
 
 // Mirror is a replica of the store. Within an era, the index of each key only grows.
@@ -178,7 +187,7 @@
 
 	for _, it := range c.Items {
 		// The replica is complete up to Index: a key that it lacks was removed.
-		if it.Index > m.state.Index && m.put(it, now) {
+		if it.Index > m.state.Index && m.put(it, now) && m.takesEffect(it, now) {
 			fresh = append(fresh, it)
 		}
 	}
@@ -186,7 +195,7 @@
 	// A list that is complete up to an older index doesn't show that the keys it lacks were
 	// removed, and changes that begin after this replica's index are incomplete for it.
 	if c.Index < m.state.Index || !c.Full && c.After > m.state.Index {
-		return m.filterOverridden(fresh, now)
+		return fresh
 	}
 
 	fresh = append(fresh, m.removeUnlisted(c, now)...)
@@ -203,7 +212,7 @@
 	m.state.Top = max(m.state.Top, c.Index)
 	m.pruneTombstones()
 
-	return m.filterOverridden(fresh, now)
+	return fresh
 }
 
 // put applies one item if it is newer than the replica's.
@@ -225,11 +234,13 @@
 		m.tombstones--
 	}
 
-	next := record{Item: it}
+	next := record{Item: it, rank: m.effectiveRank(it), released: old.released}
 
-	if it.Deleted {
+	if !it.Deleted {
+		m.holdLate(it, now)
+		next.released = m.items[it.Key].released
+	} else {
 		m.tombstones++
-		next.rank = m.effectiveRank(it)
 
 		if ok && !old.Deleted {
 			m.keepRemoved(old.Item, now)
@@ -240,13 +251,19 @@
 	m.state.Top = max(m.state.Top, it.Index)
 }
 
-// rankOf returns the rank of a value, or of the last value of a removed key.
+// rankOf returns the rank of a value. For a removal, and for a value that can't be ordered, it is the
+// rank of the last value before it.
 func (m *Mirror) rankOf(r record) carobward.Rank {
 	if r.Deleted || r.Index == 0 {
 		return r.rank
 	}
 
-	return m.Rank(r.Key, r.Value)
+	rank := m.Rank(r.Key, r.Value)
+	if rank == (carobward.Rank{}) || rank.Start == 0 && r.rank.Start != 0 {
+		return r.rank
+	}
+
+	return rank
 }
 
 // removeUnlisted removes the keys that the sender doesn't have but that the changes don't name as
@@ -277,7 +294,10 @@
 
 		one := carobward.Item{Key: key, Index: c.Index, Deleted: true}
 		m.set(one, now)
-		removed = append(removed, one)
+
+		if m.takesEffect(one, now) {
+			removed = append(removed, one)
+		}
 	}
 
 	return removed
