A late heartbeat of an entry VM doesn't revert a newer one

A datagram that is overtaken by a later one made a stopping entry VM ready again, to callers too, for up to a heartbeat.

Cause: heartbeats were applied in the order of their arrival.

Change: heartbeats have a number in their run; one that is not newer than the last, or of a run that has ended, is not applied. Heartbeats without a number, of entry VMs that have yet to be replaced, are applied as before.

Evidence: TestLateHeartbeat, without the check 4 of 7 rows fail, with it all pass.

--- a/internal/cwmesh/mesh.go
+++ b/internal/cwmesh/mesh.go
@@ -97,6 +97,8 @@
 	stateSince atomic.Int64
 	storeDown  atomic.Bool
 	rate       atomic.Int64
+	// heartbeats counts the heartbeats that this entry VM made.
+	heartbeats atomic.Uint64
 	// summaries counts the summaries that this entry VM made.
 	summaries atomic.Uint64
 	// sendsFar is set if the next heartbeat also goes to the other failure domains,
--- a/internal/cwmesh/receive.go
+++ b/internal/cwmesh/receive.go
@@ -65,7 +65,7 @@
 
 	now := m.Clock.Now()
 	p := Peer{
-		Boot: b.GetBoot(), State: State(b.GetState()), StoreDown: b.GetAway(), Rate: int(b.GetRate()), Loads: decodeLoads(b.GetLoads()), Lost: decodeLost(b), LastSeen: now, ProvenAt: m.HeardUntil(now),
+		Boot: b.GetBoot(), number: b.GetNumber(), State: State(b.GetState()), StoreDown: b.GetAway(), Rate: int(b.GetRate()), Loads: decodeLoads(b.GetLoads()), Lost: decodeLost(b), LastSeen: now, ProvenAt: m.HeardUntil(now),
 		Replica: cwmirror.State{
 			Era: carobward.StoreEra(b.GetEra()), Index: carobward.StoreIndex(b.GetIndex()), Top: carobward.StoreIndex(b.GetTop()),
 			Version: carobward.Version(b.GetVersion()), Kept: int(b.GetKept()),
--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -193,7 +193,7 @@
 	c := m.claim()
 	s := m.Mirror.State()
 	b := &cwwire.Beat{
-		Id: string(m.Table.Self().ID), Boot: m.boot, State: uint32(m.State()),
+		Id: string(m.Table.Self().ID), Boot: m.boot, Number: m.heartbeats.Add(1), State: uint32(m.State()),
 		Index: uint64(s.Index), Top: uint64(s.Top), Fresh: encodeAge(c.answered, now), Checked: encodeAge(c.asked, now), By: c.boot, Nth: c.number, Away: m.storeDown.Load(),
 		Rate: uint32(m.rate.Load()), Era: uint64(s.Era), Version: uint64(s.Version), Kept: uint32(s.Kept),
 	}
--- a/internal/cwmesh/table.go
+++ b/internal/cwmesh/table.go
@@ -45,8 +45,11 @@
 	Node
 
 	// Boot identifies the run of the entry VM. It is 0 if the entry VM was never heard from.
-	Boot  uint64
-	State State
+	Boot uint64
+	// number is that of the heartbeat in its run, 0 if it has none. former are the runs before.
+	number uint64
+	former []uint64
+	State  State
 	// Replica is the state of its replica of the store.
 	Replica cwmirror.State
 	// StoreDown is set if the store does not serve it.
@@ -143,6 +146,11 @@
 		p.Node = old.Node
 	}
 
+	if old.isLate(&p) {
+		return true
+	}
+
+	p.former = old.formerRuns(p.Boot)
 	p.rank = cwrank.Weight(string(p.ID), "")
 
 	if old == nil || old.State != p.State || old.Node != p.Node || p.LastSeen.Sub(old.LastSeen) >= liveTimeout {
@@ -154,6 +162,34 @@
 	return true
 }
 
+// maxFormerRuns is how many former runs of a peer are remembered: heartbeats of earlier ones have
+// long arrived.
+const maxFormerRuns = 4
+
+// isLate reports whether a heartbeat was sent before the last one that was applied. It says nothing
+// new of its sender.
+func (p *Peer) isLate(in *Peer) bool {
+	if p == nil {
+		return false
+	}
+
+	return p.Boot == in.Boot && in.number != 0 && in.number <= p.number || slices.Contains(p.former, in.Boot)
+}
+
+// formerRuns returns the former runs of a peer whose current run is the given one.
+func (p *Peer) formerRuns(boot uint64) []uint64 {
+	switch {
+	case p == nil:
+		return nil
+	case p.Boot == 0 || p.Boot == boot:
+		return p.former
+	}
+
+	list := append(slices.Clone(p.former), p.Boot)
+
+	return list[max(0, len(list)-maxFormerRuns):]
+}
+
 // neverSeen reports whether an entry VM of this failure domain was never heard from.
 func (t *Table) neverSeen(id carobward.VMID) bool {
 	t.mutex.RLock()
--- a/internal/cwmesh/table_test.go
+++ b/internal/cwmesh/table_test.go
@@ -107,6 +107,39 @@
 	}
 }
 
+// TestLateHeartbeat checks that a heartbeat that arrives after a newer one of its sender, or after one
+// of the sender's next run, changes nothing.
+func TestLateHeartbeat(t *testing.T) {
+	now := time.Now()
+	beat := func(boot, number uint64, s State) Peer {
+		return Peer{Node: Node{ID: "x", Domain: "a", Callers: "c", Peers: "p"}, Boot: boot, number: number, State: s, LastSeen: now}
+	}
+
+	for name, c := range map[string]struct {
+		beats []Peer
+		want  State
+	}{
+		"in order":                {[]Peer{beat(7, 1, Ready), beat(7, 2, Leaving)}, Leaving},
+		"late":                    {[]Peer{beat(7, 2, Leaving), beat(7, 1, Ready)}, Leaving},
+		"twice":                   {[]Peer{beat(7, 1, Ready), beat(7, 2, Leaving), beat(7, 1, Ready)}, Leaving},
+		"next run":                {[]Peer{beat(7, 9, Leaving), beat(5, 1, Ready)}, Ready},
+		"late, of the run before": {[]Peer{beat(7, 9, Ready), beat(5, 1, Starting), beat(7, 10, Leaving)}, Starting},
+		"of two runs before":      {[]Peer{beat(7, 9, Ready), beat(5, 1, Starting), beat(8, 1, Ready), beat(7, 10, Leaving)}, Ready},
+		"without numbers":         {[]Peer{beat(7, 0, Ready), beat(7, 0, Leaving)}, Leaving},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(Node{ID: "self", Domain: "a"})
+			for _, p := range c.beats {
+				table.updatePeer(p)
+			}
+
+			if diff := cmp.Diff(c.want, table.Live(now)[0].State); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // TestSampleLive checks that the sample has peers of this failure domain, different ones each time,
 // and none that is not alive.
 func TestSampleLive(t *testing.T) {
