What a server announced outlives a moment without its entry

Cause: what a process says in its answers (that it leaves, its limit, the pause that it asks for) was kept with the row of the table, and went with it when the entry could not be read or was away.

Change: it belongs to the process. A row that goes is remembered for a minute with what was announced; if the same process is back, it has it again.

--- a/internal/cwbackend/announcement.go
+++ b/internal/cwbackend/announcement.go
@@ -238,6 +238,10 @@
 	for _, s := range t.byInstance {
 		s.suspended(by)
 	}
+
+	for _, d := range t.departed {
+		d.server.suspended(by)
+	}
 }
 
 func (s *Server) suspended(by time.Duration) {
--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -33,6 +33,8 @@
 	// groups has all servers of each service, subsets those that this entry VM sends to.
 	groups  map[carobward.Service]*group
 	subsets map[carobward.Service]*subset
+	// departed has servers whose entries were removed lately, with what they announced.
+	departed map[carobward.Instance]departed
 	// announcers are the servers whose announcements other entry VMs may lack.
 	announcers *announcers
 	// addresses counts the servers at each address.
@@ -53,7 +55,7 @@
 	return &Table{
 		self: self, byInstance: map[carobward.Instance]*Server{}, placement: newPlacement(self.ID), alone: true,
 		groups: map[carobward.Service]*group{}, subsets: map[carobward.Service]*subset{}, addresses: map[carobward.Address]int{},
-		announcers: newAnnouncers(),
+		announcers: newAnnouncers(), departed: map[carobward.Instance]departed{},
 		nearCounts: map[carobward.Service]int{}, evacuated: map[carobward.Domain]bool{},
 	}
 }
@@ -72,7 +74,9 @@
 	for _, b := range list {
 		s := t.byInstance[b.Instance]
 		if s == nil {
-			t.add(newServer(b, t.announcers, now), changed)
+			next := newServer(b, t.announcers, now)
+			t.recall(next)
+			t.add(next, changed)
 
 			continue
 		}
@@ -98,10 +102,13 @@
 
 	for _, i := range gone {
 		if s := t.byInstance[i]; s != nil {
+			t.remember(s)
 			t.remove(s, changed)
 		}
 	}
 
+	t.forgetDeparted()
+
 	for service, g := range t.groups {
 		if !g.warmAt.IsZero() && !now.Before(g.warmAt) {
 			changed[service] = true
--- a/internal/cwgateway/server_entry_test.go
+++ b/internal/cwgateway/server_entry_test.go
@@ -124,3 +124,47 @@
 		t.Errorf("%d hedged sends, so the restart was not what ended the wait", n)
 	}
 }
+
+// TestLateServerEntry guards against requests to a server that leaves: the store executes one of its
+// earlier heartbeats after its report that it is draining. A server whose numbers go back gets
+// requests again.
+func TestLateServerEntry(t *testing.T) {
+	f := newFleet(t)
+	leaving, other := f.upstream(t, "fees", "i-1"), f.upstream(t, "fees", "i-2")
+	f.configure(unsafeRoute())
+
+	v := f.start(t, "vm-1", startedLongAgo)
+	v.waitReady(t)
+
+	put := func(state string, nth uint64) {
+		f.store.Put("servers/i-1", cwstand.ServerEntryWithSeq(cwstand.ServerEntry("fees", leaving.Address(), "a", state), nth))
+		f.waitReplica(t, v)
+	}
+
+	sends := func(name string) int {
+		before := len(leaving.Runs())
+
+		for n := range 20 {
+			if got := v.send(http.MethodPost, chargePath, fmt.Sprint(name, n), ""); got.status != http.StatusOK {
+				t.Errorf("unexpected answer %+v", got)
+			}
+		}
+
+		return len(leaving.Runs()) - before
+	}
+
+	put("ready", 40)
+	put("draining", 42)
+	put("ready", 41)
+
+	if n := sends("late"); n > 0 {
+		t.Errorf("the leaving server got %d requests after an old heartbeat", n)
+	}
+
+	put("ready", 1)
+	put("ready", 2)
+
+	if n := sends("anew"); n == 0 || len(other.Runs()) == 0 {
+		t.Error("a server that counts its writes anew gets no requests")
+	}
+}
