The collector knows the memory limit of the process

The garbage collector runs more often from 0.8 of memory_mb on. A process that nears its limit frees what it can before it is killed; below that nothing changes.

--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -33,6 +33,9 @@
 	// gcPercent is low to keep the heap small: memory is more expensive than
 	// CPU time on this platform.
 	gcPercent = 40
+	// memoryLimitShare is the share of the process's memory limit from which on the collector runs
+	// more often: the rest is for stacks, buffers of the kernel's and what is freed late.
+	memoryLimitShare = 0.8
 	// logQueueLines is the maximum number of queued log lines. A line has
 	// about 200 bytes, and there are about 20 per second and request.
 	logQueueLines = 2048
@@ -74,6 +77,10 @@
 
 	logNotes(log, s)
 
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory)))
+	}
+
 	o := options(s, log)
 	o.DroppedLines = out.Dropped
 
