Answers of unknown length are streamed, and bodies without end are bounded

What callers saw: a server that answers with a body that never ends took an entry VM over its memory; there the process is killed and all its requests are cut.

Cause: only bodies with a length were streamed. One in chunks, or without a length, was held whole, up to 64 MB each; so was the body of an error.

Ruled out: a budget of bytes for what is held. It has to be divided between requests whose size nobody knows, so that small answers wait for large ones; the way to hand on what has come exists.

Change: a body of unknown length is held up to 32 KB, as before, so that a short one that breaks can be fetched elsewhere; beyond that it is streamed, no faster than the caller takes it, up to 64 MB, until the request's time limit. Then the connection is closed, not read on. Errors, redirects and answers to other requests are held up to 1 MB; answers to health checks up to 16 KB. Chunk sizes, extensions and trailers have bounds; a body that ends within its trailers isn't whole. Callers with HTTP/1.0, which has no chunks, get 502 beyond 1 MB.

--- a/internal/cwfront/health_check.go
+++ b/internal/cwfront/health_check.go
@@ -75,6 +75,9 @@
 	return reply, err
 }
 
+// maxHealthReply bounds the body of an answer to a health check, of which only the head is used.
+const maxHealthReply = 16 * carobward.Kilobyte
+
 // sendCheck requests the health path of a server. The connection is nil if there is none; it
 // must be released otherwise.
 func (f *Front) sendCheck(ctx context.Context, path string, to carobward.Address, fresh bool) (*cwlink.HeldConn, *carobward.Reply, error) {
@@ -86,7 +89,7 @@
 	}
 
 	reply, err := held.Exchange(ctx, &carobward.Call{
-		Method: fasthttp.MethodGet, URI: path, Host: string(to), HealthCheck: true, Deadline: until, MaxReply: carobward.Megabyte,
+		Method: fasthttp.MethodGet, URI: path, Host: string(to), HealthCheck: true, Deadline: until, MaxReply: maxHealthReply,
 	})
 
 	return held, reply, err
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -279,6 +279,8 @@
 		Deadline: r.deadline,
 		MaxReply: maxReplyBytes,
 		Stream:   minStreamBytes,
+		// HTTP/1.0 has no chunks.
+		NeedsLength: !h.IsHTTP11(),
 	}
 }
 
--- a/internal/cwfront/stream.go
+++ b/internal/cwfront/stream.go
@@ -11,8 +11,9 @@
 )
 
 // minStreamBytes is the length from which on a reply is streamed to the caller as it
-// arrives. Shorter ones are buffered whole, so that a broken one can be fetched again from
-// another server; with the maximum number of callers these buffers take 80 MB.
+// arrives, no faster than the caller takes it. Shorter ones are buffered whole, so that a broken
+// one can be fetched again from another server; with the maximum number of callers these buffers
+// take 80 MB.
 const minStreamBytes = 32 * carobward.Kilobyte
 
 // streamedBody is a reply's body that is streamed to the caller. The HTTP library reads it
@@ -24,10 +25,12 @@
 	server   *cwbackend.Server
 	instance carobward.Instance
 	body     io.ReadCloser
-	length   int
-	read     int
-	err      error
-	once     sync.Once
+	// length is carobward.UnknownLength if only the end of the body shows it.
+	length int
+	read   int
+	ended  bool
+	err    error
+	once   sync.Once
 }
 
 // stream returns the body of a reply as the caller gets it. The request counts as in
@@ -44,7 +47,10 @@
 	n, err := b.body.Read(into)
 	b.read += n
 
-	if err != nil && !errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF), b.read == b.length:
+		b.ended = true
+	case err != nil:
 		b.err = err
 	}
 
@@ -66,7 +72,7 @@
 
 	f.inFlight.Add(-1)
 
-	if b.read == b.length {
+	if b.ended {
 		return
 	}
 
--- a/internal/cwgateway/download_test.go
+++ b/internal/cwgateway/download_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"carobward.example/carobward/internal/cwgateway"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
@@ -102,3 +106,67 @@
 	v.end()
 	group.Wait()
 }
+
+// TestAnswerCut verifies that an answer that its server breaks off, in its head or in a body of any
+// kind, never reaches the caller as a whole one with another body.
+func TestAnswerCut(t *testing.T) {
+	const parts = 40
+
+	part := strings.Repeat("x", 4<<10)
+	head := "HTTP/1.1 200 OK\r\nResponse-Seal: seal\r\nRequest-Id: "
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+
+	for name, c := range map[string]struct {
+		// fields follow the id of the request, body follows the head. All is cut after share of it.
+		fields, body string
+		share        float64
+		reset        bool
+	}{
+		"in the head":                {"\r\nContent-Length: 4", "body", 0.5, false},
+		"in the head, reset":         {"\r\nContent-Length: 4", "body", 0.5, true},
+		"a length":                   {fmt.Sprintf("\r\nContent-Length: %d", parts*len(part)), strings.Repeat(part, parts), 0.5, false},
+		"a length, reset":            {fmt.Sprintf("\r\nContent-Length: %d", parts*len(part)), strings.Repeat(part, parts), 0.9, true},
+		"chunks":                     {"\r\nTransfer-Encoding: chunked", strings.Repeat(chunk, parts) + "0\r\n\r\n", 0.5, false},
+		"chunks, reset":              {"\r\nTransfer-Encoding: chunked", strings.Repeat(chunk, parts) + "0\r\n\r\n", 0.9, true},
+		"chunks, without the last":   {"\r\nTransfer-Encoding: chunked", strings.Repeat(chunk, parts), 1, false},
+		"few chunks":                 {"\r\nTransfer-Encoding: chunked", chunk + "0\r\n\r\n", 0.5, false},
+		"without a length, reset":    {"", strings.Repeat(part, parts), 1, true},
+		"an interim answer, no more": {"", "", 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			s := cwstand.NewScripted(cwtest.Listen(t), func(conn net.Conn, req *fasthttp.Request, _ int) bool {
+				if !strings.HasPrefix(string(req.URI().Path()), readPath) {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nUpstream-Load: 0,0,4,100\r\nContent-Length: 0\r\n\r\n")
+
+					return true
+				}
+
+				text := head + string(req.Header.Peek("Request-Id")) + c.fields + "\r\n\r\n" + c.body
+				if c.share == 0 {
+					text = "HTTP/1.1 103 Early Hints\r\n\r\n"
+				} else {
+					text = text[:int(c.share*float64(len(text)))]
+				}
+
+				_, _ = io.WriteString(conn, text)
+
+				if tcp, ok := conn.(*net.TCPConn); ok && c.reset {
+					_ = tcp.SetLinger(0)
+				}
+
+				return false
+			})
+			t.Cleanup(s.Close)
+			f.store.Put("servers/i-1", cwstand.ServerEntry("packs", s.Address(), "a", "ready"))
+			f.configure(downloadRoute())
+
+			v := f.start(t, "vm-1")
+			v.waitReady(t)
+
+			if got := v.send(http.MethodGet, readPath, "one", ""); got.err == nil && got.status < http.StatusMultipleChoices {
+				t.Errorf("status %d, %d bytes and no error", got.status, len(got.body))
+			}
+		})
+	}
+}
--- a/internal/cwlink/reply.go
+++ b/internal/cwlink/reply.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
@@ -72,22 +73,14 @@
 		return nil, false, dialectErr
 	}
 
-	if length := resp.Header.ContentLength(); !skip && !bodiless(t.call.Method, reply.Status) && isStreamed(t.call, reply, length) {
-		if length > int(t.call.MaxReply) {
-			return nil, false, ErrReplyTooLarge
-		}
-
-		reply.Stream = &carobward.Stream{ReadCloser: &stream{remaining: length}, Length: length}
-
-		return reply, !resp.ConnectionClose(), nil
-	}
-
 	if !bodiless(t.call.Method, reply.Status) {
-		if err := t.readBody(resp); err != nil {
+		if err := t.takeBody(reply, resp.Header.ContentLength(), skip); err != nil {
 			return nil, false, err
 		}
+	}
 
-		reply.Body = resp.SwapBody(nil)
+	if reply.Stream != nil {
+		return reply, !resp.ConnectionClose(), nil
 	}
 
 	persistent := !resp.ConnectionClose() && t.reader.Buffered() == 0
@@ -171,27 +164,35 @@
 	}
 }
 
-// readBody reads the body of a reply. Unless the dialect allows it, the length must
-// not be left to the end of the connection, which may have truncated the body.
-func (t *roundTrip) readBody(resp *fasthttp.Response) error {
-	length := resp.Header.ContentLength()
-	limit := int(t.call.MaxReply)
+// takeBody reads the body of a reply, or its begin if the rest is streamed. Unless the dialect allows
+// it, the length must not be left to the end of the connection, which may have truncated the body.
+func (t *roundTrip) takeBody(reply *carobward.Reply, length int, skip bool) error {
+	body, err := t.newBody(length)
+	if err != nil {
+		return err
+	}
 
-	if length == lengthUnknown && !t.dialect.AllowsUnframed() {
-		return ErrNoLength
+	streamed := !skip && t.streams(reply.Status, length)
+	if streamed && length > int(t.call.MaxReply) {
+		return ErrReplyTooLarge
 	}
 
-	// The library treats a limit of zero as unlimited.
-	if err := resp.ReadBody(t.reader, max(1, limit)); err != nil {
-		return err
+	if streamed && length >= 0 {
+		reply.Stream = &carobward.Stream{ReadCloser: &stream{body: body, left: length, fixed: true}, Length: length}
+
+		return nil
 	}
 
-	if len(resp.Body()) > limit {
-		return ErrReplyTooLarge
+	held, more, err := t.readBody(body, length, streamed)
+	if err != nil {
+		return err
 	}
 
-	if length == lengthChunked {
-		return resp.Header.ReadTrailer(t.reader)
+	if more {
+		body = io.MultiReader(bytes.NewReader(held), body)
+		reply.Stream = &carobward.Stream{ReadCloser: &stream{body: body, left: int(t.call.MaxReply)}, Length: carobward.UnknownLength}
+	} else {
+		reply.Body = held
 	}
 
 	return nil
--- a/internal/cwlink/stream.go
+++ b/internal/cwlink/stream.go
@@ -4,9 +4,6 @@
 	"io"
 
 	"github.com/juju/errors"
-	"github.com/valyala/fasthttp"
-
-	"carobward.example/carobward"
 )
 
 // ErrTruncatedBody is the error of a body that is shorter than its Content-Length.
@@ -17,32 +14,33 @@
 type stream struct {
 	held      *HeldConn
 	roundTrip roundTrip
-	remaining int
+	body      io.Reader
+	// left is how many bytes may still come. If fixed is set, so many do.
+	left  int
+	fixed bool
+	// ended is set once the body has been read to its end.
+	ended bool
 	// persistent reports that the server keeps the connection open after the body,
 	// so it may carry another call then.
 	persistent bool
 }
 
-// isStreamed reports whether the body of a reply is streamed. Errors and redirects
-// are not: a failed reply may be replaced by that of another server.
-func isStreamed(c *carobward.Call, r *carobward.Reply, length int) bool {
-	return c.Stream > 0 && length >= int(c.Stream) && r.Status < fasthttp.StatusMultipleChoices
-}
-
 // Read implements io.Reader. It returns io.EOF only at the end of the complete body.
 func (s *stream) Read(into []byte) (int, error) {
-	if s.remaining == 0 {
-		return 0, io.EOF
-	}
+	// One byte more than may come shows that the body is too large.
+	n, err := s.body.Read(into[:min(len(into), s.left+1)])
 
-	n, err := s.roundTrip.reader.Read(into[:min(len(into), s.remaining)])
-	s.remaining -= n
+	switch s.left -= n; {
+	case s.left < 0:
+		return 0, ErrReplyTooLarge
+	case errors.Is(err, io.EOF):
+		s.ended = true
+
+		return n, io.EOF
+	case s.fixed && s.left == 0:
+		s.ended = true
 
-	switch {
-	case s.remaining == 0:
 		return n, nil
-	case errors.Is(err, io.EOF):
-		return n, ErrTruncatedBody
 	default:
 		return n, errors.Annotate(err, "link")
 	}
@@ -55,7 +53,7 @@
 		return nil
 	}
 
-	s.held.reusable = s.remaining == 0 && s.persistent && s.roundTrip.reader.Buffered() == 0
+	s.held.reusable = s.ended && s.persistent && s.roundTrip.reader.Buffered() == 0
 	s.held.link.releaseBuffers(&s.roundTrip)
 	s.held.Release()
 	s.held = nil
--- a/server.go
+++ b/server.go
@@ -47,9 +47,11 @@
 	// MaxReply is the maximum size of the reply body.
 	MaxReply ByteCount
 	// Stream is the minimum length in bytes of a reply body that is streamed to the caller
-	// instead of being buffered; 0 means that none is. A body of unknown length is always
-	// buffered.
+	// instead of being buffered; 0 means that none is.
 	Stream ByteCount
+	// NeedsLength is set if a body whose length is known only at its end can't be streamed to
+	// the caller.
+	NeedsLength bool
 	// Fresh asks for a connection from which no reply has been read yet, if a failed write
 	// on a reused one would make the verdict Unknown.
 	Fresh bool
@@ -108,10 +110,13 @@
 type Stream struct {
 	io.ReadCloser
 
-	// Length is the body's length in bytes.
+	// Length is the body's length in bytes, or UnknownLength.
 	Length int
 }
 
+// UnknownLength is the length of a streamed body that is known only at its end.
+const UnknownLength = -1
+
 // ErrOtherRequest is returned by a Dialect for a reply to another call. The reply to this
 // call may still follow.
 const ErrOtherRequest = errors.ConstError("the reply is to another request")
