Two late writes after a removal don't bring a server back

Cause: the first held value of a removed key could be an older one, and the next one, a write from before the removal as well, counted as the process that goes on. Found by splitting the function.

Change: a value newer than the removed one is held back for the next one, whatever older ones came before. The function is three small ones now.

Evidence: TestLateWrite, "two late after the removal", failed before the split; all pass, and the 300 drawn histories.

--- a/internal/cwmirror/late.go
+++ b/internal/cwmirror/late.go
@@ -10,7 +10,7 @@
 // another write than the newest one of the server that owns the key. A write whose answer was lost
 // may be executed seconds later, after newer ones and after the removal of the key.
 type held struct {
-	// first is the lowest rank that was held back, since is when it came.
+	// first is the rank from which the server would go on, since is when it came.
 	first carobward.Rank
 	since time.Time
 }
@@ -32,29 +32,61 @@
 		return
 	}
 
-	was, k := m.effective(it.Key), m.kept[it.Key]
+	was := m.effective(it.Key)
 	rank, newest := m.Rank(it.Key, it.Value), m.effectiveRank(was)
-	isOlder := rank.Before(newest)
 
-	switch returns := was.Deleted && isLaterWrite(newest, rank); {
-	case !isOlder && !returns:
-		return
-	case k == nil:
-		m.keep(was, newest, now)
-		m.hold(m.kept[it.Key], rank, it, now)
-	case k.held == nil && returns:
-		// The removal is kept since the store came back from a backup, not because of this value.
+	switch {
+	case rank.Before(newest):
+		m.holdOlder(m.keptOr(was, newest, now), rank, it, now)
+	case was.Deleted && isLaterWrite(newest, rank):
+		m.holdReturn(m.kept[it.Key], was, rank, newest, it, now)
+	}
+}
+
+// keptOr returns the kept item of a key, which is the given one if there is none yet.
+func (m *Mirror) keptOr(was carobward.Item, rank carobward.Rank, now time.Time) *kept {
+	if m.kept[was.Key] == nil {
+		m.keep(was, rank, now)
+	}
+
+	return m.kept[was.Key]
+}
+
+// holdOlder holds back a value that is older than the kept one, until its server goes on from there.
+func (m *Mirror) holdOlder(k *kept, rank carobward.Rank, it carobward.Item, now time.Time) {
+	switch {
 	case k.held == nil || rank.Before(k.held.first):
 		m.hold(k, rank, it, now)
-	case k.held.first.Before(rank) && (returns || now.Sub(k.held.since) >= m.holdTime(rank, k.rank)):
-		// The process goes on writing from there, so that no write was late.
+	case k.held.first.Before(rank) && now.Sub(k.held.since) >= m.holdTime(rank, k.rank):
+		m.release(k, it)
+	}
+}
+
+// holdReturn holds back the first value with which the process of a removed key seems to return. The
+// next one shows that it is alive.
+func (m *Mirror) holdReturn(k *kept, was carobward.Item, rank, newest carobward.Rank, it carobward.Item, now time.Time) {
+	switch {
+	case k == nil:
+		m.hold(m.keptOr(was, newest, now), rank, it, now)
+	case k.held == nil:
+		// The removal is kept since the store came back from a backup, not because of a late value.
+	case !k.rank.Before(k.held.first):
+		m.hold(k, rank, it, now)
+	case k.held.first.Before(rank):
 		m.release(k, it)
 	}
 }
 
-// holdTime returns for how long values of a rank are held back that is lower than the newest one. A
-// value that is too far behind to be late is held back until the next one shows that its server
-// goes on from there.
+// hold begins to hold the store's values of a key back.
+func (m *Mirror) hold(k *kept, rank carobward.Rank, it carobward.Item, now time.Time) {
+	k.held = &held{first: rank, since: now}
+
+	m.Log.Info("A server's entry is held back: it may be a write that the store executed late.", "key", it.Key, "index", it.Index,
+		"start", rank.Start, "write", rank.Write, "newest", k.rank.Write, "removed", k.Deleted)
+}
+
+// holdTime returns for how long a server's lower numbers are held back. One that is too far behind to be
+// late is held back until the next one shows that its server goes on from there.
 func (m *Mirror) holdTime(rank, newest carobward.Rank) time.Duration {
 	next := time.Duration(nextHeartbeat * float64(m.Heartbeat))
 	if rank.Start != newest.Start || m.Heartbeat <= 0 {
@@ -68,14 +100,6 @@
 	return maxLateness
 }
 
-// hold begins to hold the store's values of a key back.
-func (m *Mirror) hold(k *kept, rank carobward.Rank, it carobward.Item, now time.Time) {
-	k.held = &held{first: rank, since: now}
-
-	m.Log.Info("A server's entry is held back: it may be a write that the store executed late.", "key", it.Key, "index", it.Index,
-		"start", rank.Start, "write", rank.Write, "newest", k.rank.Write, "removed", k.Deleted)
-}
-
 // isLaterWrite reports whether a value is a later one of the same process.
 func isLaterWrite(of, value carobward.Rank) bool { return of.Before(value) && of.Start == value.Start }
 
--- a/internal/cwmirror/late_test.go
+++ b/internal/cwmirror/late_test.go
@@ -89,6 +89,7 @@
 		"late, next, late":              {[]step{{0, leaving(5), ""}, {0, ready(2), ""}, {time.Second, leaving(6), ""}, {2 * time.Second, ready(3), ""}}, time.Second, leaving(6), false},
 		"after the removal":             {[]step{{0, leaving(3), ""}, {0, nil, ""}, {time.Second, ready(2), ""}}, time.Minute, nil, false},
 		"newest, after the removal":     {[]step{{0, ready(3), ""}, {0, nil, ""}, {time.Second, ready(4), ""}}, time.Minute, nil, false},
+		"two late after the removal":    {[]step{{0, ready(3), ""}, {0, nil, ""}, {time.Second, ready(2), ""}, {time.Second, ready(4), ""}}, time.Minute, nil, false},
 		"back after the removal":        {[]step{{0, ready(3), ""}, {0, nil, ""}, {time.Second, ready(4), ""}, {testHeartbeat, ready(5), ""}}, 0, ready(5), false},
 		"the same after the removal":    {[]step{{0, ready(3), ""}, {0, nil, ""}, {time.Second, ready(3), ""}}, 0, ready(3), false},
 		"another process":               {[]step{{0, leaving(9), ""}, {0, &lateValue{2, 1, false}, ""}}, 0, &lateValue{2, 1, false}, false},
