--- a/internal/cwmesh/send.go
+++ b/internal/cwmesh/send.go
@@ -144,9 +144,6 @@
 	m.write(m.encode(b), n.Peers)
 }
 
-// neverSeen reports whether the peer was only named by others, and never heard from.
-func (p *Peer) neverSeen() bool { return p.Boot == 0 }
-
 // greetSeeds sends a heartbeat to the seeds that have not answered.
 func (m *Mesh) greetSeeds() {
 	m.mutex.Lock()
