What departed servers announced is forgotten before a new list is applied

An entry that came back with the first list after more than a minute got what its process had announced before, since the old ones were dropped at the end. TestAnnouncedOutlivesEntry puts no empty list between any more.

--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -34,7 +34,7 @@
 	// CPU time on this platform.
 	gcPercent = 40
 	// memoryLimitShare is the share of the process's memory limit from which on the collector runs
-	// more often: the rest is for stacks, buffers of the kernel's and what is freed late.
+	// more often: the rest is for stacks and for what is freed late.
 	memoryLimitShare = 0.8
 	// logQueueLines is the maximum number of queued log lines. A line has
 	// about 200 bytes, and there are about 20 per second and request.
--- a/internal/cwbackend/departed_test.go
+++ b/internal/cwbackend/departed_test.go
@@ -49,7 +49,6 @@
 			table.Put(nil, []carobward.Instance{"i-1"}, start)
 
 			now := start.Add(c.away)
-			table.Put(nil, nil, now)
 			table.Put(entry(c.after), nil, now)
 
 			s := table.byInstance["i-1"]
--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -69,6 +69,8 @@
 	var ended []carobward.Backend
 
 	t.now = now
+	t.forgetDeparted()
+
 	changed := map[carobward.Service]bool{}
 
 	for _, b := range list {
@@ -107,8 +109,6 @@
 		}
 	}
 
-	t.forgetDeparted()
-
 	for service, g := range t.groups {
 		if !g.warmAt.IsZero() && !now.Before(g.warmAt) {
 			changed[service] = true
