--- a/internal/cwlink/cut_test.go
+++ b/internal/cwlink/cut_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/juju/errors"
@@ -36,11 +37,12 @@
 		for _, stream := range []carobward.ByteCount{0, minStream} {
 			for _, reset := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, streamed %t, reset %t", name, stream > 0, reset), func(t *testing.T) {
-					cut := 0
+					var cut atomic.Int64
+
 					s := newStub(t, func(conn net.Conn, req *fasthttp.Request, _ int) bool {
 						id := string(req.Header.Peek("X-Request-Id"))
 						whole := strings.ReplaceAll(text, "ID", id)
-						_, _ = io.WriteString(conn, whole[:min(cut, len(whole))])
+						_, _ = io.WriteString(conn, whole[:min(int(cut.Load()), len(whole))])
 
 						if tcp, ok := conn.(*net.TCPConn); ok && reset {
 							_ = tcp.SetLinger(0)
@@ -54,12 +56,14 @@
 						l.options.Dialect = unframedDialect{}
 					}
 
-					for cut = range len(text) {
+					for n := range len(text) {
+						cut.Store(int64(n))
+
 						one := newCall("ID")
 						one.MaxReply, one.Stream = carobward.Kilobyte, stream
 
 						if got, err := readReply(l, s, one); err == nil && got != body {
-							t.Errorf("cut after %q: the body %q", text[:cut], got)
+							t.Errorf("cut after %q: the body %q", text[:n], got)
 						}
 					}
 				})
