The stand-in's work of length zero doesn't end while a server stands still

Cause: no work at speed zero is 0/0, not a number; as a duration that is the lowest one on x86-64, which wraps round to "never", and zero on arm64. It has nothing to do with fused multiply and add.

Change: no work ends in a step of speed zero.

--- a/internal/cwstand/server_speed.go
+++ b/internal/cwstand/server_speed.go
@@ -120,7 +120,7 @@
 		}
 
 		done := float64(s.at[i+1]-now) * s.rate[i]
-		if done >= left {
+		if done >= left && s.rate[i] > 0 { // No work ends while the server stands still.
 			return now + time.Duration(left/s.rate[i])
 		}
 
