A close says which bytes it leaves behind

Around a stop callers got no whole answer, and no log line told why: an answer counts as done once the kernel has taken it. Connections that listeners accept are closed by cwclose, which logs the bytes that were not read and those that were not acknowledged. Nothing else changes.

--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
+	"carobward.example/carobward/internal/cwclose"
 	"carobward.example/carobward/internal/cwfollow"
 	"carobward.example/carobward/internal/cwfront"
 	"carobward.example/carobward/internal/cwlink"
@@ -138,6 +139,8 @@
 
 	// unaccepted counts the errors of listeners that were waited out.
 	unaccepted atomic.Int64
+	// closer closes the connections that the listeners have accepted.
+	closer *cwclose.Closer
 
 	mutex sync.Mutex
 	// unusable has the servers whose entry in the store is unusable.
@@ -189,6 +192,7 @@
 		Startup: g.startup, RunningAge: func(of, now time.Time) time.Duration { return g.mesh.RunningAge(of, now) },
 	})
 
+	g.closer = cwclose.New(o.Log)
 	g.bounds.Store(&o.Bounds)
 
 	conn, err := net.ListenPacket("udp", string(o.Self.Peers))
--- a/internal/cwgateway/listeners.go
+++ b/internal/cwgateway/listeners.go
@@ -103,7 +103,7 @@
 
 		switch {
 		case err == nil:
-			listeners = append(listeners, cwaccept.New(ln, s.name, &g.unaccepted, g.log))
+			listeners = append(listeners, cwaccept.New(ln, s.name, g.closer, &g.unaccepted, g.log))
 		case s.optional():
 			g.log.Error(err, "A listener can't be opened; what it is for is not served.", "listener", s.name)
 
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -15,6 +15,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwaccept"
+	"carobward.example/carobward/internal/cwclose"
 	"carobward.example/carobward/internal/cwconfig"
 	"carobward.example/carobward/internal/cwdrain"
 	"carobward.example/carobward/internal/cwentry"
@@ -67,7 +68,9 @@
 	// that has ended.
 	unaccepted atomic.Int64
 	failed     chan error
-	done       chan struct{}
+	// closer closes the connections that the listeners have accepted.
+	closer *cwclose.Closer
+	done   chan struct{}
 }
 
 // listeners are the open sockets.
@@ -88,6 +91,7 @@
 		metrics:  cwmetric.New(),
 		done:     make(chan struct{}),
 		failed:   make(chan error, 1),
+		closer:   cwclose.New(log),
 	}
 
 	n.store = cwkv.New(s.Store.URL, s.Store.Prefix, s.Store.Timeout.Std(), n.metrics.Part("store"))
@@ -173,7 +177,7 @@
 			return errors.Annotate(err, "node")
 		}
 
-		*s.listener = cwaccept.New(opened, s.name, &n.unaccepted, n.log)
+		*s.listener = cwaccept.New(opened, s.name, n.closer, &n.unaccepted, n.log)
 	}
 
 	var err error
--- a/internal/cwpeer/conn.go
+++ b/internal/cwpeer/conn.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwsocket"
 )
 
 // Dial opens a connection to a Listener of a peer. Both sides are authenticated before it
@@ -120,15 +121,7 @@
 	c.readUntil = t
 }
 
-// errNotSocket is returned for a connection that is not one of the operating system.
-const errNotSocket = errors.ConstError("peer: the connection is no socket")
-
 // SyscallConn implements syscall.Conn, so that the state of the connection can be peeked at.
 func (c *serverConn) SyscallConn() (syscall.RawConn, error) {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errNotSocket
-	}
-
-	return s.SyscallConn()
+	return cwsocket.Raw(c.Conn)
 }
--- a/internal/cwsocket/peek.go
+++ b/internal/cwsocket/peek.go
@@ -4,6 +4,11 @@
 import (
 	"net"
 	"syscall"
+
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+
+	"carobward.example/carobward"
 )
 
 // State is the state of a connection.
@@ -21,12 +26,7 @@
 
 // Peek returns a connection's state. It neither blocks nor consumes bytes.
 func Peek(c net.Conn) State {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return Closed
-	}
-
-	raw, err := sc.SyscallConn()
+	raw, err := Raw(c)
 	if err != nil {
 		return Closed
 	}
@@ -51,3 +51,42 @@
 
 	return state
 }
+
+// errNotSocket is returned for a connection that is not one of the operating system.
+const errNotSocket = errors.ConstError("socket: the connection is no socket")
+
+// Raw returns the socket of a connection.
+func Raw(c net.Conn) (syscall.RawConn, error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, errNotSocket
+	}
+
+	return sc.SyscallConn()
+}
+
+// Unread returns how many bytes have arrived on a connection that nobody has read.
+func Unread(c net.Conn) (carobward.ByteCount, error) { return queued(c, unix.SIOCINQ) }
+
+// Undelivered returns how many bytes have been written to a connection that the other side's
+// operating system hasn't acknowledged. An end of the stream that was written counts as one.
+func Undelivered(c net.Conn) (carobward.ByteCount, error) { return queued(c, unix.SIOCOUTQ) }
+
+// queued returns the length of one of a connection's queues in the operating system.
+func queued(c net.Conn, request uint) (carobward.ByteCount, error) {
+	raw, err := Raw(c)
+	if err != nil {
+		return 0, err
+	}
+
+	var (
+		n        int
+		queryErr error
+	)
+
+	if err := raw.Control(func(fd uintptr) { n, queryErr = unix.IoctlGetInt(int(fd), request) }); err != nil {
+		return 0, err
+	}
+
+	return carobward.ByteCount(n), queryErr
+}
--- a/internal/cwsocket/peek_test.go
+++ b/internal/cwsocket/peek_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -46,3 +47,33 @@
 		})
 	}
 }
+
+// TestQueues checks what is told of bytes that were not read, and of those that were not delivered.
+func TestQueues(t *testing.T) {
+	ours, theirs := cwtest.Pair(t)
+
+	if _, err := theirs.Write([]byte("four")); err != nil {
+		t.Fatal(err)
+	}
+
+	cwtest.Wait(t, "four bytes to arrive", func() bool {
+		n, err := Unread(ours)
+
+		return err == nil && n == 4
+	})
+
+	// More than the windows hold, so that the rest of it stays.
+	const most = 64 << 20
+
+	if err := ours.SetWriteDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+
+	if n, err := ours.Write(make([]byte, most)); err == nil {
+		t.Fatalf("%d bytes were written to a connection that nobody reads", n)
+	}
+
+	if n, err := Undelivered(ours); err != nil || n == 0 {
+		t.Errorf("%d bytes are not delivered, %v", n, err)
+	}
+}
