--- a/internal/cwsite/site.go
+++ b/internal/cwsite/site.go
@@ -83,7 +83,7 @@
 
 // The range of the loopback networks 127.NET.0.0 that sites use.
 const (
-	minNetwork = 60
+	minNetwork = 160
 	maxNetwork = 250
 )
 
