--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -95,6 +95,8 @@
 	work  time.Duration
 	// workOf is the time that the work of each request takes, if it differs; see SetWorkOf.
 	workOf func(Run) time.Duration
+	// replyOf is the reply to each request that ran, if they differ; see SetReplyOf.
+	replyOf func(Run) Reply
 	// shed is the share of the requests that the server refuses in any mode.
 	shed float64
 	load string
@@ -212,7 +214,7 @@
 		return false
 	}
 
-	return u.answerRun(c, mode, header("Request-Id"), load)
+	return u.answerRun(c, mode, run, load)
 }
 
 // crash simulates a crash of the server's process.
@@ -282,12 +284,12 @@
 
 // answerRun writes the reply to a request that ran, and reports whether the connection stays
 // open.
-func (u *Upstream) answerRun(c net.Conn, mode UpstreamMode, id, load string) bool {
+func (u *Upstream) answerRun(c net.Conn, mode UpstreamMode, run Run, load string) bool {
 	u.mutex.Lock()
-	body, limits, fields := u.body, u.limits, u.fields
+	body, limits, fields, replyOf := u.body, u.limits, u.fields, u.replyOf
 	u.mutex.Unlock()
 
-	headers := fmt.Sprintf("Request-Id: %s\r\nResponse-Seal: s.%s\r\nUpstream-Load: %s\r\n%s", id, id, load, fields)
+	headers := fmt.Sprintf("Request-Id: %s\r\nResponse-Seal: s.%s\r\nUpstream-Load: %s\r\n%s", run.ID, run.ID, load, fields)
 	for _, limit := range limits {
 		headers += "Server-Limit: " + limit + "\r\n"
 	}
@@ -316,7 +318,7 @@
 
 		return false
 	case UpstreamUnsigned:
-		return writeReply(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+		return writeReply(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", run.ID, len(body), body)
 	case UpstreamRepeats:
 		return writeReply(c, "%s%s", reply, reply)
 	case UpstreamUnframed:
@@ -324,6 +326,12 @@
 
 		return false
 	default:
+		if replyOf != nil {
+			r := replyOf(run)
+
+			return r.write(c, headers)
+		}
+
 		return writeReply(c, "%s", reply)
 	}
 }
