Roll-outs can be played over links with a delay

test/stop -run TestRollOut takes -args -delay: each entry VM then has a link whose machine goes with its process.

--- a/test/stop/caller_test.go
+++ b/test/stop/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -35,6 +36,8 @@
 	// to is the entry VM that gets it, signal when that is stopped, counted from the first signal.
 	to     carobward.Address
 	signal time.Duration
+	// via is the address of the link to it, or empty.
+	via carobward.Address
 	// after is when its last byte is sent, counted from the signal to its entry VM.
 	after time.Duration
 	// timeout is the caller's time limit.
@@ -58,7 +61,7 @@
 
 // connect opens the connection.
 func (r *request) connect() error {
-	c, err := net.Dial("tcp", string(r.to))
+	c, err := net.Dial("tcp", string(cmp.Or(r.via, r.to)))
 	if err != nil {
 		return err
 	}
--- a/test/stop/rollout_test.go
+++ b/test/stop/rollout_test.go
@@ -16,6 +16,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwsocket"
+	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
 	"carobward.example/carobward/platform"
 )
@@ -23,8 +24,48 @@
 var (
 	rollOutVMs     = flag.Int("vms", 2, "how many entry VMs are stopped and started in turn")
 	rollOutCallers = flag.Int("callers", 40, "how many callers there are for each entry VM")
+	rollOutDelay   = flag.Duration("delay", 0, "the one-way delay of the links to entry VMs, whose machines then go with their processes")
 )
 
+// links are those to the entry VMs that run.
+type links struct {
+	mutex sync.Mutex
+	open  map[carobward.Address]*cwstand.Link
+}
+
+// renew replaces the link to an entry VM whose machine has gone.
+func (l *links) renew(t *testing.T, to carobward.Address) {
+	t.Helper()
+
+	if *rollOutDelay == 0 {
+		return
+	}
+
+	link := cwstand.NewLink(cwtest.Listen(t), to, cwstand.LinkShape{Delay: *rollOutDelay})
+	t.Cleanup(link.Close)
+
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if old := l.open[to]; old != nil {
+		old.Gone()
+	}
+
+	l.open[to] = link
+}
+
+// via returns the address of the link to an entry VM, empty if there is none.
+func (l *links) via(to carobward.Address) carobward.Address {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if link := l.open[to]; link != nil {
+		return link.Address()
+	}
+
+	return ""
+}
+
 // The load of a roll-out.
 const (
 	serversPerVM = 8
@@ -40,7 +81,8 @@
 
 // caller looks up which entry VM to use, keeps the answer for some time and a connection for longer.
 type caller struct {
-	play *play
+	play  *play
+	links *links
 	// hold is how many times its lifetime a lookup reply is used.
 	hold      int
 	addresses []carobward.Address
@@ -107,6 +149,7 @@
 		r.to = c.addresses[rand.IntN(len(c.addresses))]
 	}
 
+	r.via = c.links.via(r.to)
 	r.send()
 	c.kept = request{to: r.to, conn: r.conn, reader: r.reader}
 
@@ -124,6 +167,11 @@
 
 	p := newPlay(t, rollOutGrace, min(maxServers, *rollOutVMs*serversPerVM), *rollOutVMs)
 	p.stops = nil // Those that have started again don't close connections.
+	l := &links{open: map[carobward.Address]*cwstand.Link{}}
+
+	for _, v := range p.VMs {
+		l.renew(t, v.Callers)
+	}
 
 	var (
 		group sync.WaitGroup
@@ -134,7 +182,7 @@
 
 	for i := range *rollOutCallers * *rollOutVMs {
 		group.Go(func() {
-			c := &caller{play: p, hold: 1 + i%2*(longestHold-1)}
+			c := &caller{play: p, links: l, hold: 1 + i%2*(longestHold-1)}
 			defer c.drop()
 
 			pause := rand.N(pauseLeast + pauseSpread)
@@ -172,6 +220,7 @@
 				t.Errorf("%s ended with %v", v.ID, err)
 			}
 
+			l.renew(t, v.Callers)
 			p.Restart(t, v)
 		})
 		<-time.After(rollOutGap)
