A request that is too large is answered with 413 or 431, not 400

Callers whose request was over the listener's bounds were told that it is malformed. The status for a request that could not be read stood twice, in cwfront without these two; it is in cwframe now and used by both. carobward serve keeps 400 for a coding that it doesn't know, as its page says.

TestReadErrorStatus, with 'large body' and 'large header': the code before answers both with 400 by reading its switch, which had no case for either.

--- a/internal/cwentry/server.go
+++ b/internal/cwentry/server.go
@@ -182,16 +182,16 @@
 // readErrorStatus returns the HTTP status and the cause for an error from
 // reading a request.
 func readErrorStatus(err error) (int, error) {
-	var tooSmall *fasthttp.ErrSmallBuffer
-
-	switch {
-	case errors.As(err, &tooSmall):
-		return fasthttp.StatusRequestHeaderFieldsTooLarge, ErrHeaderTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return fasthttp.StatusRequestEntityTooLarge, ErrBodySize
-	case cwframe.IsTimeout(err):
-		return fasthttp.StatusRequestTimeout, ErrSlow
-	default:
+	status := cwframe.ReadErrorStatus(err)
+
+	switch status {
+	case fasthttp.StatusRequestHeaderFieldsTooLarge:
+		return status, ErrHeaderTooLarge
+	case fasthttp.StatusRequestEntityTooLarge:
+		return status, ErrBodySize
+	case fasthttp.StatusRequestTimeout:
+		return status, ErrSlow
+	default: // Also a transfer coding that is not supported.
 		return fasthttp.StatusBadRequest, ErrMalformed
 	}
 }
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -378,7 +378,7 @@
 func (f *Front) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	f.Log.Info("A request could not be read.", "from", addrString(ctx.RemoteAddr()), "cause", err.Error())
 	ctx.Response.Reset()
-	ctx.SetStatusCode(readErrorStatus(err))
+	ctx.SetStatusCode(cwframe.ReadErrorStatus(err))
 	ctx.SetConnectionClose()
 
 	if ctx.Response.StatusCode() == fasthttp.StatusRequestTimeout {
@@ -390,18 +390,6 @@
 // change before.
 const slowRetryAfter = 50 * time.Millisecond
 
-// readErrorStatus returns the status of a request that could not be read.
-func readErrorStatus(err error) int {
-	switch {
-	case errors.Is(err, fasthttp.ErrUnsupportedTransferEncoding):
-		return fasthttp.StatusNotImplemented
-	case cwframe.IsTimeout(err):
-		return fasthttp.StatusRequestTimeout
-	default:
-		return fasthttp.StatusBadRequest
-	}
-}
-
 func addrString(a net.Addr) string {
 	if a == nil {
 		return ""
