Closes deliver what was written: the write side first, then what still comes, then the socket

What callers saw: around a SIGTERM, servers answered their requests, and the connection ended without a whole answer.

Cause: a connection was closed as soon as the kernel had taken the answer. Where bytes of the caller lay unread, the close is a reset, and what was not delivered is dropped; where the machine goes with its process, the process ended within 10 ms of the last answer's write, and what was on its way is lost. The class: an answer counts as delivered when it was written.

Change: connections that listeners accept are closed by cwclose. Its Close shuts the write side down and returns; what still comes is read and discarded until the caller closes, within 5 s without delivery, 1 s of quiet, 1 min, 64 MB, 256 connections, of which those that owe least go first. One that owes nothing is closed at once, as before: a request that crosses that close is not read. A stop waits, within its plan, for connections that owe something, then closes those for lookups, readiness and operators the same way. Writes end when nothing is delivered for 5 s, not after 5 s in all: a caller that reads slowly gets its whole answer. carobward serve had a drain of its own for refusals; it uses this one for all closes.

Why it holds: the socket is closed only when the caller has closed, or has acknowledged all and stayed quiet, or takes nothing any more; nobody else decides on the order.

--- a/internal/cwaccept/listener.go
+++ b/internal/cwaccept/listener.go
@@ -11,8 +11,6 @@
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
-
-	"carobward.example/carobward/internal/cwclose"
 )
 
 // The pauses after an error that passes, which double from one to the next.
@@ -35,7 +33,6 @@
 	net.Listener
 
 	name   string
-	closer *cwclose.Closer
 	log    logr.Logger
 	done   chan struct{}
 	once   sync.Once
@@ -46,10 +43,9 @@
 	logged time.Time
 }
 
-// New returns a listener whose connections are closed by a closer. Failed counts the errors that were
-// waited out.
-func New(ln net.Listener, name string, closer *cwclose.Closer, failed *atomic.Int64, log logr.Logger) *Listener {
-	return &Listener{Listener: ln, name: name, closer: closer, failed: failed, log: log.WithName("accept"), done: make(chan struct{}), spare: openSpare()}
+// New returns a listener. Failed counts the errors that were waited out.
+func New(ln net.Listener, name string, failed *atomic.Int64, log logr.Logger) *Listener {
+	return &Listener{Listener: ln, name: name, failed: failed, log: log.WithName("accept"), done: make(chan struct{}), spare: openSpare()}
 }
 
 // openSpare returns the descriptor of a socket that is not used, or -1.
@@ -71,7 +67,7 @@
 				l.spare = openSpare()
 			}
 
-			return l.closer.Wrap(c), nil
+			return c, nil
 		}
 
 		if !passes(err) {
--- a/internal/cwaccept/listener_test.go
+++ b/internal/cwaccept/listener_test.go
@@ -9,7 +9,6 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
-	"carobward.example/carobward/internal/cwclose"
 	"carobward.example/carobward/internal/cwtest"
 )
 
@@ -60,7 +59,7 @@
 
 			var failed atomic.Int64
 
-			l := New(&failing{ln, c.errs}, "callers", cwclose.New(logr.Discard()), &failed, logr.Discard())
+			l := New(&failing{ln, c.errs}, "callers", &failed, logr.Discard())
 
 			got, err := l.Accept()
 			if !errors.Is(err, c.want) || (got == nil) != (c.want != nil) || failed.Load() != c.failed {
--- a/internal/cwentry/helpers_test.go
+++ b/internal/cwentry/helpers_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwclose"
 	"carobward.example/carobward/internal/cwconfig"
 	"carobward.example/carobward/internal/cwowner"
 	"carobward.example/carobward/internal/cwpeer"
@@ -135,8 +136,10 @@
 	t.Helper()
 
 	s := NewServer(o, fw, logr.Discard())
+	closer := cwclose.New(cwclose.Options{MaxConns: o.Conns, Log: logr.Discard()})
+	t.Cleanup(closer.Close)
 
-	return string(cwtest.Serve(t, s.Serve, func() error { return nil }))
+	return string(cwtest.Serve(t, func(ln net.Listener) error { return s.Serve(closer.Listen(ln)) }, func() error { return nil }))
 }
 
 // client is a caller that sends raw bytes.
--- a/internal/cwentry/listener.go
+++ b/internal/cwentry/listener.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -15,7 +14,8 @@
 )
 
 // listener bounds the number of open connections. It answers a connection over
-// the bounds with the reason before it closes it.
+// the bounds with the reason before it closes it. The listener below it sees to it that
+// what was written to a connection outlives its close.
 type listener struct {
 	net.Listener
 	options ServerOptions
@@ -24,17 +24,10 @@
 	mutex sync.Mutex
 	open  int
 	byIP  map[netip.Addr]int
-	// closing is a semaphore for connections that are drained before they are
-	// closed.
-	closing chan struct{}
 }
 
-// The bounds of draining connections before they are closed.
-const (
-	maxClosing     = 64
-	closingTimeout = time.Second
-	maxDrainBytes  = 64 << 10
-)
+// refusalTimeout limits the write of a refusal to a caller that doesn't read.
+const refusalTimeout = time.Second
 
 func newListener(ln net.Listener, o ServerOptions, vm carobward.VMID) *listener {
 	const body = `{"title":"Service Unavailable","status":503,` +
@@ -46,7 +39,7 @@
 
 	return &listener{
 		Listener: ln, options: o, refusal: []byte(refusal),
-		byIP: map[netip.Addr]int{}, closing: make(chan struct{}, maxClosing),
+		byIP: map[netip.Addr]int{},
 	}
 }
 
@@ -103,40 +96,9 @@
 
 // refuse answers a connection with 503 without reading a request.
 func (l *listener) refuse(c net.Conn) {
-	_ = c.SetDeadline(time.Now().Add(closingTimeout))
-
-	if _, err := c.Write(l.refusal); err != nil {
-		_ = c.Close()
-
-		return
-	}
-
-	l.drainAndClose(c)
-}
-
-// drainAndClose closes a connection on which the caller may still be sending.
-// It reads and discards data first, since closing with unread data would reset
-// the connection, and the caller would lose the response.
-func (l *listener) drainAndClose(c net.Conn) {
-	select {
-	case l.closing <- struct{}{}:
-	default:
-		_ = c.Close()
-
-		return
-	}
-
-	go func() {
-		defer func() { <-l.closing }()
-		defer func() { _ = c.Close() }()
-
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.CloseWrite()
-		}
-
-		_ = c.SetReadDeadline(time.Now().Add(closingTimeout))
-		_, _ = io.CopyN(io.Discard, c, maxDrainBytes)
-	}()
+	_ = c.SetDeadline(time.Now().Add(refusalTimeout))
+	_, _ = c.Write(l.refusal) // A caller that has gone needs none.
+	_ = c.Close()
 }
 
 // countedConn is a connection that counts as open until it is closed.
@@ -145,8 +107,6 @@
 	listener *listener
 	from     netip.Addr
 	closed   atomic.Bool
-	// drainOnClose is set if a request on the connection wasn't read completely.
-	drainOnClose atomic.Bool
 }
 
 // Close closes the connection. It has no effect after the first call.
@@ -157,12 +117,6 @@
 
 	c.listener.leave(c.from)
 
-	if c.drainOnClose.Load() {
-		c.listener.drainAndClose(c.Conn)
-
-		return nil
-	}
-
 	return c.Conn.Close()
 }
 
--- a/internal/cwentry/server.go
+++ b/internal/cwentry/server.go
@@ -131,10 +131,6 @@
 	}
 
 	s.forwarder.Handle(ctx)
-
-	if ctx.Response.StatusCode() == fasthttp.StatusRequestEntityTooLarge {
-		drainBeforeClose(ctx)
-	}
 }
 
 // handlePanic answers a request whose handler panicked. The request may have
@@ -167,16 +163,6 @@
 	s.forwarder.writeFailure(ctx, id, s.forwarder.refuse(ctx, f))
 
 	_ = ctx.SetWriteDeadline(time.Now().Add(s.options.Write))
-
-	drainBeforeClose(ctx)
-}
-
-// drainBeforeClose makes sure that a caller that is still sending receives the
-// response before its connection is closed.
-func drainBeforeClose(ctx *fasthttp.RequestCtx) {
-	if c, ok := ctx.Conn().(*countedConn); ok {
-		c.drainOnClose.Store(true)
-	}
 }
 
 // readErrorStatus returns the HTTP status and the cause for an error from
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -124,8 +124,6 @@
 	// readTimeout bounds the time to read one complete request. Callers that keep the
 	// operator's limits take less.
 	readTimeout = 20 * time.Second
-	// writeTimeout bounds the time to write one answer to a caller that doesn't read.
-	writeTimeout = 5 * time.Second
 	// idleTimeout is how long a connection waits for its next request. It is longer than
 	// the operator's limit, so that callers close first and no request arrives on a
 	// connection that this entry VM is closing.
@@ -199,7 +197,8 @@
 // Server returns the HTTP server of the callers' listener.
 func (f *Front) Server() *fasthttp.Server { return f.newServer(f.handle, f.conns, maxConns) }
 
-// newServer returns an HTTP server whose connections a table tracks and bounds.
+// newServer returns an HTTP server whose connections a table tracks and bounds. The listener bounds the time
+// of writes.
 func (f *Front) newServer(h fasthttp.RequestHandler, t *cwconn.Table, most int) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      h,
@@ -209,7 +208,6 @@
 		ReadBufferSize:               bufferBytes,
 		MaxRequestBodySize:           maxBodyBytes,
 		ReadTimeout:                  readTimeout,
-		WriteTimeout:                 writeTimeout,
 		IdleTimeout:                  idleTimeout,
 		ReduceMemoryUsage:            true,
 		NoDefaultServerHeader:        true,
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -19,6 +19,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
 	"carobward.example/carobward/internal/cwclose"
+	"carobward.example/carobward/internal/cwconn"
 	"carobward.example/carobward/internal/cwfollow"
 	"carobward.example/carobward/internal/cwfront"
 	"carobward.example/carobward/internal/cwlink"
@@ -58,8 +59,13 @@
 	dialTimeout = 300 * time.Millisecond
 	// maxReplyHeaderBytes is the largest accepted header of a server's reply.
 	maxReplyHeaderBytes = 8 * carobward.Kilobyte
-	// listenerTimeout limits reads and writes of the lookup, readiness and operators' listeners.
+	// listenerTimeout limits reads of the lookup, readiness and operators' listeners.
 	listenerTimeout = 5 * time.Second
+	// maxClosing bounds the connections that are closing, of all listeners together.
+	maxClosing = 256
+	// writeStall is how long a caller or a peer may take nothing of what is written to it. A long answer
+	// to one that reads slowly takes as long as it needs.
+	writeStall = 5 * time.Second
 )
 
 // Adapter translates between the platform's protocols and carobward's types.
@@ -141,6 +147,8 @@
 	unaccepted atomic.Int64
 	// closer closes the connections that the listeners have accepted.
 	closer *cwclose.Closer
+	// auxiliary has the connections of the listeners for lookups, readiness and operators.
+	auxiliary []*cwconn.Table
 
 	mutex sync.Mutex
 	// unusable has the servers whose entry in the store is unusable.
@@ -192,7 +200,7 @@
 		Startup: g.startup, RunningAge: func(of, now time.Time) time.Duration { return g.mesh.RunningAge(of, now) },
 	})
 
-	g.closer = cwclose.New(o.Log)
+	g.closer = cwclose.New(cwclose.Options{MaxConns: maxClosing, WriteStall: writeStall, Log: o.Log})
 	g.bounds.Store(&o.Bounds)
 
 	conn, err := net.ListenPacket("udp", string(o.Self.Peers))
@@ -234,6 +242,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 
+	defer g.closer.Close()
+
 	var group conc.WaitGroup
 	defer group.Wait()
 	defer cancel()
--- a/internal/cwgateway/listeners.go
+++ b/internal/cwgateway/listeners.go
@@ -103,7 +103,7 @@
 
 		switch {
 		case err == nil:
-			listeners = append(listeners, cwaccept.New(ln, s.name, g.closer, &g.unaccepted, g.log))
+			listeners = append(listeners, g.closer.Listen(cwaccept.New(ln, s.name, &g.unaccepted, g.log)))
 		case s.optional():
 			g.log.Error(err, "A listener can't be opened; what it is for is not served.", "listener", s.name)
 
@@ -138,12 +138,23 @@
 	maxOperatorsConns = 32
 )
 
-// auxiliaryServer returns the serve function of a small HTTP server with short timeouts.
+// trackRequests returns a handler that records its requests in the table of connections.
+func trackRequests(t *cwconn.Table, h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		t.Begin(ctx.Conn(), cwconn.Request{})
+		h(ctx)
+	}
+}
+
+// auxiliaryServer returns the serve function of a small HTTP server with short timeouts. Writes have that of
+// the closer.
 func (g *Gateway) auxiliaryServer(h fasthttp.RequestHandler, maxConns int) func(net.Listener) error {
+	conns := cwconn.New(maxConns, g.Clock)
+	g.auxiliary = append(g.auxiliary, conns)
+
 	s := &fasthttp.Server{
-		Handler: h, ConnState: cwconn.New(maxConns, g.Clock).Observe, Concurrency: maxConns + cwconn.MaxClosing,
-		ReadTimeout: listenerTimeout, WriteTimeout: listenerTimeout,
-		ReduceMemoryUsage: true, NoDefaultServerHeader: true, NoDefaultDate: true,
+		Handler: trackRequests(conns, h), ConnState: conns.Observe, Concurrency: maxConns + cwconn.MaxClosing,
+		ReadTimeout: listenerTimeout, ReduceMemoryUsage: true, NoDefaultServerHeader: true, NoDefaultDate: true,
 	}
 
 	return s.Serve
--- a/internal/cwgateway/stop.go
+++ b/internal/cwgateway/stop.go
@@ -31,32 +31,58 @@
 
 	g.front.CloseConns(cwconn.Waiting)
 	g.logStop("New connections are refused.")
-	g.awaitRequests(plan.Work)
+	g.await(plan.Work, g.pendingRequests)
 
 	// A request that isn't whole by now would be refused.
 	g.front.CloseConns(cwconn.Reading)
-	g.awaitRequests(plan.End)
+	g.await(plan.End, g.pendingRequests)
+	g.closeAuxiliary(plan.End)
 
 	g.front.LogCut(g.Clock.Now())
 	g.logStop("Stopped.", "took", g.Clock.Now().Sub(began).String())
 }
 
-// awaitRequests waits until no connection brings a request or has one in progress, or until a time.
-func (g *Gateway) awaitRequests(end time.Time) {
-	for g.Clock.Now().Before(end) {
-		callers, peers := g.front.Conns()
-		if callers.Reading+callers.Busy+peers.Reading+peers.Busy == 0 {
-			return
-		}
-
+// await waits until nothing is pending, or until a time.
+func (g *Gateway) await(end time.Time, pending func() int) {
+	for pending() > 0 && g.Clock.Now().Before(end) {
 		time.Sleep(stopInterval)
 	}
 }
 
+// pendingRequests returns on how many connections of callers and of peers there is a request, or an answer that
+// has not been delivered.
+func (g *Gateway) pendingRequests() int {
+	callers, peers := g.front.Conns()
+
+	return callers.Reading + callers.Busy + peers.Reading + peers.Busy + g.closer.Counts().Owing
+}
+
+// closeAuxiliary closes the connections for lookups, readiness and operators, and waits until their answers have
+// been delivered, or until a time.
+func (g *Gateway) closeAuxiliary(end time.Time) {
+	for _, t := range g.auxiliary {
+		t.Close(cwconn.Waiting)
+		t.Close(cwconn.Reading)
+	}
+
+	g.await(end, func() int {
+		pending := g.closer.Counts().Owing
+		for _, t := range g.auxiliary {
+			pending += t.Counts().Busy
+		}
+
+		return pending
+	})
+}
+
 // logStop logs a step of a stop with what the connections do.
 func (g *Gateway) logStop(step string, more ...any) {
 	callers, peers := g.front.Conns()
-	values := []any{"flight", g.front.InFlight(), "waiting", callers.Waiting, "reading", callers.Reading, "busy", callers.Busy, "peers", peers.Open()}
+	closing := g.closer.Counts()
+	values := []any{
+		"flight", g.front.InFlight(), "waiting", callers.Waiting, "reading", callers.Reading, "busy", callers.Busy, "peers", peers.Open(),
+		"closing", closing.Closing, "owing", closing.Owing, "cut", closing.Cut,
+	}
 
 	g.log.Info(step, append(values, more...)...)
 }
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -199,6 +199,10 @@
 	}
 
 	g.metrics.Gauge("conns", "failed", g.unaccepted.Load)
+	g.metrics.Gauge("conns", "closing", func() int64 { return int64(g.closer.Counts().Closing) })
+	g.metrics.Gauge("conns", "mostclosing", func() int64 { return int64(g.closer.Counts().MostClosing) })
+	g.metrics.Gauge("conns", "cut", func() int64 { return g.closer.Counts().Cut })
+	g.metrics.Gauge("conns", "discarded", func() int64 { return int64(g.closer.Counts().Discarded) })
 	gauge("waiting", func(n cwconn.Counts) int { return n.Waiting })
 	gauge("reading", func(n cwconn.Counts) int { return n.Reading })
 	gauge("busy", func(n cwconn.Counts) int { return n.Busy })
--- a/internal/cwnode/node.go
+++ b/internal/cwnode/node.go
@@ -79,6 +79,9 @@
 	datagrams                         net.PacketConn
 }
 
+// maxClosing bounds the connections that are closing, of all listeners together.
+const maxClosing = 256
+
 // New opens the listeners and assembles the components. Run starts them.
 func New(s cwsettings.Settings, clock carobward.Clock, log logr.Logger) (*Node, error) {
 	n := &Node{
@@ -91,7 +94,7 @@
 		metrics:  cwmetric.New(),
 		done:     make(chan struct{}),
 		failed:   make(chan error, 1),
-		closer:   cwclose.New(log),
+		closer:   cwclose.New(cwclose.Options{MaxConns: maxClosing, Log: log}),
 	}
 
 	n.store = cwkv.New(s.Store.URL, s.Store.Prefix, s.Store.Timeout.Std(), n.metrics.Part("store"))
@@ -177,7 +180,7 @@
 			return errors.Annotate(err, "node")
 		}
 
-		*s.listener = cwaccept.New(opened, s.name, n.closer, &n.unaccepted, n.log)
+		*s.listener = n.closer.Listen(cwaccept.New(opened, s.name, &n.unaccepted, n.log))
 	}
 
 	var err error
@@ -220,6 +223,8 @@
 	_ = n.lookup.ShutdownWithTimeout(closeTimeout)
 	_ = n.operators.ShutdownWithTimeout(closeTimeout)
 	group.Wait()
+	n.await(context.Background(), closeTimeout, n.isDelivered)
+	n.closer.Close()
 	n.closeTracer()
 	n.log.Info("Stopped.")
 
--- a/internal/cwnode/stop.go
+++ b/internal/cwnode/stop.go
@@ -75,6 +75,7 @@
 		cause = stderrors.Join(cause, n.giveUp())
 	}
 
+	n.await(context.Background(), end.Add(-n.handOverTime()).Sub(n.clock.Now()), n.isDelivered)
 	n.handOver(end)
 
 	return cause
@@ -115,6 +116,9 @@
 	return ErrStopTimeout
 }
 
+// isDelivered reports whether the other sides have all that was written to connections that are closing.
+func (n *Node) isDelivered() bool { return n.closer.Counts().Owing == 0 }
+
 // await waits until ok returns true, the timeout expires or ctx is done.
 func (n *Node) await(ctx context.Context, timeout time.Duration, ok func() bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/cwsocket/peek.go
+++ b/internal/cwsocket/peek.go
@@ -66,14 +66,39 @@
 }
 
 // Unread returns how many bytes have arrived on a connection that nobody has read.
-func Unread(c net.Conn) (carobward.ByteCount, error) { return queued(c, unix.SIOCINQ) }
+func Unread(c net.Conn) (carobward.ByteCount, error) {
+	n, err := query(c, func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCINQ) })
+
+	return carobward.ByteCount(n), err
+}
 
 // Undelivered returns how many bytes have been written to a connection that the other side's
 // operating system hasn't acknowledged. An end of the stream that was written counts as one.
-func Undelivered(c net.Conn) (carobward.ByteCount, error) { return queued(c, unix.SIOCOUTQ) }
+func Undelivered(c net.Conn) (carobward.ByteCount, error) {
+	n, err := query(c, func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
+
+	return carobward.ByteCount(n), err
+}
+
+// IsOver reports whether a connection carries nothing any more in either direction: both sides have closed it, or
+// one has reset it, which a read behind the end of the stream doesn't tell.
+func IsOver(c net.Conn) bool {
+	const stateClosed = 7 // TCP_CLOSE of Linux.
+
+	state, err := query(c, func(fd int) (int, error) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.SOL_TCP, unix.TCP_INFO)
+		if err != nil {
+			return 0, err
+		}
+
+		return int(info.State), nil
+	})
+
+	return err == nil && state == stateClosed
+}
 
-// queued returns the length of one of a connection's queues in the operating system.
-func queued(c net.Conn, request uint) (carobward.ByteCount, error) {
+// query asks the operating system for a number that it keeps for a connection.
+func query(c net.Conn, ask func(fd int) (int, error)) (int, error) {
 	raw, err := Raw(c)
 	if err != nil {
 		return 0, err
@@ -84,9 +109,9 @@
 		queryErr error
 	)
 
-	if err := raw.Control(func(fd uintptr) { n, queryErr = unix.IoctlGetInt(int(fd), request) }); err != nil {
+	if err := raw.Control(func(fd uintptr) { n, queryErr = ask(int(fd)) }); err != nil {
 		return 0, err
 	}
 
-	return carobward.ByteCount(n), queryErr
+	return n, queryErr
 }
