A request that is passed on is awaited for longer than its server may work

Cause: a stopping entry VM passed on one time only, until 0.9 of `grace`. The one that took the request gave the server all of it, and waited no longer itself. So a server that uses its time, as one that answers at its limit does, came second to the entry VM's own 504. A request that is not passed on was never judged so: its server's limit and the wait are two times.

Ruled out: that the server gets less than the time that is left (its answer would be missed less often, not never, and work is lost where there is time for it); that the taking entry VM waits a fixed time longer (it doesn't know until when the sender can still answer).

Change: `wait` goes with the request, how long the sender waits, beside `left`, how long servers may work. A peer that doesn't send it, one of the code before, waits as before.

Why it holds: the two times differ by what is left of the caller's own time limit, and the connection between the entry VMs ends with the sender's process at the latest.

--- a/internal/cwfront/relay.go
+++ b/internal/cwfront/relay.go
@@ -102,7 +102,7 @@
 func (r *request) relayRequest(now time.Time) *cwrelay.Request {
 	return &cwrelay.Request{
 		VM: r.front.VM, Version: r.routes.Version, Service: r.service, ID: r.id, IP: r.ip, Team: r.teamName(), Priority: r.priority,
-		Left: r.workLimit().Sub(now), Due: r.schedule.Due.Sub(now), Sends: r.sends, PossiblyRun: r.possiblyRun, Returned: r.returned, Admitted: r.admitted,
+		Left: r.workLimit().Sub(now), Wait: r.deadline.Sub(now), Due: r.schedule.Due.Sub(now), Sends: r.sends, PossiblyRun: r.possiblyRun, Returned: r.returned, Admitted: r.admitted,
 	}
 }
 
--- a/internal/cwfront/relayed.go
+++ b/internal/cwfront/relayed.go
@@ -88,6 +88,8 @@
 		Objective: r.route.Objective, Usual: r.usualTime(), Slowdown: r.state.currentSlowdown(),
 	}
 	r.call = r.newCall(ctx)
+	// A server may use all of the time until the deadline, and its answer comes after that.
+	r.call.Deadline = now.Add(in.Wait)
 
 	return r
 }
--- a/internal/cwrelay/message.go
+++ b/internal/cwrelay/message.go
@@ -39,9 +39,12 @@
 	IP       string
 	Team     carobward.TeamName
 	Priority int
-	// Left is how long the answer may take, Due until when it is in time; Due is negative if
-	// it is late already.
+	// Left is how long a server may work on it. Due is until when the answer is in time; it is
+	// negative if it is late already.
 	Left, Due time.Duration
+	// Wait is how long the answer is awaited, at least Left. It is longer if the entry VM that passes
+	// the request on is stopping: the answer of a server that uses all of its time has to come back.
+	Wait time.Duration
 	// Sends is how often the request has been sent to servers, PossiblyRun whether it may have
 	// run there.
 	Sends       int
@@ -79,7 +82,7 @@
 	return encode(&cwwire.Relay{
 		Vm: string(r.VM), Check: r.Check, Service: string(r.Service), Version: uint64(r.Version), Id: []byte(r.ID), Caller: r.IP,
 		Team: string(r.Team), Priority: int32(r.Priority), Left: millis(r.Left), Due: r.Due.Milliseconds(),
-		Sends: uint32(r.Sends), Run: r.PossiblyRun, Returned: r.Returned, Admitted: r.Admitted,
+		Sends: uint32(r.Sends), Run: r.PossiblyRun, Returned: r.Returned, Admitted: r.Admitted, Wait: millis(r.Wait),
 	})
 }
 
@@ -94,10 +97,12 @@
 		return nil, errMessage
 	}
 
+	left := duration(int64(m.GetLeft()))
+
 	return &Request{
 		VM: carobward.VMID(m.GetVm()), Version: carobward.Version(m.GetVersion()), Check: m.GetCheck(), Service: carobward.Service(m.GetService()),
 		ID: carobward.RequestID(m.GetId()), IP: m.GetCaller(), Team: carobward.TeamName(m.GetTeam()), Priority: int(m.GetPriority()),
-		Left: duration(int64(m.GetLeft())), Due: duration(m.GetDue()), Sends: int(m.GetSends()),
+		Left: left, Wait: max(left, duration(int64(m.GetWait()))), Due: duration(m.GetDue()), Sends: int(m.GetSends()),
 		PossiblyRun: m.GetRun(), Returned: m.GetReturned(), Admitted: m.GetAdmitted(),
 	}, nil
 }
--- a/internal/cwrelay/message_test.go
+++ b/internal/cwrelay/message_test.go
@@ -14,7 +14,7 @@
 func TestRequest(t *testing.T) {
 	for name, want := range map[string]Request{
 		"a request": {
-			VM: "vm-1", Version: 7, Service: "records", ID: "id-1", IP: "10.0.0.1", Team: "club", Priority: 3, Left: 1500 * time.Millisecond, Due: 600 * time.Millisecond,
+			VM: "vm-1", Version: 7, Service: "records", ID: "id-1", IP: "10.0.0.1", Team: "club", Priority: 3, Left: 1500 * time.Millisecond, Wait: 1800 * time.Millisecond, Due: 600 * time.Millisecond,
 			Sends: 1, PossiblyRun: true, Returned: true, Admitted: true,
 		},
 		"late already":      {VM: "vm-1", Service: "records", ID: "id-1", Due: -40 * time.Millisecond},
