The way back counts when a stopping entry VM passes a request on

What callers saw: a request that a stopping entry VM had read at 5.38 s of a `grace` of 6 s and passed on was cut at the end of the process, 5.58 s, and had run.

Cause: whether the answer can be back by 0.9 of `grace` was judged by the server's usual response time, 10 ms there. What the other entry VM and the way to it take was counted nowhere; under load that is more than the 180 ms between 0.9 and the end.

Ruled out: a fixed margin (it would refuse what can be served where the machine is idle); more time after 0.9 (the process has to end).

Change: the time that the search for the other entry VM took, a question and its answer on the connection that the request will use, is added to the expected time.

Test: TestPassedTooLate, with a clock that stands still. With the judgement as it was: relayed_test.go:114: too late: false ("a slow search")

Why it holds: it is no bound, as no delay is bounded: a machine that stalls after the search can still cut a request.

--- a/internal/cwfront/relay.go
+++ b/internal/cwfront/relay.go
@@ -40,6 +40,8 @@
 	f := r.front
 
 	for range maxRelayTries {
+		began := f.Clock.Now()
+
 		t, err := f.Relay.Find(ctx, &cwrelay.Need{ID: r.id, Service: r.service, Version: r.routes.Version, Allowed: r.regionAllowed})
 		if err != nil {
 			f.counts.Add(countUnrelayed, 1)
@@ -47,7 +49,7 @@
 			return false
 		}
 
-		if r.endsTooEarly(r.usualTime()) { // The search took the time that was left.
+		if r.passedTooLate(f.Clock.Now().Sub(began)) {
 			t.Release()
 
 			return false
@@ -70,6 +72,12 @@
 	return false
 }
 
+// passedTooLate reports whether this entry VM is stopping and the answer of another one may come too late.
+// The request and its answer travel as slowly as the search did.
+func (r *request) passedTooLate(searched time.Duration) bool {
+	return r.endsTooEarly(r.usualTime() + searched)
+}
+
 // passTo passes the request to an entry VM, and reports whether any part of it was sent.
 func (r *request) passTo(ctx context.Context, t *cwrelay.Target) bool {
 	f := r.front
--- a/internal/cwfront/relayed_test.go
+++ b/internal/cwfront/relayed_test.go
@@ -77,3 +77,42 @@
 		})
 	}
 }
+
+// fixedClock is a clock that stands still.
+type fixedClock time.Time
+
+func (c fixedClock) Now() time.Time { return time.Time(c) }
+
+// TestPassedTooLate guards against a request that a stopping entry VM passes on although its answer can't
+// be back in time: where the search for the other one was slow, so is the way of the answer.
+func TestPassedTooLate(t *testing.T) {
+	const grace, usual = 6 * time.Second, 10 * time.Millisecond
+
+	now := time.Unix(1_000_000, 0)
+
+	for name, c := range map[string]struct {
+		left, searched time.Duration
+		want           bool
+	}{
+		"a quick search": {25 * time.Millisecond, time.Millisecond, false},
+		"a slow search":  {25 * time.Millisecond, 30 * time.Millisecond, true},
+		"time enough":    {time.Second, 30 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, r := newCheckFront(t, "127.0.0.1:9")
+			f.Clock = fixedClock(now)
+			r.deadline, r.route.Objective = now.Add(2*time.Second), 2*usual
+
+			if got := r.usualTime(); got > usual {
+				t.Fatalf("usual time %s", got)
+			}
+
+			p := cwstop.New(now.Add(c.left-grace*9/10), grace)
+			f.plan.Store(&p)
+
+			if got := r.passedTooLate(c.searched); got != c.want {
+				t.Errorf("too late: %v", got)
+			}
+		})
+	}
+}
