One item of the store that can't be decoded keeps no other from being followed

An answer of the store was decoded as a whole. One item with bad base64, a revision out of range or a key of another type made the call fail as if the store were down, again and again: an entry VM that starts got no list, one that runs followed nothing any more.

Change: if a page can't be decoded as a whole, its items are decoded one by one.

Remains: an answer whose framing is no JSON, or nested beyond 10,000 levels outside of the values, is refused as a whole.

--- a/feed.go
+++ b/feed.go
@@ -88,6 +88,8 @@
 	Full bool
 	// Retained are items of the sender that stay effective besides Items.
 	Retained []RetainedItem
+	// Unreadable is how many items of the store's answer can't be decoded and are left out.
+	Unreadable int
 	// HoldDeletes is how much longer deletions in the store are not trusted.
 	HoldDeletes time.Duration
 }
--- a/internal/cwfollow/follower.go
+++ b/internal/cwfollow/follower.go
@@ -87,6 +87,8 @@
 	// VMs.
 	started      time.Time
 	fleetWritten time.Time
+	// unreadable is set while the store has items that can't be decoded.
+	unreadable bool
 	// lastRestore is when this entry VM last rewrote keys of entry VMs that the store had lost.
 	lastRestore time.Time
 }
@@ -236,6 +238,7 @@
 	}
 
 	f.needsList = false
+	f.logUnreadable(&c)
 	f.restoreLost(ctx, now)
 
 	if len(c.Items) == 0 {
@@ -248,3 +251,12 @@
 		"keys", len(c.Items), "changed", changed, "kept", f.Mirror.State().Kept, "held", f.Mirror.HoldRemaining(now).String())
 	carobward.Sleep(ctx, batchDelay)
 }
+
+// logUnreadable logs that items of an answer were left out, once until a list has none.
+func (f *Follower) logUnreadable(c *carobward.Changes) {
+	if c.Unreadable > 0 && !f.unreadable {
+		f.Log.Info("Items of the store can't be decoded and are left out.", "items", c.Unreadable, "index", c.Index)
+	}
+
+	f.unreadable = c.Unreadable > 0 || f.unreadable && !c.Full
+}
