Values of the store are decoded once a change, and a held entry is logged once

And where another writer writes a number that is too high with each heartbeat of a server, each honest write was a new line that the entry is held back: 19 lines in 20 heartbeats, now 1.

Change: a record has the rank of its value, and the rank for which the log last said that others are held back. Which value is effective is decided as before.

--- a/internal/cwmirror/era.go
+++ b/internal/cwmirror/era.go
@@ -58,7 +58,7 @@
 			continue
 		}
 
-		m.items[it.Key] = record{Item: it}
+		m.items[it.Key] = m.newRecord(it)
 		m.state.Top = max(m.state.Top, it.Index)
 	}
 
@@ -106,7 +106,9 @@
 	var fresh []carobward.Item
 
 	for key, k := range m.kept {
-		old[key] = record{Item: k.Item, rank: k.rank}
+		r := m.newRecord(k.Item)
+		r.rank = k.rank
+		old[key] = r
 	}
 
 	for _, was := range old {
--- a/internal/cwmirror/kept.go
+++ b/internal/cwmirror/kept.go
@@ -125,9 +125,9 @@
 }
 
 // keepRemoved keeps a server's entry that the store removed while removals are held back.
-func (m *Mirror) keepRemoved(it carobward.Item, now time.Time) {
-	if m.mayLapse(it.Key, now) && m.kept[it.Key] == nil {
-		m.keep(it, m.Rank(it.Key, it.Value), m.holdEnd)
+func (m *Mirror) keepRemoved(r *record, now time.Time) {
+	if m.mayLapse(r.Key, now) && m.kept[r.Key] == nil {
+		m.keep(r.Item, r.own, m.holdEnd)
 	}
 }
 
@@ -158,12 +158,14 @@
 		return true
 	}
 
+	rank := m.items[it.Key].own
+
 	switch {
 	case it.Deleted && !k.Deleted && m.mayLapse(it.Key, now):
 		return false
-	case !it.Deleted && m.Rank(it.Key, it.Value).Before(k.rank):
+	case !it.Deleted && rank.Before(k.rank):
 		return false
-	case !it.Deleted && k.Deleted && k.held != nil && isLaterWrite(k.rank, m.Rank(it.Key, it.Value)):
+	case !it.Deleted && k.Deleted && k.held != nil && isLaterWrite(k.rank, rank):
 		return false
 	default:
 		delete(m.kept, it.Key)
--- a/internal/cwmirror/late.go
+++ b/internal/cwmirror/late.go
@@ -27,13 +27,14 @@
 // holdLate keeps the effective item of a server's entry if the store's new value may be one that
 // was executed late: it is older by its server's count, or the key was removed and the same process
 // seems to write it again.
-func (m *Mirror) holdLate(it carobward.Item, now time.Time) {
+func (m *Mirror) holdLate(r *record, now time.Time) {
+	it, rank := r.Item, r.own
 	if !m.IsBackend(it.Key) || !m.has(it.Key) {
 		return
 	}
 
 	was := m.effective(it.Key)
-	rank, newest := m.Rank(it.Key, it.Value), m.effectiveRank(was)
+	newest := m.effectiveRank(was)
 
 	switch {
 	case rank.Before(newest):
@@ -81,6 +82,15 @@
 func (m *Mirror) hold(k *kept, rank carobward.Rank, it carobward.Item, now time.Time) {
 	k.held = &held{first: rank, since: now}
 
+	// Another writer may write the same value again and again.
+	r := m.items[k.Key]
+	if r.noted == k.rank {
+		return
+	}
+
+	r.noted = k.rank
+	m.items[k.Key] = r
+
 	m.Log.Info("A server's entry is held back: it may be a write that the store executed late.", "key", it.Key, "index", it.Index,
 		"start", rank.Start, "write", rank.Write, "newest", k.rank.Write, "removed", k.Deleted)
 }
--- a/internal/cwmirror/mirror.go
+++ b/internal/cwmirror/mirror.go
@@ -69,9 +69,13 @@
 type record struct {
 	carobward.Item
 
+	// own is the rank of the value.
+	own carobward.Rank
 	// rank is the rank of the last value that had one, for a value without one and for a removed
 	// key.
 	rank carobward.Rank
+	// noted is the rank of the effective value when the log last said that others are held back.
+	noted carobward.Rank
 	// released is the rank up to which peers' kept items don't take effect any more.
 	released carobward.Rank
 }
@@ -234,23 +238,35 @@
 		m.tombstones--
 	}
 
-	next := record{Item: it, rank: m.effectiveRank(it), released: old.released}
+	next := m.newRecord(it)
+	next.rank = m.effectiveRank(it)
 
 	if !it.Deleted {
-		m.holdLate(it, now)
-		next.released = m.items[it.Key].released
+		m.holdLate(&next, now)
 	} else {
 		m.tombstones++
 
 		if ok && !old.Deleted {
-			m.keepRemoved(old.Item, now)
+			m.keepRemoved(&old, now)
 		}
 	}
 
+	last := m.items[it.Key]
+	next.released, next.noted = last.released, last.noted
 	m.items[it.Key] = next
 	m.state.Top = max(m.state.Top, it.Index)
 }
 
+// newRecord returns the record of an item with its rank.
+func (m *Mirror) newRecord(it carobward.Item) record {
+	r := record{Item: it}
+	if !it.Deleted {
+		r.own = m.Rank(it.Key, it.Value)
+	}
+
+	return r
+}
+
 // rankOf returns the rank of a value. For a removal, and for a value that can't be ordered, it is the
 // rank of the last value before it.
 func (m *Mirror) rankOf(r record) carobward.Rank {
@@ -258,12 +274,11 @@
 		return r.rank
 	}
 
-	rank := m.Rank(r.Key, r.Value)
-	if rank == (carobward.Rank{}) || rank.Start == 0 && r.rank.Start != 0 {
+	if r.own == (carobward.Rank{}) || r.own.Start == 0 && r.rank.Start != 0 {
 		return r.rank
 	}
 
-	return rank
+	return r.own
 }
 
 // removeUnlisted removes the keys that the sender doesn't have but that the changes don't name as
