A warm-up that an entry states is replaced by that of the next entry

An entry that stated a warm-up of a year, once, limited its server's requests for a year: later entries could only make it longer, since they may be older than the server's own answer that it warms up again.

Change: the end by the entry and the end by the server's answers are kept apart; the later one holds.

Seen failing on the code before: TestWarmupView, new case far_too_long,_then_the_next ('not warming up until 3 s'). The older cases hold unchanged.

--- a/internal/cwbackend/allowance.go
+++ b/internal/cwbackend/allowance.go
@@ -120,7 +120,7 @@
 // allowances returns this entry VM's shares of what a server takes. The mutex must be held.
 func (t *Table) allowances(s *Server, b *carobward.Backend, now time.Time) allowances {
 	s.mutex.Lock()
-	warm, limit := s.warmupEnd, s.limit
+	warm, limit := s.warmedUpAt(), s.limit
 	s.mutex.Unlock()
 
 	return allowances{t.warmupAllowance(b, warm, now), t.limitAllowance(b, &limit, now)}
--- a/internal/cwbackend/announcement.go
+++ b/internal/cwbackend/announcement.go
@@ -96,7 +96,7 @@
 	}
 
 	if r.HasWarmup {
-		s.warmupEnd = now.Add(r.Warmup) // Newer than any entry in the list of servers.
+		s.warmupEnd, s.reportedWarmupEnd = time.Time{}, now.Add(r.Warmup) // Newer than any entry in the list of servers.
 	}
 
 	changes := Changes{Leaving: r.Leaving.IsLeaving() && s.leavingSince.IsZero(), Pause: s.extendPause(r, from, now)}
--- a/internal/cwbackend/server.go
+++ b/internal/cwbackend/server.go
@@ -68,8 +68,9 @@
 	pausedUntil  time.Time
 	// announcers gets the server once it has an announcement that others may lack.
 	announcers *announcers
-	// warmupEnd is when it is warmed up.
-	warmupEnd time.Time
+	// warmupEnd is when it is warmed up by its entry, reportedWarmupEnd by its replies.
+	warmupEnd         time.Time
+	reportedWarmupEnd time.Time
 	// sends has the times of the latest requests to it: one, or as many as its allowances look
 	// back.
 	sends  []time.Time
@@ -128,10 +129,17 @@
 
 	s.backend = b
 
-	// The entry may be older than the server's own report that it is warming up again.
-	if warm := now.Add(b.Warmup); warm.After(s.warmupEnd) {
-		s.warmupEnd = warm
+	s.warmupEnd = now.Add(b.Warmup)
+}
+
+// warmedUpAt returns when it is warmed up: the entry may be older than its reply that it is warming up
+// again. The mutex must be held.
+func (s *Server) warmedUpAt() time.Time {
+	if s.reportedWarmupEnd.After(s.warmupEnd) {
+		return s.reportedWarmupEnd
 	}
+
+	return s.warmupEnd
 }
 
 // Begin records a request that is sent. Cancel is called if the process ends. End must be
--- a/internal/cwbackend/view.go
+++ b/internal/cwbackend/view.go
@@ -73,7 +73,7 @@
 	defer s.mutex.Unlock()
 
 	v := View{
-		Server: s, Leaving: s.isLeaving(), Throttled: now.Before(s.pausedUntil), ThrottledUntil: s.pausedUntil, Blocked: now.Before(s.blockedUntil), Failing: s.failures > 0, Warming: now.Before(s.warmupEnd),
+		Server: s, Leaving: s.isLeaving(), Throttled: now.Before(s.pausedUntil), ThrottledUntil: s.pausedUntil, Blocked: now.Before(s.blockedUntil), Failing: s.failures > 0, Warming: now.Before(s.warmedUpAt()),
 		Slots: max(1, s.backend.Slots), InFlight: len(s.inFlight), FailureRate: s.failureRate, RefusalRate: s.refusals.value(now), Domain: s.backend.Domain, Address: s.backend.Address, Report: s.report, Limit: s.limit.Limit,
 	}
 
--- a/internal/cwbackend/warmup.go
+++ b/internal/cwbackend/warmup.go
@@ -58,5 +58,5 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	return s.warmupEnd
+	return s.warmedUpAt()
 }
--- a/internal/cwbackend/warmup_test.go
+++ b/internal/cwbackend/warmup_test.go
@@ -299,6 +299,7 @@
 		"warming up without a restart":    {[]int{0, none}, []int{none, 3}, 4},
 		"an older entry after the answer": {[]int{0, none, 0}, []int{none, 3, none}, 4},
 		"warm by its own report":          {[]int{9, none}, []int{none, 0}, 1},
+		"far too long, then the next":     {[]int{30_000_000, 2}, []int{none, none}, 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			table := New(VM{ID: "vm-1", Domain: "a"})
