Values in a line of the log are cut at 16 KB

What other programs write stands in lines of the log: keys, names, errors that quote a value. A text of a megabyte made a line of a megabyte.

Seen failing on the code before: TestLongValue in 4 of 4 cases ('a line of 1048641 bytes').

--- a/internal/cwlog/log.go
+++ b/internal/cwlog/log.go
@@ -8,8 +8,11 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
+	"reflect"
+	"strings"
 	"sync"
 
 	"github.com/go-logr/logr"
@@ -27,11 +30,39 @@
 	line := &line{to: w}
 
 	return logr.FromSlogHandler(&handler{
-		Handler: slog.NewTextHandler(&line.buffer, &slog.HandlerOptions{Level: levels[level], ReplaceAttr: plainLevel}),
+		Handler: slog.NewTextHandler(&line.buffer, &slog.HandlerOptions{Level: levels[level], ReplaceAttr: replace}),
 		line:    line,
 	})
 }
 
+// maxValueBytes is the maximum size of one value in a line. Values may come from other writers.
+const maxValueBytes = 16 << 10
+
+// replace changes values for the output.
+func replace(groups []string, a slog.Attr) slog.Attr { return shorten(plainLevel(groups, a)) }
+
+// shorten cuts a text that is too long, and adds its size.
+func shorten(a slog.Attr) slog.Attr {
+	var text string
+
+	switch v := a.Value.Any().(type) {
+	case string:
+		text = v
+	case error:
+		text = v.Error()
+	default:
+		if r := reflect.ValueOf(v); r.Kind() == reflect.String {
+			text = r.String()
+		}
+	}
+
+	if len(text) > maxValueBytes {
+		a.Value = slog.StringValue(fmt.Sprintf("%s... (%d bytes)", strings.ToValidUTF8(text[:maxValueBytes], ""), len(text)))
+	}
+
+	return a
+}
+
 // plainLevel shows logr's verbosity levels as DEBUG.
 func plainLevel(groups []string, a slog.Attr) slog.Attr {
 	if level, ok := a.Value.Any().(slog.Level); ok && len(groups) == 0 && a.Key == slog.LevelKey && level < slog.LevelInfo {
--- a/internal/cwlog/log_test.go
+++ b/internal/cwlog/log_test.go
@@ -80,3 +80,27 @@
 		t.Errorf("got %d lines, want %d", count, 2*lines)
 	}
 }
+
+// TestLongValue guards against lines as long as what other programs wrote.
+func TestLongValue(t *testing.T) {
+	type name string
+
+	long := strings.Repeat("x", 1<<20)
+
+	for kind, log := range map[string]func(logr.Logger){
+		"text":       func(l logr.Logger) { l.Info("Up.", "key", long) },
+		"named type": func(l logr.Logger) { l.Info("Up.", "key", name(long)) },
+		"error":      func(l logr.Logger) { l.Error(errors.New(long), "Down.") },
+		"a cut rune": func(l logr.Logger) { l.Info("Up.", "key", strings.Repeat("é", 1<<19)) },
+	} {
+		t.Run(kind, func(t *testing.T) {
+			var out bytes.Buffer
+
+			log(cwlog.New(&out, "info"))
+
+			if line := out.String(); len(line) > 20<<10 || !strings.Contains(line, "... (1048576 bytes)") {
+				t.Errorf("a line of %d bytes: %.100s", len(line), line)
+			}
+		})
+	}
+}
