Packed entries of a peer allocate no more than 64 MB

A packed reply of a peer states how long it is once decompressed, and the decoder allocates that before it looks at the rest: a reply of 7 bytes that states 4 GB allocated bytes. Replies are authenticated, so that only a faulty entry VM can send one. A stated size beyond 64 MB is refused.

--- a/internal/cwmesh/push.go
+++ b/internal/cwmesh/push.go
@@ -24,6 +24,8 @@
 	// minPackSize is the size in bytes from which entries are compressed, to a third or
 	// less. Smaller ones need one packet either way.
 	minPackSize = 1000
+	// maxUnpackedSize is the maximum size in bytes of entries that are decompressed.
+	maxUnpackedSize = 64 << 20
 )
 
 // push has the newest changes, for peers whose replica is at the state after which they begin.
@@ -130,9 +132,9 @@
 	entries := in.GetEntries()
 
 	if len(in.GetPacked()) > 0 {
-		raw, err := s2.Decode(nil, in.GetPacked())
+		raw, err := unpack(in.GetPacked())
 		if err != nil {
-			return c, errors.Annotate(err, "mesh: decompress entries")
+			return c, err
 		}
 
 		all := &cwwire.Entries{}
@@ -149,3 +151,17 @@
 
 	return c, nil
 }
+
+// unpack decompresses entries. It allocates as much as they claim to need.
+func unpack(packed []byte) ([]byte, error) {
+	switch size, err := s2.DecodedLen(packed); {
+	case err != nil:
+		return nil, errors.Annotate(err, "mesh: decompress entries")
+	case size > maxUnpackedSize:
+		return nil, errors.Errorf("mesh: entries of %d bytes are too large", size)
+	}
+
+	raw, err := s2.Decode(nil, packed)
+
+	return raw, errors.Annotate(err, "mesh: decompress entries")
+}
