A server comes back from an odd entry under its key, and odd entries are logged once

An entry with a later start time under a live server's key took the place of the server's own for ever: the replica let the server go on from its earlier start time after 8 s, but the table of servers took all its entries for late ones of a process that had ended. Requests went on to a server that said it was leaving. The same entry or configuration written again with each heartbeat was a line each time.

Ruled out: that the replica holds the entry back (it lets it go after 8 s, the index moves on); that the list is no longer followed (servers entered later were used); that a process ends or grows.

Change: entries come from the replica in its order, so that one with an earlier start time begins a new row of the table. An unusable entry is logged once until it is usable or removed, a configuration and the list of entry VMs once until the reason changes, an entry that was read only if it differs from the one in the table. The stand-in of the store has pages of at most 1 MB of values.

--- a/internal/cwbackend/table.go
+++ b/internal/cwbackend/table.go
@@ -247,6 +247,22 @@
 	return now.Start
 }
 
+// IsCurrent reports whether an entry is the one in the table.
+func (t *Table) IsCurrent(b carobward.Backend) bool {
+	t.mutex.RLock()
+	s := t.byInstance[b.Instance]
+	t.mutex.RUnlock()
+
+	if s == nil {
+		return false
+	}
+
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return s.backend == b
+}
+
 // lookup returns the current entry of an instance.
 func (t *Table) lookup(i carobward.Instance) (carobward.Backend, bool) {
 	t.mutex.RLock()
--- a/internal/cwgateway/changes.go
+++ b/internal/cwgateway/changes.go
@@ -59,7 +59,9 @@
 type serverChanges struct {
 	updated []carobward.Backend
 	removed []carobward.Instance
-	errs    []error
+	// reverted are servers whose earlier entry had a start time that was too late.
+	reverted []carobward.Instance
+	errs     []error
 }
 
 // applyServer adds the change of a server entry to c.
@@ -74,22 +76,36 @@
 		return
 	}
 
+	known := g.unusable[instance]
+
 	b, err := g.parseServer(it, first)
 	if err != nil {
 		// The value may come from another writer. Until the server writes its entry again,
 		// neither its address nor whether it takes requests is known. Requests in flight
 		// there go on.
 		c.removed = append(c.removed, instance)
-		c.errs = append(c.errs, err)
+
+		if !known {
+			c.errs = append(c.errs, err)
+		}
 
 		return
 	}
 
+	if b.Start < g.servers.Start(instance) {
+		// The replica holds late entries back: this server goes on from an earlier start time.
+		c.reverted = append(c.reverted, instance)
+	}
+
 	c.updated = append(c.updated, b)
 }
 
 // updateServers updates the table of servers.
 func (g *Gateway) updateServers(c *serverChanges, now time.Time) {
+	if len(c.reverted) > 0 {
+		g.servers.Put(nil, c.reverted, now)
+	}
+
 	for _, b := range g.servers.Put(c.updated, c.removed, now) {
 		g.log.Info("A server has restarted.", "server", b.Instance, "address", b.Address, "before", b.Start)
 		g.link.Drop(b.Address)
@@ -114,7 +130,7 @@
 		return b, err
 	}
 
-	if wasUnusable := g.unusable[b.Instance]; wasUnusable || !first || b.Leaving {
+	if wasUnusable := g.unusable[b.Instance]; wasUnusable || !first && !g.servers.IsCurrent(b) || first && b.Leaving {
 		delete(g.unusable, b.Instance)
 		g.log.Info("A server entry was read.", "server", b.Instance, "address", b.Address, "service", b.Service,
 			"leaving", b.Leaving, "warmup", b.Warmup.String(), "start", b.Start, "unusable", wasUnusable, "index", it.Index)
@@ -144,15 +160,26 @@
 	}
 }
 
+// logRejected logs that a value is not used, once until its key has another fault or a value that is
+// used: another writer may write the same one again and again.
+func (g *Gateway) logRejected(it *carobward.Item, err error, message string) {
+	if g.rejected[it.Key] != err.Error() {
+		g.rejected[it.Key] = err.Error()
+		g.log.Error(err, message, "index", it.Index)
+	}
+}
+
 // applyFleet adds the entry VMs of the store's list as peers and sends them a heartbeat.
 func (g *Gateway) applyFleet(it *carobward.Item) {
 	list, err := cwmesh.DecodeFleet(it.Value)
 	if err != nil {
-		g.log.Error(err, "The list of entry VMs can't be decoded.", "index", it.Index)
+		g.logRejected(it, err, "The list of entry VMs can't be decoded.")
 
 		return
 	}
 
+	delete(g.rejected, it.Key)
+
 	g.table.AddListed(list, g.Clock.Now())
 	g.mesh.HeartbeatDomain()
 }
@@ -171,11 +198,13 @@
 	}
 
 	if err != nil {
-		g.log.Error(err, "A configuration is invalid; the last one stays in force.", "index", it.Index)
+		g.logRejected(it, err, "A configuration is invalid; the last one stays in force.")
 
 		return
 	}
 
+	delete(g.rejected, it.Key)
+
 	if old := g.front.Routes(); old != nil && old.Version >= r.Version {
 		g.log.Info("A configuration is ignored, since it is not newer than the one in force.", "version", r.Version, "force", old.Version)
 
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -153,6 +153,8 @@
 	mutex sync.Mutex
 	// unusable has the servers whose entry in the store is unusable.
 	unusable map[carobward.Instance]bool
+	// rejected has the last line about each other key whose value was not used.
+	rejected map[carobward.Key]string
 	// evacuated has the failure domains that operators have evacuated.
 	evacuated map[carobward.Domain]evacuationRecord
 	// rate is the bits of a float64, this entry VM's requests a second; lastTotal is the
@@ -167,7 +169,7 @@
 // New returns an entry VM that is not running yet.
 func New(o Options) (*Gateway, error) {
 	g := &Gateway{
-		Options: o, log: o.Log.WithName("gateway"), started: o.Clock.Now(), unusable: map[carobward.Instance]bool{}, evacuated: map[carobward.Domain]evacuationRecord{}, metrics: cwmetric.New(),
+		Options: o, log: o.Log.WithName("gateway"), started: o.Clock.Now(), unusable: map[carobward.Instance]bool{}, rejected: map[carobward.Key]string{}, evacuated: map[carobward.Domain]evacuationRecord{}, metrics: cwmetric.New(),
 		table: cwmesh.NewTable(o.Self), mirror: newMirror(&o), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain, Regions: o.Regions}),
 	}
 
--- a/internal/cwstand/metadata.go
+++ b/internal/cwstand/metadata.go
@@ -58,8 +58,12 @@
 	done    chan struct{}
 }
 
-// pageItems is the default maximum number of items in a reply.
-const pageItems = 500
+// The maximum number of items in a page, by default, and of bytes of their values, which one item
+// alone may exceed.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
 
 // NewMetadataStore returns an empty store. It starts to serve with the Serve method of
 // the embedded server.
@@ -316,14 +320,18 @@
 
 	keys := m.keys(string(ctx.QueryArgs().Peek("prefix")), string(ctx.QueryArgs().Peek("after")))
 
-	more := len(keys) > m.page
-	items := []metadataItem{}
+	items, size := []metadataItem{}, 0
 
 	for _, key := range keys[:min(len(keys), m.page)] {
+		size += len(m.items[key].Value)
+		if size > pageBytes && len(items) > 0 {
+			break
+		}
+
 		items = append(items, m.items[key])
 	}
 
-	writeJSON(ctx, map[string]any{"items": items, "has_more": more, "current_rev": m.revision})
+	writeJSON(ctx, map[string]any{"items": items, "has_more": len(items) < len(keys), "current_rev": m.revision})
 }
 
 func (m *MetadataStore) watch(ctx *fasthttp.RequestCtx) {
