--- a/internal/cwlog/log.go
+++ b/internal/cwlog/log.go
@@ -43,26 +43,31 @@
 
 // shorten cuts a text that is too long, and adds its size.
 func shorten(a slog.Attr) slog.Attr {
-	var text string
-
-	switch v := a.Value.Any().(type) {
-	case string:
-		text = v
-	case error:
-		text = v.Error()
-	default:
-		if r := reflect.ValueOf(v); r.Kind() == reflect.String {
-			text = r.String()
-		}
-	}
-
-	if len(text) > maxValueBytes {
+	if text := textOf(a.Value); len(text) > maxValueBytes {
 		a.Value = slog.StringValue(fmt.Sprintf("%s... (%d bytes)", strings.ToValidUTF8(text[:maxValueBytes], ""), len(text)))
 	}
 
 	return a
 }
 
+// textOf returns the text of a value, if it is one that may be long.
+func textOf(v slog.Value) string {
+	switch v.Kind() {
+	case slog.KindString:
+		return v.String()
+	case slog.KindAny:
+		if err, ok := v.Any().(error); ok {
+			return err.Error()
+		}
+
+		if r := reflect.ValueOf(v.Any()); r.Kind() == reflect.String { // A named type, such as that of an id.
+			return r.String()
+		}
+	}
+
+	return ""
+}
+
 // plainLevel shows logr's verbosity levels as DEBUG.
 func plainLevel(groups []string, a slog.Attr) slog.Attr {
 	if level, ok := a.Value.Any().(slog.Level); ok && len(groups) == 0 && a.Key == slog.LevelKey && level < slog.LevelInfo {
