--- a/internal/cwclose/conn.go
+++ b/internal/cwclose/conn.go
@@ -90,7 +90,7 @@
 	for {
 		before, _ := cwsocket.Undelivered(c.Conn) // Without it, only what the socket takes is progress.
 
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(stall)); err != nil {
+		if err := c.SetWriteDeadline(time.Now().Add(stall)); err != nil {
 			return written, err
 		}
 
