--- a/internal/cwgateway/odd_entry_test.go
+++ b/internal/cwgateway/odd_entry_test.go
@@ -61,9 +61,11 @@
 	return func(o *cwgateway.Options) { o.Log = cwlog.New(l, "info") }
 }
 
-// putOdd writes all odd entries and configurations.
-func (f *fleet) putOdd() {
-	entries := cwstand.SmallOddEntries("records", "127.0.0.1:9", "a")
+// putOdd writes odd entries of each kind.
+func (f *fleet) putOdd() { f.putEntries(cwstand.SmallOddEntries("records", "127.0.0.1:9", "a")) }
+
+// putEntries writes odd entries.
+func (f *fleet) putEntries(entries map[string]cwstand.OddEntry) {
 	for _, name := range slices.Sorted(maps.Keys(entries)) {
 		f.store.Put(entries[name].Key, entries[name].Value)
 	}
@@ -105,6 +107,24 @@
 	}
 }
 
+// TestManyLargeEntries guards against an entry VM that stops following the list of servers because another
+// writer writes more than can be read while a watch lasts.
+func TestManyLargeEntries(t *testing.T) {
+	f := newFleet(t)
+	f.upstream(t, "records", "i-1")
+	f.configure(safeRoute("records"))
+
+	v := f.start(t, "vm-1")
+	v.waitReady(t)
+
+	for range 3 {
+		f.putEntries(cwstand.OddEntries("records", "127.0.0.1:9", "a"))
+		f.waitReplica(t, v)
+	}
+
+	waitServedBy(t, v, f.upstream(t, "records", "i-2"))
+}
+
 // TestOddEntries guards against entry VMs that end, stop following the list of servers or log without
 // bound, because another writer left odd entries among those of the servers.
 func TestOddEntries(t *testing.T) {
