--- a/internal/cwsite/site.go
+++ b/internal/cwsite/site.go
@@ -3,6 +3,7 @@
 package cwsite
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"net"
 	"os"
@@ -14,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwpeer"
 	"carobward.example/carobward/internal/cwstand"
 	"carobward.example/carobward/internal/cwtest"
 	"carobward.example/carobward/platform"
@@ -25,6 +27,11 @@
 	Callers carobward.Address
 	Ready   carobward.Address
 	Lookup  carobward.Address
+	// Relay is where it serves requests that other entry VMs pass on, Peers their messages, and Metrics
+	// its own figures.
+	Relay   carobward.Address
+	Peers   carobward.Address
+	Metrics carobward.Address
 	// Settings is the path of its settings file.
 	Settings string
 
@@ -56,6 +63,8 @@
 	Store      *cwstand.MetadataStore
 	StoreProxy *cwstand.Proxy
 	VMs        []*EntryVM
+	// Memory is the memory limit of the entry VMs that are started from now on, 0 for none.
+	Memory carobward.ByteCount
 
 	program string
 	network int
@@ -81,6 +90,9 @@
 	portReservation
 )
 
+// portMetrics is the port of the metrics, which is the same on all VMs.
+const portMetrics = 9464
+
 // The range of the loopback networks 127.NET.0.0 that sites use.
 const (
 	minNetwork = 160
@@ -120,6 +132,13 @@
 	return s
 }
 
+// Key returns the key with which the site's entry VMs authenticate to each other.
+func (s *Site) Key() cwpeer.Key {
+	key := sha256.Sum256([]byte("carobward " + string(s.StoreProxy.Address())))
+
+	return key[:]
+}
+
 // Start starts another entry VM.
 func (s *Site) Start(t testing.TB) *EntryVM {
 	t.Helper()
@@ -127,13 +146,18 @@
 	n := len(s.VMs) + 1
 	ip := fmt.Sprintf("127.%d.0.%d", s.network, n)
 	at := func(port int) carobward.Address { return carobward.Address(net.JoinHostPort(ip, fmt.Sprint(port))) }
-	v := &EntryVM{ID: fmt.Sprintf("vm-%d", n), Callers: at(portCallers), Ready: at(portReady), Lookup: at(portLookup)}
+	v := &EntryVM{ID: fmt.Sprintf("vm-%d", n), Callers: at(portCallers), Ready: at(portReady), Lookup: at(portLookup), Relay: at(portRelay), Peers: at(portPeers), Metrics: at(portMetrics)}
+
+	limits := ""
+	if s.Memory > 0 {
+		limits = fmt.Sprintf("[self.limits]\nmemory_mb = %d\n", s.Memory/carobward.Megabyte)
+	}
 
 	text := fmt.Sprintf(`
 [self]
 node = %q
 zone = "zone-%d"
-[network]
+%s[network]
 internal_ports = [%d, %d]
 seeds = ["127.%d.0.1:%d", "127.%d.0.2:%d"]
 [network.listen]
@@ -154,7 +178,7 @@
 probes_per_s = 60
 warmup_overshoot = 1.5
 warmup_slack = 8
-`, v.ID, n%3, portRelay, portRelay, s.network, portPeers, s.network, portPeers, v.Callers, v.Ready, at(portPeers), v.Lookup, s.StoreProxy.Address(), s.grace, RetryShare, RetryWindow, RetryMinExtra)
+`, v.ID, n%3, limits, portRelay, portRelay, s.network, portPeers, s.network, portPeers, v.Callers, v.Ready, v.Peers, v.Lookup, s.StoreProxy.Address(), s.grace, RetryShare, RetryWindow, RetryMinExtra)
 
 	v.Settings = filepath.Join(t.TempDir(), v.ID+".toml")
 
--- a/internal/cwstand/metadata_value.go
+++ b/internal/cwstand/metadata_value.go
@@ -104,6 +104,28 @@
 	return raw
 }
 
+// MetadataConfigWithBody returns a copy of a configuration with another limit on the bodies of requests.
+func MetadataConfigWithBody(config []byte, most carobward.ByteCount) []byte {
+	all := map[string]any{}
+	if err := json.Unmarshal(config, &all); err != nil {
+		return nil
+	}
+
+	limits, ok := all["limits"].(map[string]any)
+	if !ok {
+		return nil
+	}
+
+	limits["max_body_bytes"] = most
+
+	raw, err := json.Marshal(all)
+	if err != nil {
+		return nil
+	}
+
+	return raw
+}
+
 // MetadataTeam is one team of a configuration.
 type MetadataTeam struct {
 	Name string   `json:"name"`
