Small bodies and receive buffers on the auxiliary listeners

What was seen: callers that send 4 MB to the listener of lookups and stop one byte short take 1624 MB (1722 in chunks) of an entry VM of 184 MB (TestCrowdListeners, 400 callers); the operating system holds up to 6 MB more for each connection.

Cause: the HTTP library takes bodies of 4 MB by default, on listeners whose requests have none. Ruled out: the number of connections, which is bounded.

Change: 1 KB a body; the receive buffers of accepted connections are 4 KB, those of callers and of peers that pass requests on 32 KB (cwsocket.Listen). Why it holds: 512 connections times 1 KB, the read buffer of 4 KB and the receive buffer.

--- a/internal/cwgateway/listeners.go
+++ b/internal/cwgateway/listeners.go
@@ -14,6 +14,7 @@
 	"carobward.example/carobward/internal/cwconn"
 	"carobward.example/carobward/internal/cwmesh"
 	"carobward.example/carobward/internal/cwpeer"
+	"carobward.example/carobward/internal/cwsocket"
 	"carobward.example/carobward/internal/cwstop"
 )
 
@@ -30,6 +31,8 @@
 type listenerSpec struct {
 	name    string
 	address carobward.Address
+	// receive is the size of the receive buffers in bytes, 0 for that of the operating system.
+	receive int
 	serve   func(net.Listener) error
 }
 
@@ -45,17 +48,17 @@
 	}
 
 	specs := []listenerSpec{
-		{"callers", g.Self.Callers, g.front.Server().Serve},
-		{"ready", g.Ready, g.auxiliaryServer(g.serveReady, maxOperatorsConns)},
-		{"lookup", g.Lookup, g.auxiliaryServer(g.serveLookup, maxLookupConns)},
-		{"peers", g.Self.Peers, peers.Serve},
+		{"callers", g.Self.Callers, requestReceive, g.front.Server().Serve},
+		{"ready", g.Ready, auxiliaryReceive, g.auxiliaryServer(g.serveReady, maxOperatorsConns)},
+		{"lookup", g.Lookup, auxiliaryReceive, g.auxiliaryServer(g.serveLookup, maxLookupConns)},
+		{"peers", g.Self.Peers, messageReceive, peers.Serve},
 	}
 
 	if g.Self.Relay != "" {
-		specs = append(specs, listenerSpec{listenerRelay, g.Self.Relay, g.serveRelay})
+		specs = append(specs, listenerSpec{listenerRelay, g.Self.Relay, requestReceive, g.serveRelay})
 	}
 
-	specs = append(specs, listenerSpec{listenerMetrics, g.Metrics, g.auxiliaryServer(g.serveOperators, maxOperatorsConns)})
+	specs = append(specs, listenerSpec{listenerMetrics, g.Metrics, auxiliaryReceive, g.auxiliaryServer(g.serveOperators, maxOperatorsConns)})
 
 	listeners, err := g.open(specs)
 	if err != nil {
@@ -99,7 +102,7 @@
 	var listeners []net.Listener
 
 	for _, s := range specs {
-		ln, err := net.Listen("tcp", string(s.address))
+		ln, err := cwsocket.Listen(s.address, s.receive)
 
 		switch {
 		case err == nil:
@@ -136,6 +139,17 @@
 const (
 	maxLookupConns    = 512
 	maxOperatorsConns = 32
+	// maxAuxiliaryBody is the largest body in bytes that a request to them may have. None needs one.
+	maxAuxiliaryBody = 1 << 10
+)
+
+// The sizes in bytes of the operating system's receive buffers of accepted connections, for which it takes up to
+// twice the memory. Those of callers and peers let a sender fill a link of 10 Mbit/s over a distance of 25 ms.
+const (
+	requestReceive   = 32 << 10
+	auxiliaryReceive = 4 << 10
+	// messageReceive leaves the size for messages of peers to the operating system.
+	messageReceive = 0
 )
 
 // trackRequests returns a handler that records its requests in the table of connections.
@@ -153,7 +167,7 @@
 	g.auxiliary = append(g.auxiliary, conns)
 
 	s := &fasthttp.Server{
-		Handler: trackRequests(conns, h), ConnState: conns.Observe, Concurrency: maxConns + cwconn.MaxClosing,
+		MaxRequestBodySize: maxAuxiliaryBody, Handler: trackRequests(conns, h), ConnState: conns.Observe, Concurrency: maxConns + cwconn.MaxClosing,
 		ReadTimeout: listenerTimeout, ReduceMemoryUsage: true, NoDefaultServerHeader: true, NoDefaultDate: true,
 	}
 
