Budgets for the memory of requests and replies

Cause: the HTTP library reads a body whole before the handler sees it, and nothing bounds the sum; the configured limit is looked at behind the last byte; the handler copies the body once more. Replies that are held whole, errors of up to 1 MB, have no bound of their sum either. Ruled out: garbage (memory stays with a lower percentage), the send, which writes the one copy.

Change: cwmemory divides the memory limit; a body is read in blocks after its header, each of which is taken from the budget first (cwfront/body.go); it is refused by its announced length, at the byte beyond the limit, or with 503 and a time to come back where there is no memory. Sends share the blocks, and the last holder gives the memory back. A body has to come on by 4 KB in the operators' idle timeout. Large replies that are held are taken from a budget, too. The number of callers' connections follows the memory limit; beyond it, one that waits gives up its place, then one of whose request nothing has come for the longest time.

--- a/cmd/cwgateway/main.go
+++ b/cmd/cwgateway/main.go
@@ -24,6 +24,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwgateway"
 	"carobward.example/carobward/internal/cwlog"
+	"carobward.example/carobward/internal/cwmemory"
 	"carobward.example/carobward/internal/cwmesh"
 	"carobward.example/carobward/internal/cwsuspend"
 	"carobward.example/carobward/platform"
@@ -33,9 +34,6 @@
 	// gcPercent is low to keep the heap small: memory is more expensive than
 	// CPU time on this platform.
 	gcPercent = 40
-	// memoryLimitShare is the share of the process's memory limit from which on the collector runs
-	// more often: the rest is for stacks and for what is freed late.
-	memoryLimitShare = 0.8
 	// logQueueLines is the maximum number of queued log lines. A line has
 	// about 200 bytes, and there are about 20 per second and request.
 	logQueueLines = 2048
@@ -77,11 +75,11 @@
 
 	logNotes(log, s)
 
-	if s.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory)))
-	}
+	plan := cwmemory.NewPlan(s.Memory)
+	debug.SetMemoryLimit(int64(plan.Collector))
 
 	o := options(s, log)
+	o.Memory = plan
 	o.DroppedLines = out.Dropped
 
 	g, err := cwgateway.New(o)
--- a/internal/cwconn/table.go
+++ b/internal/cwconn/table.go
@@ -46,7 +46,7 @@
 type conn struct {
 	phase   Phase
 	request Request
-	// since is when it entered its phase.
+	// since is when it entered its phase, or when more of a request was read.
 	since time.Time
 	// closed is set once the table has closed it. The server may still find a request in what it
 	// had read before.
@@ -60,13 +60,15 @@
 	clock carobward.Clock
 
 	mutex sync.Mutex
+	// displaced counts the connections that others took the place of.
+	displaced int64
 	conns map[net.Conn]*conn
 	// closes has the phases in which connections are closed.
 	closes map[Phase]bool
 }
 
 // New returns an empty table. Beyond the given number of connections, each new one takes the place of the
-// one that has waited longest for a request.
+// one that has waited longest for a request, or else for more of one.
 func New(most int, clock carobward.Clock) *Table {
 	return &Table{most: most, clock: clock, conns: map[net.Conn]*conn{}, closes: map[Phase]bool{}}
 }
@@ -80,7 +82,7 @@
 	switch s {
 	case fasthttp.StateNew:
 		if len(t.conns) >= t.most {
-			t.closeLongestWaiting()
+			t.closeOne()
 		}
 
 		t.conns[c] = &conn{}
@@ -105,23 +107,44 @@
 	t.closeIn(c, one)
 }
 
-// closeLongestWaiting closes the connection that has waited longest for a request, if any waits. The
-// caller must hold the mutex.
-func (t *Table) closeLongestWaiting() {
+// closeOne closes the connection that has waited longest for a request or, if none waits, the one of which
+// nothing was read for the longest time. One with a request in progress is never closed. The caller must hold
+// the mutex.
+func (t *Table) closeOne() {
 	var (
-		longest net.Conn
-		state   *conn
+		victim net.Conn
+		state  *conn
 	)
 
 	for c, one := range t.conns {
-		if one.phase == Waiting && !one.closed && (state == nil || one.since.Before(state.since)) {
-			longest, state = c, one
+		if one.phase != Busy && !one.closed && (state == nil || one.before(state)) {
+			victim, state = c, one
 		}
 	}
 
 	if state != nil {
+		t.displaced++
 		state.closed = true
-		_ = longest.Close() // Nothing was promised on it.
+		_ = victim.Close() // Nothing was promised on it.
+	}
+}
+
+// before reports whether a connection is closed before another one.
+func (c *conn) before(other *conn) bool {
+	if c.phase != other.phase {
+		return c.phase == Waiting
+	}
+
+	return c.since.Before(other.since)
+}
+
+// Progress records that more of a request has been read from a connection.
+func (t *Table) Progress(c net.Conn) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	if one := t.conns[c]; one != nil {
+		one.since = t.clock.Now()
 	}
 }
 
@@ -182,6 +205,14 @@
 	return n
 }
 
+// Displaced returns how many connections were closed because others took their places.
+func (t *Table) Displaced() int64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	return t.displaced
+}
+
 // Requests returns the requests in progress.
 func (t *Table) Requests() []Request {
 	t.mutex.Lock()
--- a/internal/cwconn/table_test.go
+++ b/internal/cwconn/table_test.go
@@ -93,7 +93,63 @@
 	}
 
 	want := Counts{Waiting: 3, Busy: 1}
-	if diff := cmp.Diff(want, table.Counts()); diff != "" || len(table.Requests()) != 1 {
+	if diff := cmp.Diff(want, table.Counts()); diff != "" || len(table.Requests()) != 1 || table.Displaced() != 1 {
 		t.Errorf("%s, %v", diff, table.Requests())
 	}
 }
+
+// testClock is a clock that the test sets.
+type testClock struct{ now time.Time }
+
+func (c *testClock) Now() time.Time { return c.now }
+
+// TestMostReading guards against callers that hold all places with parts of requests: the one of which nothing
+// was read for the longest time is closed, after those that wait.
+func TestMostReading(t *testing.T) {
+	for name, c := range map[string]struct {
+		// waiting is the number of the connection that waits, or -1. Progress is the one of which more is read.
+		waiting, progress int
+		want              []bool
+	}{
+		"all read":        {-1, -1, []bool{true, false, false}},
+		"one goes on":     {-1, 0, []bool{false, true, false}},
+		"one waits":       {2, -1, []bool{false, false, true}},
+		"the oldest does": {0, -1, []bool{true, false, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := &testClock{}
+			table := New(3, clock)
+
+			var conns []net.Conn
+
+			for i := range 3 {
+				clock.now = clock.now.Add(time.Second)
+
+				one := accepted(t)
+				conns = append(conns, one)
+				table.Observe(one, fasthttp.StateNew)
+
+				if i != c.waiting {
+					table.Observe(one, fasthttp.StateActive)
+				}
+			}
+
+			clock.now = clock.now.Add(time.Second)
+
+			if c.progress >= 0 {
+				table.Progress(conns[c.progress])
+			}
+
+			table.Observe(accepted(t), fasthttp.StateNew)
+
+			var closed []bool
+			for _, one := range conns {
+				closed = append(closed, isClosed(one))
+			}
+
+			if diff := cmp.Diff(c.want, closed); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/cwentry/helpers_test.go
+++ b/internal/cwentry/helpers_test.go
@@ -68,7 +68,7 @@
 
 // echo replies with the call's method, URI and body.
 func echo(_ context.Context, c *carobward.Call) (*carobward.Reply, error) {
-	return &carobward.Reply{Status: 200, Body: []byte(c.Method + " " + c.URI + "\n" + string(c.Body))}, nil
+	return &carobward.Reply{Status: 200, Body: []byte(c.Method + " " + c.URI + "\n" + string(c.Body.Bytes()))}, nil
 }
 
 var testTargets = []carobward.Target{
--- a/internal/cwentry/once.go
+++ b/internal/cwentry/once.go
@@ -75,7 +75,7 @@
 		return nil, err
 	}
 
-	if int64(len(call.Body)) > int64(target.Body) {
+	if int64(call.Body.Len()) > int64(target.Body) {
 		return nil, carobward.NewFailure(carobward.NotRun, fasthttp.StatusRequestEntityTooLarge, 0, ErrBodySize)
 	}
 
--- a/internal/cwentry/once_test.go
+++ b/internal/cwentry/once_test.go
@@ -116,7 +116,7 @@
 	}{
 		"fee":       {carobward.Call{Method: "POST", Host: "h", URI: "/fees?x=1"}, carobward.Ran},
 		"no target": {carobward.Call{Method: "POST", Host: "h", URI: "/elsewhere"}, carobward.NotRun},
-		"body":      {carobward.Call{Method: "POST", Host: "h", URI: "/fees", Body: make([]byte, 65)}, carobward.NotRun},
+		"body":      {carobward.Call{Method: "POST", Host: "h", URI: "/fees", Body: carobward.Body{make([]byte, 65)}}, carobward.NotRun},
 	} {
 		t.Run(name, func(t *testing.T) {
 			test.call.Deadline = time.Now().Add(time.Hour)
--- a/internal/cwentry/server_test.go
+++ b/internal/cwentry/server_test.go
@@ -276,7 +276,7 @@
 
 	for i, want := range []string{"first", "other"} {
 		call := f.received()[i]
-		got := []string{call.URI, call.Host, call.Header.Get("A"), string(call.Body)}
+		got := []string{call.URI, call.Host, call.Header.Get("A"), string(call.Body.Bytes())}
 
 		if diff := cmp.Diff([]string{"/fees/" + want, want, want, want}, got); diff != "" {
 			t.Error(diff)
--- a/internal/cwfront/front.go
+++ b/internal/cwfront/front.go
@@ -20,6 +20,7 @@
 	"carobward.example/carobward/internal/cwdisconnect"
 	"carobward.example/carobward/internal/cwhold"
 	"carobward.example/carobward/internal/cwlink"
+	"carobward.example/carobward/internal/cwmemory"
 	"carobward.example/carobward/internal/cwmetric"
 	"carobward.example/carobward/internal/cwpick"
 	"carobward.example/carobward/internal/cwquarantine"
@@ -50,6 +51,10 @@
 	Clock   carobward.Clock
 	Metrics *cwmetric.Set
 	Log     logr.Logger
+	// Requests is the budget for the headers and bodies of requests, and MaxConns bounds the callers'
+	// connections. Nil and zero mean those of a VM without a memory limit.
+	Requests *cwmemory.Budget
+	MaxConns int
 	// Limits are the limits at the start, see SetLimits.
 	Limits Limits
 	// FleetSize returns the number of entry VMs that share the limits.
@@ -117,8 +122,17 @@
 func New(o Options) *Front {
 	o.Log = o.Log.WithName("front")
 
+	plan := cwmemory.NewPlan(0)
+	if o.Requests == nil {
+		o.Requests = cwmemory.NewBudget(plan.Requests, plan.Reserve)
+	}
+
+	if o.MaxConns == 0 {
+		o.MaxConns = plan.Conns
+	}
+
 	f := &Front{
-		Options: o, started: o.Clock.Now(), disconnects: cwdisconnect.New(), held: newHeld(), conns: cwconn.New(maxConns, o.Clock), relayConns: cwconn.New(maxRelayConns, o.Clock), reach: cwreach.New(), services: map[carobward.Service]*serviceState{}, counts: o.Metrics.Part(metricsPart),
+		Options: o, started: o.Clock.Now(), disconnects: cwdisconnect.New(), held: newHeld(), conns: cwconn.New(o.MaxConns, o.Clock), relayConns: cwconn.New(maxRelayConns, o.Clock), reach: cwreach.New(), services: map[carobward.Service]*serviceState{}, counts: o.Metrics.Part(metricsPart),
 	}
 	f.limits.Store(&o.Limits)
 
--- a/internal/cwfront/hold.go
+++ b/internal/cwfront/hold.go
@@ -103,7 +103,7 @@
 func (r *request) newHold(ctx *fasthttp.RequestCtx, keyed bool) cwhold.Request {
 	hold := cwhold.Request{
 		Keyed: keyed, Holding: r.held, Waits: r.callerTime(ctx),
-		Size: carobward.ByteCount(len(ctx.Request.Header.RawHeaders()) + len(ctx.Request.Body())),
+		Size: carobward.ByteCount(len(ctx.Request.Header.RawHeaders()) + r.body.Len()),
 	}
 
 	if keyed {
@@ -143,7 +143,7 @@
 	now := f.Clock.Now()
 	hold := cwhold.Request{
 		Keyed: true, Holding: r.held, Passed: now.Sub(r.arrived), Waits: r.callerWait, Objective: r.route.Objective, Usual: r.usualTime(),
-		Size: carobward.ByteCount(len(r.call.Body)),
+		Size: carobward.ByteCount(r.call.Body.Len()),
 	}
 
 	if f.stopping() {
--- a/internal/cwfront/relay.go
+++ b/internal/cwfront/relay.go
@@ -117,6 +117,8 @@
 // setRelayed sets the result of the request to that of the entry VM to which it was passed.
 // Err is set if there is none.
 func (r *request) setRelayed(reply *carobward.Reply, result *cwrelay.Result, err error) {
+	r.reply.Drop() // That of an earlier send.
+
 	if err != nil {
 		r.reply, r.err = nil, r.sendFailure(err)
 		r.possiblyRun = true
@@ -127,6 +129,10 @@
 	r.server, r.sends, r.streamedFrom = result.Server, result.Sends, nil
 	refused := result.Verdict == carobward.NotRun
 
+	if result.Verdict != carobward.Ran {
+		reply.Drop()
+	}
+
 	switch {
 	case result.Verdict == carobward.Ran:
 		r.reply, r.err = reply, nil
--- a/internal/cwfront/relayed.go
+++ b/internal/cwfront/relayed.go
@@ -39,8 +39,8 @@
 	case in.Check:
 		result := f.takesRelayed(in)
 		ctx.Response.Header.Set(cwrelay.Header, result.Encode())
-	case f.begin(ctx, f.relayConns):
-		f.serve(ctx, func(now time.Time) *request { return f.newRelayed(ctx, in, now) })
+	default:
+		f.handleBody(ctx, f.relayConns, func(b *body, now time.Time) *request { return f.newRelayed(ctx, in, b, now) })
 	}
 
 	if f.stopping() {
@@ -72,10 +72,10 @@
 // newRelayed returns a request that another entry VM passed on. Its err is set if the request
 // is refused already. What the other one has decided stands: its deadline, its team, whose
 // token it has taken, its priority and the service.
-func (f *Front) newRelayed(ctx *fasthttp.RequestCtx, in *cwrelay.Request, now time.Time) *request {
+func (f *Front) newRelayed(ctx *fasthttp.RequestCtx, in *cwrelay.Request, b *body, now time.Time) *request {
 	r := &request{
 		front: f, origin: in.VM, arrived: now, ip: in.IP, id: in.ID, priority: in.Priority, service: in.Service, callerWait: in.Left,
-		deadline: now.Add(in.Left), returned: in.Returned, admitted: in.Admitted, sends: in.Sends, possiblyRun: in.PossiblyRun, done: make(chan struct{}),
+		deadline: now.Add(in.Left), returned: in.Returned, admitted: in.Admitted, sends: in.Sends, possiblyRun: in.PossiblyRun, done: make(chan struct{}), body: b,
 	}
 
 	if r.err = r.findRelayed(ctx, in); r.err != nil {
@@ -98,12 +98,16 @@
 func (r *request) findRelayed(ctx *fasthttp.RequestCtx, in *cwrelay.Request) error {
 	h := &ctx.Request.Header
 
+	if r.body.refusal != nil {
+		return r.body.refusal
+	}
+
 	r.routes = r.front.routes.Load()
 	if r.routes == nil || r.routes.Version < in.Version {
 		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, configRetryAfter, ErrOtherConfig)
 	}
 
-	if err := r.validate(ctx); err != nil {
+	if err := r.validate(); err != nil {
 		return err
 	}
 
--- a/internal/cwfront/relayed_test.go
+++ b/internal/cwfront/relayed_test.go
@@ -66,7 +66,7 @@
 			ctx.Request.Header.SetHost("club")
 			ctx.Request.SetRequestURI("/sheets/")
 
-			got := taking.newRelayed(&ctx, in, now)
+			got := taking.newRelayed(&ctx, in, newBody(nil), now)
 			if got.err != nil {
 				t.Fatal(got.err)
 			}
--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -22,6 +22,7 @@
 	ErrNoRoute          = errors.ConstError("no route has this host and path")
 	ErrAmbiguousHeader  = errors.ConstError("the request's header could be understood in two ways")
 	ErrBodyTooLarge     = errors.ConstError("the request's body is larger than the operator allows")
+	ErrNoMemory         = errors.ConstError("this entry VM has no memory for the request now")
 	ErrNoID             = errors.ConstError("the request has no id")
 	ErrNoRoom           = errors.ConstError("no server has room now")
 	ErrUnreached        = errors.ConstError("this entry VM reaches no server of the service now")
@@ -80,6 +81,8 @@
 	service  carobward.Service
 	state    *serviceState
 	call     carobward.Call
+	// body is that of the call, with the memory that it holds.
+	body *body
 
 	// possiblyRun reports that the request may have run at a server.
 	possiblyRun bool
@@ -125,10 +128,10 @@
 }
 
 // newRequest parses a caller's request. Its err is set if the request is refused already.
-func (f *Front) newRequest(ctx *fasthttp.RequestCtx, now time.Time) *request {
+func (f *Front) newRequest(ctx *fasthttp.RequestCtx, b *body, now time.Time) *request {
 	h := &ctx.Request.Header
 	field := func(name string) string { return string(h.Peek(name)) }
-	r := &request{front: f, arrived: now, ip: ctx.RemoteIP().String(), id: f.Dialect.ID(field)}
+	r := &request{front: f, arrived: now, ip: ctx.RemoteIP().String(), id: f.Dialect.ID(field), body: b}
 
 	if r.err = r.identify(ctx); r.err != nil {
 		return r
@@ -161,6 +164,10 @@
 // identify finds the route and the team of a request by the configuration in force. Right
 // after the start it waits for what it lacks, if the request can be held.
 func (r *request) identify(ctx *fasthttp.RequestCtx) error {
+	if r.body.refusal != nil {
+		return r.body.refusal
+	}
+
 	// Without servers a configuration still tells which requests have no route.
 	if _, err := r.awaitStart(ctx, false, ErrNoConfig); err != nil && r.front.routes.Load() == nil {
 		return err
@@ -196,7 +203,7 @@
 		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, configRetryAfter, ErrNoConfig)
 	}
 
-	if err := r.validate(ctx); err != nil {
+	if err := r.validate(); err != nil {
 		return err
 	}
 
@@ -242,17 +249,11 @@
 	}
 }
 
-// validate refuses a request that is too large, has no id, or has a header that a server
-// could parse differently.
-func (r *request) validate(ctx *fasthttp.RequestCtx) error {
-	if err := checkFrame(&ctx.Request.Header); err != nil {
-		ctx.SetConnectionClose() // What follows may belong to this request.
-
-		return err
-	}
-
-	if most := r.routes.Limits.Body; most > 0 && carobward.ByteCount(len(ctx.Request.Body())) > most {
-		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusRequestEntityTooLarge, 0, ErrBodyTooLarge)
+// validate refuses a request that is too large or has no id.
+func (r *request) validate() error {
+	// The limit may be another one than when it was read.
+	if most := r.routes.Limits.Body; most > 0 && carobward.ByteCount(r.body.Len()) > most {
+		return tooLarge()
 	}
 
 	if r.id == "" {
@@ -273,7 +274,7 @@
 		URI:    string(h.RequestURI()),
 		Host:   string(h.Host()),
 		Header: cwframe.Copy(h.All(), r.forwards),
-		Body:   append([]byte(nil), ctx.Request.Body()...),
+		Body:   r.body.Body,
 		Team:   r.teamName(),
 
 		Deadline: r.deadline,
@@ -333,9 +334,12 @@
 
 	f.Dialect.ReplyFields(r.id, resp.Header.Set)
 
-	if r.reply.Stream != nil {
+	switch {
+	case r.reply.Stream != nil:
 		resp.SetBodyStream(f.stream(r), r.reply.Stream.Length)
-	} else {
+	case r.reply.Release != nil:
+		resp.SetBodyStream(newHeldBody(r.reply), len(r.reply.Body))
+	default:
 		resp.SetBodyRaw(r.reply.Body)
 	}
 }
@@ -348,6 +352,12 @@
 	resp.SetBodyString(failure.Cause.Error() + "\n")
 }
 
+func isFailure(err error) bool {
+	var failure *carobward.Failure
+
+	return errors.As(err, &failure)
+}
+
 func asFailure(err error) *carobward.Failure {
 	failure := &carobward.Failure{}
 	if errors.As(err, &failure) {
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -32,13 +32,8 @@
 	return s.err == nil && !s.reply.Shed && s.reply.Status < fasthttp.StatusInternalServerError
 }
 
-// discard closes the streamed body of a reply that is not used.
-func (s *send) discard() {
-	if s.reply != nil && s.reply.Stream != nil {
-		// Close never returns an error here.
-		_ = s.reply.Stream.Close()
-	}
-}
+// discard releases a reply that is not used.
+func (s *send) discard() { s.reply.Drop() }
 
 // mayHaveRun reports whether the request may have run at the server.
 func (s *send) mayHaveRun() bool {
@@ -71,8 +66,11 @@
 
 	call := r.call
 	call.Instance, call.WorkLimit = b.Instance, r.workLimit()
+	r.body.hold()
 
 	run := func() {
+		defer r.body.release()
+
 		s.reply, s.err = r.exchange(work, s, &call)
 		ends <- s
 	}
@@ -179,6 +177,7 @@
 
 // setResult sets the request's result to that of the send that is used.
 func (r *request) setResult(s *send) {
+	r.reply.Drop() // That of an earlier send.
 	r.reply, r.err = s.reply, s.err
 	r.server = s.backend.Instance
 	r.streamedFrom = s.candidate.view.Server
--- a/internal/cwfront/server.go
+++ b/internal/cwfront/server.go
@@ -28,17 +28,14 @@
 	// bufferBytes is the read buffer of each connection. It bounds the request line and
 	// header, for which the operators allow 16 KB.
 	bufferBytes = 20 << 10
-	// maxConns bounds the callers' connections, well below the file descriptor limit of a
-	// VM.
-	maxConns = 2400
 	// maxRelayConns bounds the connections of peers that pass requests on.
 	maxRelayConns = 256
-	// maxBodyBytes bounds a request's body if no configuration does.
+	// maxBodyBytes bounds a request's body, whatever the configuration allows.
 	maxBodyBytes = 64 << 20
 )
 
 // Server returns the HTTP server of the callers' listener.
-func (f *Front) Server() *fasthttp.Server { return f.newServer(f.handle, f.conns, maxConns) }
+func (f *Front) Server() *fasthttp.Server { return f.newServer(f.handle, f.conns, f.MaxConns) }
 
 // newServer returns an HTTP server whose connections a table tracks and bounds. The listener bounds the time
 // of writes.
@@ -49,7 +46,9 @@
 		ErrorHandler:                 f.handleReadError,
 		Concurrency:                  most + cwconn.MaxClosing,
 		ReadBufferSize:               bufferBytes,
-		MaxRequestBodySize:           maxBodyBytes,
+		StreamRequestBody:            true,
+		HeaderReceived:               f.receive,
+		ExpectHandler:                f.expect,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
 		ReduceMemoryUsage:            true,
@@ -72,15 +71,35 @@
 
 // handle serves one request of a caller.
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
-	if f.begin(ctx, f.conns) {
-		f.serve(ctx, func(now time.Time) *request { return f.newRequest(ctx, now) })
-	}
+	f.handleBody(ctx, f.conns, func(b *body, now time.Time) *request { return f.newRequest(ctx, b, now) })
 
 	if f.stopping() {
 		ctx.SetConnectionClose()
 	}
 }
 
+// handleBody reads the body of a request and serves it. Parse returns the request.
+func (f *Front) handleBody(ctx *fasthttp.RequestCtx, t *cwconn.Table, parse func(b *body, now time.Time) *request) {
+	b, err := f.readBody(ctx, t)
+	defer b.release()
+
+	if err != nil {
+		ctx.SetConnectionClose() // The rest of the body is not read.
+	}
+
+	if err != nil && !isFailure(err) {
+		f.handleReadError(ctx, err)
+
+		return
+	}
+
+	b.refusal = err
+
+	if f.begin(ctx, t) {
+		f.serve(ctx, func(now time.Time) *request { return parse(b, now) })
+	}
+}
+
 // begin records that a whole request has been read, and reports whether it is handled: one on a
 // connection that was closed meanwhile isn't.
 func (f *Front) begin(ctx *fasthttp.RequestCtx, t *cwconn.Table) bool {
@@ -103,13 +122,20 @@
 	f.inFlight.Add(1)
 	f.total.Add(1)
 	defer f.inFlight.Add(-1)
+
+	var r *request
+
 	defer func() {
 		if cause := recover(); cause != nil {
+			if r != nil {
+				r.reply.Drop()
+			}
+
 			f.handlePanic(ctx, cause)
 		}
 	}()
 
-	r := parse(f.Clock.Now())
+	r = parse(f.Clock.Now())
 
 	if r.err == nil {
 		work, done := f.disconnects.Watch(context.Background(), ctx.Conn())
--- a/internal/cwfront/stop.go
+++ b/internal/cwfront/stop.go
@@ -40,6 +40,9 @@
 	return f.conns.Counts(), f.relayConns.Counts()
 }
 
+// Displaced returns how many connections of callers and peers were closed because others took their places.
+func (f *Front) Displaced() int64 { return f.conns.Displaced() + f.relayConns.Displaced() }
+
 // maxCutLines bounds the log lines about requests that the end of the process cuts.
 const maxCutLines = 100
 
--- a/internal/cwfront/stream.go
+++ b/internal/cwfront/stream.go
@@ -1,6 +1,7 @@
 package cwfront
 
 import (
+	"bytes"
 	"io"
 	"sync"
 
@@ -42,6 +43,28 @@
 	return &streamedBody{front: f, id: r.id, server: r.streamedFrom, instance: r.server, body: r.reply.Stream, length: r.reply.Stream.Length}
 }
 
+// heldBody is a reply's body that was held whole. It gives the memory back once it is written.
+type heldBody struct {
+	bytes.Reader
+
+	once    sync.Once
+	release func()
+}
+
+func newHeldBody(r *carobward.Reply) *heldBody {
+	b := &heldBody{release: r.Release}
+	b.Reset(r.Body)
+
+	return b
+}
+
+// Close releases the body.
+func (b *heldBody) Close() error {
+	b.once.Do(b.release)
+
+	return nil
+}
+
 // Read implements io.Reader.
 func (b *streamedBody) Read(into []byte) (int, error) {
 	n, err := b.body.Read(into)
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -23,6 +23,7 @@
 	"carobward.example/carobward/internal/cwfollow"
 	"carobward.example/carobward/internal/cwfront"
 	"carobward.example/carobward/internal/cwlink"
+	"carobward.example/carobward/internal/cwmemory"
 	"carobward.example/carobward/internal/cwmesh"
 	"carobward.example/carobward/internal/cwmetric"
 	"carobward.example/carobward/internal/cwmirror"
@@ -106,7 +107,9 @@
 	Key        cwpeer.Key
 	// LinkSpeed is the speed of the VM's network link in bytes a second, 0 if unknown.
 	LinkSpeed carobward.ByteCount
-	Adapter   Adapter
+	// Memory divides the memory limit of the process.
+	Memory  cwmemory.Plan
+	Adapter Adapter
 	// DroppedLines returns the number of dropped log lines, StoreCalls the number of
 	// calls to the store.
 	DroppedLines func() int64
@@ -129,10 +132,12 @@
 	mirror  *cwmirror.Mirror
 	servers *cwbackend.Table
 	link    *cwlink.Link
-	front   *cwfront.Front
-	relay   *cwrelay.Client
-	mesh    *cwmesh.Mesh
-	follow  *cwfollow.Follower
+	// requests and replies are the budgets for the memory of both.
+	requests, replies *cwmemory.Budget
+	front             *cwfront.Front
+	relay             *cwrelay.Client
+	mesh              *cwmesh.Mesh
+	follow            *cwfollow.Follower
 	// quarantine has the requests that servers were running when they crashed,
 	// quarantineKeeper shares them with the other entry VMs.
 	quarantine       *cwquarantine.Table
@@ -173,7 +178,14 @@
 		table: cwmesh.NewTable(o.Self), mirror: newMirror(&o), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain, Regions: o.Regions}),
 	}
 
+	if o.Memory == (cwmemory.Plan{}) {
+		o.Memory = cwmemory.NewPlan(0)
+	}
+
+	g.requests = cwmemory.NewBudget(o.Memory.Requests, o.Memory.Reserve)
+	g.replies = cwmemory.NewBudget(o.Memory.Replies, 0)
 	g.link = cwlink.New(cwlink.Options{
+		Replies:  g.replies,
 		MaxConns: defaultConns, IdleTimeout: defaultIdleTimeout, MaxIdleTimeout: maxIdleTimeout, DialTimeout: dialTimeout, MaxHeaderSize: maxReplyHeaderBytes, Dialect: o.Adapter.Servers,
 	}, o.Clock)
 
@@ -191,7 +203,7 @@
 	g.relay = g.newRelay()
 	g.front = cwfront.New(cwfront.Options{
 		VM: o.Self.ID, Relay: g.relay, Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Regions: o.Regions, Servers: g.servers, Link: g.link, Quarantine: g.quarantineKeeper, Quota: g.quota, Clock: o.Clock,
-		Metrics: g.metrics, Log: o.Log, Limits: o.Limits,
+		Metrics: g.metrics, Log: o.Log, Limits: o.Limits, Requests: g.requests, MaxConns: o.Memory.Conns,
 		FleetSize:    func() int { return g.mesh.FleetSize(o.Clock.Now()) },
 		TrafficShare: func() float64 { return g.trafficShare(o.Clock.Now()) },
 		FleetLoad:    func(s carobward.Service, now time.Time) []carobward.DomainLoad { return g.mesh.Load(s, now) },
--- a/internal/cwgateway/tick.go
+++ b/internal/cwgateway/tick.go
@@ -198,6 +198,10 @@
 		})
 	}
 
+	g.metrics.Gauge("memory", "requests", func() int64 { return int64(g.requests.Used()) })
+	g.metrics.Gauge("memory", "replies", func() int64 { return int64(g.replies.Used()) })
+	g.metrics.Gauge("memory", "refused", func() int64 { return g.requests.Refused() + g.replies.Refused() })
+	g.metrics.Gauge("conns", "displaced", g.front.Displaced)
 	g.metrics.Gauge("conns", "failed", g.unaccepted.Load)
 	g.metrics.Gauge("conns", "closing", func() int64 { return int64(g.closer.Counts().Closing) })
 	g.metrics.Gauge("conns", "mostclosing", func() int64 { return int64(g.closer.Counts().MostClosing) })
--- a/internal/cwlink/body.go
+++ b/internal/cwlink/body.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmemory"
 )
 
 // Bounds of the bodies that are held whole. A server may send bytes without end.
@@ -17,8 +18,11 @@
 	// maxHeldError bounds the body of a reply that is an error or a redirect, or is not for this
 	// call, where others are streamed.
 	maxHeldError = carobward.Megabyte
-	// maxFirstRead is how much memory is allocated for a body before any of it has arrived.
+	// maxFirstRead is how much memory is allocated for a body of known length before any of it has arrived.
+	// Each call has memory for as much.
 	maxFirstRead = 32 * carobward.Kilobyte
+	// firstHeld is how much is allocated at first for another body.
+	firstHeld = 4 * carobward.Kilobyte
 )
 
 // newBody returns the decoded body of a reply. It returns io.EOF only at its complete end.
@@ -105,9 +109,79 @@
 	}
 }
 
-// readBody reads the body of a reply, or as much of it as is held before it is streamed. Streamed is
-// set if there is more.
-func (t *roundTrip) readBody(body io.Reader, length int, streamed bool) (held []byte, more bool, err error) {
+// held is a body that is held whole, or its begin if there is more.
+type held struct {
+	bytes []byte
+	more  bool
+
+	// taken is how much of the budget the bytes take.
+	budget *cwmemory.Budget
+	taken  carobward.ByteCount
+}
+
+// release gives back what the bytes take of the budget.
+func (h *held) release() { h.budget.Give(h.taken) }
+
+// grow makes room for as many bytes in all. Those of a short body are not counted.
+func (h *held) grow(size int) error {
+	var need carobward.ByteCount
+	if size > int(maxFirstRead) {
+		need = carobward.ByteCount(size)
+	}
+
+	if !h.budget.Take(need) {
+		return ErrNoMemory
+	}
+
+	h.bytes = append(make([]byte, 0, size), h.bytes...)
+	h.budget.Give(h.taken)
+	h.taken = need
+
+	return nil
+}
+
+// read reads a body up to a number of bytes, and reports more if it is longer.
+func (h *held) read(body io.Reader, first, limit int) error {
+	for size := min(first, limit+1); ; size = min(2*size, limit+1) {
+		if err := h.grow(size); err != nil {
+			return err
+		}
+
+		ended, err := h.fill(body, size)
+
+		switch {
+		case err != nil:
+			return err
+		case len(h.bytes) > limit:
+			h.more = true
+
+			return nil
+		case ended:
+			return nil
+		}
+	}
+}
+
+// fill reads until there are as many bytes, and reports whether the body has ended before.
+func (h *held) fill(body io.Reader, size int) (bool, error) {
+	for len(h.bytes) < size {
+		n, err := body.Read(h.bytes[len(h.bytes):size])
+		h.bytes = h.bytes[:len(h.bytes)+n]
+
+		if errors.Is(err, io.EOF) { // A truncated body ends with another error.
+			return true, nil
+		}
+
+		if err != nil {
+			return false, err
+		}
+	}
+
+	return false, nil
+}
+
+// readBody reads the body of a reply, or as much of it as is held before it is streamed.
+func (t *roundTrip) readBody(body io.Reader, length int, streamed bool) (*held, error) {
 	limit := int(t.call.MaxReply)
 	if t.call.Stream > 0 {
 		limit = min(limit, int(maxHeldError))
@@ -118,30 +192,30 @@
 	}
 
 	if length > limit && !streamed {
-		return nil, false, ErrReplyTooLarge
+		return nil, ErrReplyTooLarge
 	}
 
 	if length >= 0 && length <= int(maxFirstRead) {
-		held = make([]byte, length)
-		_, err = io.ReadFull(body, held)
+		h := &held{bytes: make([]byte, length)}
+		_, err := io.ReadFull(body, h.bytes)
 
-		return held, false, err
+		return h, err
 	}
 
-	var b bytes.Buffer
+	h := &held{budget: t.replies}
 
-	n, err := b.ReadFrom(io.LimitReader(body, int64(limit)+1))
+	err := h.read(body, int(firstHeld), limit)
+	if err == nil && h.more && !streamed {
+		err = ErrReplyTooLarge
+	}
 
-	switch {
-	case err != nil:
-		return nil, false, err
-	case int(n) <= limit:
-		return b.Bytes(), false, nil
-	case streamed:
-		return b.Bytes(), true, nil
-	default:
-		return nil, false, ErrReplyTooLarge
+	if err != nil {
+		h.release()
+
+		return nil, err
 	}
+
+	return h, nil
 }
 
 // streams reports whether the body of a reply may be streamed. Errors and redirects are not: a failed
--- a/internal/cwlink/link.go
+++ b/internal/cwlink/link.go
@@ -15,6 +15,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwframe"
+	"carobward.example/carobward/internal/cwmemory"
 )
 
 // Options configure a Link.
@@ -33,6 +34,9 @@
 	DialTimeout time.Duration
 	// MaxHeaderSize is the maximum size of a reply header in bytes.
 	MaxHeaderSize carobward.ByteCount
+	// Replies is the budget for replies that are held whole, beyond the first bytes of each. Nil means no
+	// bound.
+	Replies *cwmemory.Budget
 	// Dialect is the protocol that servers use. Nil means NativeDialect.
 	Dialect carobward.Dialect
 	// Dial opens a connection to a server with a dialer. Nil means a TCP connection.
--- a/internal/cwlink/link_test.go
+++ b/internal/cwlink/link_test.go
@@ -33,7 +33,7 @@
 			"POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: one\r\nCarobward-Timeout: N\r\nContent-Length: 0\r\n\r\n",
 		},
 		"body": {
-			carobward.Call{Method: "POST", URI: "/", Host: "h", Body: []byte("a\r\nb")},
+			carobward.Call{Method: "POST", URI: "/", Host: "h", Body: carobward.BodyOf([]byte("a\r\nb"))},
 			"POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: one\r\nCarobward-Timeout: N\r\nContent-Length: 4\r\n\r\na\r\nb",
 		},
 		"special fields": {
@@ -60,7 +60,7 @@
 				lines = append(lines, l)
 			}
 
-			got := strings.Join(lines, "\r\n") + "\r\n\r\n" + string(c.call.Body)
+			got := strings.Join(lines, "\r\n") + "\r\n\r\n" + string(c.call.Body.Bytes())
 			if diff := cmp.Diff(c.want, got); diff != "" {
 				t.Error(diff)
 			}
@@ -81,7 +81,7 @@
 
 	one := newCall("one")
 	one.Method = "POST"
-	one.Body = bytes.Repeat([]byte("0123456789abcdef"), 1<<14)
+	one.Body = carobward.Body{bytes.Repeat([]byte("0123456789abcdef"), 1<<14)}
 	one.MaxReply = carobward.Megabyte
 
 	reply, err := exchange(newLink(t), s, one)
@@ -89,7 +89,7 @@
 		t.Fatal(err)
 	}
 
-	if !bytes.Equal(one.Body, reply.Body) {
+	if !bytes.Equal(one.Body.Bytes(), reply.Body) {
 		t.Errorf("the reply has %d bytes that differ from the body sent", len(reply.Body))
 	}
 }
@@ -182,7 +182,7 @@
 	// The server does not read, so a large body fills the kernel's buffers
 	// and the write blocks.
 	one := withShortDeadline(newCall("one"))
-	one.Method, one.Body = "POST", make([]byte, 64<<20)
+	one.Method, one.Body = "POST", carobward.Body{make([]byte, 64<<20)}
 
 	_, err := newLink(t).Exchange(context.Background(), carobward.Address(ln.Addr().String()), one)
 	if diff := cmp.Diff("unknown", verdict(err)); diff != "" {
@@ -240,7 +240,7 @@
 
 	l := newLink(t)
 	one := newCall("one")
-	one.Method, one.Body = "POST", make([]byte, 8<<20)
+	one.Method, one.Body = "POST", carobward.Body{make([]byte, 8<<20)}
 
 	got, err := l.Exchange(context.Background(), carobward.Address(ln.Addr().String()), one)
 	if err != nil || !got.Shed {
@@ -348,7 +348,7 @@
 
 			l := newLink(t)
 			one := newCall("one")
-			one.Method, one.Body = "POST", make([]byte, size)
+			one.Method, one.Body = "POST", carobward.Body{make([]byte, size)}
 
 			to := carobward.Address(ln.Addr().String())
 
--- a/internal/cwlink/reply.go
+++ b/internal/cwlink/reply.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"sync"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
@@ -15,6 +16,7 @@
 // Errors of a reply that is incomplete, invalid or not a reply to this call.
 const (
 	ErrNoLength       = errors.ConstError("the reply has no length")
+	ErrNoMemory       = errors.ConstError("this entry VM has no memory for the reply now")
 	ErrReplyTooLarge  = errors.ConstError("the reply is larger than the target allows")
 	ErrHeaderTooLarge = errors.ConstError("the reply's header is too large")
 	ErrNoFinalStatus  = errors.ConstError("the reply has no final status")
@@ -185,16 +187,22 @@
 		return nil
 	}
 
-	held, more, err := t.readBody(body, length, streamed)
+	held, err := t.readBody(body, length, streamed)
 	if err != nil {
 		return err
 	}
 
-	if more {
-		body = io.MultiReader(bytes.NewReader(held), body)
+	switch {
+	case held.more:
+		body = io.MultiReader(bytes.NewReader(held.bytes), body)
 		reply.Stream = &carobward.Stream{ReadCloser: &stream{body: body, left: int(t.call.MaxReply)}, Length: carobward.UnknownLength}
-	} else {
-		reply.Body = held
+	case skip:
+		held.release()
+	default:
+		reply.Body = held.bytes
+		if held.taken > 0 {
+			reply.Release = sync.OnceFunc(held.release)
+		}
 	}
 
 	return nil
--- a/internal/cwlink/round_trip.go
+++ b/internal/cwlink/round_trip.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwmemory"
 )
 
 // buffers are the read and write buffers of one call.
@@ -28,6 +29,8 @@
 	clock carobward.Clock
 	// dialect is the protocol that the server uses.
 	dialect carobward.Dialect
+	// replies is the budget for replies that are held whole.
+	replies *cwmemory.Budget
 	// sent is the number of bytes that the kernel accepted.
 	sent int64
 	// persistent reports that the connection may carry another call once the body
@@ -45,7 +48,7 @@
 
 	b.reader.Reset(c)
 
-	return roundTrip{buffers: b, conn: c, call: call, clock: l.clock, dialect: l.options.Dialect}
+	return roundTrip{buffers: b, conn: c, call: call, clock: l.clock, dialect: l.options.Dialect, replies: l.options.Replies}
 }
 
 // releaseBuffers returns the buffers of a round trip to the pool.
@@ -62,7 +65,7 @@
 		return nil, errors.Annotate(err, "link")
 	}
 
-	if len(t.call.Body) > minOverlapBytes {
+	if t.call.Body.Len() > minOverlapBytes {
 		return t.sendAndRead()
 	}
 
@@ -136,15 +139,18 @@
 func (t *roundTrip) send() error {
 	t.head = t.appendHeader(t.head[:0])
 
-	if len(t.call.Body) <= maxJoinedBytes {
-		t.head = append(t.head, t.call.Body...)
+	if t.call.Body.Len() <= maxJoinedBytes {
+		for _, block := range t.call.Body {
+			t.head = append(t.head, block...)
+		}
+
 		n, err := t.conn.Write(t.head)
 		t.sent = int64(n)
 
 		return err
 	}
 
-	parts := net.Buffers{t.head, t.call.Body}
+	parts := append(net.Buffers{t.head}, t.call.Body...)
 	n, err := parts.WriteTo(t.conn)
 	t.sent = n
 
@@ -169,8 +175,8 @@
 
 	t.dialect.Fields(t.call, t.call.TimeLeft(t.clock.Now()), h.Add)
 
-	if len(t.call.Body) > 0 || bodyExpected(t.call.Method) {
-		h.Add(fasthttp.HeaderContentLength, strconv.Itoa(len(t.call.Body)))
+	if length := t.call.Body.Len(); length > 0 || bodyExpected(t.call.Method) {
+		h.Add(fasthttp.HeaderContentLength, strconv.Itoa(length))
 	}
 
 	return h.AppendBytes(to)
--- a/internal/cwowner/bench_test.go
+++ b/internal/cwowner/bench_test.go
@@ -18,7 +18,7 @@
 	o, other := f.owner(0), f.owner(1)
 
 	prefix := o.Prefix()
-	c := &carobward.Call{Method: "POST", URI: "/fees", Body: make([]byte, 256), Deadline: time.Now().Add(time.Hour)}
+	c := &carobward.Call{Method: "POST", URI: "/fees", Body: carobward.Body{make([]byte, 256)}, Deadline: time.Now().Add(time.Hour)}
 	answer := &cwticket.Outcome{Reply: &carobward.Reply{Status: 200, Body: make([]byte, 256)}}
 	work := func(ctx context.Context) (*cwticket.Outcome, error) { return answer, ctx.Err() }
 
--- a/internal/cwowner/owner_test.go
+++ b/internal/cwowner/owner_test.go
@@ -364,7 +364,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 
-	c := &carobward.Call{Method: "POST", URI: "/fees", Body: []byte("fee"), Deadline: time.Now().Add(time.Hour)}
+	c := &carobward.Call{Method: "POST", URI: "/fees", Body: carobward.BodyOf([]byte("fee")), Deadline: time.Now().Add(time.Hour)}
 	if _, _, err := f.owner(1).Do(ctx, ticket, "", c, nil); carobward.VerdictOf(err) != carobward.Unknown {
 		t.Errorf("canceled request: got %v, want the verdict unknown", err)
 	}
--- a/internal/cwowner/wire.go
+++ b/internal/cwowner/wire.go
@@ -101,7 +101,7 @@
 		Uri:    c.URI,
 		Host:   c.Host,
 		Header: FieldsToWire(c.Header),
-		Body:   c.Body,
+		Body:   c.Body.Bytes(),
 		Left:   int64(c.Deadline.Sub(now)),
 	}
 }
@@ -112,7 +112,7 @@
 		URI:      w.GetUri(),
 		Host:     w.GetHost(),
 		Header:   FieldsFromWire(w.GetHeader()),
-		Body:     w.GetBody(),
+		Body:     carobward.BodyOf(w.GetBody()),
 		Deadline: now.Add(time.Duration(w.GetLeft())),
 		Fresh:    true,
 	}
--- a/internal/cwquarantine/fingerprint.go
+++ b/internal/cwquarantine/fingerprint.go
@@ -51,11 +51,21 @@
 func FingerprintOf(c *carobward.Call, ip string) Fingerprint {
 	return Fingerprint{
 		Line:   lineDigest(c),
-		Body:   truncate(sha256.Sum256(c.Body)),
+		Body:   bodyDigest(c.Body),
 		Caller: digest(ip, c.Header.Get(fasthttp.HeaderAuthorization), c.Header.Get(fasthttp.HeaderCookie)),
 	}
 }
 
+// bodyDigest returns the digest of a body.
+func bodyDigest(body carobward.Body) Digest {
+	h := sha256.New()
+	for _, block := range body {
+		_, _ = h.Write(block) // It never returns an error.
+	}
+
+	return truncate([sha256.Size]byte(h.Sum(nil)))
+}
+
 // digest returns the digest of a sequence of strings.
 func digest(texts ...string) Digest {
 	h := sha256.New()
--- a/internal/cwquarantine/fingerprint_test.go
+++ b/internal/cwquarantine/fingerprint_test.go
@@ -14,7 +14,7 @@
 func TestFingerprint(t *testing.T) {
 	call := func(change func(c *carobward.Call)) *carobward.Call {
 		c := &carobward.Call{
-			ID: "one", Method: "POST", Host: "club.example", URI: "/fees/17?x=1", Body: []byte("launch"),
+			ID: "one", Method: "POST", Host: "club.example", URI: "/fees/17?x=1", Body: carobward.BodyOf([]byte("launch")),
 			Header: carobward.Header{{Name: "Cookie", Value: "a"}, {Name: "Date", Value: "today"}},
 		}
 		change(c)
@@ -33,7 +33,7 @@
 		"another method":        {call(func(c *carobward.Call) { c.Method = "PUT" }), "10.0.0.1", false},
 		"another host":          {call(func(c *carobward.Call) { c.Host = "other.example" }), "10.0.0.1", false},
 		"another query":         {call(func(c *carobward.Call) { c.URI = "/fees/17?x=2" }), "10.0.0.1", false},
-		"another body":          {call(func(c *carobward.Call) { c.Body = []byte("landing") }), "10.0.0.1", false},
+		"another body":          {call(func(c *carobward.Call) { c.Body = carobward.BodyOf([]byte("landing")) }), "10.0.0.1", false},
 		"body moved to the URI": {call(func(c *carobward.Call) { c.URI, c.Body = "/fees/17?x=1launch", nil }), "10.0.0.1", false},
 		"another IP number":     {call(func(*carobward.Call) {}), "10.0.0.2", false},
 		"another cookie":        {call(func(c *carobward.Call) { c.Header[0].Value = "b" }), "10.0.0.1", false},
--- a/internal/cwticket/table_test.go
+++ b/internal/cwticket/table_test.go
@@ -313,7 +313,7 @@
 	issuer := newIssuer()
 	table := NewTable(issuer, NewBudget(Options{Horizon: horizon, Records: b.N, Bytes: 1 << 40}))
 	prefix := issuer.Prefix(start)
-	call := &carobward.Call{Method: "POST", URI: "/fees", Body: make([]byte, 256)}
+	call := &carobward.Call{Method: "POST", URI: "/fees", Body: carobward.Body{make([]byte, 256)}}
 	answer := outcome("launch 17 charged")
 
 	b.ReportAllocs()
--- a/internal/cwticket/ticket.go
+++ b/internal/cwticket/ticket.go
@@ -140,7 +140,9 @@
 		_, _ = h.Write([]byte(part))
 	}
 
-	_, _ = h.Write(c.Body)
+	for _, block := range c.Body {
+		_, _ = h.Write(block)
+	}
 
 	return Digest(h.Sum(nil))
 }
--- a/internal/cwticket/ticket_test.go
+++ b/internal/cwticket/ticket_test.go
@@ -96,18 +96,18 @@
 }
 
 func TestDigest(t *testing.T) {
-	first := DigestOf(&carobward.Call{Method: "POST", Host: "10.0.0.1:80", URI: "/fees", Body: []byte("17")})
+	first := DigestOf(&carobward.Call{Method: "POST", Host: "10.0.0.1:80", URI: "/fees", Body: carobward.BodyOf([]byte("17"))})
 
 	for name, test := range map[string]struct {
 		call carobward.Call
 		same bool
 	}{
-		"same call":                   {carobward.Call{Method: "POST", Host: "10.0.0.1:80", URI: "/fees", Body: []byte("17")}, true},
-		"another entry VM":            {carobward.Call{Method: "POST", Host: "10.0.0.2:80", URI: "/fees", Body: []byte("17")}, true},
-		"another method":              {carobward.Call{Method: "PUT", Host: "10.0.0.1:80", URI: "/fees", Body: []byte("17")}, false},
-		"another URI":                 {carobward.Call{Method: "POST", Host: "10.0.0.1:80", URI: "/fees?x", Body: []byte("17")}, false},
-		"another body":                {carobward.Call{Method: "POST", Host: "10.0.0.1:80", URI: "/fees", Body: []byte("18")}, false},
-		"byte moved from body to URI": {carobward.Call{Method: "POST", Host: "10.0.0.1:80", URI: "/fees1", Body: []byte("7")}, false},
+		"same call":                   {carobward.Call{Method: "POST", Host: "10.0.0.1:80", URI: "/fees", Body: carobward.BodyOf([]byte("17"))}, true},
+		"another entry VM":            {carobward.Call{Method: "POST", Host: "10.0.0.2:80", URI: "/fees", Body: carobward.BodyOf([]byte("17"))}, true},
+		"another method":              {carobward.Call{Method: "PUT", Host: "10.0.0.1:80", URI: "/fees", Body: carobward.BodyOf([]byte("17"))}, false},
+		"another URI":                 {carobward.Call{Method: "POST", Host: "10.0.0.1:80", URI: "/fees?x", Body: carobward.BodyOf([]byte("17"))}, false},
+		"another body":                {carobward.Call{Method: "POST", Host: "10.0.0.1:80", URI: "/fees", Body: carobward.BodyOf([]byte("18"))}, false},
+		"byte moved from body to URI": {carobward.Call{Method: "POST", Host: "10.0.0.1:80", URI: "/fees1", Body: carobward.BodyOf([]byte("7"))}, false},
 	} {
 		if got := DigestOf(&test.call) == first; got != test.same {
 			t.Errorf("%s: same digest: %v", name, got)
--- a/internal/lab/cwonce/compare.go
+++ b/internal/lab/cwonce/compare.go
@@ -22,7 +22,7 @@
 // Naive retries after any error, without tickets.
 func Naive(f *Fleet, rng *rand.Rand, body string) carobward.Verdict {
 	for range maxAttempts {
-		c := &carobward.Call{Method: fasthttp.MethodPost, URI: feeURI, Body: []byte(body)}
+		c := &carobward.Call{Method: fasthttp.MethodPost, URI: feeURI, Body: carobward.BodyOf([]byte(body))}
 		if _, err := f.At(rng.IntN(f.Size())).Exchange(c); err == nil {
 			return carobward.Ran
 		}
--- a/internal/lab/cwonce/fleet.go
+++ b/internal/lab/cwonce/fleet.go
@@ -204,7 +204,7 @@
 		}
 
 		c := &carobward.Call{
-			Method: fasthttp.MethodPost, URI: feeURI, Body: []byte(body), Deadline: time.Now().Add(time.Minute),
+			Method: fasthttp.MethodPost, URI: feeURI, Body: carobward.BodyOf([]byte(body)), Deadline: time.Now().Add(time.Minute),
 			Header: carobward.Header{{Name: carobward.HeaderTicket, Value: ticket}},
 		}
 		work := func(ctx context.Context) (*cwticket.Outcome, error) { return v.RunOnce(ctx, "", c) }
--- a/internal/lab/cwonce/vm.go
+++ b/internal/lab/cwonce/vm.go
@@ -163,7 +163,7 @@
 		return nil, unknown
 	}
 
-	f, body := v.fleet, string(c.Body)
+	f, body := v.fleet, string(c.Body.Bytes())
 
 	f.mutex.Lock()
 	f.attempts[body]++
--- a/server.go
+++ b/server.go
@@ -39,7 +39,7 @@
 	// Header has the caller's end-to-end headers.
 	Header Header
 	// Body is the complete body.
-	Body []byte
+	Body Body
 	// Deadline is when the call is abandoned.
 	Deadline time.Time
 	// WorkLimit is when the server is to stop working on it; zero means at the deadline.
@@ -85,6 +85,8 @@
 	Body []byte
 	// Stream is a body that is streamed to the caller; nil if Body has it.
 	Stream *Stream
+	// Release gives back the memory that was taken for Body. It is nil if none was taken.
+	Release func()
 	// Report is the load report of the reply; its At is zero if there is none.
 	Report Report
 	// Shed is set if the server refused the call before running it.
@@ -108,6 +110,21 @@
 	KeepAlive time.Duration
 }
 
+// Drop releases what a reply holds that is not used. It does nothing if the reply is nil.
+func (r *Reply) Drop() {
+	if r == nil {
+		return
+	}
+
+	if r.Stream != nil {
+		_ = r.Stream.Close() // Close never returns an error here.
+	}
+
+	if r.Release != nil {
+		r.Release()
+	}
+}
+
 // Stream is a reply body that is streamed to the caller. It must be closed. A stream that
 // ends before its length returns an error.
 type Stream struct {
