A strict reader of replies, wherever replies are read

Cause: the HTTP library reads 000 as 0, and says 200 for 0; it skips blanks, and takes names that are no tokens. The link checked the fields of a header block, not its status line, and all other readers checked nothing. Ruled out: the dialect, which gets the status that the library returns.

Change: cwframe.CheckReply validates the status line and the fields; the link reads through it. cwframe.Conn validates each reply on the connections of the HTTP library's clients: the store's, the key-value service's, the list of VMs', the callers' library and the command line. Health probes check the header block before the library reads it. A zero byte in a value is refused, too.

Why it holds: no client is left that reads a reply with the library alone, but for the stand-ins and labs.

--- a/cmd/carobward/client.go
+++ b/cmd/carobward/client.go
@@ -12,6 +12,8 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"carobward.example/carobward/internal/cwframe"
+
 	"carobward.example/carobward/internal/cwoperator"
 )
 
@@ -54,7 +56,8 @@
 		req.SetBody(raw)
 	}
 
-	if err := fasthttp.DoTimeout(req, resp, clientTimeout); err != nil {
+	client := &fasthttp.Client{Dial: cwframe.Dialer(clientTimeout)}
+	if err := client.DoTimeout(req, resp, clientTimeout); err != nil {
 		return noAnswer(errors.Annotatef(err, "entry VM %s", f.VM))
 	}
 
--- a/internal/cwconn/table.go
+++ b/internal/cwconn/table.go
@@ -62,7 +62,7 @@
 	mutex sync.Mutex
 	// displaced counts the connections that others took the place of.
 	displaced int64
-	conns map[net.Conn]*conn
+	conns     map[net.Conn]*conn
 	// closes has the phases in which connections are closed.
 	closes map[Phase]bool
 }
--- a/internal/cwframe/check.go
+++ b/internal/cwframe/check.go
@@ -15,6 +15,7 @@
 	ErrLine   = errors.ConstError("frame: a header line does not end in CRLF")
 	ErrFold   = errors.ConstError("frame: a header line is folded")
 	ErrName   = errors.ConstError("frame: a header name is not a token")
+	ErrValue  = errors.ConstError("frame: a header value has a zero byte")
 	ErrLength = errors.ConstError("frame: the length of the body is given more than once")
 	ErrCoding = errors.ConstError("frame: the body has a transfer coding other than chunked")
 )
@@ -26,7 +27,7 @@
 )
 
 // Check validates the lines of a header block without its start line: each must end
-// in CRLF, none may be folded, names must be tokens, there must be at most one
+// in CRLF, none may be folded, names must be tokens, values without a zero byte, there must be at most one
 // Content-Length or Transfer-Encoding, and the only transfer coding is chunked. See RFC
 // 9112, 5.1, 5.2, 6.1 and 6.3.
 func Check(block []byte) error {
@@ -51,6 +52,8 @@
 		}
 
 		switch {
+		case bytes.IndexByte(line, 0) >= 0:
+			return ErrValue
 		case bytes.EqualFold(name, contentLength):
 			lengths++
 		case bytes.EqualFold(name, transferEncoding):
--- a/internal/cwkv/exchange.go
+++ b/internal/cwkv/exchange.go
@@ -9,6 +9,8 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"carobward.example/carobward/internal/cwframe"
 )
 
 // errNotSent means that no part of the request was sent.
@@ -91,7 +93,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 
-	if err := resp.ReadLimitBody(bufio.NewReader(c), maxReply); err != nil {
+	if err := resp.ReadLimitBody(bufio.NewReader(cwframe.NewConn(c)), maxReply); err != nil {
 		return result{}, errors.Annotate(err, "store")
 	}
 
--- a/internal/cwlink/cut_test.go
+++ b/internal/cwlink/cut_test.go
@@ -1,6 +1,7 @@
 package cwlink
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -81,7 +82,12 @@
 
 // readReply sends a call and returns the body of its reply, also a streamed one.
 func readReply(l *Link, s *cwstand.Scripted, call *carobward.Call) (string, error) {
-	reply, err := exchange(l, s, call)
+	return readReplyAt(l, s.Address(), call)
+}
+
+// readReplyAt does the same at an address.
+func readReplyAt(l *Link, at carobward.Address, call *carobward.Call) (string, error) {
+	reply, err := l.Exchange(context.Background(), at, call)
 	if err != nil {
 		return "", err
 	}
--- a/internal/cwlink/reply.go
+++ b/internal/cwlink/reply.go
@@ -106,9 +106,9 @@
 		}
 
 		switch status := h.StatusCode(); {
-		case status >= fasthttp.StatusOK && status < 600:
+		case cwframe.IsFinal(status):
 			return nil
-		case status < fasthttp.StatusContinue || status >= 600 || status == fasthttp.StatusSwitchingProtocols:
+		case status == fasthttp.StatusSwitchingProtocols:
 			return ErrNoFinalStatus
 		}
 	}
@@ -116,58 +116,27 @@
 	return ErrTooManyInterim
 }
 
-var (
-	lineEnd  = []byte("\r\n")
-	blockEnd = []byte("\r\n\r\n")
-	protocol = []byte("HTTP/1.")
-)
+// lineEnd ends each line of a header block.
+var lineEnd = []byte("\r\n")
 
 // readHeader validates one header block and parses it.
 func readHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
-	block, err := peekBlock(r)
-	if err != nil {
-		return err
+	block, err := cwframe.PeekBlock(r)
+	if errors.Is(err, cwframe.ErrBlockSize) {
+		return ErrHeaderTooLarge
 	}
 
-	if !bytes.HasPrefix(block, protocol) {
-		return ErrNoFinalStatus
+	if err != nil {
+		return err
 	}
 
-	if err := cwframe.Check(block[bytes.Index(block, lineEnd)+len(lineEnd):]); err != nil {
+	if _, err := cwframe.CheckReply(block); err != nil {
 		return err
 	}
 
 	return h.Read(r)
 }
 
-// peekBlock waits for a complete header block and returns it unread.
-func peekBlock(r *bufio.Reader) ([]byte, error) {
-	seen := 0
-
-	for {
-		b, err := r.Peek(r.Buffered())
-		if err != nil {
-			return nil, err
-		}
-
-		from := max(0, seen-len(blockEnd))
-		if i := bytes.Index(b[from:], blockEnd); i >= 0 {
-			return b[:from+i+len(blockEnd)], nil
-		}
-
-		seen = len(b)
-
-		_, err = r.Peek(seen + 1)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			return nil, ErrHeaderTooLarge
-		}
-
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
 // takeBody reads the body of a reply, or its begin if the rest is streamed. Unless the dialect allows
 // it, the length must not be left to the end of the connection, which may have truncated the body.
 func (t *roundTrip) takeBody(reply *carobward.Reply, length int, skip bool) error {
--- a/internal/cwprobe/probe.go
+++ b/internal/cwprobe/probe.go
@@ -14,6 +14,7 @@
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbudget"
 	"carobward.example/carobward/internal/cwdrain"
+	"carobward.example/carobward/internal/cwframe"
 	"carobward.example/carobward/internal/cwlink"
 )
 
@@ -80,7 +81,13 @@
 		limit = from.N
 	)
 
-	err := resp.ReadLimitBody(bufio.NewReaderSize(from, cwbudget.MaxProbeBytes), cwbudget.MaxProbeBytes)
+	reader := bufio.NewReaderSize(from, cwbudget.MaxProbeBytes)
+
+	err := checkHead(reader)
+	if err == nil {
+		err = resp.ReadLimitBody(reader, cwbudget.MaxProbeBytes)
+	}
+
 	r := result{check: cwdrain.NoResult, bytes: limit - from.N}
 
 	if err != nil {
@@ -98,3 +105,15 @@
 
 	return r
 }
+
+// checkHead validates the header block of a reply.
+func checkHead(r *bufio.Reader) error {
+	block, err := cwframe.PeekBlock(r)
+	if err != nil {
+		return err
+	}
+
+	_, err = cwframe.CheckReply(block)
+
+	return err
+}
--- a/internal/cwprobe/prober_test.go
+++ b/internal/cwprobe/prober_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,6 +62,28 @@
 	}
 }
 
+// TestReadReply guards against a server that counts as healthy because of a reply that others refuse.
+func TestReadReply(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+	for name, c := range map[string]struct {
+		reply string
+		want  cwdrain.CheckResult
+	}{
+		"valid":             {ok, cwdrain.Healthy},
+		"status 000":        {strings.Replace(ok, "200", "000", 1), cwdrain.NoResult},
+		"a blank in a name": {strings.Replace(ok, "Content-", "A B: c\r\nContent-", 1), cwdrain.NoResult},
+		"cut":               {ok[:len(ok)-1], cwdrain.NoResult},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := readReply(&io.LimitedReader{R: strings.NewReader(c.reply), N: cwbudget.MaxProbeBytes})
+			if got.check != c.want {
+				t.Errorf("got %s", got.check)
+			}
+		})
+	}
+}
+
 func closedAddress(t *testing.T) carobward.Address {
 	t.Helper()
 
--- a/internal/cwvmlist/client.go
+++ b/internal/cwvmlist/client.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwframe"
 )
 
 // Group is a target group of the format.
@@ -44,7 +45,7 @@
 // New returns a client that reads the list at url.
 func New(url string) *Client {
 	return &Client{url: url, http: &fasthttp.Client{
-		Name: "carobward", MaxResponseBodySize: maxListBytes, ReadTimeout: timeout, WriteTimeout: timeout,
+		Name: "carobward", Dial: cwframe.Dialer(timeout), MaxResponseBodySize: maxListBytes, ReadTimeout: timeout, WriteTimeout: timeout,
 	}}
 }
 
--- a/pkg/cwcaller/caller.go
+++ b/pkg/cwcaller/caller.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwframe"
 )
 
 // Options configure a Client.
@@ -126,7 +127,7 @@
 		return nil, dialError{err}
 	}
 
-	return c, nil
+	return cwframe.NewConn(c), nil
 }
 
 // Do sends a request and retries if that is safe, until the deadline. The
