A reply without a length is whole only if the call was written

Cause: the operating system reports a reset once. The write got it, and the read saw the end of the connection, which ends such a body. The same where the server ends its side while it has not read the upload. Ruled out: a reset during the read alone, which is an error (TestReplyCut holds).

Change: at the end of the connection the write is ended, and the body is complete only if all of the call was written without an error, also where it is streamed.

--- a/internal/cwlink/body.go
+++ b/internal/cwlink/body.go
@@ -33,8 +33,7 @@
 	case length == lengthChunked:
 		return &chunkedBody{reader: t.reader, chunks: httputil.NewChunkedReader(t.reader)}, nil
 	case t.dialect.AllowsUnframed():
-		// The length is left to the end of the connection. A reset is an error, not the end.
-		return t.reader, nil
+		return &unframedBody{reader: t.reader, endWrite: t.endWrite}, nil
 	default:
 		return nil, ErrNoLength
 	}
@@ -62,6 +61,24 @@
 	return n, err
 }
 
+// unframedBody is a body whose length is left to the end of the connection. A reset is an error, not the end. It
+// is complete only if the whole call was written: a write that fails may have consumed the reset, and a server
+// that ends the connection before has not answered the call that it got.
+type unframedBody struct {
+	reader   *bufio.Reader
+	endWrite func() error
+}
+
+// Read implements io.Reader.
+func (b *unframedBody) Read(into []byte) (int, error) {
+	n, err := b.reader.Read(into)
+	if errors.Is(err, io.EOF) && b.endWrite() != nil {
+		err = ErrTruncatedBody
+	}
+
+	return n, err
+}
+
 // chunkedBody is a body in chunks. Its end includes the trailers, which are dropped.
 type chunkedBody struct {
 	reader *bufio.Reader
--- a/internal/cwlink/round_trip.go
+++ b/internal/cwlink/round_trip.go
@@ -31,6 +31,9 @@
 	dialect carobward.Dialect
 	// replies is the budget for replies that are held whole.
 	replies *cwmemory.Budget
+	// wrote is closed once the write has ended, with writeErr. It is nil if the write ended before the reply was read.
+	wrote    chan struct{}
+	writeErr error
 	// sent is the number of bytes that the kernel accepted.
 	sent int64
 	// persistent reports that the connection may carry another call once the body
@@ -69,14 +72,14 @@
 		return t.sendAndRead()
 	}
 
-	writeErr := t.send()
-	if writeErr != nil && t.sent == 0 {
-		return nil, errors.Annotate(writeErr, "link: write")
+	t.writeErr = t.send()
+	if t.writeErr != nil && t.sent == 0 {
+		return nil, errors.Annotate(t.writeErr, "link: write")
 	}
 
 	reply, persistent, err := t.read()
 
-	return t.result(reply, persistent, err, writeErr)
+	return t.result(reply, persistent, err, t.writeErr)
 }
 
 // minOverlapBytes is the size of a body in bytes above which the reply is read
@@ -91,33 +94,40 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 
-	var writeErr error
-
-	wrote := make(chan struct{})
+	t.wrote = make(chan struct{})
 
 	group.Go(func() {
-		defer close(wrote)
+		defer close(t.wrote)
 
-		writeErr = t.send()
+		t.writeErr = t.send()
 	})
 
 	reply, persistent, err := t.read()
 
 	select {
-	case <-wrote:
-		return t.result(reply, persistent, err, writeErr)
+	case <-t.wrote:
+		return t.result(reply, persistent, err, t.writeErr)
 	default:
 	}
 
 	// The rest of the call need not be sent. The connection carries no further
 	// call, as the server still expects the rest, and the error of the aborted
 	// write is ignored.
-	_ = t.conn.SetWriteDeadline(t.clock.Now())
-	<-wrote
+	_ = t.endWrite()
 
 	return t.result(reply, false, err, nil)
 }
 
+// endWrite aborts the write if it goes on, and returns its error.
+func (t *roundTrip) endWrite() error {
+	if t.wrote != nil {
+		_ = t.conn.SetWriteDeadline(t.clock.Now()) // If that fails, the connection is closed, which ends the write, too.
+		<-t.wrote
+	}
+
+	return t.writeErr
+}
+
 // result combines the outcomes of reading and writing. If both failed, it returns
 // the write error.
 func (t *roundTrip) result(reply *carobward.Reply, persistent bool, err, writeErr error) (*carobward.Reply, error) {
