An outcome is accounted with 240 bytes

TestRecordCost: 11,958,344 bytes of heap, 11,948,000 accounted, in one of three runs. Cause: a reply got a function that gives its memory back, 8 bytes, which takes it to the next size of the allocator.

--- a/internal/cwticket/budget.go
+++ b/internal/cwticket/budget.go
@@ -24,7 +24,7 @@
 // the real use.
 const (
 	recordCost  = 160
-	outcomeCost = 224
+	outcomeCost = 240
 	fieldCost   = 48
 )
 
