Requests of other versions are refused, FuzzConnection

Cause: the HTTP library takes any two digits for a version. Ruled out: the framing, which is checked for all versions.

Change: 505 and the end of the connection for anything but HTTP/1.0 and HTTP/1.1. FuzzConnection compares each served body with what net/http reads of the same bytes, and checks that the memory is given back.

--- a/internal/cwfront/request.go
+++ b/internal/cwfront/request.go
@@ -21,6 +21,7 @@
 	ErrNoConfig         = errors.ConstError("this entry VM has no configuration yet")
 	ErrNoRoute          = errors.ConstError("no route has this host and path")
 	ErrAmbiguousHeader  = errors.ConstError("the request's header could be understood in two ways")
+	ErrVersion          = errors.ConstError("the request is neither of HTTP/1.1 nor of HTTP/1.0")
 	ErrBodyTooLarge     = errors.ConstError("the request's body is larger than the operator allows")
 	ErrNoMemory         = errors.ConstError("this entry VM has no memory for the request now")
 	ErrNoID             = errors.ConstError("the request has no id")
@@ -232,8 +233,12 @@
 	}
 }
 
-// checkFrame refuses a request whose length a server could read differently.
+// checkFrame refuses a request of another version, or one whose length a server could read differently.
 func checkFrame(h *fasthttp.RequestHeader) error {
+	if version := string(h.Protocol()); version != "HTTP/1.1" && version != "HTTP/1.0" {
+		return carobward.NewFailure(carobward.NotRun, fasthttp.StatusHTTPVersionNotSupported, 0, ErrVersion)
+	}
+
 	err := cwframe.Check(h.RawHeaders())
 	if err == nil && !h.IsHTTP11() && len(h.Peek(fasthttp.HeaderTransferEncoding)) > 0 {
 		err = cwframe.ErrCoding
--- a/internal/cwgateway/framing_test.go
+++ b/internal/cwgateway/framing_test.go
@@ -26,6 +26,8 @@
 		version, fields string
 		want            int
 	}{
+		"another version":     {"1.2", "Content-Length: 0\r\n", http.StatusHTTPVersionNotSupported},
+		"HTTP/2":              {"2.0", "Content-Length: 0\r\n", http.StatusHTTPVersionNotSupported},
 		"identity":            {"1.1", "Transfer-Encoding: identity\r\n", http.StatusNotImplemented},
 		"gzip":                {"1.1", "Transfer-Encoding: gzip\r\n", http.StatusNotImplemented},
 		"chunked in HTTP/1.0": {"1.0", "Transfer-Encoding: chunked\r\n", http.StatusNotImplemented},
