Replies that peers pass on take from the budget, and a lack of memory blames no server

Cause: found while the budget was read again: the link to peers had none, and a reply for which there is no memory counted as one that the server broke.

Change: cwrelay.Options.Replies; the outcome of such a send is abandoned, a row of TestResolveResult.

--- a/internal/cwfront/result_test.go
+++ b/internal/cwfront/result_test.go
@@ -11,6 +11,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
+	"carobward.example/carobward/internal/cwlink"
 )
 
 // told is what a caller is told: the status, the verdict, and whether there is a time to
@@ -49,6 +50,7 @@
 		"429 without a notice":        {reply(429, false), nil, told{502, "unknown", false}, cwbackend.Answered},
 		"408 without a notice":        {reply(408, false), nil, told{502, "unknown", false}, cwbackend.Answered},
 		"a connection that breaks":    {nil, failure(carobward.Unknown, errors.New("reset")), told{502, "unknown", false}, cwbackend.Broken},
+		"no memory for the answer":    {nil, failure(carobward.Unknown, cwlink.ErrNoMemory), told{502, "unknown", false}, cwbackend.Abandoned},
 		"no answer in time":           {nil, failure(carobward.Unknown, os.ErrDeadlineExceeded), told{504, "unknown", false}, cwbackend.Silent},
 		"no connection":               {nil, failure(carobward.NotRun, errors.New("refused")), told{503, "not-run", true}, cwbackend.Broken},
 		"no connection in time":       {nil, failure(carobward.NotRun, os.ErrDeadlineExceeded), told{503, "not-run", true}, cwbackend.Silent},
--- a/internal/cwfront/send.go
+++ b/internal/cwfront/send.go
@@ -4,11 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwbackend"
 	"carobward.example/carobward/internal/cwframe"
+	"carobward.example/carobward/internal/cwlink"
 	"carobward.example/carobward/internal/cwpick"
 )
 
@@ -244,7 +246,7 @@
 	switch {
 	case s.overtaken && s.err != nil:
 		return cwbackend.Silent
-	case s.err != nil && ctx.Err() != nil:
+	case s.err != nil && (ctx.Err() != nil || errors.Is(s.err, cwlink.ErrNoMemory)):
 		return cwbackend.Abandoned
 	case s.err != nil && cwframe.IsTimeout(s.err):
 		return cwbackend.Silent
--- a/internal/cwgateway/gateway.go
+++ b/internal/cwgateway/gateway.go
@@ -178,15 +178,9 @@
 		table: cwmesh.NewTable(o.Self), mirror: newMirror(&o), servers: cwbackend.New(cwbackend.VM{ID: o.Self.ID, Domain: o.Self.Domain, Regions: o.Regions}),
 	}
 
-	if o.Memory == (cwmemory.Plan{}) {
-		o.Memory = cwmemory.NewPlan(0)
-	}
-
-	g.requests = cwmemory.NewBudget(o.Memory.Requests, o.Memory.Reserve)
-	g.replies = cwmemory.NewBudget(o.Memory.Replies, 0)
+	g.setBudgets()
 	g.link = cwlink.New(cwlink.Options{
-		Replies:  g.replies,
-		MaxConns: defaultConns, IdleTimeout: defaultIdleTimeout, MaxIdleTimeout: maxIdleTimeout, DialTimeout: dialTimeout, MaxHeaderSize: maxReplyHeaderBytes, Dialect: o.Adapter.Servers,
+		MaxConns: defaultConns, IdleTimeout: defaultIdleTimeout, MaxIdleTimeout: maxIdleTimeout, DialTimeout: dialTimeout, MaxHeaderSize: maxReplyHeaderBytes, Dialect: o.Adapter.Servers, Replies: g.replies,
 	}, o.Clock)
 
 	g.quarantine = cwquarantine.NewTable()
@@ -203,7 +197,7 @@
 	g.relay = g.newRelay()
 	g.front = cwfront.New(cwfront.Options{
 		VM: o.Self.ID, Relay: g.relay, Dialect: o.Adapter.Caller, Domain: o.Self.Domain, Regions: o.Regions, Servers: g.servers, Link: g.link, Quarantine: g.quarantineKeeper, Quota: g.quota, Clock: o.Clock,
-		Metrics: g.metrics, Log: o.Log, Limits: o.Limits, Requests: g.requests, MaxConns: o.Memory.Conns,
+		Metrics: g.metrics, Log: o.Log, Limits: o.Limits, Requests: g.requests, MaxConns: g.Memory.Conns,
 		FleetSize:    func() int { return g.mesh.FleetSize(o.Clock.Now()) },
 		TrafficShare: func() float64 { return g.trafficShare(o.Clock.Now()) },
 		FleetLoad:    func(s carobward.Service, now time.Time) []carobward.DomainLoad { return g.mesh.Load(s, now) },
@@ -237,6 +231,16 @@
 	return g, nil
 }
 
+// setBudgets sets the budgets by the plan, or by that of a process whose memory limit is not known.
+func (g *Gateway) setBudgets() {
+	if g.Memory == (cwmemory.Plan{}) {
+		g.Memory = cwmemory.NewPlan(0)
+	}
+
+	g.requests = cwmemory.NewBudget(g.Memory.Requests, g.Memory.Reserve)
+	g.replies = cwmemory.NewBudget(g.Memory.Replies, 0)
+}
+
 // newQuota returns the limiter of teams' quotas, which asks the other entry VMs by way of the mesh.
 func (g *Gateway) newQuota() *cwquota.Limiter {
 	return cwquota.New(cwquota.Options{
--- a/internal/cwgateway/reach.go
+++ b/internal/cwgateway/reach.go
@@ -44,7 +44,7 @@
 // newRelay returns the client that passes requests to other entry VMs.
 func (g *Gateway) newRelay() *cwrelay.Client {
 	return cwrelay.New(cwrelay.Options{
-		Self: g.Self.ID, Near: g.nearRelays, Far: g.farRelays, Dial: g.Key.Dial, Clock: g.Clock, Log: g.Log,
+		Self: g.Self.ID, Near: g.nearRelays, Far: g.farRelays, Dial: g.Key.Dial, Replies: g.replies, Clock: g.Clock, Log: g.Log,
 	})
 }
 
--- a/internal/cwrelay/client.go
+++ b/internal/cwrelay/client.go
@@ -14,6 +14,7 @@
 
 	"carobward.example/carobward"
 	"carobward.example/carobward/internal/cwlink"
+	"carobward.example/carobward/internal/cwmemory"
 )
 
 // Limits of the wait for the answers of entry VMs, and of the connections to them.
@@ -55,9 +56,11 @@
 	Near func(s carobward.Service, now time.Time) []Peer
 	Far  func(now time.Time, allowed func(carobward.Domain) bool) (named, others []Peer)
 	// Dial opens a connection to a peer.
-	Dial  func(ctx context.Context, d *net.Dialer, to carobward.Address) (net.Conn, error)
-	Clock carobward.Clock
-	Log   logr.Logger
+	Dial func(ctx context.Context, d *net.Dialer, to carobward.Address) (net.Conn, error)
+	// Replies is the budget for replies that are held whole; nil means no bound.
+	Replies *cwmemory.Budget
+	Clock   carobward.Clock
+	Log     logr.Logger
 }
 
 // Client passes requests to other entry VMs. It is safe for concurrent use.
@@ -80,7 +83,7 @@
 		Options: o, missed: map[carobward.Service]time.Time{},
 		link: cwlink.New(cwlink.Options{
 			MaxConns: maxConns, IdleTimeout: idleTimeout, MaxIdleTimeout: idleTimeout, DialTimeout: dialTimeout,
-			MaxHeaderSize: maxReplyHeaderBytes, Dialect: dialect{}, Dial: o.Dial,
+			MaxHeaderSize: maxReplyHeaderBytes, Dialect: dialect{}, Dial: o.Dial, Replies: o.Replies,
 		}, o.Clock),
 	}
 }
--- a/internal/cwstand/reply.go
+++ b/internal/cwstand/reply.go
@@ -20,6 +20,8 @@
 
 // Reply is the reply of an Upstream to one request. Its body is the beginning of ReplyBody.
 type Reply struct {
+	// Status is the status line without the version, "200 OK" if it is empty.
+	Status  string
 	Length  int
 	Framing Framing
 	// Pieces is in how many pieces the body is written, one if it is zero, and Pause is the time
@@ -56,7 +58,12 @@
 		FramedByLength: fmt.Sprintf("Content-Length: %d\r\n", r.Length), FramedByChunks: "Transfer-Encoding: chunked\r\n", FramedByClose: "Connection: close\r\n",
 	}[r.Framing]
 
-	if !writeReply(c, "HTTP/1.1 200 OK\r\n%s%s\r\n", headers, framing) {
+	status := r.Status
+	if status == "" {
+		status = "200 OK"
+	}
+
+	if !writeReply(c, "HTTP/1.1 %s\r\n%s%s\r\n", status, headers, framing) {
 		return false
 	}
 
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -44,7 +44,6 @@
 	*cwsite.Site
 
 	server *cwstand.Upstream
-	config []byte
 }
 
 // start starts n entry VMs of a memory limit, with a limit on bodies, and waits until they are ready.
@@ -245,13 +244,14 @@
 
 	for name, c := range map[string]struct {
 		count  int
-		answer int
+		answer cwstand.Reply
 		does   behaviour
 	}{
-		"heads without their last byte": {2200, 0, openHead(legalHead)},
-		"answers of 64 KB":              {600, 64 << 10, unread(20)},
-		"answers of 30 KB":              {2200, 30 << 10, unread(20)},
-		"answers of 10 MB":              {200, 10 << 20, unread(20)},
+		"heads without their last byte": {2200, cwstand.Reply{}, openHead(legalHead)},
+		"answers of 64 KB":              {600, cwstand.Reply{Length: 64 << 10}, unread(20)},
+		"answers of 30 KB":              {2200, cwstand.Reply{Length: 30 << 10}, unread(20)},
+		"answers of 10 MB":              {200, cwstand.Reply{Length: 10 << 20}, unread(20)},
+		"errors of 1 MB":                {600, cwstand.Reply{Status: "404 Not Found", Length: 1 << 20}, unread(20)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := start(t, 1, memory, maxBody)
@@ -260,7 +260,10 @@
 					return cwstand.Reply{Length: 4, Framing: cwstand.FramedByLength}
 				}
 
-				return cwstand.Reply{Length: c.answer, Framing: cwstand.FramedByLength}
+				answer := c.answer
+				answer.Framing = cwstand.FramedByLength
+
+				return answer
 			})
 
 			w := &crowd{count: c.count, dial: dialTCP, to: callersOf, path: "/a", does: c.does}
--- a/test/gateway/early_reply_test.go
+++ b/test/gateway/early_reply_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,7 +54,7 @@
 		}
 
 		if req.URL.Path != "/health" {
-			_, _ = io.WriteString(conn, string(bytes.ReplaceAll([]byte(text), []byte("ID"), []byte(req.Header.Get("Request-Id")))))
+			_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", req.Header.Get("Request-Id")))
 
 			if tcp, ok := conn.(*net.TCPConn); ok {
 				_ = tcp.SetLinger(0)
