--- a/internal/cwfront/body.go
+++ b/internal/cwfront/body.go
@@ -101,7 +101,9 @@
 
 // expect refuses a body that is too large before its sender sends it. See fasthttp.Server.ExpectHandler.
 func (f *Front) expect(ctx *fasthttp.RequestCtx) int {
-	if cwframe.ContentLength(ctx.Request.Header.RawHeaders()) > f.maxBody() {
+	if length := cwframe.ContentLength(ctx.Request.Header.RawHeaders()); length > f.maxBody() {
+		f.Log.Info("A body is refused before it is sent.", "from", addrString(ctx.RemoteAddr()), "length", length)
+
 		return fasthttp.StatusRequestEntityTooLarge
 	}
 
--- a/test/crowd/caller_test.go
+++ b/test/crowd/caller_test.go
@@ -191,11 +191,11 @@
 	}
 }
 
-// unread sends requests ahead and reads no answer.
-func unread(requests int) behaviour {
-	return func(c *caller) error {
-		_, err := io.WriteString(c, strings.Repeat(c.head(http.MethodGet)+"\r\n", requests))
+// sendAhead sends requests and reads no answer.
+func sendAhead(c *caller) error {
+	const requests = 20
 
-		return err
-	}
+	_, err := io.WriteString(c, strings.Repeat(c.head(http.MethodGet)+"\r\n", requests))
+
+	return err
 }
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -248,10 +248,10 @@
 		does   behaviour
 	}{
 		"heads without their last byte": {2200, cwstand.Reply{}, openHead(legalHead)},
-		"answers of 64 KB":              {600, cwstand.Reply{Length: 64 << 10}, unread(20)},
-		"answers of 30 KB":              {2200, cwstand.Reply{Length: 30 << 10}, unread(20)},
-		"answers of 10 MB":              {200, cwstand.Reply{Length: 10 << 20}, unread(20)},
-		"errors of 1 MB":                {600, cwstand.Reply{Status: "404 Not Found", Length: 1 << 20}, unread(20)},
+		"answers of 64 KB":              {600, cwstand.Reply{Length: 64 << 10}, sendAhead},
+		"answers of 30 KB":              {2200, cwstand.Reply{Length: 30 << 10}, sendAhead},
+		"answers of 10 MB":              {200, cwstand.Reply{Length: 10 << 20}, sendAhead},
+		"errors of 1 MB":                {600, cwstand.Reply{Status: "404 Not Found", Length: 1 << 20}, sendAhead},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := start(t, 1, memory, maxBody)
