Replies of more than 4 KB take from the budget, and are streamed without it

Change: what is held of a reply beyond 4 KB is counted. A success for which there is no memory is streamed, which only takes away that it may be fetched again; an error of that size fails, without blame for the server. A connection is planned with 40 KB.

--- a/internal/cwfront/stream.go
+++ b/internal/cwfront/stream.go
@@ -13,8 +13,7 @@
 
 // minStreamBytes is the length from which on a reply is streamed to the caller as it
 // arrives, no faster than the caller takes it. Shorter ones are buffered whole, so that a broken
-// one can be fetched again from another server; with the maximum number of callers these buffers
-// take 80 MB.
+// one can be fetched again from another server, while the budget for replies has memory.
 const minStreamBytes = 32 * carobward.Kilobyte
 
 // streamedBody is a reply's body that is streamed to the caller. The HTTP library reads it
@@ -26,6 +25,8 @@
 	server   *cwbackend.Server
 	instance carobward.Instance
 	body     io.ReadCloser
+	// release gives back the memory of its begin; nil if that takes none.
+	release func()
 	// length is carobward.UnknownLength if only the end of the body shows it.
 	length int
 	read   int
@@ -40,7 +41,7 @@
 	f.inFlight.Add(1)
 	f.counts.Add(countStreamed, 1)
 
-	return &streamedBody{front: f, id: r.id, server: r.streamedFrom, instance: r.server, body: r.reply.Stream, length: r.reply.Stream.Length}
+	return &streamedBody{front: f, id: r.id, server: r.streamedFrom, instance: r.server, body: r.reply.Stream, release: r.reply.Release, length: r.reply.Stream.Length}
 }
 
 // heldBody is a reply's body that was held whole. It gives the memory back once it is written.
@@ -93,6 +94,10 @@
 	// Close never returns an error here.
 	_ = b.body.Close()
 
+	if b.release != nil {
+		b.release()
+	}
+
 	f.inFlight.Add(-1)
 
 	if b.ended {
--- a/internal/cwlink/body.go
+++ b/internal/cwlink/body.go
@@ -19,9 +19,9 @@
 	// call, where others are streamed.
 	maxHeldError = carobward.Megabyte
 	// maxFirstRead is how much memory is allocated for a body of known length before any of it has arrived.
-	// Each call has memory for as much.
 	maxFirstRead = 32 * carobward.Kilobyte
-	// firstHeld is how much is allocated at first for another body.
+	// firstHeld is how much is allocated at first for another body. Each call has memory for as much, beside
+	// the budget.
 	firstHeld = 4 * carobward.Kilobyte
 )
 
@@ -139,10 +139,11 @@
 // release gives back what the bytes take of the budget.
 func (h *held) release() { h.budget.Give(h.taken) }
 
-// grow makes room for as many bytes in all. Those of a short body are not counted.
+// grow makes room for as many bytes in all. Those of a short body are not counted. If there is no memory, nothing
+// changes.
 func (h *held) grow(size int) error {
 	var need carobward.ByteCount
-	if size > int(maxFirstRead) {
+	if size > int(firstHeld) {
 		need = carobward.ByteCount(size)
 	}
 
@@ -157,6 +158,18 @@
 	return nil
 }
 
+// readFull reads a body of a length.
+func (h *held) readFull(body io.Reader, length int) error {
+	if err := h.grow(length); err != nil {
+		return err
+	}
+
+	h.bytes = h.bytes[:length]
+	_, err := io.ReadFull(body, h.bytes)
+
+	return err
+}
+
 // read reads a body up to a number of bytes, and reports more if it is longer.
 func (h *held) read(body io.Reader, first, limit int) error {
 	for size := min(first, limit+1); ; size = min(2*size, limit+1) {
@@ -212,17 +225,19 @@
 		return nil, ErrReplyTooLarge
 	}
 
-	if length >= 0 && length <= int(maxFirstRead) {
-		h := &held{bytes: make([]byte, length)}
-		_, err := io.ReadFull(body, h.bytes)
+	h := &held{budget: t.replies}
 
-		return h, err
+	var err error
+	if length >= 0 && length <= int(maxFirstRead) {
+		err = h.readFull(body, length)
+	} else {
+		err = h.read(body, int(firstHeld), limit)
 	}
 
-	h := &held{budget: t.replies}
-
-	err := h.read(body, int(firstHeld), limit)
-	if err == nil && h.more && !streamed {
+	switch {
+	case streamed && errors.Is(err, ErrNoMemory): // What has been read is enough to begin with.
+		h.more, err = true, nil
+	case err == nil && h.more && !streamed:
 		err = ErrReplyTooLarge
 	}
 
@@ -241,7 +256,7 @@
 	c := t.call
 
 	switch {
-	case c.Stream == 0 || status >= fasthttp.StatusMultipleChoices:
+	case !t.mayStream(status):
 		return false
 	case length >= 0:
 		return length >= int(c.Stream)
@@ -249,3 +264,8 @@
 		return !c.NeedsLength
 	}
 }
+
+// mayStream reports whether the body of a reply of a status may be streamed at all.
+func (t *roundTrip) mayStream(status int) bool {
+	return t.call.Stream > 0 && status < fasthttp.StatusMultipleChoices
+}
--- a/internal/cwlink/link.go
+++ b/internal/cwlink/link.go
@@ -34,8 +34,8 @@
 	DialTimeout time.Duration
 	// MaxHeaderSize is the maximum size of a reply header in bytes.
 	MaxHeaderSize carobward.ByteCount
-	// Replies is the budget for replies that are held whole, beyond the first bytes of each. Nil means no
-	// bound.
+	// Replies is the budget for replies that are held whole, apart from short ones. Those for which there is no
+	// memory are streamed, or fail if they can't be. Nil means no bound.
 	Replies *cwmemory.Budget
 	// Dialect is the protocol that servers use. Nil means NativeDialect.
 	Dialect carobward.Dialect
--- a/internal/cwlink/reply.go
+++ b/internal/cwlink/reply.go
@@ -151,28 +151,43 @@
 	}
 
 	if streamed && length >= 0 {
-		reply.Stream = &carobward.Stream{ReadCloser: &stream{body: body, left: length, fixed: true}, Length: length}
+		reply.Stream = streamOf(body, length)
 
 		return nil
 	}
 
 	held, err := t.readBody(body, length, streamed)
+	if errors.Is(err, ErrNoMemory) && length >= 0 && !skip && t.mayStream(reply.Status) { // Nothing of it was read.
+		reply.Stream = streamOf(body, length)
+
+		return nil
+	}
+
 	if err != nil {
 		return err
 	}
 
-	switch {
-	case held.more:
+	if skip {
+		held.release()
+
+		return nil
+	}
+
+	if held.taken > 0 {
+		reply.Release = sync.OnceFunc(held.release)
+	}
+
+	if held.more {
 		body = io.MultiReader(bytes.NewReader(held.bytes), body)
 		reply.Stream = &carobward.Stream{ReadCloser: &stream{body: body, left: int(t.call.MaxReply)}, Length: carobward.UnknownLength}
-	case skip:
-		held.release()
-	default:
+	} else {
 		reply.Body = held.bytes
-		if held.taken > 0 {
-			reply.Release = sync.OnceFunc(held.release)
-		}
 	}
 
 	return nil
 }
+
+// streamOf returns a body of a known length that is streamed.
+func streamOf(body io.Reader, length int) *carobward.Stream {
+	return &carobward.Stream{ReadCloser: &stream{body: body, left: length, fixed: true}, Length: length}
+}
--- a/internal/cwmemory/plan.go
+++ b/internal/cwmemory/plan.go
@@ -22,9 +22,9 @@
 	// may use beside it.
 	largestRequest = 64 * carobward.Megabyte
 	requestReserve = 2 * carobward.Megabyte
-	// connBytes is the memory of an open connection: its read buffer, the first bytes of a body, its goroutine
-	// and its entries in tables.
-	connBytes = 36 * carobward.Kilobyte
+	// connBytes is the memory of an open connection: its read buffer, the first bytes of a body and of a reply,
+	// its goroutine and its entries in tables.
+	connBytes = 40 * carobward.Kilobyte
 	// maxConns is the largest number of callers' connections, well below the file descriptor limit of a VM.
 	maxConns = 2400
 )
@@ -35,7 +35,7 @@
 	Collector carobward.ByteCount
 	// Requests bounds the headers and bodies of requests, of which Reserve is for small ones.
 	Requests, Reserve carobward.ByteCount
-	// Replies bounds the large replies that are held whole.
+	// Replies bounds the replies that are held whole, beyond the first bytes of each.
 	Replies carobward.ByteCount
 	// Conns is the largest number of callers' connections.
 	Conns int
--- a/server.go
+++ b/server.go
@@ -85,7 +85,8 @@
 	Body []byte
 	// Stream is a body that is streamed to the caller; nil if Body has it.
 	Stream *Stream
-	// Release gives back the memory that was taken for Body. It is nil if none was taken.
+	// Release gives back the memory that was taken for Body, or for the begin of Stream. It is nil if none was
+	// taken.
 	Release func()
 	// Report is the load report of the reply; its At is zero if there is none.
 	Report Report
