--- a/internal/cwlink/body.go
+++ b/internal/cwlink/body.go
@@ -170,9 +170,14 @@
 	return err
 }
 
-// read reads a body up to a number of bytes, and reports more if it is longer.
-func (h *held) read(body io.Reader, first, limit int) error {
-	for size := min(first, limit+1); ; size = min(2*size, limit+1) {
+// read reads a body of a length, which is negative if it is not known, up to a limit. It sets more if the body is
+// longer.
+func (h *held) read(body io.Reader, length, limit int) error {
+	if length >= 0 && length <= int(maxFirstRead) {
+		return h.readFull(body, length)
+	}
+
+	for size := min(int(firstHeld), limit+1); ; size = min(2*size, limit+1) {
 		if err := h.grow(size); err != nil {
 			return err
 		}
@@ -210,29 +215,27 @@
 	return false, nil
 }
 
-// readBody reads the body of a reply, or as much of it as is held before it is streamed.
-func (t *roundTrip) readBody(body io.Reader, length int, streamed bool) (*held, error) {
-	limit := int(t.call.MaxReply)
-	if t.call.Stream > 0 {
-		limit = min(limit, int(maxHeldError))
-	}
-
-	if streamed {
-		limit = int(t.call.Stream) - 1
+// heldLimit returns how much of a body is held whole, or before it is streamed.
+func (t *roundTrip) heldLimit(streamed bool) int {
+	switch {
+	case streamed:
+		return int(t.call.Stream) - 1
+	case t.call.Stream > 0:
+		return int(min(t.call.MaxReply, maxHeldError))
+	default:
+		return int(t.call.MaxReply)
 	}
+}
 
+// readBody reads the body of a reply, or as much of it as is held before it is streamed.
+func (t *roundTrip) readBody(body io.Reader, length int, streamed bool) (*held, error) {
+	limit := t.heldLimit(streamed)
 	if length > limit && !streamed {
 		return nil, ErrReplyTooLarge
 	}
 
 	h := &held{budget: t.replies}
-
-	var err error
-	if length >= 0 && length <= int(maxFirstRead) {
-		err = h.readFull(body, length)
-	} else {
-		err = h.read(body, int(firstHeld), limit)
-	}
+	err := h.read(body, length, limit)
 
 	switch {
 	case streamed && errors.Is(err, ErrNoMemory): // What has been read is enough to begin with.
--- a/internal/cwlink/reply.go
+++ b/internal/cwlink/reply.go
@@ -146,21 +146,13 @@
 	}
 
 	streamed := !skip && t.streams(reply.Status, length)
-	if streamed && length > int(t.call.MaxReply) {
-		return ErrReplyTooLarge
-	}
-
 	if streamed && length >= 0 {
-		reply.Stream = streamOf(body, length)
-
-		return nil
+		return t.streamBody(reply, body, length)
 	}
 
 	held, err := t.readBody(body, length, streamed)
-	if errors.Is(err, ErrNoMemory) && length >= 0 && !skip && t.mayStream(reply.Status) { // Nothing of it was read.
-		reply.Stream = streamOf(body, length)
-
-		return nil
+	if length >= 0 && !skip && errors.Is(err, ErrNoMemory) && t.mayStream(reply.Status) { // Nothing of it was read.
+		return t.streamBody(reply, body, length)
 	}
 
 	if err != nil {
@@ -169,25 +161,36 @@
 
 	if skip {
 		held.release()
+	} else {
+		t.setBody(reply, held, body)
+	}
+
+	return nil
+}
 
-		return nil
+// streamBody sets the body of a reply to a stream of a known length.
+func (t *roundTrip) streamBody(reply *carobward.Reply, body io.Reader, length int) error {
+	if length > int(t.call.MaxReply) {
+		return ErrReplyTooLarge
 	}
 
+	reply.Stream = &carobward.Stream{ReadCloser: &stream{body: body, left: length, fixed: true}, Length: length}
+
+	return nil
+}
+
+// setBody sets the body of a reply to what is held, or to a stream that begins with it.
+func (t *roundTrip) setBody(reply *carobward.Reply, held *held, rest io.Reader) {
 	if held.taken > 0 {
 		reply.Release = sync.OnceFunc(held.release)
 	}
 
-	if held.more {
-		body = io.MultiReader(bytes.NewReader(held.bytes), body)
-		reply.Stream = &carobward.Stream{ReadCloser: &stream{body: body, left: int(t.call.MaxReply)}, Length: carobward.UnknownLength}
-	} else {
+	if !held.more {
 		reply.Body = held.bytes
-	}
 
-	return nil
-}
+		return
+	}
 
-// streamOf returns a body of a known length that is streamed.
-func streamOf(body io.Reader, length int) *carobward.Stream {
-	return &carobward.Stream{ReadCloser: &stream{body: body, left: length, fixed: true}, Length: length}
+	all := io.MultiReader(bytes.NewReader(held.bytes), rest)
+	reply.Stream = &carobward.Stream{ReadCloser: &stream{body: all, left: int(t.call.MaxReply)}, Length: carobward.UnknownLength}
 }
