A panic while a body is read fails its request only

Cause: found on reading the change: the body is read before the code that recovers, so that a panic there would end the process. Ruled out: the library, which doesn't recover.

Change: reading is covered, and the memory is given back. TestReadBodyPanics; it doesn't build on the code before, where such a panic was not tried.

--- a/cmd/carobward/client.go
+++ b/cmd/carobward/client.go
@@ -13,7 +13,6 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward/internal/cwframe"
-
 	"carobward.example/carobward/internal/cwoperator"
 )
 
--- a/internal/cwfront/body.go
+++ b/internal/cwfront/body.go
@@ -89,9 +89,9 @@
 	return carobward.NewFailure(carobward.NotRun, fasthttp.StatusServiceUnavailable, memoryRetryAfter, ErrNoMemory)
 }
 
-// receive sets how much of a request's body is read before its handler is called: nothing of one that is
-// announced to be larger than the limit, so that it is refused at once. See fasthttp.Server.HeaderReceived.
-func (f *Front) receive(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+// headerReceived has nothing read of a body that is announced to be larger than the limit before the handler is
+// called, so that it is refused at once. See fasthttp.Server.HeaderReceived.
+func (f *Front) headerReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if h.ContentLength() > f.maxBody() {
 		h.SetContentLength(0)
 	}
@@ -129,34 +129,33 @@
 }
 
 // readBody reads the body of a request. The error is a carobward.Failure if the request is refused, and else
-// that of the connection, on which nothing more can be read. The body must be released in any case.
-func (f *Front) readBody(ctx *fasthttp.RequestCtx, t *cwconn.Table) (*body, error) {
-	b := newBody(f.Requests)
+// that of the connection, on which nothing more can be read.
+func (f *Front) readBody(ctx *fasthttp.RequestCtx, t *cwconn.Table, b *body) error {
 	h := &ctx.Request.Header
 
 	if err := checkFrame(h); err != nil {
-		return b, err
+		return err
 	}
 
 	if n := len(h.RawHeaders()); n > smallHeader {
 		if err := b.take(headerCopies * n); err != nil {
-			return b, err
+			return err
 		}
 	}
 
 	length, most := h.ContentLength(), f.maxBody()
 	if announced := cwframe.ContentLength(h.RawHeaders()); announced > most || announced > max(length, 0) {
-		return b, tooLarge()
+		return tooLarge()
 	}
 
 	stream := ctx.RequestBodyStream()
 	if stream == nil || length == 0 {
-		return b, nil
+		return nil
 	}
 
 	r := &bodyReader{body: b, stream: stream, conn: ctx.Conn(), conns: t, clock: f.Clock, idle: f.bodyIdle(), end: f.Clock.Now().Add(readTimeout)}
 
-	return b, r.read(length, most)
+	return r.read(length, most)
 }
 
 func tooLarge() error {
--- a/internal/cwfront/body_test.go
+++ b/internal/cwfront/body_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"carobward.example/carobward"
+	"carobward.example/carobward/internal/cwconn"
 	"carobward.example/carobward/internal/cwmemory"
 	"carobward.example/carobward/internal/cwroutes"
 	"carobward.example/carobward/internal/cwtest"
@@ -34,9 +35,11 @@
 	f.SetRoutes(cwroutes.New(&carobward.Routing{Limits: carobward.Limits{Body: testLimit, Idle: time.Minute}}))
 
 	handle := func(ctx *fasthttp.RequestCtx) {
-		b, err := f.readBody(ctx, f.conns)
+		b := newBody(f.Requests)
 		defer b.release()
 
+		err := f.readBody(ctx, f.conns, b)
+
 		switch {
 		case err == nil:
 			ctx.SetBody(b.Bytes())
@@ -178,3 +181,36 @@
 		t.Error(diff)
 	}
 }
+
+// panickingClock panics where it is asked for the time.
+type panickingClock struct{}
+
+func (panickingClock) Now() time.Time { panic("test panic") }
+
+// bodyCallers is a dialect without fields.
+type bodyCallers struct{ plainCallers }
+
+func (bodyCallers) ID(func(name string) string) carobward.RequestID { return "one" }
+
+func (bodyCallers) ReplyFields(carobward.RequestID, func(name, value string)) {}
+
+func (bodyCallers) RetryAfter(time.Duration, func(name, value string)) {}
+
+// TestReadBodyPanics guards against a panic while a body is read that ends the process, or keeps the memory.
+func TestReadBodyPanics(t *testing.T) {
+	f, _ := newBodyServer(t)
+	f.Dialect = bodyCallers{}
+
+	s := f.newServer(func(ctx *fasthttp.RequestCtx) {
+		f.Clock = panickingClock{}
+		f.handleBody(ctx, cwconn.New(1, carobward.SystemClock{}), nil)
+	}, cwconn.New(1, carobward.SystemClock{}), 1)
+	at := cwtest.Serve(t, s.Serve, s.Shutdown)
+
+	filler := "X-Fill: " + strings.Repeat("x", 8<<10) + "\r\n"
+	if status, _ := exchangeRaw(t, at, "POST /a HTTP/1.1\r\nHost: a\r\n"+filler+"Content-Length: 4\r\n\r\nbody"); status != fasthttp.StatusBadGateway {
+		t.Errorf("status %d", status)
+	}
+
+	cwtest.Wait(t, "the memory to be given back", func() bool { return f.Requests.Used() == 0 })
+}
--- a/internal/cwfront/server.go
+++ b/internal/cwfront/server.go
@@ -47,7 +47,7 @@
 		Concurrency:                  most + cwconn.MaxClosing,
 		ReadBufferSize:               bufferBytes,
 		StreamRequestBody:            true,
-		HeaderReceived:               f.receive,
+		HeaderReceived:               f.headerReceived,
 		ExpectHandler:                f.expect,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
@@ -78,11 +78,19 @@
 	}
 }
 
-// handleBody reads the body of a request and serves it. Parse returns the request.
+// handleBody reads the body of a request and serves it. Parse returns the request. It recovers from a panic as
+// serve does.
 func (f *Front) handleBody(ctx *fasthttp.RequestCtx, t *cwconn.Table, parse func(b *body, now time.Time) *request) {
-	b, err := f.readBody(ctx, t)
+	b := newBody(f.Requests)
 	defer b.release()
 
+	defer func() {
+		if cause := recover(); cause != nil {
+			f.handlePanic(ctx, cause)
+		}
+	}()
+
+	err := f.readBody(ctx, t, b)
 	if err != nil {
 		ctx.SetConnectionClose() // The rest of the body is not read.
 	}
