A refusal without a name counts only where nothing else can have sent it

Cause: a health check takes the second copy of an earlier one's answer for its own. Its own, a refusal without an id, comes where the answer of the request is due, which counts as refused, is sent to another server, and runs at both. Ruled out: the second copy of a refusal, behind which the connection is closed (TestSecondRefusal).

Change: such a refusal of a request ends as unknown, unless no reply was read on the connection before.

--- a/internal/cwlink/held_conn.go
+++ b/internal/cwlink/held_conn.go
@@ -89,6 +89,7 @@
 	began := h.link.clock.Now()
 	stop := context.AfterFunc(ctx, func() { _ = h.conn.Close() })
 	t := h.link.newRoundTrip(h.conn.Conn, call)
+	t.first = h.conn.lastReply.IsZero()
 	reply, err := t.run()
 
 	if err == nil {
--- a/internal/cwlink/reply.go
+++ b/internal/cwlink/reply.go
@@ -21,6 +21,7 @@
 	ErrHeaderTooLarge = errors.ConstError("the reply's header is too large")
 	ErrNoFinalStatus  = errors.ConstError("the reply has no final status")
 	ErrTooManyInterim = errors.ConstError("too many interim replies")
+	ErrUnnamed        = errors.ConstError("the reply refuses a request and does not say which one")
 	ErrWrongID        = carobward.ErrOtherRequest
 	ErrTooManyOthers  = errors.ConstError("too many replies to other requests")
 )
@@ -69,6 +70,10 @@
 	reply := &carobward.Reply{Status: resp.StatusCode(), Header: cwframe.Copy(resp.Header.All(), cwframe.KeepAll)}
 
 	dialectErr := t.dialect.Read(t.call, reply, t.clock.Now())
+	if dialectErr == nil && !t.ownRefusal(reply) {
+		dialectErr = ErrUnnamed
+	}
+
 	skip := t.dialect.AllowsExtraReply() && errors.Is(dialectErr, carobward.ErrOtherRequest)
 
 	if dialectErr != nil && !skip {
@@ -92,6 +97,12 @@
 	return reply, persistent, dialectErr
 }
 
+// ownRefusal reports whether a reply that refuses a call is surely the reply to this one. One that names no call may
+// be that of a health check which took the second copy of an earlier reply for its own.
+func (t *roundTrip) ownRefusal(r *carobward.Reply) bool {
+	return !r.Unnamed || t.call.HealthCheck || t.first
+}
+
 // bodiless reports whether a reply has no body regardless of its Content-Length,
 // RFC 9112, 6.3.
 func bodiless(method string, status int) bool {
--- a/internal/cwlink/round_trip.go
+++ b/internal/cwlink/round_trip.go
@@ -34,6 +34,8 @@
 	// wrote is closed once the write has ended, with writeErr. It is nil if the write ended before the reply was read.
 	wrote    chan struct{}
 	writeErr error
+	// first reports that no reply was read from the connection before.
+	first bool
 	// sent is the number of bytes that the kernel accepted.
 	sent int64
 	// persistent reports that the connection may carry another call once the body
--- a/internal/cwstand/upstream.go
+++ b/internal/cwstand/upstream.go
@@ -171,22 +171,24 @@
 	mode, work, load, fields, shed := u.mode, u.work, u.load, u.fields, u.shed
 	u.mutex.Unlock()
 
+	id := header("Request-Id")
+
 	if expected := header("Expect-Instance"); expected != "" && expected != string(u.instance) {
-		return writeReply(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", u.instance, fields)
+		return writeReply(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", id, u.instance, fields)
 	}
 
 	refused := mode == UpstreamSheds || rand.Float64() < shed
 
 	u.mutex.Lock()
-	u.received = append(u.received, Received{ID: header("Request-Id"), At: time.Now(), Refused: refused})
+	u.received = append(u.received, Received{ID: id, At: time.Now(), Refused: refused})
 	u.mutex.Unlock()
 
 	if refused {
-		return writeReply(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", fields)
+		return writeReply(c, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", id, fields)
 	}
 
 	run := Run{
-		ID: header("Request-Id"), Method: string(req.Header.Method()), URI: string(req.Header.RequestURI()),
+		ID: id, Method: string(req.Header.Method()), URI: string(req.Header.RequestURI()),
 		Body: string(req.Body()), TimeLeft: header("Deadline-Ms"),
 		Team: header("Tenant"), Key: header("Authorization"),
 	}
--- a/server.go
+++ b/server.go
@@ -92,8 +92,8 @@
 	Report Report
 	// Shed is set if the server refused the call before running it.
 	Shed bool
-	// Unnamed is set if the reply refuses a call and does not name it. A server that sends it
-	// twice seems to refuse the next call on the connection, too.
+	// Unnamed is set if the reply refuses a call and does not name it. It may be that of another call on the
+	// connection.
 	Unnamed bool
 	// Instance is the run of the server that replied, if it is reported.
 	Instance Instance
