test/stop: four plays at once

Cause: that process has the stand-ins, the proxies and the callers of all plays that run at once, one for each core. Beside other load it holds 13,469 to 16,790 descriptors on and 13,646 to 16,211 on the code under test, two runs each, where the limit is 20,000. Ruled out: the code under test, which takes as many as the code before, and entry VMs, which hold 813 at the most.

Change: no more than four plays at once, the same plays.

--- a/test/stop/stop_test.go
+++ b/test/stop/stop_test.go
@@ -54,10 +54,21 @@
 	paths *cwsite.Paths
 }
 
+// maxPlays is how many plays there are at once: each takes some 2,000 descriptors of this process, of which a
+// usual limit allows 20,000.
+const maxPlays = 4
+
+// playing holds a value for each play that goes on.
+var playing = make(chan struct{}, maxPlays)
+
 // newPlay starts a site with some servers and entry VMs, of which the first one is to be stopped.
 func newPlay(t *testing.T, grace time.Duration, servers, vms int) *play {
 	t.Helper()
 
+	playing <- struct{}{}
+
+	t.Cleanup(func() { <-playing })
+
 	p := &play{
 		Site: cwsite.New(t, grace.String()), grace: grace, stops: map[int]time.Duration{0: 0}, paths: cwsite.NewPaths(),
 		ran: map[carobward.RequestID]bool{}, done: map[carobward.RequestID]bool{},
